--- /dev/null
+++ b/bench/decision/decisionbench.cpp
@@ -0,0 +1,2 @@
+#include <benchmark/benchmark.h>
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/policy/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/examples/100-nakhla-program.cpp
@@ -0,0 +1,164 @@
+//! Example 100: one program of Nakhla Buggy Works from end to end.
+//!
+//! Starts stand-ins and three entry instances on loopback, applies a configuration, and runs a program with dependent
+//! model calls, a tool pause, two sub-agents and one booking that may run only once. Each call goes to another entry
+//! instance, as the platform's balancer would have it.
+
+#include "support/testcluster.h"
+
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+namespace json = boost::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr const char *program = "charging-round-1";
+
+double millisSince(Clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(Clock::now() - start).count();
+}
+
+//! Returns the text of a plain or streamed chat completion.
+std::string answerText(const HttpResponse &response)
+{
+    std::string text;
+    std::size_t start = 0;
+    if (response.contentType != "text/event-stream") {
+        const json::value document = json::parse(response.body);
+        return std::string(document.at("choices").at(0).at("message").at("content").as_string());
+    }
+    while ((start = response.body.find("data: {", start)) != std::string::npos) {
+        const std::size_t end = response.body.find('\n', start);
+        const json::value event = json::parse(response.body.substr(start + 6, end - start - 6));
+        const json::object &delta = event.at("choices").at(0).at("delta").as_object();
+        text += delta.contains("content") ? std::string(delta.at("content").as_string()) : std::string();
+        start = end;
+    }
+    return text;
+}
+
+class Demo
+{
+public:
+    explicit Demo(TestCluster &cluster)
+        : cluster(cluster)
+    {
+    }
+
+    bool model(const std::string &branch, int sequence, const std::string &question, bool stream)
+    {
+        const std::string request = "turn-" + branch + std::to_string(sequence);
+        TestRequest call{"POST", "/v1/chat/completions", chatBody(question, stream), callHeaders(program, request, sequence, branch)};
+        return this->run(request, call, true);
+    }
+
+    bool service(int sequence, const std::string &path, const std::string &request)
+    {
+        TestRequest call{"POST", "/v1/services/dispatch-app" + path, "{\"buggy\":7}", callHeaders(program, request, sequence)};
+        return this->run(request, call, false);
+    }
+
+private:
+    bool run(const std::string &name, const TestRequest &call, bool isModel)
+    {
+        const std::size_t entry = this->next++ % this->cluster.instances.size();
+        const Clock::time_point start = Clock::now();
+        const auto response = this->cluster.call(entry, call);
+        if (!response || response->status != 200) {
+            std::cout << name << " failed: " << (response ? response->body : "no response") << '\n';
+            return false;
+        }
+        std::string text = isModel ? answerText(*response) : response->body;
+        text = text.size() > 60 ? text.substr(0, 60) + "..." : text;
+        std::cout << name << " through gate-" << entry << " in " << millisSince(start) << " ms: " << text << '\n';
+        return true;
+    }
+
+    TestCluster &cluster;
+    std::size_t next = 0;
+};
+
+bool runProgram(TestCluster &cluster)
+{
+    TestRequest create{"POST", "/v1/programs", json::serialize(json::object{{"kind", "round"}, {"id", program}}), callHeaders("", "")};
+    const auto created = cluster.call(0, create);
+    if (!created || created->status != 201) {
+        std::cout << "the program was not created: " << (created ? created->body : "no response") << '\n';
+        return false;
+    }
+    Demo demo(cluster);
+    bool good = demo.model("", 1, "Which buggies need charging? [[tokens=24]]", true);
+    good = good && demo.service(2, "/positions/7", "positions-1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    good = good && demo.model("", 3, "Plan the morning round. [[tokens=40]]", true);
+    bool agadir = false;
+    std::thread subAgent([&]() {
+        Demo own(cluster);
+        agadir = own.model("agadir", 1, "Check Agadir. [[tokens=16]]", false) && own.model("agadir", 2, "And the ranges? [[tokens=16]]", false);
+    });
+    const bool marrakech = demo.model("marrakech", 1, "Check Marrakech. [[tokens=16]]", false);
+    subAgent.join();
+    good = good && agadir && marrakech;
+    good = good && demo.service(4, "/bookings", "battery-swap-7");
+    good = good && demo.service(4, "/bookings", "battery-swap-7");
+    good = good && demo.model("", 5, "Summarise. [[tokens=20]]", true);
+    TestRequest status{"GET", std::string("/v1/programs/") + program, "", callHeaders("", "")};
+    const auto state = cluster.call(1, status);
+    TestRequest end{"POST", std::string("/v1/programs/") + program + "/end", "", callHeaders("", "")};
+    const auto ended = cluster.call(2, end);
+    good = good && state && ended && ended->status == 200;
+    std::cout << "state before the end: " << (state ? state->body : "none") << '\n';
+    return good;
+}
+
+std::size_t countExecutions(const TestCluster &cluster)
+{
+    std::size_t count = 0;
+    for (const json::object &record : cluster.records()) {
+        const bool executed = record.at("kind").as_string() == "executed";
+        count += executed && record.at("request").as_string() == "battery-swap-7" ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+int main()
+{
+    ClusterOptions options;
+    TestCluster cluster(options);
+    if (!cluster.waitReady()) {
+        std::cout << "the instances did not get ready\n";
+        return 1;
+    }
+    const Clock::time_point start = Clock::now();
+    const bool good = runProgram(cluster);
+    std::cout << "whole program: " << millisSince(start) << " ms\n";
+    const std::size_t executions = countExecutions(cluster);
+    std::cout << "the booking, asked for twice, was carried out " << executions << " time(s) by the service's own record\n";
+    for (ChildProcess &instance : cluster.instances) {
+        instance.signal(SIGTERM);
+    }
+    bool stopped = true;
+    for (ChildProcess &instance : cluster.instances) {
+        stopped = instance.wait() == 0 && stopped;
+    }
+    std::cout << "time line:\n" << std::flush;
+    const char *bin = std::getenv("OLEANDER_BIN");
+    std::vector<std::string> command{std::string(bin == nullptr ? "build/release/bin" : bin) + "/oleander-timeline", std::string("--program=") + program};
+    for (const std::string &file : cluster.eventFiles()) {
+        command.push_back(file);
+    }
+    ChildProcess timeline(command, "");
+    const bool shown = timeline.wait() == 0;
+    return good && executions == 1 && stopped && shown ? 0 : 1;
+}
--- /dev/null
+++ b/src/config/checkedtable.cpp
@@ -0,0 +1,244 @@
+#include "config/checkedtable.h"
+
+#include <toml++/toml.h>
+
+#include <charconv>
+#include <sstream>
+
+namespace oleandergate {
+
+struct CheckedTable::Node
+{
+    std::shared_ptr<const toml::table> root{}; //!< Keeps the document alive.
+    const toml::table *table = nullptr;
+    std::string file{};
+};
+
+namespace {
+
+constexpr std::int64_t moneyScale = 1000000;
+constexpr std::size_t moneyDecimals = 6;
+constexpr std::size_t longestFound = 60;
+
+std::string show(const toml::node &node)
+{
+    std::ostringstream out;
+    node.visit([&out](const auto &value) {
+        out << value;
+    });
+    std::string text = out.str();
+    if (text.size() > longestFound) {
+        text = text.substr(0, longestFound) + "...";
+    }
+    return text;
+}
+
+std::optional<std::int64_t> parseMoney(const std::string &text)
+{
+    const std::size_t point = text.find('.');
+    const std::string whole = text.substr(0, point);
+    std::string fraction = point == std::string::npos ? "" : text.substr(point + 1);
+    const bool digits = (whole + fraction).find_first_not_of("0123456789") == std::string::npos;
+    constexpr std::size_t longestWhole = 9;
+    if (whole.empty() || !digits || whole.size() > longestWhole || fraction.size() > moneyDecimals || (point != std::string::npos && fraction.empty())) {
+        return std::nullopt;
+    }
+    fraction.resize(moneyDecimals, '0');
+    return std::stoll(whole) * moneyScale + std::stoll(fraction);
+}
+
+} // namespace
+
+std::optional<CheckedTable> parseToml(const std::string &text, const std::string &file, ConfigIssues &issues)
+{
+    try {
+        auto root = std::make_shared<const toml::table>(toml::parse(text, file));
+        auto node = std::make_shared<const CheckedTable::Node>(CheckedTable::Node{root, root.get(), file});
+        return CheckedTable(std::move(node), "", issues);
+    } catch (const toml::parse_error &error) {
+        issues.push_back(ConfigIssue{file, error.source().begin.line, "(syntax)", std::string(error.description()), "a TOML document"});
+        return std::nullopt;
+    }
+}
+
+CheckedTable::CheckedTable(std::shared_ptr<const Node> node, std::string path, ConfigIssues &issues)
+    : node(std::move(node))
+    , path(std::move(path))
+    , issues(&issues)
+{
+}
+
+std::string CheckedTable::pathOf(const std::string &key) const
+{
+    return this->path.empty() ? key : this->path + "." + key;
+}
+
+void CheckedTable::addIssue(const std::string &key, const std::string &found, const std::string &allowed)
+{
+    std::uint32_t line = this->node->table == nullptr ? 0 : this->node->table->source().begin.line;
+    if (this->node->table != nullptr) {
+        if (const toml::node *value = this->node->table->get(key)) {
+            line = value->source().begin.line;
+        }
+    }
+    this->issues->push_back(ConfigIssue{this->node->file, line, this->pathOf(key), found, allowed});
+}
+
+std::string CheckedTable::text(const std::string &key, std::optional<std::string> fallback)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    if (value == nullptr) {
+        if (!fallback) {
+            this->addIssue(key, "nothing", "a text");
+        }
+        return fallback.value_or("");
+    }
+    const auto text = value->value_exact<std::string>();
+    if (!text) {
+        this->addIssue(key, show(*value), "a text");
+    }
+    return text.value_or("");
+}
+
+std::int64_t CheckedTable::number(const std::string &key, std::int64_t least, std::int64_t most, std::optional<std::int64_t> fallback)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    const std::string range = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    if (value == nullptr) {
+        if (!fallback) {
+            this->addIssue(key, "nothing", range);
+        }
+        return fallback.value_or(least);
+    }
+    const auto number = value->value_exact<std::int64_t>();
+    if (!number || *number < least || *number > most) {
+        this->addIssue(key, show(*value), range);
+        return least;
+    }
+    return *number;
+}
+
+std::int64_t CheckedTable::money(const std::string &key, std::optional<std::int64_t> fallback)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    const std::string allowed = "an amount such as \"2.50\", with at most six decimals";
+    if (value == nullptr) {
+        if (!fallback) {
+            this->addIssue(key, "nothing", allowed);
+        }
+        return fallback.value_or(0);
+    }
+    const auto text = value->value_exact<std::string>();
+    const auto amount = text ? parseMoney(*text) : std::nullopt;
+    if (!amount) {
+        this->addIssue(key, show(*value), allowed);
+    }
+    return amount.value_or(0);
+}
+
+bool CheckedTable::flag(const std::string &key, bool fallback)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    const auto flag = value->value_exact<bool>();
+    if (!flag) {
+        this->addIssue(key, show(*value), "true or false");
+    }
+    return flag.value_or(fallback);
+}
+
+std::string CheckedTable::choice(const std::string &key, const std::vector<std::string> &allowed, std::optional<std::string> fallback)
+{
+    const std::size_t before = this->issues->size();
+    std::string text = this->text(key, std::move(fallback));
+    std::string list;
+    for (const std::string &option : allowed) {
+        if (option == text) {
+            return text;
+        }
+        list += (list.empty() ? "" : ", ") + option;
+    }
+    if (this->issues->size() == before) {
+        this->addIssue(key, "'" + text + "'", "one of " + list);
+    }
+    return allowed.front();
+}
+
+std::vector<std::string> CheckedTable::texts(const std::string &key)
+{
+    this->known.insert(key);
+    std::vector<std::string> found;
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    if (value == nullptr) {
+        return found;
+    }
+    const toml::array *list = value->as_array();
+    if (list == nullptr) {
+        this->addIssue(key, show(*value), "a list of texts");
+        return found;
+    }
+    for (const toml::node &element : *list) {
+        const auto text = element.value_exact<std::string>();
+        if (!text) {
+            this->addIssue(key, show(element), "a list of texts");
+        } else {
+            found.push_back(*text);
+        }
+    }
+    return found;
+}
+
+CheckedTable CheckedTable::table(const std::string &key)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    const toml::table *table = value == nullptr ? nullptr : value->as_table();
+    if (value != nullptr && table == nullptr) {
+        this->addIssue(key, show(*value), "a table [" + this->pathOf(key) + "]");
+    }
+    return CheckedTable(std::make_shared<const Node>(Node{this->node->root, table, this->node->file}), this->pathOf(key), *this->issues);
+}
+
+std::vector<CheckedTable> CheckedTable::tables(const std::string &key)
+{
+    this->known.insert(key);
+    std::vector<CheckedTable> found;
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    if (value == nullptr) {
+        return found;
+    }
+    const toml::array *list = value->as_array();
+    if (list == nullptr || !list->is_homogeneous(toml::node_type::table)) {
+        this->addIssue(key, show(*value), "tables [[" + this->pathOf(key) + "]]");
+        return found;
+    }
+    for (std::size_t index = 0; index < list->size(); ++index) {
+        auto element = std::make_shared<const Node>(Node{this->node->root, (*list)[index].as_table(), this->node->file});
+        found.emplace_back(std::move(element), this->pathOf(key) + "[" + std::to_string(index) + "]", *this->issues);
+    }
+    return found;
+}
+
+void CheckedTable::refuseOthers()
+{
+    if (this->node->table == nullptr) {
+        return;
+    }
+    for (const auto &[key, value] : *this->node->table) {
+        if (!this->known.contains(std::string(key.str()))) {
+            std::string list;
+            for (const std::string &name : this->known) {
+                list += (list.empty() ? "" : ", ") + name;
+            }
+            this->issues->push_back(ConfigIssue{this->node->file, value.source().begin.line, this->pathOf(std::string(key.str())), "an unknown key", list});
+        }
+    }
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/dispatcher.cpp
@@ -0,0 +1,443 @@
+#include "decision/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace oleandergate {
+
+namespace {
+
+constexpr std::size_t noEndpoint = std::numeric_limits<std::size_t>::max();
+
+//! Weight of a new sample in a running mean.
+constexpr double sampleWeight = 0.05;
+
+//! Weight of a new sample in an endpoint's slowness, which has to follow short slow moments.
+constexpr double slownessWeight = 0.2;
+
+//! Candidates beside the prefix holder.
+constexpr std::size_t candidateCount = 2;
+
+//! Share of an endpoint's pace that each further call in its batch costs, over the whole batch.
+constexpr double batchDrag = 0.5;
+
+//! Tokens assumed for the answer of a call when nothing better is known.
+constexpr Tokens assumedAnswer = 128;
+
+//! Interruptions for stalls are always allowed up to this many.
+constexpr std::uint64_t migrationAllowance = 4;
+
+//! Smallest and largest slowness an endpoint is given.
+constexpr double minSlowness = 0.5;
+constexpr double maxSlowness = 20.0;
+
+void blend(double &mean, double sample, double weight)
+{
+    mean += weight * (sample - mean);
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(const PolicyOptions &options, std::uint64_t seed)
+    : options(options)
+    , random(seed)
+    , endpoints(options.limitInFlight, options.overcommit)
+{
+}
+
+void Dispatcher::setEndpoints(const std::vector<EndpointSpec> &specs)
+{
+    this->endpoints.assign(specs);
+}
+
+Time Dispatcher::keyOf(const QueuedCall &call, Time now) const
+{
+    const Duration advance = this->options.priorityStep * call.priority;
+    switch (this->options.order) {
+    case QueueOrder::Arrival:
+        return now - advance;
+    case QueueOrder::ProgramStart:
+        return call.programStart - advance;
+    case QueueOrder::LeastAttained:
+        break;
+    }
+    const auto program = this->programs.find(call.program);
+    const double attained = program == this->programs.end() ? 0.0 : program->second.attained;
+    return now - advance + std::min(this->options.maxSetBack, fromSeconds(attained * this->options.attainedWeight));
+}
+
+Result<void> Dispatcher::enqueue(const QueuedCall &call, Time now)
+{
+    if (this->endpoints.usableCount() == 0) {
+        return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Ran::No, std::chrono::seconds(1), "the pool has no live endpoint"};
+    }
+    ProgramView &program = this->programs[call.program];
+    const Duration wait = this->predictedWait();
+    if (this->options.refuseEarly && program.attained == 0.0 && program.openCalls == 0 && now + wait > call.deadline) {
+        this->programs.erase(call.program);
+        return Error{ErrorCode::Overloaded, Step::Queue, {}, Ran::No, wait, "the backlog would make the program late"};
+    }
+    program.openCalls += 1;
+    Waiting entry{call, this->keyOf(call, now)};
+    entry.arrived = now;
+    this->order.emplace(std::pair(entry.key, call.call), call.call);
+    this->waiting[call.call] = std::move(entry);
+    return boost::outcome_v2::success();
+}
+
+bool Dispatcher::remove(CallId call)
+{
+    const auto found = this->waiting.find(call);
+    if (found == this->waiting.end()) {
+        return false;
+    }
+    this->programs[found->second.call.program].openCalls -= 1;
+    this->order.erase(std::pair(found->second.key, call));
+    this->waiting.erase(found);
+    return true;
+}
+
+const QueuedCall *Dispatcher::head() const
+{
+    return this->order.empty() ? nullptr : &this->waiting.at(this->order.begin()->second).call;
+}
+
+std::optional<Placement> Dispatcher::next(Time now)
+{
+    if (this->order.empty()) {
+        return std::nullopt;
+    }
+    const auto first = this->order.begin();
+    const Waiting &head = this->waiting.at(first->second);
+    const std::size_t endpoint = this->choose(head, now);
+    if (endpoint == noEndpoint) {
+        return std::nullopt;
+    }
+    const Waiting taken = head;
+    this->order.erase(first);
+    this->waiting.erase(taken.call.call);
+    Placement placement{taken.call.call, this->endpoints.at(endpoint).spec, this->cachedTokens(endpoint, taken.call) > 0};
+    this->start(taken, endpoint, now);
+    return placement;
+}
+
+std::size_t Dispatcher::choose(const Waiting &waiting, Time now)
+{
+    switch (this->options.placement) {
+    case PlacementRule::RoundRobin:
+        for (std::size_t tried = 0; tried < this->endpoints.size(); ++tried) {
+            const std::size_t index = this->roundRobin++ % this->endpoints.size();
+            if (this->endpoints.hasRoom(index, now) && !waiting.call.avoid.contains(this->endpoints.at(index).spec.id)) {
+                return index;
+            }
+        }
+        return noEndpoint;
+    case PlacementRule::CacheAffine: {
+        const auto program = this->programs.find(waiting.call.program);
+        if (program != this->programs.end()) {
+            const auto cache = program->second.caches.find(waiting.call.branch);
+            if (cache != program->second.caches.end() && this->endpoints.hasRoom(cache->second.endpoint, now)) {
+                return cache->second.endpoint;
+            }
+        }
+        [[fallthrough]];
+    }
+    case PlacementRule::LeastOutstanding: {
+        const std::vector<std::size_t> least = this->endpoints.leastLoaded(1, waiting.call.avoid, now);
+        return least.empty() ? noEndpoint : least.front();
+    }
+    case PlacementRule::Estimated:
+        break;
+    }
+    return this->chooseEstimated(waiting, now);
+}
+
+std::size_t Dispatcher::chooseEstimated(const Waiting &waiting, Time now) const
+{
+    std::vector<std::size_t> candidates = this->endpoints.leastLoaded(candidateCount, waiting.call.avoid, now);
+    const auto program = this->programs.find(waiting.call.program);
+    if (program != this->programs.end()) {
+        for (const auto &[branch, cache] : program->second.caches) {
+            const bool related = branch == waiting.call.branch || branch.empty();
+            if (related && this->endpoints.hasRoom(cache.endpoint, now) && !waiting.call.avoid.contains(this->endpoints.at(cache.endpoint).spec.id)) {
+                candidates.push_back(cache.endpoint);
+            }
+        }
+    }
+    std::size_t best = noEndpoint;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const std::size_t candidate : candidates) {
+        const double cost = this->estimate(candidate, waiting);
+        if (cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+double Dispatcher::estimate(std::size_t endpoint, const Waiting &waiting) const
+{
+    const EndpointState &state = this->endpoints.at(endpoint);
+    const Tokens prompt = waiting.call.promptTokens + waiting.generated;
+    const auto uncached = static_cast<double>(std::max<Tokens>(0, prompt - this->cachedTokens(endpoint, waiting.call)));
+    const double occupancy = static_cast<double>(state.inFlight + state.foreign) / static_cast<double>(std::max(1U, state.spec.slots));
+    const auto answer = static_cast<double>(assumedAnswer);
+    return state.slowness * (uncached * this->usualPrefill + answer * this->usualGap * (1.0 + batchDrag * occupancy));
+}
+
+Tokens Dispatcher::cachedTokens(std::size_t endpoint, const QueuedCall &call) const
+{
+    const auto program = this->programs.find(call.program);
+    if (program == this->programs.end()) {
+        return 0;
+    }
+    Tokens cached = 0;
+    for (const auto &[branch, cache] : program->second.caches) {
+        // A sub-agent's prompt starts with the main line's conversation.
+        if (cache.endpoint == endpoint && (branch == call.branch || branch.empty())) {
+            cached = std::max(cached, std::min(cache.tokens, call.promptTokens));
+        }
+    }
+    return cached;
+}
+
+void Dispatcher::start(const Waiting &waiting, std::size_t endpoint, Time now)
+{
+    Running running;
+    running.call = waiting.call;
+    running.endpoint = endpoint;
+    running.started = now;
+    running.progressed = now;
+    running.uncached = std::max<Tokens>(0, waiting.call.promptTokens + waiting.generated - this->cachedTokens(endpoint, waiting.call));
+    running.generated = waiting.generated;
+    running.interrupted = waiting.interrupted;
+    ProgramView &program = this->programs[waiting.call.program];
+    running.attainedBefore = program.attained;
+    program.endpoints.insert(this->endpoints.at(endpoint).spec.id);
+    program.caches[waiting.call.branch] = BranchCache{endpoint, waiting.call.promptTokens + waiting.generated};
+    this->running[waiting.call.call] = std::move(running);
+    this->endpoints.addCall(endpoint);
+    this->started += waiting.fresh ? 1 : 0;
+}
+
+void Dispatcher::onProgress(CallId call, Tokens tokens, Time now)
+{
+    const auto found = this->running.find(call);
+    if (found == this->running.end()) {
+        return;
+    }
+    Running &running = found->second;
+    const double elapsed = toSeconds(now - running.progressed);
+    const double slowness = this->endpoints.at(running.endpoint).slowness;
+    double ratio = 1.0;
+    if (!running.firstToken) {
+        const double expected = static_cast<double>(running.uncached) * this->usualPrefill + this->usualGap;
+        ratio = elapsed / expected;
+        if (running.uncached > 0 && slowness < 2.0) {
+            blend(this->usualPrefill, std::max(0.0, elapsed - this->usualGap) / static_cast<double>(running.uncached), sampleWeight);
+        }
+        running.firstToken = true;
+    } else if (tokens > 0) {
+        const double gap = elapsed / static_cast<double>(tokens);
+        ratio = gap / this->usualGap;
+        if (slowness < 2.0) {
+            blend(this->usualGap, gap, sampleWeight / 4);
+        }
+    }
+    running.generated += tokens;
+    running.progressed = now;
+    if (this->options.avoidSlow) {
+        double updated = slowness;
+        blend(updated, std::clamp(ratio, minSlowness, maxSlowness), slownessWeight);
+        this->endpoints.setSlowness(running.endpoint, updated);
+        if (ratio < 2.0) {
+            this->endpoints.clearAvoidance(running.endpoint);
+        }
+    }
+}
+
+void Dispatcher::charge(const Running &running, Time now)
+{
+    const double service = toSeconds(now - running.started);
+    this->programs[running.call.program].attained += service;
+    blend(this->usualService, service, sampleWeight);
+}
+
+void Dispatcher::onFinished(CallId call, bool healthy, Time now)
+{
+    const auto found = this->running.find(call);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running running = found->second;
+    this->running.erase(found);
+    this->charge(running, now);
+    this->endpoints.removeCall(running.endpoint);
+    ProgramView &program = this->programs[running.call.program];
+    program.openCalls -= 1;
+    if (healthy) {
+        program.caches[running.call.branch] = BranchCache{running.endpoint, running.call.promptTokens + running.generated};
+    } else {
+        program.caches.erase(running.call.branch);
+        this->endpoints.avoid(running.endpoint, this->options.avoidance, now);
+    }
+}
+
+void Dispatcher::keepRunning(CallId call)
+{
+    const auto found = this->running.find(call);
+    if (found != this->running.end()) {
+        found->second.interrupting = false;
+        found->second.call.resumable = false;
+    }
+}
+
+void Dispatcher::onInterrupted(CallId call, Tokens generated, Time now)
+{
+    const auto found = this->running.find(call);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running running = found->second;
+    this->running.erase(found);
+    this->charge(running, now);
+    this->endpoints.removeCall(running.endpoint);
+    Waiting entry{running.call, this->keyOf(running.call, now), running.interrupted + 1, false, generated, now};
+    this->programs[running.call.program].caches[running.call.branch] = BranchCache{running.endpoint, running.call.promptTokens + generated};
+    this->order.emplace(std::pair(entry.key, call), call);
+    this->waiting[call] = std::move(entry);
+}
+
+std::vector<Interruption> Dispatcher::interruptions(Time now)
+{
+    std::vector<Interruption> out;
+    if (this->options.migrate) {
+        this->addStalled(now, out);
+    }
+    if (this->options.preempt) {
+        this->addPreempted(now, out);
+    }
+    this->interrupts += out.size();
+    return out;
+}
+
+void Dispatcher::addStalled(Time now, std::vector<Interruption> &out)
+{
+    for (auto &[id, running] : this->running) {
+        const double prefill = running.firstToken ? 0.0 : static_cast<double>(running.uncached) * this->usualPrefill;
+        const Duration limit = std::max(this->options.stallFloor, fromSeconds(this->options.stallFactor * this->usualGap + 2.0 * prefill));
+        if (now - running.progressed <= limit) {
+            continue;
+        }
+        this->endpoints.avoid(running.endpoint, this->options.avoidance, now);
+        const auto allowed = static_cast<std::uint64_t>(this->options.migrationShare * static_cast<double>(this->started)) + migrationAllowance;
+        const bool elsewhere = !this->endpoints.leastLoaded(1, running.call.avoid, now).empty();
+        if (running.call.resumable && !running.interrupting && this->stalls < allowed && elsewhere) {
+            this->stalls += 1;
+            running.interrupting = true;
+            out.push_back(Interruption{id, Interruption::Reason::Stalled});
+        }
+    }
+}
+
+Duration Dispatcher::quantumOf(const Running &running) const
+{
+    constexpr std::uint32_t maxDoublings = 6;
+    return this->options.quantum * (1U << std::min(running.interrupted, maxDoublings));
+}
+
+void Dispatcher::addPreempted(Time now, std::vector<Interruption> &out)
+{
+    if (this->order.empty()) {
+        return;
+    }
+    std::vector<std::pair<Time, CallId>> victims;
+    std::size_t interrupting = 0;
+    for (const auto &[id, running] : this->running) {
+        interrupting += running.interrupting ? 1 : 0;
+        if (running.interrupting || !running.call.resumable || !running.firstToken || now - running.started < this->quantumOf(running)) {
+            continue;
+        }
+        const double attained = running.attainedBefore + toSeconds(now - running.started);
+        const Duration setBack = std::min(this->options.maxSetBack, fromSeconds(attained * this->options.attainedWeight));
+        victims.emplace_back(now + setBack - this->options.priorityStep * running.call.priority, id);
+    }
+    std::sort(victims.rbegin(), victims.rend());
+    auto waiting = this->order.begin();
+    std::advance(waiting, static_cast<std::ptrdiff_t>(std::min(interrupting, this->order.size())));
+    for (const auto &[key, id] : victims) {
+        if (waiting == this->order.end() || waiting->first.first >= key) {
+            break;
+        }
+        this->running.at(id).interrupting = true;
+        out.push_back(Interruption{id, Interruption::Reason::Preempted});
+        ++waiting;
+    }
+}
+
+void Dispatcher::onLoadReport(const EndpointId &endpoint, std::uint32_t running, Time measuredAt, Time now)
+{
+    constexpr Duration oldestUseful = std::chrono::seconds(10);
+    const std::optional<std::size_t> index = this->endpoints.indexOf(endpoint);
+    if (!index || now - measuredAt > oldestUseful) {
+        return;
+    }
+    const std::uint32_t own = this->endpoints.at(*index).inFlight;
+    this->endpoints.setForeign(*index, running > own ? running - own : 0);
+}
+
+void Dispatcher::onCacheEvicted(const EndpointId &endpoint, const ProgramId &program, const std::string &branch)
+{
+    const auto view = this->programs.find(program);
+    const std::optional<std::size_t> index = this->endpoints.indexOf(endpoint);
+    if (view == this->programs.end() || !index) {
+        return;
+    }
+    const auto cache = view->second.caches.find(branch);
+    if (cache != view->second.caches.end() && cache->second.endpoint == *index) {
+        view->second.caches.erase(cache);
+    }
+}
+
+std::set<EndpointId> Dispatcher::forgetProgram(const ProgramId &program)
+{
+    const auto found = this->programs.find(program);
+    if (found == this->programs.end()) {
+        return {};
+    }
+    std::set<EndpointId> holders = found->second.endpoints;
+    if (found->second.openCalls == 0) {
+        this->programs.erase(found);
+    }
+    return holders;
+}
+
+Duration Dispatcher::predictedWait() const
+{
+    const std::uint32_t capacity = std::max(1U, this->endpoints.capacity());
+    const double waves = static_cast<double>(this->order.size()) / static_cast<double>(capacity);
+    return fromSeconds(waves * this->usualService);
+}
+
+std::size_t Dispatcher::waitingCount() const
+{
+    return this->waiting.size();
+}
+
+std::size_t Dispatcher::runningCount() const
+{
+    return this->running.size();
+}
+
+std::size_t Dispatcher::endpointCount() const
+{
+    return this->endpoints.usableCount();
+}
+
+std::uint64_t Dispatcher::interruptionCount() const
+{
+    return this->interrupts;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/endpointtable.cpp
@@ -0,0 +1,187 @@
+#include "decision/endpointtable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandergate {
+
+namespace {
+
+//! Longest avoidance, as a multiple of the first.
+constexpr std::uint32_t maxBackoffDoublings = 4;
+
+//! Scatters ties, so that instances with the same view do not all pick the same endpoint.
+constexpr std::uint64_t tieBreakFactor = 0x9E3779B97F4A7C15ULL;
+
+} // namespace
+
+bool EndpointTable::Ranked::operator<(const Ranked &other) const
+{
+    if (this->load != other.load) {
+        return this->load < other.load;
+    }
+    if (this->tieBreak != other.tieBreak) {
+        return this->tieBreak < other.tieBreak;
+    }
+    return this->index < other.index;
+}
+
+EndpointTable::EndpointTable(bool limited, double overcommit)
+    : limited(limited)
+    , overcommit(overcommit)
+{
+}
+
+void EndpointTable::assign(const std::vector<EndpointSpec> &specs)
+{
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        this->unrank(index);
+        this->states[index].listed = false;
+    }
+    for (const EndpointSpec &spec : specs) {
+        const auto [entry, added] = this->indices.emplace(spec.id, this->states.size());
+        if (added) {
+            this->states.emplace_back();
+            this->ranks.emplace_back();
+            this->ranked.push_back(false);
+        }
+        EndpointState &state = this->states[entry->second];
+        state.spec = spec;
+        state.listed = true;
+    }
+    this->totalSlots = 0;
+    this->usable = 0;
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        const EndpointState &state = this->states[index];
+        if (state.listed && !state.spec.leaving) {
+            this->totalSlots += state.spec.slots;
+            this->usable += 1;
+        }
+        this->rank(index);
+    }
+}
+
+std::optional<std::size_t> EndpointTable::indexOf(const EndpointId &id) const
+{
+    const auto found = this->indices.find(id);
+    return found == this->indices.end() ? std::nullopt : std::optional(found->second);
+}
+
+const EndpointState &EndpointTable::at(std::size_t index) const
+{
+    return this->states[index];
+}
+
+std::size_t EndpointTable::size() const
+{
+    return this->states.size();
+}
+
+std::size_t EndpointTable::usableCount() const
+{
+    return this->usable;
+}
+
+std::uint32_t EndpointTable::capacity() const
+{
+    return this->totalSlots;
+}
+
+bool EndpointTable::hasRoom(std::size_t index, Time now) const
+{
+    return this->ranked[index] && this->states[index].avoidUntil <= now;
+}
+
+std::vector<std::size_t> EndpointTable::leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, Time now) const
+{
+    std::vector<std::size_t> found;
+    for (const Ranked &candidate : this->order) {
+        const EndpointState &state = this->states[candidate.index];
+        if (state.avoidUntil > now || avoid.contains(state.spec.id)) {
+            continue;
+        }
+        found.push_back(candidate.index);
+        if (found.size() >= count) {
+            break;
+        }
+    }
+    return found;
+}
+
+void EndpointTable::addCall(std::size_t index)
+{
+    this->unrank(index);
+    this->states[index].inFlight += 1;
+    this->rank(index);
+}
+
+void EndpointTable::removeCall(std::size_t index)
+{
+    this->unrank(index);
+    this->states[index].inFlight -= 1;
+    this->rank(index);
+}
+
+void EndpointTable::setForeign(std::size_t index, std::uint32_t calls)
+{
+    this->unrank(index);
+    this->states[index].foreign = calls;
+    this->rank(index);
+}
+
+void EndpointTable::setSlowness(std::size_t index, double slowness)
+{
+    this->unrank(index);
+    this->states[index].slowness = slowness;
+    this->rank(index);
+}
+
+void EndpointTable::avoid(std::size_t index, Duration length, Time now)
+{
+    EndpointState &state = this->states[index];
+    if (state.avoidUntil > now) {
+        return;
+    }
+    const std::uint32_t doublings = std::min(state.avoidances, maxBackoffDoublings);
+    state.avoidUntil = now + length * (1U << doublings);
+    state.avoidances += 1;
+}
+
+void EndpointTable::clearAvoidance(std::size_t index)
+{
+    this->states[index].avoidances = 0;
+}
+
+double EndpointTable::loadOf(const EndpointState &state) const
+{
+    const double calls = static_cast<double>(state.inFlight) + static_cast<double>(state.foreign) + 1.0;
+    return calls / static_cast<double>(std::max(1U, state.spec.slots)) * state.slowness;
+}
+
+std::uint32_t EndpointTable::limitOf(const EndpointState &state) const
+{
+    return std::max(1U, static_cast<std::uint32_t>(std::lround(static_cast<double>(state.spec.slots) * this->overcommit)));
+}
+
+void EndpointTable::unrank(std::size_t index)
+{
+    if (this->ranked[index]) {
+        this->order.erase(this->ranks[index]);
+        this->ranked[index] = false;
+    }
+}
+
+void EndpointTable::rank(std::size_t index)
+{
+    const EndpointState &state = this->states[index];
+    const bool full = this->limited && state.inFlight + state.foreign >= this->limitOf(state);
+    if (!state.listed || state.spec.leaving || full) {
+        return;
+    }
+    this->rankCount += 1;
+    this->ranks[index] = Ranked{this->loadOf(state), this->rankCount * tieBreakFactor, index};
+    this->order.insert(this->ranks[index]);
+    this->ranked[index] = true;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/errorcode.h
@@ -0,0 +1,81 @@
+#ifndef OLEANDERGATE_DECISION_ERRORCODE_H
+#define OLEANDERGATE_DECISION_ERRORCODE_H
+
+#include "decision/nametable.h"
+
+#include <cstdint>
+
+namespace oleandergate {
+
+//! Stable codes of refusals and failures. Callers may rely on the names.
+enum class ErrorCode : std::uint8_t {
+    BadRequest,
+    Unauthorised,
+    NotFound,
+    TooLarge,
+    NotOwner,
+    SlotMoving,
+    ProgramEnded,
+    ProgramExpired,
+    KeyReused,
+    SequenceUsed,
+    SequenceGap,
+    TurnLimit,
+    BudgetExhausted,
+    DeadlineExceeded,
+    Overloaded,
+    PeakReached,
+    ServiceUnavailable,
+    NoEndpoint,
+    EndpointFailed,
+    EndpointGarbled,
+    OutcomeUnknown,
+    Cancelled,
+    Conflict,
+    InvalidConfiguration,
+    PeerFailed,
+    Timeout,
+    Internal,
+    Count
+};
+
+//! Names of the codes, as they stand in JSON errors.
+inline constexpr std::array<NamedValue<ErrorCode>, static_cast<std::size_t>(ErrorCode::Count)> errorCodeNames{{
+    {ErrorCode::BadRequest, "bad_request"},
+    {ErrorCode::Unauthorised, "unauthorised"},
+    {ErrorCode::NotFound, "not_found"},
+    {ErrorCode::TooLarge, "too_large"},
+    {ErrorCode::NotOwner, "not_owner"},
+    {ErrorCode::SlotMoving, "slot_moving"},
+    {ErrorCode::ProgramEnded, "program_ended"},
+    {ErrorCode::ProgramExpired, "program_expired"},
+    {ErrorCode::KeyReused, "idempotency_key_reused"},
+    {ErrorCode::SequenceUsed, "sequence_used"},
+    {ErrorCode::SequenceGap, "sequence_gap"},
+    {ErrorCode::TurnLimit, "turn_limit"},
+    {ErrorCode::BudgetExhausted, "budget_exhausted"},
+    {ErrorCode::DeadlineExceeded, "deadline_exceeded"},
+    {ErrorCode::Overloaded, "overloaded"},
+    {ErrorCode::PeakReached, "peak_reached"},
+    {ErrorCode::ServiceUnavailable, "service_unavailable"},
+    {ErrorCode::NoEndpoint, "no_endpoint"},
+    {ErrorCode::EndpointFailed, "endpoint_failed"},
+    {ErrorCode::EndpointGarbled, "endpoint_garbled"},
+    {ErrorCode::OutcomeUnknown, "outcome_unknown"},
+    {ErrorCode::Cancelled, "cancelled"},
+    {ErrorCode::Conflict, "conflict"},
+    {ErrorCode::InvalidConfiguration, "invalid_configuration"},
+    {ErrorCode::PeerFailed, "peer_failed"},
+    {ErrorCode::Timeout, "timeout"},
+    {ErrorCode::Internal, "internal"},
+}};
+
+//! Returns the name of \p code.
+constexpr std::string_view errorCodeName(ErrorCode code)
+{
+    return nameIn(errorCodeNames, code);
+}
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/hash.h
@@ -0,0 +1,18 @@
+#ifndef OLEANDERGATE_DECISION_HASH_H
+#define OLEANDERGATE_DECISION_HASH_H
+
+#include "decision/ids.h"
+
+#include <string_view>
+
+namespace oleandergate {
+
+//! Returns the XXH3 hash of \p text, seeded with \p seed.
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed = 0);
+
+//! Returns the slot of \p program among \p slotCount slots.
+SlotId slotOf(const ProgramId &program, SlotId slotCount);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/ids.h
@@ -0,0 +1,32 @@
+#ifndef OLEANDERGATE_DECISION_IDS_H
+#define OLEANDERGATE_DECISION_IDS_H
+
+#include <cstdint>
+#include <string>
+
+namespace oleandergate {
+
+using ProgramId = std::string;
+using OrganisationId = std::string;
+using RequestId = std::string;
+using InstanceId = std::string;
+using EndpointId = std::string;
+
+//! Index of a slot, the unit in which programs are owned.
+using SlotId = std::uint32_t;
+
+//! Number of a call within one instance.
+using CallId = std::uint64_t;
+
+//! Number of a journal commit within one instance.
+using Ticket = std::uint64_t;
+
+//! Price in millionths of the operator's currency.
+using MicroUnits = std::int64_t;
+
+//! Number of tokens.
+using Tokens = std::int64_t;
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/ownerlimits.h
@@ -0,0 +1,26 @@
+#ifndef OLEANDERGATE_DECISION_OWNERLIMITS_H
+#define OLEANDERGATE_DECISION_OWNERLIMITS_H
+
+#include "decision/ids.h"
+#include "decision/time.h"
+
+namespace oleandergate {
+
+//! Bounds within which an owner decides.
+struct OwnerLimits
+{
+    SlotId slotCount = 64;
+    Duration orderPatience = std::chrono::seconds(2); //!< Longest wait for a missing earlier call of the branch.
+    Duration intentPatience = std::chrono::milliseconds(1500); //!< Longest wait for the journal before sending.
+    Duration outcomePatience = std::chrono::milliseconds(1500); //!< Longest wait for the journal before delivering.
+    Duration retryAfter = std::chrono::seconds(1); //!< Told to callers that are refused for the moment.
+    std::size_t maxWaitingPerProgram = 64;
+    std::size_t maxUnconfirmedTurns = 4096; //!< Turns delivered without journal confirmation, over all programs.
+    std::uint32_t maxAttempts = 3;
+    std::int64_t drawShare = 32; //!< A block is at least this fraction of the budget.
+    Duration endedRetention = std::chrono::minutes(10); //!< How long an ended program's history stays readable.
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/programowner.cpp
@@ -0,0 +1,653 @@
+#include "decision/programowner.h"
+
+#include "decision/hash.h"
+
+#include <algorithm>
+
+namespace oleandergate {
+
+ProgramOwner::ProgramOwner(const OwnerLimits &limits)
+    : limits(limits)
+{
+}
+
+void ProgramOwner::adoptSlot(SlotId slot, std::vector<ProgramState> recovered, Time now)
+{
+    Slot &owned = this->slots[slot];
+    owned.quiesced = false;
+    for (ProgramState &state : recovered) {
+        if (state.phase != ProgramPhase::Running && state.endedAt + this->limits.endedRetention < now) {
+            continue;
+        }
+        const ProgramId id = state.spec.id;
+        Program &program = this->programs[id];
+        program = Program{};
+        program.recovered = true;
+        program.durable = true;
+        for (const auto &[name, branch] : state.branches) {
+            program.branches[name].recoveredNext = branch.nextSequence;
+            if (!branch.lastEndpoint.empty()) {
+                program.endpoints.insert(branch.lastEndpoint);
+            }
+        }
+        const Time due = state.phase == ProgramPhase::Running ? state.spec.deadline : state.endedAt + this->limits.endedRetention;
+        program.state = std::move(state);
+        owned.programs.insert(id);
+        this->watch(due, 0, 0, id);
+    }
+}
+
+Actions ProgramOwner::quiesceSlot(SlotId slot, Time now)
+{
+    Actions actions;
+    const auto owned = this->slots.find(slot);
+    if (owned == this->slots.end()) {
+        return actions;
+    }
+    owned->second.quiesced = true;
+    std::vector<CallId> unsent;
+    for (const auto &[id, call] : this->calls) {
+        const bool notSent = call.phase == CallPhase::Waiting || call.phase == CallPhase::Ready;
+        if (notSent && slotOf(call.request.program, this->limits.slotCount) == slot) {
+            unsent.push_back(id);
+        }
+    }
+    for (const CallId id : unsent) {
+        const auto found = this->calls.find(id);
+        if (found != this->calls.end()) {
+            this->giveUp(found->second, ErrorCode::SlotMoving, Step::SlotHandOver, "the slot is moving to another instance", now, actions);
+        }
+    }
+    return actions;
+}
+
+bool ProgramOwner::isSlotIdle(SlotId slot) const
+{
+    const auto inSlot = [this, slot](const ProgramId &program) {
+        return slotOf(program, this->limits.slotCount) == slot;
+    };
+    const bool callUnderWay = std::any_of(this->calls.begin(), this->calls.end(), [&inSlot](const auto &entry) {
+        return inSlot(entry.second.request.program);
+    });
+    const bool commitUnderWay = std::any_of(this->pendings.begin(), this->pendings.end(), [slot](const auto &entry) {
+        return entry.second.slot == slot;
+    });
+    return !callUnderWay && !commitUnderWay;
+}
+
+Actions ProgramOwner::dropSlot(SlotId slot)
+{
+    Actions actions;
+    const auto owned = this->slots.find(slot);
+    if (owned == this->slots.end()) {
+        return actions;
+    }
+    const std::set<ProgramId> lost = owned->second.programs;
+    this->slots.erase(owned);
+    std::vector<CallId> affected;
+    for (const auto &[id, call] : this->calls) {
+        if (slotOf(call.request.program, this->limits.slotCount) == slot) {
+            affected.push_back(id);
+        }
+    }
+    for (const CallId id : affected) {
+        LiveCall &call = this->calls.at(id);
+        // The new owner may run the same request, so nothing can be said about it here.
+        Error error{ErrorCode::NotOwner, Step::SlotHandOver, {}, Ran::Unknown, this->limits.retryAfter, "the slot has a new owner"};
+        if (call.phase == CallPhase::Settling && call.answer) {
+            call.answer->historyPending = true;
+            this->deliver(call, *call.answer, actions);
+        } else {
+            actions.emplace_back(AbortAction{id});
+            this->deliver(call, error, actions);
+        }
+        this->calls.erase(id);
+    }
+    for (auto pending = this->pendings.begin(); pending != this->pendings.end();) {
+        if (pending->second.slot != slot) {
+            ++pending;
+            continue;
+        }
+        if (pending->second.delivered && pending->second.purpose == Pending::Purpose::Outcome) {
+            this->unconfirmedTurns -= 1;
+        }
+        if (!pending->second.delivered && (pending->second.purpose == Pending::Purpose::Create || pending->second.purpose == Pending::Purpose::End)) {
+            for (const CallId id : pending->second.calls) {
+                Error error{ErrorCode::NotOwner, Step::ProgramCreate, {}, Ran::Unknown, this->limits.retryAfter, "the slot has a new owner"};
+                actions.emplace_back(DeliverAction{id, std::move(error)});
+            }
+        }
+        pending = this->pendings.erase(pending);
+    }
+    for (const ProgramId &program : lost) {
+        this->programs.erase(program);
+    }
+    return actions;
+}
+
+bool ProgramOwner::ownsSlot(SlotId slot) const
+{
+    return this->slots.contains(slot);
+}
+
+std::vector<SlotId> ProgramOwner::ownedSlots() const
+{
+    std::vector<SlotId> owned;
+    for (const auto &[slot, state] : this->slots) {
+        owned.push_back(slot);
+    }
+    return owned;
+}
+
+Actions ProgramOwner::createProgram(CallId call, const ProgramSpec &spec, Posture posture, Time now)
+{
+    this->latestPosture = posture;
+    Actions actions;
+    const SlotId slotId = slotOf(spec.id, this->limits.slotCount);
+    const auto slot = this->slots.find(slotId);
+    const auto refuseWith = [&](ErrorCode code, const char *detail) {
+        Error error{code, Step::ProgramCreate, {}, Ran::No, this->limits.retryAfter, detail};
+        actions.emplace_back(DeliverAction{call, std::move(error)});
+        return actions;
+    };
+    if (slot == this->slots.end()) {
+        return refuseWith(ErrorCode::NotOwner, "this instance does not own the program's slot");
+    }
+    if (slot->second.quiesced) {
+        return refuseWith(ErrorCode::SlotMoving, "the slot is moving to another instance");
+    }
+    if (posture != Posture::Normal) {
+        return refuseWith(ErrorCode::ServiceUnavailable, "a new program cannot be journalled now");
+    }
+    const auto existing = this->programs.find(spec.id);
+    if (existing != this->programs.end()) {
+        const ProgramSpec &known = existing->second.state.spec;
+        if (known.organisation != spec.organisation || known.kind != spec.kind) {
+            Error error{ErrorCode::Conflict, Step::ProgramCreate, {}, Ran::No, std::nullopt, "another program has this identifier"};
+            actions.emplace_back(DeliverAction{call, std::move(error)});
+            return actions;
+        }
+        if (existing->second.durable) {
+            CallAnswer answer{200};
+            answer.replayed = true;
+            actions.emplace_back(DeliverAction{call, answer});
+            return actions;
+        }
+        for (auto &[ticket, pending] : this->pendings) {
+            if (pending.program == spec.id && pending.purpose == Pending::Purpose::Create && !pending.delivered) {
+                pending.calls.push_back(call);
+                return actions;
+            }
+        }
+        return refuseWith(ErrorCode::ServiceUnavailable, "the program's creation is not journalled yet");
+    }
+    Program &program = this->programs[spec.id];
+    program.state = ProgramState(spec);
+    slot->second.programs.insert(spec.id);
+    this->watch(spec.deadline, 0, 0, spec.id);
+    Pending pending{Pending::Purpose::Create, slotId, spec.id, {call}};
+    this->commit(slotId, std::move(pending), {ProgramCreated{spec}}, now + this->limits.intentPatience, actions);
+    return actions;
+}
+
+Actions ProgramOwner::endProgram(CallId call, const ProgramId &programId, const OrganisationId &organisation, ProgramPhase phase, Posture posture, Time now)
+{
+    this->latestPosture = posture;
+    Actions actions;
+    if (!this->slots.contains(slotOf(programId, this->limits.slotCount))) {
+        Error error{ErrorCode::NotOwner, Step::ProgramEnd, {}, Ran::Unknown, this->limits.retryAfter, "this instance does not own the program's slot"};
+        actions.emplace_back(DeliverAction{call, std::move(error)});
+        return actions;
+    }
+    Program *program = this->programFor(programId, organisation);
+    if (program == nullptr) {
+        Error error{ErrorCode::NotFound, Step::ProgramEnd, {}, Ran::No, std::nullopt, "no such program"};
+        actions.emplace_back(DeliverAction{call, std::move(error)});
+        return actions;
+    }
+    if (program->state.phase != ProgramPhase::Running) {
+        CallAnswer answer{200};
+        answer.replayed = true;
+        actions.emplace_back(DeliverAction{call, answer});
+        return actions;
+    }
+    this->markEnded(*program, phase, now, {call}, actions);
+    return actions;
+}
+
+Actions ProgramOwner::submit(CallId callId, const CallRequest &request, Posture posture, Time now)
+{
+    this->latestPosture = posture;
+    Actions actions;
+    const auto slot = this->slots.find(slotOf(request.program, this->limits.slotCount));
+    if (slot == this->slots.end() || posture == Posture::Isolated) {
+        Error error{ErrorCode::NotOwner, Step::Admit, {}, Ran::Unknown, this->limits.retryAfter, "this instance cannot act as the program's owner"};
+        actions.emplace_back(DeliverAction{callId, std::move(error)});
+        return actions;
+    }
+    Program *program = this->programFor(request.program, request.organisation);
+    if (program == nullptr) {
+        Error error{ErrorCode::NotFound, Step::Admit, {}, Ran::No, std::nullopt, "no such program"};
+        actions.emplace_back(DeliverAction{callId, std::move(error)});
+        return actions;
+    }
+    if (this->replay(*program, callId, request, actions)) {
+        return actions;
+    }
+    LiveCall &call = this->calls[callId];
+    call.id = callId;
+    call.request = request;
+    call.phaseSince = now;
+    call.sequence = request.sequence;
+    call.automatic = request.sequence == 0;
+    program->calls[request.requestId] = callId;
+    if (slot->second.quiesced) {
+        this->refuse(call,
+                     this->errorFor(*program, call, ErrorCode::SlotMoving, Step::Admit, this->limits.retryAfter, "the slot is moving to another instance"),
+                     actions);
+        return actions;
+    }
+    if (std::optional<Error> error = this->checkProgram(*program, call, now)) {
+        this->refuse(call, std::move(*error), actions);
+        return actions;
+    }
+    this->watch(request.deadline, callId, 0, {});
+    if (this->placeInOrder(*program, call, now, actions)) {
+        this->admit(*program, call, now, actions);
+    }
+    return actions;
+}
+
+bool ProgramOwner::replay(Program &program, CallId callId, const CallRequest &request, Actions &actions)
+{
+    const auto conflict = [&]() {
+        Error error{ErrorCode::KeyReused, Step::Admit, {}, Ran::No, std::nullopt, "the idempotency key belongs to another request"};
+        actions.emplace_back(DeliverAction{callId, std::move(error)});
+        return true;
+    };
+    const auto unknown = [&]() {
+        Error error{ErrorCode::OutcomeUnknown, Step::Admit, {}, Ran::Unknown, std::nullopt, "the request may have run; its answer never came"};
+        actions.emplace_back(DeliverAction{callId, std::move(error)});
+        return true;
+    };
+    const auto live = program.calls.find(request.requestId);
+    if (live != program.calls.end()) {
+        LiveCall &original = this->calls.at(live->second);
+        if (original.request.digest != request.digest) {
+            return conflict();
+        }
+        if (original.abandoned) {
+            const bool sent = original.attempts > 0;
+            Error error{sent ? ErrorCode::OutcomeUnknown : ErrorCode::ServiceUnavailable,
+                        Step::Admit,
+                        {},
+                        sent ? Ran::Unknown : Ran::No,
+                        this->limits.retryAfter,
+                        "an earlier submission is still being closed"};
+            actions.emplace_back(DeliverAction{callId, std::move(error)});
+            return true;
+        }
+        original.followers.push_back(callId);
+        return true;
+    }
+    if (const TurnRecord *turn = program.state.findTurn(request.requestId)) {
+        if (turn->digest != request.digest) {
+            return conflict();
+        }
+        if (turn->ran != Ran::Yes) {
+            return unknown();
+        }
+        CallAnswer answer = turn->answer;
+        answer.replayed = true;
+        actions.emplace_back(DeliverAction{callId, std::move(answer)});
+        return true;
+    }
+    const auto intent = program.state.openIntents.find(request.requestId);
+    if (intent == program.state.openIntents.end()) {
+        return false;
+    }
+    return intent->second.digest != request.digest ? conflict() : unknown();
+}
+
+std::optional<Error> ProgramOwner::checkProgram(const Program &program, const LiveCall &call, Time now) const
+{
+    const auto error = [&](ErrorCode code, std::optional<Duration> retryAfter, const char *detail) {
+        return this->errorFor(program, call, code, Step::Admit, retryAfter, detail);
+    };
+    if (program.state.phase == ProgramPhase::Expired || program.state.spec.deadline <= now) {
+        return error(ErrorCode::ProgramExpired, std::nullopt, "the program's deadline has passed");
+    }
+    if (program.state.phase != ProgramPhase::Running) {
+        return error(ErrorCode::ProgramEnded, std::nullopt, "the program has ended");
+    }
+    if (!program.durable) {
+        return error(ErrorCode::ServiceUnavailable, this->limits.retryAfter, "the program's creation is not journalled yet");
+    }
+    if (program.state.turns.size() + program.calls.size() > program.state.spec.maxTurns) {
+        return error(ErrorCode::TurnLimit, std::nullopt, "the program has used all its turns");
+    }
+    if (call.request.deadline <= now) {
+        return error(ErrorCode::DeadlineExceeded, std::nullopt, "the call's deadline has passed");
+    }
+    if (this->latestPosture == Posture::Outage && this->unconfirmedTurns >= this->limits.maxUnconfirmedTurns) {
+        return error(ErrorCode::ServiceUnavailable, this->limits.retryAfter, "too many turns wait for the journal");
+    }
+    if (program.calls.size() > this->limits.maxWaitingPerProgram) {
+        return error(ErrorCode::Overloaded, this->limits.retryAfter, "the program has too many calls under way");
+    }
+    return std::nullopt;
+}
+
+bool ProgramOwner::placeInOrder(Program &program, LiveCall &call, Time now, Actions &actions)
+{
+    Branch &branch = program.branches[call.request.branch];
+    const std::uint64_t next = nextSequenceOf(program, call.request.branch);
+    if (call.automatic) {
+        call.sequence = next + (branch.running != 0 ? 1 : 0);
+        if (!branch.waiting.empty()) {
+            call.sequence = std::max(call.sequence, branch.waiting.rbegin()->first + 1);
+        }
+    }
+    if (call.sequence < next) {
+        this->refuse(
+            call, this->errorFor(program, call, ErrorCode::SequenceUsed, Step::Order, std::nullopt, "another request took this place in the branch"), actions);
+        return false;
+    }
+    if (call.sequence == next && branch.running == 0) {
+        return true;
+    }
+    if ((call.sequence == next && branch.running != 0) || !branch.waiting.emplace(call.sequence, call.id).second) {
+        this->refuse(call,
+                     this->errorFor(program, call, ErrorCode::SequenceUsed, Step::Order, std::nullopt, "another request waits at this place in the branch"),
+                     actions);
+        return false;
+    }
+    this->watch(now + this->limits.orderPatience, call.id, 0, {});
+    return false;
+}
+
+bool ProgramOwner::reserveBudget(Program &program, LiveCall &call, std::vector<JournalEntry> &entries, MicroUnits &surplus)
+{
+    const MicroUnits need = call.request.reserve;
+    if (program.usable >= need) {
+        program.usable -= need;
+        call.reserved += need;
+        return true;
+    }
+    const MicroUnits shortage = need - program.usable;
+    const MicroUnits left = program.state.spec.budget - program.state.drawn;
+    if (shortage > left) {
+        return false;
+    }
+    const MicroUnits block = std::clamp(program.state.spec.budget / this->limits.drawShare, shortage, left);
+    entries.emplace_back(BudgetDrawn{program.state.spec.id, program.state.drawn + block});
+    program.state.apply(entries.back());
+    program.usable = 0;
+    call.reserved += need;
+    surplus = block - shortage;
+    return true;
+}
+
+void ProgramOwner::admit(Program &program, LiveCall &call, Time now, Actions &actions)
+{
+    program.branches[call.request.branch].running = call.id;
+    if (this->latestPosture != Posture::Normal && (!call.request.repeatable || program.usable < call.request.reserve)) {
+        this->refuse(
+            call,
+            this->errorFor(program, call, ErrorCode::ServiceUnavailable, Step::JournalIntent, this->limits.retryAfter, "the call cannot be journalled now"),
+            actions);
+        this->finish(call.id, now, actions);
+        return;
+    }
+    std::vector<JournalEntry> entries;
+    MicroUnits surplus = 0;
+    if (!this->reserveBudget(program, call, entries, surplus)) {
+        this->refuse(call,
+                     this->errorFor(program, call, ErrorCode::BudgetExhausted, Step::Reserve, std::nullopt, "the program's budget does not cover the call"),
+                     actions);
+        this->finish(call.id, now, actions);
+        return;
+    }
+    if (!call.request.repeatable) {
+        entries.emplace_back(CallIntent{
+            call.request.program, call.request.requestId, call.request.branch, call.sequence, call.request.digest, call.request.target, call.reserved});
+    }
+    if (entries.empty()) {
+        this->makeReady(call, now, actions);
+        return;
+    }
+    if (!call.request.repeatable) {
+        program.state.apply(entries.back());
+        call.intentWritten = true;
+    }
+    call.phase = CallPhase::Journalling;
+    call.phaseSince = now;
+    Pending pending{Pending::Purpose::BeforeSend, slotOf(call.request.program, this->limits.slotCount), call.request.program, {call.id}, surplus};
+    call.ticket = this->commit(pending.slot, pending, std::move(entries), now + this->limits.intentPatience, actions);
+}
+
+void ProgramOwner::makeReady(LiveCall &call, Time now, Actions &actions)
+{
+    call.phase = CallPhase::Ready;
+    call.phaseSince = now;
+    actions.emplace_back(ReadyAction{call.id});
+}
+
+Result<void> ProgramOwner::beginSend(CallId callId, const EndpointId &endpoint, Posture posture, Time now)
+{
+    this->latestPosture = posture;
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Ready) {
+        return Error{ErrorCode::Cancelled, Step::Send, endpoint, Ran::Unknown, std::nullopt, "the call is no longer waiting to be sent"};
+    }
+    LiveCall &call = found->second;
+    if (posture == Posture::Isolated) {
+        return Error{ErrorCode::NotOwner, Step::Send, endpoint, Ran::Unknown, this->limits.retryAfter, "this instance cannot act as the program's owner"};
+    }
+    call.phase = CallPhase::Sent;
+    call.phaseSince = now;
+    call.attempts += 1;
+    call.endpoint = endpoint;
+    call.triedEndpoints.insert(endpoint);
+    Program *program = this->programOfCall(call);
+    program->maybeRan.insert(call.request.requestId);
+    program->endpoints.insert(endpoint);
+    return boost::outcome_v2::success();
+}
+
+Actions ProgramOwner::onAnswer(CallId callId, CallAnswer answer, Time now)
+{
+    Actions actions;
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Sent) {
+        return actions;
+    }
+    LiveCall &call = found->second;
+    TurnRecord turn;
+    turn.ran = Ran::Yes;
+    turn.answer = std::move(answer);
+    Program *program = this->programOfCall(call);
+    this->settle(*program, call, std::move(turn), now, actions);
+    return actions;
+}
+
+Actions ProgramOwner::onAttemptFailed(CallId callId, const AttemptFailure &failure, Time now)
+{
+    Actions actions;
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Sent) {
+        return actions;
+    }
+    LiveCall &call = found->second;
+    Program *program = this->programOfCall(call);
+    if (failure.provablyNotSent) {
+        call.attempts -= 1;
+        if (call.attempts == 0) {
+            program->maybeRan.erase(call.request.requestId);
+        }
+    }
+    const bool attemptsLeft = call.triedEndpoints.size() < this->limits.maxAttempts;
+    const bool safe = failure.provablyNotSent || (call.request.repeatable && !failure.answerStarted);
+    if (safe && attemptsLeft && failure.mayRetry && !call.abandoned) {
+        // A failed attempt that may have run is paid for, so the next one needs its own reserve.
+        const MicroUnits extra = failure.provablyNotSent ? 0 : call.request.reserve;
+        if (program->usable >= extra) {
+            program->usable -= extra;
+            call.reserved += extra;
+            call.lostAttempts += failure.provablyNotSent ? 0 : 1;
+            this->makeReady(call, now, actions);
+            return actions;
+        }
+    }
+    if (call.attempts == 0) {
+        Error error = this->errorFor(*program, call, failure.error.code, failure.error.step, this->limits.retryAfter, failure.error.detail);
+        error.peer = failure.error.peer;
+        this->voidIntent(call, now, actions);
+        this->refuse(call, std::move(error), actions);
+        this->finish(callId, now, actions);
+        return actions;
+    }
+    if (call.request.repeatable) {
+        Error error = failure.error;
+        error.ran = Ran::Unknown;
+        error.retryAfter = this->limits.retryAfter;
+        this->releaseReserve(*program, call, call.reserved);
+        this->refuse(call, std::move(error), actions);
+        this->finish(callId, now, actions);
+        return actions;
+    }
+    TurnRecord turn;
+    turn.ran = Ran::Unknown;
+    turn.answer.endpoint = call.endpoint;
+    turn.answer.cost = call.reserved;
+    this->settle(*program, call, std::move(turn), now, actions);
+    return actions;
+}
+
+void ProgramOwner::settle(Program &program, LiveCall &call, TurnRecord turn, Time now, Actions &actions)
+{
+    turn.requestId = call.request.requestId;
+    turn.branch = call.request.branch;
+    turn.sequence = call.sequence;
+    turn.digest = call.request.digest;
+    turn.kind = call.request.kind;
+    turn.target = call.request.target;
+    if (turn.ran == Ran::Yes) {
+        // Earlier attempts that may have run count at their full reserve.
+        turn.answer.cost += call.request.reserve * call.lostAttempts;
+    }
+    const std::vector<std::string> body{call.request.body};
+    turn = program.state.makeTurn(std::move(turn), call.request.kind == CallKind::Model ? call.request.messages : body);
+    this->releaseReserve(program, call, turn.answer.cost);
+    call.answer = turn.answer;
+    const bool ran = turn.ran == Ran::Yes;
+    const JournalEntry entry = CallOutcome{call.request.program, std::move(turn)};
+    program.state.apply(entry);
+    call.phase = CallPhase::Settling;
+    call.phaseSince = now;
+    if (!ran) {
+        call.answer.reset();
+    }
+    Pending pending{Pending::Purpose::Outcome, slotOf(call.request.program, this->limits.slotCount), call.request.program, {call.id}};
+    const Time due = this->latestPosture == Posture::Normal ? now + this->limits.outcomePatience : now;
+    call.ticket = this->commit(pending.slot, pending, {entry}, due, actions);
+}
+
+void ProgramOwner::releaseReserve(Program &program, LiveCall &call, MicroUnits cost)
+{
+    const MicroUnits unused = std::max<MicroUnits>(0, call.reserved - cost);
+    call.reserved = 0;
+    if (call.phase == CallPhase::Journalling) {
+        const auto pending = this->pendings.find(call.ticket);
+        if (pending != this->pendings.end()) {
+            pending->second.draw += unused;
+        }
+        return;
+    }
+    program.usable += unused;
+}
+
+bool ProgramOwner::beginInterrupt(CallId callId)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Sent || found->second.abandoned) {
+        return false;
+    }
+    LiveCall &call = found->second;
+    Program *program = this->programOfCall(call);
+    if (!call.request.repeatable || program->usable < call.request.reserve) {
+        return false;
+    }
+    program->usable -= call.request.reserve;
+    call.reserved += call.request.reserve;
+    return true;
+}
+
+bool ProgramOwner::onInterrupted(CallId callId, Time now)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Sent) {
+        return false;
+    }
+    found->second.phase = CallPhase::Ready;
+    found->second.phaseSince = now;
+    return true;
+}
+
+Actions ProgramOwner::refuseReady(CallId callId, ErrorCode code, Step step, std::optional<Duration> retryAfter, std::string detail, Time now)
+{
+    Actions actions;
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Ready) {
+        return actions;
+    }
+    Program *program = this->programOfCall(found->second);
+    this->voidIntent(found->second, now, actions);
+    this->refuse(found->second, this->errorFor(*program, found->second, code, step, retryAfter, std::move(detail)), actions);
+    this->finish(callId, now, actions);
+    return actions;
+}
+
+const ProgramState *ProgramOwner::findProgram(const ProgramId &program) const
+{
+    const auto found = this->programs.find(program);
+    return found == this->programs.end() ? nullptr : &found->second.state;
+}
+
+const LiveCall *ProgramOwner::findCall(CallId call) const
+{
+    const auto found = this->calls.find(call);
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+void ProgramOwner::forEachProgram(SlotId slot, const std::function<void(const ProgramState &)> &visitor) const
+{
+    const auto owned = this->slots.find(slot);
+    if (owned == this->slots.end()) {
+        return;
+    }
+    for (const ProgramId &program : owned->second.programs) {
+        visitor(this->programs.at(program).state);
+    }
+}
+
+bool ProgramOwner::isProgramGone(const ProgramId &program) const
+{
+    if (!this->slots.contains(slotOf(program, this->limits.slotCount))) {
+        return false;
+    }
+    const auto found = this->programs.find(program);
+    return found == this->programs.end() || found->second.state.phase != ProgramPhase::Running;
+}
+
+std::size_t ProgramOwner::liveCallCount() const
+{
+    return this->calls.size();
+}
+
+std::size_t ProgramOwner::programCount() const
+{
+    return this->programs.size();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/programphase.h
@@ -0,0 +1,23 @@
+#ifndef OLEANDERGATE_DECISION_PROGRAMPHASE_H
+#define OLEANDERGATE_DECISION_PROGRAMPHASE_H
+
+#include "decision/nametable.h"
+
+#include <cstdint>
+
+namespace oleandergate {
+
+//! Life of a program.
+enum class ProgramPhase : std::uint8_t { Running, Ended, Cancelled, Expired };
+
+//! Names of the phases.
+inline constexpr std::array<NamedValue<ProgramPhase>, 4> programPhaseNames{{
+    {ProgramPhase::Running, "running"},
+    {ProgramPhase::Ended, "ended"},
+    {ProgramPhase::Cancelled, "cancelled"},
+    {ProgramPhase::Expired, "expired"},
+}};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/queuedcall.h
@@ -0,0 +1,29 @@
+#ifndef OLEANDERGATE_DECISION_QUEUEDCALL_H
+#define OLEANDERGATE_DECISION_QUEUEDCALL_H
+
+#include "decision/ids.h"
+#include "decision/time.h"
+
+#include <set>
+#include <string>
+
+namespace oleandergate {
+
+//! A call that waits for an endpoint of one pool.
+struct QueuedCall
+{
+    CallId call = 0;
+    ProgramId program{};
+    std::string branch{};
+    int priority = 0; //!< Larger goes first.
+    bool resumable = false; //!< The stream may be interrupted and resumed.
+    Tokens promptTokens = 0;
+    Tokens maxTokens = 0;
+    Time programStart{};
+    Time deadline{};
+    std::set<EndpointId> avoid{}; //!< Endpoints at which an attempt failed.
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/decision/slottable.cpp
@@ -0,0 +1,115 @@
+#include "decision/slottable.h"
+
+#include "decision/hash.h"
+
+namespace oleandergate {
+
+namespace {
+
+//! An instance has to be live this long before slots move to it from a live owner.
+constexpr Duration settleTime = std::chrono::seconds(1);
+
+} // namespace
+
+SlotTable::SlotTable(InstanceId self, SlotId slotCount)
+    : self(std::move(self))
+    , slots(slotCount)
+{
+}
+
+void SlotTable::putSlot(SlotId slot, const SlotRecord &record)
+{
+    if (slot < this->slots.size() && record.revision >= this->slots[slot].revision) {
+        this->slots[slot] = record;
+    }
+}
+
+void SlotTable::putInstance(const InstanceRecord &record, Time now)
+{
+    const auto found = this->members.find(record.id);
+    if (found != this->members.end()) {
+        found->second.record = record;
+        return;
+    }
+    this->members.emplace(record.id, Member{record, now});
+}
+
+void SlotTable::removeInstance(const InstanceId &id)
+{
+    this->members.erase(id);
+}
+
+void SlotTable::clear()
+{
+    this->members.clear();
+    this->slots.assign(this->slots.size(), SlotRecord{});
+}
+
+const InstanceRecord *SlotTable::ownerOf(SlotId slot) const
+{
+    return this->findInstance(this->slots[slot].owner);
+}
+
+const SlotRecord &SlotTable::recordOf(SlotId slot) const
+{
+    return this->slots[slot];
+}
+
+InstanceId SlotTable::preferredOwner(SlotId slot) const
+{
+    InstanceId best;
+    std::uint64_t bestWeight = 0;
+    for (const auto &[id, member] : this->members) {
+        const std::uint64_t weight = hashOf(id, slot);
+        if (!member.record.leaving && (best.empty() || weight > bestWeight)) {
+            best = id;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+std::vector<SlotMove> SlotTable::plan(Time now) const
+{
+    std::vector<SlotMove> moves;
+    const auto me = this->members.find(this->self);
+    if (me == this->members.end()) {
+        return moves;
+    }
+    for (SlotId slot = 0; slot < this->slots.size(); ++slot) {
+        const SlotRecord &record = this->slots[slot];
+        const InstanceId preferred = this->preferredOwner(slot);
+        if (record.owner == this->self) {
+            const auto other = this->members.find(preferred);
+            const bool settled = other != this->members.end() && other->second.since + settleTime <= now;
+            if (me->second.record.leaving || (preferred != this->self && settled)) {
+                moves.push_back(SlotMove{SlotMove::Kind::Release, slot, record});
+            }
+        } else if (preferred == this->self && !this->isLive(record.owner)) {
+            moves.push_back(SlotMove{SlotMove::Kind::Claim, slot, record});
+        }
+    }
+    return moves;
+}
+
+std::vector<InstanceRecord> SlotTable::instances() const
+{
+    std::vector<InstanceRecord> records;
+    for (const auto &[id, member] : this->members) {
+        records.push_back(member.record);
+    }
+    return records;
+}
+
+const InstanceRecord *SlotTable::findInstance(const InstanceId &id) const
+{
+    const auto found = this->members.find(id);
+    return found == this->members.end() ? nullptr : &found->second.record;
+}
+
+bool SlotTable::isLive(const InstanceId &id) const
+{
+    return this->members.contains(id);
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/time.h
@@ -0,0 +1,43 @@
+#ifndef OLEANDERGATE_DECISION_TIME_H
+#define OLEANDERGATE_DECISION_TIME_H
+
+#include <chrono>
+
+namespace oleandergate {
+
+//! Length of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+//! Point in time, in microseconds since the Unix epoch. Deciding functions take it as an argument.
+using Time = std::chrono::sys_time<Duration>;
+
+//! Whole minute since the Unix epoch, the supplier's billing period.
+using Minute = std::int64_t;
+
+//! Returns the billing minute that holds \p now.
+constexpr Minute minuteOf(Time now)
+{
+    return std::chrono::floor<std::chrono::minutes>(now).time_since_epoch().count();
+}
+
+//! Returns the first instant of \p minute.
+constexpr Time startOfMinute(Minute minute)
+{
+    return Time(std::chrono::minutes(minute));
+}
+
+//! Returns \p duration in seconds.
+constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+//! Returns \p seconds as a Duration.
+constexpr Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/platform/base64.h
@@ -0,0 +1,16 @@
+#ifndef OLEANDERGATE_PLATFORM_BASE64_H
+#define OLEANDERGATE_PLATFORM_BASE64_H
+
+#include <string>
+#include <string_view>
+
+namespace oleandergate {
+
+std::string toBase64(std::string_view bytes);
+
+//! Returns the decoded bytes, up to the first character that is no base64.
+std::string fromBase64(std::string_view text);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/platform/etcdkeyvalue.cpp
@@ -0,0 +1,324 @@
+#include "platform/etcdkeyvalue.h"
+
+#include "platform/base64.h"
+#include "runtime/httpclient.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+//! Keys read at once.
+constexpr std::int64_t pageSize = 500;
+
+std::string endOfPrefix(std::string prefix)
+{
+    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xFFU) {
+        prefix.pop_back();
+    }
+    if (!prefix.empty()) {
+        prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1U);
+    }
+    return prefix;
+}
+
+//! etcd writes 64-bit numbers as texts.
+std::uint64_t numberOf(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    if (value == nullptr) {
+        return 0;
+    }
+    if (const json::string *text = value->if_string()) {
+        return std::strtoull(text->c_str(), nullptr, 10);
+    }
+    return value->is_int64() ? static_cast<std::uint64_t>(value->get_int64()) : 0;
+}
+
+KvPair pairOf(const json::object &object)
+{
+    KvPair pair;
+    if (const json::value *key = object.if_contains("key"); key != nullptr && key->is_string()) {
+        pair.key = fromBase64(key->get_string());
+    }
+    if (const json::value *value = object.if_contains("value"); value != nullptr && value->is_string()) {
+        pair.value = fromBase64(value->get_string());
+    }
+    pair.revision = numberOf(object, "mod_revision");
+    return pair;
+}
+
+std::uint64_t headerRevision(const json::object &object)
+{
+    const json::value *header = object.if_contains("header");
+    return header != nullptr && header->is_object() ? numberOf(header->get_object(), "revision") : 0;
+}
+
+json::value compareOf(const KvCompare &compare)
+{
+    return {{"key", toBase64(compare.key)}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(compare.revision)}};
+}
+
+json::value putOf(const KvPut &put)
+{
+    json::object request{{"key", toBase64(put.key)}, {"value", toBase64(put.value)}};
+    if (put.lease != 0) {
+        request["lease"] = std::to_string(put.lease);
+    }
+    return {{"request_put", request}};
+}
+
+json::value deleteOf(const KvDelete &deletion)
+{
+    json::object request{{"key", toBase64(deletion.key)}};
+    if (deletion.prefix) {
+        request["range_end"] = toBase64(endOfPrefix(deletion.key));
+    }
+    return {{"request_delete_range", request}};
+}
+
+Error garbled(const std::string &address)
+{
+    return Error{ErrorCode::ServiceUnavailable, Step::Parse, address, Ran::Unknown, std::nullopt, "the key-value service answered with an unexpected document"};
+}
+
+Result<json::object> parseObject(const std::string &text, const std::string &address)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return garbled(address);
+    }
+    return value.get_object();
+}
+
+void reportEvents(const std::string &line, const std::function<void(const KvEvent &)> &onEvent)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(line, error);
+    const json::value *result = error || !value.is_object() ? nullptr : value.get_object().if_contains("result");
+    const json::value *events = result == nullptr || !result->is_object() ? nullptr : result->get_object().if_contains("events");
+    if (events == nullptr || !events->is_array()) {
+        return;
+    }
+    for (const json::value &entry : events->get_array()) {
+        const json::value *kv = entry.is_object() ? entry.get_object().if_contains("kv") : nullptr;
+        if (kv == nullptr || !kv->is_object()) {
+            continue;
+        }
+        const json::value *type = entry.get_object().if_contains("type");
+        KvEvent event;
+        event.deleted = type != nullptr && type->is_string() && type->get_string() == "DELETE";
+        event.pair = pairOf(kv->get_object());
+        onEvent(event);
+    }
+}
+
+} // namespace
+
+EtcdKeyValue::EtcdKeyValue(HttpClient &client, std::string address, Duration timeout)
+    : client(client)
+    , address(std::move(address))
+    , timeout(timeout)
+{
+}
+
+std::uint64_t EtcdKeyValue::callCount() const
+{
+    return this->calls;
+}
+
+asio::awaitable<Result<std::string>> EtcdKeyValue::post(std::string path, std::string body)
+{
+    this->calls += 1;
+    HttpCall call;
+    call.address = this->address;
+    call.method = "POST";
+    call.target = std::move(path);
+    call.body = std::move(body);
+    call.headers.push_back(HttpHeader{"Content-Type", "application/json"});
+    call.connectTimeout = this->timeout;
+    call.idleTimeout = this->timeout;
+    HttpOutcome outcome = co_await this->client.send(std::move(call), Step::JournalIntent);
+    if (!outcome) {
+        Error error = outcome.error().error;
+        error.code = ErrorCode::ServiceUnavailable;
+        co_return error;
+    }
+    if (outcome.value().status == 404) {
+        co_return Error{ErrorCode::NotFound, Step::LeaseRenew, this->address, Ran::Yes, std::nullopt, outcome.value().body};
+    }
+    if (outcome.value().status != 200) {
+        co_return Error{
+            ErrorCode::ServiceUnavailable, Step::JournalIntent, this->address, Ran::Unknown, std::nullopt, "status " + std::to_string(outcome.value().status)};
+    }
+    co_return std::move(outcome.value().body);
+}
+
+asio::awaitable<Result<KvTransactionReply>> EtcdKeyValue::transact(KvTransaction transaction)
+{
+    json::array compares;
+    for (const KvCompare &compare : transaction.compares) {
+        compares.push_back(compareOf(compare));
+    }
+    json::array success;
+    for (const KvPut &put : transaction.puts) {
+        success.push_back(putOf(put));
+    }
+    for (const KvDelete &deletion : transaction.deletes) {
+        success.push_back(deleteOf(deletion));
+    }
+    json::array failure;
+    for (const std::string &key : transaction.elseKeys) {
+        failure.push_back(json::object{{"request_range", json::object{{"key", toBase64(key)}}}});
+    }
+    const json::object body{{"compare", compares}, {"success", success}, {"failure", failure}};
+    Result<std::string> answer = co_await this->post("/v3/kv/txn", json::serialize(body));
+    if (!answer) {
+        co_return answer.error();
+    }
+    Result<json::object> parsed = parseObject(answer.value(), this->address);
+    if (!parsed) {
+        co_return parsed.error();
+    }
+    const json::object &object = parsed.value();
+    KvTransactionReply reply;
+    const json::value *succeeded = object.if_contains("succeeded");
+    reply.succeeded = succeeded != nullptr && succeeded->is_bool() && succeeded->get_bool();
+    reply.revision = headerRevision(object);
+    const json::value *responses = object.if_contains("responses");
+    if (reply.succeeded || responses == nullptr || !responses->is_array()) {
+        co_return reply;
+    }
+    std::size_t index = 0;
+    for (const json::value &response : responses->get_array()) {
+        KvPair pair;
+        const json::value *range = response.is_object() ? response.get_object().if_contains("response_range") : nullptr;
+        const json::value *kvs = range != nullptr && range->is_object() ? range->get_object().if_contains("kvs") : nullptr;
+        if (kvs != nullptr && kvs->is_array() && !kvs->get_array().empty() && kvs->get_array().front().is_object()) {
+            pair = pairOf(kvs->get_array().front().get_object());
+        }
+        if (index < transaction.elseKeys.size()) {
+            pair.key = transaction.elseKeys[index];
+        }
+        index += 1;
+        reply.found.push_back(std::move(pair));
+    }
+    co_return reply;
+}
+
+asio::awaitable<Result<KvRange>> EtcdKeyValue::range(std::string prefix)
+{
+    KvRange range;
+    std::string from = prefix;
+    bool more = true;
+    while (more) {
+        json::object body{{"key", toBase64(from)}, {"range_end", toBase64(endOfPrefix(prefix))}, {"limit", std::to_string(pageSize)}};
+        if (range.revision != 0) {
+            body["revision"] = std::to_string(range.revision);
+        }
+        Result<std::string> answer = co_await this->post("/v3/kv/range", json::serialize(body));
+        if (!answer) {
+            co_return answer.error();
+        }
+        Result<json::object> parsed = parseObject(answer.value(), this->address);
+        if (!parsed) {
+            co_return parsed.error();
+        }
+        const json::object &object = parsed.value();
+        if (range.revision == 0) {
+            range.revision = headerRevision(object);
+        }
+        const json::value *kvs = object.if_contains("kvs");
+        if (kvs != nullptr && kvs->is_array()) {
+            for (const json::value &kv : kvs->get_array()) {
+                if (kv.is_object()) {
+                    range.pairs.push_back(pairOf(kv.get_object()));
+                }
+            }
+        }
+        const json::value *moreValue = object.if_contains("more");
+        more = moreValue != nullptr && moreValue->is_bool() && moreValue->get_bool() && !range.pairs.empty();
+        if (more) {
+            from = range.pairs.back().key + std::string(1, '\0');
+        }
+    }
+    co_return range;
+}
+
+asio::awaitable<Result<std::uint64_t>> EtcdKeyValue::grantLease(Duration length)
+{
+    const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(length).count());
+    const json::object body{{"TTL", std::to_string(seconds)}};
+    Result<std::string> answer = co_await this->post("/v3/lease/grant", json::serialize(body));
+    if (!answer) {
+        co_return answer.error();
+    }
+    Result<json::object> parsed = parseObject(answer.value(), this->address);
+    if (!parsed) {
+        co_return parsed.error();
+    }
+    const std::uint64_t lease = numberOf(parsed.value(), "ID");
+    if (lease == 0) {
+        co_return garbled(this->address);
+    }
+    co_return lease;
+}
+
+asio::awaitable<Result<void>> EtcdKeyValue::renewLease(std::uint64_t lease)
+{
+    const json::object body{{"ID", std::to_string(lease)}};
+    Result<std::string> answer = co_await this->post("/v3/lease/keepalive", json::serialize(body));
+    if (!answer) {
+        co_return answer.error();
+    }
+    Result<json::object> parsed = parseObject(answer.value(), this->address);
+    if (!parsed) {
+        co_return parsed.error();
+    }
+    const json::value *result = parsed.value().if_contains("result");
+    if (result == nullptr || !result->is_object() || numberOf(result->get_object(), "TTL") == 0) {
+        co_return Error{ErrorCode::NotFound, Step::LeaseRenew, this->address, Ran::Yes, std::nullopt, "the lease has lapsed"};
+    }
+    co_return boost::outcome_v2::success();
+}
+
+asio::awaitable<Error> EtcdKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent)
+{
+    this->calls += 1;
+    constexpr std::chrono::hours watchSilence{24};
+    auto pending = std::make_shared<std::string>();
+    HttpCall call;
+    call.address = this->address;
+    call.method = "POST";
+    call.target = "/v3/watch";
+    call.headers.push_back(HttpHeader{"Content-Type", "application/json"});
+    const json::object create{{"key", toBase64(prefix)}, {"range_end", toBase64(endOfPrefix(prefix))}, {"start_revision", std::to_string(fromRevision)}};
+    call.body = json::serialize(json::object{{"create_request", create}});
+    call.connectTimeout = this->timeout;
+    call.idleTimeout = watchSilence;
+    call.reuse = false;
+    call.keepBody = false;
+    call.onPiece = [pending, onEvent = std::move(onEvent)](int /*status*/, std::string_view piece) {
+        pending->append(piece);
+        std::size_t end = pending->find('\n');
+        while (end != std::string::npos) {
+            reportEvents(pending->substr(0, end), onEvent);
+            pending->erase(0, end + 1);
+            end = pending->find('\n');
+        }
+    };
+    HttpOutcome outcome = co_await this->client.send(std::move(call), Step::ConfigFetch);
+    if (!outcome) {
+        co_return outcome.error().error;
+    }
+    co_return Error{ErrorCode::ServiceUnavailable, Step::ConfigFetch, this->address, Ran::Yes, std::nullopt, "the watch ended"};
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/platform/etcdkeyvalue.h
@@ -0,0 +1,39 @@
+#ifndef OLEANDERGATE_PLATFORM_ETCDKEYVALUE_H
+#define OLEANDERGATE_PLATFORM_ETCDKEYVALUE_H
+
+#include "platform/interfaces/keyvalueservice.h"
+
+#include <atomic>
+#include <memory>
+
+namespace oleandergate {
+
+class HttpClient;
+
+//! Key-value service that speaks etcd's version 3 protocol in JSON.
+class EtcdKeyValue : public KeyValueService
+{
+public:
+    EtcdKeyValue(HttpClient &client, std::string address, Duration timeout);
+
+    boost::asio::awaitable<Result<KvTransactionReply>> transact(KvTransaction transaction) override;
+    boost::asio::awaitable<Result<KvRange>> range(std::string prefix) override;
+    boost::asio::awaitable<Result<std::uint64_t>> grantLease(Duration length) override;
+    boost::asio::awaitable<Result<void>> renewLease(std::uint64_t lease) override;
+    boost::asio::awaitable<Error> watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent) override;
+
+    //! Returns the number of calls made, a waiting watch as one.
+    std::uint64_t callCount() const;
+
+private:
+    boost::asio::awaitable<Result<std::string>> post(std::string path, std::string body);
+
+    HttpClient &client;
+    std::string address;
+    Duration timeout;
+    std::atomic<std::uint64_t> calls{0};
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/platform/interfaces/instancelist.h
@@ -0,0 +1,26 @@
+#ifndef OLEANDERGATE_PLATFORM_INTERFACES_INSTANCELIST_H
+#define OLEANDERGATE_PLATFORM_INTERFACES_INSTANCELIST_H
+
+#include "decision/endpointspec.h"
+#include "decision/error.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <vector>
+
+namespace oleandergate {
+
+//! The platform's list of live and leaving instances. It lags.
+class InstanceList
+{
+public:
+    virtual ~InstanceList() = default;
+
+    //! Returns the instances of \p service.
+    virtual boost::asio::awaitable<Result<std::vector<EndpointSpec>>> instancesOf(std::string service) = 0;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/programs/oleanderctl/adminclient.h
@@ -0,0 +1,27 @@
+#ifndef OLEANDERGATE_PROGRAMS_OLEANDERCTL_ADMINCLIENT_H
+#define OLEANDERGATE_PROGRAMS_OLEANDERCTL_ADMINCLIENT_H
+
+#include "runtime/httpmessage.h"
+
+#include <optional>
+#include <string>
+
+namespace oleandergate {
+
+//! Calls the administration API of one entry instance.
+class AdminClient
+{
+public:
+    AdminClient(std::string address, std::string key);
+
+    //! Returns nothing, and prints why, when the instance does not answer.
+    std::optional<HttpResponse> send(const std::string &method, const std::string &target, const std::string &body = "", const std::string &ifMatch = "");
+
+private:
+    std::string address;
+    std::string key;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/clusterview.cpp
@@ -0,0 +1,176 @@
+#include "runtime/clusterview.h"
+
+#include "runtime/storekeys.h"
+
+#include <boost/json.hpp>
+
+namespace oleandergate {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object parseRecord(const std::string &text)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(text, error);
+    return error || !value.is_object() ? json::object() : value.get_object();
+}
+
+std::string textOf(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+InstanceRecord readInstance(const KvPair &pair)
+{
+    const json::object object = parseRecord(pair.value);
+    InstanceRecord record;
+    record.id = pair.key.substr(std::string(instancePrefix).size());
+    record.peerAddress = textOf(object, "peer");
+    record.domain = textOf(object, "domain");
+    const json::value *leaving = object.if_contains("leaving");
+    record.leaving = leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+    return record;
+}
+
+} // namespace
+
+std::string showInstance(const InstanceRecord &record)
+{
+    return json::serialize(json::object{{"peer", record.peerAddress}, {"domain", record.domain}, {"leaving", record.leaving}});
+}
+
+std::string showSlot(const SlotRecord &record)
+{
+    return json::serialize(json::object{{"owner", record.owner}, {"epoch", record.epoch}});
+}
+
+SlotRecord readSlot(const KvPair &pair)
+{
+    SlotRecord record;
+    if (pair.revision == 0) {
+        return record;
+    }
+    const json::object object = parseRecord(pair.value);
+    record.owner = textOf(object, "owner");
+    const json::value *epoch = object.if_contains("epoch");
+    record.epoch = epoch != nullptr && epoch->is_int64() ? static_cast<std::uint64_t>(epoch->get_int64()) : 0;
+    record.revision = pair.revision;
+    return record;
+}
+
+ClusterView::ClusterView(InstanceId self, SlotId slotCount, Duration leaseLength)
+    : ownId(std::move(self))
+    , slots(slotCount)
+    , table(this->ownId, slotCount)
+{
+    this->reach.leaseLength = leaseLength;
+}
+
+const InstanceId &ClusterView::self() const
+{
+    return this->ownId;
+}
+
+SlotId ClusterView::slotCount() const
+{
+    return this->slots;
+}
+
+void ClusterView::load(const KvRange &range, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->table.clear();
+    for (const KvPair &pair : range.pairs) {
+        this->applyPair(pair, false, now);
+    }
+    this->reach.hasPeers = this->table.instances().size() > 1;
+}
+
+void ClusterView::apply(const KvEvent &event, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->applyPair(event.pair, event.deleted, now);
+    this->reach.hasPeers = this->table.instances().size() > 1;
+}
+
+void ClusterView::applyPair(const KvPair &pair, bool deleted, Time now)
+{
+    if (pair.key.starts_with(instancePrefix)) {
+        if (deleted) {
+            this->table.removeInstance(pair.key.substr(std::string(instancePrefix).size()));
+        } else {
+            this->table.putInstance(readInstance(pair), now);
+        }
+        return;
+    }
+    if (pair.key.starts_with(slotPrefix) && !deleted) {
+        this->table.putSlot(static_cast<SlotId>(trailingNumber(pair.key)), readSlot(pair));
+    }
+}
+
+void ClusterView::putSlot(SlotId slot, const SlotRecord &record)
+{
+    const std::lock_guard lock(this->mutex);
+    this->table.putSlot(slot, record);
+}
+
+std::optional<InstanceRecord> ClusterView::ownerOf(SlotId slot) const
+{
+    const std::lock_guard lock(this->mutex);
+    const InstanceRecord *owner = this->table.ownerOf(slot);
+    return owner == nullptr ? std::nullopt : std::optional(*owner);
+}
+
+SlotRecord ClusterView::recordOf(SlotId slot) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.recordOf(slot);
+}
+
+std::vector<SlotMove> ClusterView::plan(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.plan(now);
+}
+
+std::vector<InstanceRecord> ClusterView::instances() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.instances();
+}
+
+void ClusterView::noteLease(Time sentAt)
+{
+    const std::lock_guard lock(this->mutex);
+    this->reach.leaseConfirmed = sentAt;
+}
+
+void ClusterView::noteService(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->serviceReachedAt = std::max(this->serviceReachedAt, now);
+}
+
+void ClusterView::notePeer(Time reachedAt, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->reach.peerHeard = now;
+    this->reach.peerReachedService = std::max(this->reach.peerReachedService, reachedAt);
+}
+
+Time ClusterView::serviceReached() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->serviceReachedAt;
+}
+
+Posture ClusterView::posture(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return judgePosture(this->reach, now);
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/clusterview.h
@@ -0,0 +1,67 @@
+#ifndef OLEANDERGATE_RUNTIME_CLUSTERVIEW_H
+#define OLEANDERGATE_RUNTIME_CLUSTERVIEW_H
+
+#include "decision/posture.h"
+#include "decision/slottable.h"
+#include "platform/interfaces/keyvalueservice.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace oleandergate {
+
+//! What this instance knows of the others and of who owns which slot. Thread-safe.
+class ClusterView
+{
+public:
+    ClusterView(InstanceId self, SlotId slotCount, Duration leaseLength);
+
+    const InstanceId &self() const;
+    SlotId slotCount() const;
+
+    //! Replaces everything by a fresh reading of the cluster's records.
+    void load(const KvRange &range, Time now);
+
+    //! Applies one change that a watch reported.
+    void apply(const KvEvent &event, Time now);
+
+    //! Notes a slot's record read or written outside the watch.
+    void putSlot(SlotId slot, const SlotRecord &record);
+
+    std::optional<InstanceRecord> ownerOf(SlotId slot) const;
+    SlotRecord recordOf(SlotId slot) const;
+    std::vector<SlotMove> plan(Time now) const;
+    std::vector<InstanceRecord> instances() const;
+
+    //! Notes that a lease renewal sent at \p sentAt was confirmed.
+    void noteLease(Time sentAt);
+
+    //! Notes that the key-value service answered.
+    void noteService(Time now);
+
+    //! Notes a heartbeat of a peer that reached the service at \p reachedAt.
+    void notePeer(Time reachedAt, Time now);
+
+    Time serviceReached() const;
+    Posture posture(Time now) const;
+
+private:
+    void applyPair(const KvPair &pair, bool deleted, Time now);
+
+    InstanceId ownId;
+    SlotId slots;
+    mutable std::mutex mutex;
+    SlotTable table;
+    ReachView reach;
+    Time serviceReachedAt{};
+};
+
+//! Stored form of the records.
+std::string showInstance(const InstanceRecord &record);
+std::string showSlot(const SlotRecord &record);
+SlotRecord readSlot(const KvPair &pair);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/dispatchpool.h
@@ -0,0 +1,38 @@
+#ifndef OLEANDERGATE_RUNTIME_DISPATCHPOOL_H
+#define OLEANDERGATE_RUNTIME_DISPATCHPOOL_H
+
+#include "config/configuration.h"
+#include "decision/dispatcher.h"
+#include "decision/retrybudget.h"
+
+#include <mutex>
+#include <string>
+
+namespace oleandergate {
+
+//! One pool of endpoints with its queue, under its own lock.
+struct DispatchPool
+{
+    DispatchPool(std::string name, std::string listName, const PolicyOptions &options, std::uint64_t seed)
+        : name(std::move(name))
+        , listName(std::move(listName))
+        , dispatcher(options, seed)
+    {
+    }
+
+    std::string name; //!< "model/NAME" or "service/NAME".
+    std::string listName; //!< Name in the instance list.
+    std::mutex mutex{};
+    Dispatcher dispatcher;
+    RetryBudget retries{0.1, 3.0};
+    std::vector<EndpointSpec> endpoints{};
+    std::optional<PoolConfig> pool{}; //!< For model engines.
+    std::optional<ServiceConfig> service{}; //!< For plain services.
+    bool retired = false; //!< No longer in the configuration.
+};
+
+using DispatchPoolPointer = std::shared_ptr<DispatchPool>;
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/entryinstance.cpp
@@ -0,0 +1,294 @@
+#include "runtime/entryinstance.h"
+
+#include "platform/consulinstancelist.h"
+#include "platform/etcdkeyvalue.h"
+#include "runtime/adminapi.h"
+#include "runtime/answerchannel.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/callerapi.h"
+#include "runtime/clock.h"
+#include "runtime/clusterservice.h"
+#include "runtime/dispatchservice.h"
+#include "runtime/eventlog.h"
+#include "runtime/heartbeatservice.h"
+#include "runtime/httpclient.h"
+#include "runtime/httpserver.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+#include "runtime/peerclient.h"
+#include "runtime/peerserver.h"
+#include "runtime/programservice.h"
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration platformTimeout = std::chrono::milliseconds(1000);
+constexpr Duration drainStep = std::chrono::milliseconds(50);
+
+//! How long a draining instance goes on answering, for balancers that learn of it late.
+constexpr Duration balancerLag = std::chrono::milliseconds(500);
+
+InstanceId uniqueId(const std::string &name)
+{
+    return name + "~" + std::to_string(currentTime().time_since_epoch().count());
+}
+
+HttpLimits limitsOf(const Settings &settings)
+{
+    HttpLimits limits;
+    limits.body = settings.bodyLimit;
+    limits.header = settings.headerLimit;
+    limits.receive = settings.callerTimeout;
+    return limits;
+}
+
+OwnerLimits ownerLimitsOf(const Settings &settings)
+{
+    OwnerLimits limits;
+    limits.slotCount = settings.slotCount;
+    return limits;
+}
+
+} // namespace
+
+struct EntryInstance::Core
+{
+    explicit Core(const Settings &newSettings)
+        : settings(newSettings)
+        , self{uniqueId(settings.instanceName), settings.peerAddress, settings.domain, false}
+        , context(static_cast<int>(settings.threads))
+        , events(settings.eventFile, settings.instanceName)
+        , auth(settings.peerKey)
+        , client(context)
+        , keyValue(client, settings.keyValueAddress, platformTimeout)
+        , list(client, settings.instanceListAddress, platformTimeout)
+        , view(self.id, settings.slotCount, settings.lease)
+        , config(keyValue, settings.dataFolder, events)
+        , store(keyValue)
+        , peers(context, auth)
+        , programs(
+              context,
+              store,
+              ownerLimitsOf(settings),
+              settings.shards,
+              self.id,
+              [this](Time now) {
+                  return this->view.posture(now);
+              },
+              events,
+              metrics)
+        , dispatch(context, DispatchService::Parts{programs, list, client, view, peers, events, metrics})
+        , cluster(context, ClusterService::Parts{keyValue, view, config, store, programs, peers, events, metrics}, self, settings.lease, settings.seeds)
+        , router(CallRouter::Parts{view, programs, peers, config, events, metrics}, settings.ownerWait)
+        , callerApi(router, config, events, metrics)
+        , adminApi(
+              AdminApi::Parts{router, config, view, dispatch, programs, peers, metrics},
+              sha256Hex(settings.peerKey),
+              [this]() {
+                  this->beginDrain();
+              },
+              [this]() {
+                  return this->isReady();
+              })
+        , heartbeats(
+              context,
+              view,
+              auth,
+              settings.peerAddress,
+              [this]() {
+                  return this->configVersion();
+              },
+              [this](const std::string &peer) {
+                  this->fetchConfig(peer);
+              })
+        , callerServer(
+              context,
+              limitsOf(settings),
+              [this](HttpRequest request, HttpExchange &exchange) {
+                  return this->callerApi.handle(std::move(request), exchange);
+              },
+              CallerApi::refuseUnreadable)
+        , adminServer(
+              context,
+              limitsOf(settings),
+              [this](HttpRequest request, HttpExchange &exchange) {
+                  return this->adminApi.handle(std::move(request), exchange);
+              },
+              CallerApi::refuseUnreadable)
+        , peerServer(context,
+                     auth,
+                     [this](PeerMessage command, std::shared_ptr<AnswerChannel> pieces) {
+                         return this->router.serve(std::move(command), std::move(pieces));
+                     })
+        , signals(context, SIGTERM, SIGINT)
+    {
+    }
+
+    std::uint64_t configVersion() const
+    {
+        const std::shared_ptr<const ActiveConfig> active = this->config.active();
+        return active ? active->version.version : 0;
+    }
+
+    bool isReady()
+    {
+        return !this->draining && this->config.active() != nullptr && this->view.posture(currentTime()) != Posture::Isolated;
+    }
+
+    void fetchConfig(const std::string &peer)
+    {
+        if (this->fetching.exchange(true)) {
+            return;
+        }
+        asio::co_spawn(asio::make_strand(this->context), this->fetchConfigFrom(peer), asio::detached);
+    }
+
+    asio::awaitable<void> fetchConfigFrom(std::string peer)
+    {
+        const Result<PeerMessage> reply = co_await this->peers.send(peer, ConfigQuery());
+        const auto *found = reply ? std::get_if<ConfigReply>(&reply.value()) : nullptr;
+        if (found != nullptr && found->version > 0) {
+            this->config.offer(ConfigVersion{found->version, found->author, {}, found->text});
+        }
+        this->fetching = false;
+    }
+
+    void beginDrain()
+    {
+        if (!this->draining.exchange(true)) {
+            asio::co_spawn(asio::make_strand(this->context), this->drainAndStop(), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> drainAndStop()
+    {
+        logRecord(LogLevel::Info, "instance", "draining");
+        this->events.note(Step::Drain, {}, {}, "begin");
+        const Time giveUp = currentTime() + this->settings.drainLimit;
+        this->cluster.leave();
+        const Time balancerKnows = currentTime() + balancerLag;
+        while (currentTime() < giveUp) {
+            const bool idle = this->callerServer.activeCount() == 0 && this->peerServer.activeCount() == 0 && this->programs.liveCallCount() == 0;
+            const bool handedOver = this->programs.ownedSlots().empty() || this->view.instances().size() <= 1;
+            if (idle && handedOver && currentTime() >= balancerKnows) {
+                break;
+            }
+            co_await sleepFor(drainStep);
+        }
+        this->callerServer.stop();
+        while (currentTime() < giveUp && this->callerServer.activeCount() + this->peerServer.activeCount() > 0) {
+            co_await sleepFor(drainStep);
+        }
+        co_await this->cluster.depart();
+        this->events.note(Step::Stop, {}, {}, "done");
+        logRecord(LogLevel::Info, "instance", "stopped");
+        this->context.stop();
+    }
+
+    Result<void> start()
+    {
+        this->config.setListener([this](const std::shared_ptr<const ActiveConfig> &active) {
+            this->dispatch.configure(active);
+        });
+        this->programs.setSink(this->dispatch);
+        this->config.restore();
+        this->cluster.setPeakPort(ClusterService::PeakPort{[this](Time now) {
+                                                               return this->dispatch.demandAt(now);
+                                                           },
+                                                           [this](const PeakGrant &grant) {
+                                                               this->dispatch.setGrant(grant);
+                                                           },
+                                                           [this]() {
+                                                               return this->dispatch.peakCap();
+                                                           }});
+        Result<void> peer = this->peerServer.start(this->settings.peerAddress);
+        if (!peer) {
+            return peer;
+        }
+        if (!this->heartbeats.start()) {
+            return Error{ErrorCode::Internal, Step::InstanceStart, this->settings.peerAddress, Ran::No, std::nullopt, "the UDP address is taken"};
+        }
+        Result<void> admin = this->adminServer.start(this->settings.adminAddress);
+        if (!admin) {
+            return admin;
+        }
+        Result<void> callers = this->callerServer.start(this->settings.callerAddress);
+        if (!callers) {
+            return callers;
+        }
+        this->programs.start();
+        this->dispatch.start();
+        this->cluster.start();
+        this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
+            if (!error) {
+                this->beginDrain();
+            }
+        });
+        this->events.note(Step::InstanceStart, {}, {}, this->self.id);
+        logRecord(LogLevel::Info, "instance", "started", {{"id", this->self.id}, {"callers", this->settings.callerAddress}});
+        return boost::outcome_v2::success();
+    }
+
+    Settings settings;
+    InstanceRecord self;
+    asio::io_context context;
+    EventLog events;
+    Metrics metrics{};
+    MessageAuth auth;
+    HttpClient client;
+    EtcdKeyValue keyValue;
+    ConsulInstanceList list;
+    ClusterView view;
+    ConfigKeeper config;
+    JournalStore store;
+    PeerClient peers;
+    ProgramService programs;
+    DispatchService dispatch;
+    ClusterService cluster;
+    CallRouter router;
+    CallerApi callerApi;
+    AdminApi adminApi;
+    HeartbeatService heartbeats;
+    HttpServer callerServer;
+    HttpServer adminServer;
+    PeerServer peerServer;
+    asio::signal_set signals;
+    std::atomic<bool> draining{false};
+    std::atomic<bool> fetching{false};
+};
+
+EntryInstance::EntryInstance(const Settings &settings)
+    : core(std::make_unique<Core>(settings))
+{
+}
+
+EntryInstance::~EntryInstance() = default;
+
+Result<void> EntryInstance::run()
+{
+    Result<void> started = this->core->start();
+    if (!started) {
+        return started;
+    }
+    std::vector<std::thread> threads;
+    for (unsigned index = 1; index < this->core->settings.threads; ++index) {
+        threads.emplace_back([this]() {
+            this->core->context.run();
+        });
+    }
+    this->core->context.run();
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    return boost::outcome_v2::success();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/httpclient.h
@@ -0,0 +1,70 @@
+#ifndef OLEANDERGATE_RUNTIME_HTTPCLIENT_H
+#define OLEANDERGATE_RUNTIME_HTTPCLIENT_H
+
+#include "decision/error.h"
+#include "runtime/httpmessage.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace oleandergate {
+
+class Cancellation;
+
+//! One request to send.
+struct HttpCall
+{
+    std::string address{}; //!< IP number and port.
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<HttpHeader> headers{};
+    std::string body{};
+    Duration connectTimeout = std::chrono::seconds(1);
+    Duration idleTimeout = std::chrono::seconds(10); //!< Longest silence while the response arrives.
+    std::size_t bodyLimit = 64 * 1024 * 1024; //!< Bytes.
+    bool reuse = true; //!< Allow a kept connection. Off for requests that must not be sent twice.
+    bool keepBody = true; //!< Collect the body; off for endless streams.
+    std::function<void(int status, std::string_view piece)> onPiece{}; //!< Called as the body arrives.
+    std::shared_ptr<Cancellation> cancellation{};
+};
+
+//! Why no whole response came.
+struct HttpFailure
+{
+    Error error{};
+    bool provablyNotSent = false; //!< No byte of the request was handed to the network.
+    bool responseStarted = false;
+    HttpResponse partial{}; //!< What had arrived.
+};
+
+using HttpOutcome = boost::outcome_v2::checked<HttpResponse, HttpFailure>;
+
+//! HTTP/1.1 client that keeps connections. Safe to use from several threads.
+class HttpClient
+{
+public:
+    explicit HttpClient(boost::asio::io_context &context);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    //! Sends \p call. \p step names the step in errors.
+    boost::asio::awaitable<HttpOutcome> send(HttpCall call, Step step);
+
+    //! State shared with running connections.
+    struct Core;
+
+private:
+    std::shared_ptr<Core> core;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/httpexchange.h
@@ -0,0 +1,33 @@
+#ifndef OLEANDERGATE_RUNTIME_HTTPEXCHANGE_H
+#define OLEANDERGATE_RUNTIME_HTTPEXCHANGE_H
+
+#include "runtime/httpmessage.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string_view>
+
+namespace oleandergate {
+
+//! The answering side of one request.
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+
+    //! Sends a whole response. Returns false when the caller is gone.
+    virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
+
+    //! Sends the head of a response whose body follows in pieces.
+    virtual boost::asio::awaitable<bool> startStream(HttpResponse head) = 0;
+
+    //! Sends one piece of the body.
+    virtual boost::asio::awaitable<bool> sendPiece(std::string piece) = 0;
+
+    //! Ends the body.
+    virtual boost::asio::awaitable<bool> endStream() = 0;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/httpserver.h
@@ -0,0 +1,59 @@
+#ifndef OLEANDERGATE_RUNTIME_HTTPSERVER_H
+#define OLEANDERGATE_RUNTIME_HTTPSERVER_H
+
+#include "decision/error.h"
+#include "runtime/httpexchange.h"
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace oleandergate {
+
+//! Bounds on what a caller may send.
+struct HttpLimits
+{
+    std::size_t body = 4 * 1024 * 1024; //!< Bytes.
+    std::size_t header = 16 * 1024; //!< Bytes.
+    Duration receive = std::chrono::seconds(10); //!< Longest time for one request to arrive.
+    Duration idle = std::chrono::seconds(60); //!< Longest silence between two requests of a connection.
+    std::size_t connections = 4096;
+};
+
+//! Answers one request. Exceptions become a response with status 500.
+using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest request, HttpExchange &exchange)>;
+
+//! Makes the response to a request that could not be read.
+using HttpRefusal = std::function<HttpResponse(int status, const std::string &detail)>;
+
+//! HTTP/1.1 server with keep-alive and graceful stop.
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &context, const HttpLimits &limits, HttpHandler handler, HttpRefusal refusal);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    //! Binds \p address, an IP number and a port, and starts accepting.
+    Result<void> start(const std::string &address);
+
+    //! Stops accepting, closes idle connections and ends the others after their current response.
+    void stop();
+
+    //! Returns the number of requests being answered.
+    std::size_t activeCount() const;
+
+    //! State shared with running connections.
+    struct Core;
+
+private:
+    std::shared_ptr<Core> core;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/interfaces/readysink.h
@@ -0,0 +1,29 @@
+#ifndef OLEANDERGATE_RUNTIME_INTERFACES_READYSINK_H
+#define OLEANDERGATE_RUNTIME_INTERFACES_READYSINK_H
+
+#include "decision/livecall.h"
+#include "decision/programstate.h"
+
+#include <set>
+
+namespace oleandergate {
+
+//! Takes calls that their owner allows to be sent.
+class ReadySink
+{
+public:
+    virtual ~ReadySink() = default;
+
+    //! Queues \p call of a program with \p spec.
+    virtual void onReady(const LiveCall &call, const ProgramSpec &spec) = 0;
+
+    //! Takes a call out of the queue or cancels it at its endpoint.
+    virtual void onAbort(CallId call) = 0;
+
+    //! Frees what endpoints hold for a program.
+    virtual void onRelease(const ProgramId &program, const std::set<EndpointId> &endpoints) = 0;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/log.cpp
@@ -0,0 +1,92 @@
+#include "runtime/log.h"
+
+#include "runtime/clock.h"
+
+#include <boost/json.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+
+#include <atomic>
+#include <iostream>
+
+namespace oleandergate {
+
+namespace {
+
+struct LogSetup
+{
+    std::atomic<bool> json{false};
+    std::atomic<int> least{static_cast<int>(LogLevel::Info)};
+    std::string instance{};
+};
+
+LogSetup &setup()
+{
+    static LogSetup instance;
+    return instance;
+}
+
+std::string asJson(LogLevel level, const char *component, const std::string &message, std::initializer_list<LogField> fields)
+{
+    boost::json::object record;
+    record["at"] = formatTime(currentTime());
+    record["level"] = nameIn(logLevelNames, level);
+    record["instance"] = setup().instance;
+    record["component"] = component;
+    record["message"] = message;
+    for (const LogField &field : fields) {
+        record[field.name] = field.value;
+    }
+    return boost::json::serialize(record);
+}
+
+std::string asText(LogLevel level, const char *component, const std::string &message, std::initializer_list<LogField> fields)
+{
+    std::string line = formatTime(currentTime()) + " " + std::string(nameIn(logLevelNames, level)) + " " + setup().instance + " " + component + ": " + message;
+    for (const LogField &field : fields) {
+        line += std::string(" ") + field.name + "=" + field.value;
+    }
+    return line;
+}
+
+} // namespace
+
+void setUpLog(const std::string &format, const std::string &level, const std::string &instance)
+{
+    setup().json = format == "json";
+    setup().least = static_cast<int>(valueIn(logLevelNames, level).value_or(LogLevel::Info));
+    setup().instance = instance;
+    using Backend = boost::log::sinks::text_ostream_backend;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend);
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+}
+
+void logRecord(LogLevel level, const char *component, const std::string &message, std::initializer_list<LogField> fields)
+{
+    if (static_cast<int>(level) < setup().least) {
+        return;
+    }
+    static boost::log::sources::severity_logger_mt<int> logger;
+    const std::string line = setup().json ? asJson(level, component, message, fields) : asText(level, component, message, fields);
+    BOOST_LOG_SEV(logger, static_cast<int>(level)) << line;
+}
+
+void logError(const char *component, const std::string &message, const Error &error)
+{
+    logRecord(LogLevel::Warning,
+              component,
+              message,
+              {{"code", std::string(errorCodeName(error.code))}, {"step", std::string(stepName(error.step))}, {"peer", error.peer}, {"detail", error.detail}});
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/peakrecord.cpp
@@ -0,0 +1,60 @@
+#include "runtime/peakrecord.h"
+
+#include <boost/json.hpp>
+
+namespace oleandergate {
+
+namespace json = boost::json;
+
+namespace {
+
+std::int64_t numberOf(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
+}
+
+} // namespace
+
+std::string showPeakLedger(const PeakLedger &ledger)
+{
+    json::object grants;
+    for (const auto &[instance, grant] : ledger.grants) {
+        grants[instance]
+            = json::object{{"tokens", grant.perMinute}, {"through", grant.through}, {"reduced_from", grant.reducedFrom}, {"reduced_to", grant.reducedTo}};
+    }
+    json::object demands;
+    for (const auto &[instance, demand] : ledger.demands) {
+        demands[instance] = demand;
+    }
+    return json::serialize(json::object{{"cap", ledger.cap}, {"grants", grants}, {"demands", demands}});
+}
+
+PeakLedger readPeakLedger(const std::string &text)
+{
+    PeakLedger ledger;
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return ledger;
+    }
+    const json::object &root = value.get_object();
+    ledger.cap = numberOf(root, "cap");
+    if (const json::value *grants = root.if_contains("grants"); grants != nullptr && grants->is_object()) {
+        for (const auto &[instance, entry] : grants->get_object()) {
+            if (entry.is_object()) {
+                const json::object &grant = entry.get_object();
+                ledger.grants[std::string(instance)]
+                    = PeakGrant{numberOf(grant, "tokens"), numberOf(grant, "through"), numberOf(grant, "reduced_from"), numberOf(grant, "reduced_to")};
+            }
+        }
+    }
+    if (const json::value *demands = root.if_contains("demands"); demands != nullptr && demands->is_object()) {
+        for (const auto &[instance, entry] : demands->get_object()) {
+            ledger.demands[std::string(instance)] = entry.is_int64() ? entry.get_int64() : 0;
+        }
+    }
+    return ledger;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/peerframe.h
@@ -0,0 +1,51 @@
+#ifndef OLEANDERGATE_RUNTIME_PEERFRAME_H
+#define OLEANDERGATE_RUNTIME_PEERFRAME_H
+
+#include "decision/error.h"
+#include "wire/messageauth.h"
+#include "wire/peermessage.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <string>
+
+namespace oleandergate {
+
+//! Largest frame accepted from a peer, in bytes.
+inline constexpr std::uint32_t maxFrameBytes = 128 * 1024 * 1024;
+
+//! Bytes of the challenge that the accepting side sends first.
+inline constexpr std::size_t challengeBytes = 16;
+
+//! Both directions of a connection between two instances. Each frame is a length, an authentication code and a
+//! message; the code covers the connection's challenge, the direction and the frame's number, so no frame can be
+//! replayed, reordered or reflected.
+class PeerFraming
+{
+public:
+    PeerFraming(boost::beast::tcp_stream &stream, const MessageAuth &auth, bool accepting);
+
+    //! Exchanges the challenge.
+    boost::asio::awaitable<Result<void>> open(Duration timeout);
+
+    boost::asio::awaitable<Result<void>> write(const PeerMessage &message, Duration timeout);
+
+    //! Reads one message; a silence of \p timeout is an error.
+    boost::asio::awaitable<Result<PeerMessage>> read(Duration timeout);
+
+private:
+    std::string contextOf(bool fromAccepting, std::uint64_t number) const;
+    Error failure(const std::string &detail) const;
+
+    boost::beast::tcp_stream &stream;
+    const MessageAuth &auth;
+    bool accepting;
+    std::string challenge;
+    std::uint64_t written = 0;
+    std::uint64_t received = 0;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/runtime/peerserver.cpp
@@ -0,0 +1,169 @@
+#include "runtime/peerserver.h"
+
+#include "runtime/address.h"
+#include "runtime/answerchannel.h"
+#include "runtime/log.h"
+#include "runtime/peerframe.h"
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::seconds openTimeout{2};
+constexpr std::chrono::seconds writeTimeout{5};
+constexpr std::chrono::hours idleTimeout{1};
+
+//! Pause between signs of life while a command is carried out.
+constexpr std::chrono::milliseconds signOfLife{500};
+
+} // namespace
+
+struct PeerServer::Core
+{
+    asio::io_context &context;
+    const MessageAuth &auth;
+    PeerHandler handler;
+    std::optional<tcp::acceptor> acceptor{};
+    std::atomic<bool> stopping{false};
+    std::atomic<std::size_t> active{0};
+};
+
+namespace {
+
+//! A command under way: the reply, once there is one.
+struct CommandRun
+{
+    std::shared_ptr<AnswerChannel> pieces = std::make_shared<AnswerChannel>();
+    std::optional<PeerMessage> reply{};
+};
+
+asio::awaitable<void> carryOut(std::shared_ptr<PeerServer::Core> core, std::shared_ptr<CommandRun> run, PeerMessage command)
+{
+    try {
+        run->reply = co_await core->handler(std::move(command), run->pieces);
+    } catch (const std::exception &error) {
+        run->reply = CallReply{false, {}, Error{ErrorCode::Internal, Step::Forward, {}, Ran::Unknown, std::nullopt, error.what()}};
+    }
+    run->pieces->finish(CallAnswer{});
+}
+
+asio::awaitable<bool> serveCommand(std::shared_ptr<PeerServer::Core> core, PeerFraming &framing, PeerMessage command)
+{
+    auto run = std::make_shared<CommandRun>();
+    core->active += 1;
+    asio::co_spawn(co_await asio::this_coro::executor, carryOut(core, run, std::move(command)), asio::detached);
+    std::size_t passed = 0;
+    bool healthy = true;
+    while (!run->reply) {
+        co_await run->pieces->wait(signOfLife);
+        AnswerPiece piece{run->pieces->textFrom(passed)};
+        passed += piece.text.size();
+        if (healthy && !run->reply) {
+            const Result<void> written = co_await framing.write(piece, writeTimeout);
+            healthy = written.has_value();
+        }
+    }
+    AnswerPiece rest{run->pieces->textFrom(passed)};
+    if (healthy && !rest.text.empty()) {
+        const Result<void> written = co_await framing.write(rest, writeTimeout);
+        healthy = written.has_value();
+    }
+    if (healthy) {
+        const Result<void> written = co_await framing.write(*run->reply, writeTimeout);
+        healthy = written.has_value();
+    }
+    core->active -= 1;
+    co_return healthy;
+}
+
+asio::awaitable<void> serveConnection(std::shared_ptr<PeerServer::Core> core, tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    boost::beast::tcp_stream stream(std::move(socket));
+    PeerFraming framing(stream, core->auth, true);
+    const Result<void> opened = co_await framing.open(openTimeout);
+    bool healthy = opened.has_value();
+    while (healthy) {
+        Result<PeerMessage> command = co_await framing.read(idleTimeout);
+        if (!command) {
+            if (command.error().detail.find("authentication") != std::string::npos) {
+                logError("peer", "refused a frame", command.error());
+            }
+            co_return;
+        }
+        healthy = co_await serveCommand(core, framing, std::move(command.value()));
+    }
+}
+
+asio::awaitable<void> acceptPeers(std::shared_ptr<PeerServer::Core> core)
+{
+    while (!core->stopping) {
+        const auto strand = asio::make_strand(core->context);
+        auto [error, socket] = co_await core->acceptor->async_accept(strand, useResult);
+        if (error) {
+            co_await sleepFor(std::chrono::milliseconds(20));
+            continue;
+        }
+        asio::co_spawn(strand, serveConnection(core, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace
+
+PeerServer::PeerServer(asio::io_context &context, const MessageAuth &auth, PeerHandler handler)
+    : core(new Core{context, auth, std::move(handler)})
+{
+}
+
+PeerServer::~PeerServer()
+{
+    this->stop();
+}
+
+Result<void> PeerServer::start(const std::string &address)
+{
+    const auto endpoint = parseTcpAddress(address);
+    boost::system::error_code error = asio::error::invalid_argument;
+    tcp::acceptor acceptor(asio::make_strand(this->core->context));
+    if (endpoint) {
+        acceptor.open(endpoint->protocol(), error);
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return Error{ErrorCode::Internal, Step::InstanceStart, address, Ran::No, std::nullopt, error.message()};
+    }
+    this->core->acceptor.emplace(std::move(acceptor));
+    asio::co_spawn(this->core->acceptor->get_executor(), acceptPeers(this->core), asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void PeerServer::stop()
+{
+    if (this->core->stopping.exchange(true) || !this->core->acceptor) {
+        return;
+    }
+    asio::post(this->core->acceptor->get_executor(), [core = this->core]() {
+        boost::system::error_code ignored;
+        core->acceptor->close(ignored);
+    });
+}
+
+std::size_t PeerServer::activeCount() const
+{
+    return this->core->active;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,295 @@
+#include "wire/codec.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <zstd.h>
+
+#include <sstream>
+
+namespace oleandergate {
+
+template <class Archive>
+void serialize(Archive &archive, Error &value)
+{
+    archive(value.code, value.step, value.peer, value.ran, value.retryAfter, value.detail);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallRequest &value)
+{
+    archive(value.requestId, value.program, value.organisation, value.branch, value.sequence, value.kind, value.repeatable, value.target, value.path);
+    archive(value.body, value.messages, value.digest, value.streaming, value.promptTokens, value.maxTokens, value.reserve, value.deadline);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallAnswer &value)
+{
+    archive(value.status,
+            value.contentType,
+            value.body,
+            value.endpoint,
+            value.promptTokens,
+            value.completionTokens,
+            value.cost,
+            value.replayed,
+            value.historyPending);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ProgramSpec &value)
+{
+    archive(value.id, value.organisation, value.kind, value.budget, value.priority, value.maxTurns, value.created, value.deadline);
+}
+
+template <class Archive>
+void serialize(Archive &archive, TurnRecord &value)
+{
+    archive(value.requestId, value.branch, value.sequence, value.digest, value.kind, value.target, value.keptMessages, value.newMessages);
+    archive(value.ran, value.answer, value.chain);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ProgramCreated &value)
+{
+    archive(value.spec);
+}
+
+template <class Archive>
+void serialize(Archive &archive, BudgetDrawn &value)
+{
+    archive(value.program, value.total);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallIntent &value)
+{
+    archive(value.program, value.requestId, value.branch, value.sequence, value.digest, value.target, value.reserve);
+}
+
+template <class Archive>
+void serialize(Archive &archive, IntentVoided &value)
+{
+    archive(value.program, value.requestId);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallOutcome &value)
+{
+    archive(value.program, value.turn);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ProgramEnded &value)
+{
+    archive(value.program, value.phase, value.at);
+}
+
+template <class Archive>
+void serialize(Archive &archive, BranchState &value)
+{
+    archive(value.nextSequence, value.messageHashes, value.lastEndpoint);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ProgramState &value)
+{
+    archive(value.spec, value.phase, value.endedAt, value.drawn, value.spent, value.chain, value.turns, value.branches, value.openIntents);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LogRecord &value)
+{
+    archive(value.identity, value.entries);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallCommand &value)
+{
+    archive(value.request);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CreateCommand &value)
+{
+    archive(value.spec);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndCommand &value)
+{
+    archive(value.program, value.organisation, value.phase);
+}
+
+template <class Archive>
+void serialize(Archive &archive, StatusQuery &value)
+{
+    archive(value.program, value.organisation, value.withHistory);
+}
+
+template <class Archive>
+void serialize(Archive &archive, GoneQuery &value)
+{
+    archive(value.programs);
+}
+
+template <class Archive>
+void serialize(Archive & /*archive*/, ConfigQuery & /*value*/)
+{
+}
+
+template <class Archive>
+void serialize(Archive &archive, AnswerPiece &value)
+{
+    archive(value.text);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CallReply &value)
+{
+    archive(value.succeeded, value.answer, value.error);
+}
+
+template <class Archive>
+void serialize(Archive &archive, TextReply &value)
+{
+    archive(value.succeeded, value.text, value.error);
+}
+
+template <class Archive>
+void serialize(Archive &archive, GoneReply &value)
+{
+    archive(value.programs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ConfigReply &value)
+{
+    archive(value.version, value.text, value.author);
+}
+
+template <class Archive>
+void serialize(Archive &archive, Heartbeat &value)
+{
+    archive(value.instance, value.number, value.configVersion, value.serviceReachedAgo, value.leaving);
+}
+
+namespace {
+
+constexpr int compressionLevel = 3;
+
+//! Largest decompressed record accepted.
+constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
+
+template <class Value>
+std::string encode(const Value &value)
+{
+    std::ostringstream out;
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(value);
+    return out.str();
+}
+
+template <class Value>
+Result<Value> decode(const std::string &bytes)
+{
+    const auto garbled = [](const char *detail) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Ran::Unknown, std::nullopt, std::string("garbled message: ") + detail};
+    };
+    Value value{};
+    try {
+        std::istringstream in(bytes);
+        cereal::PortableBinaryInputArchive archive(in);
+        archive(value);
+    } catch (const cereal::Exception &error) {
+        return garbled(error.what());
+    } catch (const std::exception &error) {
+        return garbled(error.what());
+    }
+    return value;
+}
+
+std::string compress(const std::string &bytes)
+{
+    std::string packed(ZSTD_compressBound(bytes.size()), '\0');
+    const std::size_t size = ZSTD_compress(packed.data(), packed.size(), bytes.data(), bytes.size(), compressionLevel);
+    packed.resize(ZSTD_isError(size) != 0 ? 0 : size);
+    return packed;
+}
+
+Result<std::string> decompress(const std::string &packed)
+{
+    const Error garbled{ErrorCode::Internal, Step::Parse, {}, Ran::Unknown, std::nullopt, "garbled compressed record"};
+    const unsigned long long size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > maxRecordBytes) {
+        return garbled;
+    }
+    std::string bytes(size, '\0');
+    const std::size_t written = ZSTD_decompress(bytes.data(), bytes.size(), packed.data(), packed.size());
+    if (ZSTD_isError(written) != 0 || written != size) {
+        return garbled;
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    return encode(message);
+}
+
+Result<PeerMessage> decodePeerMessage(const std::string &bytes)
+{
+    return decode<PeerMessage>(bytes);
+}
+
+std::string encodeHeartbeat(const Heartbeat &heartbeat)
+{
+    return encode(heartbeat);
+}
+
+Result<Heartbeat> decodeHeartbeat(const std::string &bytes)
+{
+    return decode<Heartbeat>(bytes);
+}
+
+std::string encodeLogRecord(const LogRecord &record)
+{
+    return compress(encode(record));
+}
+
+Result<LogRecord> decodeLogRecord(const std::string &bytes)
+{
+    const Result<std::string> plain = decompress(bytes);
+    if (!plain) {
+        return plain.error();
+    }
+    return decode<LogRecord>(plain.value());
+}
+
+std::string encodePrograms(const std::vector<ProgramState> &programs)
+{
+    return compress(encode(programs));
+}
+
+Result<std::vector<ProgramState>> decodePrograms(const std::string &bytes)
+{
+    const Result<std::string> plain = decompress(bytes);
+    if (!plain) {
+        return plain.error();
+    }
+    Result<std::vector<ProgramState>> programs = decode<std::vector<ProgramState>>(plain.value());
+    if (programs) {
+        for (ProgramState &program : programs.value()) {
+            program.rebuildIndex();
+        }
+    }
+    return programs;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,37 @@
+#ifndef OLEANDERGATE_WIRE_CODEC_H
+#define OLEANDERGATE_WIRE_CODEC_H
+
+#include "decision/error.h"
+#include "decision/journalentry.h"
+#include "decision/programstate.h"
+#include "wire/peermessage.h"
+
+#include <string>
+#include <vector>
+
+namespace oleandergate {
+
+//! One record of a slot's log, as stored.
+struct LogRecord
+{
+    std::string identity{}; //!< Identity of the batch that wrote it.
+    std::vector<JournalEntry> entries{};
+};
+
+//! Encodes and decodes with cereal; records that are stored are compressed with zstd.
+//! Decoding fails with ErrorCode::Internal on bytes that are no such value.
+std::string encodePeerMessage(const PeerMessage &message);
+Result<PeerMessage> decodePeerMessage(const std::string &bytes);
+
+std::string encodeHeartbeat(const Heartbeat &heartbeat);
+Result<Heartbeat> decodeHeartbeat(const std::string &bytes);
+
+std::string encodeLogRecord(const LogRecord &record);
+Result<LogRecord> decodeLogRecord(const std::string &bytes);
+
+std::string encodePrograms(const std::vector<ProgramState> &programs);
+Result<std::vector<ProgramState>> decodePrograms(const std::string &bytes);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/standins/engine/main.cpp
@@ -0,0 +1,328 @@
+//! Stand-in for a model engine: OpenAI-compatible chat completions as a stream, with batch slots, a limited prefix
+//! cache, lagging load reports and faults that a test switches on.
+
+#include "common/standin.h"
+#include "decision/hash.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <docopt/docopt.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+
+namespace {
+
+using namespace oleandergate;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr const char *usage = R"(standin-engine: a model engine for tests.
+
+Usage:
+  standin-engine --listen=ADDRESS --name=NAME [options]
+
+Options:
+  --listen=ADDRESS       IP number and port.
+  --name=NAME            Name of the endpoint.
+  --record=FILE          What it saw, as JSON lines [default: ].
+  --slots=N              Calls batched at once [default: 8].
+  --token-us=N           Microseconds for one token [default: 5000].
+  --prefill-us=N         Microseconds for one uncached prompt token [default: 20].
+  --cache-tokens=N       Tokens of prefixes held [default: 200000].
+  --load-lag-ms=N        Age of load reports [default: 500].
+  --fencing=MODE         refuse or ignore old fencing numbers [default: ignore].
+)";
+
+struct Engine
+{
+    std::string name;
+    std::int64_t slots;
+    Duration tokenTime;
+    Duration prefillTime;
+    std::int64_t cacheTokens;
+    Duration loadLag;
+    bool fencing;
+    standin::Recorder recorder;
+    std::mutex mutex{};
+    std::int64_t running = 0;
+    std::string fault = "none";
+    std::int64_t faultFactor = 1;
+    std::map<std::string, std::int64_t> cache{}; //!< Tokens held by salt.
+    std::deque<std::string> cacheAge{};
+    std::map<std::string, std::int64_t> latestEpoch{};
+    std::deque<std::pair<Time, std::int64_t>> loads{};
+
+    std::int64_t cachedTokens(const std::string &salt, std::int64_t promptTokens)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->cache.find(salt);
+        return found == this->cache.end() ? 0 : std::min(found->second, promptTokens);
+    }
+
+    void hold(const std::string &salt, std::int64_t tokens)
+    {
+        const std::lock_guard lock(this->mutex);
+        std::erase(this->cacheAge, salt);
+        this->cacheAge.push_back(salt);
+        this->cache[salt] = std::max(this->cache[salt], tokens);
+        std::int64_t total = 0;
+        for (const auto &[key, held] : this->cache) {
+            total += held;
+        }
+        while (total > this->cacheTokens && this->cacheAge.size() > 1) {
+            total -= this->cache[this->cacheAge.front()];
+            this->cache.erase(this->cacheAge.front());
+            this->cacheAge.pop_front();
+        }
+    }
+
+    bool isFenced(const std::string &program, std::int64_t epoch)
+    {
+        const std::lock_guard lock(this->mutex);
+        std::int64_t &latest = this->latestEpoch[program];
+        if (this->fencing && epoch < latest) {
+            return true;
+        }
+        latest = std::max(latest, epoch);
+        return false;
+    }
+
+    void addLoad(std::int64_t change)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->running += change;
+        const Time now = currentTime();
+        this->loads.emplace_back(now, this->running);
+        while (this->loads.size() > 2 && this->loads[1].first + this->loadLag < now) {
+            this->loads.pop_front();
+        }
+    }
+
+    std::int64_t laggingLoad()
+    {
+        const std::lock_guard lock(this->mutex);
+        std::int64_t load = 0;
+        for (const auto &[at, value] : this->loads) {
+            if (at + this->loadLag <= currentTime()) {
+                load = value;
+            }
+        }
+        return load;
+    }
+};
+
+struct Prompt
+{
+    std::int64_t tokens = 0;
+    std::int64_t answerTokens = 16;
+    std::int64_t alreadyGenerated = 0;
+    std::uint64_t hash = 0;
+};
+
+std::int64_t countWords(const std::string &text)
+{
+    return std::count(text.begin(), text.end(), ' ');
+}
+
+//! A message may ask for an answer length as "[[tokens=N]]".
+Prompt readPrompt(const json::object &body)
+{
+    Prompt prompt;
+    const json::value *messages = body.if_contains("messages");
+    if (messages == nullptr || !messages->is_array()) {
+        return prompt;
+    }
+    const json::value *continuing = body.if_contains("continue_final_message");
+    const bool resumes = continuing != nullptr && continuing->is_bool() && continuing->get_bool();
+    std::size_t count = messages->get_array().size();
+    for (std::size_t index = 0; index < count; ++index) {
+        const json::object message = messages->get_array()[index].is_object() ? messages->get_array()[index].get_object() : json::object();
+        const std::string content = standin::textOf(message, "content");
+        prompt.tokens += static_cast<std::int64_t>(content.size() / 4) + 4;
+        if (resumes && index + 1 == count) {
+            prompt.alreadyGenerated = countWords(content);
+            continue;
+        }
+        prompt.hash = hashOf(content, prompt.hash);
+        const std::size_t mark = content.find("[[tokens=");
+        if (mark != std::string::npos) {
+            prompt.answerTokens = std::strtoll(content.c_str() + mark + 9, nullptr, 10);
+        }
+    }
+    const std::int64_t bound = standin::numberOf(body, "max_tokens", 1024) + prompt.alreadyGenerated;
+    prompt.answerTokens = std::min(prompt.answerTokens, bound);
+    return prompt;
+}
+
+json::object choiceEvent(json::object delta, json::value reason)
+{
+    const json::object choice{{"index", 0}, {"delta", std::move(delta)}, {"finish_reason", std::move(reason)}};
+    return json::object{{"object", "chat.completion.chunk"}, {"choices", json::array{choice}}};
+}
+
+std::string wordEvent(const std::string &word)
+{
+    return "data: " + json::serialize(choiceEvent(json::object{{"content", word}}, nullptr)) + "\n\n";
+}
+
+std::string lastEvents(const Prompt &prompt, std::int64_t uncached)
+{
+    json::object last = choiceEvent(json::object{}, "stop");
+    const std::int64_t generated = std::max<std::int64_t>(0, prompt.answerTokens - prompt.alreadyGenerated);
+    last["usage"] = json::object{{"prompt_tokens", prompt.tokens}, {"completion_tokens", generated}, {"cached_tokens", prompt.tokens - uncached}};
+    return "data: " + json::serialize(last) + "\n\ndata: [DONE]\n\n";
+}
+
+json::object recordOf(const Engine &engine, const HttpRequest &request, const Prompt &prompt, const std::string &salt)
+{
+    return json::object{
+        {"kind", "arrival"},
+        {"endpoint", engine.name},
+        {"program", request.header("Program-Id")},
+        {"branch", request.header("Program-Branch")},
+        {"sequence", request.header("Program-Sequence")},
+        {"request", request.header("Idempotency-Key")},
+        {"epoch", std::strtoll(request.header("Fencing-Number").c_str(), nullptr, 10)},
+        {"salt", salt},
+        {"prompt_tokens", prompt.tokens},
+        {"resumed_at", prompt.alreadyGenerated},
+    };
+}
+
+HttpResponse failure(const std::string &text, int status)
+{
+    return standin::jsonResponse(json::object{{"error", text}}, status);
+}
+
+json::object holdersOf(const Engine &engine)
+{
+    json::array salts;
+    for (const auto &[salt, tokens] : engine.cache) {
+        salts.push_back(json::string(salt));
+    }
+    return json::object{{"cache_salts", salts}};
+}
+
+json::object loadOf(Engine &engine)
+{
+    return json::object{{"server_load", engine.laggingLoad()}};
+}
+
+asio::awaitable<bool> generate(Engine &engine, const Prompt &prompt, const std::string &salt, HttpExchange &exchange)
+{
+    const std::int64_t uncached = prompt.tokens - engine.cachedTokens(salt, prompt.tokens);
+    co_await sleepFor(engine.prefillTime * uncached * engine.faultFactor);
+    for (std::int64_t index = prompt.alreadyGenerated; index < prompt.answerTokens; ++index) {
+        co_await sleepFor(engine.tokenTime * engine.faultFactor);
+        const std::string word = "w" + std::to_string(prompt.hash % 1000) + "-" + std::to_string(index) + " ";
+        const bool sent = co_await exchange.sendPiece(wordEvent(word));
+        if (!sent) {
+            co_return false;
+        }
+        const bool half = index - prompt.alreadyGenerated >= 2;
+        if (engine.fault == "cut" && half) {
+            co_return false;
+        }
+        if (engine.fault == "hang" && half) {
+            co_await sleepFor(std::chrono::hours(1));
+        }
+        if (engine.fault == "garble" && half) {
+            co_await exchange.sendPiece("data: {\"choices\": [nonsense\n\n");
+        }
+    }
+    co_await exchange.sendPiece(lastEvents(prompt, uncached));
+    co_return true;
+}
+
+asio::awaitable<void> complete(Engine &engine, HttpRequest request, HttpExchange &exchange)
+{
+    const json::object body = standin::parseObject(request.body);
+    const std::string program = request.header("Program-Id");
+    const std::string salt = standin::textOf(body, "cache_salt");
+    const std::int64_t epoch = std::strtoll(request.header("Fencing-Number").c_str(), nullptr, 10);
+    const Prompt prompt = readPrompt(body);
+    const bool fenced = engine.isFenced(program, epoch);
+    const bool refused = engine.fault == "refuse";
+    json::object record = recordOf(engine, request, prompt, salt);
+    record["accepted"] = !fenced && !refused;
+    engine.recorder.write(record);
+    if (fenced || refused) {
+        co_await exchange.respond(failure(fenced ? "old fencing number" : "busy", fenced ? 409 : 503));
+        co_return;
+    }
+    engine.addLoad(1);
+    while (engine.running > engine.slots) {
+        co_await sleepFor(std::chrono::milliseconds(2));
+        if (engine.running <= engine.slots * 2) {
+            break;
+        }
+    }
+    HttpResponse head;
+    head.contentType = "text/event-stream";
+    co_await exchange.startStream(std::move(head));
+    const bool whole = co_await generate(engine, prompt, salt, exchange);
+    engine.addLoad(-1);
+    engine.hold(salt, prompt.tokens + prompt.answerTokens);
+    record["kind"] = "end";
+    record["whole"] = whole;
+    record["completion_tokens"] = whole ? prompt.answerTokens - prompt.alreadyGenerated : 0;
+    engine.recorder.write(record);
+    if (!whole) {
+        throw std::runtime_error("the stream was cut");
+    }
+    co_await exchange.endStream();
+}
+
+asio::awaitable<void> handle(Engine &engine, HttpRequest request, HttpExchange &exchange)
+{
+    const std::string path = request.path();
+    HttpResponse response = failure("no such path", 404);
+    if (path == "/v1/chat/completions") {
+        co_await complete(engine, std::move(request), exchange);
+        co_return;
+    }
+    if (path == "/load") {
+        response = standin::jsonResponse(loadOf(engine));
+    } else if (path == "/v1/cache/holders") {
+        const std::lock_guard lock(engine.mutex);
+        response = standin::jsonResponse(holdersOf(engine));
+    } else if (path == "/v1/cache/release") {
+        const std::string salt = standin::textOf(standin::parseObject(request.body), "cache_salt");
+        const std::lock_guard lock(engine.mutex);
+        engine.cache.erase(salt);
+        std::erase(engine.cacheAge, salt);
+        response = standin::jsonResponse(json::object());
+    } else if (path == "/fault") {
+        const json::object fault = standin::parseObject(request.body);
+        const std::lock_guard lock(engine.mutex);
+        engine.fault = standin::textOf(fault, "mode");
+        engine.faultFactor = standin::numberOf(fault, "factor", 1);
+        response = standin::jsonResponse(json::object());
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    const auto number = [&options](const std::string &key) {
+        return std::strtoll(options.at(key).asString().c_str(), nullptr, 10);
+    };
+    Engine engine{options.at("--name").asString(),
+                  number("--slots"),
+                  Duration(number("--token-us")),
+                  Duration(number("--prefill-us")),
+                  number("--cache-tokens"),
+                  std::chrono::milliseconds(number("--load-lag-ms")),
+                  options.at("--fencing").asString() == "refuse",
+                  standin::Recorder(options.at("--record").asString())};
+    return standin::serve(engine.name, options.at("--listen").asString(), 2, [&engine](HttpRequest request, HttpExchange &exchange) {
+        return handle(engine, std::move(request), exchange);
+    });
+}
--- /dev/null
+++ b/standins/kv/main.cpp
@@ -0,0 +1,343 @@
+//! Stand-in for the platform's key-value service: the parts of etcd's version 3 JSON protocol that are used, with
+//! outages, slowness and answers lost after the write took effect.
+
+#include "common/standin.h"
+#include "platform/base64.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+
+#include <boost/json.hpp>
+#include <docopt/docopt.h>
+
+#include <map>
+
+namespace {
+
+using namespace oleandergate;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr const char *usage = R"(standin-kv: a key-value service for tests.
+
+Usage:
+  standin-kv --listen=ADDRESS [--delay-us=N]
+
+Options:
+  --listen=ADDRESS  IP number and port.
+  --delay-us=N      Time for each call [default: 500].
+)";
+
+struct Entry
+{
+    std::string value{};
+    std::int64_t revision = 0;
+    std::int64_t lease = 0;
+};
+
+struct Lease
+{
+    Duration length{};
+    Time expires{};
+};
+
+struct Change
+{
+    std::int64_t revision = 0;
+    bool deleted = false;
+    std::string key{};
+    std::string value{};
+};
+
+struct Store
+{
+    Duration delay;
+    std::mutex mutex{};
+    std::map<std::string, Entry> entries{};
+    std::map<std::int64_t, Lease> leases{};
+    std::vector<Change> changes{};
+    std::int64_t revision = 1;
+    std::int64_t nextLease = 1000;
+    std::int64_t reads = 0;
+    std::int64_t writes = 0;
+    std::int64_t watches = 0;
+    std::string fault = "none";
+    Duration faultDelay{};
+
+    void put(const std::string &key, const std::string &value, std::int64_t lease)
+    {
+        this->entries[key] = Entry{value, this->revision, lease};
+        this->changes.push_back(Change{this->revision, false, key, value});
+    }
+
+    void erase(const std::string &key)
+    {
+        if (this->entries.erase(key) > 0) {
+            this->changes.push_back(Change{this->revision, true, key, {}});
+        }
+    }
+
+    void expireLeases(Time now)
+    {
+        for (auto lease = this->leases.begin(); lease != this->leases.end();) {
+            if (lease->second.expires > now) {
+                ++lease;
+                continue;
+            }
+            std::vector<std::string> gone;
+            for (const auto &[key, entry] : this->entries) {
+                if (entry.lease == lease->first) {
+                    gone.push_back(key);
+                }
+            }
+            this->revision += gone.empty() ? 0 : 1;
+            for (const std::string &key : gone) {
+                this->erase(key);
+            }
+            lease = this->leases.erase(lease);
+        }
+    }
+
+    //! A lease counts from the end of an outage, as the service's own recovery does it.
+    void restartLeases(Time now)
+    {
+        for (auto &[id, lease] : this->leases) {
+            lease.expires = now + lease.length;
+        }
+    }
+};
+
+json::object header(const Store &store)
+{
+    return json::object{{"revision", std::to_string(store.revision)}};
+}
+
+json::object pairOf(const std::string &key, const Entry &entry)
+{
+    return json::object{{"key", toBase64(key)}, {"value", toBase64(entry.value)}, {"mod_revision", std::to_string(entry.revision)}};
+}
+
+json::object range(Store &store, const json::object &request)
+{
+    const std::string key = fromBase64(standin::textOf(request, "key"));
+    const std::string end = fromBase64(standin::textOf(request, "range_end"));
+    const std::int64_t limit = standin::numberOf(request, "limit", 0);
+    json::array kvs;
+    bool more = false;
+    for (auto entry = store.entries.lower_bound(key); entry != store.entries.end(); ++entry) {
+        if (end.empty() ? entry->first != key : entry->first >= end) {
+            break;
+        }
+        if (limit > 0 && static_cast<std::int64_t>(kvs.size()) >= limit) {
+            more = true;
+            break;
+        }
+        kvs.push_back(pairOf(entry->first, entry->second));
+    }
+    return json::object{{"header", header(store)}, {"kvs", kvs}, {"more", more}};
+}
+
+bool holds(const Store &store, const json::object &compare)
+{
+    const auto entry = store.entries.find(fromBase64(standin::textOf(compare, "key")));
+    const std::int64_t revision = entry == store.entries.end() ? 0 : entry->second.revision;
+    return revision == standin::numberOf(compare, "mod_revision");
+}
+
+void apply(Store &store, const json::object &operation)
+{
+    if (const json::value *put = operation.if_contains("request_put")) {
+        const json::object &request = put->as_object();
+        store.put(fromBase64(standin::textOf(request, "key")), fromBase64(standin::textOf(request, "value")), standin::numberOf(request, "lease"));
+    } else if (const json::value *deletion = operation.if_contains("request_delete_range")) {
+        const std::string key = fromBase64(standin::textOf(deletion->as_object(), "key"));
+        const std::string end = fromBase64(standin::textOf(deletion->as_object(), "range_end"));
+        std::vector<std::string> gone;
+        for (auto entry = store.entries.lower_bound(key); entry != store.entries.end() && (end.empty() ? entry->first == key : entry->first < end); ++entry) {
+            gone.push_back(entry->first);
+        }
+        for (const std::string &name : gone) {
+            store.erase(name);
+        }
+    }
+}
+
+json::object transact(Store &store, const json::object &body)
+{
+    bool succeeded = true;
+    for (const json::value &compare : body.at("compare").as_array()) {
+        succeeded = succeeded && holds(store, compare.as_object());
+    }
+    json::array responses;
+    if (succeeded) {
+        store.revision += 1;
+        for (const json::value &operation : body.at("success").as_array()) {
+            apply(store, operation.as_object());
+        }
+    } else {
+        for (const json::value &operation : body.at("failure").as_array()) {
+            responses.push_back(json::object{{"response_range", range(store, operation.as_object().at("request_range").as_object())}});
+        }
+    }
+    return json::object{{"header", header(store)}, {"succeeded", succeeded}, {"responses", responses}};
+}
+
+json::object lease(Store &store, const json::object &body, bool grant, Time now)
+{
+    if (grant) {
+        const std::int64_t id = store.nextLease++;
+        const Duration length = std::chrono::seconds(standin::numberOf(body, "TTL", 1));
+        store.leases[id] = Lease{length, now + length};
+        return json::object{{"ID", std::to_string(id)}, {"TTL", std::to_string(standin::numberOf(body, "TTL", 1))}};
+    }
+    const auto found = store.leases.find(standin::numberOf(body, "ID"));
+    if (found == store.leases.end()) {
+        return json::object{{"result", json::object{{"TTL", "0"}}}};
+    }
+    found->second.expires = now + found->second.length;
+    return json::object{{"result", json::object{{"TTL", std::to_string(std::chrono::ceil<std::chrono::seconds>(found->second.length).count())}}}};
+}
+
+json::object eventOf(const Change &change)
+{
+    return json::object{{"type", change.deleted ? "DELETE" : "PUT"}, {"kv", pairOf(change.key, Entry{change.value, change.revision})}};
+}
+
+std::string watchLine(const json::array &events)
+{
+    return json::serialize(json::object{{"result", json::object{{"events", events}}}}) + "\n";
+}
+
+json::object statsOf(const Store &store)
+{
+    return json::object{{"reads", store.reads}, {"writes", store.writes}, {"watches", store.watches}, {"keys", store.entries.size()}};
+}
+
+json::object notFound()
+{
+    return json::object{{"error", "no such path"}};
+}
+
+asio::awaitable<void> watch(Store &store, HttpRequest request, HttpExchange &exchange)
+{
+    const json::object body = standin::parseObject(request.body);
+    const json::object create = body.at("create_request").as_object();
+    const std::string key = fromBase64(standin::textOf(create, "key"));
+    const std::string end = fromBase64(standin::textOf(create, "range_end"));
+    std::int64_t next = standin::numberOf(create, "start_revision");
+    HttpResponse head;
+    co_await exchange.startStream(std::move(head));
+    bool healthy = co_await exchange.sendPiece("{\"result\":{\"created\":true}}\n");
+    while (healthy) {
+        co_await sleepFor(std::chrono::milliseconds(5));
+        json::array events;
+        bool down = false;
+        {
+            const std::lock_guard lock(store.mutex);
+            down = store.fault == "down";
+            store.expireLeases(currentTime());
+            auto change = std::lower_bound(store.changes.begin(), store.changes.end(), next, [](const Change &entry, std::int64_t revision) {
+                return entry.revision < revision;
+            });
+            for (; change != store.changes.end(); ++change) {
+                if (change->key >= key && change->key < end) {
+                    events.push_back(eventOf(*change));
+                }
+                next = change->revision + 1;
+            }
+        }
+        if (down) {
+            throw std::runtime_error("down");
+        }
+        if (!events.empty()) {
+            healthy = co_await exchange.sendPiece(watchLine(events));
+        }
+    }
+}
+
+asio::awaitable<void> setFault(Store &store, HttpRequest request, HttpExchange &exchange)
+{
+    {
+        const json::object body = standin::parseObject(request.body);
+        const std::lock_guard lock(store.mutex);
+        const bool wasDown = store.fault == "down";
+        store.fault = standin::textOf(body, "mode");
+        store.faultDelay = std::chrono::milliseconds(standin::numberOf(body, "ms", 0));
+        if (wasDown && store.fault != "down") {
+            store.restartLeases(currentTime());
+        }
+    }
+    co_await exchange.respond(standin::jsonResponse(json::object()));
+}
+
+asio::awaitable<void> handle(Store &store, HttpRequest request, HttpExchange &exchange)
+{
+    const std::string path = request.path();
+    if (path == "/fault") {
+        co_await setFault(store, std::move(request), exchange);
+        co_return;
+    }
+    if (path == "/stats") {
+        json::object stats;
+        {
+            const std::lock_guard lock(store.mutex);
+            stats = statsOf(store);
+        }
+        co_await exchange.respond(standin::jsonResponse(stats));
+        co_return;
+    }
+    std::string fault;
+    Duration pause = store.delay;
+    {
+        const std::lock_guard lock(store.mutex);
+        fault = store.fault;
+        pause += store.faultDelay;
+    }
+    if (fault == "down") {
+        throw std::runtime_error("down");
+    }
+    co_await sleepFor(pause);
+    if (path == "/v3/watch") {
+        {
+            const std::lock_guard lock(store.mutex);
+            store.watches += 1;
+        }
+        co_await watch(store, std::move(request), exchange);
+        co_return;
+    }
+    json::object answer = notFound();
+    int status = 404;
+    {
+        const json::object body = standin::parseObject(request.body);
+        const std::lock_guard lock(store.mutex);
+        const Time now = currentTime();
+        store.expireLeases(now);
+        if (path == "/v3/kv/range") {
+            store.reads += 1;
+            answer = range(store, body);
+            status = 200;
+        } else if (path == "/v3/kv/txn") {
+            store.writes += 1;
+            answer = transact(store, body);
+            status = 200;
+        } else if (path == "/v3/lease/grant" || path == "/v3/lease/keepalive") {
+            store.writes += 1;
+            answer = lease(store, body, path.ends_with("grant"), now);
+            status = 200;
+        }
+    }
+    if (fault == "lose-answers") {
+        throw std::runtime_error("the answer is lost");
+    }
+    co_await exchange.respond(standin::jsonResponse(answer, status));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    Store store{Duration(std::strtoll(options.at("--delay-us").asString().c_str(), nullptr, 10))};
+    return standin::serve("kv", options.at("--listen").asString(), 2, [&store](HttpRequest request, HttpExchange &exchange) {
+        return handle(store, std::move(request), exchange);
+    });
+}
