--- /dev/null
+++ b/src/decision/configversions.h
@@ -0,0 +1,31 @@
+#ifndef OLEANDERGATE_DECISION_CONFIGVERSIONS_H
+#define OLEANDERGATE_DECISION_CONFIGVERSIONS_H
+
+#include <cstdint>
+#include <string>
+
+namespace oleandergate {
+
+//! What identifies a stored version of the configuration.
+struct ConfigStamp
+{
+    std::uint64_t version = 0; //!< 0 when there is none.
+    std::string nonce{}; //!< Drawn by the writer for each change.
+};
+
+//! What a writer does next, having read the version in force.
+enum class ApplyVerdict : std::uint8_t {
+    Write, //!< The expected version is in force.
+    AlreadyApplied, //!< The change itself is in force; the answer to its write was lost.
+    Conflict //!< Another change came first.
+};
+
+//! Returns what to do with a change on top of \p expected, marked with \p nonce.
+ApplyVerdict judgeApply(const ConfigStamp &inForce, std::uint64_t expected, const std::string &nonce);
+
+//! Returns true when \p offered takes the place of \p inForce. Versions never go back.
+bool isNewerConfig(std::uint64_t inForce, std::uint64_t offered);
+
+} // namespace oleandergate
+
+#endif
--- a/src/decision/livecall.h
+++ b/src/decision/livecall.h
@@ -36,6 +36,7 @@
     std::set<EndpointId> triedEndpoints{};
     bool abandoned = false; //!< The caller already has its final answer.
     bool intentWritten = false;
+    bool markedSent = false; //!< This submission was the first that may have reached an endpoint.
     std::optional<CallAnswer> answer{};
     std::vector<CallId> followers{}; //!< Repeated submissions of the same request.
 };
--- a/src/decision/minutepeak.cpp
+++ b/src/decision/minutepeak.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 //! Minutes behind the current one for which a renewed grant holds.
-constexpr Minute grantLength = 2;
+constexpr Minute grantLength = 1;
 
 //! Tokens a minute that an instance is given even when it asked for none, as a fraction of an equal share.
 constexpr Tokens idleShareDivisor = 4;
@@ -29,6 +29,7 @@
     if (next.reducedFrom == 0) {
         return both;
     }
+    both.perMinute = std::min(both.perMinute, next.perMinute);
     const bool reducedAlready = both.reducedFrom != 0;
     both.reducedFrom = reducedAlready ? std::min(both.reducedFrom, next.reducedFrom) : next.reducedFrom;
     both.reducedTo = reducedAlready ? std::min(both.reducedTo, next.reducedTo) : next.reducedTo;
@@ -44,48 +45,67 @@
     return total;
 }
 
-PeakLedger PeakLedger::renewed(const InstanceId &self, Tokens demand, Tokens configuredCap, Minute current) const
+PeakLedger PeakLedger::renewed(const PeakRenewal &renewal) const
 {
     PeakLedger next = *this;
-    next.cap = configuredCap;
-    std::erase_if(next.grants, [current](const auto &entry) {
-        return entry.second.through < current;
+    next.cap = renewal.cap;
+    std::erase_if(next.grants, [&renewal](const auto &entry) {
+        return entry.second.through < renewal.earliest;
     });
-    std::erase_if(next.demands, [&next, &self](const auto &entry) {
-        return entry.first != self && !next.grants.contains(entry.first);
+    std::erase_if(next.demands, [&renewal](const auto &entry) {
+        return !renewal.live.contains(entry.first);
     });
-    next.demands[self] = demand;
-
-    Tokens wanted = 0;
-    const auto members = static_cast<Tokens>(next.demands.size());
-    const Tokens idleShare = configuredCap / (members * idleShareDivisor);
-    for (const auto &[instance, tokens] : next.demands) {
-        wanted += std::max(tokens, idleShare);
-    }
-    const Tokens mine = std::max(demand, idleShare);
-    const auto fair = static_cast<Tokens>(static_cast<double>(configuredCap) * static_cast<double>(mine) / static_cast<double>(std::max<Tokens>(1, wanted)));
+    next.demands[renewal.self] = renewal.demand;
 
     // What this instance may already be spending stays counted until its minute is over.
-    const PeakGrant old = next.grants.contains(self) ? next.grants.at(self) : PeakGrant{};
-    next.grants.erase(self);
-    const Minute last = current + grantLength;
-    Tokens room = configuredCap;
-    for (Minute minute = current; minute <= last; ++minute) {
-        room = std::min(room, configuredCap - next.totalAt(minute));
+    const PeakGrant old = next.grants.contains(renewal.self) ? next.grants.at(renewal.self) : PeakGrant{};
+    next.grants.erase(renewal.self);
+    const Minute last = renewal.current + grantLength;
+    Tokens room = renewal.cap;
+    for (Minute minute = renewal.earliest; minute <= last; ++minute) {
+        room = std::min(room, renewal.cap - next.totalAt(minute));
     }
-    room = std::max<Tokens>(0, room);
+    Tokens heldByGone = 0;
+    for (const auto &[instance, grant] : next.grants) {
+        heldByGone += renewal.live.contains(instance) ? 0 : grant.allowanceAt(renewal.current);
+    }
+    const Tokens fair = next.fairShare(renewal, std::max<Tokens>(0, renewal.cap - heldByGone));
+    const Tokens target = std::min(fair, std::max<Tokens>(0, room));
+    const Tokens held = old.allowanceAt(renewal.current);
     PeakGrant grant;
     grant.through = last;
-    const Tokens target = std::min(fair, room);
-    const Tokens held = old.allowanceAt(current);
     if (target >= held) {
         grant.perMinute = target;
     } else {
-        grant.perMinute = held;
-        grant.reducedFrom = current + 1;
+        grant.perMinute = std::min(held, std::max(target, renewal.used));
+        grant.reducedFrom = renewal.current + 1;
         grant.reducedTo = target;
     }
-    next.grants[self] = grant;
+    next.grants[renewal.self] = grant;
+    return next;
+}
+
+Tokens PeakLedger::fairShare(const PeakRenewal &renewal, Tokens total) const
+{
+    const std::size_t sharers = std::max(renewal.live.size(), this->demands.size());
+    const Tokens idleShare = total / (static_cast<Tokens>(sharers) * idleShareDivisor);
+    Tokens wanted = static_cast<Tokens>(sharers - this->demands.size()) * idleShare;
+    for (const auto &[instance, tokens] : this->demands) {
+        wanted += std::max(tokens, idleShare);
+    }
+    const Tokens mine = std::max(renewal.demand, idleShare);
+    return static_cast<Tokens>(static_cast<double>(total) * static_cast<double>(mine) / static_cast<double>(std::max<Tokens>(1, wanted)));
+}
+
+PeakLedger PeakLedger::returned(const InstanceId &self, Tokens used, Minute current) const
+{
+    PeakLedger next = *this;
+    next.demands.erase(self);
+    const auto held = next.grants.find(self);
+    if (held != next.grants.end()) {
+        const Tokens spent = std::min(used, held->second.allowanceAt(current));
+        held->second = PeakGrant{spent, current};
+    }
     return next;
 }
 
@@ -156,6 +176,20 @@
     return found == this->minutes.end() ? 0 : found->second.used;
 }
 
+Minute MinutePeak::earliestMinute(Time now) const
+{
+    return minuteOf(now - 2 * this->skew);
+}
+
+Tokens MinutePeak::usedAround(Time now) const
+{
+    Tokens used = 0;
+    for (Minute minute = this->earliestMinute(now); minute <= minuteOf(now + 2 * this->skew); ++minute) {
+        used = std::max(used, this->usedIn(minute));
+    }
+    return used;
+}
+
 void MinutePeak::trim(Minute current)
 {
     this->minutes.erase(this->minutes.begin(), this->minutes.lower_bound(current - 1));
--- a/src/decision/minutepeak.h
+++ b/src/decision/minutepeak.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace oleandergate {
@@ -25,6 +26,18 @@
     PeakGrant restrictedBy(const PeakGrant &next) const;
 };
 
+//! What an instance brings when it renews its grant.
+struct PeakRenewal
+{
+    InstanceId self{};
+    Tokens demand = 0; //!< Tokens wanted a minute, as MinutePeak::demandAt() tells.
+    Tokens used = 0; //!< Tokens used of late, as MinutePeak::usedAround() tells.
+    std::set<InstanceId> live{}; //!< Instances expected to share; what others hold runs out by itself.
+    Tokens cap = 0;
+    Minute earliest = 0; //!< Earliest minute that goes on by any clock, as MinutePeak::earliestMinute() tells.
+    Minute current = 0;
+};
+
 //! The grants of all instances, as the key-value service holds them. The sum never passes the cap in any minute.
 struct PeakLedger
 {
@@ -35,9 +48,15 @@
     //! Returns the sum of all allowances in \p minute.
     Tokens totalAt(Minute minute) const;
 
-    //! Returns this ledger with the grant of \p self renewed through the minute after next, given its \p demand.
-    //! Larger shares go only to what other grants leave free, so a lost or delayed write never passes the cap.
-    PeakLedger renewed(const InstanceId &self, Tokens demand, Tokens configuredCap, Minute current) const;
+    //! Returns this ledger with the grant of an instance renewed. A larger share comes only out of what other grants
+    //! leave free, so a lost or delayed write never passes the cap; a smaller one gives back at once what was not used.
+    PeakLedger renewed(const PeakRenewal &renewal) const;
+
+    //! Returns this ledger after \p self gave its grant back, having \p used part of it in this minute.
+    PeakLedger returned(const InstanceId &self, Tokens used, Minute current) const;
+
+private:
+    Tokens fairShare(const PeakRenewal &renewal, Tokens total) const;
 };
 
 //! Meters this instance's tokens against its grant.
@@ -67,6 +86,12 @@
 
     Tokens usedIn(Minute minute) const;
 
+    //! Returns the earliest minute that may be going on by any clock within twice the skew.
+    Minute earliestMinute(Time now) const;
+
+    //! Returns the highest use among the minutes that may be going on by any clock within twice the skew.
+    Tokens usedAround(Time now) const;
+
 private:
     struct Usage
     {
--- a/src/decision/ownerlimits.h
+++ b/src/decision/ownerlimits.h
@@ -13,7 +13,9 @@
     Duration orderPatience = std::chrono::seconds(2); //!< Longest wait for a missing earlier call of the branch.
     Duration intentPatience = std::chrono::milliseconds(1500); //!< Longest wait for the journal before sending.
     Duration outcomePatience = std::chrono::milliseconds(1500); //!< Longest wait for the journal before delivering.
+    Duration outcomeRecheck = std::chrono::milliseconds(100); //!< Pause between looks at a slow journal.
     Duration retryAfter = std::chrono::seconds(1); //!< Told to callers that are refused for the moment.
+    Duration sendFreshness = std::chrono::milliseconds(500); //!< Longest time from the decision to send to the first byte.
     std::size_t maxWaitingPerProgram = 64;
     std::size_t maxUnconfirmedTurns = 4096; //!< Turns delivered without journal confirmation, over all programs.
     std::uint32_t maxAttempts = 3;
--- a/src/decision/posture.cpp
+++ b/src/decision/posture.cpp
@@ -1,5 +1,7 @@
 #include "decision/posture.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 namespace {
@@ -16,15 +18,17 @@
     if (now < view.leaseConfirmed + safeLength) {
         return Posture::Normal;
     }
-    if (!view.hasPeers) {
+    if (view.peersKnown == 0) {
         return Posture::Outage;
     }
-    if (now > view.peerHeard + view.leaseLength) {
+    // A minority cannot tell an outage from being cut off.
+    const bool majority = 2 * (view.peersFresh + 1) > view.peersKnown + 1;
+    if (!majority) {
         return Posture::Isolated;
     }
-    // A peer that reached the service after this instance's lease began to lapse shows that the service is up.
-    const bool servedOthers = view.peerReachedService > view.leaseConfirmed + safeLength;
-    return servedOthers ? Posture::Isolated : Posture::Outage;
+    // While anybody reached the service within a lease, somebody may have taken over.
+    const Time reached = std::max(view.serviceReached, view.peerReachedService);
+    return now > reached + view.leaseLength ? Posture::Outage : Posture::Isolated;
 }
 
 } // namespace oleandergate
--- a/src/decision/posture.h
+++ b/src/decision/posture.h
@@ -4,6 +4,7 @@
 #include "decision/nametable.h"
 #include "decision/time.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace oleandergate {
@@ -12,7 +13,7 @@
 enum class Posture : std::uint8_t {
     Normal, //!< The lease is valid.
     Outage, //!< The key-value service is down for everybody: repeatable work under known ownership goes on.
-    Isolated //!< Peers still reach the service, or nobody is reached: others may take over, so nothing is sent.
+    Isolated //!< Others may have taken over, so nothing is sent.
 };
 
 //! Names of the postures.
@@ -27,9 +28,10 @@
 {
     Time leaseConfirmed{}; //!< When the latest confirmed lease renewal was sent.
     Duration leaseLength{};
-    Time peerHeard{}; //!< When the latest heartbeat of any peer came; the epoch when none ever did.
+    Time serviceReached{}; //!< When the key-value service last answered this instance.
     Time peerReachedService{}; //!< Latest time at which any peer said it had reached the service.
-    bool hasPeers = false; //!< False for a deployment of one instance.
+    std::size_t peersKnown = 0; //!< Other instances.
+    std::size_t peersFresh = 0; //!< Those whose heartbeat came within a lease.
 };
 
 //! Returns the posture at \p now.
--- a/src/decision/programowner.cpp
+++ b/src/decision/programowner.cpp
@@ -11,8 +11,9 @@
 {
 }
 
-void ProgramOwner::adoptSlot(SlotId slot, std::vector<ProgramState> recovered, Time now)
+Actions ProgramOwner::adoptSlot(SlotId slot, std::vector<ProgramState> recovered, Time now)
 {
+    Actions actions;
     Slot &owned = this->slots[slot];
     owned.quiesced = false;
     for (ProgramState &state : recovered) {
@@ -34,7 +35,9 @@
         program.state = std::move(state);
         owned.programs.insert(id);
         this->watch(due, 0, 0, id);
+        this->closeIntents(program, now, actions);
     }
+    return actions;
 }
 
 Actions ProgramOwner::quiesceSlot(SlotId slot, Time now)
@@ -61,6 +64,14 @@
     return actions;
 }
 
+void ProgramOwner::resumeSlot(SlotId slot)
+{
+    const auto owned = this->slots.find(slot);
+    if (owned != this->slots.end()) {
+        owned->second.quiesced = false;
+    }
+}
+
 bool ProgramOwner::isSlotIdle(SlotId slot) const
 {
     const auto inSlot = [this, slot](const ProgramId &program) {
@@ -94,7 +105,8 @@
         LiveCall &call = this->calls.at(id);
         // The new owner may run the same request, so nothing can be said about it here.
         Error error{ErrorCode::NotOwner, Step::SlotHandOver, {}, Ran::Unknown, this->limits.retryAfter, "the slot has a new owner"};
-        if (call.phase == CallPhase::Settling && call.answer) {
+        if (call.phase == CallPhase::Settling && call.answer && !call.request.repeatable) {
+            // It ran once and never will again, so this answer is the only one there is.
             call.answer->historyPending = true;
             this->deliver(call, *call.answer, actions);
         } else {
@@ -277,13 +289,9 @@
             return conflict();
         }
         if (original.abandoned) {
-            const bool sent = original.attempts > 0;
-            Error error{sent ? ErrorCode::OutcomeUnknown : ErrorCode::ServiceUnavailable,
-                        Step::Admit,
-                        {},
-                        sent ? Ran::Unknown : Ran::No,
-                        this->limits.retryAfter,
-                        "an earlier submission is still being closed"};
+            Error error = this->errorFor(
+                program, original, ErrorCode::ServiceUnavailable, Step::Admit, this->limits.retryAfter, "an earlier submission is still being closed");
+            error.code = error.ran == Ran::No ? ErrorCode::ServiceUnavailable : ErrorCode::OutcomeUnknown;
             actions.emplace_back(DeliverAction{callId, std::move(error)});
             return true;
         }
@@ -299,6 +307,7 @@
         }
         CallAnswer answer = turn->answer;
         answer.replayed = true;
+        answer.historyPending = program.unconfirmed.contains(request.requestId);
         actions.emplace_back(DeliverAction{callId, std::move(answer)});
         return true;
     }
@@ -450,11 +459,21 @@
     call.endpoint = endpoint;
     call.triedEndpoints.insert(endpoint);
     Program *program = this->programOfCall(call);
-    program->maybeRan.insert(call.request.requestId);
+    call.markedSent = program->maybeRan.insert(call.request.requestId).second || call.markedSent;
     program->endpoints.insert(endpoint);
     return boost::outcome_v2::success();
 }
 
+bool ProgramOwner::mayStillSend(CallId callId, Posture posture, Time now)
+{
+    this->latestPosture = posture;
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end() || found->second.phase != CallPhase::Sent || posture == Posture::Isolated) {
+        return false;
+    }
+    return now <= found->second.phaseSince + this->limits.sendFreshness;
+}
+
 Actions ProgramOwner::onAnswer(CallId callId, CallAnswer answer, Time now)
 {
     Actions actions;
@@ -482,7 +501,8 @@
     Program *program = this->programOfCall(call);
     if (failure.provablyNotSent) {
         call.attempts -= 1;
-        if (call.attempts == 0) {
+        if (call.attempts == 0 && call.markedSent) {
+            call.markedSent = false;
             program->maybeRan.erase(call.request.requestId);
         }
     }
@@ -543,12 +563,14 @@
     const bool ran = turn.ran == Ran::Yes;
     const JournalEntry entry = CallOutcome{call.request.program, std::move(turn)};
     program.state.apply(entry);
+    program.unconfirmed.insert(call.request.requestId);
     call.phase = CallPhase::Settling;
     call.phaseSince = now;
     if (!ran) {
         call.answer.reset();
     }
     Pending pending{Pending::Purpose::Outcome, slotOf(call.request.program, this->limits.slotCount), call.request.program, {call.id}};
+    pending.request = call.request.requestId;
     const Time due = this->latestPosture == Posture::Normal ? now + this->limits.outcomePatience : now;
     call.ticket = this->commit(pending.slot, pending, {entry}, due, actions);
 }
--- a/src/decision/programowner.h
+++ b/src/decision/programowner.h
@@ -25,12 +25,16 @@
 public:
     explicit ProgramOwner(const OwnerLimits &limits);
 
-    //! Takes over \p slot with the programs recovered from its journal.
-    void adoptSlot(SlotId slot, std::vector<ProgramState> programs, Time now);
+    //! Takes over \p slot with the programs recovered from its journal. Calls that a predecessor may have sent without
+    //! journalling an outcome are closed as unknown.
+    Actions adoptSlot(SlotId slot, std::vector<ProgramState> programs, Time now);
 
     //! Stops admitting calls in \p slot, ahead of handing it over. Calls not yet sent are refused as moving.
     Actions quiesceSlot(SlotId slot, Time now);
 
+    //! Admits calls in \p slot again, when it is not to be handed over after all.
+    void resumeSlot(SlotId slot);
+
     //! Returns true when nothing is under way in \p slot.
     bool isSlotIdle(SlotId slot) const;
 
@@ -52,6 +56,10 @@
     //! Asks leave to send a Ready call to \p endpoint. Must be called directly before sending.
     Result<void> beginSend(CallId call, const EndpointId &endpoint, Posture posture, Time now);
 
+    //! Returns true when a call, once allowed by beginSend(), may still be sent. Asked directly before the first byte
+    //! leaves, it keeps a process that was paused from sending what was decided long ago.
+    bool mayStillSend(CallId call, Posture posture, Time now);
+
     //! Takes the whole answer to a sent call.
     Actions onAnswer(CallId call, CallAnswer answer, Time now);
 
@@ -110,6 +118,7 @@
         bool durable = false; //!< Its creation is journalled.
         std::map<std::string, Branch> branches{};
         std::unordered_map<RequestId, CallId> calls{};
+        std::set<RequestId> unconfirmed{}; //!< Turns whose outcome is not known to be durable.
         std::set<RequestId> maybeRan{}; //!< Requests that were sent and then given up.
         std::set<EndpointId> endpoints{}; //!< Endpoints that may hold cache for the program.
     };
@@ -129,6 +138,7 @@
         ProgramId program{};
         std::vector<CallId> calls{}; //!< Calls to answer.
         MicroUnits draw = 0;
+        RequestId request{};
         bool delivered = false;
     };
 
@@ -169,6 +179,7 @@
     void watch(Time at, CallId call, Ticket ticket, const ProgramId &program);
     void voidIntent(LiveCall &call, Time now, Actions &actions);
     static std::uint64_t nextSequenceOf(const Program &program, const std::string &branch);
+    void closeIntents(Program &program, Time now, Actions &actions);
     void forget(const ProgramId &program, Time now);
 
     OwnerLimits limits;
--- a/src/decision/programownertimers.cpp
+++ b/src/decision/programownertimers.cpp
@@ -62,7 +62,9 @@
 {
     this->deliver(call, error, actions);
     Program *program = this->programOfCall(call);
-    this->releaseReserve(*program, call, 0);
+    // A waiting call holds the reserve of its next attempt; what earlier attempts may have cost stays spent.
+    const MicroUnits spent = call.phase == CallPhase::Ready ? std::max<MicroUnits>(0, call.reserved - call.request.reserve) : 0;
+    this->releaseReserve(*program, call, spent);
     const Branch &branch = program->branches[call.request.branch];
     if (branch.running != call.id) {
         program->calls.erase(call.request.requestId);
@@ -177,6 +179,7 @@
         break;
     }
     case Pending::Purpose::Outcome: {
+        program->second.unconfirmed.erase(pending.request);
         if (pending.delivered) {
             this->unconfirmedTurns -= 1;
             break;
@@ -289,6 +292,33 @@
     this->commit(slot, Pending{Pending::Purpose::Void, slot, call.request.program}, {voided}, now + this->limits.intentPatience, actions);
 }
 
+void ProgramOwner::closeIntents(Program &program, Time now, Actions &actions)
+{
+    const std::map<RequestId, CallIntent> intents = program.state.openIntents;
+    std::vector<JournalEntry> entries;
+    for (const auto &[requestId, intent] : intents) {
+        TurnRecord turn;
+        turn.requestId = requestId;
+        turn.branch = intent.branch;
+        turn.sequence = intent.sequence;
+        turn.digest = intent.digest;
+        turn.kind = CallKind::Service;
+        turn.target = intent.target;
+        turn.ran = Ran::Unknown;
+        turn.answer.cost = intent.reserve;
+        turn = program.state.makeTurn(std::move(turn), {});
+        const JournalEntry outcome = CallOutcome{intent.program, std::move(turn)};
+        if (program.state.apply(outcome)) {
+            entries.push_back(outcome);
+        }
+    }
+    if (!entries.empty()) {
+        const ProgramId id = program.state.spec.id;
+        const SlotId slot = slotOf(id, this->limits.slotCount);
+        this->commit(slot, Pending{Pending::Purpose::Void, slot, id}, std::move(entries), now + this->limits.outcomePatience, actions);
+    }
+}
+
 std::uint64_t ProgramOwner::nextSequenceOf(const Program &program, const std::string &branch)
 {
     const auto state = program.state.branches.find(branch);
@@ -373,6 +403,11 @@
         break;
     }
     case Pending::Purpose::Outcome: {
+        if (this->latestPosture == Posture::Normal) {
+            // The journal is slow but in reach; the answer waits for it, or for the lease to lapse.
+            this->watch(now + this->limits.outcomeRecheck, 0, ticket, {});
+            break;
+        }
         const CallId callId = pending.calls.front();
         pending.delivered = true;
         this->unconfirmedTurns += 1;
@@ -380,6 +415,15 @@
         if (call == this->calls.end()) {
             break;
         }
+        if (this->latestPosture == Posture::Isolated && call->second.request.repeatable) {
+            // A successor's history may go on without this turn, so its answer must not be given.
+            this->deliver(
+                call->second,
+                Error{ErrorCode::NotOwner, Step::JournalOutcome, {}, Ran::Unknown, this->limits.retryAfter, "this instance cannot act as the program's owner"},
+                actions);
+            this->finish(callId, now, actions);
+            break;
+        }
         if (call->second.answer) {
             call->second.answer->historyPending = true;
             this->deliver(call->second, *call->second.answer, actions);
--- a/src/decision/slottable.cpp
+++ b/src/decision/slottable.cpp
@@ -92,6 +92,17 @@
     return moves;
 }
 
+std::vector<SlotId> SlotTable::lostAmong(const std::vector<SlotId> &owned) const
+{
+    std::vector<SlotId> lost;
+    for (const SlotId slot : owned) {
+        if (this->slots[slot].owner != this->self) {
+            lost.push_back(slot);
+        }
+    }
+    return lost;
+}
+
 std::vector<InstanceRecord> SlotTable::instances() const
 {
     std::vector<InstanceRecord> records;
--- a/src/decision/slottable.h
+++ b/src/decision/slottable.h
@@ -61,6 +61,9 @@
     //! Returns the changes this instance should make now. Hysteresis delays handing over to instances that just arrived.
     std::vector<SlotMove> plan(Time now) const;
 
+    //! Returns those of \p owned that now belong to another instance: this one was paused and did not notice.
+    std::vector<SlotId> lostAmong(const std::vector<SlotId> &owned) const;
+
     std::vector<InstanceRecord> instances() const;
     const InstanceRecord *findInstance(const InstanceId &id) const;
     bool isLive(const InstanceId &id) const;
--- a/src/runtime/callrouter.cpp
+++ b/src/runtime/callrouter.cpp
@@ -103,6 +103,7 @@
     }
     Error last{ErrorCode::NotOwner, Step::Forward, {}, Ran::Unknown, retryAfter, "no instance owns the program's slot now"};
     bool first = true;
+    bool lostTrack = false;
     while (first || currentTime() < giveUp) {
         if (!first) {
             co_await sleepFor(ownerPause);
@@ -121,9 +122,14 @@
             answer = co_await this->runThere(owner->peerAddress, command, counting);
         }
         if (answer || !isWrongOwner(answer.error()) || sent > 0) {
+            if (!answer && lostTrack) {
+                // An earlier forward may still be carried out behind this refusal.
+                answer.error().ran = Ran::Unknown;
+            }
             co_return answer;
         }
         last = answer.error();
+        lostTrack = lostTrack || last.code == ErrorCode::PeerFailed;
     }
     // A former owner may have run it, so nothing is claimed.
     last.ran = Ran::Unknown;
--- a/src/runtime/callsender.cpp
+++ b/src/runtime/callsender.cpp
@@ -101,6 +101,9 @@
     call.method = "POST";
     call.target = work.request.path;
     call.cancellation = work.cancellation;
+    call.maySend = [this, id = work.call]() {
+        return this->programs.mayStillSend(id);
+    };
     const SlotRecord slot = this->view.recordOf(slotOf(work.request.program, this->view.slotCount()));
     call.headers = {
         {"Content-Type", "application/json"},
--- a/src/runtime/clusterservice.cpp
+++ b/src/runtime/clusterservice.cpp
@@ -14,6 +14,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -24,6 +26,7 @@
 constexpr Duration watchPause = std::chrono::milliseconds(200);
 constexpr Duration renewPause = std::chrono::milliseconds(100);
 constexpr Duration peakStep = std::chrono::seconds(5);
+constexpr Duration peakDelay = std::chrono::milliseconds(500);
 constexpr Duration recoverPause = std::chrono::milliseconds(50);
 constexpr Duration configFetchStep = std::chrono::milliseconds(500);
 
@@ -117,9 +120,29 @@
     }
 }
 
+asio::awaitable<void> ClusterService::returnGrant()
+{
+    const Result<KvRange> range = co_await this->parts.service.range(peakKey);
+    if (!range || range.value().pairs.empty()) {
+        co_return;
+    }
+    const KvPair &stored = range.value().pairs.front();
+    const Time now = currentTime();
+    this->peak.grant(PeakGrant{});
+    KvTransaction write;
+    write.compares.push_back(KvCompare{peakKey, stored.revision});
+    write.puts.push_back(KvPut{peakKey, showPeakLedger(readPeakLedger(stored.value).returned(this->self.id, this->peak.renewal(now).used, minuteOf(now)))});
+    const Result<KvTransactionReply> written = co_await this->parts.service.transact(std::move(write));
+    if (!written) {
+        // The grant runs out by itself.
+        logError("cluster", "could not give the grant back", written.error());
+    }
+}
+
 asio::awaitable<void> ClusterService::depart()
 {
     this->departed = true;
+    co_await this->returnGrant();
     KvTransaction write;
     write.deletes.push_back(KvDelete{instanceKey(this->self.id), false});
     const Result<KvTransactionReply> removed = co_await this->parts.service.transact(std::move(write));
@@ -165,11 +188,17 @@
         if (this->parts.view.posture(now) != Posture::Normal) {
             continue;
         }
+        for (const SlotId slot : this->parts.view.lostAmong(this->parts.programs.ownedSlots())) {
+            this->parts.events.note(Step::SlotHandOver, {}, {}, "lost slot " + std::to_string(slot));
+            this->parts.programs.dropSlot(slot);
+        }
+        const std::vector<SlotMove> moves = this->parts.view.plan(now);
+        this->resumeKept(moves);
         std::vector<SlotMove> claims;
-        for (const SlotMove &move : this->parts.view.plan(now)) {
+        for (const SlotMove &move : moves) {
             if (move.kind == SlotMove::Kind::Claim && !this->leaving) {
                 claims.push_back(move);
-            } else if (move.kind == SlotMove::Kind::Release && this->parts.programs.ownsSlot(move.slot)) {
+            } else if (move.kind == SlotMove::Kind::Release) {
                 co_await this->release(move);
             }
         }
@@ -184,6 +213,23 @@
     }
 }
 
+void ClusterService::resumeKept(const std::vector<SlotMove> &moves)
+{
+    // The instance that a slot was to go to may have left meanwhile.
+    for (auto entry = this->releasing.begin(); entry != this->releasing.end();) {
+        const SlotId slot = entry->first;
+        const bool stillMoving = std::any_of(moves.begin(), moves.end(), [slot](const SlotMove &move) {
+            return move.kind == SlotMove::Kind::Release && move.slot == slot;
+        });
+        if (stillMoving) {
+            ++entry;
+            continue;
+        }
+        this->parts.programs.resumeSlot(slot);
+        entry = this->releasing.erase(entry);
+    }
+}
+
 asio::awaitable<void> ClusterService::claim(std::vector<SlotMove> moves)
 {
     while (!moves.empty()) {
@@ -233,13 +279,16 @@
 {
     constexpr int maxTries = 3;
     for (int tried = 0; tried < maxTries; ++tried) {
-        Result<RecoveredSlot> recovered = co_await this->parts.store.recover(slot);
+        Result<RecoveredSlot> recovered = co_await this->parts.store.recover(slot, record.revision);
         if (recovered) {
             this->parts.events.note(
                 Step::SlotRecover, {}, {}, "slot " + std::to_string(slot) + ", programs " + std::to_string(recovered.value().programs.size()));
             this->parts.programs.adoptSlot(slot, record.revision, std::move(recovered.value()));
             co_return;
         }
+        if (recovered.error().code == ErrorCode::NotOwner) {
+            co_return;
+        }
         logError("cluster", "a slot could not be recovered", recovered.error());
         co_await sleepFor(recoverPause);
     }
@@ -271,6 +320,8 @@
 
 asio::awaitable<void> ClusterService::keepPeak()
 {
+    // The view of the other instances comes first, so that the first grant leaves room for theirs.
+    co_await sleepFor(peakDelay);
     while (!this->departed) {
         const Tokens cap = this->peak.cap ? this->peak.cap() : 0;
         if (cap == 0) {
@@ -286,7 +337,13 @@
             if (held != ledger.grants.end()) {
                 this->grant = held->second;
             }
-            const PeakLedger next = ledger.renewed(this->self.id, this->peak.demand(now), cap, minuteOf(now));
+            PeakRenewal renewal = this->peak.renewal(now);
+            renewal.self = this->self.id;
+            renewal.live.insert(this->self.id);
+            for (const InstanceRecord &instance : this->parts.view.instances()) {
+                renewal.live.insert(instance.id);
+            }
+            const PeakLedger next = ledger.renewed(renewal);
             // Until the write is confirmed, only what both the old and the new grant allow may be spent.
             this->peak.grant(this->grant.restrictedBy(next.grants.at(this->self.id)));
             KvTransaction write;
--- a/src/runtime/clusterservice.h
+++ b/src/runtime/clusterservice.h
@@ -42,7 +42,7 @@
     //! What the peak's keeper needs from the dispatch side.
     struct PeakPort
     {
-        std::function<Tokens(Time now)> demand{};
+        std::function<PeakRenewal(Time now)> renewal{}; //!< Demand, use, cap and minutes.
         std::function<void(const PeakGrant &grant)> grant{};
         std::function<Tokens()> cap{}; //!< 0 for none.
     };
@@ -68,8 +68,10 @@
     boost::asio::awaitable<void> claim(std::vector<SlotMove> moves);
     boost::asio::awaitable<bool> claimBatch(const std::vector<SlotMove> &moves);
     boost::asio::awaitable<void> adopt(SlotId slot, SlotRecord record);
+    void resumeKept(const std::vector<SlotMove> &moves);
     boost::asio::awaitable<void> release(SlotMove move);
     boost::asio::awaitable<void> keepPeak();
+    boost::asio::awaitable<void> returnGrant();
     boost::asio::awaitable<void> fetchConfigFromPeers();
 
     boost::asio::io_context &context;
--- a/src/runtime/clusterview.cpp
+++ b/src/runtime/clusterview.cpp
@@ -86,21 +86,21 @@
     for (const KvPair &pair : range.pairs) {
         this->applyPair(pair, false, now);
     }
-    this->reach.hasPeers = this->table.instances().size() > 1;
 }
 
 void ClusterView::apply(const KvEvent &event, Time now)
 {
     const std::lock_guard lock(this->mutex);
     this->applyPair(event.pair, event.deleted, now);
-    this->reach.hasPeers = this->table.instances().size() > 1;
 }
 
 void ClusterView::applyPair(const KvPair &pair, bool deleted, Time now)
 {
     if (pair.key.starts_with(instancePrefix)) {
         if (deleted) {
-            this->table.removeInstance(pair.key.substr(std::string(instancePrefix).size()));
+            const InstanceId gone = pair.key.substr(std::string(instancePrefix).size());
+            this->table.removeInstance(gone);
+            this->peersHeard.erase(gone);
         } else {
             this->table.putInstance(readInstance(pair), now);
         }
@@ -136,6 +136,12 @@
     return this->table.plan(now);
 }
 
+std::vector<SlotId> ClusterView::lostAmong(const std::vector<SlotId> &owned) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.lostAmong(owned);
+}
+
 std::vector<InstanceRecord> ClusterView::instances() const
 {
     const std::lock_guard lock(this->mutex);
@@ -151,26 +157,35 @@
 void ClusterView::noteService(Time now)
 {
     const std::lock_guard lock(this->mutex);
-    this->serviceReachedAt = std::max(this->serviceReachedAt, now);
+    this->reach.serviceReached = std::max(this->reach.serviceReached, now);
 }
 
-void ClusterView::notePeer(Time reachedAt, Time now)
+void ClusterView::notePeer(const InstanceId &peer, Time reachedAt, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    this->reach.peerHeard = now;
+    this->peersHeard[peer] = now;
     this->reach.peerReachedService = std::max(this->reach.peerReachedService, reachedAt);
 }
 
 Time ClusterView::serviceReached() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->serviceReachedAt;
+    return this->reach.serviceReached;
 }
 
 Posture ClusterView::posture(Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return judgePosture(this->reach, now);
+    ReachView view = this->reach;
+    for (const InstanceRecord &instance : this->table.instances()) {
+        if (instance.id == this->ownId) {
+            continue;
+        }
+        const auto heard = this->peersHeard.find(instance.id);
+        view.peersKnown += 1;
+        view.peersFresh += heard != this->peersHeard.end() && now <= heard->second + view.leaseLength ? 1 : 0;
+    }
+    return judgePosture(view, now);
 }
 
 } // namespace oleandergate
--- a/src/runtime/clusterview.h
+++ b/src/runtime/clusterview.h
@@ -32,6 +32,7 @@
     std::optional<InstanceRecord> ownerOf(SlotId slot) const;
     SlotRecord recordOf(SlotId slot) const;
     std::vector<SlotMove> plan(Time now) const;
+    std::vector<SlotId> lostAmong(const std::vector<SlotId> &owned) const;
     std::vector<InstanceRecord> instances() const;
 
     //! Notes that a lease renewal sent at \p sentAt was confirmed.
@@ -41,7 +42,7 @@
     void noteService(Time now);
 
     //! Notes a heartbeat of a peer that reached the service at \p reachedAt.
-    void notePeer(Time reachedAt, Time now);
+    void notePeer(const InstanceId &peer, Time reachedAt, Time now);
 
     Time serviceReached() const;
     Posture posture(Time now) const;
@@ -54,7 +55,7 @@
     mutable std::mutex mutex;
     SlotTable table;
     ReachView reach;
-    Time serviceReachedAt{};
+    std::map<InstanceId, Time> peersHeard;
 };
 
 //! Stored form of the records.
--- a/src/runtime/configkeeper.cpp
+++ b/src/runtime/configkeeper.cpp
@@ -1,5 +1,6 @@
 #include "runtime/configkeeper.h"
 
+#include "decision/configversions.h"
 #include "runtime/clock.h"
 #include "runtime/eventlog.h"
 #include "runtime/log.h"
@@ -96,7 +97,7 @@
     std::shared_ptr<const ActiveConfig> accepted;
     {
         const std::lock_guard lock(this->mutex);
-        if (this->current && version.version <= this->current->version.version) {
+        if (!isNewerConfig(this->current ? this->current->version.version : 0, version.version)) {
             return false;
         }
         ConfigIssues issues;
@@ -149,11 +150,13 @@
         const KvPair stored = range.value().pairs.empty() ? KvPair{configKey} : range.value().pairs.front();
         const std::optional<ConfigVersion> current = readConfigVersion(stored.value);
         const std::uint64_t inForce = current ? current->version : 0;
-        if (current && current->nonce == next.nonce) {
+        const ConfigStamp stamp{inForce, current ? current->nonce : std::string()};
+        const ApplyVerdict verdict = judgeApply(stamp, expected, next.nonce);
+        if (verdict == ApplyVerdict::AlreadyApplied) {
             this->offer(next);
             co_return next;
         }
-        if (inForce != expected) {
+        if (verdict == ApplyVerdict::Conflict) {
             co_return conflict(inForce);
         }
         KvTransaction write;
--- a/src/runtime/dispatchservice.cpp
+++ b/src/runtime/dispatchservice.cpp
@@ -402,10 +402,16 @@
     }
 }
 
-Tokens DispatchService::demandAt(Time now)
+PeakRenewal DispatchService::peakRenewal(Time now)
 {
     const std::lock_guard lock(this->peakMutex);
-    return this->peak.demandAt(now);
+    PeakRenewal renewal;
+    renewal.demand = this->peak.demandAt(now);
+    renewal.used = this->peak.usedAround(now);
+    renewal.cap = this->cap;
+    renewal.earliest = this->peak.earliestMinute(now);
+    renewal.current = minuteOf(now);
+    return renewal;
 }
 
 Tokens DispatchService::peakCap()
--- a/src/runtime/dispatchservice.h
+++ b/src/runtime/dispatchservice.h
@@ -72,7 +72,7 @@
     DispatchPoolPointer poolOf(const CallWorkPointer &work);
 
     void setGrant(const PeakGrant &grant);
-    Tokens demandAt(Time now);
+    PeakRenewal peakRenewal(Time now);
     Tokens peakCap();
     Tokens peakUsed(Time now);
 
--- a/src/runtime/entryinstance.cpp
+++ b/src/runtime/entryinstance.cpp
@@ -201,7 +201,7 @@
         this->programs.setSink(this->dispatch);
         this->config.restore();
         this->cluster.setPeakPort(ClusterService::PeakPort{[this](Time now) {
-                                                               return this->dispatch.demandAt(now);
+                                                               return this->dispatch.peakRenewal(now);
                                                            },
                                                            [this](const PeakGrant &grant) {
                                                                this->dispatch.setGrant(grant);
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -165,6 +165,9 @@
         co_return failure(ErrorCode::Cancelled, step, call, true, "cancelled before it was sent");
     }
     const http::request<http::string_body> message = toMessage(call);
+    if (call.maySend && !call.maySend()) {
+        co_return failure(ErrorCode::Cancelled, step, call, true, "no longer to be sent");
+    }
     connection->stream.expires_after(call.idleTimeout);
     const auto [error, size] = co_await http::async_write(connection->stream, message, useResult);
     if (error) {
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -32,6 +32,7 @@
     bool reuse = true; //!< Allow a kept connection. Off for requests that must not be sent twice.
     bool keepBody = true; //!< Collect the body; off for endless streams.
     std::function<void(int status, std::string_view piece)> onPiece{}; //!< Called as the body arrives.
+    std::function<bool()> maySend{}; //!< Asked directly before the first byte; false gives the request up unsent.
     std::shared_ptr<Cancellation> cancellation{};
 };
 
--- a/src/runtime/journalstore.cpp
+++ b/src/runtime/journalstore.cpp
@@ -114,8 +114,15 @@
     co_return result;
 }
 
-asio::awaitable<Result<RecoveredSlot>> JournalStore::recover(SlotId slot)
+asio::awaitable<Result<RecoveredSlot>> JournalStore::recover(SlotId slot, std::uint64_t revision)
 {
+    const Result<KvRange> record = co_await this->service.range(slotKey(slot));
+    if (!record) {
+        co_return record.error();
+    }
+    if (record.value().pairs.empty() || record.value().pairs.front().revision != revision) {
+        co_return Error{ErrorCode::NotOwner, Step::SlotRecover, slotKey(slot), Ran::No, std::nullopt, "the slot has a new owner"};
+    }
     Result<KvRange> checkpoint = co_await this->service.range(checkpointPrefix(slot));
     if (!checkpoint) {
         co_return checkpoint.error();
--- a/src/runtime/journalstore.h
+++ b/src/runtime/journalstore.h
@@ -30,8 +30,9 @@
     //! Writes one batch.
     boost::asio::awaitable<BatchResult> write(CommitBatch batch);
 
-    //! Reads a slot's checkpoint and log. Fails when a program's hash chain is broken.
-    boost::asio::awaitable<Result<RecoveredSlot>> recover(SlotId slot);
+    //! Reads a slot's checkpoint and log. Fails with NotOwner when the slot's record no longer has \p revision, and when
+    //! a program's hash chain is broken.
+    boost::asio::awaitable<Result<RecoveredSlot>> recover(SlotId slot, std::uint64_t revision);
 
     //! Replaces the log records before \p nextNumber by a checkpoint, if the slot's record still has \p revision.
     boost::asio::awaitable<Result<void>> checkpoint(SlotId slot, std::uint64_t revision, RecoveredSlot state);
--- a/src/runtime/programservice.cpp
+++ b/src/runtime/programservice.cpp
@@ -151,6 +151,14 @@
     return shard.owner.beginSend(call, endpoint, this->posture(now), now);
 }
 
+bool ProgramService::mayStillSend(CallId call)
+{
+    Shard &shard = this->shardOfCall(call);
+    const Time now = currentTime();
+    const std::lock_guard lock(shard.mutex);
+    return shard.owner.mayStillSend(call, this->posture(now), now);
+}
+
 void ProgramService::push(CallId call, const std::string &text)
 {
     Shard &shard = this->shardOfCall(call);
@@ -213,10 +221,11 @@
 void ProgramService::adoptSlot(SlotId slot, std::uint64_t revision, RecoveredSlot recovered)
 {
     Shard &shard = this->shardOfSlot(slot);
-    const std::lock_guard lock(shard.mutex);
+    std::unique_lock lock(shard.mutex);
     shard.journal.openSlot(slot, revision, recovered.nextNumber);
     shard.checkpoints[slot] = RecoveredSlot{{}, recovered.nextNumber, recovered.generation};
-    shard.owner.adoptSlot(slot, std::move(recovered.programs), currentTime());
+    Actions actions = shard.owner.adoptSlot(slot, std::move(recovered.programs), currentTime());
+    this->perform(shard, std::move(lock), std::move(actions));
 }
 
 void ProgramService::quiesceSlot(SlotId slot)
@@ -227,6 +236,13 @@
     this->perform(shard, std::move(lock), std::move(actions));
 }
 
+void ProgramService::resumeSlot(SlotId slot)
+{
+    Shard &shard = this->shardOfSlot(slot);
+    const std::lock_guard lock(shard.mutex);
+    shard.owner.resumeSlot(slot);
+}
+
 bool ProgramService::isSlotIdle(SlotId slot)
 {
     Shard &shard = this->shardOfSlot(slot);
--- a/src/runtime/programservice.h
+++ b/src/runtime/programservice.h
@@ -50,6 +50,7 @@
     std::shared_ptr<AnswerChannel> end(const ProgramId &program, const OrganisationId &organisation, ProgramPhase phase);
 
     Result<void> beginSend(CallId call, const EndpointId &endpoint);
+    bool mayStillSend(CallId call);
     void push(CallId call, const std::string &text);
     void onAnswer(CallId call, CallAnswer answer);
     //! Returns true when the call is tried again.
@@ -61,6 +62,7 @@
     //! Takes over a slot whose record has \p revision.
     void adoptSlot(SlotId slot, std::uint64_t revision, RecoveredSlot recovered);
     void quiesceSlot(SlotId slot);
+    void resumeSlot(SlotId slot);
     bool isSlotIdle(SlotId slot);
     void dropSlot(SlotId slot);
     bool ownsSlot(SlotId slot);
--- /dev/null
+++ b/tests/fault/eventqueue.h
@@ -0,0 +1,44 @@
+#ifndef OLEANDERGATE_FAULT_EVENTQUEUE_H
+#define OLEANDERGATE_FAULT_EVENTQUEUE_H
+
+#include "decision/time.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace oleandergate::fault {
+
+//! Actions in order of virtual time.
+class EventQueue
+{
+public:
+    void add(Time at, std::function<void()> action)
+    {
+        this->events.emplace(std::max(at, this->current), std::move(action));
+    }
+
+    //! Runs what is due until \p end.
+    void runUntil(Time end)
+    {
+        while (!this->events.empty() && this->events.begin()->first <= end) {
+            auto event = this->events.extract(this->events.begin());
+            this->current = event.key();
+            event.mapped()();
+        }
+        this->current = end;
+    }
+
+    Time now() const
+    {
+        return this->current;
+    }
+
+private:
+    Time current{std::chrono::hours(24 * 365 * 30)};
+    std::multimap<Time, std::function<void()>> events;
+};
+
+} // namespace oleandergate::fault
+
+#endif
--- a/tests/fault/main.cpp
+++ b/tests/fault/main.cpp
@@ -1,4 +1,319 @@
-int main()
+//! The fault matrix: every fault at every step, single and in seeded pairs, over the decision library with fakes.
+
+#include "fault/peaksimulation.h"
+#include "fault/simulation.h"
+
+#include <docopt/docopt.h>
+
+#include <atomic>
+#include <cstdio>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+using namespace oleandergate;
+using namespace oleandergate::fault;
+
+constexpr const char *usage = R"(fault-matrix: every fault at every step.
+
+Usage:
+  fault-matrix [--runs=N] [--table]
+  fault-matrix --seed=N --fault=F --step=S [--occurrence=K] [--with-fault=F --with-step=S] [--mutation=M] [--fencing]
+  fault-matrix --mutations
+  fault-matrix (-h | --help)
+
+Options:
+  --runs=N         Runs in all, singles first, then pairs [default: 12000].
+  --table          Print the table of results as Markdown.
+  --seed=N         Repeat the case with this seed.
+  --fault=F        Name of the fault.
+  --step=S         Name of the step.
+  --occurrence=K   Inject when the step is passed for the K-th time [default: 1].
+  --with-fault=F   Second fault of a pair.
+  --with-step=S    Its step.
+  --mutation=M     Switch on a deliberate defect.
+  --fencing        Endpoints refuse old fencing numbers.
+  --mutations      Show that each deliberate defect is caught.
+)";
+
+constexpr std::size_t printedFailures = 12;
+constexpr int mutationSeeds = 400;
+constexpr std::uint64_t peakRuns = 300;
+
+struct Tally
 {
+    std::size_t runs = 0;
+    std::size_t injected = 0;
+    std::size_t failed = 0;
+};
+
+std::string describe(const RunPlan &plan)
+{
+    std::string text = "--seed=" + std::to_string(plan.seed);
+    const char *faultOption = " --fault=";
+    const char *stepOption = " --step=";
+    for (const Injection &injection : plan.injections) {
+        text += faultOption + std::string(nameIn(faultNames, injection.fault)) + stepOption + std::string(stepName(injection.step));
+        if (faultOption == std::string(" --fault=")) {
+            text += " --occurrence=" + std::to_string(injection.occurrence);
+        }
+        faultOption = " --with-fault=";
+        stepOption = " --with-step=";
+    }
+    return text + (plan.fencing ? " --fencing" : "");
+}
+
+std::vector<Step> passedStepList()
+{
+    std::vector<Step> steps;
+    for (const StepRow &row : stepRows) {
+        if (row.passed) {
+            steps.push_back(row.step);
+        }
+    }
+    return steps;
+}
+
+//! Returns the plan of run \p number: each single fault at each step in turn, then pairs.
+RunPlan planOf(std::uint64_t number)
+{
+    const std::vector<Step> steps = passedStepList();
+    const std::uint64_t faults = static_cast<std::uint64_t>(Fault::Count) - 1;
+    const std::uint64_t singles = faults * steps.size();
+    constexpr std::uint64_t singleRounds = 10;
+    RunPlan plan;
+    plan.seed = number + 1;
+    plan.fencing = number % 2 == 1;
+    std::mt19937_64 random(plan.seed * 7919);
+    const auto injectionAt = [&](std::uint64_t cell) {
+        Injection injection;
+        injection.fault = static_cast<Fault>(1 + cell % faults);
+        injection.step = steps[cell / faults % steps.size()];
+        injection.occurrence = static_cast<std::uint32_t>(1 + random() % 6);
+        const bool rare = injection.step == Step::InstanceStart || injection.step == Step::Drain || injection.step == Step::Stop
+            || injection.step == Step::ProgramCreate || injection.step == Step::ConfigApply;
+        injection.occurrence = rare ? 1 : injection.occurrence;
+        return injection;
+    };
+    plan.injections.push_back(injectionAt(number % singles));
+    if (number >= singles * singleRounds) {
+        plan.injections.front() = injectionAt(random() % singles);
+        plan.injections.push_back(injectionAt(random() % singles));
+        plan.injections.back().occurrence = 1;
+    }
+    return plan;
+}
+
+bool runOne(const RunPlan &plan, bool print)
+{
+    Simulation simulation(plan);
+    const RunResult result = simulation.run();
+    if (print) {
+        std::printf("answered %zu, refused %zu, longest wait %.2f s, injected %s\n",
+                    result.answered,
+                    result.refused,
+                    toSeconds(result.longestWait),
+                    result.injected ? "yes" : "no");
+    }
+    for (const std::string &violation : result.violations) {
+        if (print) {
+            std::printf("violation: %s\n", violation.c_str());
+        }
+    }
+    return result.violations.empty();
+}
+
+int runMatrix(std::uint64_t runs, bool table)
+{
+    std::mutex mutex;
+    std::map<Step, std::map<Fault, Tally>> tallies;
+    std::map<Fault, Tally> pairs;
+    std::set<Step> passed;
+    std::vector<std::string> failures;
+    std::atomic<std::uint64_t> next{0};
+    std::size_t answered = 0;
+    const auto work = [&]() {
+        for (std::uint64_t number = next++; number < runs; number = next++) {
+            const RunPlan plan = planOf(number);
+            Simulation simulation(plan);
+            const RunResult result = simulation.run();
+            const std::lock_guard lock(mutex);
+            const Injection &injection = plan.injections.front();
+            Tally &tally = plan.injections.size() > 1 ? pairs[injection.fault] : tallies[injection.step][injection.fault];
+            tally.runs += 1;
+            tally.injected += result.injected ? 1 : 0;
+            tally.failed += result.violations.empty() ? 0 : 1;
+            answered += result.answered;
+            passed.insert(result.passed.begin(), result.passed.end());
+            if (!result.violations.empty()) {
+                failures.push_back(describe(plan) + ": " + result.violations.front());
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned index = 0; index < std::max(1U, std::thread::hardware_concurrency()); ++index) {
+        threads.emplace_back(work);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    std::size_t injected = 0;
+    if (table) {
+        std::printf("| step | runs | injected | failed |\n| --- | --- | --- | --- |\n");
+    }
+    for (const auto &[step, row] : tallies) {
+        Tally total;
+        for (const auto &[fault, tally] : row) {
+            total.runs += tally.runs;
+            total.injected += tally.injected;
+            total.failed += tally.failed;
+            if (tally.injected == 0) {
+                std::printf("never injected: %s at %s\n", std::string(nameIn(faultNames, fault)).c_str(), std::string(stepName(step)).c_str());
+            }
+        }
+        injected += total.injected;
+        if (table) {
+            std::printf("| %s | %zu | %zu | %zu |\n", std::string(stepName(step)).c_str(), total.runs, total.injected, total.failed);
+        }
+    }
+    Tally pairTotal;
+    for (const auto &[fault, tally] : pairs) {
+        pairTotal.runs += tally.runs;
+        pairTotal.injected += tally.injected;
+        pairTotal.failed += tally.failed;
+    }
+    if (table) {
+        std::printf("| pairs of faults | %zu | %zu | %zu |\n", pairTotal.runs, pairTotal.injected, pairTotal.failed);
+    }
+    bool complete = true;
+    for (const StepRow &row : stepRows) {
+        if (row.passed && !passed.contains(row.step)) {
+            std::printf("step never passed: %s\n", std::string(stepName(row.step)).c_str());
+            complete = false;
+        }
+    }
+    for (std::uint64_t seed = 1; seed <= peakRuns; ++seed) {
+        const PeakResult peak = simulatePeak(seed, true);
+        if (peak.highestMinute > peak.cap || peak.charged == 0) {
+            failures.push_back("peak simulation with seed " + std::to_string(seed) + ": a minute of " + std::to_string(peak.highestMinute) + " tokens, cap "
+                               + std::to_string(peak.cap));
+        }
+    }
+    std::sort(failures.begin(), failures.end());
+    for (std::size_t index = 0; index < std::min(printedFailures, failures.size()); ++index) {
+        std::printf("failed: %s\n", failures[index].c_str());
+    }
+    std::printf("%llu runs, %zu with all faults injected, %zu answers, %zu failed\n",
+                static_cast<unsigned long long>(runs),
+                injected + pairTotal.injected,
+                answered,
+                failures.size());
+    return failures.empty() && complete ? 0 : 1;
+}
+
+//! The check that has to catch each defect.
+struct ExpectedCatch
+{
+    Mutation mutation;
+    const char *check;
+};
+
+constexpr std::array<ExpectedCatch, static_cast<std::size_t>(Mutation::Count) - 2> expectedCatches{{
+    {Mutation::SkipOrder, "order:"},
+    {Mutation::LoseHistory, "history:"},
+    {Mutation::MixHistory, "history:"},
+    {Mutation::ForgetBudget, "budget:"},
+    {Mutation::KeepCache, "cache:"},
+    {Mutation::TruncateAnswer, "whole answer:"},
+    {Mutation::ClaimNotRun, "not run:"},
+    {Mutation::ForgetIntents, "at most once:"},
+    {Mutation::IgnoreLeaving, "leaving:"},
+    {Mutation::StopAtOnce, "stop:"},
+    {Mutation::RevertConfig, "configuration"},
+}};
+
+//! Returns the first seed whose peak simulation catches an instance that goes on with its old grant; 0 for none.
+std::uint64_t findOverGrant()
+{
+    for (std::uint64_t seed = 1; seed <= peakRuns; ++seed) {
+        const PeakResult peak = simulatePeak(seed, false);
+        if (peak.highestMinute > peak.cap) {
+            return seed;
+        }
+    }
     return 0;
 }
+
+int runMutations()
+{
+    int missed = 0;
+    for (const ExpectedCatch &expected : expectedCatches) {
+        int caughtBy = 0;
+        const char *name = nameIn(mutationNames, expected.mutation).data();
+        for (int seed = 1; seed <= mutationSeeds && caughtBy == 0; ++seed) {
+            RunPlan plan;
+            plan.seed = static_cast<std::uint64_t>(seed);
+            plan.mutation = expected.mutation;
+            plan.injections.push_back(
+                Injection{seed % 2 == 0 ? Fault::Kill : Fault::Freeze, seed % 3 == 0 ? Step::Stream : Step::Send, static_cast<std::uint32_t>(1 + seed % 5)});
+            Simulation simulation(plan);
+            const RunResult result = simulation.run();
+            for (const std::string &violation : result.violations) {
+                if (caughtBy == 0 && violation.starts_with(expected.check)) {
+                    caughtBy = seed;
+                    std::printf("%-16s caught with seed %d: %s\n", name, seed, violation.c_str());
+                }
+            }
+        }
+        if (caughtBy == 0) {
+            std::printf("%-16s NOT caught\n", name);
+            missed += 1;
+        }
+    }
+    const std::uint64_t overGrant = findOverGrant();
+    std::printf("%-16s %s with seed %llu\n", "over-grant", overGrant == 0 ? "NOT caught" : "caught", static_cast<unsigned long long>(overGrant));
+    missed += overGrant == 0 ? 1 : 0;
+    return missed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto options = docopt::docopt(usage, {argv + 1, argv + argc}, true);
+    if (options.at("--mutations").asBool()) {
+        return runMutations();
+    }
+    if (!options.at("--seed")) {
+        return runMatrix(std::strtoull(options.at("--runs").asString().c_str(), nullptr, 10), options.at("--table").asBool());
+    }
+    RunPlan plan;
+    plan.seed = std::strtoull(options.at("--seed").asString().c_str(), nullptr, 10);
+    plan.fencing = options.at("--fencing").asBool();
+    const auto add = [&plan](const std::string &fault, const std::string &step, std::uint32_t occurrence) {
+        const auto knownFault = valueIn(faultNames, fault);
+        const auto knownStep = valueIn(stepNames, step);
+        if (knownFault && knownStep) {
+            plan.injections.push_back(Injection{*knownFault, *knownStep, occurrence});
+        }
+        return knownFault && knownStep;
+    };
+    const auto occurrence = static_cast<std::uint32_t>(std::strtoul(options.at("--occurrence").asString().c_str(), nullptr, 10));
+    bool known = add(options.at("--fault").asString(), options.at("--step").asString(), occurrence);
+    if (options.at("--with-fault")) {
+        known = add(options.at("--with-fault").asString(), options.at("--with-step").asString(), 1) && known;
+    }
+    if (options.at("--mutation")) {
+        const auto mutation = valueIn(mutationNames, options.at("--mutation").asString());
+        known = known && mutation.has_value();
+        plan.mutation = mutation.value_or(Mutation::None);
+    }
+    if (!known) {
+        std::cerr << "fault-matrix: no such fault, step or mutation\n";
+        return 2;
+    }
+    return runOne(plan, true) ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fault/simendpoint.h
@@ -0,0 +1,24 @@
+#ifndef OLEANDERGATE_FAULT_SIMENDPOINT_H
+#define OLEANDERGATE_FAULT_SIMENDPOINT_H
+
+#include "decision/ids.h"
+#include "decision/time.h"
+
+#include <map>
+#include <set>
+
+namespace oleandergate::fault {
+
+//! State of a fake endpoint.
+struct SimEndpoint
+{
+    enum class Mode : std::uint8_t { Healthy, Dead, Slow, Nonsense };
+    Mode mode = Mode::Healthy;
+    bool leaving = false;
+    std::set<ProgramId> held{}; //!< Programs whose prefixes it caches.
+    std::map<ProgramId, std::uint64_t> epochs{}; //!< Highest fencing number seen.
+};
+
+} // namespace oleandergate::fault
+
+#endif
--- /dev/null
+++ b/tests/fault/simstore.cpp
@@ -0,0 +1,163 @@
+#include "fault/simstore.h"
+
+#include "fault/simulation.h"
+
+namespace oleandergate::fault {
+
+namespace {
+
+constexpr Duration patience = std::chrono::milliseconds(500);
+constexpr Duration slowness = std::chrono::milliseconds(300);
+constexpr Duration lateness = std::chrono::milliseconds(900);
+
+} // namespace
+
+SimStore::SimStore(Simulation &simulation)
+    : simulation(simulation)
+{
+}
+
+void SimStore::call(std::function<void()> operation, std::function<void(bool answered)> done)
+{
+    const Duration there = this->simulation.between(300, 2000) + (this->slow ? slowness : Duration(0));
+    const Duration back = this->simulation.between(300, 2000);
+    if (this->down) {
+        this->simulation.after(patience, [done]() {
+            done(false);
+        });
+        return;
+    }
+    if (this->lateWrites > 0) {
+        this->lateWrites -= 1;
+        this->simulation.after(lateness, [this, operation]() {
+            if (!this->down) {
+                operation();
+            }
+        });
+        this->simulation.after(patience, [done]() {
+            done(false);
+        });
+        return;
+    }
+    this->simulation.after(there, [this, operation, done, back]() {
+        if (this->down) {
+            this->simulation.after(patience, [done]() {
+                done(false);
+            });
+            return;
+        }
+        operation();
+        if (this->loseAnswers > 0) {
+            this->loseAnswers -= 1;
+            this->simulation.after(patience, [done]() {
+                done(false);
+            });
+            return;
+        }
+        this->simulation.after(back, [done]() {
+            done(true);
+        });
+    });
+}
+
+BatchResult SimStore::write(const CommitBatch &batch)
+{
+    BatchResult result;
+    bool holds = true;
+    for (const SlotLogRecord &record : batch.records) {
+        BatchResult::SlotFinding finding;
+        finding.slotRevision = this->slots[record.slot].revision;
+        const auto existing = this->logs[record.slot].find(record.number);
+        if (existing != this->logs[record.slot].end()) {
+            finding.logIdentity = existing->second.identity;
+        }
+        holds = holds && finding.slotRevision == record.slotRevision && finding.logIdentity.empty();
+        result.findings[record.slot] = finding;
+    }
+    if (!holds) {
+        result.kind = BatchResult::Kind::Rejected;
+        return result;
+    }
+    for (const SlotLogRecord &record : batch.records) {
+        this->logs[record.slot][record.number] = StoredRecord{batch.identity, record.entries};
+    }
+    this->revision += 1;
+    result.kind = BatchResult::Kind::Applied;
+    return result;
+}
+
+bool SimStore::claim(SlotId slot, const SlotRecord &seen, const InstanceId &owner)
+{
+    SlotRecord &record = this->slots[slot];
+    if (record.revision != seen.revision || this->instances.contains(record.owner)) {
+        return false;
+    }
+    this->revision += 1;
+    record = SlotRecord{owner, record.epoch + 1, this->revision};
+    return true;
+}
+
+bool SimStore::release(SlotId slot, const SlotRecord &seen)
+{
+    SlotRecord &record = this->slots[slot];
+    if (record.revision != seen.revision) {
+        return false;
+    }
+    this->revision += 1;
+    record = SlotRecord{{}, record.epoch, this->revision};
+    return true;
+}
+
+std::vector<StoredRecord> SimStore::readLog(SlotId slot) const
+{
+    std::vector<StoredRecord> records;
+    const auto log = this->logs.find(slot);
+    if (log != this->logs.end()) {
+        for (const auto &[number, record] : log->second) {
+            records.push_back(record);
+        }
+    }
+    return records;
+}
+
+void SimStore::putInstance(const InstanceRecord &record)
+{
+    this->instances[record.id] = Leased{record, this->simulation.now() + leaseLength};
+}
+
+void SimStore::removeInstance(const InstanceId &id)
+{
+    this->instances.erase(id);
+}
+
+bool SimStore::renew(const InstanceId &id)
+{
+    const auto found = this->instances.find(id);
+    if (found == this->instances.end()) {
+        return false;
+    }
+    found->second.expires = this->simulation.now() + leaseLength;
+    return true;
+}
+
+void SimStore::expire()
+{
+    const Time now = this->simulation.now();
+    if (!this->down) {
+        std::erase_if(this->instances, [now](const auto &entry) {
+            return entry.second.expires <= now;
+        });
+    }
+}
+
+void SimStore::setDown(bool newDown)
+{
+    if (this->down && !newDown) {
+        for (auto &[id, leased] : this->instances) {
+            leased.expires = this->simulation.now() + leaseLength;
+        }
+    }
+    this->down = newDown;
+}
+
+} // namespace oleandergate::fault
