Integration tests over real processes

Found: an instance refused all calls before its first minute grant; it now waits for it. SIGSTOP is not synchronous, so the test waits until the process stands still (seen: an intent journalled between signal and stop, rightly unknown). Conclusion: evidence is the stand-ins' record throughout; no test asserts a time.

--- a/src/decision/minutepeak.cpp
+++ b/src/decision/minutepeak.cpp
@@ -12,6 +12,9 @@
 //! Tokens a minute that an instance is given even when it asked for none, as a fraction of an equal share.
 constexpr Tokens idleShareDivisor = 4;
 
+//! How long the first grant may take.
+constexpr Duration firstGrantWait = std::chrono::milliseconds(500);
+
 } // namespace
 
 Tokens PeakGrant::allowanceAt(Minute minute) const
@@ -156,6 +159,9 @@
 
 std::optional<Time> MinutePeak::nextChance(Tokens tokens, Time now) const
 {
+    if (this->grant.through == 0) {
+        return now + firstGrantWait;
+    }
     const Minute next = minuteOf(now) + 1;
     const bool everFits = tokens <= this->grant.perMinute;
     return everFits ? std::optional(startOfMinute(next) + this->skew) : std::nullopt;
--- /dev/null
+++ b/tests/integration/endpointtests.cpp
@@ -0,0 +1,183 @@
+#include "testprogram.h"
+
+#include "runtime/chatdocument.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int generousMs = 15000;
+
+std::string textOf(const std::optional<HttpResponse> &response)
+{
+    return response && response->status == 200 ? completionText(response->body) : std::string();
+}
+
+} // namespace
+
+TEST_CASE("A stream that is cut, hangs or turns to nonsense is continued at another engine, whole")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const std::string question = "tell me [[tokens=12]]";
+    const std::string expected = textOf(chat(cluster, 0, "p1", "r1", 1, question));
+    REQUIRE(expected.size() > 12);
+    int sequence = 2;
+    for (const char *fault : {"cut", "hang", "garble"}) {
+        CAPTURE(fault);
+        cluster.setFault(cluster.engineAddresses[0], fault);
+        const auto response = chat(cluster, 1, "p1", "r" + std::to_string(sequence), sequence, question);
+        cluster.setFault(cluster.engineAddresses[0], "none");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(textOf(response) == expected);
+        sequence += 1;
+    }
+}
+
+TEST_CASE("An engine that refuses calls unread costs nothing and another is tried")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    cluster.setFault(cluster.engineAddresses[0], "refuse");
+    for (int turn = 1; turn <= 4; ++turn) {
+        const auto response = chat(cluster, 0, "p1", "r" + std::to_string(turn), turn);
+        REQUIRE(response);
+        CHECK(response->status == 200);
+    }
+}
+
+TEST_CASE("A leaving engine gets nothing new although the list lags")
+{
+    ClusterOptions options;
+    options.instanceListLagMs = 500;
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    cluster.registerEndpoint("atlas-llm", "engine-0", cluster.engineAddresses[0], "leaving");
+    // The pools of all instances show one usable engine once they know.
+    REQUIRE(waitFor(
+        [&]() {
+            for (std::size_t index = 0; index < 3; ++index) {
+                const auto status = cluster.admin(index, "GET", "/admin/status");
+                if (!status || status->body.find("\"pool\":\"model/atlas\",\"endpoints\":1") == std::string::npos) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        generousMs));
+    for (int turn = 1; turn <= 6; ++turn) {
+        REQUIRE(chat(cluster, static_cast<std::size_t>(turn % 3), "p1", "r" + std::to_string(turn), turn)->status == 200);
+    }
+    for (const boost::json::object &record : cluster.records()) {
+        CHECK(record.at("endpoint").as_string() != "engine-0");
+    }
+}
+
+TEST_CASE("No engine holds cache for programs that ended, also when the owner died with them")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    const auto holders = [&](const std::string &program) {
+        int count = 0;
+        for (const std::string &address : cluster.engineAddresses) {
+            const auto response = cluster.send(address, "GET", "/v1/cache/holders");
+            count += response && response->body.find("\"" + program + "\"") != std::string::npos ? 1 : 0;
+        }
+        return count;
+    };
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    REQUIRE(createProgram(cluster, 0, "p2") == 201);
+    REQUIRE(chat(cluster, 0, "p1", "r1", 1)->status == 200);
+    REQUIRE(chat(cluster, 0, "p2", "r1", 1)->status == 200);
+    REQUIRE(holders("p1") == 1);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    cluster.instances[*owner].kill();
+    const std::size_t entry = otherThan(cluster, *owner);
+    REQUIRE(waitFor(
+        [&]() {
+            const auto ended = cluster.call(entry, TestRequest{"POST", "/v1/programs/p1/end", "", callHeaders("", "")});
+            return ended && ended->status == 200;
+        },
+        generousMs));
+    CHECK(waitFor(
+        [&]() {
+            return holders("p1") == 0;
+        },
+        generousMs));
+    CHECK(holders("p2") == 1);
+}
+
+TEST_CASE("Engines that refuse old fencing numbers serve the owner in force")
+{
+    ClusterOptions options;
+    options.fencing = "refuse";
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    REQUIRE(chat(cluster, 0, "p1", "r1", 1)->status == 200);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    cluster.instances[*owner].kill();
+    const std::size_t entry = otherThan(cluster, *owner);
+    CHECK(waitFor(
+        [&]() {
+            const auto response = chat(cluster, entry, "p1", "r2", 2);
+            return response && response->status == 200;
+        },
+        generousMs));
+    std::set<std::int64_t> epochs;
+    for (const boost::json::object &record : cluster.records()) {
+        if (record.at("kind").as_string() == "arrival") {
+            epochs.insert(record.at("epoch").as_int64());
+        }
+    }
+    CHECK(epochs.size() == 2);
+}
+
+TEST_CASE("A budget is never passed and the minute's cap holds by the engines' own record")
+{
+    ClusterOptions options;
+    options.configuration = testConfiguration(4000, "0.01");
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    int refused = 0;
+    for (int turn = 1; turn <= 12; ++turn) {
+        std::vector<HttpHeader> headers = callHeaders("p1", "r" + std::to_string(turn), 0);
+        headers.push_back(HttpHeader{"Program-Deadline", "3000"});
+        const auto response
+            = cluster.call(static_cast<std::size_t>(turn % 3), TestRequest{"POST", "/v1/chat/completions", chatBody("spend [[tokens=200]]"), headers});
+        REQUIRE(response);
+        refused += response->status == 200 ? 0 : 1;
+        if (response->status != 200) {
+            CHECK(errorField(*response, "ran") == "no");
+        }
+    }
+    CHECK(refused > 0);
+    std::int64_t tokens = 0;
+    std::map<std::int64_t, std::int64_t> minutes;
+    constexpr std::int64_t microsPerMinute = 60000000;
+    for (const boost::json::object &record : cluster.records()) {
+        if (record.at("kind").as_string() == "end") {
+            const std::int64_t used = record.at("prompt_tokens").as_int64() + record.at("completion_tokens").as_int64();
+            tokens += used;
+            minutes[record.at("at").as_int64() / microsPerMinute] += used;
+        }
+    }
+    CHECK(tokens > 0);
+    // 0.002 for a thousand tokens: the budget of 0.01 covers 5000.
+    CHECK(tokens <= 5000);
+    for (const auto &[minute, used] : minutes) {
+        CHECK(used <= 4000);
+    }
+}
--- /dev/null
+++ b/tests/integration/recoverytests.cpp
@@ -0,0 +1,221 @@
+#include "testprogram.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int generousMs = 15000;
+
+//! Asks again until an answer that is not a passing refusal comes, as a caller would.
+std::optional<HttpResponse> insist(const std::function<std::optional<HttpResponse>()> &ask)
+{
+    std::optional<HttpResponse> response;
+    waitFor(
+        [&]() {
+            response = ask();
+            return response && response->status != 503;
+        },
+        generousMs);
+    return response;
+}
+
+} // namespace
+
+TEST_CASE("A killed owner's program goes on with its whole history")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    REQUIRE(chat(cluster, 0, "p1", "r1", 1)->status == 200);
+    const auto booked = book(cluster, 1, "p1", "b2", 2);
+    REQUIRE(booked);
+    REQUIRE(booked->status == 200);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    cluster.instances[*owner].kill();
+    const std::size_t entry = otherThan(cluster, *owner);
+
+    const auto next = insist([&]() {
+        return chat(cluster, entry, "p1", "r3", 3);
+    });
+    REQUIRE(next);
+    CHECK(next->status == 200);
+    const auto again = book(cluster, entry, "p1", "b2", 2);
+    REQUIRE(again);
+    CHECK(again->body == booked->body);
+    CHECK(again->header("Idempotency-Replayed") == "true");
+    CHECK(countRecords(cluster, "executed", "b2") == 1);
+    const auto state = cluster.call(entry, TestRequest{"GET", "/v1/programs/p1/history", "", callHeaders("", "")});
+    REQUIRE(state);
+    const boost::json::value document = boost::json::parse(state->body);
+    CHECK(document.at("history_intact").as_bool());
+    CHECK(document.at("history").as_array().size() == 3);
+}
+
+TEST_CASE("An owner killed while a booking is under way leaves it unknown, never run twice")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    const std::size_t entry = otherThan(cluster, *owner);
+    cluster.setFault(cluster.toolAddresses.front(), "hang");
+    std::optional<HttpResponse> first;
+    std::thread caller([&]() {
+        first = book(cluster, entry, "p1", "b1", 1);
+    });
+    REQUIRE(waitFor(
+        [&]() {
+            return countRecords(cluster, "executed", "b1") == 1;
+        },
+        generousMs));
+    cluster.instances[*owner].kill();
+    caller.join();
+    cluster.setFault(cluster.toolAddresses.front(), "none");
+    const auto again = insist([&]() {
+        return book(cluster, entry, "p1", "b1", 1);
+    });
+    REQUIRE(again);
+    CHECK(again->status == 502);
+    CHECK(errorField(*again, "code") == "outcome_unknown");
+    CHECK(errorField(*again, "ran") == "unknown");
+    CHECK(countRecords(cluster, "executed", "b1") == 1);
+    const auto next = insist([&]() {
+        return chat(cluster, entry, "p1", "r2", 2);
+    });
+    REQUIRE(next);
+    CHECK(next->status == 200);
+}
+
+TEST_CASE("A frozen owner that wakes up behind its successor runs nothing twice")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    REQUIRE(chat(cluster, 0, "p1", "r1", 1)->status == 200);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    const std::size_t entry = otherThan(cluster, *owner);
+    cluster.instances[*owner].freeze();
+    const auto booked = insist([&]() {
+        return book(cluster, entry, "p1", "b2", 2);
+    });
+    cluster.instances[*owner].signal(SIGCONT);
+    REQUIRE(booked);
+    CHECK(booked->status == 200);
+    const auto again = insist([&]() {
+        return book(cluster, *owner, "p1", "b2", 2);
+    });
+    REQUIRE(again);
+    CHECK(again->body == booked->body);
+    CHECK(countRecords(cluster, "executed", "b2") == 1);
+    CHECK(waitFor(
+        [&]() {
+            const auto now = cluster.ownerOf("p1");
+            return now.has_value();
+        },
+        generousMs));
+}
+
+TEST_CASE("Without the key-value service repeatable work goes on and bookings are refused as not run")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    REQUIRE(chat(cluster, 0, "p1", "r1", 1)->status == 200);
+    cluster.setFault(cluster.keyValueAddress, "down");
+    const auto status = [&](std::size_t instance) {
+        const auto response = cluster.admin(instance, "GET", "/admin/status");
+        return response ? std::string(boost::json::parse(response->body).at("posture").as_string()) : std::string();
+    };
+    REQUIRE(waitFor(
+        [&]() {
+            return status(0) == "outage" && status(1) == "outage" && status(2) == "outage";
+        },
+        generousMs));
+    const auto turn = insist([&]() {
+        return chat(cluster, 0, "p1", "r2", 2);
+    });
+    REQUIRE(turn);
+    CHECK(turn->status == 200);
+    CHECK(turn->header("History") == "pending");
+    const auto refused = book(cluster, 1, "p1", "b3", 3);
+    REQUIRE(refused);
+    CHECK(refused->status == 503);
+    CHECK(errorField(*refused, "ran") == "no");
+    CHECK_FALSE(refused->header("Retry-After").empty());
+    CHECK(countRecords(cluster, "arrival", "b3") == 0);
+    cluster.setFault(cluster.keyValueAddress, "none");
+    const auto booked = insist([&]() {
+        return book(cluster, 1, "p1", "b3", 3);
+    });
+    REQUIRE(booked);
+    CHECK(booked->status == 200);
+    CHECK(countRecords(cluster, "executed", "b3") == 1);
+}
+
+TEST_CASE("Writes whose answers are lost take effect once")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    cluster.setFault(cluster.keyValueAddress, "lose-answers");
+    std::optional<HttpResponse> first;
+    std::thread caller([&]() {
+        first = book(cluster, 0, "p1", "b1", 1);
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    cluster.setFault(cluster.keyValueAddress, "none");
+    caller.join();
+    const auto booked = insist([&]() {
+        return book(cluster, 1, "p1", "b1", 1);
+    });
+    REQUIRE(booked);
+    CHECK(booked->status == 200);
+    CHECK(countRecords(cluster, "executed", "b1") == 1);
+}
+
+TEST_CASE("A planned stop cuts off no request")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    std::optional<HttpResponse> direct;
+    std::optional<HttpResponse> forwarded;
+    REQUIRE(createProgram(cluster, 1, "p2") == 201);
+    std::thread one([&]() {
+        direct = chat(cluster, *owner, "p1", "r1", 1, "long [[tokens=250]]");
+    });
+    std::thread two([&]() {
+        forwarded = chat(cluster, otherThan(cluster, *owner), "p2", "r1", 1, "long [[tokens=250]]");
+    });
+    REQUIRE(waitFor(
+        [&]() {
+            return countRecords(cluster, "arrival", "r1") == 2;
+        },
+        generousMs));
+    cluster.instances[*owner].signal(SIGTERM);
+    CHECK(cluster.instances[*owner].wait() == 0);
+    one.join();
+    two.join();
+    REQUIRE(direct);
+    CHECK(direct->status == 200);
+    REQUIRE(forwarded);
+    CHECK(forwarded->status == 200);
+    const std::size_t entry = otherThan(cluster, *owner);
+    const auto next = insist([&]() {
+        return chat(cluster, entry, "p1", "r2", 2);
+    });
+    REQUIRE(next);
+    CHECK(next->status == 200);
+    CHECK(countRecords(cluster, "arrival", "r1") == 2);
+}
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -58,6 +58,14 @@
     }
 }
 
+void ChildProcess::freeze() const
+{
+    if (this->pid > 0) {
+        ::kill(this->pid, SIGSTOP);
+        ::waitpid(this->pid, nullptr, WUNTRACED);
+    }
+}
+
 void ChildProcess::kill()
 {
     if (this->pid > 0) {
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -24,6 +24,9 @@
     //! Sends \p signal to the process.
     void signal(int signal) const;
 
+    //! Stops the process and waits until all its threads stand still.
+    void freeze() const;
+
     //! Kills the process and waits for its end.
     void kill();
 
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -8,11 +8,14 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <thread>
+#include <unistd.h>
 
 namespace oleandergate::support {
 
@@ -51,9 +54,25 @@
 
 std::string freeAddress()
 {
+    // Below the range that the system gives to outgoing connections, so that none of those takes the port meanwhile.
+    constexpr int firstPort = 20000;
+    constexpr int portCount = 12000;
+    constexpr int stride = 97;
+    static std::atomic<int> next{static_cast<int>(::getpid()) * stride};
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        boost::system::error_code tcpError;
+        boost::system::error_code udpError;
+        const auto host = asio::ip::make_address("127.0.0.1");
+        asio::ip::tcp::socket stream(context, asio::ip::tcp::v4());
+        stream.bind({host, port}, tcpError);
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        datagrams.bind({host, port}, udpError);
+        if (!tcpError && !udpError) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 bool waitFor(const std::function<bool()> &check, int timeoutMs)
@@ -234,6 +253,17 @@
 }
 
 bool TestCluster::waitReady(int timeoutMs)
+{
+    const bool ready = this->waitUntilReady(timeoutMs);
+    for (std::size_t index = 0; !ready && index < this->instances.size(); ++index) {
+        const auto status = this->admin(index, "GET", "/admin/status");
+        std::cerr << "gate-" << index << ": " << (status ? status->body : "no answer") << '\n'
+                  << std::ifstream(this->logFile("gate-" + std::to_string(index))).rdbuf();
+    }
+    return ready;
+}
+
+bool TestCluster::waitUntilReady(int timeoutMs)
 {
     return waitFor(
         [this]() {
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -91,6 +91,7 @@
 private:
     std::string program(const std::string &name) const;
     std::string logFile(const std::string &name) const;
+    bool waitUntilReady(int timeoutMs);
     void writeSettings(std::size_t instance);
 
     ClusterOptions options;
