Policies per pool: whole programs or short calls first; slot plans without a scan

Change: [[pool]] favour; look-ahead for calls whose prefix is cached where there is room; admission by predicted program time; SlotTable keeps each slot's preferred owner instead of computing it at every plan.

--- a/bench/decision/decisionbench.cpp
+++ b/bench/decision/decisionbench.cpp
@@ -1,2 +1,138 @@
+//! What single decisions cost, and how the cost grows with endpoints and waiting calls.
+
+#include "decision/dispatcher.h"
+#include "decision/groupcommit.h"
+#include "decision/hash.h"
+#include "decision/programowner.h"
+#include "decision/slottable.h"
+
 #include <benchmark/benchmark.h>
+
+namespace {
+
+using namespace oleandergate;
+
+constexpr Time start{std::chrono::hours(1)};
+
+std::vector<EndpointSpec> endpoints(std::int64_t count)
+{
+    std::vector<EndpointSpec> specs;
+    for (std::int64_t index = 0; index < count; ++index) {
+        specs.push_back(EndpointSpec{"endpoint-" + std::to_string(index), {}, {}, 8});
+    }
+    return specs;
+}
+
+QueuedCall callOf(CallId id)
+{
+    QueuedCall call{id, "program-" + std::to_string(id)};
+    call.resumable = true;
+    call.promptTokens = 1000;
+    call.maxTokens = 100;
+    call.programStart = start;
+    call.deadline = start + std::chrono::hours(1);
+    return call;
+}
+
+//! Queues, places and ends one call among \p range(0) endpoints.
+void placeCall(benchmark::State &state)
+{
+    PolicyOptions options;
+    options.refuseEarly = false;
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setEndpoints(endpoints(state.range(0)));
+    CallId id = 1;
+    for (auto step : state) {
+        benchmark::DoNotOptimize(dispatcher.enqueue(callOf(id), start).has_value());
+        benchmark::DoNotOptimize(dispatcher.next(start));
+        dispatcher.onFinished(id, true, start);
+        dispatcher.forgetProgram("program-" + std::to_string(id));
+        ++id;
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(placeCall)->Arg(10)->Arg(100)->Arg(1000)->Arg(3500)->Complexity();
+
+//! Queues one call and takes it back with \p range(0) calls waiting.
+void queueCall(benchmark::State &state)
+{
+    PolicyOptions options;
+    options.refuseEarly = false;
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setEndpoints(endpoints(1));
+    CallId id = 1;
+    for (; id <= static_cast<CallId>(state.range(0)); ++id) {
+        benchmark::DoNotOptimize(dispatcher.enqueue(callOf(id), start).has_value());
+    }
+    for (auto step : state) {
+        benchmark::DoNotOptimize(dispatcher.enqueue(callOf(id), start).has_value());
+        dispatcher.remove(id);
+        dispatcher.forgetProgram("program-" + std::to_string(id));
+        ++id;
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(queueCall)->Arg(100)->Arg(1000)->Arg(10000)->Arg(49000)->Complexity();
+
+//! Plans slot moves of one instance among \p range(0).
+void planSlots(benchmark::State &state)
+{
+    constexpr SlotId slots = 4096;
+    SlotTable table("instance-0", slots);
+    for (std::int64_t index = 0; index < state.range(0); ++index) {
+        table.putInstance(InstanceRecord{"instance-" + std::to_string(index)}, start);
+    }
+    for (auto step : state) {
+        benchmark::DoNotOptimize(table.plan(start + std::chrono::hours(1)));
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(planSlots)->Arg(8)->Arg(60)->Arg(420)->Unit(benchmark::kMillisecond)->Complexity();
+
+//! One model call of a program through its owner, journal included, with \p range(0) programs held.
+void ownCall(benchmark::State &state)
+{
+    OwnerLimits limits;
+    limits.slotCount = 1;
+    ProgramOwner owner(limits);
+    GroupCommit journal("bench");
+    journal.openSlot(0, 1, 1);
+    benchmark::DoNotOptimize(owner.adoptSlot(0, {}, start));
+    CallId call = 1;
+    const auto settle = [&](Actions actions) {
+        for (std::size_t index = 0; index < actions.size(); ++index) {
+            if (const auto *commit = std::get_if<CommitAction>(&actions[index])) {
+                const Actions more = owner.onCommitted(commit->ticket, start);
+                actions.insert(actions.end(), more.begin(), more.end());
+            } else if (const auto *ready = std::get_if<ReadyAction>(&actions[index])) {
+                benchmark::DoNotOptimize(owner.beginSend(ready->call, "e", Posture::Normal, start).has_value());
+                CallAnswer answer{200};
+                answer.body = std::string(400, 'x');
+                const Actions more = owner.onAnswer(ready->call, std::move(answer), start);
+                actions.insert(actions.end(), more.begin(), more.end());
+            }
+        }
+    };
+    const Time end = start + std::chrono::hours(100);
+    for (std::int64_t index = 0; index < state.range(0); ++index) {
+        ProgramSpec spec{"program-" + std::to_string(index), "org", "kind", 1000000000000, 0, 1000000000, start, end};
+        settle(owner.createProgram(call++, spec, Posture::Normal, start));
+    }
+    std::uint64_t turn = 0;
+    for (auto step : state) {
+        CallRequest request;
+        request.program = "program-" + std::to_string(turn % static_cast<std::uint64_t>(state.range(0)));
+        request.organisation = "org";
+        request.requestId = "r" + std::to_string(turn++);
+        request.messages = {"a question of some length"};
+        request.reserve = 10;
+        request.deadline = end;
+        settle(owner.submit(call++, request, Posture::Normal, start));
+    }
+    state.SetComplexityN(state.range(0));
+}
+BENCHMARK(ownCall)->Arg(100)->Arg(1000)->Arg(10000)->Iterations(50000)->Complexity();
+
+} // namespace
+
 BENCHMARK_MAIN();
--- a/bench/policy/workload.h
+++ b/bench/policy/workload.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_POLICY_WORKLOAD_H
 
 #include "decision/ids.h"
+#include "decision/policyoptions.h"
 #include "decision/time.h"
 
 #include <string>
@@ -52,6 +53,7 @@
     double subAgentShare = 0.3;
     double deadline = 60.0; //!< Seconds.
     double crestFactor = 3.0; //!< Arrival rate during the swing over the rate outside.
+    Favour favour = Favour::Programs; //!< What the user weighs most.
 };
 
 const Deployment &nakhla();
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -3,6 +3,7 @@
 
 #include "config/configissue.h"
 #include "decision/ids.h"
+#include "decision/policyoptions.h"
 #include "decision/time.h"
 
 #include <optional>
@@ -41,6 +42,7 @@
     MicroUnits pricePerThousandTokens = 0;
     bool fencing = false; //!< The engines refuse an old fencing number.
     Duration idleTimeout{}; //!< Longest silence of a stream.
+    Favour favour = Favour::Programs;
 };
 
 //! One path of a plain service.
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -45,6 +45,11 @@
 {
 }
 
+void Dispatcher::setOptions(const PolicyOptions &newOptions)
+{
+    this->options = newOptions;
+}
+
 void Dispatcher::setEndpoints(const std::vector<EndpointSpec> &specs)
 {
     this->endpoints.assign(specs);
@@ -71,13 +76,13 @@
     if (this->endpoints.usableCount() == 0) {
         return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Ran::No, std::chrono::seconds(1), "the pool has no live endpoint"};
     }
-    ProgramView &program = this->programs[call.program];
-    const Duration wait = this->predictedWait();
-    if (this->options.refuseEarly && program.attained == 0.0 && program.openCalls == 0 && now + wait > call.deadline) {
-        this->programs.erase(call.program);
-        return Error{ErrorCode::Overloaded, Step::Queue, {}, Ran::No, wait, "the backlog would make the program late"};
+    const bool isNew = !this->programs.contains(call.program);
+    if (this->options.refuseEarly && isNew && this->wouldBeLate(call, now)) {
+        return Error{ErrorCode::Overloaded, Step::Queue, {}, Ran::No, this->predictedWait(), "the backlog would make the program late"};
     }
+    ProgramView &program = this->programs[call.program];
     program.openCalls += 1;
+    program.calls += 1;
     Waiting entry{call, this->keyOf(call, now)};
     entry.arrived = now;
     this->order.emplace(std::pair(entry.key, call.call), call.call);
@@ -85,6 +90,12 @@
     return boost::outcome_v2::success();
 }
 
+bool Dispatcher::wouldBeLate(const QueuedCall &call, Time now) const
+{
+    const double each = toSeconds(this->predictedWait()) + this->usualService;
+    return now + fromSeconds(this->usualCalls * each * this->options.admissionMargin) > call.deadline;
+}
+
 bool Dispatcher::remove(CallId call)
 {
     const auto found = this->waiting.find(call);
@@ -97,9 +108,9 @@
     return true;
 }
 
-const QueuedCall *Dispatcher::head() const
+const QueuedCall *Dispatcher::head(Time now) const
 {
-    return this->order.empty() ? nullptr : &this->waiting.at(this->order.begin()->second).call;
+    return this->order.empty() ? nullptr : &this->waiting.at(this->findCached(now)).call;
 }
 
 std::optional<Placement> Dispatcher::next(Time now)
@@ -107,20 +118,46 @@
     if (this->order.empty()) {
         return std::nullopt;
     }
-    const auto first = this->order.begin();
-    const Waiting &head = this->waiting.at(first->second);
-    const std::size_t endpoint = this->choose(head, now);
+    const CallId next = this->findCached(now);
+    const std::size_t endpoint = this->choose(this->waiting.at(next), now);
     if (endpoint == noEndpoint) {
         return std::nullopt;
     }
-    const Waiting taken = head;
-    this->order.erase(first);
-    this->waiting.erase(taken.call.call);
+    const Waiting taken = this->waiting.at(next);
+    this->order.erase(std::pair(taken.key, next));
+    this->waiting.erase(next);
     Placement placement{taken.call.call, this->endpoints.at(endpoint).spec, this->cachedTokens(endpoint, taken.call) > 0};
     this->start(taken, endpoint, now);
     return placement;
 }
 
+CallId Dispatcher::findCached(Time now) const
+{
+    const CallId head = this->order.begin()->second;
+    const bool patient = this->waiting.at(head).arrived + this->options.bypassPatience > now;
+    if (this->options.placement != PlacementRule::Estimated || !patient) {
+        return head;
+    }
+    std::size_t looked = 0;
+    for (const auto &[key, call] : this->order) {
+        if (looked >= this->options.lookAhead) {
+            break;
+        }
+        looked += 1;
+        const Waiting &candidate = this->waiting.at(call);
+        const auto program = this->programs.find(candidate.call.program);
+        if (program == this->programs.end()) {
+            continue;
+        }
+        const auto cache = program->second.caches.find(candidate.call.branch);
+        if (cache != program->second.caches.end() && this->endpoints.hasRoom(cache->second.endpoint, now)
+            && !candidate.call.avoid.contains(this->endpoints.at(cache->second.endpoint).spec.id)) {
+            return call;
+        }
+    }
+    return head;
+}
+
 std::size_t Dispatcher::choose(const Waiting &waiting, Time now)
 {
     switch (this->options.placement) {
@@ -407,6 +444,7 @@
         return {};
     }
     std::set<EndpointId> holders = found->second.endpoints;
+    blend(this->usualCalls, static_cast<double>(found->second.calls), sampleWeight);
     if (found->second.openCalls == 0) {
         this->programs.erase(found);
     }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -23,6 +23,9 @@
 public:
     Dispatcher(const PolicyOptions &options, std::uint64_t seed);
 
+    //! Changes the policy for calls queued from now on. The limit on calls in flight stays as it was.
+    void setOptions(const PolicyOptions &options);
+
     //! Replaces the endpoints. Those that vanished or are leaving get no further call.
     void setEndpoints(const std::vector<EndpointSpec> &endpoints);
 
@@ -33,7 +36,7 @@
     bool remove(CallId call);
 
     //! Returns the call that next() would send, or nullptr when nothing waits.
-    const QueuedCall *head() const;
+    const QueuedCall *head(Time now) const;
 
     //! Returns the next call to send, if there is one and an endpoint has room.
     std::optional<Placement> next(Time now);
@@ -81,6 +84,7 @@
     {
         double attained = 0.0; //!< Seconds of service received.
         std::size_t openCalls = 0;
+        std::size_t calls = 0;
         std::map<std::string, BranchCache> caches{};
         std::set<EndpointId> endpoints{};
     };
@@ -110,6 +114,8 @@
     };
 
     Time keyOf(const QueuedCall &call, Time now) const;
+    bool wouldBeLate(const QueuedCall &call, Time now) const;
+    CallId findCached(Time now) const;
     std::size_t choose(const Waiting &waiting, Time now);
     std::size_t chooseEstimated(const Waiting &waiting, Time now) const;
     double estimate(std::size_t endpoint, const Waiting &waiting) const;
@@ -134,6 +140,7 @@
     double usualGap = 0.03; //!< Seconds between tokens, over the pool.
     double usualPrefill = 0.0002; //!< Seconds per uncached prompt token, over the pool.
     double usualService = 2.0; //!< Seconds of service of one call, over the pool.
+    double usualCalls = 4.0; //!< Calls of one program, over the pool.
 };
 
 } // namespace oleandergate
--- a/src/decision/policyoptions.h
+++ b/src/decision/policyoptions.h
@@ -48,6 +48,9 @@
     bool migrate = true; //!< Interrupt streams that stall and resume them at another endpoint.
     bool avoidSlow = true; //!< Prefer endpoints whose streams make normal progress.
     bool refuseEarly = true; //!< Refuse a program's first call when the backlog would make the program late.
+    std::size_t lookAhead = 16; //!< Waiting calls searched for one whose prefix is cached where there is room.
+    Duration bypassPatience = std::chrono::seconds(2); //!< Longest time that the first waiting call is passed over.
+    double admissionMargin = 1.2; //!< Predicted time of a program over its deadline at which it is refused.
     double overcommit = 1.0; //!< In-flight calls per batch slot.
     double attainedWeight = 1.0; //!< Seconds of queue time per second of service received.
     Duration maxSetBack = std::chrono::seconds(60); //!< Bound on the set-back, so that nothing starves.
@@ -59,6 +62,21 @@
     double migrationShare = 0.1; //!< Interruptions for stalls, as a share of calls started.
 };
 
+//! What a pool's operator wants most.
+enum class Favour : std::uint8_t {
+    Programs, //!< Latency of whole programs and service at the crest of a swing.
+    ShortCalls //!< Short calls that do not wait behind long ones.
+};
+
+//! Names of the wishes, as the configuration has them.
+inline constexpr std::array<NamedValue<Favour>, 2> favourNames{{
+    {Favour::Programs, "programs"},
+    {Favour::ShortCalls, "short-calls"},
+}};
+
+//! Returns the policy for \p favour. docs/design/queueing.md has the figures behind it.
+PolicyOptions policyFor(Favour favour);
+
 } // namespace oleandergate
 
 #endif
--- a/src/decision/slottable.cpp
+++ b/src/decision/slottable.cpp
@@ -13,6 +13,7 @@
 
 SlotTable::SlotTable(InstanceId self, SlotId slotCount)
     : self(std::move(self))
+    , preferred(slotCount)
     , slots(slotCount)
 {
 }
@@ -26,22 +27,55 @@
 
 void SlotTable::putInstance(const InstanceRecord &record, Time now)
 {
-    const auto found = this->members.find(record.id);
-    if (found != this->members.end()) {
-        found->second.record = record;
-        return;
+    const auto [member, added] = this->members.emplace(record.id, Member{record, now});
+    const bool wasLeaving = !added && member->second.record.leaving;
+    member->second.record = record;
+    if (record.leaving && !wasLeaving) {
+        this->withdrawEverywhere(record.id);
+    } else if (!record.leaving && (added || wasLeaving)) {
+        this->offerEverywhere(record.id);
     }
-    this->members.emplace(record.id, Member{record, now});
 }
 
 void SlotTable::removeInstance(const InstanceId &id)
 {
-    this->members.erase(id);
+    if (this->members.erase(id) > 0) {
+        this->withdrawEverywhere(id);
+    }
+}
+
+void SlotTable::offerEverywhere(const InstanceId &id)
+{
+    for (SlotId slot = 0; slot < this->slots.size(); ++slot) {
+        const std::uint64_t weight = hashOf(id, slot);
+        Preferred &best = this->preferred[slot];
+        if (best.instance.empty() || weight > best.weight) {
+            best = Preferred{id, weight};
+        }
+    }
+}
+
+void SlotTable::withdrawEverywhere(const InstanceId &id)
+{
+    for (SlotId slot = 0; slot < this->slots.size(); ++slot) {
+        Preferred &best = this->preferred[slot];
+        if (best.instance != id) {
+            continue;
+        }
+        best = Preferred{};
+        for (const auto &[other, member] : this->members) {
+            const std::uint64_t weight = hashOf(other, slot);
+            if (!member.record.leaving && (best.instance.empty() || weight > best.weight)) {
+                best = Preferred{other, weight};
+            }
+        }
+    }
 }
 
 void SlotTable::clear()
 {
     this->members.clear();
+    this->preferred.assign(this->slots.size(), Preferred{});
     this->slots.assign(this->slots.size(), SlotRecord{});
 }
 
@@ -55,18 +89,9 @@
     return this->slots[slot];
 }
 
-InstanceId SlotTable::preferredOwner(SlotId slot) const
+const InstanceId &SlotTable::preferredOwner(SlotId slot) const
 {
-    InstanceId best;
-    std::uint64_t bestWeight = 0;
-    for (const auto &[id, member] : this->members) {
-        const std::uint64_t weight = hashOf(id, slot);
-        if (!member.record.leaving && (best.empty() || weight > bestWeight)) {
-            best = id;
-            bestWeight = weight;
-        }
-    }
-    return best;
+    return this->preferred[slot].instance;
 }
 
 std::vector<SlotMove> SlotTable::plan(Time now) const
@@ -78,14 +103,14 @@
     }
     for (SlotId slot = 0; slot < this->slots.size(); ++slot) {
         const SlotRecord &record = this->slots[slot];
-        const InstanceId preferred = this->preferredOwner(slot);
+        const InstanceId &best = this->preferredOwner(slot);
         if (record.owner == this->self) {
-            const auto other = this->members.find(preferred);
+            const auto other = this->members.find(best);
             const bool settled = other != this->members.end() && other->second.since + settleTime <= now;
-            if (me->second.record.leaving || (preferred != this->self && settled)) {
+            if (me->second.record.leaving || (best != this->self && settled)) {
                 moves.push_back(SlotMove{SlotMove::Kind::Release, slot, record});
             }
-        } else if (preferred == this->self && !this->isLive(record.owner)) {
+        } else if (best == this->self && !this->isLive(record.owner)) {
             moves.push_back(SlotMove{SlotMove::Kind::Claim, slot, record});
         }
     }
--- a/src/decision/slottable.h
+++ b/src/decision/slottable.h
@@ -56,7 +56,7 @@
     const SlotRecord &recordOf(SlotId slot) const;
 
     //! Returns the live instance that should own \p slot: the highest random weight among those not leaving.
-    InstanceId preferredOwner(SlotId slot) const;
+    const InstanceId &preferredOwner(SlotId slot) const;
 
     //! Returns the changes this instance should make now. Hysteresis delays handing over to instances that just arrived.
     std::vector<SlotMove> plan(Time now) const;
@@ -75,7 +75,18 @@
         Time since{};
     };
 
+    //! The instance with the highest weight for a slot, kept up to date as instances come and go.
+    struct Preferred
+    {
+        InstanceId instance{};
+        std::uint64_t weight = 0;
+    };
+
+    void offerEverywhere(const InstanceId &id);
+    void withdrawEverywhere(const InstanceId &id);
+
     InstanceId self;
+    std::vector<Preferred> preferred;
     std::vector<SlotRecord> slots;
     std::map<InstanceId, Member> members;
 };
--- a/src/runtime/dispatchservice.cpp
+++ b/src/runtime/dispatchservice.cpp
@@ -61,9 +61,10 @@
         return pool;
     };
     for (const PoolConfig &entry : newConfig->configuration.pools) {
-        const DispatchPoolPointer pool = keep("model/" + entry.name, entry.service, PolicyOptions());
+        const DispatchPoolPointer pool = keep("model/" + entry.name, entry.service, policyFor(entry.favour));
         const std::lock_guard poolLock(pool->mutex);
         pool->pool = entry;
+        pool->dispatcher.setOptions(policyFor(entry.favour));
     }
     for (const ServiceConfig &entry : newConfig->configuration.services) {
         const DispatchPoolPointer pool = keep("service/" + entry.name, entry.service, serviceOptions());
@@ -245,7 +246,7 @@
     {
         const std::lock_guard lock(pool->mutex);
         const Time now = currentTime();
-        while (const QueuedCall *head = pool->dispatcher.head()) {
+        while (const QueuedCall *head = pool->dispatcher.head(now)) {
             const std::size_t refusedBefore = refused.size();
             const Tokens tokens = head->promptTokens + head->maxTokens;
             const CallId headCall = head->call;
