--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -26,13 +26,14 @@
 constexpr const char *usage = R"(path-bench: the cost of the path, with real processes.
 
 Usage:
-  path-bench latency [--callers=N] [--calls=N]
+  path-bench latency [--callers=N] [--calls=N] [--journal-writes=N]
   path-bench idle [--instances=N] [--seconds=N]
   path-bench takeover [--runs=N]
 
 Options:
   --callers=N    Programs that call at the same time [default: 4].
   --calls=N      Calls of each program [default: 500].
+  --journal-writes=N  Writes a second that the key-value service takes [default: 100000].
   --instances=N  Entry instances [default: 8].
   --seconds=N    Length of the measurement [default: 10].
   --runs=N       Owners killed [default: 5].
@@ -143,9 +144,17 @@
     return seconds;
 }
 
-int latency(std::size_t callers, int calls)
+std::int64_t serviceWrites(TestCluster &cluster)
+{
+    const auto stats = cluster.send(cluster.keyValueAddress, "GET", "/stats");
+    const json::value document = json::parse(stats->body);
+    return document.at("writes").as_int64();
+}
+
+int latency(std::size_t callers, int calls, int journalWrites)
 {
     ClusterOptions options;
+    options.extraSettings = "journal_writes_per_second = " + std::to_string(journalWrites) + "\n";
     options.engineTokenUs = 0;
     options.configuration = testConfiguration(0, "9000.00");
     options.configuration.replace(options.configuration.find("deadline_s = 120"), 16, "max_turns = 10000\ndeadline_s = 3600");
@@ -172,9 +181,12 @@
     measure(direct, directNames, calls / 5);
     print("engine directly", measure(direct, directNames, calls), 0.0);
     const double before = cpuOf(cluster);
+    const std::int64_t writesBefore = serviceWrites(cluster);
     const LatencyResult own = measure(owners, programs, calls);
+    const std::int64_t writes = serviceWrites(cluster) - writesBefore;
     const double between = cpuOf(cluster);
     print("through the owner", own, between - before);
+    std::printf("writes of the key-value service: %.0f a second, %.2f a call\n", static_cast<double>(writes) / own.seconds, static_cast<double>(writes) / static_cast<double>(own.millis.size()));
     std::vector<std::string> more;
     for (std::size_t index = 0; index < callers; ++index) {
         more.push_back("hop-" + std::to_string(index));
@@ -257,7 +269,7 @@
         return static_cast<int>(std::strtol(options.at(key).asString().c_str(), nullptr, 10));
     };
     if (options.at("latency").asBool()) {
-        return latency(static_cast<std::size_t>(number("--callers")), number("--calls"));
+        return latency(static_cast<std::size_t>(number("--callers")), number("--calls"), number("--journal-writes"));
     }
     if (options.at("idle").asBool()) {
         return idle(static_cast<std::size_t>(number("--instances")), number("--seconds"));
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -61,6 +61,7 @@
     settings.threads = static_cast<unsigned>(runtime.number("threads", 1, 64, 2));
     settings.shards = static_cast<unsigned>(runtime.number("shards", 1, 64, 2));
     settings.slotCount = static_cast<SlotId>(runtime.number("slots", 1, 65536, 64));
+    settings.journalWrites = runtime.number("journal_writes_per_second", 1, 100000, 300);
     settings.lease = std::chrono::milliseconds(runtime.number("lease_ms", 500, 60000, 3000));
     settings.ownerWait = std::chrono::milliseconds(runtime.number("owner_wait_ms", 100, 60000, 6000));
     settings.drainLimit = std::chrono::milliseconds(runtime.number("drain_limit_ms", 100, 3600000, 120000));
@@ -102,6 +103,7 @@
     text += "\n[runtime]\nthreads = " + std::to_string(settings.threads);
     text += "\nshards = " + std::to_string(settings.shards);
     text += "\nslots = " + std::to_string(settings.slotCount);
+    text += "\njournal_writes_per_second = " + std::to_string(settings.journalWrites);
     text += "\nlease_ms = " + millis(settings.lease);
     text += "owner_wait_ms = " + millis(settings.ownerWait);
     text += "drain_limit_ms = " + millis(settings.drainLimit);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -30,6 +30,7 @@
     unsigned threads = 2;
     unsigned shards = 2;
     SlotId slotCount = 64;
+    std::int64_t journalWrites = 300; //!< Journal writes a second that the key-value service takes from all instances.
     Duration lease{};
     Duration ownerWait{}; //!< Longest wait for a slot to get an owner.
     std::size_t bodyLimit = 0; //!< Bytes.
--- a/src/runtime/entryinstance.cpp
+++ b/src/runtime/entryinstance.cpp
@@ -199,6 +199,9 @@
             this->dispatch.configure(active);
         });
         this->programs.setSink(this->dispatch);
+        this->programs.setWriteRate(static_cast<double>(this->settings.journalWrites), [this]() {
+            return this->view.instances().size();
+        });
         this->config.restore();
         this->cluster.setPeakPort(ClusterService::PeakPort{[this](Time now) {
                                                                return this->dispatch.peakRenewal(now);
--- a/src/runtime/programservice.cpp
+++ b/src/runtime/programservice.cpp
@@ -21,6 +21,9 @@
 //! than this waits for as many records, so that writing whole histories again stays a fixed share of the work.
 constexpr std::uint64_t recordsPerCheckpoint = 256;
 
+//! Journal writes that an instance may do at once after a quiet time.
+constexpr double writeBurst = 40.0;
+
 constexpr Duration idleWait = std::chrono::milliseconds(200);
 constexpr Duration retryPause = std::chrono::milliseconds(50);
 constexpr Duration timerStep = std::chrono::milliseconds(20);
@@ -74,6 +77,28 @@
     this->sink = &newSink;
 }
 
+void ProgramService::setWriteRate(double fleetWrites, InstanceCount newInstances)
+{
+    this->writeBudget.emplace(fleetWrites, writeBurst);
+    this->instances = std::move(newInstances);
+}
+
+asio::awaitable<void> ProgramService::awaitWriteBudget()
+{
+    if (!this->writeBudget) {
+        co_return;
+    }
+    const std::size_t count = this->instances();
+    Duration wait{0};
+    {
+        const std::lock_guard lock(this->budgetMutex);
+        wait = this->writeBudget->take(count, currentTime());
+    }
+    if (wait > Duration(0)) {
+        co_await sleepFor(wait);
+    }
+}
+
 void ProgramService::start()
 {
     for (const std::unique_ptr<Shard> &shard : this->shards) {
@@ -383,6 +408,14 @@
 {
     while (true) {
         co_await this->checkpointOne(shard);
+        bool hasWork = false;
+        {
+            const std::lock_guard lock(shard.mutex);
+            hasWork = shard.journal.hasWork();
+        }
+        if (hasWork) {
+            co_await this->awaitWriteBudget();
+        }
         std::optional<CommitBatch> batch;
         {
             const std::lock_guard lock(shard.mutex);
--- a/src/runtime/programservice.h
+++ b/src/runtime/programservice.h
@@ -3,6 +3,7 @@
 
 #include "decision/groupcommit.h"
 #include "decision/programowner.h"
+#include "decision/writebudget.h"
 #include "runtime/answerchannel.h"
 #include "runtime/interfaces/readysink.h"
 #include "runtime/journalstore.h"
@@ -27,6 +28,9 @@
 public:
     using PostureSource = std::function<Posture(Time now)>;
 
+    //! Returns the number of live instances.
+    using InstanceCount = std::function<std::size_t()>;
+
     ProgramService(boost::asio::io_context &context,
                    JournalStore &store,
                    const OwnerLimits &limits,
@@ -42,6 +46,9 @@
     //! Sets where calls go that may be sent. Must be called before start().
     void setSink(ReadySink &sink);
 
+    //! Keeps the journals of the whole fleet within \p fleetWrites a second. Must be called before start().
+    void setWriteRate(double fleetWrites, InstanceCount instances);
+
     //! Starts the journal writers and timers.
     void start();
 
@@ -90,6 +97,7 @@
     boost::asio::awaitable<void> writeJournal(Shard &shard);
     boost::asio::awaitable<void> runTimers(Shard &shard);
     boost::asio::awaitable<void> checkpointOne(Shard &shard);
+    boost::asio::awaitable<void> awaitWriteBudget();
     void settleBatch(Shard &shard, const BatchResolution &resolution);
 
     boost::asio::io_context &context;
@@ -99,6 +107,9 @@
     EventLog &events;
     Metrics &metrics;
     ReadySink *sink = nullptr;
+    std::mutex budgetMutex; //!< Guards the write budget.
+    std::optional<WriteBudget> writeBudget;
+    InstanceCount instances;
     std::atomic<CallId> nextCall{1};
     std::vector<std::unique_ptr<Shard>> shards;
 };
