A successor asks the service for the outcome of calls left unknown

Cause: design and limitations said that after a takeover an open intent stays unknown although the service could tell. Ruled out: rewriting the turn, which would break the history's chain. Conclusion: the limitation is gone; a service that answers 404 leaves the call unknown, as a paused owner may still send.

--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -45,8 +45,16 @@
     std::set<EndpointId> endpoints{};
 };
 
+//! Ask a service what became of a call that ended as unknown; answered by onOutcomeFound(), if at all.
+struct AskOutcomeAction
+{
+    ProgramId program{};
+    RequestId requestId{};
+    std::string service{};
+};
+
 //! What the runtime has to do after a decision.
-using Action = std::variant<CommitAction, ReadyAction, DeliverAction, AbortAction, ReleaseAction>;
+using Action = std::variant<CommitAction, ReadyAction, DeliverAction, AbortAction, ReleaseAction, AskOutcomeAction>;
 using Actions = std::vector<Action>;
 
 } // namespace oleandergate
--- a/src/decision/journalentry.h
+++ b/src/decision/journalentry.h
@@ -48,6 +48,14 @@
     TurnRecord turn{};
 };
 
+//! The service told the outcome of a call that had ended as unknown.
+struct OutcomeFound
+{
+    ProgramId program{};
+    RequestId requestId{};
+    CallAnswer answer{};
+};
+
 //! A program left the Running phase.
 struct ProgramEnded
 {
@@ -57,7 +65,7 @@
 };
 
 //! One entry of a slot's journal. Applying an entry again behind a checkpoint that holds it changes nothing.
-using JournalEntry = std::variant<ProgramCreated, BudgetDrawn, CallIntent, IntentVoided, CallOutcome, ProgramEnded>;
+using JournalEntry = std::variant<ProgramCreated, BudgetDrawn, CallIntent, IntentVoided, CallOutcome, ProgramEnded, OutcomeFound>;
 
 //! Returns the program that \p entry belongs to.
 const ProgramId &programOf(const JournalEntry &entry);
--- a/src/decision/programowner.cpp
+++ b/src/decision/programowner.cpp
@@ -36,6 +36,7 @@
         owned.programs.insert(id);
         this->watch(due, 0, 0, id);
         this->closeIntents(program, now, actions);
+        askOutcomes(program.state, actions);
     }
     return actions;
 }
@@ -302,10 +303,11 @@
         if (turn->digest != request.digest) {
             return conflict();
         }
-        if (turn->ran != Ran::Yes) {
+        const CallAnswer *known = program.state.answerOf(*turn);
+        if (known == nullptr) {
             return unknown();
         }
-        CallAnswer answer = turn->answer;
+        CallAnswer answer = *known;
         answer.replayed = true;
         answer.historyPending = program.unconfirmed.contains(request.requestId);
         actions.emplace_back(DeliverAction{callId, std::move(answer)});
--- a/src/decision/programowner.h
+++ b/src/decision/programowner.h
@@ -72,6 +72,9 @@
     //! The stream of a call was interrupted; it may be sent again. Returns false when the call was given up meanwhile.
     bool onInterrupted(CallId call, Time now);
 
+    //! A service told the outcome of a call that had ended as unknown.
+    Actions onOutcomeFound(const ProgramId &program, const RequestId &requestId, CallAnswer answer, Time now);
+
     //! Refuses a Ready call, which is not sent any more.
     Actions refuseReady(CallId call, ErrorCode code, Step step, std::optional<Duration> retryAfter, std::string detail, Time now);
 
@@ -180,6 +183,7 @@
     void voidIntent(LiveCall &call, Time now, Actions &actions);
     static std::uint64_t nextSequenceOf(const Program &program, const std::string &branch);
     void closeIntents(Program &program, Time now, Actions &actions);
+    static void askOutcomes(const ProgramState &state, Actions &actions);
     void forget(const ProgramId &program, Time now);
 
     OwnerLimits limits;
--- a/src/decision/programownertimers.cpp
+++ b/src/decision/programownertimers.cpp
@@ -319,6 +319,30 @@
     }
 }
 
+void ProgramOwner::askOutcomes(const ProgramState &state, Actions &actions)
+{
+    for (const TurnRecord &turn : state.turns) {
+        if (turn.kind == CallKind::Service && state.answerOf(turn) == nullptr) {
+            actions.emplace_back(AskOutcomeAction{state.spec.id, turn.requestId, turn.target});
+        }
+    }
+}
+
+Actions ProgramOwner::onOutcomeFound(const ProgramId &programId, const RequestId &requestId, CallAnswer answer, Time now)
+{
+    Actions actions;
+    const auto found = this->programs.find(programId);
+    if (found == this->programs.end()) {
+        return actions;
+    }
+    const JournalEntry entry = OutcomeFound{programId, requestId, std::move(answer)};
+    if (found->second.state.apply(entry)) {
+        const SlotId slot = slotOf(programId, this->limits.slotCount);
+        this->commit(slot, Pending{Pending::Purpose::Void, slot, programId}, {entry}, now + this->limits.outcomePatience, actions);
+    }
+    return actions;
+}
+
 std::uint64_t ProgramOwner::nextSequenceOf(const Program &program, const std::string &branch)
 {
     const auto state = program.state.branches.find(branch);
--- a/src/decision/programstate.cpp
+++ b/src/decision/programstate.cpp
@@ -27,6 +27,8 @@
                 return this->applyVoided(typed);
             } else if constexpr (std::is_same_v<Entry, CallOutcome>) {
                 return this->applyOutcome(typed);
+            } else if constexpr (std::is_same_v<Entry, OutcomeFound>) {
+                return this->applyFound(typed);
             } else {
                 return this->applyEnded(typed);
             }
@@ -97,6 +99,21 @@
     return true;
 }
 
+bool ProgramState::applyFound(const OutcomeFound &entry)
+{
+    const TurnRecord *turn = this->findTurn(entry.requestId);
+    return turn != nullptr && turn->ran == Ran::Unknown && this->foundOutcomes.emplace(entry.requestId, entry.answer).second;
+}
+
+const CallAnswer *ProgramState::answerOf(const TurnRecord &turn) const
+{
+    if (turn.ran == Ran::Yes) {
+        return &turn.answer;
+    }
+    const auto found = this->foundOutcomes.find(turn.requestId);
+    return found == this->foundOutcomes.end() ? nullptr : &found->second;
+}
+
 const TurnRecord *ProgramState::findTurn(const RequestId &requestId) const
 {
     const auto found = this->turnIndex.find(requestId);
--- a/src/decision/programstate.h
+++ b/src/decision/programstate.h
@@ -24,6 +24,9 @@
     //! Returns the ended call with \p requestId, or nullptr.
     const TurnRecord *findTurn(const RequestId &requestId) const;
 
+    //! Returns the answer to \p turn, if it ran and its answer is known, or nullptr.
+    const CallAnswer *answerOf(const TurnRecord &turn) const;
+
     //! Returns the messages of \p turn in full, kept and new.
     std::vector<std::string> conversationOf(const TurnRecord &turn) const;
 
@@ -45,6 +48,7 @@
     std::vector<TurnRecord> turns{};
     std::map<std::string, BranchState> branches{};
     std::map<RequestId, CallIntent> openIntents{};
+    std::map<RequestId, CallAnswer> foundOutcomes{}; //!< Answers that came to light after their turn ended as unknown.
 
 private:
     bool applyCreated(const ProgramCreated &entry);
@@ -53,6 +57,7 @@
     bool applyVoided(const IntentVoided &entry);
     bool applyOutcome(const CallOutcome &entry);
     bool applyEnded(const ProgramEnded &entry);
+    bool applyFound(const OutcomeFound &entry);
 
     std::unordered_map<RequestId, std::size_t> turnIndex;
 };
--- a/src/runtime/dispatchservice.h
+++ b/src/runtime/dispatchservice.h
@@ -54,6 +54,7 @@
 
     void onReady(const LiveCall &call, const ProgramSpec &spec) override;
     void onAbort(CallId call) override;
+    void onAskOutcome(const ProgramId &program, const RequestId &requestId, const std::string &service) override;
     void onRelease(const ProgramId &program, const std::set<EndpointId> &endpoints) override;
 
     //! Takes the tokens of an answer as they come.
@@ -92,6 +93,7 @@
     boost::asio::awaitable<void> refreshEndpoints();
     boost::asio::awaitable<void> refreshLoads();
     boost::asio::awaitable<void> interruptLoop();
+    boost::asio::awaitable<void> askOutcome(ProgramId program, RequestId requestId, std::string service);
     boost::asio::awaitable<void> sweepCaches();
     boost::asio::awaitable<void> sweepEndpoint(EndpointSpec endpoint);
     boost::asio::awaitable<void> release(std::string address, std::vector<ProgramId> programs);
--- a/src/runtime/endpointupkeep.cpp
+++ b/src/runtime/endpointupkeep.cpp
@@ -23,6 +23,9 @@
 constexpr Duration listStep = std::chrono::milliseconds(500);
 constexpr Duration loadStep = std::chrono::milliseconds(500);
 constexpr Duration sweepStep = std::chrono::seconds(1);
+//! A service is asked for the outcome of a request this often after a takeover.
+constexpr int outcomeTries = 20;
+constexpr Duration outcomeStep = std::chrono::milliseconds(500);
 constexpr Duration upkeepTimeout = std::chrono::seconds(1);
 
 HttpCall upkeepCall(const std::string &address, const std::string &target)
@@ -104,6 +107,36 @@
     }
 }
 
+void DispatchService::onAskOutcome(const ProgramId &program, const RequestId &requestId, const std::string &service)
+{
+    asio::co_spawn(asio::make_strand(this->context), this->askOutcome(program, requestId, service), asio::detached);
+}
+
+asio::awaitable<void> DispatchService::askOutcome(ProgramId program, RequestId requestId, std::string service)
+{
+    for (int tried = 0; tried < outcomeTries; ++tried) {
+        co_await sleepFor(outcomeStep);
+        for (const DispatchPoolPointer &pool : this->allPools()) {
+            std::vector<EndpointSpec> endpoints;
+            std::string path;
+            {
+                const std::lock_guard lock(pool->mutex);
+                const bool wanted = pool->service && pool->service->name == service && !pool->service->outcomePath.empty();
+                endpoints = wanted ? pool->endpoints : endpoints;
+                path = wanted ? pool->service->outcomePath : path;
+            }
+            for (const EndpointSpec &endpoint : endpoints) {
+                const HttpOutcome outcome = co_await this->parts.client.send(upkeepCall(endpoint.address, path + requestId), Step::SlotRecover);
+                if (outcome && outcome.value().status == 200) {
+                    CallAnswer answer{200, outcome.value().contentType, outcome.value().body, endpoint.id};
+                    this->parts.programs.onOutcomeFound(program, requestId, std::move(answer));
+                    co_return;
+                }
+            }
+        }
+    }
+}
+
 void DispatchService::onRelease(const ProgramId &program, const std::set<EndpointId> &endpoints)
 {
     std::vector<std::string> addresses;
--- a/src/runtime/interfaces/readysink.h
+++ b/src/runtime/interfaces/readysink.h
@@ -20,6 +20,9 @@
     //! Takes a call out of the queue or cancels it at its endpoint.
     virtual void onAbort(CallId call) = 0;
 
+    //! Asks \p service what became of a request, and tells ProgramService::onOutcomeFound().
+    virtual void onAskOutcome(const ProgramId &program, const RequestId &requestId, const std::string &service) = 0;
+
     //! Frees what endpoints hold for a program.
     virtual void onRelease(const ProgramId &program, const std::set<EndpointId> &endpoints) = 0;
 };
--- a/src/runtime/programservice.cpp
+++ b/src/runtime/programservice.cpp
@@ -244,6 +244,15 @@
     this->perform(shard, std::move(lock), std::move(actions));
 }
 
+void ProgramService::onOutcomeFound(const ProgramId &program, const RequestId &requestId, CallAnswer answer)
+{
+    Shard &shard = this->shardOfProgram(program);
+    this->events.note(Step::JournalOutcome, program, requestId, "outcome told by the service");
+    std::unique_lock lock(shard.mutex);
+    Actions actions = shard.owner.onOutcomeFound(program, requestId, std::move(answer), currentTime());
+    this->perform(shard, std::move(lock), std::move(actions));
+}
+
 void ProgramService::adoptSlot(SlotId slot, std::uint64_t revision, RecoveredSlot recovered)
 {
     Shard &shard = this->shardOfSlot(slot);
@@ -361,6 +370,7 @@
     std::vector<ReadyCall> ready;
     std::vector<CallId> aborts;
     std::vector<ReleaseAction> releases;
+    std::vector<AskOutcomeAction> questions;
     bool journalWork = false;
     for (Action &action : actions) {
         if (auto *commit = std::get_if<CommitAction>(&action)) {
@@ -380,6 +390,8 @@
             aborts.push_back(abort->call);
         } else if (auto *release = std::get_if<ReleaseAction>(&action)) {
             releases.push_back(std::move(*release));
+        } else if (auto *question = std::get_if<AskOutcomeAction>(&action)) {
+            questions.push_back(std::move(*question));
         }
     }
     lock.unlock();
@@ -399,6 +411,9 @@
         this->events.note(Step::Queue, entry.call.request.program, entry.call.request.requestId, entry.call.request.target);
         this->sink->onReady(entry.call, entry.spec);
     }
+    for (const AskOutcomeAction &question : questions) {
+        this->sink->onAskOutcome(question.program, question.requestId, question.service);
+    }
     for (const ReleaseAction &release : releases) {
         this->sink->onRelease(release.program, release.endpoints);
     }
--- a/src/runtime/programservice.h
+++ b/src/runtime/programservice.h
@@ -65,6 +65,7 @@
     bool beginInterrupt(CallId call);
     bool onInterrupted(CallId call);
     void refuseReady(CallId call, const Error &error);
+    void onOutcomeFound(const ProgramId &program, const RequestId &requestId, CallAnswer answer);
 
     //! Takes over a slot whose record has \p revision.
     void adoptSlot(SlotId slot, std::uint64_t revision, RecoveredSlot recovered);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -89,6 +89,12 @@
     archive(value.program, value.phase, value.at);
 }
 
+template <class Archive>
+void serialize(Archive &archive, OutcomeFound &value)
+{
+    archive(value.program, value.requestId, value.answer);
+}
+
 template <class Archive>
 void serialize(Archive &archive, BranchState &value)
 {
@@ -98,7 +104,7 @@
 template <class Archive>
 void serialize(Archive &archive, ProgramState &value)
 {
-    archive(value.spec, value.phase, value.endedAt, value.drawn, value.spent, value.chain, value.turns, value.branches, value.openIntents);
+    archive(value.spec, value.phase, value.endedAt, value.drawn, value.spent, value.chain, value.turns, value.branches, value.openIntents, value.foundOutcomes);
 }
 
 template <class Archive>
--- a/tests/unit/programownertests.cpp
+++ b/tests/unit/programownertests.cpp
@@ -177,3 +177,21 @@
     CHECK_FALSE(owned.owner.mayStillSend(10, Posture::Normal, start + std::chrono::seconds(2)));
     CHECK_FALSE(owned.owner.mayStillSend(10, Posture::Isolated, start));
 }
+
+TEST_CASE("An outcome that the service tells later is given to callers that ask again")
+{
+    ProgramOwner successor(Owned::limits());
+    ProgramState state(ProgramSpec{"p", "org", "kind", 1000, 0, 10, start, start + std::chrono::hours(1)});
+    state.apply(CallIntent{"p", "b1", "", 1, 7, "svc", 100});
+    const Actions adopted = successor.adoptSlot(0, {state}, start);
+    REQUIRE(find<AskOutcomeAction>(adopted) != nullptr);
+    CHECK(find<AskOutcomeAction>(adopted)->service == "svc");
+    const Actions told = successor.onOutcomeFound("p", "b1", CallAnswer{200, "text/plain", "booked"}, start);
+    CHECK(find<CommitAction>(told) != nullptr);
+    CHECK(successor.onOutcomeFound("p", "b1", CallAnswer{200, "", "another"}, start).empty());
+    CHECK(successor.onOutcomeFound("p", "other", CallAnswer{200}, start).empty());
+    const Actions again = successor.submit(10, Owned::request("b1", 1, false), Posture::Normal, start);
+    REQUIRE(find<DeliverAction>(again) != nullptr);
+    CHECK(find<DeliverAction>(again)->outcome.value().body == "booked");
+    CHECK(successor.findProgram("p")->isChainIntact());
+}
