Read as a newcomer: one JSON access, one connection pool, owner split by matter

Cause: the largest files held several matters, and JSON access and connection keeping stood in several places. Ruled out: merging the two servers' accept loops, which differ in limits and sessions. Conclusion: behaviour unchanged.

--- a/src/decision/programowner.h
+++ b/src/decision/programowner.h
@@ -170,6 +170,7 @@
     void settle(Program &program, LiveCall &call, TurnRecord turn, Time now, Actions &actions);
     void refuse(LiveCall &call, Error error, Actions &actions);
     void deliver(LiveCall &call, const Result<CallAnswer> &outcome, Actions &actions);
+    void deliverOutcome(LiveCall &call, Actions &actions);
     void finish(CallId call, Time now, Actions &actions);
     void pump(Program &program, const std::string &branchName, Time now, Actions &actions);
     void releaseReserve(Program &program, LiveCall &call, MicroUnits cost);
--- a/src/decision/programownertimers.cpp
+++ b/src/decision/programownerjournal.cpp
@@ -19,116 +19,6 @@
     return &this->programs.at(call.request.program);
 }
 
-Ran ProgramOwner::ranIfRefused(const Program &program, const LiveCall &call) const
-{
-    if (this->latestPosture == Posture::Isolated || call.attempts > 0 || program.maybeRan.contains(call.request.requestId)) {
-        return Ran::Unknown;
-    }
-    if (!call.request.repeatable) {
-        // Every attempt at such a call stands behind a durable intent, and this request has none but its own.
-        return Ran::No;
-    }
-    if (!program.recovered) {
-        return Ran::No;
-    }
-    // A predecessor journals each outcome before the next call of the branch, so it may have sent just the first unjournalled one.
-    const auto branch = program.branches.find(call.request.branch);
-    const std::uint64_t recoveredNext = branch == program.branches.end() || branch->second.recoveredNext == 0 ? 1 : branch->second.recoveredNext;
-    const std::uint64_t next = nextSequenceOf(program, call.request.branch);
-    const std::uint64_t sequence = call.sequence == 0 ? next : call.sequence;
-    const bool closed = next > recoveredNext;
-    return !closed && sequence >= recoveredNext ? Ran::Unknown : Ran::No;
-}
-
-Error ProgramOwner::errorFor(
-    const Program &program, const LiveCall &call, ErrorCode code, Step step, std::optional<Duration> retryAfter, std::string detail) const
-{
-    return Error{code, step, {}, this->ranIfRefused(program, call), retryAfter, std::move(detail)};
-}
-
-void ProgramOwner::deliver(LiveCall &call, const Result<CallAnswer> &outcome, Actions &actions)
-{
-    if (!call.abandoned) {
-        actions.emplace_back(DeliverAction{call.id, outcome});
-    }
-    for (const CallId follower : call.followers) {
-        actions.emplace_back(DeliverAction{follower, outcome});
-    }
-    call.followers.clear();
-    call.abandoned = true;
-}
-
-void ProgramOwner::refuse(LiveCall &call, Error error, Actions &actions)
-{
-    this->deliver(call, error, actions);
-    Program *program = this->programOfCall(call);
-    // A waiting call holds the reserve of its next attempt; what earlier attempts may have cost stays spent.
-    const MicroUnits spent = call.phase == CallPhase::Ready ? std::max<MicroUnits>(0, call.reserved - call.request.reserve) : 0;
-    this->releaseReserve(*program, call, spent);
-    const Branch &branch = program->branches[call.request.branch];
-    if (branch.running != call.id) {
-        program->calls.erase(call.request.requestId);
-        const CallId id = call.id;
-        const std::string branchName = call.request.branch;
-        Branch &own = program->branches[branchName];
-        std::erase_if(own.waiting, [id](const auto &entry) {
-            return entry.second == id;
-        });
-        if (own.running == 0 && own.waiting.empty() && own.recoveredNext == 0) {
-            program->branches.erase(branchName);
-        }
-        this->calls.erase(id);
-    }
-}
-
-void ProgramOwner::finish(CallId callId, Time now, Actions &actions)
-{
-    const auto found = this->calls.find(callId);
-    if (found == this->calls.end()) {
-        return;
-    }
-    const ProgramId programId = found->second.request.program;
-    const std::string branchName = found->second.request.branch;
-    Program &program = this->programs.at(programId);
-    program.calls.erase(found->second.request.requestId);
-    this->calls.erase(found);
-    Branch &branch = program.branches[branchName];
-    if (branch.running == callId) {
-        branch.running = 0;
-    }
-    this->pump(program, branchName, now, actions);
-}
-
-void ProgramOwner::pump(Program &program, const std::string &branchName, Time now, Actions &actions)
-{
-    Branch &branch = program.branches[branchName];
-    if (branch.running != 0 || branch.waiting.empty()) {
-        return;
-    }
-    const std::uint64_t next = nextSequenceOf(program, branchName);
-    const auto first = branch.waiting.begin();
-    LiveCall &call = this->calls.at(first->second);
-    if (call.automatic) {
-        call.sequence = next;
-    }
-    if (call.sequence > next) {
-        return;
-    }
-    branch.waiting.erase(first);
-    std::optional<Error> error;
-    if (call.sequence < next) {
-        error = this->errorFor(program, call, ErrorCode::SequenceUsed, Step::Order, std::nullopt, "another request took this place in the branch");
-    } else {
-        error = this->checkProgram(program, call, now);
-    }
-    if (error) {
-        this->refuse(call, std::move(*error), actions);
-        this->pump(program, branchName, now, actions);
-        return;
-    }
-    this->admit(program, call, now, actions);
-}
-
 Ticket ProgramOwner::commit(SlotId slot, Pending pending, std::vector<JournalEntry> entries, Time dueAt, Actions &actions)
 {
     const Ticket ticket = this->nextTicket;
@@ -189,18 +79,7 @@
         if (call == this->calls.end()) {
             break;
         }
-        if (call->second.answer) {
-            this->deliver(call->second, *call->second.answer, actions);
-        } else {
-            this->deliver(call->second,
-                          Error{ErrorCode::OutcomeUnknown,
-                                Step::Stream,
-                                call->second.endpoint,
-                                Ran::Unknown,
-                                std::nullopt,
-                                "the request was sent and its answer never came"},
-                          actions);
-        }
+        this->deliverOutcome(call->second, actions);
         this->finish(callId, now, actions);
         break;
     }
@@ -216,6 +95,16 @@
     return found == this->pendings.end() ? Actions{} : this->dropSlot(found->second.slot);
 }
 
+void ProgramOwner::deliverOutcome(LiveCall &call, Actions &actions)
+{
+    if (call.answer) {
+        this->deliver(call, *call.answer, actions);
+        return;
+    }
+    const Error unknown{ErrorCode::OutcomeUnknown, Step::Stream, call.endpoint, Ran::Unknown, std::nullopt, "the request was sent and its answer never came"};
+    this->deliver(call, unknown, actions);
+}
+
 void ProgramOwner::markEnded(Program &program, ProgramPhase phase, Time now, std::vector<CallId> answerTo, Actions &actions)
 {
     const ProgramId id = program.state.spec.id;
@@ -240,46 +129,6 @@
     actions.emplace_back(ReleaseAction{id, program.endpoints});
 }
 
-void ProgramOwner::giveUp(LiveCall &call, ErrorCode code, Step step, const std::string &detail, Time now, Actions &actions)
-{
-    Program *program = this->programOfCall(call);
-    const bool comeBack = code == ErrorCode::SlotMoving || code == ErrorCode::ServiceUnavailable || code == ErrorCode::SequenceGap;
-    Error error = this->errorFor(*program, call, code, step, comeBack ? std::optional(this->limits.retryAfter) : std::nullopt, detail);
-    error.peer = call.phase == CallPhase::Sent ? call.endpoint : EndpointId{};
-    switch (call.phase) {
-    case CallPhase::Waiting:
-        this->refuse(call, std::move(error), actions);
-        break;
-    case CallPhase::Journalling:
-        // The commit may still take effect; the call stays until it is known, with its caller answered.
-        this->deliver(call, error, actions);
-        this->releaseReserve(*program, call, 0);
-        break;
-    case CallPhase::Ready: {
-        actions.emplace_back(AbortAction{call.id});
-        this->voidIntent(call, now, actions);
-        const CallId id = call.id;
-        this->refuse(call, std::move(error), actions);
-        this->finish(id, now, actions);
-        break;
-    }
-    case CallPhase::Sent: {
-        if (!call.request.repeatable) {
-            this->deliver(call, error, actions);
-            break;
-        }
-        actions.emplace_back(AbortAction{call.id});
-        const CallId id = call.id;
-        this->releaseReserve(*program, call, call.reserved);
-        this->refuse(call, std::move(error), actions);
-        this->finish(id, now, actions);
-        break;
-    }
-    case CallPhase::Settling:
-        break;
-    }
-}
-
 void ProgramOwner::voidIntent(LiveCall &call, Time now, Actions &actions)
 {
     if (!call.intentWritten || call.attempts > 0) {
@@ -450,17 +299,8 @@
         }
         if (call->second.answer) {
             call->second.answer->historyPending = true;
-            this->deliver(call->second, *call->second.answer, actions);
-        } else {
-            this->deliver(call->second,
-                          Error{ErrorCode::OutcomeUnknown,
-                                Step::Stream,
-                                call->second.endpoint,
-                                Ran::Unknown,
-                                std::nullopt,
-                                "the request was sent and its answer never came"},
-                          actions);
         }
+        this->deliverOutcome(call->second, actions);
         this->finish(callId, now, actions);
         break;
     }
--- a/src/platform/consulinstancelist.cpp
+++ b/src/platform/consulinstancelist.cpp
@@ -1,6 +1,7 @@
 #include "platform/consulinstancelist.h"
 
 #include "runtime/httpclient.h"
+#include "runtime/jsonaccess.h"
 
 #include <boost/json.hpp>
 
@@ -11,12 +12,6 @@
 
 namespace {
 
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
 std::optional<EndpointSpec> endpointOf(const json::value &entry)
 {
     const json::value *service = entry.is_object() ? entry.get_object().if_contains("Service") : nullptr;
@@ -26,15 +21,15 @@
     const json::object &object = service->get_object();
     const json::value *port = object.if_contains("Port");
     EndpointSpec endpoint;
-    endpoint.id = textOf(object, "ID");
+    endpoint.id = jsonText(object, "ID");
     if (endpoint.id.empty() || port == nullptr || !port->is_int64()) {
         return std::nullopt;
     }
-    endpoint.address = textOf(object, "Address") + ":" + std::to_string(port->get_int64());
+    endpoint.address = jsonText(object, "Address") + ":" + std::to_string(port->get_int64());
     const json::value *meta = object.if_contains("Meta");
     if (meta != nullptr && meta->is_object()) {
-        endpoint.domain = textOf(meta->get_object(), "domain");
-        endpoint.leaving = textOf(meta->get_object(), "state") == "leaving";
+        endpoint.domain = jsonText(meta->get_object(), "domain");
+        endpoint.leaving = jsonText(meta->get_object(), "state") == "leaving";
     }
     return endpoint;
 }
--- a/src/platform/etcdkeyvalue.cpp
+++ b/src/platform/etcdkeyvalue.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/base64.h"
 #include "runtime/httpclient.h"
+#include "runtime/jsonaccess.h"
 
 #include <boost/json.hpp>
 
@@ -29,16 +30,9 @@
 }
 
 //! etcd writes 64-bit numbers as texts.
-std::uint64_t numberOf(const json::object &object, std::string_view key)
+std::uint64_t numberAt(const json::object &object, std::string_view key)
 {
-    const json::value *value = object.if_contains(key);
-    if (value == nullptr) {
-        return 0;
-    }
-    if (const json::string *text = value->if_string()) {
-        return std::strtoull(text->c_str(), nullptr, 10);
-    }
-    return value->is_int64() ? static_cast<std::uint64_t>(value->get_int64()) : 0;
+    return static_cast<std::uint64_t>(jsonNumber(object, key));
 }
 
 KvPair pairOf(const json::object &object)
@@ -50,14 +44,14 @@
     if (const json::value *value = object.if_contains("value"); value != nullptr && value->is_string()) {
         pair.value = fromBase64(value->get_string());
     }
-    pair.revision = numberOf(object, "mod_revision");
+    pair.revision = numberAt(object, "mod_revision");
     return pair;
 }
 
 std::uint64_t headerRevision(const json::object &object)
 {
     const json::value *header = object.if_contains("header");
-    return header != nullptr && header->is_object() ? numberOf(header->get_object(), "revision") : 0;
+    return header != nullptr && header->is_object() ? numberAt(header->get_object(), "revision") : 0;
 }
 
 json::value compareOf(const KvCompare &compare)
@@ -264,7 +258,7 @@
     if (!parsed) {
         co_return parsed.error();
     }
-    const std::uint64_t lease = numberOf(parsed.value(), "ID");
+    const std::uint64_t lease = numberAt(parsed.value(), "ID");
     if (lease == 0) {
         co_return garbled(this->address);
     }
@@ -283,7 +277,7 @@
         co_return parsed.error();
     }
     const json::value *result = parsed.value().if_contains("result");
-    if (result == nullptr || !result->is_object() || numberOf(result->get_object(), "TTL") == 0) {
+    if (result == nullptr || !result->is_object() || numberAt(result->get_object(), "TTL") == 0) {
         co_return Error{ErrorCode::NotFound, Step::LeaseRenew, this->address, Ran::Yes, std::nullopt, "the lease has lapsed"};
     }
     co_return boost::outcome_v2::success();
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -1,5 +1,7 @@
 //! Merges the event files of all processes into one time line.
 
+#include "runtime/jsonaccess.h"
+
 #include <boost/json.hpp>
 #include <docopt/docopt.h>
 
@@ -13,6 +15,7 @@
 namespace {
 
 namespace json = boost::json;
+using oleandergate::jsonText;
 
 constexpr const char *usage = R"(oleander-timeline: one time line of events over all processes.
 
@@ -38,12 +41,6 @@
     std::string line{};
 };
 
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
 std::size_t readEvents(const std::string &file, std::vector<Event> &events)
 {
     std::ifstream in(file);
@@ -60,11 +57,11 @@
         }
         const json::object &object = value.get_object();
         events.push_back(Event{at->get_int64(),
-                               textOf(object, "process"),
-                               textOf(object, "step"),
-                               textOf(object, "program"),
-                               textOf(object, "request"),
-                               textOf(object, "detail"),
+                               jsonText(object, "process"),
+                               jsonText(object, "step"),
+                               jsonText(object, "program"),
+                               jsonText(object, "request"),
+                               jsonText(object, "detail"),
                                line});
     }
     return skipped;
--- a/src/runtime/chatdocument.cpp
+++ b/src/runtime/chatdocument.cpp
@@ -1,5 +1,7 @@
 #include "runtime/chatdocument.h"
 
+#include "runtime/jsonaccess.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -23,13 +25,6 @@
     return Error{ErrorCode::BadRequest, Step::Parse, {}, Ran::No, std::nullopt, detail};
 }
 
-json::object parseObject(const std::string &text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    return error || !value.is_object() ? json::object() : value.get_object();
-}
-
 std::string event(const json::object &object)
 {
     return "data: " + json::serialize(object) + "\n\n";
@@ -87,7 +82,7 @@
 
 std::string engineBody(const CallRequest &request, const std::string &generated, Tokens generatedTokens)
 {
-    json::object body = parseObject(request.body);
+    json::object body = parseJsonObject(request.body);
     body["stream"] = true;
     body["stream_options"] = json::object{{"include_usage", true}};
     body["max_tokens"] = std::max<Tokens>(1, request.maxTokens - generatedTokens);
@@ -113,7 +108,7 @@
 
 std::string completionText(const std::string &completion)
 {
-    const json::object object = parseObject(completion);
+    const json::object object = parseJsonObject(completion);
     const json::value *choices = object.if_contains("choices");
     if (choices == nullptr || !choices->is_array() || choices->get_array().empty() || !choices->get_array().front().is_object()) {
         return {};
@@ -131,7 +126,7 @@
 
 std::string chatEnd(const std::string &requestId, const std::string &model, const CallAnswer &answer)
 {
-    const json::object completion = parseObject(answer.body);
+    const json::object completion = parseJsonObject(answer.body);
     json::value reason = "stop";
     const json::value *choices = completion.if_contains("choices");
     if (choices != nullptr && choices->is_array() && !choices->get_array().empty() && choices->get_array().front().is_object()) {
--- a/src/runtime/clusterview.cpp
+++ b/src/runtime/clusterview.cpp
@@ -1,5 +1,6 @@
 #include "runtime/clusterview.h"
 
+#include "runtime/jsonaccess.h"
 #include "runtime/storekeys.h"
 
 #include <boost/json.hpp>
@@ -10,26 +11,13 @@
 
 namespace {
 
-json::object parseRecord(const std::string &text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    return error || !value.is_object() ? json::object() : value.get_object();
-}
-
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
 InstanceRecord readInstance(const KvPair &pair)
 {
-    const json::object object = parseRecord(pair.value);
+    const json::object object = parseJsonObject(pair.value);
     InstanceRecord record;
     record.id = pair.key.substr(std::string(instancePrefix).size());
-    record.peerAddress = textOf(object, "peer");
-    record.domain = textOf(object, "domain");
+    record.peerAddress = jsonText(object, "peer");
+    record.domain = jsonText(object, "domain");
     const json::value *leaving = object.if_contains("leaving");
     record.leaving = leaving != nullptr && leaving->is_bool() && leaving->get_bool();
     return record;
@@ -53,8 +41,8 @@
     if (pair.revision == 0) {
         return record;
     }
-    const json::object object = parseRecord(pair.value);
-    record.owner = textOf(object, "owner");
+    const json::object object = parseJsonObject(pair.value);
+    record.owner = jsonText(object, "owner");
     const json::value *epoch = object.if_contains("epoch");
     record.epoch = epoch != nullptr && epoch->is_int64() ? static_cast<std::uint64_t>(epoch->get_int64()) : 0;
     record.revision = pair.revision;
--- a/src/runtime/configkeeper.cpp
+++ b/src/runtime/configkeeper.cpp
@@ -3,6 +3,7 @@
 #include "decision/configversions.h"
 #include "runtime/clock.h"
 #include "runtime/eventlog.h"
+#include "runtime/jsonaccess.h"
 #include "runtime/log.h"
 #include "runtime/storekeys.h"
 #include "wire/messageauth.h"
@@ -44,21 +45,15 @@
 
 std::optional<ConfigVersion> readConfigVersion(const std::string &stored)
 {
-    boost::system::error_code error;
-    const json::value value = json::parse(stored, error);
-    if (error || !value.is_object()) {
+    const json::object object = parseJsonObject(stored);
+    if (object.empty()) {
         return std::nullopt;
     }
-    const json::object &object = value.get_object();
-    const auto text = [&object](std::string_view key) {
-        const json::value *found = object.if_contains(key);
-        return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
-    };
-    const auto number = [&object](std::string_view key) {
-        const json::value *found = object.if_contains(key);
-        return found != nullptr && found->is_int64() ? found->get_int64() : 0;
-    };
-    return ConfigVersion{static_cast<std::uint64_t>(number("version")), text("author"), text("nonce"), text("text"), Time(Duration(number("at")))};
+    return ConfigVersion{static_cast<std::uint64_t>(jsonNumber(object, "version")),
+                         jsonText(object, "author"),
+                         jsonText(object, "nonce"),
+                         jsonText(object, "text"),
+                         Time(Duration(jsonNumber(object, "at")))};
 }
 
 ConfigKeeper::ConfigKeeper(KeyValueService &service, std::string dataFolder, EventLog &events)
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -2,14 +2,12 @@
 
 #include "runtime/address.h"
 #include "runtime/cancellation.h"
+#include "runtime/connectionpool.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <map>
-#include <mutex>
-
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -20,7 +18,6 @@
 namespace {
 
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t keptPerAddress = 64;
 
 //! A connection with its own strand, on which all its operations run.
 struct Connection
@@ -42,28 +39,12 @@
 struct HttpClient::Core
 {
     asio::io_context &context;
-    std::mutex mutex{};
-    std::map<std::string, std::vector<ConnectionPointer>> kept{};
+    ConnectionPool<Connection> kept{};
 
     ConnectionPointer take(const std::string &address, bool reuse)
     {
-        const std::lock_guard lock(this->mutex);
-        std::vector<ConnectionPointer> &pool = this->kept[address];
-        if (!reuse || pool.empty()) {
-            return std::make_shared<Connection>(this->context);
-        }
-        ConnectionPointer connection = std::move(pool.back());
-        pool.pop_back();
-        return connection;
-    }
-
-    void keep(const std::string &address, ConnectionPointer connection)
-    {
-        const std::lock_guard lock(this->mutex);
-        std::vector<ConnectionPointer> &pool = this->kept[address];
-        if (pool.size() < keptPerAddress) {
-            pool.push_back(std::move(connection));
-        }
+        ConnectionPointer connection = reuse ? this->kept.take(address) : nullptr;
+        return connection ? connection : std::make_shared<Connection>(this->context);
     }
 };
 
@@ -141,7 +122,7 @@
     connection->stream.expires_never();
     if (parser.get().keep_alive()) {
         connection->used = true;
-        core.keep(call.address, connection);
+        core.kept.keep(call.address, connection);
     }
     co_return toResponse(parser.get());
 }
@@ -205,7 +186,6 @@
 
 HttpClient::~HttpClient()
 {
-    const std::lock_guard lock(this->core->mutex);
     this->core->kept.clear();
 }
 
--- a/src/runtime/peakrecord.cpp
+++ b/src/runtime/peakrecord.cpp
@@ -1,21 +1,13 @@
 #include "runtime/peakrecord.h"
 
+#include "runtime/jsonaccess.h"
+
 #include <boost/json.hpp>
 
 namespace oleandergate {
 
 namespace json = boost::json;
 
-namespace {
-
-std::int64_t numberOf(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
-} // namespace
-
 std::string showPeakLedger(const PeakLedger &ledger)
 {
     json::object grants;
@@ -39,13 +31,13 @@
         return ledger;
     }
     const json::object &root = value.get_object();
-    ledger.cap = numberOf(root, "cap");
+    ledger.cap = jsonNumber(root, "cap");
     if (const json::value *grants = root.if_contains("grants"); grants != nullptr && grants->is_object()) {
         for (const auto &[instance, entry] : grants->get_object()) {
             if (entry.is_object()) {
                 const json::object &grant = entry.get_object();
                 ledger.grants[std::string(instance)]
-                    = PeakGrant{numberOf(grant, "tokens"), numberOf(grant, "through"), numberOf(grant, "reduced_from"), numberOf(grant, "reduced_to")};
+                    = PeakGrant{jsonNumber(grant, "tokens"), jsonNumber(grant, "through"), jsonNumber(grant, "reduced_from"), jsonNumber(grant, "reduced_to")};
             }
         }
     }
--- a/src/runtime/peerclient.cpp
+++ b/src/runtime/peerclient.cpp
@@ -2,13 +2,11 @@
 
 #include "runtime/address.h"
 #include "runtime/answerchannel.h"
+#include "runtime/connectionpool.h"
 #include "runtime/peerframe.h"
 
 #include <boost/asio.hpp>
 
-#include <map>
-#include <mutex>
-
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -20,7 +18,6 @@
 
 //! The serving side sends empty pieces more often than this while it works.
 constexpr std::chrono::seconds silenceTimeout{2};
-constexpr std::size_t keptPerAddress = 64;
 
 struct PeerConnection
 {
@@ -43,28 +40,12 @@
 {
     asio::io_context &context;
     const MessageAuth &auth;
-    std::mutex mutex{};
-    std::map<std::string, std::vector<ConnectionPointer>> kept{};
+    ConnectionPool<PeerConnection> kept{};
 
     ConnectionPointer take(const std::string &address, bool fresh)
     {
-        const std::lock_guard lock(this->mutex);
-        std::vector<ConnectionPointer> &pool = this->kept[address];
-        if (fresh || pool.empty()) {
-            return std::make_shared<PeerConnection>(this->context, this->auth);
-        }
-        ConnectionPointer connection = std::move(pool.back());
-        pool.pop_back();
-        return connection;
-    }
-
-    void keep(const std::string &address, ConnectionPointer connection)
-    {
-        const std::lock_guard lock(this->mutex);
-        std::vector<ConnectionPointer> &pool = this->kept[address];
-        if (pool.size() < keptPerAddress) {
-            pool.push_back(std::move(connection));
-        }
+        ConnectionPointer connection = fresh ? nullptr : this->kept.take(address);
+        return connection ? connection : std::make_shared<PeerConnection>(this->context, this->auth);
     }
 };
 
@@ -113,7 +94,7 @@
         if (piece == nullptr) {
             connection->stream.expires_never();
             connection->used = true;
-            core->keep(address, connection);
+            core->kept.keep(address, connection);
             co_return message;
         }
         if (!piece->text.empty() && pieces) {
@@ -131,7 +112,6 @@
 
 PeerClient::~PeerClient()
 {
-    const std::lock_guard lock(this->core->mutex);
     this->core->kept.clear();
 }
 
--- a/standins/common/standin.cpp
+++ b/standins/common/standin.cpp
@@ -61,31 +61,6 @@
     return 0;
 }
 
-json::object parseObject(const std::string &text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    return error || !value.is_object() ? json::object() : value.get_object();
-}
-
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(key);
-    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
-}
-
-std::int64_t numberOf(const json::object &object, std::string_view key, std::int64_t fallback)
-{
-    const json::value *value = object.if_contains(key);
-    if (value == nullptr) {
-        return fallback;
-    }
-    if (value->is_string()) {
-        return std::strtoll(value->get_string().c_str(), nullptr, 10);
-    }
-    return value->is_int64() ? value->get_int64() : fallback;
-}
-
 HttpResponse jsonResponse(const json::object &object, int status)
 {
     HttpResponse response;
--- a/standins/common/standin.h
+++ b/standins/common/standin.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_STANDINS_COMMON_STANDIN_H
 
 #include "runtime/httpserver.h"
+#include "runtime/jsonaccess.h"
 
 #include <boost/json/object.hpp>
 
@@ -26,11 +27,7 @@
 //! Serves \p handler on \p address until SIGTERM. Returns the exit status.
 int serve(const std::string &name, const std::string &address, unsigned threads, HttpHandler handler);
 
-//! Returns the object in \p text, empty when there is none.
-boost::json::object parseObject(const std::string &text);
-
-std::string textOf(const boost::json::object &object, std::string_view key);
-std::int64_t numberOf(const boost::json::object &object, std::string_view key, std::int64_t fallback = 0);
+//! Returns a JSON response.
 HttpResponse jsonResponse(const boost::json::object &object, int status = 200);
 
 } // namespace oleandergate::standin
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -141,7 +141,7 @@
     std::size_t count = messages->get_array().size();
     for (std::size_t index = 0; index < count; ++index) {
         const json::object message = messages->get_array()[index].is_object() ? messages->get_array()[index].get_object() : json::object();
-        const std::string content = standin::textOf(message, "content");
+        const std::string content = jsonText(message, "content");
         prompt.tokens += static_cast<std::int64_t>(content.size() / 4) + 4;
         if (resumes && index + 1 == count) {
             prompt.alreadyGenerated = countWords(content);
@@ -153,7 +153,7 @@
             prompt.answerTokens = std::strtoll(content.c_str() + mark + 9, nullptr, 10);
         }
     }
-    const std::int64_t bound = standin::numberOf(body, "max_tokens", 1024) + prompt.alreadyGenerated;
+    const std::int64_t bound = jsonNumber(body, "max_tokens", 1024) + prompt.alreadyGenerated;
     prompt.answerTokens = std::min(prompt.answerTokens, bound);
     return prompt;
 }
@@ -240,9 +240,9 @@
 
 asio::awaitable<void> complete(Engine &engine, HttpRequest request, HttpExchange &exchange)
 {
-    const json::object body = standin::parseObject(request.body);
+    const json::object body = parseJsonObject(request.body);
     const std::string program = request.header("Program-Id");
-    const std::string salt = standin::textOf(body, "cache_salt");
+    const std::string salt = jsonText(body, "cache_salt");
     const std::int64_t epoch = std::strtoll(request.header("Fencing-Number").c_str(), nullptr, 10);
     const Prompt prompt = readPrompt(body);
     const bool fenced = engine.isFenced(program, epoch);
@@ -291,16 +291,16 @@
         const std::lock_guard lock(engine.mutex);
         response = standin::jsonResponse(holdersOf(engine));
     } else if (path == "/v1/cache/release") {
-        const std::string salt = standin::textOf(standin::parseObject(request.body), "cache_salt");
+        const std::string salt = jsonText(parseJsonObject(request.body), "cache_salt");
         const std::lock_guard lock(engine.mutex);
         engine.cache.erase(salt);
         std::erase(engine.cacheAge, salt);
         response = standin::jsonResponse(json::object());
     } else if (path == "/fault") {
-        const json::object fault = standin::parseObject(request.body);
+        const json::object fault = parseJsonObject(request.body);
         const std::lock_guard lock(engine.mutex);
-        engine.fault = standin::textOf(fault, "mode");
-        engine.faultFactor = standin::numberOf(fault, "factor", 1);
+        engine.fault = jsonText(fault, "mode");
+        engine.faultFactor = jsonNumber(fault, "factor", 1);
         response = standin::jsonResponse(json::object());
     }
     co_await exchange.respond(std::move(response));
--- a/standins/instances/main.cpp
+++ b/standins/instances/main.cpp
@@ -65,8 +65,8 @@
         const std::lock_guard lock(list.mutex);
         list.settle();
         if (path == "/v1/agent/service/register") {
-            const json::object service = standin::parseObject(request.body);
-            list.changes.push_back(Change{currentTime() + list.lag, standin::textOf(service, "ID"), service});
+            const json::object service = parseJsonObject(request.body);
+            list.changes.push_back(Change{currentTime() + list.lag, jsonText(service, "ID"), service});
             response = standin::jsonResponse(json::object{});
         } else if (path.starts_with(removal)) {
             list.changes.push_back(Change{currentTime() + list.lag, path.substr(removal.size()), {}});
@@ -74,7 +74,7 @@
         } else if (path.starts_with(health)) {
             json::array found;
             for (const auto &[id, service] : list.services) {
-                if (standin::textOf(service, "Name") == path.substr(health.size())) {
+                if (jsonText(service, "Name") == path.substr(health.size())) {
                     found.push_back(json::object{{"Service", service}});
                 }
             }
--- a/standins/kv/main.cpp
+++ b/standins/kv/main.cpp
@@ -118,9 +118,9 @@
 
 json::object range(Store &store, const json::object &request)
 {
-    const std::string key = fromBase64(standin::textOf(request, "key"));
-    const std::string end = fromBase64(standin::textOf(request, "range_end"));
-    const std::int64_t limit = standin::numberOf(request, "limit", 0);
+    const std::string key = fromBase64(jsonText(request, "key"));
+    const std::string end = fromBase64(jsonText(request, "range_end"));
+    const std::int64_t limit = jsonNumber(request, "limit", 0);
     json::array kvs;
     bool more = false;
     for (auto entry = store.entries.lower_bound(key); entry != store.entries.end(); ++entry) {
@@ -138,19 +138,19 @@
 
 bool holds(const Store &store, const json::object &compare)
 {
-    const auto entry = store.entries.find(fromBase64(standin::textOf(compare, "key")));
+    const auto entry = store.entries.find(fromBase64(jsonText(compare, "key")));
     const std::int64_t revision = entry == store.entries.end() ? 0 : entry->second.revision;
-    return revision == standin::numberOf(compare, "mod_revision");
+    return revision == jsonNumber(compare, "mod_revision");
 }
 
 void apply(Store &store, const json::object &operation)
 {
     if (const json::value *put = operation.if_contains("request_put")) {
         const json::object &request = put->as_object();
-        store.put(fromBase64(standin::textOf(request, "key")), fromBase64(standin::textOf(request, "value")), standin::numberOf(request, "lease"));
+        store.put(fromBase64(jsonText(request, "key")), fromBase64(jsonText(request, "value")), jsonNumber(request, "lease"));
     } else if (const json::value *deletion = operation.if_contains("request_delete_range")) {
-        const std::string key = fromBase64(standin::textOf(deletion->as_object(), "key"));
-        const std::string end = fromBase64(standin::textOf(deletion->as_object(), "range_end"));
+        const std::string key = fromBase64(jsonText(deletion->as_object(), "key"));
+        const std::string end = fromBase64(jsonText(deletion->as_object(), "range_end"));
         std::vector<std::string> gone;
         for (auto entry = store.entries.lower_bound(key); entry != store.entries.end() && (end.empty() ? entry->first == key : entry->first < end); ++entry) {
             gone.push_back(entry->first);
@@ -185,11 +185,11 @@
 {
     if (grant) {
         const std::int64_t id = store.nextLease++;
-        const Duration length = std::chrono::seconds(standin::numberOf(body, "TTL", 1));
+        const Duration length = std::chrono::seconds(jsonNumber(body, "TTL", 1));
         store.leases[id] = Lease{length, now + length};
-        return json::object{{"ID", std::to_string(id)}, {"TTL", std::to_string(standin::numberOf(body, "TTL", 1))}};
+        return json::object{{"ID", std::to_string(id)}, {"TTL", std::to_string(jsonNumber(body, "TTL", 1))}};
     }
-    const auto found = store.leases.find(standin::numberOf(body, "ID"));
+    const auto found = store.leases.find(jsonNumber(body, "ID"));
     if (found == store.leases.end()) {
         return json::object{{"result", json::object{{"TTL", "0"}}}};
     }
@@ -219,11 +219,11 @@
 
 asio::awaitable<void> watch(Store &store, HttpRequest request, HttpExchange &exchange)
 {
-    const json::object body = standin::parseObject(request.body);
+    const json::object body = parseJsonObject(request.body);
     const json::object create = body.at("create_request").as_object();
-    const std::string key = fromBase64(standin::textOf(create, "key"));
-    const std::string end = fromBase64(standin::textOf(create, "range_end"));
-    std::int64_t next = standin::numberOf(create, "start_revision");
+    const std::string key = fromBase64(jsonText(create, "key"));
+    const std::string end = fromBase64(jsonText(create, "range_end"));
+    std::int64_t next = jsonNumber(create, "start_revision");
     HttpResponse head;
     co_await exchange.startStream(std::move(head));
     bool healthy = co_await exchange.sendPiece("{\"result\":{\"created\":true}}\n");
@@ -257,11 +257,11 @@
 asio::awaitable<void> setFault(Store &store, HttpRequest request, HttpExchange &exchange)
 {
     {
-        const json::object body = standin::parseObject(request.body);
+        const json::object body = parseJsonObject(request.body);
         const std::lock_guard lock(store.mutex);
         const bool wasDown = store.fault == "down";
-        store.fault = standin::textOf(body, "mode");
-        store.faultDelay = std::chrono::milliseconds(standin::numberOf(body, "ms", 0));
+        store.fault = jsonText(body, "mode");
+        store.faultDelay = std::chrono::milliseconds(jsonNumber(body, "ms", 0));
         if (wasDown && store.fault != "down") {
             store.restartLeases(currentTime());
         }
@@ -307,7 +307,7 @@
     json::object answer = notFound();
     int status = 404;
     {
-        const json::object body = standin::parseObject(request.body);
+        const json::object body = parseJsonObject(request.body);
         const std::lock_guard lock(store.mutex);
         const Time now = currentTime();
         store.expireLeases(now);
--- a/standins/tool/main.cpp
+++ b/standins/tool/main.cpp
@@ -84,7 +84,7 @@
     if (path == "/fault") {
         {
             const std::lock_guard lock(tool.mutex);
-            tool.fault = standin::textOf(standin::parseObject(request.body), "mode");
+            tool.fault = jsonText(parseJsonObject(request.body), "mode");
         }
         co_await exchange.respond(standin::jsonResponse(json::object()));
     } else if (path.starts_with(outcomes)) {
