Processes of a test end with it

Cause: test clusters outlived test programs that were killed, and worked beside later measurements. Change: ChildProcess forks and asks the system to end the child with its parent. Ruled out: posix_spawn, which cannot ask for it.

--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -2,14 +2,30 @@
 
 #include <csignal>
 #include <fcntl.h>
-#include <spawn.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
 
 namespace oleandergate::support {
 
+namespace {
+
+constexpr int exitNotStarted = 127;
+
+void redirectOutput(const char *file)
+{
+    constexpr mode_t mode = 0644;
+    const int log = *file == '\0' ? -1 : ::open(file, O_WRONLY | O_CREAT | O_APPEND, mode);
+    if (log >= 0) {
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+    }
+}
+
+} // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
 {
     std::vector<char *> arguments;
@@ -18,16 +34,15 @@
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
     arguments.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    if (!logFile.empty()) {
-        constexpr mode_t mode = 0644;
-        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
-        posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    this->pid = ::fork();
+    if (this->pid == 0) {
+        // The program ends with the test that started it, also when that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        redirectOutput(logFile.c_str());
+        ::execv(arguments.front(), arguments.data());
+        ::_exit(exitNotStarted);
     }
-    const int failed = posix_spawn(&this->pid, arguments.front(), &actions, nullptr, arguments.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    if (failed != 0) {
+    if (this->pid < 0) {
         throw std::runtime_error("cannot start " + command.front());
     }
 }
