Remaining twins of the JSON access go to it; mutations are passed by their type

Cause: a last reading found parseJsonObject written again in the operator's command line, the endpoints' upkeep and the grants' record, and the fault simulation casting Mutation to int and back at 13 places. The clusters that integration tests build alike are left apart, as each test reads whole by itself. Change: four places call what was there already; behaviour and checks as they were. Conclusion: no behaviour changed.

--- a/src/programs/oleanderctl/main.cpp
+++ b/src/programs/oleanderctl/main.cpp
@@ -3,6 +3,7 @@
 #include "config/configuration.h"
 #include "programs/oleanderctl/adminclient.h"
 #include "programs/oleanderctl/linediff.h"
+#include "runtime/jsonaccess.h"
 #include "runtime/textfile.h"
 
 #include <boost/json.hpp>
@@ -67,19 +68,12 @@
     return value->is_string() ? std::string(value->get_string()) : json::serialize(*value);
 }
 
-json::object objectOf(const std::string &text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    return error || !value.is_object() ? json::object() : value.get_object();
-}
-
 int report(const HttpResponse &response)
 {
     if (response.status == statusOk || response.status == statusAccepted) {
         return 0;
     }
-    const json::object document = objectOf(response.body);
+    const json::object document = parseJsonObject(response.body);
     const json::value *error = document.if_contains("error");
     const json::object details = error != nullptr && error->is_object() ? error->get_object() : json::object();
     std::cerr << "oleanderctl: " << textOf(details, "code") << " at step " << textOf(details, "step") << ": " << textOf(details, "message") << '\n';
@@ -134,7 +128,7 @@
         if (!current) {
             return exitFailed;
         }
-        expected = current->status == statusOk ? textOf(objectOf(current->body), "version") : "0";
+        expected = current->status == statusOk ? textOf(parseJsonObject(current->body), "version") : "0";
     }
     const auto response = session.client.send("PUT", "/admin/config", *text, expected);
     if (!response) {
@@ -143,7 +137,7 @@
     if (response->status == statusConflict) {
         const auto current = session.client.send("GET", "/admin/config");
         if (current && current->status == statusOk) {
-            const json::object inForce = objectOf(current->body);
+            const json::object inForce = parseJsonObject(current->body);
             std::cerr << "oleanderctl: another change came first: version " << textOf(inForce, "version") << " by " << textOf(inForce, "author")
                       << " is in force. From it to yours:\n"
                       << lineDiff(textOf(inForce, "text"), *text);
@@ -151,7 +145,7 @@
         return exitFailed;
     }
     if (response->status == statusOk) {
-        std::cout << (session.json ? response->body : "version " + textOf(objectOf(response->body), "version") + " is in force") << '\n';
+        std::cout << (session.json ? response->body : "version " + textOf(parseJsonObject(response->body), "version") + " is in force") << '\n';
     }
     return report(*response);
 }
@@ -160,7 +154,7 @@
 {
     const auto response = session.client.send("GET", "/admin/config");
     if (response && response->status == statusOk) {
-        std::cout << (session.json ? response->body + "\n" : textOf(objectOf(response->body), "text"));
+        std::cout << (session.json ? response->body + "\n" : textOf(parseJsonObject(response->body), "text"));
     }
     return response ? report(*response) : exitFailed;
 }
@@ -170,7 +164,7 @@
     const std::optional<std::string> text = readConfigFile(session);
     const auto response = text ? session.client.send("GET", "/admin/config") : std::nullopt;
     if (response && response->status == statusOk) {
-        std::cout << lineDiff(textOf(objectOf(response->body), "text"), *text);
+        std::cout << lineDiff(textOf(parseJsonObject(response->body), "text"), *text);
     }
     return response ? report(*response) : exitFailed;
 }
@@ -216,7 +210,7 @@
         if (session.json) {
             std::cout << response->body << '\n';
         } else {
-            printStatus(objectOf(response->body));
+            printStatus(parseJsonObject(response->body));
         }
     }
     return response ? report(*response) : exitFailed;
@@ -236,7 +230,7 @@
         std::cout << response->body << '\n';
         return 0;
     }
-    const json::object document = objectOf(response->body);
+    const json::object document = parseJsonObject(response->body);
     for (const json::value &entry : document.at("programs").as_array()) {
         const json::object &program = entry.as_object();
         std::cout << textOf(program, "id") << "  " << textOf(program, "organisation") << '/' << textOf(program, "kind") << "  " << textOf(program, "phase")
--- a/src/runtime/endpointupkeep.cpp
+++ b/src/runtime/endpointupkeep.cpp
@@ -6,6 +6,7 @@
 #include "runtime/dispatchservice.h"
 #include "runtime/eventlog.h"
 #include "runtime/httpclient.h"
+#include "runtime/jsonaccess.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/programservice.h"
@@ -48,9 +49,7 @@
     if (!outcome || outcome.value().status != 200) {
         return {};
     }
-    boost::system::error_code error;
-    json::value value = json::parse(outcome.value().body, error);
-    return error || !value.is_object() ? json::object() : value.get_object();
+    return parseJsonObject(outcome.value().body);
 }
 
 } // namespace
--- a/src/runtime/peakrecord.cpp
+++ b/src/runtime/peakrecord.cpp
@@ -25,12 +25,7 @@
 PeakLedger readPeakLedger(const std::string &text)
 {
     PeakLedger ledger;
-    boost::system::error_code error;
-    const json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        return ledger;
-    }
-    const json::object &root = value.get_object();
+    const json::object root = parseJsonObject(text);
     ledger.cap = jsonNumber(root, "cap");
     if (const json::value *grants = root.if_contains("grants"); grants != nullptr && grants->is_object()) {
         for (const auto &[instance, entry] : grants->get_object()) {
--- a/tests/fault/siminstance.cpp
+++ b/tests/fault/siminstance.cpp
@@ -99,7 +99,7 @@
     this->stopping = true;
     this->stopsAfter = this->simulation.now() + balancerLag;
     this->simulation.pass(Step::Drain, this->index);
-    if (this->mutated(static_cast<int>(Mutation::StopAtOnce))) {
+    if (this->mutated(Mutation::StopAtOnce)) {
         this->kill();
         this->stoppedAsPlanned = this->id;
     }
@@ -120,9 +120,9 @@
     });
 }
 
-bool SimInstance::mutated(int mutation) const
+bool SimInstance::mutated(Mutation mutation) const
 {
-    return this->simulation.plan().mutation == static_cast<Mutation>(mutation);
+    return this->simulation.plan().mutation == mutation;
 }
 
 Time SimInstance::localNow() const
@@ -276,7 +276,7 @@
         this->perform(this->owner->createProgram(call, command.spec, this->posture(), now));
     } else if (command.kind == SimCommand::Kind::End) {
         this->perform(this->owner->endProgram(call, command.request.program, command.request.organisation, ProgramPhase::Ended, this->posture(), now));
-    } else if (this->mutated(static_cast<int>(Mutation::SkipOrder)) && command.request.repeatable) {
+    } else if (this->mutated(Mutation::SkipOrder) && command.request.repeatable) {
         this->deliverAttempt(0, 0, command.request, command.submission, 0, command.request.sequence);
         this->perform(this->owner->submit(call, command.request, this->posture(), now));
     } else {
@@ -321,11 +321,11 @@
             }
             const Reply give = std::move(reply->second);
             this->replies.erase(reply);
-            if (delivery->outcome && this->mutated(static_cast<int>(Mutation::TruncateAnswer)) && !delivery->outcome.value().body.empty()) {
+            if (delivery->outcome && this->mutated(Mutation::TruncateAnswer) && !delivery->outcome.value().body.empty()) {
                 CallAnswer half = delivery->outcome.value();
                 half.body.pop_back();
                 give(half);
-            } else if (!delivery->outcome && this->mutated(static_cast<int>(Mutation::ClaimNotRun))) {
+            } else if (!delivery->outcome && this->mutated(Mutation::ClaimNotRun)) {
                 Error error = delivery->outcome.error();
                 error.ran = Ran::No;
                 error.code = ErrorCode::ServiceUnavailable;
@@ -335,7 +335,7 @@
             }
         } else if (const auto *release = std::get_if<ReleaseAction>(&action)) {
             this->simulation.pass(Step::CacheRelease, this->index);
-            if (this->mutated(static_cast<int>(Mutation::KeepCache)) || !this->alive) {
+            if (this->mutated(Mutation::KeepCache) || !this->alive) {
                 continue;
             }
             const ProgramId program = release->program;
@@ -359,7 +359,7 @@
     this->simulation.pass(Step::Place, this->index);
     std::vector<std::size_t> usable;
     for (std::size_t endpoint = 0; endpoint < this->simulation.endpoints.size() && this->alive; ++endpoint) {
-        const bool leaving = this->leavingKnown.contains(endpoint) && !this->mutated(static_cast<int>(Mutation::IgnoreLeaving));
+        const bool leaving = this->leavingKnown.contains(endpoint) && !this->mutated(Mutation::IgnoreLeaving);
         if (!leaving && !live->triedEndpoints.contains(std::to_string(endpoint))) {
             usable.push_back(endpoint);
         }
--- a/tests/fault/siminstance.h
+++ b/tests/fault/siminstance.h
@@ -5,6 +5,7 @@
 #include "decision/minutepeak.h"
 #include "decision/programowner.h"
 #include "decision/slottable.h"
+#include "fault/faultplan.h"
 
 #include <functional>
 #include <map>
@@ -90,7 +91,7 @@
     void tickOwner();
     void keepPeak();
     void sweep();
-    bool mutated(int mutation) const;
+    bool mutated(Mutation mutation) const;
 
     Simulation &simulation;
     std::size_t index;
--- a/tests/fault/siminstancecluster.cpp
+++ b/tests/fault/siminstancecluster.cpp
@@ -127,7 +127,7 @@
 
 void SimInstance::offerConfig(std::uint64_t version)
 {
-    const bool revert = this->mutated(static_cast<int>(Mutation::RevertConfig)) && this->configVersion > 1 && this->simulation.chance(0.01);
+    const bool revert = this->mutated(Mutation::RevertConfig) && this->configVersion > 1 && this->simulation.chance(0.01);
     if (revert || isNewerConfig(this->configVersion, version)) {
         this->simulation.pass(Step::ConfigActivate, this->index);
         const std::uint64_t next = revert ? this->configVersion - 1 : version;
@@ -249,7 +249,7 @@
                 if (!answered || !*current) {
                     return;
                 }
-                if (this->mutated(static_cast<int>(Mutation::LoseHistory)) && !log->empty()) {
+                if (this->mutated(Mutation::LoseHistory) && !log->empty()) {
                     log->pop_back();
                 }
                 std::map<ProgramId, ProgramState> programs;
@@ -259,8 +259,8 @@
                             programs.emplace(created->spec.id, ProgramState(created->spec));
                             continue;
                         }
-                        const bool forgotten = (this->mutated(static_cast<int>(Mutation::ForgetBudget)) && std::holds_alternative<BudgetDrawn>(entry))
-                            || (this->mutated(static_cast<int>(Mutation::ForgetIntents)) && std::holds_alternative<CallIntent>(entry));
+                        const bool forgotten = (this->mutated(Mutation::ForgetBudget) && std::holds_alternative<BudgetDrawn>(entry))
+                            || (this->mutated(Mutation::ForgetIntents) && std::holds_alternative<CallIntent>(entry));
                         const auto program = programs.find(programOf(entry));
                         if (program != programs.end() && !forgotten) {
                             program->second.apply(entry);
@@ -272,7 +272,7 @@
                 for (auto &[id, program] : programs) {
                     recovered.push_back(std::move(program));
                 }
-                if (this->mutated(static_cast<int>(Mutation::MixHistory)) && recovered.size() > 1) {
+                if (this->mutated(Mutation::MixHistory) && recovered.size() > 1) {
                     std::swap(recovered[0].turns, recovered[1].turns);
                     recovered[0].rebuildIndex();
                     recovered[1].rebuildIndex();
@@ -347,7 +347,7 @@
         }
         const PeakLedger next = reading->ledger.renewed(renewal);
         const PeakGrant wanted = next.grants.at(this->id);
-        this->grant = this->mutated(static_cast<int>(Mutation::OverGrant)) ? PeakGrant{peakCap, wanted.through} : this->grant.restrictedBy(wanted);
+        this->grant = this->mutated(Mutation::OverGrant) ? PeakGrant{peakCap, wanted.through} : this->grant.restrictedBy(wanted);
         this->peak->setGrant(this->grant);
         store.call(
             [&store, reading, next]() {
@@ -388,7 +388,7 @@
 {
     for (SimEndpoint &endpoint : this->simulation.endpoints) {
         std::erase_if(endpoint.held, [this](const ProgramId &program) {
-            return !this->mutated(static_cast<int>(Mutation::KeepCache)) && this->owner->isProgramGone(program);
+            return !this->mutated(Mutation::KeepCache) && this->owner->isProgramGone(program);
         });
     }
     this->inProcess(sweepStep, [this]() {
