--- a/src/platform/base64.cpp
+++ b/src/backing/base64.cpp
@@ -1,4 +1,4 @@
-#include "platform/base64.h"
+#include "backing/base64.h"
 
 #include <openssl/evp.h>
 
--- a/src/platform/consulinstancelist.cpp
+++ b/src/backing/consulinstancelist.cpp
@@ -1,4 +1,4 @@
-#include "platform/consulinstancelist.h"
+#include "backing/consulinstancelist.h"
 
 #include "runtime/httpclient.h"
 #include "runtime/jsonaccess.h"
--- a/src/platform/consulinstancelist.h
+++ b/src/backing/consulinstancelist.h
@@ -1,7 +1,7 @@
-#ifndef OLEANDERGATE_PLATFORM_CONSULINSTANCELIST_H
-#define OLEANDERGATE_PLATFORM_CONSULINSTANCELIST_H
+#ifndef OLEANDERGATE_BACKING_CONSULINSTANCELIST_H
+#define OLEANDERGATE_BACKING_CONSULINSTANCELIST_H
 
-#include "platform/interfaces/instancelist.h"
+#include "backing/interfaces/instancelist.h"
 
 namespace oleandergate {
 
--- a/src/platform/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -1,6 +1,6 @@
-#include "platform/etcdkeyvalue.h"
+#include "backing/etcdkeyvalue.h"
 
-#include "platform/base64.h"
+#include "backing/base64.h"
 #include "runtime/httpclient.h"
 #include "runtime/jsonaccess.h"
 
--- a/src/platform/etcdkeyvalue.h
+++ b/src/backing/etcdkeyvalue.h
@@ -1,7 +1,7 @@
-#ifndef OLEANDERGATE_PLATFORM_ETCDKEYVALUE_H
-#define OLEANDERGATE_PLATFORM_ETCDKEYVALUE_H
+#ifndef OLEANDERGATE_BACKING_ETCDKEYVALUE_H
+#define OLEANDERGATE_BACKING_ETCDKEYVALUE_H
 
-#include "platform/interfaces/keyvalueservice.h"
+#include "backing/interfaces/keyvalueservice.h"
 
 #include <atomic>
 #include <memory>
--- a/src/config/checkedtable.cpp
+++ b/src/config/checkedtable.cpp
@@ -120,6 +120,25 @@
     return *number;
 }
 
+double CheckedTable::decimal(const std::string &key, double least, double most, std::optional<double> fallback)
+{
+    this->known.insert(key);
+    const toml::node *value = this->node->table == nullptr ? nullptr : this->node->table->get(key);
+    const std::string range = "a number from " + std::to_string(least) + " to " + std::to_string(most);
+    if (value == nullptr) {
+        if (!fallback) {
+            this->addIssue(key, "nothing", range);
+        }
+        return fallback.value_or(least);
+    }
+    const auto number = value->value<double>();
+    if (!number || !value->is_number() || *number < least || *number > most) {
+        this->addIssue(key, show(*value), range);
+        return least;
+    }
+    return *number;
+}
+
 std::int64_t CheckedTable::money(const std::string &key, std::optional<std::int64_t> fallback)
 {
     this->known.insert(key);
--- a/src/config/checkedtable.h
+++ b/src/config/checkedtable.h
@@ -32,6 +32,9 @@
     //! Returns a whole number within [\p least, \p most].
     std::int64_t number(const std::string &key, std::int64_t least, std::int64_t most, std::optional<std::int64_t> fallback = std::nullopt);
 
+    //! Returns a number, with or without decimals, within [\p least, \p most].
+    double decimal(const std::string &key, double least, double most, std::optional<double> fallback = std::nullopt);
+
     //! Returns an amount of money, written as a decimal text such as "2.50", in millionths.
     std::int64_t money(const std::string &key, std::optional<std::int64_t> fallback = std::nullopt);
 
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -83,6 +83,7 @@
     ProgramView &program = this->programs[call.program];
     program.openCalls += 1;
     program.calls += 1;
+    program.usedAt = now;
     Waiting entry{call, this->keyOf(call, now)};
     entry.arrived = now;
     this->order.emplace(std::pair(entry.key, call.call), call.call);
@@ -129,7 +130,9 @@
         if (endpoint != noEndpoint && !this->waitsForPrefix(candidate, endpoint, now)) {
             return Choice{call, endpoint};
         }
-        if (endpoint == noEndpoint || considered >= this->options.affinityReach) {
+        // A call that is bound to some endpoints does not hold up those behind it.
+        const bool bound = !candidate.call.only.empty() || !candidate.call.avoid.empty();
+        if ((endpoint == noEndpoint && !bound) || considered >= this->options.affinityReach) {
             break;
         }
     }
@@ -167,6 +170,10 @@
 
 std::size_t Dispatcher::choose(const Waiting &waiting, Time now)
 {
+    if (!waiting.call.only.empty()) {
+        const std::optional<std::size_t> index = this->endpoints.indexOf(waiting.call.only);
+        return index && this->endpoints.at(*index).listed ? *index : noEndpoint;
+    }
     switch (this->options.placement) {
     case PlacementRule::RoundRobin:
         for (std::size_t tried = 0; tried < this->endpoints.size(); ++tried) {
@@ -431,6 +438,23 @@
     this->endpoints.setForeign(*index, running > own ? running - own : 0);
 }
 
+void Dispatcher::setForeign(const EndpointId &endpoint, std::uint32_t calls)
+{
+    const std::optional<std::size_t> index = this->endpoints.indexOf(endpoint);
+    if (index && this->endpoints.at(*index).foreign != calls) {
+        this->endpoints.setForeign(*index, calls);
+    }
+}
+
+std::map<EndpointId, std::uint32_t> Dispatcher::ownCalls() const
+{
+    std::map<EndpointId, std::uint32_t> calls;
+    for (const auto &[id, running] : this->running) {
+        calls[this->endpoints.at(running.endpoint).spec.id] += 1;
+    }
+    return calls;
+}
+
 void Dispatcher::onCacheEvicted(const EndpointId &endpoint, const ProgramId &program, const std::string &branch)
 {
     const auto view = this->programs.find(program);
@@ -458,6 +482,13 @@
     return holders;
 }
 
+void Dispatcher::forgetIdle(Time before)
+{
+    std::erase_if(this->programs, [before](const auto &entry) {
+        return entry.second.openCalls == 0 && entry.second.usedAt < before;
+    });
+}
+
 Duration Dispatcher::predictedWait() const
 {
     const std::uint32_t capacity = std::max(1U, this->endpoints.capacity());
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -65,6 +65,15 @@
     //! Forgets a program. Returns the endpoints that may hold cache for it.
     std::set<EndpointId> forgetProgram(const ProgramId &program);
 
+    //! Forgets programs without a call since \p before, for callers that never say that a program has ended.
+    void forgetIdle(Time before);
+
+    //! Sets how many calls other instances have at an endpoint.
+    void setForeign(const EndpointId &endpoint, std::uint32_t calls);
+
+    //! Returns how many calls this instance has at each endpoint that has some.
+    std::map<EndpointId, std::uint32_t> ownCalls() const;
+
     //! Returns how long a call that is queued now would wait.
     Duration predictedWait() const;
 
@@ -84,6 +93,7 @@
     {
         double attained = 0.0; //!< Seconds of service received.
         std::size_t openCalls = 0;
+        Time usedAt{};
         std::size_t calls = 0;
         std::map<std::string, BranchCache> caches{};
         std::set<EndpointId> endpoints{};
--- /dev/null
+++ b/src/decision/endpointcatalog.h
@@ -0,0 +1,65 @@
+#ifndef OLEANDERGATE_DECISION_ENDPOINTCATALOG_H
+#define OLEANDERGATE_DECISION_ENDPOINTCATALOG_H
+
+#include "decision/endpointspec.h"
+#include "decision/time.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace oleandergate {
+
+//! An endpoint as it announces itself.
+struct EndpointEntry
+{
+    EndpointSpec spec{};
+    std::string service{};
+    std::int64_t startedAt = 0; //!< Start of its process; a new value under the same id is a new process that knows nothing.
+
+    bool operator==(const EndpointEntry &) const = default;
+};
+
+//! The endpoints of all services, from announcements that appear, change and vanish.
+//!
+//! An announcement that vanishes while the list's keeper is in good order means that the endpoint leaves. One that is missing
+//! right after the keeper was away may only have lapsed: the endpoint stays in use for a moment, unless it comes back.
+class EndpointCatalog
+{
+public:
+    //! \p reappearance is how long after the keeper's return a living endpoint needs at most to announce itself again.
+    explicit EndpointCatalog(Duration reappearance);
+
+    void put(const EndpointEntry &entry);
+    void remove(const EndpointId &id, Time now);
+
+    //! Takes a whole reading: what it lacks is removed.
+    void replace(const std::vector<EndpointEntry> &entries, Time now);
+
+    //! The keeper answers again after it was away.
+    void onKeeperBack(Time now);
+
+    //! Drops what did not come back. Returns true when something was dropped.
+    bool expire(Time now);
+
+    //! Returns the endpoints of \p service.
+    std::vector<EndpointSpec> endpointsOf(const std::string &service) const;
+
+    const EndpointEntry *find(const EndpointId &id) const;
+    std::size_t size() const;
+
+private:
+    struct Listed
+    {
+        EndpointEntry entry{};
+        std::optional<Time> dropAt{}; //!< Missing; dropped at this time unless it comes back.
+    };
+
+    Duration reappearance;
+    Time trustRemovalsFrom{};
+    std::map<EndpointId, Listed> listed;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/activeplan.h
@@ -0,0 +1,30 @@
+#ifndef OLEANDERGATE_GATEWAY_ACTIVEPLAN_H
+#define OLEANDERGATE_GATEWAY_ACTIVEPLAN_H
+
+#include "decision/routetable.h"
+#include "gateway/gatewayconfiguration.h"
+
+#include <map>
+
+namespace oleandergate {
+
+//! A configuration in the form that requests need.
+struct ActivePlan
+{
+    explicit ActivePlan(GatewayConfiguration given)
+        : configuration(std::move(given))
+        , routes(configuration.routes)
+    {
+        for (const GatewayService &service : this->configuration.services) {
+            this->services[service.name] = service;
+        }
+    }
+
+    GatewayConfiguration configuration;
+    RouteTable routes;
+    std::map<std::string, GatewayService> services{};
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/endtoend.h
@@ -0,0 +1,15 @@
+#ifndef OLEANDERGATE_GATEWAY_ENDTOEND_H
+#define OLEANDERGATE_GATEWAY_ENDTOEND_H
+
+#include "runtime/httpmessage.h"
+
+#include <vector>
+
+namespace oleandergate {
+
+//! Returns \p headers without those that concern only one connection (RFC 9110, 7.6.1) and those that frame the body.
+std::vector<HttpHeader> endToEndHeaders(const std::vector<HttpHeader> &headers);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/eventsplitter.cpp
@@ -0,0 +1,79 @@
+#include "gateway/eventsplitter.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace oleandergate {
+
+namespace {
+
+//! Returns the position behind the first blank line, or npos.
+std::size_t endOfEvent(std::string_view text)
+{
+    for (std::size_t end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', end + 1)) {
+        const std::string_view next = text.substr(end + 1);
+        if (next.starts_with("\n")) {
+            return end + 2;
+        }
+        if (next.starts_with("\r\n")) {
+            return end + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(const std::string &bytes)
+{
+    this->pending += bytes;
+    std::size_t whole = 0;
+    for (std::size_t size = endOfEvent(this->pending); size != std::string::npos; size = endOfEvent(std::string_view(this->pending).substr(whole))) {
+        this->note(this->pending.substr(whole, size));
+        whole += size;
+    }
+    std::string events = this->pending.substr(0, whole);
+    this->pending.erase(0, whole);
+    return events;
+}
+
+std::string EventSplitter::takeRest()
+{
+    std::string rest = std::move(this->pending);
+    this->pending.clear();
+    return rest;
+}
+
+std::optional<std::uint64_t> EventSplitter::lastId() const
+{
+    return this->last;
+}
+
+std::uint64_t EventSplitter::eventCount() const
+{
+    return this->events;
+}
+
+void EventSplitter::note(const std::string &event)
+{
+    std::string_view text(event);
+    bool hasData = false;
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        hasData = hasData || line.starts_with("data");
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t number = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), number).ec == std::errc()) {
+            this->last = number;
+        }
+    }
+    this->events += hasData ? 1 : 0;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,310 @@
+#include "gateway/gateway.h"
+
+#include "gateway/planholder.h"
+#include "gateway/poolset.h"
+#include "gateway/prefixfollower.h"
+#include "gateway/relay.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+#include "runtime/errorresponse.h"
+#include "runtime/httpclient.h"
+#include "runtime/httpserver.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+#include <boost/asio.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration drainStep = std::chrono::milliseconds(50);
+
+//! A stop ends this much before its limit, so that the process is gone by then.
+constexpr Duration stopMargin = std::chrono::milliseconds(400);
+
+constexpr Duration housekeepingStep = std::chrono::milliseconds(250);
+
+class OpenBudget : public TurnBudget
+{
+public:
+    asio::awaitable<Result<void>> reserve(ProgramMark /*program*/, Tokens /*tokens*/) override
+    {
+        co_return boost::outcome_v2::success();
+    }
+
+    void settle(const ProgramMark & /*program*/, Tokens /*reserved*/, Tokens /*used*/) override
+    {
+    }
+};
+
+HttpLimits limitsOf(const CallerBounds &bounds)
+{
+    HttpLimits limits;
+    limits.header = bounds.headerBytes;
+    limits.body = bounds.bodyBytes;
+    limits.receive = bounds.headerTime;
+    limits.idle = bounds.idleTime;
+    return limits;
+}
+
+} // namespace
+
+//! Requests and the control work each have a context of their own, run by one thread each: a burst of requests does not
+//! hold up configuration and membership, and what a request touches needs no strand beside its connection's.
+struct Gateway::Core
+{
+    Core(const GatewaySettings &given, const Dialect &dialect, const RecordFormat &givenFormat, const KeyValueFactory &makeKeyValue)
+        : settings(given)
+        , format(givenFormat)
+        , controlClient(control)
+        , endpointClient(requests)
+        , keyValue(makeKeyValue(controlClient))
+        , pools(settings.reappearance, static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
+        , relay(Relay::Parts{plans, pools, endpointClient, dialect, budget, metrics})
+        , callerServer(
+              requests,
+              limitsOf(CallerBounds()),
+              [this](HttpRequest request, HttpExchange &exchange) {
+                  return this->relay.handle(std::move(request), exchange);
+              },
+              refuseUnreadable)
+        , readyServer(
+              control,
+              limitsOf(CallerBounds()),
+              [this](HttpRequest request, HttpExchange &exchange) {
+                  return this->answerOperator(std::move(request), exchange);
+              },
+              refuseUnreadable)
+        , metricsServer(
+              control,
+              limitsOf(CallerBounds()),
+              [this](HttpRequest request, HttpExchange &exchange) {
+                  return this->answerOperator(std::move(request), exchange);
+              },
+              refuseUnreadable)
+        , configurationFollower(
+              *keyValue,
+              format.configurationKey(),
+              PrefixFollower::Hooks{[this](const KvRange &range) {
+                                        for (const KvPair &pair : range.pairs) {
+                                            this->takeConfiguration(pair);
+                                        }
+                                    },
+                                    [this](const KvEvent &event) {
+                                        if (!event.deleted) {
+                                            this->takeConfiguration(event.pair);
+                                        }
+                                    },
+                                    []() {}})
+        , endpointFollower(
+              *keyValue,
+              format.endpointPrefix(),
+              PrefixFollower::Hooks{[this](const KvRange &range) {
+                                        this->loadEndpoints(range);
+                                    },
+                                    [this](const KvEvent &event) {
+                                        this->takeEndpoint(event);
+                                    },
+                                    [this]() {
+                                        this->pools.onKeeperBack(currentTime());
+                                    }})
+        , signals(control, SIGTERM, SIGINT)
+    {
+    }
+
+    void takeConfiguration(const KvPair &pair)
+    {
+        if (pair.key != this->format.configurationKey()) {
+            return;
+        }
+        Result<GatewayConfiguration> read = this->format.readConfiguration(pair.value);
+        if (!read) {
+            logError("configuration", "a stored configuration cannot be used", read.error());
+            return;
+        }
+        const std::uint64_t version = read.value().version;
+        const std::size_t routes = read.value().routes.size();
+        const std::uint64_t before = this->plans.version();
+        const bool newer = this->plans.offer(std::move(read.value()));
+        logRecord(LogLevel::Info,
+                  "configuration",
+                  newer ? "in force" : "not newer than the one in force",
+                  {{"version", std::to_string(version)},
+                   {"before", std::to_string(before)},
+                   {"revision", std::to_string(pair.revision)},
+                   {"routes", std::to_string(routes)}});
+    }
+
+    void applyPlan(const std::shared_ptr<const ActivePlan> &plan)
+    {
+        this->callerServer.setLimits(limitsOf(plan->configuration.bounds));
+        this->pools.configure(*plan, currentTime());
+    }
+
+    std::optional<EndpointEntry> readEndpoint(const KvPair &pair)
+    {
+        Result<EndpointEntry> entry = this->format.readEndpoint(pair);
+        if (!entry) {
+            logError("endpoints", "ignores the announcement " + pair.key, entry.error());
+            return std::nullopt;
+        }
+        return std::move(entry.value());
+    }
+
+    void loadEndpoints(const KvRange &range)
+    {
+        std::vector<EndpointEntry> entries;
+        for (const KvPair &pair : range.pairs) {
+            std::optional<EndpointEntry> entry = this->readEndpoint(pair);
+            if (entry) {
+                entries.push_back(std::move(*entry));
+            }
+        }
+        logRecord(
+            LogLevel::Info, "endpoints", "read", {{"count", std::to_string(entries.size())}, {"revision", std::to_string(range.revision)}});
+        this->pools.replaceEndpoints(entries, currentTime());
+    }
+
+    void takeEndpoint(const KvEvent &event)
+    {
+        const Time now = currentTime();
+        const EndpointId id = this->format.endpointId(event.pair.key);
+        const std::optional<EndpointEntry> entry = event.deleted ? std::nullopt : this->readEndpoint(event.pair);
+        if (!entry) {
+            this->pools.removeEndpoint(id, now);
+        } else {
+            this->pools.putEndpoint(*entry, now);
+        }
+        logRecord(LogLevel::Info,
+                  "endpoints",
+                  event.deleted ? "gone" : "announced",
+                  {{"endpoint", id},
+                   {"service", entry ? entry->service : std::string()},
+                   {"leaving", entry && entry->spec.leaving ? "true" : "false"},
+                   {"revision", std::to_string(event.pair.revision)}});
+    }
+
+    bool isReady() const
+    {
+        return !this->draining && this->plans.current() != nullptr && this->pools.endpointCount() > 0;
+    }
+
+    asio::awaitable<void> answerOperator(HttpRequest request, HttpExchange &exchange)
+    {
+        if (request.path() == "/metrics") {
+            this->metrics.setGauge("oleandergate_config_version", "", static_cast<double>(this->plans.version()));
+            this->metrics.setGauge("oleandergate_endpoints", "", static_cast<double>(this->pools.endpointCount()));
+            this->metrics.setGauge("oleandergate_waiting", "", static_cast<double>(this->pools.waitingCount()));
+            this->metrics.setGauge("oleandergate_running", "", static_cast<double>(this->pools.runningCount()));
+            HttpResponse response = makeResponse(200, "text/plain", this->metrics.render());
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        const bool ready = this->isReady();
+        HttpResponse response = jsonResponse(ready ? R"({"ready":true})" : R"({"ready":false})", ready ? 200 : 503);
+        co_await exchange.respond(std::move(response));
+    }
+
+    asio::awaitable<void> keepHouse()
+    {
+        while (true) {
+            co_await sleepFor(housekeepingStep);
+            const Time now = currentTime();
+            this->pools.expire(now, now - this->settings.programRetention);
+        }
+    }
+
+    asio::awaitable<void> drainAndStop()
+    {
+        const Time began = currentTime();
+        const Time giveUp = began + this->settings.drainLimit - stopMargin;
+        logRecord(LogLevel::Info, "instance", "draining", {{"active", std::to_string(this->callerServer.activeCount())}});
+        this->draining = true;
+        this->callerServer.announceClose();
+        while (currentTime() < began + this->settings.balancerLag) {
+            co_await sleepFor(drainStep);
+        }
+        while (currentTime() < giveUp && this->callerServer.openCount() > 0) {
+            this->callerServer.closeIdle();
+            co_await sleepFor(drainStep);
+        }
+        logRecord(LogLevel::Info, "instance", "stopped", {{"active", std::to_string(this->callerServer.activeCount())}});
+        this->requests.stop();
+        this->control.stop();
+    }
+
+    Result<void> start()
+    {
+        this->plans.setListener([this](const std::shared_ptr<const ActivePlan> &plan) {
+            this->applyPlan(plan);
+        });
+        asio::co_spawn(this->control, this->configurationFollower.run(), asio::detached);
+        asio::co_spawn(this->control, this->endpointFollower.run(), asio::detached);
+        asio::co_spawn(this->control, this->keepHouse(), asio::detached);
+        this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
+            if (!error) {
+                asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
+            }
+        });
+        const Result<void> ready = this->readyServer.start(this->settings.readyAddress);
+        if (!ready) {
+            return ready.error();
+        }
+        const Result<void> metricsBound = this->metricsServer.start(this->settings.metricsAddress);
+        if (!metricsBound) {
+            return metricsBound.error();
+        }
+        return this->callerServer.start(this->settings.callerAddress);
+    }
+
+    GatewaySettings settings;
+    const RecordFormat &format;
+    asio::io_context control{1};
+    asio::io_context requests{1};
+    Metrics metrics{};
+    HttpClient controlClient;
+    HttpClient endpointClient;
+    std::unique_ptr<KeyValueService> keyValue;
+    PlanHolder plans{};
+    PoolSet pools;
+    OpenBudget budget{};
+    Relay relay;
+    HttpServer callerServer;
+    HttpServer readyServer;
+    HttpServer metricsServer;
+    PrefixFollower configurationFollower;
+    PrefixFollower endpointFollower;
+    asio::signal_set signals;
+    std::atomic<bool> draining{false};
+};
+
+Gateway::Gateway(const GatewaySettings &settings, const Dialect &dialect, const RecordFormat &format, const KeyValueFactory &keyValue)
+    : core(new Core(settings, dialect, format, keyValue))
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::run()
+{
+    logRecord(LogLevel::Info, "instance", "starting", {{"callers", this->core->settings.callerAddress}, {"domain", this->core->settings.domain}});
+    const Result<void> started = this->core->start();
+    if (!started) {
+        return started.error();
+    }
+    std::thread controlThread([this]() {
+        this->core->control.run();
+    });
+    const auto work = asio::make_work_guard(this->core->requests);
+    this->core->requests.run();
+    controlThread.join();
+    return boost::outcome_v2::success();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/interfaces/turnbudget.h
@@ -0,0 +1,27 @@
+#ifndef OLEANDERGATE_GATEWAY_INTERFACES_TURNBUDGET_H
+#define OLEANDERGATE_GATEWAY_INTERFACES_TURNBUDGET_H
+
+#include "decision/error.h"
+#include "gateway/relaycall.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace oleandergate {
+
+//! Keeps programs within their token budgets, over all instances.
+class TurnBudget
+{
+public:
+    virtual ~TurnBudget() = default;
+
+    //! Sets \p tokens aside for one turn. Fails with BudgetExhausted when the program's budget does not hold them, and
+    //! with ServiceUnavailable when nobody can tell.
+    virtual boost::asio::awaitable<Result<void>> reserve(ProgramMark program, Tokens tokens) = 0;
+
+    //! Ends a turn: of the \p reserved tokens, \p used were handed to the caller.
+    virtual void settle(const ProgramMark &program, Tokens reserved, Tokens used) = 0;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/planholder.h
@@ -0,0 +1,37 @@
+#ifndef OLEANDERGATE_GATEWAY_PLANHOLDER_H
+#define OLEANDERGATE_GATEWAY_PLANHOLDER_H
+
+#include "gateway/activeplan.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace oleandergate {
+
+//! Holds the configuration in force. It only ever moves to newer versions. Thread-safe.
+class PlanHolder
+{
+public:
+    using Listener = std::function<void(const std::shared_ptr<const ActivePlan> &plan)>;
+
+    //! \p newListener is called without a lock after each change.
+    void setListener(Listener newListener);
+
+    //! Puts \p configuration in force. Returns false when it is not newer than the one in force.
+    bool offer(GatewayConfiguration configuration);
+
+    //! Returns the configuration in force, or nullptr.
+    std::shared_ptr<const ActivePlan> current() const;
+
+    std::uint64_t version() const;
+
+private:
+    mutable std::mutex mutex;
+    std::shared_ptr<const ActivePlan> plan;
+    Listener listener;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/poolset.cpp
@@ -0,0 +1,161 @@
+#include "gateway/poolset.h"
+
+namespace oleandergate {
+
+namespace {
+
+PolicyOptions policyOf(const GatewayService &service)
+{
+    PolicyOptions options;
+    options.refuseEarly = false;
+    options.preempt = false;
+    options.migrate = false;
+    if (!service.isEngine) {
+        options.placement = PlacementRule::LeastOutstanding;
+        options.order = QueueOrder::Arrival;
+    }
+    return options;
+}
+
+} // namespace
+
+PoolSet::PoolSet(Duration reappearance, std::uint64_t seed)
+    : catalog(reappearance)
+    , seed(seed)
+{
+}
+
+void PoolSet::configure(const ActivePlan &plan, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->pools, [&plan](const auto &entry) {
+        return !plan.services.contains(entry.first) && entry.second->runningCount() + entry.second->waitingCount() == 0;
+    });
+    for (const auto &[name, service] : plan.services) {
+        if (!this->pools.contains(name)) {
+            this->pools[name] = std::make_shared<ServicePool>(policyOf(service), this->seed);
+            this->refresh(name, now);
+        }
+    }
+}
+
+void PoolSet::refresh(const std::string &service, Time now)
+{
+    const auto found = this->pools.find(service);
+    if (found != this->pools.end()) {
+        found->second->setEndpoints(this->catalog.endpointsOf(service), now);
+    }
+}
+
+void PoolSet::refreshAll(Time now)
+{
+    for (const auto &[name, pool] : this->pools) {
+        pool->setEndpoints(this->catalog.endpointsOf(name), now);
+    }
+}
+
+void PoolSet::putEndpoint(const EndpointEntry &entry, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const EndpointEntry *known = this->catalog.find(entry.spec.id);
+    const std::string before = known == nullptr ? std::string() : known->service;
+    this->catalog.put(entry);
+    this->refresh(entry.service, now);
+    if (!before.empty() && before != entry.service) {
+        this->refresh(before, now);
+    }
+}
+
+void PoolSet::removeEndpoint(const EndpointId &id, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const EndpointEntry *known = this->catalog.find(id);
+    if (known == nullptr) {
+        return;
+    }
+    const std::string service = known->service;
+    this->catalog.remove(id, now);
+    this->refresh(service, now);
+}
+
+void PoolSet::replaceEndpoints(const std::vector<EndpointEntry> &entries, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->catalog.replace(entries, now);
+    this->refreshAll(now);
+}
+
+void PoolSet::onKeeperBack(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->catalog.onKeeperBack(now);
+}
+
+void PoolSet::expire(Time now, Time idleSince)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->catalog.expire(now)) {
+        this->refreshAll(now);
+    }
+    for (const auto &[name, pool] : this->pools) {
+        pool->forgetIdle(idleSince);
+    }
+}
+
+std::shared_ptr<ServicePool> PoolSet::find(const std::string &service) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->pools.find(service);
+    return found == this->pools.end() ? nullptr : found->second;
+}
+
+std::map<EndpointId, std::uint32_t> PoolSet::ownCalls() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::map<EndpointId, std::uint32_t> calls;
+    for (const auto &[name, pool] : this->pools) {
+        calls.merge(pool->ownCalls());
+    }
+    return calls;
+}
+
+void PoolSet::setForeign(const std::map<EndpointId, std::uint32_t> &calls, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[name, pool] : this->pools) {
+        std::map<EndpointId, std::uint32_t> counts;
+        for (const EndpointSpec &spec : this->catalog.endpointsOf(name)) {
+            const auto found = calls.find(spec.id);
+            counts[spec.id] = found == calls.end() ? 0 : found->second;
+        }
+        pool->setForeign(counts, now);
+    }
+}
+
+std::size_t PoolSet::endpointCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.size();
+}
+
+std::size_t PoolSet::waitingCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t count = 0;
+    for (const auto &[name, pool] : this->pools) {
+        count += pool->waitingCount();
+    }
+    return count;
+}
+
+std::size_t PoolSet::runningCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t count = 0;
+    for (const auto &[name, pool] : this->pools) {
+        count += pool->runningCount();
+    }
+    return count;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/prefixfollower.cpp
@@ -0,0 +1,74 @@
+#include "gateway/prefixfollower.h"
+
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+
+#include <algorithm>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+
+namespace {
+
+//! Pause before the first new try, doubled up to the longest; short, since configuration has to arrive within seconds.
+constexpr Duration firstPause = std::chrono::milliseconds(50);
+constexpr Duration longestPause = std::chrono::milliseconds(400);
+
+//! Part of the pause that differs between instances, so that they do not all return at the same moment.
+Duration jitterOf(Duration pause)
+{
+    return Duration(currentTime().time_since_epoch().count() % std::max<std::int64_t>(1, pause.count() / 2));
+}
+
+} // namespace
+
+PrefixFollower::PrefixFollower(KeyValueService &service, std::string prefix, Hooks hooks)
+    : service(service)
+    , prefix(std::move(prefix))
+    , hooks(std::move(hooks))
+    , pause(firstPause)
+{
+}
+
+asio::awaitable<bool> PrefixFollower::load()
+{
+    const Result<KvRange> range = co_await this->service.range(this->prefix);
+    if (!range) {
+        if (!this->lost) {
+            logError("store", "lost sight of " + this->prefix, range.error());
+        }
+        this->lost = true;
+        co_return false;
+    }
+    if (this->lost) {
+        logRecord(LogLevel::Info, "store", "sees " + this->prefix + " again", {{"revision", std::to_string(range.value().revision)}});
+        this->hooks.onBack();
+    }
+    this->lost = false;
+    this->pause = firstPause;
+    this->revision = range.value().revision;
+    this->hooks.onLoad(range.value());
+    co_return true;
+}
+
+asio::awaitable<void> PrefixFollower::run()
+{
+    while (true) {
+        const bool loaded = co_await this->load();
+        if (loaded) {
+            const auto onEvent = [this](const KvEvent &event) {
+                this->hooks.onEvent(event);
+            };
+            const Error ended = co_await this->service.watch(this->prefix, this->revision + 1, onEvent);
+            logError("store", "the watch of " + this->prefix + " ended", ended);
+            // A watch that broke for want of history says nothing about the service's health.
+            this->lost = this->lost || ended.code == ErrorCode::ServiceUnavailable;
+        }
+        co_await sleepFor(this->pause + jitterOf(this->pause));
+        this->pause = std::min(longestPause, this->pause * 2);
+    }
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/relay.h
@@ -0,0 +1,53 @@
+#ifndef OLEANDERGATE_GATEWAY_RELAY_H
+#define OLEANDERGATE_GATEWAY_RELAY_H
+
+#include "gateway/endpointsend.h"
+#include "gateway/interfaces/dialect.h"
+#include "gateway/interfaces/turnbudget.h"
+#include "gateway/planholder.h"
+#include "gateway/poolset.h"
+#include "runtime/httpclient.h"
+#include "runtime/httpexchange.h"
+
+#include <atomic>
+
+namespace oleandergate {
+
+class Metrics;
+
+//! Answers callers' requests: finds their route, waits for an endpoint, passes request and answer on.
+class Relay
+{
+public:
+    struct Parts
+    {
+        PlanHolder &plans;
+        PoolSet &pools;
+        HttpClient &client;
+        const Dialect &dialect;
+        TurnBudget &budget;
+        Metrics &metrics;
+    };
+
+    explicit Relay(const Parts &parts);
+
+    boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
+
+
+private:
+    struct Job;
+
+    boost::asio::awaitable<void> serve(Job &job);
+    boost::asio::awaitable<void> serveAdmitted(Job &job);
+    boost::asio::awaitable<NextStep> sendOnce(Job &job, EndpointId only);
+    boost::asio::awaitable<void> conclude(Job &job, NextStep step);
+    boost::asio::awaitable<void> refuse(Job &job, const Error &error);
+    void note(const Job &job) const;
+
+    Parts parts;
+    std::atomic<CallId> nextCall{1};
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/servicepool.h
@@ -0,0 +1,61 @@
+#ifndef OLEANDERGATE_GATEWAY_SERVICEPOOL_H
+#define OLEANDERGATE_GATEWAY_SERVICEPOOL_H
+
+#include "decision/dispatcher.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace oleandergate {
+
+class AsyncSignal;
+class Cancellation;
+
+//! The endpoints of one service and the requests that wait for them. Thread-safe.
+class ServicePool
+{
+public:
+    ServicePool(const PolicyOptions &options, std::uint64_t seed);
+    ~ServicePool();
+    ServicePool(const ServicePool &) = delete;
+    ServicePool &operator=(const ServicePool &) = delete;
+
+    void setEndpoints(const std::vector<EndpointSpec> &endpoints, Time now);
+    void setForeign(const std::map<EndpointId, std::uint32_t> &calls, Time now);
+
+    //! Waits for an endpoint with room. Fails as not run when there will be none before the call's deadline, or when
+    //! \p cancellation comes first. A placed call has to be ended by finish().
+    boost::asio::awaitable<Result<Placement>> place(QueuedCall call, std::shared_ptr<Cancellation> cancellation);
+
+    //! \p tokens more of the answer arrived.
+    void progress(CallId call, Tokens tokens, Time now);
+    void finish(CallId call, bool healthy, Time now);
+
+    //! Returns how many calls this instance has at each endpoint.
+    std::map<EndpointId, std::uint32_t> ownCalls() const;
+
+    std::size_t waitingCount() const;
+    std::size_t runningCount() const;
+    std::size_t endpointCount() const;
+
+    //! Drops what is remembered of programs without a call since \p before.
+    void forgetIdle(Time before);
+
+private:
+    struct Ticket;
+
+    void pump(Time now);
+    std::optional<Placement> takePlaced(CallId call);
+    bool withdraw(CallId call);
+
+    mutable std::mutex mutex;
+    Dispatcher dispatcher;
+    std::unordered_map<CallId, std::shared_ptr<Ticket>> tickets;
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/programs/oleandergate/main.cpp
+++ b/src/programs/oleandergate/main.cpp
@@ -55,7 +55,9 @@
     const Result<void> ended = instance.run();
     if (!ended) {
         logError("instance", "cannot start", ended.error());
+        flushLog();
         return exitFailed;
     }
+    flushLog();
     return 0;
 }
--- a/src/runtime/adminapi.cpp
+++ b/src/runtime/adminapi.cpp
@@ -1,6 +1,6 @@
 #include "runtime/adminapi.h"
 
-#include "runtime/callerapi.h"
+#include "runtime/errorresponse.h"
 #include "runtime/clock.h"
 #include "runtime/clusterview.h"
 #include "runtime/dispatchservice.h"
--- a/src/runtime/callerapi.cpp
+++ b/src/runtime/callerapi.cpp
@@ -3,6 +3,7 @@
 #include "decision/hash.h"
 #include "runtime/chatdocument.h"
 #include "runtime/clock.h"
+#include "runtime/errorresponse.h"
 #include "runtime/eventlog.h"
 #include "runtime/metrics.h"
 #include "runtime/programdocument.h"
@@ -86,18 +87,6 @@
 
 } // namespace
 
-HttpResponse responseOf(const Error &error)
-{
-    HttpResponse response;
-    response.status = statusOfError(error);
-    response.body = describeError(error);
-    if (error.retryAfter) {
-        const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count());
-        response.headers.push_back(HttpHeader{"Retry-After", std::to_string(seconds)});
-    }
-    return response;
-}
-
 CallerApi::CallerApi(CallRouter &router, ConfigKeeper &config, EventLog &events, Metrics &metrics)
     : router(router)
     , config(config)
@@ -106,27 +95,6 @@
 {
 }
 
-HttpResponse CallerApi::refuseUnreadable(int status, const std::string &detail)
-{
-    constexpr int tooLarge = 413;
-    constexpr int headerTooLarge = 431;
-    constexpr int timedOut = 408;
-    constexpr int serverError = 500;
-    ErrorCode code = ErrorCode::BadRequest;
-    if (status == tooLarge || status == headerTooLarge) {
-        code = ErrorCode::TooLarge;
-    } else if (status == timedOut) {
-        code = ErrorCode::Timeout;
-    } else if (status == serverError) {
-        code = ErrorCode::Internal;
-    }
-    Error error = refusal(code, Step::Receive, detail);
-    error.ran = status == serverError ? Ran::Unknown : Ran::No;
-    HttpResponse response = responseOf(error);
-    response.status = status;
-    return response;
-}
-
 Result<CallerApi::Caller> CallerApi::authenticate(const HttpRequest &request) const
 {
     Caller caller;
--- a/src/runtime/callerapi.h
+++ b/src/runtime/callerapi.h
@@ -18,9 +18,6 @@
     //! Answers one request.
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
 
-    //! Makes the response to a request that could not be read.
-    static HttpResponse refuseUnreadable(int status, const std::string &detail);
-
 private:
     struct Caller
     {
@@ -42,9 +39,6 @@
     Metrics &metrics;
 };
 
-//! Returns the response that says \p error.
-HttpResponse responseOf(const Error &error);
-
 } // namespace oleandergate
 
 #endif
--- a/src/runtime/clusterview.h
+++ b/src/runtime/clusterview.h
@@ -3,7 +3,7 @@
 
 #include "decision/posture.h"
 #include "decision/slottable.h"
-#include "platform/interfaces/keyvalueservice.h"
+#include "backing/interfaces/keyvalueservice.h"
 
 #include <map>
 #include <mutex>
--- a/src/runtime/configkeeper.h
+++ b/src/runtime/configkeeper.h
@@ -3,7 +3,7 @@
 
 #include "config/configuration.h"
 #include "decision/error.h"
-#include "platform/interfaces/keyvalueservice.h"
+#include "backing/interfaces/keyvalueservice.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/runtime/connectionpool.h
+++ b/src/runtime/connectionpool.h
@@ -16,26 +16,34 @@
 public:
     using Pointer = std::shared_ptr<Connection>;
 
+    //! \p perAddress bounds the kept connections to one address.
+    explicit ConnectionPool(std::size_t perAddress)
+        : perAddress(perAddress)
+    {
+    }
+
     //! Returns a kept connection to \p address, or nullptr.
     Pointer take(const std::string &address)
     {
         const std::lock_guard lock(this->mutex);
-        std::vector<Pointer> &kept = this->connections[address];
-        if (kept.empty()) {
+        const auto found = this->connections.find(address);
+        if (found == this->connections.end()) {
             return nullptr;
         }
-        Pointer connection = std::move(kept.back());
-        kept.pop_back();
+        Pointer connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (found->second.empty()) {
+            this->connections.erase(found);
+        }
         return connection;
     }
 
     //! Keeps \p connection for a later call, unless enough are kept.
     void keep(const std::string &address, Pointer connection)
     {
-        constexpr std::size_t keptPerAddress = 64;
         const std::lock_guard lock(this->mutex);
         std::vector<Pointer> &kept = this->connections[address];
-        if (kept.size() < keptPerAddress) {
+        if (kept.size() < this->perAddress) {
             kept.push_back(std::move(connection));
         }
     }
@@ -47,6 +55,7 @@
     }
 
 private:
+    std::size_t perAddress;
     std::mutex mutex;
     std::map<std::string, std::vector<Pointer>> connections;
 };
--- a/src/runtime/entryinstance.cpp
+++ b/src/runtime/entryinstance.cpp
@@ -1,7 +1,7 @@
 #include "runtime/entryinstance.h"
 
-#include "platform/consulinstancelist.h"
-#include "platform/etcdkeyvalue.h"
+#include "backing/consulinstancelist.h"
+#include "backing/etcdkeyvalue.h"
 #include "runtime/adminapi.h"
 #include "runtime/answerchannel.h"
 #include "runtime/asyncsignal.h"
@@ -9,6 +9,7 @@
 #include "runtime/clock.h"
 #include "runtime/clusterservice.h"
 #include "runtime/dispatchservice.h"
+#include "runtime/errorresponse.h"
 #include "runtime/eventlog.h"
 #include "runtime/heartbeatservice.h"
 #include "runtime/httpclient.h"
@@ -115,14 +116,14 @@
               [this](HttpRequest request, HttpExchange &exchange) {
                   return this->callerApi.handle(std::move(request), exchange);
               },
-              CallerApi::refuseUnreadable)
+              refuseUnreadable)
         , adminServer(
               context,
               limitsOf(settings),
               [this](HttpRequest request, HttpExchange &exchange) {
                   return this->adminApi.handle(std::move(request), exchange);
               },
-              CallerApi::refuseUnreadable)
+              refuseUnreadable)
         , peerServer(context,
                      auth,
                      [this](PeerMessage command, std::shared_ptr<AnswerChannel> pieces) {
--- /dev/null
+++ b/src/runtime/errorresponse.cpp
@@ -0,0 +1,41 @@
+#include "runtime/errorresponse.h"
+
+#include "runtime/programdocument.h"
+
+#include <algorithm>
+
+namespace oleandergate {
+
+HttpResponse responseOf(const Error &error)
+{
+    HttpResponse response;
+    response.status = statusOfError(error);
+    response.body = describeError(error);
+    if (error.retryAfter) {
+        const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(*error.retryAfter).count());
+        response.headers.push_back(HttpHeader{"Retry-After", std::to_string(seconds)});
+    }
+    return response;
+}
+
+HttpResponse refuseUnreadable(int status, const std::string &detail)
+{
+    constexpr int tooLarge = 413;
+    constexpr int headerTooLarge = 431;
+    constexpr int timedOut = 408;
+    constexpr int serverError = 500;
+    ErrorCode code = ErrorCode::BadRequest;
+    if (status == tooLarge || status == headerTooLarge) {
+        code = ErrorCode::TooLarge;
+    } else if (status == timedOut) {
+        code = ErrorCode::Timeout;
+    } else if (status == serverError) {
+        code = ErrorCode::Internal;
+    }
+    const Error error{code, Step::Receive, {}, status == serverError ? Ran::Unknown : Ran::No, std::nullopt, detail};
+    HttpResponse response = responseOf(error);
+    response.status = status;
+    return response;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/errorresponse.h
@@ -0,0 +1,19 @@
+#ifndef OLEANDERGATE_RUNTIME_ERRORRESPONSE_H
+#define OLEANDERGATE_RUNTIME_ERRORRESPONSE_H
+
+#include "decision/error.h"
+#include "runtime/httpmessage.h"
+
+#include <string>
+
+namespace oleandergate {
+
+//! Returns the response that tells a caller of \p error.
+HttpResponse responseOf(const Error &error);
+
+//! Returns the response to a request that could not be read.
+HttpResponse refuseUnreadable(int status, const std::string &detail);
+
+} // namespace oleandergate
+
+#endif
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -2,12 +2,21 @@
 
 #include "runtime/address.h"
 #include "runtime/cancellation.h"
+#include "runtime/clock.h"
 #include "runtime/connectionpool.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
+#include <atomic>
+#include <cstring>
+#include <limits>
+#include <map>
+#include <mutex>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -19,6 +28,23 @@
 
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 
+//! A lost peer shows after this time without an answer to a probe or to sent bytes.
+constexpr int probeSeconds = 1;
+constexpr int probeCount = 2;
+constexpr int unansweredMs = 2000;
+
+template <int Name>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+//! Kept connections are given up this long before their peer says that it closes them.
+constexpr Duration closeMargin = std::chrono::milliseconds(500);
+
+//! Idle connections that are kept to one address.
+constexpr std::size_t keptPerAddress = 32;
+
+//! Largest number of responses to other requests that are skipped on one connection.
+constexpr int maxSkipped = 4;
+
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
@@ -27,9 +53,31 @@
     {
     }
 
+    ~Connection()
+    {
+        if (this->counter) {
+            *this->counter -= 1;
+        }
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    //! Returns false when the peer has closed the connection or sent bytes that belong to no request.
+    bool isQuiet()
+    {
+        char probe = 0;
+        beast::error_code error;
+        this->stream.socket().non_blocking(true, error);
+        this->stream.socket().receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer{};
     bool used = false;
+    Time idleSince{};
+    Time usableUntil = Time::max(); //!< The peer closes the connection soon after.
+    std::shared_ptr<std::atomic<std::size_t>> counter{}; //!< Open connections to the same address.
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -39,12 +87,48 @@
 struct HttpClient::Core
 {
     asio::io_context &context;
-    ConnectionPool<Connection> kept{};
+    ConnectionPool<Connection> kept{keptPerAddress};
+    std::atomic<std::size_t> perAddress{std::numeric_limits<std::size_t>::max()};
+    std::atomic<std::uint64_t> opened{0};
+    std::mutex mutex{};
+    std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> counters{}; //!< Guarded by the mutex.
+
+    //! Returns a kept connection, or a new one; nullptr when too many are open.
+    ConnectionPointer take(const HttpCall &call)
+    {
+        const Time now = currentTime();
+        while (call.reuse) {
+            ConnectionPointer connection = this->kept.take(call.address);
+            if (!connection) {
+                break;
+            }
+            if (now - connection->idleSince <= call.keptFor && now < connection->usableUntil && connection->isQuiet()) {
+                return connection;
+            }
+        }
+        return this->create(call.address);
+    }
 
-    ConnectionPointer take(const std::string &address, bool reuse)
+    ConnectionPointer create(const std::string &address)
     {
-        ConnectionPointer connection = reuse ? this->kept.take(address) : nullptr;
-        return connection ? connection : std::make_shared<Connection>(this->context);
+        const std::lock_guard lock(this->mutex);
+        constexpr std::size_t sweepAbove = 1024;
+        if (this->counters.size() > sweepAbove) {
+            std::erase_if(this->counters, [](const auto &entry) {
+                return entry.second->load() == 0;
+            });
+        }
+        auto &counter = this->counters[address];
+        if (!counter) {
+            counter = std::make_shared<std::atomic<std::size_t>>(0);
+        }
+        if (*counter >= this->perAddress) {
+            return nullptr;
+        }
+        auto connection = std::make_shared<Connection>(this->context);
+        *counter += 1;
+        connection->counter = counter;
+        return connection;
     }
 };
 
@@ -60,7 +144,7 @@
 
 ErrorCode codeOf(const beast::error_code &error)
 {
-    return error == beast::error::timeout ? ErrorCode::Timeout : ErrorCode::EndpointFailed;
+    return error == beast::error::timeout || error == asio::error::timed_out ? ErrorCode::Timeout : ErrorCode::EndpointFailed;
 }
 
 HttpResponse toResponse(const http::response<http::string_body> &message)
@@ -83,7 +167,11 @@
     message.target(call.target);
     message.set(http::field::host, call.address);
     for (const HttpHeader &header : call.headers) {
-        message.set(header.name, header.value);
+        if (beast::iequals(header.name, "Host")) {
+            message.set(http::field::host, header.value);
+        } else {
+            message.insert(header.name, header.value);
+        }
     }
     message.keep_alive(true);
     message.body() = call.body;
@@ -91,56 +179,164 @@
     return message;
 }
 
-asio::awaitable<HttpOutcome> receive(HttpClient::Core &core, ConnectionPointer connection, const HttpCall &call, Step step)
+//! Sets the time by which the next operation has to end. Returns false when the call's deadline has passed.
+bool armTimer(Connection &connection, const HttpCall &call, Duration longest)
+{
+    if (call.deadline) {
+        const Duration left = *call.deadline - currentTime();
+        if (left <= Duration::zero()) {
+            return false;
+        }
+        longest = std::min(longest, left);
+    }
+    connection.stream.expires_after(longest);
+    return true;
+}
+
+//! Notes how long the peer keeps an idle connection, from a header such as "timeout=5".
+void noteKeepAlive(Connection &connection, const http::response<http::string_body> &message, Time now)
+{
+    const std::string value(message[http::field::keep_alive]);
+    const std::size_t position = value.find("timeout=");
+    connection.usableUntil = Time::max();
+    if (position != std::string::npos) {
+        constexpr int decimal = 10;
+        const std::chrono::seconds idle(std::strtoll(value.c_str() + position + std::strlen("timeout="), nullptr, decimal));
+        connection.usableUntil = now + idle - closeMargin;
+    }
+}
+
+void keepConnection(HttpClient::Core &core, const ConnectionPointer &connection, const HttpCall &call, const http::response<http::string_body> &message)
+{
+    connection->stream.expires_never();
+    // Bytes behind a complete response belong to no request.
+    if (!message.keep_alive() || message.need_eof() || connection->buffer.size() > 0) {
+        return;
+    }
+    const Time now = currentTime();
+    noteKeepAlive(*connection, message, now);
+    connection->used = true;
+    connection->idleSince = now;
+    core.kept.keep(call.address, connection);
+}
+
+//! Hands the body that has arrived since the last call on. Returns false when the caller wants no more.
+asio::awaitable<bool> handOn(const HttpCall &call, const HttpResponse &head, http::response_parser<http::string_body> &parser, std::size_t &passed)
+{
+    std::string &body = parser.get().body();
+    if (body.size() > passed && call.onPiece) {
+        call.onPiece(head.status, std::string_view(body).substr(passed));
+    }
+    if (call.passOn && !body.empty()) {
+        std::string piece = std::move(body);
+        body = {};
+        passed = 0;
+        co_return co_await call.passOn(head, std::move(piece));
+    }
+    if (!call.keepBody) {
+        body.clear();
+    }
+    passed = body.size();
+    co_return true;
+}
+
+asio::awaitable<HttpOutcome> receiveOne(ConnectionPointer connection, const HttpCall &call, Step step, http::response_parser<http::string_body> &parser, bool &accepted)
 {
-    http::response_parser<http::string_body> parser;
     parser.body_limit(call.bodyLimit);
     std::size_t passed = 0;
+    HttpResponse head;
+    bool headSeen = false;
     while (!parser.is_done()) {
-        connection->stream.expires_after(call.idleTimeout);
+        if (!armTimer(*connection, call, call.idleTimeout)) {
+            HttpFailure late = failure(ErrorCode::Timeout, step, call, false, "no complete response before the deadline");
+            late.responseStarted = headSeen && accepted;
+            co_return late;
+        }
         const auto [error, size] = co_await http::async_read_some(connection->stream, connection->buffer, parser, useResult);
-        if (parser.is_header_done() && call.onPiece) {
-            std::string &body = parser.get().body();
-            if (body.size() > passed) {
-                call.onPiece(static_cast<int>(parser.get().result_int()), std::string_view(body).substr(passed));
-            }
-            if (!call.keepBody) {
-                body.clear();
+        if (parser.is_header_done() && !headSeen) {
+            headSeen = true;
+            head = toResponse(parser.get());
+            head.body.clear();
+            accepted = !call.accepts || call.accepts(head);
+        }
+        if (headSeen && accepted) {
+            const bool wanted = co_await handOn(call, head, parser, passed);
+            if (!wanted) {
+                HttpFailure stopped = failure(ErrorCode::Cancelled, step, call, false, "the response is no longer wanted");
+                stopped.responseStarted = true;
+                co_return stopped;
             }
-            passed = body.size();
         }
         if (error && error != http::error::need_buffer) {
             const ErrorCode code = error == http::error::body_limit ? ErrorCode::EndpointGarbled : codeOf(error);
             HttpFailure result = failure(code, step, call, false, error.message());
-            result.responseStarted = parser.is_header_done();
+            result.responseStarted = headSeen && accepted;
             if (result.responseStarted) {
                 result.partial = toResponse(parser.get());
             }
             co_return result;
         }
     }
-    connection->stream.expires_never();
-    if (parser.get().keep_alive()) {
-        connection->used = true;
-        core.kept.keep(call.address, connection);
-    }
     co_return toResponse(parser.get());
 }
 
+asio::awaitable<HttpOutcome> receive(HttpClient::Core &core, ConnectionPointer connection, const HttpCall &call, Step step)
+{
+    for (int skipped = 0; skipped <= maxSkipped; ++skipped) {
+        http::response_parser<http::string_body> parser;
+        bool accepted = true;
+        HttpOutcome outcome = co_await receiveOne(connection, call, step, parser, accepted);
+        if (outcome && accepted) {
+            keepConnection(core, connection, call, parser.get());
+        }
+        if (!outcome || accepted) {
+            co_return outcome;
+        }
+        if (!parser.get().keep_alive() || parser.get().need_eof()) {
+            break;
+        }
+    }
+    co_return failure(ErrorCode::EndpointGarbled, step, call, false, "only responses to other requests arrived");
+}
+
+void setSocketOptions(tcp::socket &socket)
+{
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(probeSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(probeSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(probeCount), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(unansweredMs), ignored);
+}
+
+asio::awaitable<std::optional<HttpFailure>> connect(HttpClient::Core &core, ConnectionPointer connection, const HttpCall &call, Step step)
+{
+    const std::optional<tcp::endpoint> endpoint = parseTcpAddress(call.address);
+    if (!endpoint) {
+        co_return failure(ErrorCode::NoEndpoint, step, call, true, "not an IP number and a port");
+    }
+    if (!armTimer(*connection, call, call.connectTimeout)) {
+        co_return failure(ErrorCode::Timeout, step, call, true, "the deadline passed before connecting");
+    }
+    core.opened += 1;
+    const auto [error] = co_await connection->stream.async_connect(*endpoint, useResult);
+    if (error) {
+        HttpFailure result = failure(codeOf(error), step, call, true, "connect: " + error.message());
+        result.connectionRefused = error == asio::error::connection_refused;
+        co_return result;
+    }
+    setSocketOptions(connection->stream.socket());
+    co_return std::nullopt;
+}
+
 asio::awaitable<HttpOutcome> exchange(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, const HttpCall &call, Step step)
 {
     if (!connection->used) {
-        const std::optional<tcp::endpoint> endpoint = parseTcpAddress(call.address);
-        if (!endpoint) {
-            co_return failure(ErrorCode::NoEndpoint, step, call, true, "not an IP number and a port");
-        }
-        connection->stream.expires_after(call.connectTimeout);
-        const auto [error] = co_await connection->stream.async_connect(*endpoint, useResult);
-        if (error) {
-            co_return failure(codeOf(error), step, call, true, "connect: " + error.message());
+        std::optional<HttpFailure> failed = co_await connect(*core, connection, call, step);
+        if (failed) {
+            co_return std::move(*failed);
         }
-        beast::error_code ignored;
-        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     }
     if (call.cancellation && call.cancellation->isCancelled()) {
         co_return failure(ErrorCode::Cancelled, step, call, true, "cancelled before it was sent");
@@ -149,7 +345,9 @@
     if (call.maySend && !call.maySend()) {
         co_return failure(ErrorCode::Cancelled, step, call, true, "no longer to be sent");
     }
-    connection->stream.expires_after(call.idleTimeout);
+    if (!armTimer(*connection, call, call.idleTimeout)) {
+        co_return failure(ErrorCode::Timeout, step, call, true, "the deadline passed before sending");
+    }
     const auto [error, size] = co_await http::async_write(connection->stream, message, useResult);
     if (error) {
         co_return failure(codeOf(error), step, call, false, "write: " + error.message());
@@ -189,20 +387,36 @@
     this->core->kept.clear();
 }
 
+void HttpClient::limitConnections(std::size_t perAddress)
+{
+    this->core->perAddress = perAddress;
+}
+
+std::uint64_t HttpClient::openedCount() const
+{
+    return this->core->opened;
+}
+
 asio::awaitable<HttpOutcome> HttpClient::send(HttpCall call, Step step)
 {
     const std::shared_ptr<Core> shared = this->core;
-    ConnectionPointer connection = shared->take(call.address, call.reuse);
+    ConnectionPointer connection = shared->take(call);
+    if (!connection) {
+        co_return failure(ErrorCode::Overloaded, step, call, true, "too many connections to the address are open");
+    }
     const bool kept = connection->used;
     std::optional<HttpOutcome> first
         = co_await asio::co_spawn(connection->stream.get_executor(), exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
     HttpOutcome outcome = std::move(*first);
     const bool cancelled = call.cancellation && call.cancellation->isCancelled();
-    if (outcome || !kept || cancelled || outcome.error().responseStarted || outcome.error().error.code == ErrorCode::Timeout) {
+    if (outcome || !kept || !call.resendOnStale || cancelled || outcome.error().responseStarted || outcome.error().error.code == ErrorCode::Timeout) {
         co_return outcome;
     }
     // The peer may have closed the kept connection meanwhile; the request may be repeated, or it would not have used one.
-    connection = std::make_shared<Connection>(shared->context);
+    connection = shared->create(call.address);
+    if (!connection) {
+        co_return outcome;
+    }
     std::optional<HttpOutcome> second
         = co_await asio::co_spawn(connection->stream.get_executor(), exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
     co_return std::move(*second);
--- a/src/runtime/httpexchange.h
+++ b/src/runtime/httpexchange.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <string_view>
 
 namespace oleandergate {
@@ -26,6 +27,13 @@
 
     //! Ends the body.
     virtual boost::asio::awaitable<bool> endStream() = 0;
+
+    //! Closes the connection after this response. A stream that is not ended stays visibly incomplete, and a request
+    //! that was not answered stays so.
+    virtual void closeAfterResponse() = 0;
+
+    //! Calls \p left once if the caller closes the connection before the response has ended.
+    virtual void onCallerLeft(std::function<void()> left) = 0;
 };
 
 } // namespace oleandergate
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -23,6 +24,9 @@
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds writeTimeout{30};
 
+//! How long the rest of a refused request is read, so that closing does not reset the connection under the refusal.
+constexpr std::chrono::milliseconds lingerTime{500};
+
 void copyHeaders(const std::vector<HttpHeader> &headers, http::fields &fields)
 {
     for (const HttpHeader &header : headers) {
@@ -35,35 +39,124 @@
 struct HttpServer::Core
 {
     asio::io_context &context;
-    HttpLimits limits;
+    HttpLimits limits; //!< Guarded by the mutex.
     HttpHandler handler;
     HttpRefusal refusal;
     std::mutex mutex{};
     std::optional<tcp::acceptor> acceptor{};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};
     std::atomic<std::size_t> active{0};
     std::atomic<std::size_t> open{0};
     std::uint64_t nextSession = 1;
     std::map<std::uint64_t, std::function<void()>> closeIfIdle{};
+
+    HttpLimits currentLimits()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->limits;
+    }
 };
 
 namespace {
 
-template <typename Stream>
+//! Notices that the peer closes a connection while nothing is read from it.
+class CallerWatch : public std::enable_shared_from_this<CallerWatch>
+{
+public:
+    explicit CallerWatch(beast::tcp_stream &stream)
+        : stream(stream)
+    {
+    }
+
+    void arm(std::function<void()> newHook)
+    {
+        this->hook = std::move(newHook);
+        if (!this->waiting) {
+            this->wait();
+        }
+    }
+
+    void disarm()
+    {
+        this->hook = {};
+    }
+
+private:
+    void wait()
+    {
+        this->waiting = true;
+        this->stream.socket().async_wait(tcp::socket::wait_read, [self = this->shared_from_this()](const beast::error_code &error) {
+            self->waiting = false;
+            if (!error && self->hook) {
+                self->look();
+            }
+        });
+    }
+
+    void look()
+    {
+        char probe = 0;
+        beast::error_code error;
+        this->stream.socket().non_blocking(true, error);
+        const std::size_t size = this->stream.socket().receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
+        if (error == asio::error::would_block) {
+            this->wait();
+        } else if (error || size == 0) {
+            const std::function<void()> left = std::move(this->hook);
+            this->hook = {};
+            left();
+        }
+        // A request that the caller sent ahead hides what follows it, so there is nothing more to watch.
+    }
+
+    beast::tcp_stream &stream;
+    std::function<void()> hook{};
+    bool waiting = false;
+};
+
 class BeastExchange : public HttpExchange
 {
 public:
-    BeastExchange(Stream &stream, bool keepAlive)
+    BeastExchange(beast::tcp_stream &stream, std::shared_ptr<CallerWatch> watch, const std::atomic<bool> &closing, bool keepAlive)
         : stream(stream)
+        , watch(std::move(watch))
+        , closing(closing)
         , keepAlive(keepAlive)
     {
     }
 
+    ~BeastExchange() override
+    {
+        this->watch->disarm();
+    }
+    BeastExchange(const BeastExchange &) = delete;
+    BeastExchange &operator=(const BeastExchange &) = delete;
+
+    void closeAfterResponse() override
+    {
+        this->keepAlive = false;
+        this->mayStayUnanswered = true;
+    }
+
+    void onCallerLeft(std::function<void()> left) override
+    {
+        this->watch->arm(std::move(left));
+    }
+
+    bool keepsAlive() const
+    {
+        return this->keepAlive && this->healthy && this->ended;
+    }
+
     asio::awaitable<bool> respond(HttpResponse response) override
     {
         http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
-        message.set(http::field::content_type, response.contentType);
+        if (!response.contentType.empty()) {
+            message.set(http::field::content_type, response.contentType);
+        }
         copyHeaders(response.headers, message);
+        this->decideKeepAlive();
         message.keep_alive(this->keepAlive);
         message.body() = std::move(response.body);
         message.prepare_payload();
@@ -71,14 +164,18 @@
         this->stream.expires_after(writeTimeout);
         const auto [error, size] = co_await http::async_write(this->stream, message, useResult);
         this->healthy = !error;
+        this->ended = true;
         co_return this->healthy;
     }
 
     asio::awaitable<bool> startStream(HttpResponse head) override
     {
         http::response<http::empty_body> message(static_cast<http::status>(head.status), 11);
-        message.set(http::field::content_type, head.contentType);
+        if (!head.contentType.empty()) {
+            message.set(http::field::content_type, head.contentType);
+        }
         copyHeaders(head.headers, message);
+        this->decideKeepAlive();
         message.keep_alive(this->keepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
@@ -108,15 +205,25 @@
         this->stream.expires_after(writeTimeout);
         const auto [error, size] = co_await asio::async_write(this->stream, http::make_chunk_last(), useResult);
         this->healthy = !error;
+        this->ended = true;
         co_return this->healthy;
     }
 
     bool responded = false;
-    bool healthy = true;
+    bool mayStayUnanswered = false;
 
 private:
-    Stream &stream;
+    void decideKeepAlive()
+    {
+        this->keepAlive = this->keepAlive && !this->closing;
+    }
+
+    beast::tcp_stream &stream;
+    std::shared_ptr<CallerWatch> watch;
+    const std::atomic<bool> &closing;
     bool keepAlive;
+    bool healthy = true;
+    bool ended = false;
 };
 
 HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &peer)
@@ -147,57 +254,121 @@
     return closed ? 0 : 400;
 }
 
-asio::awaitable<void> answer(HttpServer::Core &core, beast::tcp_stream &stream, HttpRequest request, bool &keepAlive)
+//! A request whose length can be read in two ways could hide another request inside its body.
+bool hasAmbiguousFraming(const http::request<http::string_body> &message)
+{
+    const auto count = [&message](http::field name) {
+        const auto range = message.equal_range(name);
+        return std::distance(range.first, range.second);
+    };
+    if (count(http::field::host) > 1 || count(http::field::content_length) > 1 || count(http::field::transfer_encoding) > 1) {
+        return true;
+    }
+    const auto coding = message.find(http::field::transfer_encoding);
+    if (coding == message.end()) {
+        return false;
+    }
+    return !beast::iequals(coding->value(), "chunked") || count(http::field::content_length) > 0 || message.version() < 11;
+}
+
+asio::awaitable<void> answer(HttpServer::Core &core, BeastExchange &exchange, HttpRequest request)
 {
-    BeastExchange<beast::tcp_stream> exchange(stream, keepAlive);
     std::string failure;
     core.active += 1;
     try {
         co_await core.handler(std::move(request), exchange);
     } catch (const std::exception &error) {
         failure = error.what();
+        exchange.closeAfterResponse();
     }
-    if (!exchange.responded) {
+    if (!exchange.responded && (!exchange.mayStayUnanswered || !failure.empty())) {
         HttpResponse response = core.refusal(500, failure.empty() ? "no response" : failure);
         co_await exchange.respond(std::move(response));
     }
     core.active -= 1;
-    keepAlive = keepAlive && exchange.healthy && failure.empty();
+}
+
+//! Reads on for a moment after a refusal, since closing with unread bytes would reset the connection.
+asio::awaitable<void> lingerOver(beast::tcp_stream &stream)
+{
+    beast::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    std::array<char, 4096> scratch{};
+    stream.expires_after(lingerTime);
+    for (bool open = true; open;) {
+        const auto [error, size] = co_await stream.async_read_some(asio::buffer(scratch), useResult);
+        open = !error;
+    }
+}
+
+asio::awaitable<void> refuseUnreadable(HttpServer::Core &core, beast::tcp_stream &stream, std::shared_ptr<CallerWatch> watch, int status, std::string detail)
+{
+    BeastExchange exchange(stream, std::move(watch), core.closing, false);
+    HttpResponse response = core.refusal(status, detail);
+    co_await exchange.respond(std::move(response));
+    co_await lingerOver(stream);
+}
+
+//! Waits until the next request begins. Returns false when the connection ended or stayed idle too long.
+asio::awaitable<bool> awaitRequest(beast::tcp_stream &stream, Duration longest)
+{
+    char probe = 0;
+    stream.expires_after(longest);
+    const auto [error, size] = co_await stream.socket().async_receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, useResult);
+    co_return !error && size > 0;
+}
+
+asio::awaitable<beast::error_code> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, Duration longest)
+{
+    stream.expires_after(longest);
+    const auto [headError, headSize] = co_await http::async_read_header(stream, buffer, parser, useResult);
+    if (headError || parser.is_done()) {
+        co_return headError;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream, asio::buffer(goOn), useResult);
+    }
+    stream.expires_after(longest);
+    const auto [error, size] = co_await http::async_read(stream, buffer, parser, useResult);
+    co_return error;
 }
 
 asio::awaitable<void> serveRequests(HttpServer::Core &core, beast::tcp_stream &stream, std::atomic<bool> &idle, std::string peer)
 {
+    const auto watch = std::make_shared<CallerWatch>(stream);
     beast::flat_buffer buffer;
     bool keepAlive = true;
     while (keepAlive && !core.stopping) {
+        const HttpLimits limits = core.currentLimits();
         idle = true;
         if (buffer.size() == 0) {
-            stream.expires_after(core.limits.idle);
-            char probe = 0;
-            const auto [waitError, waitSize] = co_await stream.socket().async_receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, useResult);
-            if (waitError || waitSize == 0) {
+            const bool began = co_await awaitRequest(stream, limits.idle);
+            if (!began) {
                 co_return;
             }
         }
         idle = false;
         http::request_parser<http::string_body> parser;
-        parser.body_limit(core.limits.body);
-        parser.header_limit(static_cast<std::uint32_t>(core.limits.header));
-        stream.expires_after(core.limits.receive);
-        const auto [error, size] = co_await http::async_read(stream, buffer, parser, useResult);
+        parser.body_limit(limits.body);
+        parser.header_limit(static_cast<std::uint32_t>(limits.header));
+        const beast::error_code error = co_await readRequest(stream, buffer, parser, limits.receive);
         if (error) {
             const int status = statusOfReadError(error);
             if (status != 0) {
-                BeastExchange<beast::tcp_stream> exchange(stream, false);
-                HttpResponse response = core.refusal(status, error.message());
-                co_await exchange.respond(std::move(response));
+                co_await refuseUnreadable(core, stream, watch, status, error.message());
             }
             co_return;
         }
-        keepAlive = parser.get().keep_alive() && !core.stopping;
+        if (hasAmbiguousFraming(parser.get())) {
+            co_await refuseUnreadable(core, stream, watch, 400, "the request's length can be read in two ways");
+            co_return;
+        }
         stream.expires_never();
+        BeastExchange exchange(stream, watch, core.closing, parser.get().keep_alive() && !core.stopping);
         HttpRequest request = toRequest(parser.release(), peer);
-        co_await answer(core, stream, std::move(request), keepAlive);
+        co_await answer(core, exchange, std::move(request));
+        keepAlive = exchange.keepsAlive();
     }
 }
 
@@ -242,7 +413,7 @@
             co_await sleepFor(std::chrono::milliseconds(20));
             continue;
         }
-        if (core->open >= core->limits.connections) {
+        if (core->open >= core->currentLimits().connections) {
             continue;
         }
         asio::co_spawn(strand, serveConnection(core, std::move(socket)), asio::detached);
@@ -295,12 +466,33 @@
         beast::error_code ignored;
         core->acceptor->close(ignored);
     });
+    this->closeIdle();
+}
+
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    const std::lock_guard lock(this->core->mutex);
+    this->core->limits = limits;
+}
+
+void HttpServer::announceClose()
+{
+    this->core->closing = true;
+}
+
+void HttpServer::closeIdle()
+{
     const std::lock_guard lock(this->core->mutex);
     for (const auto &[session, close] : this->core->closeIfIdle) {
         close();
     }
 }
 
+std::size_t HttpServer::openCount() const
+{
+    return this->core->open;
+}
+
 std::size_t HttpServer::activeCount() const
 {
     return this->core->active;
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -18,7 +18,7 @@
 {
     std::size_t body = 4 * 1024 * 1024; //!< Bytes.
     std::size_t header = 16 * 1024; //!< Bytes.
-    Duration receive = std::chrono::seconds(10); //!< Longest time for one request to arrive.
+    Duration receive = std::chrono::seconds(10); //!< Longest time for a request's header, and again for its body, to arrive.
     Duration idle = std::chrono::seconds(60); //!< Longest silence between two requests of a connection.
     std::size_t connections = 4096;
 };
@@ -38,6 +38,18 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    //! Replaces the bounds from the next request on.
+    void setLimits(const HttpLimits &limits);
+
+    //! Goes on accepting, but asks callers with each response to close their connection.
+    void announceClose();
+
+    //! Closes connections without a request under way.
+    void closeIdle();
+
+    //! Returns the number of open connections.
+    std::size_t openCount() const;
+
     //! Binds \p address, an IP number and a port, and starts accepting.
     Result<void> start(const std::string &address);
 
--- a/src/runtime/journalstore.cpp
+++ b/src/runtime/journalstore.cpp
@@ -1,6 +1,6 @@
 #include "runtime/journalstore.h"
 
-#include "platform/interfaces/keyvalueservice.h"
+#include "backing/interfaces/keyvalueservice.h"
 #include "runtime/storekeys.h"
 #include "wire/codec.h"
 
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -5,7 +5,8 @@
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
@@ -19,6 +20,33 @@
 
 namespace {
 
+//! Records that wait to be written; about a megabyte of lines.
+constexpr std::size_t longestQueue = 2048;
+
+std::atomic<std::uint64_t> &droppedCount()
+{
+    static std::atomic<std::uint64_t> count{0};
+    return count;
+}
+
+//! Drops and counts the records that find the queue full, so that a slow reader of the log never blocks a request.
+class DropAndCount
+{
+public:
+    template <typename Lock>
+    static bool on_overflow(const boost::log::record_view & /*record*/, Lock & /*lock*/)
+    {
+        droppedCount() += 1;
+        return false;
+    }
+    static void on_queue_space_available()
+    {
+    }
+    static void interrupt()
+    {
+    }
+};
+
 struct LogSetup
 {
     std::atomic<bool> json{false};
@@ -64,9 +92,10 @@
     setup().instance = instance;
     using Backend = boost::log::sinks::text_ostream_backend;
     auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream *) {}));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, [](std::ostream *) {}));
     backend->auto_flush(true);
-    auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend);
+    using Queue = boost::log::sinks::bounded_fifo_queue<longestQueue, DropAndCount>;
+    auto sink = boost::make_shared<boost::log::sinks::asynchronous_sink<Backend, Queue>>(backend);
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(sink);
 }
@@ -81,6 +110,16 @@
     BOOST_LOG_SEV(logger, static_cast<int>(level)) << line;
 }
 
+void flushLog()
+{
+    boost::log::core::get()->flush();
+}
+
+std::uint64_t droppedLogRecords()
+{
+    return droppedCount();
+}
+
 void logError(const char *component, const std::string &message, const Error &error)
 {
     logRecord(LogLevel::Warning,
--- a/src/runtime/peerclient.cpp
+++ b/src/runtime/peerclient.cpp
@@ -19,6 +19,9 @@
 //! The serving side sends empty pieces more often than this while it works.
 constexpr std::chrono::seconds silenceTimeout{2};
 
+//! Idle connections that are kept to one instance.
+constexpr std::size_t keptPerPeer = 64;
+
 struct PeerConnection
 {
     PeerConnection(asio::io_context &context, const MessageAuth &auth)
@@ -40,7 +43,7 @@
 {
     asio::io_context &context;
     const MessageAuth &auth;
-    ConnectionPool<PeerConnection> kept{};
+    ConnectionPool<PeerConnection> kept{keptPerPeer};
 
     ConnectionPointer take(const std::string &address, bool fresh)
     {
--- a/standins/kv/main.cpp
+++ b/standins/kv/main.cpp
@@ -2,7 +2,7 @@
 //! outages, slowness and answers lost after the write took effect.
 
 #include "common/standin.h"
-#include "platform/base64.h"
+#include "backing/base64.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 
