Instances that are no seeds learn of each other

Cause: reports always named the same three live peers, so two instances that are no seeds never heard of each other, each took the other for dead, and they claimed each other's slots five times a second. Change: each report names other peers.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -133,13 +133,15 @@
     });
 }
 
-std::vector<std::string> PeerTable::sample(std::size_t count) const
+std::vector<std::string> PeerTable::sample(std::size_t count)
 {
-    std::vector<std::string> addresses;
+    std::vector<std::string> alive;
     for (const auto &[id, known] : this->peers) {
-        if (addresses.size() < count) {
-            addresses.push_back(known.news.instance.peerAddress);
-        }
+        alive.push_back(known.news.instance.peerAddress);
+    }
+    std::vector<std::string> addresses;
+    for (std::size_t taken = 0; taken < std::min(count, alive.size()); ++taken) {
+        addresses.push_back(alive[this->sampled++ % alive.size()]);
     }
     return addresses;
 }
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -52,8 +52,8 @@
     //! Returns true when some live peer reached the key-value service after \p time.
     bool reachedServiceAfter(Time time) const;
 
-    //! Returns a few addresses of live peers, to name to others.
-    std::vector<std::string> sample(std::size_t count) const;
+    //! Returns the addresses of a few live peers, each time others, to name to peers that do not know them.
+    std::vector<std::string> sample(std::size_t count);
 
 private:
     struct Known
@@ -66,6 +66,7 @@
     std::map<InstanceId, Known> peers;
     std::map<std::string, Time> named; //!< Addresses to try, with when they were last tried.
     std::size_t turn = 0;
+    std::size_t sampled = 0;
 };
 
 } // namespace oleandergate
