Instances reread configuration and endpoints in turn

Ruled out: losing the event on reload, the log shows no watch answer between 7.1 and 13.2 s. Change: some instance reads everything again 0.6 to 1 s after the latest reading in the fleet, and the others when a report of a later reader differs from what they know; an event older than the latest reading is ignored.

--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -1,5 +1,7 @@
 #include "decision/endpointcatalog.h"
 
+#include "decision/hash.h"
+
 #include <set>
 
 namespace oleandergate {
@@ -77,6 +79,21 @@
     return found;
 }
 
+std::uint64_t EndpointCatalog::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[id, item] : this->listed) {
+        if (item.dropAt) {
+            continue;
+        }
+        const EndpointEntry &entry = item.entry;
+        const std::string text = id + '\n' + entry.service + '\n' + entry.spec.address + '\n' + std::to_string(entry.spec.slots)
+            + (entry.spec.leaving ? "\nleaving\n" : "\n") + std::to_string(entry.startedAt);
+        sum ^= hashOf(text);
+    }
+    return sum;
+}
+
 const EndpointEntry *EndpointCatalog::find(const EndpointId &id) const
 {
     const auto found = this->listed.find(id);
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -47,6 +47,9 @@
 
     std::vector<EndpointId> ids() const;
 
+    //! Returns a hash over all that is announced; equal for two readers of the same announcements.
+    std::uint64_t digest() const;
+
     const EndpointEntry *find(const EndpointId &id) const;
     std::size_t size() const;
 
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -133,6 +133,22 @@
     });
 }
 
+Time PeerTable::latestServiceReading() const
+{
+    Time latest{};
+    for (const auto &[id, known] : this->peers) {
+        latest = std::max(latest, known.news.serviceReached);
+    }
+    return latest;
+}
+
+bool PeerTable::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(), [digest, readAt](const auto &entry) {
+        return entry.second.news.serviceReached > readAt && entry.second.news.endpointDigest != digest;
+    });
+}
+
 std::vector<std::string> PeerTable::sample(std::size_t count)
 {
     std::vector<std::string> alive;
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -15,7 +15,8 @@
     InstanceRecord instance{};
     std::uint64_t number = 0; //!< Grows with each report of an instance.
     std::uint64_t configVersion = 0;
-    Time serviceReached{}; //!< When it last reached the key-value service.
+    Time serviceReached{}; //!< When it last read configuration and endpoints from the key-value service.
+    std::uint64_t endpointDigest = 0; //!< Hash over the endpoints it knows.
     std::map<std::uint32_t, std::uint32_t> loads{}; //!< Its calls by endpoint, by the hash of the endpoint's identifier.
 };
 
@@ -52,6 +53,12 @@
     //! Returns true when some live peer reached the key-value service after \p time.
     bool reachedServiceAfter(Time time) const;
 
+    //! Returns when a live peer last read from the key-value service.
+    Time latestServiceReading() const;
+
+    //! Returns true when a live peer that read the service after \p readAt knows other endpoints than \p digest says.
+    bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
+
     //! Returns the addresses of a few live peers, each time others, to name to peers that do not know them.
     std::vector<std::string> sample(std::size_t count);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "decision/hash.h"
 #include "gateway/budgetkeeper.h"
 #include "gateway/peergossip.h"
 #include "gateway/planholder.h"
@@ -19,6 +20,7 @@
 #include <boost/asio.hpp>
 
 #include <atomic>
+#include <random>
 #include <thread>
 
 namespace oleandergate {
@@ -34,6 +36,15 @@
 
 constexpr Duration housekeepingStep = std::chrono::milliseconds(250);
 
+//! Some instance reads everything again this long after the latest reading, so that a change that no watch reports is in
+//! force everywhere within two seconds.
+constexpr Duration rereadStep = std::chrono::milliseconds(600);
+constexpr Duration rereadJitter = std::chrono::milliseconds(400);
+constexpr Duration rereadLook = std::chrono::milliseconds(100);
+
+//! Shortest time between two readings that a peer's report asks for.
+constexpr Duration rereadPause = std::chrono::milliseconds(700);
+
 InstanceRecord selfOf(const GatewaySettings &settings)
 {
     // The time makes the identifier differ from that of the process before.
@@ -175,19 +186,49 @@
         const std::uint64_t version = read.value().version;
         const std::size_t routes = read.value().routes.size();
         const std::uint64_t before = this->plans.version();
-        const bool newer = this->plans.offer(std::move(read.value()));
+        if (!this->plans.offer(std::move(read.value()))) {
+            return;
+        }
         logRecord(LogLevel::Info,
                   "configuration",
-                  newer ? "in force" : "not newer than the one in force",
+                  "in force",
                   {{"version", std::to_string(version)},
                    {"before", std::to_string(before)},
                    {"revision", std::to_string(pair.revision)},
                    {"routes", std::to_string(routes)}});
     }
 
+    //! Returns when both configuration and endpoints had been read whole.
+    Time readAt() const
+    {
+        return std::min(this->configurationFollower.loadedAt(), this->endpointFollower.loadedAt());
+    }
+
+    //! A watch may fall silent without breaking. So that changes arrive all the same, one instance after the other reads
+    //! everything again, and the others do so when its reports differ from what they know.
+    asio::awaitable<void> rereadLoop()
+    {
+        std::mt19937_64 random(hashOf(this->self.id));
+        std::uniform_int_distribution<Duration::rep> jitter(0, rereadJitter.count());
+        while (true) {
+            co_await sleepFor(rereadLook);
+            const Time now = currentTime();
+            const Time latest = std::max(this->readAt(), this->gossip.latestServiceReading());
+            const bool differs = now - this->readAt() > rereadPause && this->gossip.knowsOtherEndpoints(this->pools.endpointDigest(), this->readAt());
+            if (now - latest < rereadStep + Duration(jitter(random)) && !differs) {
+                continue;
+            }
+            if (differs) {
+                logRecord(LogLevel::Info, "endpoints", "a peer knows other endpoints", {{"read_ms_ago", std::to_string((now - this->readAt()).count() / 1000)}});
+            }
+            co_await this->configurationFollower.load();
+            co_await this->endpointFollower.load();
+        }
+    }
+
     PeerGossip::OwnNews ownNews() const
     {
-        return PeerGossip::OwnNews{this->plans.version(), this->budget.confirmedAt(), this->draining, this->pools.ownCalls()};
+        return PeerGossip::OwnNews{this->plans.version(), this->readAt(), this->pools.endpointDigest(), this->draining, this->pools.ownCalls()};
     }
 
     asio::awaitable<PeerMessage> servePeer(PeerMessage command)
@@ -248,9 +289,11 @@
                 entries.push_back(std::move(*entry));
             }
         }
-        logRecord(
-            LogLevel::Info, "endpoints", "read", {{"count", std::to_string(entries.size())}, {"revision", std::to_string(range.revision)}});
+        const std::uint64_t before = this->pools.endpointDigest();
         this->pools.replaceEndpoints(entries, currentTime());
+        if (this->pools.endpointDigest() != before) {
+            logRecord(LogLevel::Info, "endpoints", "read", {{"count", std::to_string(entries.size())}, {"revision", std::to_string(range.revision)}});
+        }
     }
 
     void takeEndpoint(const KvEvent &event)
@@ -330,6 +373,7 @@
         asio::co_spawn(this->control, this->configurationFollower.run(), asio::detached);
         asio::co_spawn(this->control, this->endpointFollower.run(), asio::detached);
         asio::co_spawn(this->control, this->keepHouse(), asio::detached);
+        asio::co_spawn(this->control, this->rereadLoop(), asio::detached);
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
             if (!error) {
                 asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -90,6 +90,18 @@
     return this->core->table.reachedServiceAfter(time);
 }
 
+Time PeerGossip::latestServiceReading() const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.latestServiceReading();
+}
+
+bool PeerGossip::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.knowsOtherEndpoints(digest, readAt);
+}
+
 void PeerGossip::addAddress(const std::string &address, Time now)
 {
     const std::lock_guard lock(this->core->mutex);
@@ -112,6 +124,7 @@
     report.number = static_cast<std::uint64_t>(now.time_since_epoch().count());
     report.configVersion = news.configVersion;
     report.serviceReachedAgo = static_cast<std::uint64_t>((now - news.serviceReached).count());
+    report.endpointDigest = news.endpointDigest;
     report.leaving = news.leaving;
     for (const auto &[endpoint, calls] : news.loads) {
         report.loads.push_back(EndpointLoad{endpointHash(endpoint), static_cast<std::uint16_t>(calls)});
@@ -219,6 +232,7 @@
     news.number = report.value().number;
     news.configVersion = report.value().configVersion;
     news.serviceReached = now - Duration(static_cast<std::int64_t>(report.value().serviceReachedAgo));
+    news.endpointDigest = report.value().endpointDigest;
     for (const EndpointLoad &load : report.value().loads) {
         news.loads[load.endpoint] = load.calls;
     }
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -26,7 +26,8 @@
     struct OwnNews
     {
         std::uint64_t configVersion = 0;
-        Time serviceReached{};
+        Time serviceReached{}; //!< When it last read configuration and endpoints from the key-value service.
+        std::uint64_t endpointDigest = 0;
         bool leaving = false;
         std::map<EndpointId, std::uint32_t> loads{};
     };
@@ -50,6 +51,10 @@
     //! Returns true when some live peer reached the key-value service after \p time. Thread-safe.
     bool reachedServiceAfter(Time time) const;
 
+    //! As in PeerTable. Thread-safe.
+    Time latestServiceReading() const;
+    bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
+
     //! Adds an address to try. Thread-safe.
     void addAddress(const std::string &address, Time now);
 
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -138,6 +138,12 @@
     return this->catalog.ids();
 }
 
+std::uint64_t PoolSet::endpointDigest() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.digest();
+}
+
 std::size_t PoolSet::endpointCount() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -35,6 +35,9 @@
     void setForeign(const std::map<EndpointId, std::uint32_t> &calls, Time now);
 
     std::vector<EndpointId> endpointIds() const;
+
+    //! As in EndpointCatalog.
+    std::uint64_t endpointDigest() const;
     std::size_t endpointCount() const;
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -34,6 +34,7 @@
 
 asio::awaitable<bool> PrefixFollower::load()
 {
+    const Time askedAt = currentTime();
     const Result<KvRange> range = co_await this->service.range(this->prefix);
     if (!range) {
         if (!this->lost) {
@@ -48,20 +49,33 @@
     }
     this->lost = false;
     this->pause = firstPause;
-    this->revision = range.value().revision;
-    this->hooks.onLoad(range.value());
+    this->readAt = askedAt;
+    // An answer that was overtaken by newer events would bring back what they ended.
+    if (range.value().revision >= this->seen) {
+        this->seen = range.value().revision;
+        this->loaded = range.value().revision;
+        this->hooks.onLoad(range.value());
+    }
     co_return true;
 }
 
+Time PrefixFollower::loadedAt() const
+{
+    return this->readAt;
+}
+
 asio::awaitable<void> PrefixFollower::run()
 {
     while (true) {
         const bool loaded = co_await this->load();
         if (loaded) {
             const auto onEvent = [this](const KvEvent &event) {
-                this->hooks.onEvent(event);
+                if (event.pair.revision > this->loaded) {
+                    this->seen = std::max(this->seen, event.pair.revision);
+                    this->hooks.onEvent(event);
+                }
             };
-            const Error ended = co_await this->service.watch(this->prefix, this->revision + 1, onEvent);
+            const Error ended = co_await this->service.watch(this->prefix, this->seen + 1, onEvent);
             logError("store", "the watch of " + this->prefix + " ended", ended);
             // A watch that broke for want of history says nothing about the service's health.
             this->lost = this->lost || ended.code == ErrorCode::ServiceUnavailable;
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -3,11 +3,13 @@
 
 #include "backing/interfaces/keyvalueservice.h"
 
+#include <atomic>
 #include <functional>
 
 namespace oleandergate {
 
-//! Keeps a copy of all keys under a prefix: reads them once, follows the changes, and reads again when the watch breaks.
+//! Keeps a copy of all keys under a prefix: reads them once, follows the changes, and reads again when the watch breaks or
+//! somebody asks for it, since a watch may fall silent without breaking.
 class PrefixFollower
 {
 public:
@@ -23,14 +25,21 @@
     //! Runs for the life of the process.
     boost::asio::awaitable<void> run();
 
-private:
+    //! Reads all keys again. Returns false when the service does not answer.
     boost::asio::awaitable<bool> load();
 
+    //! Returns when the keys were last read.
+    Time loadedAt() const;
+
+private:
+
     KeyValueService &service;
     std::string prefix;
     Hooks hooks;
-    std::uint64_t revision = 0; //!< Up to which changes are known.
+    std::uint64_t loaded = 0; //!< Revision of the latest whole reading; events up to it are old.
+    std::uint64_t seen = 0; //!< Revision up to which changes are known.
     bool lost = false;
+    std::atomic<Time> readAt{Time{}};
     Duration pause{};
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -241,7 +241,8 @@
 template <class Archive>
 void serialize(Archive &archive, LoadReport &value)
 {
-    archive(value.instance, value.address, value.domain, value.number, value.configVersion, value.serviceReachedAgo, value.leaving, value.loads, value.peers);
+    archive(value.instance, value.address, value.domain, value.number, value.configVersion, value.serviceReachedAgo);
+    archive(value.endpointDigest, value.leaving, value.loads, value.peers);
 }
 
 namespace {
--- a/src/wire/loadreport.h
+++ b/src/wire/loadreport.h
@@ -23,7 +23,8 @@
     std::string domain{};
     std::uint64_t number = 0; //!< Grows with each report of an instance.
     std::uint64_t configVersion = 0;
-    std::uint64_t serviceReachedAgo = 0; //!< Microseconds since the key-value service last answered.
+    std::uint64_t serviceReachedAgo = 0; //!< Microseconds since it read configuration and endpoints from the key-value service.
+    std::uint64_t endpointDigest = 0; //!< Hash over the endpoints it knows.
     bool leaving = false;
     std::vector<EndpointLoad> loads{};
     std::vector<std::string> peers{}; //!< Addresses of a few other instances.
