A stopping instance refuses what it could not finish

The balancer goes on sending while half of a zone is out. Change: once a stop began, a request whose time limit lies behind the end is refused as not run, with a new connection as the remedy; the process ends when no request is under way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -352,14 +352,16 @@
         logRecord(LogLevel::Info, "instance", "draining", {{"active", std::to_string(this->callerServer.activeCount())}});
         this->draining = true;
         this->callerServer.announceClose();
+        this->relay.endBy(giveUp);
         co_await this->budget.handOverAll(began + this->settings.balancerLag);
         while (currentTime() < began + this->settings.balancerLag) {
             co_await sleepFor(drainStep);
         }
-        while (currentTime() < giveUp && this->callerServer.openCount() > 0) {
-            this->callerServer.closeIdle();
+        while (currentTime() < giveUp && this->callerServer.activeCount() > 0) {
             co_await sleepFor(drainStep);
         }
+        this->callerServer.closeIdle();
+        co_await sleepFor(drainStep);
         logRecord(LogLevel::Info, "instance", "stopped", {{"active", std::to_string(this->callerServer.activeCount())}});
         this->requests.stop();
         this->control.stop();
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -18,6 +18,9 @@
 //! When a refused caller should come back if nothing better is known: about one turn of an engine.
 constexpr Duration usualRetryAfter = std::chrono::milliseconds(250);
 
+//! When a caller should come back to reach another instance: a new connection is all it needs.
+constexpr Duration otherInstanceRetryAfter = std::chrono::milliseconds(20);
+
 //! Most urgent and least urgent value that endpoints know.
 constexpr int leastUrgent = 9;
 
@@ -72,6 +75,11 @@
 {
 }
 
+void Relay::endBy(Time newEnd)
+{
+    this->end = newEnd;
+}
+
 asio::awaitable<void> Relay::handle(HttpRequest request, HttpExchange &exchange)
 {
     Job job(exchange, currentTime());
@@ -107,6 +115,13 @@
     }
     job.service = &known->second;
     job.deadline = job.arrived + std::min(job.call.timeLeft.value_or(job.route->timeout), job.route->timeout);
+    if (job.deadline > this->end.load()) {
+        job.exchange.closeAfterResponse();
+        Error ending = error(ErrorCode::ServiceUnavailable, Step::Drain, Ran::No, "the instance ends before the request could");
+        ending.retryAfter = otherInstanceRetryAfter;
+        co_await this->refuse(job, ending);
+        co_return;
+    }
     job.retries.emplace(job.route->kind, job.route->resumable, job.route->maxAttempts);
     if (job.route->kind != RouteKind::Once) {
         // A request that runs at most once has its effect whether or not somebody waits for the answer.
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -33,6 +33,9 @@
 
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
 
+    //! From now on refuses requests that could last longer than until \p end, when this process ends.
+    void endBy(Time end);
+
 
 private:
     struct Job;
@@ -46,6 +49,7 @@
 
     Parts parts;
     std::atomic<CallId> nextCall{1};
+    std::atomic<Time> end{Time::max()};
 };
 
 } // namespace oleandergate
