--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -35,9 +35,11 @@
     if (available < missing) {
         return std::nullopt;
     }
-    // Larger blocks for larger programs, so that the number of writes a program costs is bounded.
+    // A ledger that knows the program from its start is the only one that draws, so it draws once. Others draw a part
+    // each, since several may be drawing.
     constexpr Tokens blocksPerShare = 3;
-    const Tokens block = std::min(available, std::max({missing, request.turn, bound / blocksPerShare}));
+    const Tokens part = allowance.fromStart ? available : bound / blocksPerShare;
+    const Tokens block = std::min(available, std::max({missing, request.turn, part}));
     return BlockDraw{allowance.recorded + block, block, allowance.revision};
 }
 
--- a/src/gateway/budgetkeeper.cpp
+++ b/src/gateway/budgetkeeper.cpp
@@ -388,14 +388,16 @@
     if (now < this->leaseUntil) {
         co_return this->lease;
     }
+    // Records written until the lease is known go without one.
+    this->leaseUntil = now + leaseRenewal;
     const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(leaseLength);
     if (!granted) {
+        this->leaseUntil = Time{};
         // A record without a lease stays longer than needed and is right all the same.
         this->onServiceFailed(granted.error());
         co_return 0;
     }
     this->lease = granted.value();
-    this->leaseUntil = now + leaseRenewal;
     co_return this->lease;
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,6 +176,7 @@
                                         this->pools.onKeeperBack(currentTime());
                                     }})
         , signals(control, SIGTERM, SIGINT)
+        , reloadSignals(control, SIGHUP)
     {
     }
 
@@ -218,15 +219,21 @@
         std::mt19937_64 random(hashOf(this->self.id));
         std::uniform_int_distribution<Duration::rep> jitter(0, rereadJitter.count());
         Time agreedAt = currentTime();
+        Time latest{};
+        Time due{};
         while (true) {
             co_await sleepFor(rereadLook);
             const Time now = currentTime();
-            const Time latest = std::max(this->readAt(), this->gossip.latestServiceReading());
+            const Time latestNow = std::max(this->readAt(), this->gossip.latestServiceReading());
+            if (latestNow - latest > reportDelay) {
+                latest = latestNow;
+                due = latest + rereadStep + Duration(jitter(random));
+            }
             if (!this->gossip.knowsOtherEndpoints(this->pools.endpointDigest(), this->readAt())) {
                 agreedAt = now;
             }
             const bool differs = now - agreedAt > reportDelay && now - this->readAt() > rereadPause;
-            if (now - latest < rereadStep + Duration(jitter(random)) && !differs) {
+            if (now < due && !differs) {
                 continue;
             }
             if (differs) {
@@ -361,6 +368,29 @@
         }
     }
 
+    asio::awaitable<void> reloadLoop(SettingsReader readSettings)
+    {
+        while (true) {
+            const auto [error, signal] = co_await this->reloadSignals.async_wait(asio::as_tuple(asio::use_awaitable));
+            if (error) {
+                co_return;
+            }
+            const std::optional<GatewaySettings> read = readSettings();
+            logRecord(read ? LogLevel::Info : LogLevel::Warning,
+                      "instance",
+                      read ? "reloaded settings" : "keeps its settings, the new ones are faulty",
+                      {{"seeds", std::to_string(read ? read->seeds.size() : this->settings.seeds.size())}});
+            if (!read) {
+                continue;
+            }
+            this->settings.seeds = read->seeds;
+            this->settings.drainLimit = read->drainLimit;
+            for (const std::string &seed : read->seeds) {
+                this->gossip.addAddress(seed, currentTime());
+            }
+        }
+    }
+
     asio::awaitable<void> drainAndStop()
     {
         const Time began = currentTime();
@@ -383,8 +413,9 @@
         this->control.stop();
     }
 
-    Result<void> start()
+    Result<void> start(const SettingsReader &readSettings)
     {
+        asio::co_spawn(this->control, this->reloadLoop(readSettings), asio::detached);
         this->plans.setListener([this](const std::shared_ptr<const ActivePlan> &plan) {
             this->applyPlan(plan);
         });
@@ -439,6 +470,7 @@
     PrefixFollower configurationFollower;
     PrefixFollower endpointFollower;
     asio::signal_set signals;
+    asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
     std::atomic<bool> fetching{false};
 };
@@ -450,10 +482,10 @@
 
 Gateway::~Gateway() = default;
 
-Result<void> Gateway::run()
+Result<void> Gateway::run(const SettingsReader &readSettings)
 {
     logRecord(LogLevel::Info, "instance", "starting", {{"callers", this->core->settings.callerAddress}, {"domain", this->core->settings.domain}});
-    const Result<void> started = this->core->start();
+    const Result<void> started = this->core->start(readSettings);
     if (!started) {
         return started.error();
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -19,6 +20,9 @@
 //! Makes the client of the key-value service, on the gateway's connections.
 using KeyValueFactory = std::function<std::unique_ptr<KeyValueService>(HttpClient &client)>;
 
+//! Reads the process's settings again. Returns nothing when they are faulty.
+using SettingsReader = std::function<std::optional<GatewaySettings>()>;
+
 //! An entry instance for callers whose requests are passed on by host and path, as bytes.
 class Gateway
 {
@@ -28,8 +32,9 @@
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
-    //! Serves until SIGTERM, then ends gracefully.
-    Result<void> run();
+    //! Serves until SIGTERM, then ends gracefully. On SIGHUP takes the seeds and the drain limit from \p readSettings; the
+    //! addresses stay those of the start.
+    Result<void> run(const SettingsReader &readSettings);
 
 private:
     struct Core;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -153,7 +153,8 @@
         report.loads.push_back(EndpointLoad{endpointHash(endpoint), static_cast<std::uint16_t>(calls)});
     }
     const bool changed = news.loads != this->core->told.loads || news.configVersion != this->core->told.configVersion
-        || news.endpointDigest != this->core->told.endpointDigest || news.keptSlots != this->core->told.keptSlots || news.leaving != this->core->told.leaving;
+        || news.endpointDigest != this->core->told.endpointDigest || news.keptSlots != this->core->told.keptSlots || news.leaving != this->core->told.leaving
+        || news.serviceReached != this->core->told.serviceReached;
     this->core->told = news;
     if (!changed && now - this->core->toldAt < lifeStep) {
         report.number = 0;
