Tests of the gateway's decisions and of the platform's formats

Token budgets are checked over 300 seeded runs of four instances that die, pause, hand over and lose answers: none gets more than its budget and one turn; two planted defects are found within 20 seeds.

--- /dev/null
+++ b/tests/gateway/platformtests.cpp
@@ -0,0 +1,175 @@
+//! The platform's formats: what is read from them, and what damaged input does.
+
+#include "platform/platformdialect.h"
+#include "platform/platformrecords.h"
+#include "platform/platformsettings.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace oleandergate;
+using namespace oleandergate::platform;
+
+namespace {
+
+HttpRequest turnRequest()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.body = "body";
+    request.headers = {{"Host", "h.example"},
+                       {"Oleandergate-Request-Id", "r1"},
+                       {"Oleandergate-Deadline-Ms", "4000"},
+                       {"Oleandergate-Program-Id", "p1"},
+                       {"Oleandergate-Session-Id", "s1"},
+                       {"Oleandergate-Finish-Ms", "5200"},
+                       {"Oleandergate-Token-Budget", "2320"},
+                       {"Oleandergate-Token-Counts", "1840,290"},
+                       {"Oleandergate-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                       {"Last-Event-Id", "12"},
+                       {"X-Other", "kept"}};
+    return request;
+}
+
+bool has(const std::vector<HttpHeader> &headers, const std::string &name, const std::string &value)
+{
+    return std::any_of(headers.begin(), headers.end(), [&](const HttpHeader &header) {
+        return header.name == name && header.value == value;
+    });
+}
+
+const char *configuration = R"({"Version":7,"Routes":[
+    {"Name":"r1","Host":"h.example","PathPrefix":"/a/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":250,"Priority":1,"Service":"s1","MaxAttempts":1,"Resumable":true,"GapAimMs":200},
+    {"Name":"r2","Host":"h.example","PathPrefix":"/b/","Kind":"unsafe","TimeoutMs":6000,"TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}]}],
+    "Services":[{"Name":"s1","MaxConns":180,"Engine":{"TokensPerEvent":10}},{"Name":"s2","MaxConns":110}],
+    "Limits":{"HeaderBytes":16384,"BodyBytes":1000,"HeaderMs":3000,"IdleMs":15000}})";
+
+} // namespace
+
+TEST_CASE("A turn's headers are read into what they mean")
+{
+    const Result<RelayCall> call = PlatformDialect().decode(turnRequest());
+    REQUIRE(call);
+    CHECK(call.value().requestId == "r1");
+    CHECK(call.value().timeLeft == std::chrono::seconds(4));
+    CHECK(call.value().resumeAfter == 12);
+    CHECK(call.value().program->program == "p1");
+    CHECK(call.value().program->line == "s1");
+    CHECK(call.value().program->tokenBudget == 2320);
+    CHECK(call.value().promptTokens == 1840);
+    CHECK(call.value().maxTokens == 290);
+    REQUIRE(call.value().parts.size() == 2);
+    CHECK(call.value().parts[1].tokens == 410);
+}
+
+TEST_CASE("An endpoint gets the time that is left and no header that only the system may set")
+{
+    HttpRequest request = turnRequest();
+    for (const char *own : {"Oleandergate-Hold", "oleandergate-pin-ms", "Oleandergate-Kv-Backup", "Kv-From", "Kv-Fetch", "Oleandergate-Expect-Instance"}) {
+        request.headers.push_back(HttpHeader{own, "x"});
+    }
+    const Result<RelayCall> call = PlatformDialect().decode(std::move(request));
+    REQUIRE(call);
+    EndpointOrder order;
+    order.expected = "i-1";
+    order.timeLeft = std::chrono::milliseconds(1500);
+    const std::vector<HttpHeader> headers = PlatformDialect().encode(call.value(), order);
+    CHECK(has(headers, "Oleandergate-Deadline-Ms", "1500"));
+    CHECK(has(headers, "Oleandergate-Expect-Instance", "i-1"));
+    CHECK(has(headers, "Oleandergate-Request-Id", "r1"));
+    CHECK(has(headers, "X-Other", "kept"));
+    for (const HttpHeader &header : headers) {
+        CHECK(header.value != "x");
+        CHECK(header.name != "Last-Event-Id");
+    }
+}
+
+TEST_CASE("A request without an identifier or with a damaged number is refused")
+{
+    HttpRequest nameless = turnRequest();
+    std::erase_if(nameless.headers, [](const HttpHeader &header) {
+        return header.name == "Oleandergate-Request-Id";
+    });
+    CHECK(PlatformDialect().decode(std::move(nameless)).error().code == ErrorCode::BadRequest);
+    HttpRequest damaged = turnRequest();
+    damaged.headers[2].value = "40x0";
+    CHECK(PlatformDialect().decode(std::move(damaged)).error().code == ErrorCode::BadRequest);
+}
+
+TEST_CASE("Callers are told fractions of a second")
+{
+    CHECK(PlatformDialect().retryAfter(std::chrono::milliseconds(250)).value == "0.250");
+}
+
+TEST_CASE("A configuration is read with its routes, splits, services and bounds")
+{
+    const Result<GatewayConfiguration> read = PlatformRecords().readConfiguration(configuration);
+    REQUIRE(read);
+    CHECK(read.value().version == 7);
+    REQUIRE(read.value().routes.size() == 2);
+    CHECK(read.value().routes[0].kind == RouteKind::Stream);
+    CHECK(read.value().routes[0].resumable);
+    CHECK(read.value().routes[1].kind == RouteKind::Once);
+    CHECK(read.value().routes[1].targets.size() == 2);
+    CHECK(read.value().services[0].isEngine);
+    CHECK(read.value().services[0].tokensPerEvent == 10);
+    CHECK(read.value().bounds.bodyBytes == 1000);
+}
+
+TEST_CASE("A configuration with an unknown kind of route is refused by name")
+{
+    std::string text = configuration;
+    text.replace(text.find("unsafe"), 6, "sometimes");
+    const Result<GatewayConfiguration> read = PlatformRecords().readConfiguration(text);
+    REQUIRE_FALSE(read);
+    CHECK(read.error().detail.find("r2") != std::string::npos);
+}
+
+TEST_CASE("An announcement names an endpoint only when every field is right")
+{
+    const PlatformRecords records;
+    const std::string good = R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"a","Slots":16,"State":"draining","Seq":4,"born":17})";
+    const Result<EndpointEntry> entry = records.readEndpoint(KvPair{"servers/i-1", good, 1});
+    REQUIRE(entry);
+    CHECK(entry.value().spec.id == "i-1");
+    CHECK(entry.value().spec.leaving);
+    CHECK(entry.value().startedAt == 17);
+    for (const char *bad : {"", "[]", R"({"Service":"s1"})", R"({"Service":"s1","Address":"10.128.0.9:8080","Slots":"16","State":"ready"})",
+                            R"({"Service":"s1","Address":"10.128.0.9:8080","Slots":16,"State":"resting"})", R"({"Service":"s1","Address":"host:80","Slots":16,"State":"ready"})",
+                            R"({"Service":7,"Address":"10.128.0.9:8080","Slots":16,"State":"ready"})"}) {
+        CHECK_FALSE(records.readEndpoint(KvPair{"servers/i-1", bad, 1}));
+    }
+}
+
+TEST_CASE("Damaged documents are refused or read, and never end the process")
+{
+    const PlatformRecords records;
+    std::mt19937 random(20261204);
+    for (int round = 0; round < 3000; ++round) {
+        std::string text = configuration;
+        for (int damage = 0; damage < 3; ++damage) {
+            text[random() % text.size()] = static_cast<char>(random() % 256);
+        }
+        (void)records.readConfiguration(text);
+        (void)records.readEndpoint(KvPair{"servers/i-1", text, 1});
+    }
+    CHECK(records.readConfiguration(configuration));
+}
+
+TEST_CASE("Settings of the platform's format are checked, and unknown fields ignored")
+{
+    const std::string good = "NodeName = \"n\"\nZone = \"z\"\nIp = \"10.1.0.38\"\nSeeds = [\"10.1.0.38:8144\"]\nNew = 3\n"
+                             "[Listen]\nFront = \"10.1.0.38:8149\"\nReady = \"10.1.0.38:8141\"\nControl = \"10.1.0.38:8144\"\n"
+                             "[Bounds]\nGraceS = 8.5\n[Platform]\nAddress = \"10.200.1.7:8142\"\n";
+    ConfigIssues issues;
+    const std::optional<PlatformSettings> settings = readPlatformSettings(good, "boot.toml", issues);
+    REQUIRE(settings);
+    CHECK(settings->gateway.drainLimit == std::chrono::milliseconds(8500));
+    CHECK(settings->gateway.callerAddress == "10.1.0.38:8149");
+    CHECK(settings->storeAddress == "10.200.1.7:8142");
+    ConfigIssues faults;
+    CHECK_FALSE(readPlatformSettings("NodeName = 3\n", "boot.toml", faults));
+    CHECK_FALSE(faults.empty());
+}
--- /dev/null
+++ b/tests/unit/budgetsafetytests.cpp
@@ -0,0 +1,252 @@
+//! Token budgets over several instances that die, pause and lose answers: whatever they believe of each other, no program
+//! is handed more than its budget and one turn.
+
+#include "decision/budgetslots.h"
+#include "decision/tokenledger.h"
+
+#include <doctest/doctest.h>
+
+#include <limits>
+#include <memory>
+#include <random>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr Duration confirmation = std::chrono::seconds(20);
+constexpr Duration retention = std::chrono::seconds(60);
+constexpr Duration isolation = std::chrono::seconds(4);
+constexpr SlotId slotCount = 4;
+constexpr int programCount = 24;
+const TurnRequest shape{"", 1740, 290};
+
+//! The key-value service's records.
+struct Records
+{
+    std::uint64_t revision = 0;
+    std::map<SlotId, SlotRecord> slots{};
+    std::map<ProgramId, std::pair<Tokens, std::uint64_t>> programs{};
+};
+
+struct Node
+{
+    explicit Node(const InstanceId &id)
+        : self{id, id, {}, false}
+        , slots(id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation})
+    {
+    }
+
+    InstanceRecord self;
+    BudgetSlots slots;
+    TokenLedger ledger{};
+    Time pausedUntil{};
+};
+
+//! Defects that the check has to find.
+enum class Defect : std::uint8_t { None, FreeShareAfterTakeover, SpendBeforeRecord };
+
+class World
+{
+public:
+    World(std::uint32_t seed, Defect defect)
+        : random(seed)
+        , defect(defect)
+    {
+        for (int index = 0; index < 4; ++index) {
+            this->nodes.push_back(std::make_unique<Node>("n" + std::to_string(index)));
+        }
+    }
+
+    void run(int steps)
+    {
+        for (int step = 0; step < steps; ++step) {
+            this->now += std::chrono::milliseconds(this->draw(1, 400));
+            this->disturb();
+            for (const std::unique_ptr<Node> &node : this->nodes) {
+                if (node->pausedUntil <= this->now) {
+                    this->maintain(*node);
+                }
+            }
+            for (int turns = this->draw(0, 6); turns > 0; --turns) {
+                this->turn();
+            }
+        }
+    }
+
+    std::map<ProgramId, Tokens> handed{};
+
+private:
+    int draw(int least, int most)
+    {
+        return std::uniform_int_distribution<int>(least, most)(this->random);
+    }
+
+    Node &anyNode()
+    {
+        return *this->nodes[static_cast<std::size_t>(this->draw(0, static_cast<int>(this->nodes.size()) - 1))];
+    }
+
+    void disturb()
+    {
+        const int what = this->draw(0, 60);
+        if (what == 0) {
+            const auto index = static_cast<std::size_t>(this->draw(0, static_cast<int>(this->nodes.size()) - 1));
+            this->nodes[index] = std::make_unique<Node>("n" + std::to_string(index) + "~" + std::to_string(++this->restarts));
+        } else if (what == 1) {
+            this->anyNode().pausedUntil = this->now + std::chrono::milliseconds(this->draw(500, 15000));
+        } else if (what == 2) {
+            this->handOver(this->anyNode());
+        } else if (what == 3) {
+            for (std::unique_ptr<Node> &node : this->nodes) {
+                node = std::make_unique<Node>("all~" + std::to_string(++this->restarts));
+            }
+        }
+    }
+
+    void readRecords(Node &node)
+    {
+        for (const auto &[slot, record] : this->records.slots) {
+            node.slots.onRecord(slot, record, this->now);
+            if (this->defect == Defect::FreeShareAfterTakeover && record.owner == node.self.id) {
+                this->careless.insert({node.self.id, slot});
+            }
+        }
+        node.slots.onConfirmed(this->now);
+    }
+
+    void maintain(Node &node)
+    {
+        std::vector<InstanceRecord> alive{node.self};
+        for (const std::unique_ptr<Node> &other : this->nodes) {
+            // A peer that pauses is soon taken for dead, and now and then a living one is.
+            if (other->self.id != node.self.id && other->pausedUntil <= this->now && this->draw(0, 30) != 0) {
+                alive.push_back(other->self);
+            }
+        }
+        node.slots.onMembers(alive, this->now);
+        if (this->draw(0, 5) == 0) {
+            this->readRecords(node);
+        }
+        for (const SlotMove &move : node.slots.plan(this->now)) {
+            SlotRecord &record = this->records.slots[move.slot];
+            if (move.kind == SlotMove::Kind::Claim && record.revision == move.seen.revision) {
+                record = SlotRecord{node.self.id, record.epoch + 1, ++this->records.revision};
+                // The answer may be lost: then the node sees its claim in a later reading.
+                if (this->draw(0, 4) != 0) {
+                    node.slots.onRecord(move.slot, record, this->now);
+                }
+            }
+        }
+    }
+
+    void handOver(Node &from)
+    {
+        Node &to = this->anyNode();
+        for (SlotId slot = 0; slot < slotCount && to.self.id != from.self.id; ++slot) {
+            if (!from.slots.keeps(slot)) {
+                continue;
+            }
+            const Time freeShareFrom = from.slots.freeShareFrom(slot);
+            from.slots.onGivenAway(slot);
+            const std::vector<LedgerEntry> book = from.ledger.take([&from, slot](const ProgramId &program) {
+                return from.slots.slotOf(program) == slot;
+            });
+            SlotRecord &record = this->records.slots[slot];
+            // The message may be lost on its way, or the record may have changed meanwhile.
+            if (record.owner == from.self.id && this->draw(0, 3) != 0) {
+                record = SlotRecord{to.self.id, record.epoch + 1, ++this->records.revision};
+                to.slots.onReceived(slot, freeShareFrom);
+                to.slots.onRecord(slot, record, this->now);
+                to.ledger.put(book, this->now);
+            }
+        }
+    }
+
+    bool freeShareAt(const Node &node, SlotId slot)
+    {
+        const bool othersReached = true;
+        return node.slots.hasFreeShare(slot, othersReached, this->now) || this->careless.contains({node.self.id, slot});
+    }
+
+    void turn()
+    {
+        Node &node = this->anyNode();
+        if (node.pausedUntil > this->now) {
+            return;
+        }
+        TurnRequest request = shape;
+        request.program = "p" + std::to_string(this->draw(0, programCount - 1));
+        const SlotId slot = node.slots.slotOf(request.program);
+        LedgerAnswer answer = node.ledger.reserve(request, this->freeShareAt(node, slot), this->now);
+        for (int tries = 0; answer == LedgerAnswer::NeedsBlock && tries < 3; ++tries) {
+            this->record(node, request);
+            answer = node.ledger.reserve(request, false, this->now);
+        }
+        if (answer == LedgerAnswer::Granted) {
+            const Tokens used = 10 * this->draw(0, 29);
+            this->handed[request.program] += used;
+            // A turn whose end is never told stays spent.
+            if (this->draw(0, 9) != 0) {
+                node.ledger.credit(request.program, request.turn - used);
+            }
+        }
+    }
+
+    void record(Node &node, const TurnRequest &request)
+    {
+        const std::optional<BlockDraw> draw = node.ledger.planDraw(request);
+        if (!draw) {
+            return;
+        }
+        auto &[recorded, revision] = this->records.programs[request.program];
+        if (revision != draw->expectedRevision && this->defect != Defect::SpendBeforeRecord) {
+            node.ledger.onRecordSeen(request.program, recorded, revision, this->now);
+            return;
+        }
+        recorded = draw->recorded;
+        revision = ++this->records.revision;
+        if (this->draw(0, 6) != 0) {
+            node.ledger.onRecorded(request, *draw, revision);
+        }
+    }
+
+    std::mt19937 random;
+    Defect defect;
+    Time now{std::chrono::hours(1)};
+    Records records;
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::set<std::pair<InstanceId, SlotId>> careless;
+    int restarts = 0;
+};
+
+//! Returns the largest excess over the bound among \p seeds runs.
+Tokens largestExcess(std::uint32_t seeds, Defect defect)
+{
+    Tokens worst = std::numeric_limits<Tokens>::min();
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+        World world(seed, defect);
+        world.run(400);
+        for (const auto &[program, tokens] : world.handed) {
+            worst = std::max(worst, tokens - shape.budget - shape.turn);
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE("Whatever instances believe, no program gets more than its budget and one turn")
+{
+    CHECK(largestExcess(300, Defect::None) <= 0);
+}
+
+TEST_CASE("The check finds a keeper that gives out free shares right after a takeover")
+{
+    CHECK(largestExcess(20, Defect::FreeShareAfterTakeover) > 0);
+}
+
+TEST_CASE("The check finds blocks that are spent without a conditional write")
+{
+    CHECK(largestExcess(20, Defect::SpendBeforeRecord) > 0);
+}
--- /dev/null
+++ b/tests/unit/endpointcatalogtests.cpp
@@ -0,0 +1,81 @@
+#include "decision/endpointcatalog.h"
+
+#include <doctest/doctest.h>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr Time start{std::chrono::hours(1)};
+constexpr Duration reappearance = std::chrono::milliseconds(2500);
+
+EndpointEntry entry(const std::string &id, bool leaving = false)
+{
+    return EndpointEntry{EndpointSpec{id, "10.0.0.1:80", "a", 4, leaving}, "service", 1};
+}
+
+} // namespace
+
+TEST_CASE("An announcement that vanishes while the keeper is in good order ends the endpoint at once")
+{
+    EndpointCatalog catalog(reappearance);
+    catalog.put(entry("a"));
+    catalog.remove("a", start);
+    CHECK(catalog.endpointsOf("service").empty());
+}
+
+TEST_CASE("An announcement that is missing right after the keeper's return keeps its endpoint for a moment")
+{
+    EndpointCatalog catalog(reappearance);
+    catalog.replace({entry("a"), entry("b")}, start);
+    catalog.onKeeperBack(start);
+    catalog.replace({entry("b")}, start);
+    CHECK(catalog.endpointsOf("service").size() == 2);
+    SUBCASE("it comes back")
+    {
+        catalog.put(entry("a"));
+        CHECK_FALSE(catalog.expire(start + reappearance));
+        CHECK(catalog.endpointsOf("service").size() == 2);
+    }
+    SUBCASE("it does not")
+    {
+        CHECK_FALSE(catalog.expire(start + reappearance - Duration(1)));
+        CHECK(catalog.expire(start + reappearance));
+        CHECK(catalog.endpointsOf("service").size() == 1);
+    }
+}
+
+TEST_CASE("A second reading does not prolong the moment")
+{
+    EndpointCatalog catalog(reappearance);
+    catalog.put(entry("a"));
+    catalog.onKeeperBack(start);
+    catalog.replace({}, start);
+    catalog.replace({}, start + std::chrono::seconds(1));
+    CHECK(catalog.expire(start + reappearance));
+}
+
+TEST_CASE("The digest follows what is announced and not what is only kept in use")
+{
+    EndpointCatalog left(reappearance);
+    EndpointCatalog right(reappearance);
+    left.replace({entry("a"), entry("b")}, start);
+    right.replace({entry("b")}, start);
+    CHECK(left.digest() != right.digest());
+    left.onKeeperBack(start);
+    left.remove("a", start);
+    CHECK(left.digest() == right.digest());
+    right.put(entry("b", true));
+    CHECK(left.digest() != right.digest());
+}
+
+TEST_CASE("An endpoint that changes its service is listed under the new one only")
+{
+    EndpointCatalog catalog(reappearance);
+    catalog.put(entry("a"));
+    EndpointEntry moved = entry("a");
+    moved.service = "other";
+    catalog.put(moved);
+    CHECK(catalog.endpointsOf("service").empty());
+    CHECK(catalog.endpointsOf("other").size() == 1);
+}
--- /dev/null
+++ b/tests/unit/tokenledgertests.cpp
@@ -0,0 +1,126 @@
+#include "decision/tokenledger.h"
+
+#include <doctest/doctest.h>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr Time start{std::chrono::hours(1)};
+
+const TurnRequest turn{"p", 2900, 290};
+
+//! Draws recorded blocks as long as the ledger asks for them, against a record that only this test writes.
+bool reserveWithDraws(TokenLedger &ledger, const TurnRequest &request, bool hasFreeShare, std::uint64_t &revision)
+{
+    LedgerAnswer answer = ledger.reserve(request, hasFreeShare, start);
+    while (answer == LedgerAnswer::NeedsBlock) {
+        const std::optional<BlockDraw> draw = ledger.planDraw(request);
+        REQUIRE(draw);
+        CHECK(draw->expectedRevision == revision);
+        revision += 1;
+        ledger.onRecorded(request, *draw, revision);
+        answer = ledger.reserve(request, hasFreeShare, start);
+    }
+    return answer == LedgerAnswer::Granted;
+}
+
+} // namespace
+
+TEST_CASE("A program within its free share needs no record")
+{
+    TokenLedger ledger;
+    for (int granted = 0; granted < 5; ++granted) {
+        CHECK(ledger.reserve(turn, true, start) == LedgerAnswer::Granted);
+    }
+    CHECK(ledger.reserve(turn, true, start) == LedgerAnswer::NeedsBlock);
+}
+
+TEST_CASE("What a turn did not use goes to later turns")
+{
+    TokenLedger ledger;
+    // Each turn uses 90 of the free share's 1450, and the last one still needs 290 to begin.
+    for (int granted = 0; granted < 13; ++granted) {
+        REQUIRE(ledger.reserve(turn, true, start) == LedgerAnswer::Granted);
+        ledger.credit("p", 200);
+    }
+    CHECK(ledger.reserve(turn, true, start) == LedgerAnswer::NeedsBlock);
+}
+
+TEST_CASE("A ledger that knows a program from its start hands out the budget and no more")
+{
+    TokenLedger ledger;
+    std::uint64_t revision = 0;
+    Tokens handed = 0;
+    while (reserveWithDraws(ledger, turn, true, revision)) {
+        handed += turn.turn;
+        REQUIRE(handed <= turn.budget);
+    }
+    CHECK(handed == turn.budget);
+    CHECK(revision == 1);
+}
+
+TEST_CASE("A program of a single turn is served without a record and after the keeper was lost")
+{
+    const TurnRequest single{"p", 290, 290};
+    TokenLedger keeper;
+    CHECK(keeper.reserve(single, true, start) == LedgerAnswer::Granted);
+    CHECK(keeper.reserve(single, true, start) == LedgerAnswer::Exhausted);
+    TokenLedger successor;
+    std::uint64_t revision = 0;
+    CHECK(reserveWithDraws(successor, single, false, revision));
+    CHECK_FALSE(reserveWithDraws(successor, single, false, revision));
+}
+
+TEST_CASE("Without the free share the recorded share is all there is")
+{
+    TokenLedger ledger;
+    std::uint64_t revision = 0;
+    Tokens handed = 0;
+    while (reserveWithDraws(ledger, turn, false, revision)) {
+        handed += turn.turn;
+    }
+    CHECK(handed <= turn.budget - freeShareOf(turn) + turn.turn);
+    CHECK(handed >= turn.budget - freeShareOf(turn));
+}
+
+TEST_CASE("A record that another instance wrote counts")
+{
+    TokenLedger ledger;
+    REQUIRE(ledger.reserve(turn, false, start) == LedgerAnswer::NeedsBlock);
+    ledger.onRecordSeen("p", 1740, 7, start);
+    CHECK_FALSE(ledger.planDraw(turn));
+    CHECK(ledger.reserve(turn, false, start) == LedgerAnswer::Exhausted);
+    SUBCASE("and an older reading of it does not")
+    {
+        ledger.onRecordSeen("p", 0, 3, start);
+        CHECK_FALSE(ledger.planDraw(turn));
+    }
+}
+
+TEST_CASE("Entries that are handed over are gone here and known there")
+{
+    TokenLedger from;
+    TokenLedger to;
+    REQUIRE(from.reserve(turn, true, start) == LedgerAnswer::Granted);
+    const std::vector<LedgerEntry> taken = from.take([](const ProgramId &) {
+        return true;
+    });
+    CHECK(from.size() == 0);
+    to.put(taken, start);
+    for (int granted = 0; granted < 4; ++granted) {
+        CHECK(to.reserve(turn, false, start) == LedgerAnswer::Granted);
+    }
+    CHECK(to.reserve(turn, false, start) == LedgerAnswer::NeedsBlock);
+    CHECK(to.planDraw(turn)->recorded == 1450);
+}
+
+TEST_CASE("Programs without a turn are forgotten")
+{
+    TokenLedger ledger;
+    ledger.reserve(turn, true, start);
+    ledger.forgetIdle(start);
+    CHECK(ledger.size() == 1);
+    ledger.forgetIdle(start + Duration(1));
+    CHECK(ledger.size() == 0);
+}
