Gateway tested as a process; what no endpoint can serve is refused at once

Cause: the new test of full endpoints failed: a request that every endpoint had refused waited in the queue for its whole time limit and got 429 without a time to come back. Change: the queue refuses at once a call that no listed endpoint may serve, and one whose wait is longer than its time left. Endpoints are learned from a peer while the key-value service is away.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -81,6 +81,9 @@
     if (this->endpoints.usableCount() == 0) {
         return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Ran::No, std::chrono::seconds(1), "the pool has no live endpoint"};
     }
+    if (!this->hasCandidate(call)) {
+        return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Ran::No, fromSeconds(this->usualService), "no endpoint is left that may serve the call"};
+    }
     const bool isNew = !this->programs.contains(call.program);
     if (this->options.refuseEarly && isNew && this->wouldBeLate(call, now)) {
         return Error{ErrorCode::Overloaded, Step::Queue, {}, Ran::No, this->predictedWait(), "the backlog would make the program late"};
@@ -96,6 +99,20 @@
     return boost::outcome_v2::success();
 }
 
+bool Dispatcher::hasCandidate(const QueuedCall &call) const
+{
+    const auto usable = [this](const EndpointId &id) {
+        const std::optional<std::size_t> index = this->endpoints.indexOf(id);
+        return index && this->endpoints.at(*index).listed && !this->endpoints.at(*index).spec.leaving;
+    };
+    if (!call.only.empty()) {
+        const std::optional<std::size_t> index = this->endpoints.indexOf(call.only);
+        return index && this->endpoints.at(*index).listed;
+    }
+    const auto avoided = static_cast<std::size_t>(std::count_if(call.avoid.begin(), call.avoid.end(), usable));
+    return avoided < this->endpoints.usableCount();
+}
+
 bool Dispatcher::wouldBeLate(const QueuedCall &call, Time now) const
 {
     const Duration wait = this->predictedWait();
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -130,6 +130,7 @@
     };
 
     Time keyOf(const QueuedCall &call, Time now) const;
+    bool hasCandidate(const QueuedCall &call) const;
     bool wouldBeLate(const QueuedCall &call, Time now) const;
     //! The call to send next and where; no call when all that are considered wait.
     struct Choice
--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -79,6 +79,17 @@
     return found;
 }
 
+std::vector<EndpointEntry> EndpointCatalog::announced() const
+{
+    std::vector<EndpointEntry> found;
+    for (const auto &[id, item] : this->listed) {
+        if (!item.dropAt) {
+            found.push_back(item.entry);
+        }
+    }
+    return found;
+}
+
 std::uint64_t EndpointCatalog::digest() const
 {
     std::uint64_t sum = 0;
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -47,6 +47,9 @@
 
     std::vector<EndpointId> ids() const;
 
+    //! Returns what is announced.
+    std::vector<EndpointEntry> announced() const;
+
     //! Returns a hash over all that is announced; equal for two readers of the same announcements.
     std::uint64_t digest() const;
 
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -153,6 +153,18 @@
     return latest;
 }
 
+std::string PeerTable::latestReader(Time readAt) const
+{
+    std::string address;
+    for (const auto &[id, known] : this->peers) {
+        if (known.news.serviceReached > readAt) {
+            readAt = known.news.serviceReached;
+            address = known.news.instance.peerAddress;
+        }
+    }
+    return address;
+}
+
 bool PeerTable::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(), [digest, readAt](const auto &entry) {
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -61,6 +61,9 @@
     //! Returns when a live peer last read from the key-value service.
     Time latestServiceReading() const;
 
+    //! Returns the peer address of the live peer that read the service last, if that was after \p readAt; else nothing.
+    std::string latestReader(Time readAt) const;
+
     //! Returns true when a live peer that read the service after \p readAt knows other endpoints than \p digest says.
     bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -240,8 +240,34 @@
                 logRecord(LogLevel::Info, "endpoints", "a peer knows other endpoints", {{"read_ms_ago", std::to_string((now - this->readAt()).count() / 1000)}});
             }
             co_await this->configurationFollower.load();
-            co_await this->endpointFollower.load();
+            const bool loaded = co_await this->endpointFollower.load();
+            if (!loaded) {
+                co_await this->takeEndpointsFromPeer();
+            }
+        }
+    }
+
+    //! Without the key-value service, arrivals and departures of endpoints are learned from an instance that still reads it.
+    asio::awaitable<void> takeEndpointsFromPeer()
+    {
+        const Time known = std::max(this->readAt(), this->peerReadAt);
+        const std::string peer = this->gossip.latestReader(known);
+        if (peer.empty()) {
+            co_return;
         }
+        const Result<PeerMessage> reply = co_await this->peers.send(peer, EndpointsQuery());
+        const auto *found = reply ? std::get_if<EndpointsReply>(&reply.value()) : nullptr;
+        const Time now = currentTime();
+        const Time readThen = found == nullptr ? Time{} : now - Duration(static_cast<std::int64_t>(found->readAgo));
+        if (found == nullptr || readThen <= known || found->entries.empty()) {
+            co_return;
+        }
+        this->peerReadAt = readThen;
+        this->pools.replaceEndpoints(found->entries, now);
+        logRecord(LogLevel::Info,
+                  "endpoints",
+                  "taken from a peer",
+                  {{"peer", peer}, {"count", std::to_string(found->entries.size())}, {"read_ms_ago", std::to_string((now - readThen).count() / 1000)}});
     }
 
     PeerGossip::OwnNews ownNews() const
@@ -260,6 +286,10 @@
             }
             co_return reply;
         }
+        if (std::holds_alternative<EndpointsQuery>(command)) {
+            const Duration ago = currentTime() - this->readAt();
+            co_return EndpointsReply{static_cast<std::uint64_t>(ago.count()), this->pools.announcedEndpoints()};
+        }
         std::optional<PeerMessage> reply = co_await this->budget.serve(command);
         co_return reply ? std::move(*reply) : PeerMessage(TextReply());
     }
@@ -442,7 +472,7 @@
         }
         const Result<void> metricsBound = this->metricsServer.start(this->settings.metricsAddress);
         if (!metricsBound) {
-            return metricsBound.error();
+            logError("instance", "serves no metrics", metricsBound.error());
         }
         return this->callerServer.start(this->settings.callerAddress);
     }
@@ -473,6 +503,7 @@
     asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
     std::atomic<bool> fetching{false};
+    Time peerReadAt{}; //!< When a peer read the endpoints that were taken from it.
 };
 
 Gateway::Gateway(const GatewaySettings &settings, const Dialect &dialect, const RecordFormat &format, const KeyValueFactory &keyValue)
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -118,6 +118,12 @@
     return this->core->table.latestServiceReading();
 }
 
+std::string PeerGossip::latestReader(Time readAt) const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.latestReader(readAt);
+}
+
 bool PeerGossip::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
 {
     const std::lock_guard lock(this->core->mutex);
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -54,6 +54,7 @@
 
     //! As in PeerTable. Thread-safe.
     Time latestServiceReading() const;
+    std::string latestReader(Time readAt) const;
     bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
 
     //! Adds an address to try. Thread-safe.
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -147,6 +147,12 @@
     return this->catalog.ids();
 }
 
+std::vector<EndpointEntry> PoolSet::announcedEndpoints() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.announced();
+}
+
 std::uint64_t PoolSet::endpointDigest() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -38,6 +38,7 @@
 
     //! As in EndpointCatalog.
     std::uint64_t endpointDigest() const;
+    std::vector<EndpointEntry> announcedEndpoints() const;
     std::size_t endpointCount() const;
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -93,6 +93,10 @@
     {
         const Time now = currentTime();
         const std::lock_guard lock(this->mutex);
+        const Duration wait = this->dispatcher.predictedWait();
+        if (now + wait > deadline) {
+            co_return Error{ErrorCode::Overloaded, Step::Queue, {}, Ran::No, wait, "the queue is longer than the time that is left"};
+        }
         const Result<void> queued = this->dispatcher.enqueue(call, now);
         if (!queued) {
             co_return queued.error();
@@ -114,7 +118,7 @@
         if ((left || now >= deadline) && this->withdraw(id)) {
             cancellation->setHook({});
             const ErrorCode code = left ? ErrorCode::Cancelled : ErrorCode::Overloaded;
-            co_return Error{code, Step::Queue, {}, Ran::No, std::nullopt, left ? "the caller left" : "no endpoint had room before the deadline"};
+            co_return Error{code, Step::Queue, {}, Ran::No, recheckStep, left ? "the caller left" : "no endpoint had room before the deadline"};
         }
         co_await ticket->signal.wait(std::clamp(Duration(deadline - now), shortestWait, recheckStep));
         const std::lock_guard lock(this->mutex);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -232,6 +232,23 @@
     archive(value.slots, value.entries, value.grants);
 }
 
+template <class Archive>
+void serialize(Archive & /*archive*/, EndpointsQuery & /*value*/)
+{
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointEntry &value)
+{
+    archive(value.spec.id, value.spec.address, value.spec.domain, value.spec.slots, value.spec.leaving, value.service, value.startedAt);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointsReply &value)
+{
+    archive(value.readAgo, value.entries);
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointLoad &value)
 {
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -3,6 +3,7 @@
 
 #include "decision/callanswer.h"
 #include "decision/callrequest.h"
+#include "decision/endpointcatalog.h"
 #include "decision/error.h"
 #include "decision/programphase.h"
 #include "decision/programspec.h"
@@ -89,6 +90,17 @@
     std::string author{};
 };
 
+//! Ask which endpoints the instance knows. Answered by one EndpointsReply.
+struct EndpointsQuery
+{
+};
+
+struct EndpointsReply
+{
+    std::uint64_t readAgo = 0; //!< Microseconds since the instance read them from the key-value service.
+    std::vector<EndpointEntry> entries{};
+};
+
 //! What instances say to each other over TCP.
 using PeerMessage = std::variant<CallCommand,
                                  CreateCommand,
@@ -104,7 +116,9 @@
                                  BudgetAsk,
                                  BudgetReply,
                                  BudgetSettle,
-                                 BudgetHandover>;
+                                 BudgetHandover,
+                                 EndpointsQuery,
+                                 EndpointsReply>;
 
 //! What instances tell each other over UDP, a few times a second.
 struct Heartbeat
--- /dev/null
+++ b/tests/gateway/gatewaycluster.cpp
@@ -0,0 +1,163 @@
+#include "gatewaycluster.h"
+
+#include "runtime/address.h"
+#include "runtime/textfile.h"
+
+#include <boost/asio.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace oleandergate::support {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int patienceMs = 20000;
+
+constexpr const char *usualRoutes = R"(
+    {"Name":"turns","Host":"h.example","PathPrefix":"/turns/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200},
+    {"Name":"reads","Host":"h.example","PathPrefix":"/reads/","Kind":"safe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":2},
+    {"Name":"orders","Host":"h.example","PathPrefix":"/orders/","Kind":"unsafe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":1})";
+
+} // namespace
+
+GatewayCluster::GatewayCluster(std::size_t frontCount, std::size_t endpointCount)
+    : root((std::filesystem::temp_directory_path() / ("oleander-gateway-" + std::to_string(::getpid()) + "-" + freeAddress().substr(10))).string())
+{
+    std::filesystem::create_directories(this->root);
+    for (std::size_t index = 0; index < endpointCount; ++index) {
+        this->endpoints.push_back(std::make_unique<StandinEndpoint>("i-" + std::to_string(index)));
+    }
+    for (std::size_t index = 0; index < frontCount; ++index) {
+        this->addresses.push_back(Addresses{freeAddress(), freeAddress(), freeAddress()});
+    }
+    this->fronts.resize(frontCount);
+    for (std::size_t index = 0; index < frontCount; ++index) {
+        this->writeSettings(index);
+        this->startFront(index);
+    }
+}
+
+GatewayCluster::~GatewayCluster()
+{
+    this->fronts.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->root, ignored);
+}
+
+std::string GatewayCluster::file(std::size_t front, const std::string &ending) const
+{
+    return this->root + "/front-" + std::to_string(front) + ending;
+}
+
+void GatewayCluster::writeSettings(std::size_t index) const
+{
+    const Addresses &own = this->addresses[index];
+    std::ofstream out(this->file(index, ".toml"));
+    out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
+        << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
+        << "[Bounds]\nGraceS = 8\n[Platform]\nAddress = \"" << this->store.address() << "\"\n";
+}
+
+void GatewayCluster::startFront(std::size_t index)
+{
+    const char *bin = std::getenv("OLEANDER_BIN");
+    const std::string program = (bin == nullptr ? std::string("build/release/bin") : std::string(bin)) + "/oleander-front";
+    this->fronts[index] = ChildProcess({program, "--settings=" + this->file(index, ".toml")}, this->file(index, ".log"));
+}
+
+bool GatewayCluster::isReady(std::size_t index) const
+{
+    TestRequest request;
+    request.method = "GET";
+    request.target = "/readiness";
+    const std::optional<HttpResponse> response = sendRequest(this->addresses[index].ready, request);
+    return response && response->status == 200;
+}
+
+bool GatewayCluster::waitReady()
+{
+    return waitFor(
+        [this]() {
+            for (std::size_t index = 0; index < this->fronts.size(); ++index) {
+                if (!this->isReady(index)) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        patienceMs);
+}
+
+void GatewayCluster::configure(int version, const std::string &routes)
+{
+    this->store.put("op/config",
+                    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + usualRoutes + routes
+                        + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180,\"Engine\":{\"TokensPerEvent\":10}}],"
+                          "\"Limits\":{\"HeaderBytes\":16384,\"BodyBytes\":4096,\"HeaderMs\":3000,\"IdleMs\":15000}}");
+}
+
+void GatewayCluster::announce(std::size_t endpoint, const std::string &state)
+{
+    this->store.put("servers/" + this->endpoints[endpoint]->identifier(), this->endpoints[endpoint]->announcement("engine", state));
+}
+
+std::optional<HttpResponse> GatewayCluster::call(std::size_t front, const std::string &method, const std::string &target, std::vector<HttpHeader> headers)
+{
+    TestRequest request;
+    request.method = method;
+    request.target = target;
+    request.headers = std::move(headers);
+    request.headers.push_back(HttpHeader{"Host", "h.example"});
+    request.headers.push_back(HttpHeader{"Oleandergate-Request-Id", "r" + std::to_string(++this->requests)});
+    request.body = method == "POST" ? "body" : "";
+    return sendRequest(this->addresses[front].caller, request);
+}
+
+std::optional<HttpResponse> GatewayCluster::turn(std::size_t front, const std::string &program, int budget)
+{
+    return this->call(front,
+                      "POST",
+                      "/turns/1",
+                      {{"Oleandergate-Program-Id", program},
+                       {"Oleandergate-Session-Id", program + "-main"},
+                       {"Oleandergate-Token-Budget", std::to_string(budget)},
+                       {"Oleandergate-Token-Counts", "100,100"},
+                       {"Oleandergate-Prompt-Prefix", "a1:100"}});
+}
+
+std::string GatewayCluster::sendRaw(std::size_t front, const std::string &bytes) const
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect(*parseTcpAddress(this->addresses[front].caller));
+    asio::write(socket, asio::buffer(bytes));
+    std::string answer;
+    boost::system::error_code ended;
+    asio::read(socket, asio::dynamic_buffer(answer), ended);
+    return answer;
+}
+
+std::size_t GatewayCluster::seenCount() const
+{
+    std::size_t count = 0;
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : this->endpoints) {
+        count += endpoint->seenCount();
+    }
+    return count;
+}
+
+const std::string &GatewayCluster::callerAddress(std::size_t front) const
+{
+    return this->addresses[front].caller;
+}
+
+std::string GatewayCluster::log(std::size_t front) const
+{
+    return readTextFile(this->file(front, ".log")).value_or("");
+}
+
+} // namespace oleandergate::support
--- /dev/null
+++ b/tests/gateway/standinendpoint.cpp
@@ -0,0 +1,240 @@
+#include "standinendpoint.h"
+
+#include "runtime/address.h"
+#include "support/testcluster.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+namespace oleandergate::support {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds look{2};
+
+std::string chunk(const std::string &text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+std::string event(std::uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: token " + std::to_string(number) + "\n\n";
+}
+
+bool send(tcp::socket &socket, const std::string &text)
+{
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(text), error);
+    return !error;
+}
+
+HttpRequest read(tcp::socket &socket, beast::flat_buffer &buffer, boost::system::error_code &error)
+{
+    http::request<http::string_body> message;
+    http::read(socket, buffer, message, error);
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.body = message.body();
+    for (const auto &field : message) {
+        request.headers.push_back(HttpHeader{std::string(field.name_string()), std::string(field.value())});
+    }
+    return request;
+}
+
+} // namespace
+
+StandinEndpoint::StandinEndpoint(std::string id)
+    : id(std::move(id))
+    , at(freeAddress())
+    , acceptor(context, *parseTcpAddress(at))
+    , acceptThread([this]() {
+        this->accept();
+    })
+{
+}
+
+StandinEndpoint::~StandinEndpoint()
+{
+    this->stopping = true;
+    boost::system::error_code ignored;
+    // The accepting thread wakes by one more connection.
+    tcp::socket wake(this->context);
+    wake.connect(*parseTcpAddress(this->at), ignored);
+    this->acceptThread.join();
+    for (std::thread &worker : this->workers) {
+        worker.join();
+    }
+}
+
+std::string StandinEndpoint::announcement(const std::string &service, const std::string &state) const
+{
+    namespace json = boost::json;
+    return json::serialize(
+        json::object{{"Service", service}, {"Address", this->at}, {"Zone", "a"}, {"Version", "v1"}, {"Slots", 8}, {"State", state}, {"Seq", 1}, {"born", 1}});
+}
+
+const std::string &StandinEndpoint::identifier() const
+{
+    return this->id;
+}
+
+void StandinEndpoint::plan(const std::vector<Behaviour> &behaviours)
+{
+    const std::lock_guard lock(this->mutex);
+    this->planned.assign(behaviours.begin(), behaviours.end());
+}
+
+std::vector<SeenRequest> StandinEndpoint::seen() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests;
+}
+
+std::size_t StandinEndpoint::seenCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->requests.size();
+}
+
+std::size_t StandinEndpoint::abandonedCount() const
+{
+    return this->abandoned;
+}
+
+void StandinEndpoint::release()
+{
+    this->released = true;
+}
+
+Behaviour StandinEndpoint::nextBehaviour()
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->planned.empty()) {
+        return Behaviour::Normal;
+    }
+    const Behaviour next = this->planned.front();
+    this->planned.pop_front();
+    return next;
+}
+
+void StandinEndpoint::accept()
+{
+    while (!this->stopping) {
+        boost::system::error_code error;
+        tcp::socket socket(this->context);
+        this->acceptor.accept(socket, error);
+        if (!error && !this->stopping) {
+            this->workers.emplace_back([this, moved = std::make_shared<tcp::socket>(std::move(socket))]() {
+                this->serve(std::move(*moved));
+            });
+        }
+    }
+}
+
+void StandinEndpoint::serve(tcp::socket socket)
+{
+    beast::flat_buffer buffer;
+    bool open = true;
+    while (open && !this->stopping) {
+        // Waits in short steps, so that the endpoint can end while connections are idle.
+        if (buffer.size() == 0) {
+            boost::system::error_code error;
+            socket.non_blocking(true, error);
+            char probe = 0;
+            socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, error);
+            socket.non_blocking(false);
+            if (error == asio::error::would_block) {
+                std::this_thread::sleep_for(look);
+                continue;
+            }
+        }
+        boost::system::error_code error;
+        const HttpRequest request = read(socket, buffer, error);
+        if (error) {
+            return;
+        }
+        const Behaviour behaviour = this->nextBehaviour();
+        {
+            const std::lock_guard lock(this->mutex);
+            this->requests.push_back(SeenRequest{request, behaviour});
+        }
+        open = this->answer(socket, request, behaviour);
+    }
+}
+
+std::string StandinEndpoint::head(const HttpRequest &request, const std::string &framing, int status) const
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id")
+        + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + framing + "\r\n\r\n";
+}
+
+bool StandinEndpoint::answerSlowly(tcp::socket &socket, const HttpRequest &request)
+{
+    while (!this->released && !this->stopping) {
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        char probe = 0;
+        const std::size_t size = socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, error);
+        socket.non_blocking(false);
+        if (size == 0 && error != asio::error::would_block) {
+            this->abandoned += 1;
+            return false;
+        }
+        std::this_thread::sleep_for(look);
+    }
+    return send(socket, this->head(request, "Content-Length: 4") + "late");
+}
+
+bool StandinEndpoint::answer(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour)
+{
+    switch (behaviour) {
+    case Behaviour::Refuse:
+        return send(socket, this->head(request, "Oleandergate-Not-Run: 1\r\nContent-Length: 0", 503));
+    case Behaviour::CloseUnanswered:
+        return false;
+    case Behaviour::Truncate:
+        send(socket, this->head(request, "Content-Length: 100") + "short");
+        return false;
+    case Behaviour::Unsigned:
+        return send(socket, "HTTP/1.1 200 OK\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id") + "\r\nContent-Length: 2\r\n\r\nok");
+    case Behaviour::FullWithoutStatement:
+        return send(socket, this->head(request, "Content-Length: 0", 503));
+    case Behaviour::ExtraAnswer: {
+        HttpRequest other = request;
+        other.headers = {{"Oleandergate-Request-Id", "another"}};
+        return send(socket, this->head(request, "Content-Length: 5") + "right" + this->head(other, "Content-Length: 5") + "wrong");
+    }
+    case Behaviour::Slow:
+        return this->answerSlowly(socket, request);
+    case Behaviour::Normal:
+    case Behaviour::BreakMidEvent:
+        break;
+    }
+    if (request.header("Oleandergate-Token-Counts").empty()) {
+        return send(socket, this->head(request, "Content-Length: 5") + "right");
+    }
+    const std::string last = request.header("Last-Event-Id");
+    const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
+    send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    for (std::uint64_t number = first; number <= eventCount; ++number) {
+        if (behaviour == Behaviour::BreakMidEvent && number == first + 2) {
+            send(socket, chunk(event(number).substr(0, 8)));
+            return false;
+        }
+        send(socket, chunk(event(number)));
+    }
+    return send(socket, "0\r\n\r\n");
+}
+
+} // namespace oleandergate::support
--- /dev/null
+++ b/tests/gateway/standinendpoint.h
@@ -0,0 +1,88 @@
+#ifndef OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
+#define OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
+
+#include "runtime/httpmessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <deque>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace oleandergate::support {
+
+//! What an endpoint does with one request.
+enum class Behaviour : std::uint8_t {
+    Normal, //!< A stream where the request has prompt headers, else a short answer.
+    Refuse, //!< 503 with the statement that it did not run.
+    CloseUnanswered, //!< Runs the request and closes the connection.
+    Truncate, //!< Announces more bytes than it sends.
+    Unsigned, //!< A success without the endpoint's signature.
+    FullWithoutStatement, //!< 503 without the statement that it did not run.
+    ExtraAnswer, //!< A second answer, to another request, behind the first.
+    BreakMidEvent, //!< Ends a stream inside its third event.
+    Slow, //!< Answers only after \ref StandinEndpoint::release was called or the connection closed.
+};
+
+//! A request that an endpoint received.
+struct SeenRequest
+{
+    HttpRequest request{};
+    Behaviour behaviour = Behaviour::Normal;
+};
+
+//! A back end of the platform, in this process. Each connection has a thread.
+class StandinEndpoint
+{
+public:
+    explicit StandinEndpoint(std::string id);
+    ~StandinEndpoint();
+    StandinEndpoint(const StandinEndpoint &) = delete;
+    StandinEndpoint &operator=(const StandinEndpoint &) = delete;
+
+    //! Returns its announcement in the store.
+    std::string announcement(const std::string &service, const std::string &state = "ready") const;
+    const std::string &identifier() const;
+
+    //! The next requests get these behaviours, in order; then \ref Behaviour::Normal.
+    void plan(const std::vector<Behaviour> &behaviours);
+
+    std::vector<SeenRequest> seen() const;
+    std::size_t seenCount() const;
+
+    //! Returns how many slow requests ended because their connection was closed.
+    std::size_t abandonedCount() const;
+    void release();
+
+    static constexpr int eventCount = 6;
+
+private:
+    void accept();
+    void serve(boost::asio::ip::tcp::socket socket);
+    bool answer(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour);
+    bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+    std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
+    Behaviour nextBehaviour();
+
+    std::string id;
+    std::string at;
+    boost::asio::io_context context{1};
+    boost::asio::ip::tcp::acceptor acceptor;
+    mutable std::mutex mutex;
+    std::deque<Behaviour> planned;
+    std::vector<SeenRequest> requests;
+    std::list<std::thread> workers;
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> released{false};
+    std::atomic<std::size_t> abandoned{0};
+    std::thread acceptThread;
+};
+
+} // namespace oleandergate::support
+
+#endif
--- /dev/null
+++ b/tests/gateway/standinstore.cpp
@@ -0,0 +1,188 @@
+#include "standinstore.h"
+
+#include "backing/base64.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+#include "runtime/errorresponse.h"
+#include "runtime/jsonaccess.h"
+#include "support/testcluster.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <stdexcept>
+
+namespace oleandergate::support {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration watchLook = std::chrono::milliseconds(5);
+
+json::object itemOf(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return json::object{{"Key", key}, {"Value", toBase64(value)}, {"Revision", revision}, {"CreateRevision", revision}, {"Lease", 0}};
+}
+
+} // namespace
+
+StandinStore::StandinStore()
+    : at(freeAddress())
+    , server(
+          context,
+          HttpLimits(),
+          [this](HttpRequest request, HttpExchange &exchange) {
+              return this->handle(std::move(request), exchange);
+          },
+          refuseUnreadable)
+{
+    const Result<void> started = this->server.start(this->at);
+    if (!started) {
+        throw std::runtime_error("the stand-in store cannot listen at " + this->at);
+    }
+    this->thread = std::thread([this]() {
+        const auto work = asio::make_work_guard(this->context);
+        this->context.run();
+    });
+}
+
+StandinStore::~StandinStore()
+{
+    this->context.stop();
+    this->thread.join();
+}
+
+const std::string &StandinStore::address() const
+{
+    return this->at;
+}
+
+void StandinStore::write(const std::string &key, const std::string &value, bool removed)
+{
+    if (removed) {
+        this->items.erase(key);
+    } else {
+        this->items[key] = Item{value, this->revision};
+    }
+    this->changes.push_back(Change{key, value, this->revision, removed});
+}
+
+void StandinStore::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->revision += 1;
+    this->write(key, value, false);
+}
+
+void StandinStore::remove(const std::string &key)
+{
+    const std::lock_guard lock(this->mutex);
+    this->revision += 1;
+    this->write(key, {}, true);
+}
+
+std::string StandinStore::value(const std::string &key) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? std::string() : found->second.value;
+}
+
+void StandinStore::setRefusing(bool newRefusing)
+{
+    this->refusing = newRefusing;
+}
+
+void StandinStore::setMute(bool newMute)
+{
+    this->mute = newMute;
+}
+
+HttpResponse StandinStore::range(const HttpRequest &request) const
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string prefix = request.query("PathPrefix");
+    json::array found;
+    for (const auto &[key, item] : this->items) {
+        if (key.starts_with(prefix)) {
+            found.push_back(itemOf(key, item.value, item.revision));
+        }
+    }
+    return jsonResponse(json::serialize(json::object{{"items", found}, {"Truncated", false}, {"CurrentRev", this->revision}}));
+}
+
+asio::awaitable<HttpResponse> StandinStore::watch(const HttpRequest &request)
+{
+    const std::string prefix = request.query("PathPrefix");
+    const std::uint64_t after = std::stoull(request.query("after"));
+    const Time until = currentTime() + std::chrono::milliseconds(std::stoll(request.query("WaitMs")));
+    while (currentTime() < until) {
+        {
+            const std::lock_guard lock(this->mutex);
+            json::array events;
+            for (const Change &change : this->changes) {
+                if (this->mute || change.revision <= after || !change.key.starts_with(prefix)) {
+                    continue;
+                }
+                json::object event = itemOf(change.key, change.value, change.revision);
+                if (change.removed) {
+                    event = json::object{{"Key", change.key}, {"Revision", change.revision}, {"Tombstone", true}};
+                }
+                events.push_back(event);
+            }
+            if (!events.empty()) {
+                HttpResponse response = jsonResponse(json::serialize(json::object{{"events", events}, {"CurrentRev", this->revision}}));
+                co_return response;
+            }
+        }
+        co_await sleepFor(watchLook);
+    }
+    HttpResponse response = jsonResponse(json::serialize(json::object{{"events", json::array()}, {"CurrentRev", after}}));
+    co_return response;
+}
+
+HttpResponse StandinStore::transact(const json::object &body)
+{
+    const std::lock_guard lock(this->mutex);
+    json::array current;
+    bool holds = true;
+    for (const json::value &row : body.at("ExpectedRev").as_array()) {
+        const std::string key(row.at("Key").as_string());
+        const auto found = this->items.find(key);
+        const std::uint64_t actual = found == this->items.end() ? 0 : found->second.revision;
+        holds = holds && actual == static_cast<std::uint64_t>(jsonNumber(row.as_object(), "Revision"));
+        if (found != this->items.end()) {
+            current.push_back(itemOf(key, found->second.value, actual));
+        }
+    }
+    if (!holds) {
+        return jsonResponse(json::serialize(json::object{{"items", current}}), 412);
+    }
+    this->revision += 1;
+    for (const json::value &row : body.at("SetKeys").as_array()) {
+        this->write(std::string(row.at("Key").as_string()), fromBase64(std::string(row.at("Value").as_string())), false);
+    }
+    return jsonResponse(json::serialize(json::object{{"Revision", this->revision}}));
+}
+
+asio::awaitable<void> StandinStore::handle(HttpRequest request, HttpExchange &exchange)
+{
+    HttpResponse response = jsonResponse("{}", 404);
+    const std::string path = request.path();
+    if (this->refusing) {
+        response = jsonResponse("{}", 503);
+    } else if (path == "/kv-range") {
+        response = this->range(request);
+    } else if (path == "/kv-watch") {
+        response = co_await this->watch(request);
+    } else if (path == "/kv-txn") {
+        response = this->transact(parseJsonObject(request.body));
+    } else if (path == "/kv-lease") {
+        response = jsonResponse(R"({"Lease":77,"TtlMs":600000})");
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace oleandergate::support
--- /dev/null
+++ b/tests/gateway/standinstore.h
@@ -0,0 +1,77 @@
+#ifndef OLEANDERGATE_TESTS_GATEWAY_STANDINSTORE_H
+#define OLEANDERGATE_TESTS_GATEWAY_STANDINSTORE_H
+
+#include "runtime/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace oleandergate::support {
+
+//! The platform's store as far as the gateway uses it, in this process.
+class StandinStore
+{
+public:
+    StandinStore();
+    ~StandinStore();
+    StandinStore(const StandinStore &) = delete;
+    StandinStore &operator=(const StandinStore &) = delete;
+
+    const std::string &address() const;
+
+    //! Writes as the operator or a back end does.
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    //! Returns the value of \p key; empty when there is none.
+    std::string value(const std::string &key) const;
+
+    //! While refusing, every call gets status 503 and nothing is done.
+    void setRefusing(bool refusing);
+
+    //! While mute, changes are made and no watch hears of them.
+    void setMute(bool mute);
+
+private:
+    struct Item
+    {
+        std::string value{};
+        std::uint64_t revision = 0;
+    };
+
+    struct Change
+    {
+        std::string key{};
+        std::string value{};
+        std::uint64_t revision = 0;
+        bool removed = false;
+    };
+
+    boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
+    boost::asio::awaitable<HttpResponse> watch(const HttpRequest &request);
+    HttpResponse range(const HttpRequest &request) const;
+    HttpResponse transact(const boost::json::object &body);
+    void write(const std::string &key, const std::string &value, bool removed);
+
+    std::string at;
+    boost::asio::io_context context{1};
+    HttpServer server;
+    mutable std::mutex mutex;
+    std::map<std::string, Item> items;
+    std::vector<Change> changes;
+    std::uint64_t revision = 1;
+    std::atomic<bool> refusing{false};
+    std::atomic<bool> mute{false};
+    std::thread thread;
+};
+
+} // namespace oleandergate::support
+
+#endif
--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -27,6 +27,8 @@
 constexpr const char *peerKey = "test-peer-key-of-thirty-two-chars-or-more";
 const std::vector<std::string> domains{"souss-a", "souss-b", "souss-c"};
 
+} // namespace
+
 std::optional<HttpResponse> sendRequest(const std::string &address, const TestRequest &request)
 {
     asio::io_context context;
@@ -50,8 +52,6 @@
     return response;
 }
 
-} // namespace
-
 std::string freeAddress()
 {
     // Below the range that the system gives to outgoing connections, so that none of those takes the port meanwhile.
--- a/tests/support/testcluster.h
+++ b/tests/support/testcluster.h
@@ -107,6 +107,9 @@
 //! Returns a configuration with both organisations, one pool and one service.
 std::string testConfiguration(int peakTokensPerMinute = 0, const std::string &budget = "5.00");
 
+//! Sends a request to \p address and waits for the response. Nothing when no whole response came.
+std::optional<HttpResponse> sendRequest(const std::string &address, const TestRequest &request);
+
 //! Returns an unused loopback address.
 std::string freeAddress();
 
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -129,3 +129,59 @@
     hasty.deadline = start + std::chrono::seconds(1);
     CHECK(dispatcher.enqueue(hasty, start));
 }
+
+TEST_CASE("A call that no endpoint may serve is refused at once instead of waiting for its deadline")
+{
+    Dispatcher dispatcher(policyFor(Favour::Programs), 1);
+    dispatcher.setEndpoints(two(4));
+    QueuedCall refusedTwice = call(1, "p1");
+    refusedTwice.avoid = {"a", "b"};
+    CHECK(dispatcher.enqueue(refusedTwice, start).error().code == ErrorCode::NoEndpoint);
+    QueuedCall bound = call(2, "p2");
+    bound.only = "gone";
+    CHECK(dispatcher.enqueue(bound, start).error().code == ErrorCode::NoEndpoint);
+    bound.only = "b";
+    REQUIRE(dispatcher.enqueue(bound, start));
+    CHECK(dispatcher.next(start)->endpoint.id == "b");
+}
+
+TEST_CASE("A call that is bound to a full endpoint does not hold up those behind it")
+{
+    Dispatcher dispatcher(policyFor(Favour::Programs), 1);
+    dispatcher.setEndpoints(two(1));
+    REQUIRE(dispatcher.enqueue(call(1, "p1"), start));
+    const EndpointId taken = dispatcher.next(start)->endpoint.id;
+    QueuedCall bound = call(2, "p2");
+    bound.avoid = {taken == "a" ? "b" : "a"};
+    REQUIRE(dispatcher.enqueue(bound, start));
+    REQUIRE(dispatcher.enqueue(call(3, "p3"), start + Duration(1)));
+    CHECK(dispatcher.next(start + Duration(1))->call == 3);
+}
+
+TEST_CASE("A near endpoint is chosen unless a far one is clearly less loaded")
+{
+    PolicyOptions options = policyFor(Favour::Programs);
+    options.placement = PlacementRule::LeastOutstanding;
+    options.farLoad = 0.34;
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setHome("here");
+    dispatcher.setEndpoints({EndpointSpec{"near", {}, "here", 6}, EndpointSpec{"far", {}, "there", 6}});
+    std::vector<EndpointId> chosen;
+    for (CallId id = 1; id <= 4; ++id) {
+        REQUIRE(dispatcher.enqueue(call(id, "p" + std::to_string(id)), start));
+        chosen.push_back(dispatcher.next(start)->endpoint.id);
+    }
+    CHECK(chosen == std::vector<EndpointId>{"near", "near", "near", "far"});
+}
+
+TEST_CASE("Calls of other instances count as load")
+{
+    PolicyOptions options = policyFor(Favour::Programs);
+    options.placement = PlacementRule::LeastOutstanding;
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setEndpoints(two(6));
+    dispatcher.setForeign("a", 3);
+    REQUIRE(dispatcher.enqueue(call(1, "p1"), start));
+    CHECK(dispatcher.next(start)->endpoint.id == "b");
+    CHECK(dispatcher.ownCalls().at("b") == 1);
+}
