Programs have a home endpoint by hash, and sub-agents share their parent's prefix

Lines of turns move between instances, which each remember only their own, and a sub-agent's prefix was looked up by its own name. Ruled out: waiting (p90 at most 180 ms) and balance (busiest to mean 1.05). Change: prompts with named parts are placed by what each endpoint holds of them; the program's main line has a home by highest random weight in the failure domain; reading a prompt counts for all that run beside it; waiting calls go by the time their program should be done.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -1,6 +1,9 @@
 #include "decision/dispatcher.h"
 
+#include "decision/hash.h"
+
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace oleandergate {
@@ -21,6 +24,12 @@
 //! Share of an endpoint's pace that each further call in its batch costs, over the whole batch.
 constexpr double batchDrag = 0.5;
 
+//! Endpoints that all instances of a failure domain take for a program's home.
+constexpr std::size_t homeCount = 2;
+
+//! Share of a prompt that a program's first home is believed to hold when this instance does not know better.
+constexpr double homeCachedShare = 0.7;
+
 //! Tokens assumed for the answer of a call when nothing better is known.
 constexpr Tokens assumedAnswer = 128;
 
@@ -68,6 +77,8 @@
         return now - advance;
     case QueueOrder::ProgramStart:
         return call.programStart - advance;
+    case QueueOrder::Deadline:
+        return call.programDeadline < now ? now + this->options.lateSetBack : call.programDeadline - advance;
     case QueueOrder::LeastAttained:
         break;
     }
@@ -222,7 +233,112 @@
     case PlacementRule::Estimated:
         break;
     }
-    return this->chooseEstimated(waiting, now);
+    return waiting.call.parts.empty() ? this->chooseEstimated(waiting, now) : this->choosePrefix(waiting, now);
+}
+
+std::vector<std::size_t> Dispatcher::homesOf(const std::string &key) const
+{
+    // Instances that share no memory find the same endpoints by highest random weight.
+    std::array<std::pair<std::uint64_t, std::size_t>, homeCount> best{};
+    for (const std::size_t index : this->endpoints.near()) {
+        const std::pair<std::uint64_t, std::size_t> entry{hashOf(this->endpoints.at(index).spec.id, hashOf(key)), index};
+        for (std::size_t place = 0; place < homeCount; ++place) {
+            if (entry > best[place]) {
+                std::move_backward(best.begin() + static_cast<std::ptrdiff_t>(place), best.end() - 1, best.end());
+                best[place] = entry;
+                break;
+            }
+        }
+    }
+    std::vector<std::size_t> homes;
+    for (const auto &[weight, index] : best) {
+        if (weight != 0) {
+            homes.push_back(index);
+        }
+    }
+    return homes;
+}
+
+Tokens Dispatcher::cachedParts(std::size_t endpoint, const QueuedCall &call) const
+{
+    const auto program = this->programs.find(call.program);
+    if (program == this->programs.end()) {
+        return 0;
+    }
+    const auto held = program->second.parts.find(endpoint);
+    if (held == program->second.parts.end()) {
+        return 0;
+    }
+    Tokens cached = 0;
+    for (const PromptPart &part : call.parts) {
+        const auto found = held->second.find(part.id);
+        const Tokens tokens = found == held->second.end() ? 0 : std::min(found->second, part.tokens);
+        cached += tokens;
+        if (tokens < part.tokens) {
+            break;
+        }
+    }
+    return cached;
+}
+
+double Dispatcher::estimatePrefix(std::size_t endpoint, const Waiting &waiting, Tokens cached) const
+{
+    const EndpointState &state = this->endpoints.at(endpoint);
+    const auto uncached = static_cast<double>(std::max<Tokens>(0, waiting.call.promptTokens + waiting.generated - cached));
+    const auto others = static_cast<double>(state.inFlight + state.foreign);
+    const auto slots = static_cast<double>(std::max(1U, state.spec.slots));
+    const double prefill = uncached * this->leastPrefill;
+    const double decode = this->usualAnswer * this->usualGap;
+    // A prompt is read between the tokens of the others, and each call more slows all of them.
+    const double own = prefill + decode * (1.0 + batchDrag * others / slots);
+    const double imposed = others * (prefill + decode * batchDrag / slots);
+    const double way = this->endpoints.isFar(endpoint) ? toSeconds(this->options.farDelay) : 0.0;
+    return way + state.slowness * (own + imposed);
+}
+
+std::size_t Dispatcher::choosePrefix(const Waiting &waiting, Time now) const
+{
+    const QueuedCall &call = waiting.call;
+    // The second part names the program's main line, which sub-agents share; the first one is shared by many programs.
+    const std::string &key = call.parts.size() > 1 ? call.parts[1].id : call.parts.front().id;
+    const auto program = this->programs.find(call.program);
+    const bool known = program != this->programs.end() && !program->second.parts.empty();
+    std::size_t best = noEndpoint;
+    double bestCost = std::numeric_limits<double>::max();
+    const auto consider = [&](std::size_t candidate, Tokens cached) {
+        if (!this->endpoints.hasRoom(candidate, now) || call.avoid.contains(this->endpoints.at(candidate).spec.id)) {
+            return;
+        }
+        const double cost = this->estimatePrefix(candidate, waiting, cached);
+        if (cost < bestCost) {
+            best = candidate;
+            bestCost = cost;
+        }
+    };
+    for (const std::size_t candidate : this->endpoints.leastLoaded(candidateCount, call.avoid, now)) {
+        consider(candidate, this->cachedParts(candidate, call));
+    }
+    // What other instances sent of this program went to its home unless that was loaded.
+    double assumed = homeCachedShare;
+    for (const std::size_t home : this->homesOf(key)) {
+        consider(home, std::max(this->cachedParts(home, call), static_cast<Tokens>(assumed * static_cast<double>(call.promptTokens))));
+        assumed = 0.0;
+    }
+    if (known) {
+        for (const auto &[endpoint, parts] : program->second.parts) {
+            consider(endpoint, this->cachedParts(endpoint, call));
+        }
+    }
+    return best;
+}
+
+void Dispatcher::notePrefix(std::size_t endpoint, const QueuedCall &call, Tokens generated)
+{
+    std::map<std::string, Tokens> &held = this->programs[call.program].parts[endpoint];
+    for (const PromptPart &part : call.parts) {
+        Tokens &tokens = held[part.id];
+        tokens = std::max(tokens, part.tokens + (&part == &call.parts.back() ? generated : 0));
+    }
 }
 
 std::size_t Dispatcher::chooseEstimated(const Waiting &waiting, Time now) const
@@ -289,6 +405,10 @@
     ProgramView &program = this->programs[waiting.call.program];
     running.attainedBefore = program.attained;
     program.endpoints.insert(this->endpoints.at(endpoint).spec.id);
+    if (!waiting.call.parts.empty()) {
+        running.uncached = std::max<Tokens>(0, waiting.call.promptTokens - this->cachedParts(endpoint, waiting.call));
+        this->notePrefix(endpoint, waiting.call, 0);
+    }
     program.caches[waiting.call.branch] = BranchCache{endpoint, waiting.call.promptTokens + waiting.generated};
     this->running[waiting.call.call] = std::move(running);
     this->endpoints.addCall(endpoint);
@@ -308,6 +428,11 @@
     if (!running.firstToken) {
         const double expected = static_cast<double>(running.uncached) * this->usualPrefill + this->usualGap;
         ratio = elapsed / expected;
+        if (running.uncached > 0) {
+            // Follows the fastest readings: the others also waited for a place in the batch.
+            const double sample = std::max(0.0, elapsed - this->usualGap) / static_cast<double>(running.uncached);
+            blend(this->leastPrefill, sample, sample < this->leastPrefill ? slownessWeight : sampleWeight / 10);
+        }
         if (running.uncached > 0 && slowness < 2.0) {
             blend(this->usualPrefill, std::max(0.0, elapsed - this->usualGap) / static_cast<double>(running.uncached), sampleWeight);
         }
@@ -350,6 +475,14 @@
     this->endpoints.removeCall(running.endpoint);
     ProgramView &program = this->programs[running.call.program];
     program.openCalls -= 1;
+    if (running.generated > 0) {
+        blend(this->usualAnswer, static_cast<double>(running.generated), sampleWeight);
+    }
+    if (healthy && !running.call.parts.empty()) {
+        this->notePrefix(running.endpoint, running.call, running.generated);
+    } else if (!healthy) {
+        program.parts.erase(running.endpoint);
+    }
     if (healthy) {
         program.caches[running.call.branch] = BranchCache{running.endpoint, running.call.promptTokens + running.generated};
     } else {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -102,6 +102,7 @@
         Time usedAt{};
         std::size_t calls = 0;
         std::map<std::string, BranchCache> caches{};
+        std::map<std::size_t, std::map<std::string, Tokens>> parts{}; //!< Tokens of each prompt part by endpoint.
         std::set<EndpointId> endpoints{};
     };
 
@@ -142,6 +143,11 @@
     bool waitsForPrefix(const Waiting &waiting, std::size_t endpoint, Time now) const;
     std::size_t choose(const Waiting &waiting, Time now);
     std::size_t chooseEstimated(const Waiting &waiting, Time now) const;
+    std::size_t choosePrefix(const Waiting &waiting, Time now) const;
+    double estimatePrefix(std::size_t endpoint, const Waiting &waiting, Tokens cached) const;
+    Tokens cachedParts(std::size_t endpoint, const QueuedCall &call) const;
+    std::vector<std::size_t> homesOf(const std::string &key) const;
+    void notePrefix(std::size_t endpoint, const QueuedCall &call, Tokens generated);
     double estimate(std::size_t endpoint, const Waiting &waiting) const;
     Tokens cachedTokens(std::size_t endpoint, const QueuedCall &call) const;
     void start(const Waiting &waiting, std::size_t endpoint, Time now);
@@ -161,6 +167,8 @@
     std::uint64_t started = 0;
     std::uint64_t stalls = 0;
     std::uint64_t interrupts = 0;
+    double usualAnswer = 100.0; //!< Tokens generated for one call, over the pool.
+    double leastPrefill = 0.00003; //!< Seconds per uncached prompt token when little else runs.
     double usualGap = 0.03; //!< Seconds between tokens, over the pool.
     double usualPrefill = 0.0002; //!< Seconds per uncached prompt token, over the pool.
     double usualService = 2.0; //!< Seconds of service of one call, over the pool.
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -62,14 +62,28 @@
     }
     this->totalSlots = 0;
     this->usable = 0;
+    std::vector<std::size_t> all;
+    this->nearest.clear();
     for (std::size_t index = 0; index < this->states.size(); ++index) {
         const EndpointState &state = this->states[index];
         if (state.listed && !state.spec.leaving) {
             this->totalSlots += state.spec.slots;
             this->usable += 1;
+            all.push_back(index);
+            if (!this->isFar(index)) {
+                this->nearest.push_back(index);
+            }
         }
         this->rank(index);
     }
+    if (this->nearest.empty()) {
+        this->nearest = std::move(all);
+    }
+}
+
+const std::vector<std::size_t> &EndpointTable::near() const
+{
+    return this->nearest;
 }
 
 std::optional<std::size_t> EndpointTable::indexOf(const EndpointId &id) const
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -35,6 +35,9 @@
     //! Returns true when the endpoint is in another failure domain than this instance.
     bool isFar(std::size_t index) const;
 
+    //! Returns the usable endpoints of this instance's failure domain, or all when it has none.
+    const std::vector<std::size_t> &near() const;
+
     //! Replaces the list. Indices of known endpoints stay valid.
     void assign(const std::vector<EndpointSpec> &specs);
 
@@ -84,6 +87,7 @@
     std::vector<bool> ranked;
     std::unordered_map<EndpointId, std::size_t> indices;
     std::set<Ranked> order;
+    std::vector<std::size_t> nearest;
     std::uint32_t totalSlots = 0;
     std::size_t usable = 0;
     std::uint64_t rankCount = 0;
--- a/src/decision/policyoptions.h
+++ b/src/decision/policyoptions.h
@@ -28,14 +28,16 @@
 enum class QueueOrder : std::uint8_t {
     Arrival,
     ProgramStart, //!< Oldest program first.
-    LeastAttained //!< Arrival, set back by the service that the program already received.
+    LeastAttained, //!< Arrival, set back by the service that the program already received.
+    Deadline //!< The program that should be done first; those that are late already come last.
 };
 
 //! Names of the orders.
-inline constexpr std::array<NamedValue<QueueOrder>, 3> queueOrderNames{{
+inline constexpr std::array<NamedValue<QueueOrder>, 4> queueOrderNames{{
     {QueueOrder::Arrival, "arrival"},
     {QueueOrder::ProgramStart, "program-start"},
     {QueueOrder::LeastAttained, "least-attained"},
+    {QueueOrder::Deadline, "deadline"},
 }};
 
 //! Parts of the dispatch policy; each can be switched off alone.
@@ -55,6 +57,7 @@
     double farLoad = 0.0; //!< Occupied share of slots that an endpoint of another failure domain may be better by and still not be preferred.
     Duration farDelay{}; //!< Time that a call to an endpoint of another failure domain costs more.
     double attainedWeight = 1.0; //!< Seconds of queue time per second of service received.
+    Duration lateSetBack = std::chrono::seconds(2); //!< Set-back of a program that is late already.
     Duration maxSetBack = std::chrono::seconds(60); //!< Bound on the set-back, so that nothing starves.
     Duration priorityStep = std::chrono::seconds(5); //!< Advance per level of priority.
     Duration quantum = std::chrono::milliseconds(2000); //!< Service before a stream may be interrupted; doubles each time.
--- a/src/decision/queuedcall.h
+++ b/src/decision/queuedcall.h
@@ -6,9 +6,17 @@
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace oleandergate {
 
+//! A part of a prompt that several calls may share. Engines cache parts as prefixes, in order.
+struct PromptPart
+{
+    std::string id{};
+    Tokens tokens = 0;
+};
+
 //! A call that waits for an endpoint of one pool.
 struct QueuedCall
 {
@@ -17,6 +25,7 @@
     std::string branch{};
     int priority = 0; //!< Larger goes first.
     bool resumable = false; //!< The stream may be interrupted and resumed.
+    std::vector<PromptPart> parts{}; //!< Of the prompt, in order; empty when the caller does not name them.
     Tokens promptTokens = 0;
     Tokens maxTokens = 0;
     Time programStart{};
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -8,6 +8,9 @@
 //! endpoint with the usual 6 or 16 slots.
 constexpr double serviceFarLoad = 0.34;
 constexpr double engineFarLoad = 0.15;
+
+//! How much earlier than its time to be done a program counts for each step of its route's urgency.
+constexpr Duration priorityStep = std::chrono::milliseconds(250);
 constexpr Duration farDelay = std::chrono::milliseconds(10);
 
 PolicyOptions policyOf(const GatewayService &service)
@@ -16,11 +19,12 @@
     options.refuseEarly = false;
     options.preempt = false;
     options.migrate = false;
+    options.order = QueueOrder::Deadline;
+    options.priorityStep = priorityStep;
     options.farLoad = service.isEngine ? engineFarLoad : serviceFarLoad;
     options.farDelay = farDelay;
     if (!service.isEngine) {
         options.placement = PlacementRule::LeastOutstanding;
-        options.order = QueueOrder::Arrival;
     }
     return options;
 }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -164,9 +164,11 @@
     queued.program = job.call.program ? job.call.program->program : job.call.requestId;
     queued.branch = job.call.program ? job.call.program->line : std::string();
     queued.priority = -job.route->rank;
+    queued.parts = job.call.parts;
     queued.promptTokens = job.call.promptTokens;
     queued.maxTokens = job.call.maxTokens;
     queued.deadline = job.deadline;
+    queued.programDeadline = job.arrived + (job.call.program ? job.call.program->timeToFinish : std::nullopt).value_or(job.route->objective);
     queued.only = std::move(only);
     queued.avoid = job.retries->avoided();
     const CallId id = queued.call;
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_RELAYCALL_H
 
 #include "decision/ids.h"
+#include "decision/queuedcall.h"
 #include "decision/time.h"
 #include "runtime/httpmessage.h"
 
@@ -11,13 +12,6 @@
 
 namespace oleandergate {
 
-//! A part of a prompt that several requests may share. Parts are cached by engines as prefixes, in order.
-struct PromptPart
-{
-    std::string id{};
-    Tokens tokens = 0;
-};
-
 //! The agent program that a request belongs to.
 struct ProgramMark
 {
