--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t homeCount = 2;
 
 //! Share of a prompt that a program's first home is believed to hold when this instance does not know better.
-constexpr double homeCachedShare = 0.7;
+constexpr double homeCachedShare = 0.9;
 
 //! Tokens assumed for the answer of a call when nothing better is known.
 constexpr Tokens assumedAnswer = 128;
