Leftovers of direct draws go back to the keeper

Change: a turn waits up to half a second for its slot's keeper; what was drawn directly and not spent is given to the keeper once there is one, under an identifier that lets it count once; claims follow each other without a pause.

--- a/src/gateway/budgetkeeper.cpp
+++ b/src/gateway/budgetkeeper.cpp
@@ -43,6 +43,10 @@
 
 //! A keeper in another failure domain answers within a few milliseconds; beyond this a turn waits too long.
 constexpr Duration keeperTimeout = std::chrono::milliseconds(150);
+
+//! How long a turn waits for its program's slot to get a keeper.
+constexpr Duration keeperPatience = std::chrono::milliseconds(500);
+constexpr Duration keeperLook = std::chrono::milliseconds(20);
 constexpr Duration keeperPause = std::chrono::milliseconds(1000);
 constexpr Duration servicePause = std::chrono::milliseconds(300);
 
@@ -160,7 +164,6 @@
     while (true) {
         co_await sleepFor(keepStep);
         const Time now = currentTime();
-        std::vector<SlotMove> claims;
         bool confirmationDue = false;
         {
             const std::lock_guard lock(this->mutex);
@@ -168,23 +171,93 @@
             if (this->leaving || now < this->serviceDownUntil) {
                 continue;
             }
-            claims = this->slots.plan(now);
-            std::erase_if(claims, [](const SlotMove &move) {
-                return move.kind != SlotMove::Kind::Claim;
-            });
-            // Who is about to claim reads the records first: other instances may have claimed them meanwhile.
             const bool keeping = !this->slots.keptSlots().empty() || this->slots.confirmedAt() == Time{};
             confirmationDue = keeping && now - this->slots.confirmedAt() > confirmStep;
-            confirmationDue = confirmationDue || (!claims.empty() && now - this->slots.confirmedAt() > freshRecords);
         }
         if (confirmationDue) {
             co_await this->confirm();
+        }
+        co_await this->claimDue();
+        co_await this->returnLeftovers();
+    }
+}
+
+std::vector<SlotMove> BudgetKeeper::planClaims(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    std::vector<SlotMove> claims = this->slots.plan(now);
+    std::erase_if(claims, [](const SlotMove &move) {
+        return move.kind != SlotMove::Kind::Claim;
+    });
+    return claims;
+}
+
+asio::awaitable<void> BudgetKeeper::claimDue()
+{
+    if (this->planClaims(currentTime()).empty()) {
+        co_return;
+    }
+    // Other instances may have claimed slots since the records were read.
+    if (currentTime() - this->confirmedAt() > freshRecords) {
+        co_await this->confirm();
+    }
+    std::vector<SlotMove> claims = this->planClaims(currentTime());
+    while (!claims.empty()) {
+        const bool reached = co_await this->claim(claims);
+        std::vector<SlotMove> left = this->planClaims(currentTime());
+        if (!reached || left.size() >= claims.size()) {
+            co_return;
+        }
+        claims = std::move(left);
+    }
+}
+
+std::map<std::string, BudgetReturn> BudgetKeeper::takeLeftovers()
+{
+    const std::lock_guard lock(this->mutex);
+    std::map<std::string, BudgetReturn> found;
+    std::set<ProgramId> busy;
+    for (const auto &[id, held] : this->grants) {
+        busy.insert(held.grant.program);
+    }
+    for (const auto &[slot, keeper] : this->keepers) {
+        if (this->slots.keeps(slot) || keeper == this->self.peerAddress) {
             continue;
         }
-        if (!claims.empty()) {
-            co_await this->claim(std::move(claims));
+        const std::vector<LedgerEntry> entries = this->ledger.take([this, &busy, slot = slot](const ProgramId &program) {
+            return this->slots.slotOf(program) == slot && !busy.contains(program);
+        });
+        for (const LedgerEntry &entry : entries) {
+            if (entry.left > 0) {
+                found[keeper].entries.push_back(entry);
+            }
         }
     }
+    for (auto &[keeper, returned] : found) {
+        returned.id = this->self.id + "/" + std::to_string(++this->returnCount);
+    }
+    return found;
+}
+
+asio::awaitable<void> BudgetKeeper::returnLeftovers()
+{
+    const std::map<std::string, BudgetReturn> leftovers = this->takeLeftovers();
+    for (const auto &[keeper, returned] : leftovers) {
+        const Result<PeerMessage> reply = co_await this->parts.peers.send(keeper, returned);
+        logRecord(LogLevel::Info,
+                  "budget",
+                  reply ? "returned leftovers" : "could not return leftovers",
+                  {{"peer", keeper}, {"programs", std::to_string(returned.entries.size())}});
+    }
+}
+
+void BudgetKeeper::takeBack(const BudgetReturn &returned, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto [entry, first] = this->returns.emplace(returned.id, now);
+    if (first) {
+        this->ledger.put(returned.entries, now);
+    }
 }
 
 void BudgetKeeper::forgetOld(Time now)
@@ -193,6 +266,9 @@
     std::erase_if(this->grants, [now](const auto &entry) {
         return now - entry.second.since > grantLife;
     });
+    std::erase_if(this->returns, [now](const auto &entry) {
+        return now - entry.second > grantLife;
+    });
 }
 
 asio::awaitable<void> BudgetKeeper::confirm()
@@ -208,7 +284,7 @@
     this->slots.onConfirmed(askedAt);
 }
 
-asio::awaitable<void> BudgetKeeper::claim(std::vector<SlotMove> moves)
+asio::awaitable<bool> BudgetKeeper::claim(std::vector<SlotMove> moves)
 {
     moves.resize(std::min(moves.size(), rowsPerWrite));
     KvTransaction write;
@@ -222,7 +298,7 @@
     const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
     if (!reply) {
         this->onServiceFailed(reply.error());
-        co_return;
+        co_return false;
     }
     std::vector<KvPair> records = reply.value().found;
     if (reply.value().succeeded) {
@@ -235,6 +311,7 @@
               "budget",
               reply.value().succeeded ? "claimed slots" : "other instances claimed slots first",
               {{"count", std::to_string(moves.size())}, {"first", std::to_string(moves.front().slot)}, {"revision", std::to_string(reply.value().revision)}});
+    co_return true;
 }
 
 std::map<InstanceId, std::vector<SlotMove>> BudgetKeeper::planHandovers(Time now) const
@@ -469,6 +546,9 @@
     } else if (const auto *settle = std::get_if<BudgetSettle>(&message)) {
         this->credit(settle->id, settle->used);
         reply.verdict = BudgetVerdict::Granted;
+    } else if (const auto *returned = std::get_if<BudgetReturn>(&message)) {
+        this->takeBack(*returned, currentTime());
+        reply.verdict = BudgetVerdict::Granted;
     } else if (const auto *handover = std::get_if<BudgetHandover>(&message)) {
         reply.verdict = co_await this->receive(*handover);
     } else {
@@ -493,8 +573,25 @@
     co_return BudgetVerdict::Unavailable;
 }
 
+asio::awaitable<void> BudgetKeeper::awaitKeeper(SlotId slot)
+{
+    const Time until = currentTime() + keeperPatience;
+    while (currentTime() < until) {
+        {
+            const std::lock_guard lock(this->mutex);
+            const bool alone = this->members.size() <= 1;
+            if (alone || this->leaving || this->slots.keeps(slot) || this->keepers.contains(slot)) {
+                co_return;
+            }
+        }
+        co_await sleepFor(keeperLook);
+    }
+}
+
 asio::awaitable<Result<void>> BudgetKeeper::reserve(ProgramMark program, Tokens tokens, std::string id)
 {
+    // Slots change hands within a moment. Who draws meanwhile takes from what their keeper could give.
+    co_await this->awaitKeeper(this->slots.slotOf(program.program));
     const BudgetAsk ask{std::move(id), TurnRequest{program.program, program.tokenBudget.value_or(0), tokens}};
     std::string keeper;
     bool asksKeeper = false;
--- a/src/gateway/budgetkeeper.h
+++ b/src/gateway/budgetkeeper.h
@@ -67,7 +67,17 @@
     };
 
     boost::asio::awaitable<void> keepSlots();
-    boost::asio::awaitable<void> claim(std::vector<SlotMove> moves);
+    boost::asio::awaitable<void> claimDue();
+
+    //! Returns false when the service did not answer.
+    boost::asio::awaitable<bool> claim(std::vector<SlotMove> moves);
+    std::vector<SlotMove> planClaims(Time now) const;
+    boost::asio::awaitable<void> awaitKeeper(SlotId slot);
+
+    //! Gives what was drawn here for programs that have a keeper now to that keeper.
+    boost::asio::awaitable<void> returnLeftovers();
+    std::map<std::string, BudgetReturn> takeLeftovers();
+    void takeBack(const BudgetReturn &returned, Time now);
     boost::asio::awaitable<void> handOver(InstanceRecord successor, std::vector<SlotMove> moves);
     boost::asio::awaitable<void> release(const std::vector<SlotMove> &moves);
     //! Reads the records of all slots.
@@ -95,6 +105,8 @@
     TokenLedger ledger;
     std::map<std::string, HeldGrant> grants;
     std::vector<InstanceRecord> members;
+    std::map<std::string, Time> returns; //!< Identifiers of returns that were taken, with when.
+    std::uint64_t returnCount = 0;
     std::map<std::string, std::string> grantedBy; //!< Asks that a keeper granted, with its address.
     std::map<std::string, Time> silentKeepers; //!< Keepers that did not answer in time, with when to ask them again.
     std::uint64_t lease = 0;
--- a/src/wire/budgetmessages.h
+++ b/src/wire/budgetmessages.h
@@ -63,6 +63,14 @@
     std::vector<OpenGrant> grants{};
 };
 
+//! Gives a keeper what was drawn for its programs while it was not there. Sending it twice with the same identifier gives
+//! it once. Answered by one BudgetReply.
+struct BudgetReturn
+{
+    std::string id{}; //!< Unique for each return.
+    std::vector<LedgerEntry> entries{};
+};
+
 } // namespace oleandergate
 
 #endif
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -220,6 +220,12 @@
     archive(value.id, value.program, value.tokens);
 }
 
+template <class Archive>
+void serialize(Archive &archive, BudgetReturn &value)
+{
+    archive(value.id, value.entries);
+}
+
 template <class Archive>
 void serialize(Archive &archive, HandedSlot &value)
 {
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -118,7 +118,8 @@
                                  BudgetSettle,
                                  BudgetHandover,
                                  EndpointsQuery,
-                                 EndpointsReply>;
+                                 EndpointsReply,
+                                 BudgetReturn>;
 
 //! What instances tell each other over UDP, a few times a second.
 struct Heartbeat
