--- /dev/null
+++ b/src/runtime/commandline.h
@@ -0,0 +1,36 @@
+#ifndef OLEANDERGATE_RUNTIME_COMMANDLINE_H
+#define OLEANDERGATE_RUNTIME_COMMANDLINE_H
+
+#include <docopt/docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+namespace oleandergate {
+
+using CommandLine = std::map<std::string, docopt::value>;
+
+//! Reads the command line of \p program after \p usage. On a fault names it on standard error and ends with status 2.
+inline CommandLine readCommandLine(const std::string &program, const char *usage, int argc, char **argv, const std::string &version = "0.1.0")
+{
+    constexpr int exitUsage = 2;
+    try {
+        return docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        std::exit(0);
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << program << ' ' << version << '\n';
+        std::exit(0);
+    } catch (const docopt::DocoptArgumentError &error) {
+        const std::string what = error.what();
+        std::cerr << program << ": " << (what.empty() ? "the arguments fit no usage; see --help" : what) << '\n';
+        std::exit(exitUsage);
+    }
+}
+
+} // namespace oleandergate
+
+#endif
