Few instances watch the store; reports mix in fleets of dozens

Ruled out: silence (peers were never heard, not lost), the records. Change: three instances watch and reread, chosen by rank among those with fresh readings, and the others take endpoints and configuration from them; watches end when not needed; names are drawn by chance; a peer's life follows the round of reports; slots that nobody owned are claimed once members have settled, those of an owner never heard after four seconds.

--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -1,6 +1,7 @@
 #include "backing/etcdkeyvalue.h"
 
 #include "backing/base64.h"
+#include "runtime/cancellation.h"
 #include "runtime/httpclient.h"
 #include "runtime/jsonaccess.h"
 
@@ -283,7 +284,8 @@
     co_return boost::outcome_v2::success();
 }
 
-asio::awaitable<Error> EtcdKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent)
+asio::awaitable<Error>
+EtcdKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent, std::function<bool()> wanted)
 {
     this->calls += 1;
     constexpr std::chrono::hours watchSilence{24};
@@ -299,7 +301,8 @@
     call.idleTimeout = watchSilence;
     call.reuse = false;
     call.keepBody = false;
-    call.onPiece = [pending, onEvent = std::move(onEvent)](int /*status*/, std::string_view piece) {
+    call.cancellation = std::make_shared<Cancellation>();
+    call.onPiece = [pending, onEvent = std::move(onEvent), wanted = std::move(wanted), cancellation = call.cancellation](int /*status*/, std::string_view piece) {
         pending->append(piece);
         std::size_t end = pending->find('\n');
         while (end != std::string::npos) {
@@ -307,6 +310,9 @@
             pending->erase(0, end + 1);
             end = pending->find('\n');
         }
+        if (!wanted()) {
+            cancellation->cancel();
+        }
     };
     HttpOutcome outcome = co_await this->client.send(std::move(call), Step::ConfigFetch);
     if (!outcome) {
--- a/src/decision/budgetslots.cpp
+++ b/src/decision/budgetslots.cpp
@@ -4,6 +4,16 @@
 
 namespace oleandergate {
 
+namespace {
+
+//! Identifiers of processes are the instance's name, a tilde and what tells one process from the next.
+std::string nameOf(const InstanceId &id)
+{
+    return id.substr(0, id.find('~'));
+}
+
+} // namespace
+
 BudgetSlots::BudgetSlots(InstanceId self, const Limits &limits)
     : self(std::move(self))
     , limits(limits)
@@ -54,8 +64,11 @@
 void BudgetSlots::onMembers(const std::vector<InstanceRecord> &records, Time now)
 {
     std::set<InstanceId> present;
+    this->names.clear();
     for (const InstanceRecord &record : records) {
         present.insert(record.id);
+        this->heard.insert(record.id);
+        this->names.insert(nameOf(record.id));
         this->table.putInstance(record, now);
     }
     for (const InstanceId &known : this->members) {
@@ -63,6 +76,12 @@
             this->table.removeInstance(known);
         }
     }
+    if (this->firstSeen == Time{}) {
+        this->firstSeen = now;
+    }
+    if (present != this->members) {
+        this->changedAt = now;
+    }
     this->members = std::move(present);
     const bool nowAlone = this->members.size() <= 1;
     if (nowAlone && (!this->alone || this->aloneSince == Time{})) {
@@ -79,13 +98,25 @@
     }
     std::vector<SlotMove> moves;
     for (const SlotMove &move : this->table.plan(now)) {
-        if (move.kind == SlotMove::Kind::Claim || this->kept.contains(move.slot)) {
+        if (move.kind == SlotMove::Kind::Claim ? this->mayClaim(move, now) : this->kept.contains(move.slot)) {
             moves.push_back(move);
         }
     }
     return moves;
 }
 
+bool BudgetSlots::mayClaim(const SlotMove &move, Time now) const
+{
+    const InstanceId &owner = move.seen.owner;
+    if (move.seen.revision == 0) {
+        // While instances still find each other, each would claim what it prefers among the few it knows.
+        return now - this->changedAt >= this->limits.settling;
+    }
+    // An owner that was never heard may live and not be known here yet, unless its successor at the same instance is.
+    const bool known = owner.empty() || this->heard.contains(owner) || this->names.contains(nameOf(owner));
+    return known || now - this->firstSeen >= this->limits.isolation;
+}
+
 InstanceId BudgetSlots::successorOf(SlotId slot) const
 {
     const InstanceId &preferred = this->table.preferredOwner(slot);
--- a/src/decision/budgetslots.h
+++ b/src/decision/budgetslots.h
@@ -21,7 +21,8 @@
         SlotId slotCount = 64;
         Duration confirmation{}; //!< How long a record may be unconfirmed while other instances reach the service.
         Duration retention{}; //!< How long a program may stay away and return.
-        Duration isolation{}; //!< How long an instance that hears no peer waits before it claims anything.
+        Duration isolation{}; //!< How long an instance waits before it claims while it hears no peer, or from an owner it never heard.
+        Duration settling{}; //!< How long the members have to stay the same before slots that nobody ever owned are claimed.
     };
 
     BudgetSlots(InstanceId self, const Limits &limits);
@@ -64,6 +65,8 @@
     std::set<SlotId> keptSlots() const;
 
 private:
+    bool mayClaim(const SlotMove &move, Time now) const;
+
     InstanceId self;
     Limits limits;
     SlotTable table;
@@ -74,6 +77,10 @@
     Time confirmed{};
     Time aloneSince{};
     bool alone = true;
+    Time firstSeen{}; //!< When members were first told.
+    Time changedAt{}; //!< When the members changed last.
+    std::set<InstanceId> heard; //!< Every member since the start.
+    std::set<std::string> names; //!< Names of the members, without what tells one process of an instance from the next.
 };
 
 } // namespace oleandergate
--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -79,24 +79,24 @@
     return found;
 }
 
-std::vector<EndpointEntry> EndpointCatalog::announced() const
+std::vector<EndpointEntry> EndpointCatalog::entries() const
 {
     std::vector<EndpointEntry> found;
     for (const auto &[id, item] : this->listed) {
-        if (!item.dropAt) {
-            found.push_back(item.entry);
-        }
+        found.push_back(item.entry);
     }
     return found;
 }
 
+bool EndpointCatalog::isSettled(Time now) const
+{
+    return now >= this->trustRemovalsFrom;
+}
+
 std::uint64_t EndpointCatalog::digest() const
 {
     std::uint64_t sum = 0;
     for (const auto &[id, item] : this->listed) {
-        if (item.dropAt) {
-            continue;
-        }
         const EndpointEntry &entry = item.entry;
         const std::string text = id + '\n' + entry.service + '\n' + entry.spec.address + '\n' + std::to_string(entry.spec.slots)
             + (entry.spec.leaving ? "\nleaving\n" : "\n") + std::to_string(entry.startedAt);
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -47,12 +47,14 @@
 
     std::vector<EndpointId> ids() const;
 
-    //! Returns what is announced.
-    std::vector<EndpointEntry> announced() const;
+    std::vector<EndpointEntry> entries() const;
 
-    //! Returns a hash over all that is announced; equal for two readers of the same announcements.
+    //! Returns a hash over all entries, those that are kept for a moment included.
     std::uint64_t digest() const;
 
+    //! Returns true when what is missing is gone, and not only not announced again yet.
+    bool isSettled(Time now) const;
+
     const EndpointEntry *find(const EndpointId &id) const;
     std::size_t size() const;
 
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -1,16 +1,27 @@
 #include "decision/peertable.h"
 
+#include "decision/hash.h"
+
 #include <algorithm>
+#include <iterator>
 
 namespace oleandergate {
 
 namespace {
 
-//! A silent peer's load says nothing after this time: it was as likely to have ended.
-constexpr Duration loadLife = std::chrono::milliseconds(700);
+//! A silent peer's load says nothing after this time or two rounds of reports: it was as likely to have ended.
+constexpr Duration leastLoadLife = std::chrono::milliseconds(700);
+constexpr double loadRounds = 2.0;
 
-//! A peer that is silent for longer is taken to be gone. Reports come at least every half second.
-constexpr Duration peerLife = std::chrono::milliseconds(1800);
+//! A peer that is silent for longer, or for so many rounds of reports, is taken to be gone. Reports come at least every
+//! half second.
+constexpr Duration leastPeerLife = std::chrono::milliseconds(1800);
+constexpr double peerRounds = 3.5;
+
+Duration longer(Duration least, Duration round, double rounds)
+{
+    return std::max(least, fromSeconds(toSeconds(round) * rounds));
+}
 
 //! How often an address that never answered is tried.
 constexpr Duration tryStep = std::chrono::milliseconds(500);
@@ -22,12 +33,23 @@
 
 PeerTable::PeerTable(std::string ownAddress, std::vector<std::string> seeds)
     : ownAddress(std::move(ownAddress))
+    , random(static_cast<std::minstd_rand::result_type>(hashOf(this->ownAddress)))
 {
     for (const std::string &seed : seeds) {
         this->named[seed] = Time{};
     }
 }
 
+void PeerTable::setRound(Duration newRound)
+{
+    this->round = newRound;
+}
+
+std::size_t PeerTable::size() const
+{
+    return this->peers.size();
+}
+
 bool PeerTable::onHeard(const PeerNews &news, Time now)
 {
     if (news.instance.peerAddress == this->ownAddress) {
@@ -58,7 +80,7 @@
 {
     std::vector<InstanceId> gone;
     for (const auto &[id, known] : this->peers) {
-        if (now - known.heardAt > peerLife) {
+        if (now - known.heardAt > longer(leastPeerLife, this->round, peerRounds)) {
             gone.push_back(id);
         }
     }
@@ -99,7 +121,7 @@
 {
     std::map<std::uint32_t, std::uint32_t> total;
     for (const auto &[id, known] : this->peers) {
-        if (now - known.heardAt > loadLife) {
+        if (now - known.heardAt > longer(leastLoadLife, this->round, loadRounds)) {
             continue;
         }
         for (const auto &[endpoint, calls] : known.news.loads) {
@@ -118,6 +140,15 @@
     return records;
 }
 
+std::vector<PeerNews> PeerTable::liveNews() const
+{
+    std::vector<PeerNews> found;
+    for (const auto &[id, known] : this->peers) {
+        found.push_back(known.news);
+    }
+    return found;
+}
+
 const PeerNews *PeerTable::newerConfig(std::uint64_t version) const
 {
     const PeerNews *best = nullptr;
@@ -182,10 +213,9 @@
     for (const auto &[id, known] : this->peers) {
         alive.push_back(known.news.instance.peerAddress);
     }
+    // By chance, since names that go round the peers as the targets do would meet the same targets each time.
     std::vector<std::string> addresses;
-    for (std::size_t taken = 0; taken < std::min(count, alive.size()); ++taken) {
-        addresses.push_back(alive[this->sampled++ % alive.size()]);
-    }
+    std::sample(alive.begin(), alive.end(), std::back_inserter(addresses), count, this->random);
     return addresses;
 }
 
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -4,6 +4,7 @@
 #include "decision/slottable.h"
 
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,11 @@
 public:
     PeerTable(std::string ownAddress, std::vector<std::string> seeds);
 
+    //! Sets how long it takes until a report of each live peer has come.
+    void setRound(Duration round);
+
+    std::size_t size() const;
+
     //! Takes a report. Returns false for one that is older than what is known.
     bool onHeard(const PeerNews &news, Time now);
 
@@ -48,6 +54,7 @@
     std::map<std::uint32_t, std::uint32_t> loads(Time now) const;
 
     std::vector<InstanceRecord> live() const;
+    std::vector<PeerNews> liveNews() const;
 
     //! Returns the live peer with the newest configuration, if it is newer than \p version.
     const PeerNews *newerConfig(std::uint64_t version) const;
@@ -67,7 +74,7 @@
     //! Returns true when a live peer that read the service after \p readAt knows other endpoints than \p digest says.
     bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
 
-    //! Returns the addresses of a few live peers, each time others, to name to peers that do not know them.
+    //! Returns the addresses of a few live peers, drawn anew each time, to name to peers that do not know them.
     std::vector<std::string> sample(std::size_t count);
 
 private:
@@ -80,8 +87,9 @@
     std::string ownAddress;
     std::map<InstanceId, Known> peers;
     std::map<std::string, Time> named; //!< Addresses to try, with when they were last tried.
+    Duration round{};
     std::size_t turn = 0;
-    std::size_t sampled = 0;
+    std::minstd_rand random;
 };
 
 } // namespace oleandergate
--- a/src/gateway/budgetkeeper.cpp
+++ b/src/gateway/budgetkeeper.cpp
@@ -39,6 +39,9 @@
 //! How long an instance that hears no peer waits before it claims slots.
 constexpr Duration isolation = std::chrono::seconds(4);
 
+//! Some rounds of reports in a fleet of some dozens.
+constexpr Duration settling = std::chrono::milliseconds(1500);
+
 constexpr Duration keepStep = std::chrono::milliseconds(200);
 
 //! A keeper in another failure domain answers within a few milliseconds; beyond this a turn waits too long.
@@ -113,7 +116,7 @@
     : parts(parts)
     , self(self)
     , retention(retention)
-    , slots(self.id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation})
+    , slots(self.id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation, settling})
 {
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "decision/hash.h"
+#include "decision/watcherchoice.h"
 #include "gateway/budgetkeeper.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
@@ -49,6 +50,12 @@
 //! Reports of a change cross each other for this long at most.
 constexpr Duration reportDelay = std::chrono::milliseconds(250);
 
+//! Instances that watch the key-value service. Three bear the loss of two at once.
+constexpr std::size_t watcherCount = 3;
+
+//! Shortest time between two questions to peers.
+constexpr Duration askPause = std::chrono::milliseconds(200);
+
 //! Shortest time between two readings that a peer's report asks for.
 constexpr Duration rereadPause = std::chrono::milliseconds(700);
 
@@ -177,6 +184,7 @@
                                     }})
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
+        , watcherChoice(self.id, watcherCount)
     {
     }
 
@@ -212,9 +220,23 @@
         return std::min(this->configurationFollower.loadedAt(), this->endpointFollower.loadedAt());
     }
 
-    //! A watch may fall silent without breaking. So that changes arrive all the same, one instance after the other reads
-    //! everything again, and the others do so when its reports differ from what they know.
-    asio::awaitable<void> rereadLoop()
+    //! Decides whether this instance watches the key-value service, and sets its followers accordingly.
+    bool updateWatching(Time now)
+    {
+        const bool watches = this->watcherChoice.decide(this->gossip.livePeers(), now);
+        if (watches != this->watching) {
+            logRecord(LogLevel::Info, "store", watches ? "watches changes" : "learns of changes from peers");
+        }
+        this->watching = watches;
+        this->configurationFollower.setActive(watches);
+        this->endpointFollower.setActive(watches);
+        return watches;
+    }
+
+    //! Keeps what this instance knows of configuration and endpoints up to date beside the watches. A few instances watch
+    //! the key-value service. A watch may fall silent without breaking, so one of them after the other reads everything again;
+    //! the others ask a peer when the report of one that read later differs from what they know.
+    asio::awaitable<void> syncLoop()
     {
         std::mt19937_64 random(hashOf(this->self.id));
         std::uniform_int_distribution<Duration::rep> jitter(0, rereadJitter.count());
@@ -224,30 +246,35 @@
         while (true) {
             co_await sleepFor(rereadLook);
             const Time now = currentTime();
+            const bool watches = this->updateWatching(now);
+            const Time known = std::max(this->readAt(), this->peerReadAt);
             const Time latestNow = std::max(this->readAt(), this->gossip.latestServiceReading());
             if (latestNow - latest > reportDelay) {
                 latest = latestNow;
                 due = latest + rereadStep + Duration(jitter(random));
             }
-            if (!this->gossip.knowsOtherEndpoints(this->pools.endpointDigest(), this->readAt())) {
+            if (!this->gossip.knowsOtherEndpoints(this->pools.endpointDigest(), known)) {
                 agreedAt = now;
             }
-            const bool differs = now - agreedAt > reportDelay && now - this->readAt() > rereadPause;
-            if (now < due && !differs) {
+            const bool differs = now - agreedAt > reportDelay && now - known > (watches ? rereadPause : askPause);
+            if (!differs && (!watches || now < due)) {
                 continue;
             }
-            if (differs) {
-                logRecord(LogLevel::Info, "endpoints", "a peer knows other endpoints", {{"read_ms_ago", std::to_string((now - this->readAt()).count() / 1000)}});
-            }
-            co_await this->configurationFollower.load();
-            const bool loaded = co_await this->endpointFollower.load();
+            const bool loaded = watches && co_await this->reread();
             if (!loaded) {
                 co_await this->takeEndpointsFromPeer();
             }
         }
     }
 
-    //! Without the key-value service, arrivals and departures of endpoints are learned from an instance that still reads it.
+    //! Returns false when the key-value service does not answer.
+    asio::awaitable<bool> reread()
+    {
+        const bool configurationRead = co_await this->configurationFollower.load();
+        const bool endpointsRead = co_await this->endpointFollower.load();
+        co_return configurationRead && endpointsRead;
+    }
+
     asio::awaitable<void> takeEndpointsFromPeer()
     {
         const Time known = std::max(this->readAt(), this->peerReadAt);
@@ -262,14 +289,22 @@
         if (found == nullptr || readThen <= known || found->entries.empty()) {
             co_return;
         }
-        this->peerReadAt = readThen;
-        // The peer may have read while announcements were still to come back.
-        this->pools.onKeeperBack(now);
-        this->pools.replaceEndpoints(found->entries, now);
-        logRecord(LogLevel::Info,
-                  "endpoints",
-                  "taken from a peer",
-                  {{"peer", peer}, {"count", std::to_string(found->entries.size())}, {"read_ms_ago", std::to_string((now - readThen).count() / 1000)}});
+        const std::uint64_t before = this->pools.endpointDigest();
+        if (found->settled) {
+            this->peerReadAt = readThen;
+            this->pools.replaceEndpoints(found->entries, now);
+        } else {
+            // What the peer lacks may come back to it, so only what it has is taken, and it or another one is asked again.
+            for (const EndpointEntry &entry : found->entries) {
+                this->pools.putEndpoint(entry, now);
+            }
+        }
+        if (this->pools.endpointDigest() != before) {
+            logRecord(LogLevel::Info,
+                      "endpoints",
+                      "taken from a peer",
+                      {{"peer", peer}, {"count", std::to_string(found->entries.size())}, {"read_ms_ago", std::to_string((now - readThen).count() / 1000)}});
+        }
     }
 
     PeerGossip::OwnNews ownNews() const
@@ -289,8 +324,9 @@
             co_return reply;
         }
         if (std::holds_alternative<EndpointsQuery>(command)) {
-            const Duration ago = currentTime() - this->readAt();
-            co_return EndpointsReply{static_cast<std::uint64_t>(ago.count()), this->pools.announcedEndpoints()};
+            const Time now = currentTime();
+            const Duration ago = now - this->readAt();
+            co_return EndpointsReply{static_cast<std::uint64_t>(ago.count()), this->pools.isSettled(now), this->pools.endpointEntries()};
         }
         std::optional<PeerMessage> reply = co_await this->budget.serve(command);
         co_return reply ? std::move(*reply) : PeerMessage(TextReply());
@@ -332,6 +368,11 @@
 
     void loadEndpoints(const KvRange &range)
     {
+        if (!this->endpointsLoaded) {
+            // Nobody knows yet whether the service was away until now.
+            this->endpointsLoaded = true;
+            this->pools.onKeeperBack(currentTime());
+        }
         std::vector<EndpointEntry> entries;
         for (const KvPair &pair : range.pairs) {
             std::optional<EndpointEntry> entry = this->readEndpoint(pair);
@@ -395,7 +436,10 @@
             this->pools.expire(now, now - this->settings.programRetention);
             if (now - summarised >= summaryStep) {
                 summarised = now;
-                logRecord(LogLevel::Info, "instance", "summary", {{"metrics", this->metrics.renderBrief()}});
+                logRecord(LogLevel::Info,
+                          "instance",
+                          "summary",
+                          {{"peers", std::to_string(this->gossip.livePeers().size())}, {"metrics", this->metrics.renderBrief()}});
             }
         }
     }
@@ -454,7 +498,7 @@
         asio::co_spawn(this->control, this->configurationFollower.run(), asio::detached);
         asio::co_spawn(this->control, this->endpointFollower.run(), asio::detached);
         asio::co_spawn(this->control, this->keepHouse(), asio::detached);
-        asio::co_spawn(this->control, this->rereadLoop(), asio::detached);
+        asio::co_spawn(this->control, this->syncLoop(), asio::detached);
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
             if (!error) {
                 asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
@@ -505,6 +549,9 @@
     asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
     std::atomic<bool> fetching{false};
+    WatcherChoice watcherChoice;
+    bool watching = true;
+    bool endpointsLoaded = false;
     Time peerReadAt{}; //!< When a peer read the endpoints that were taken from it.
 };
 
--- a/src/gateway/meteredkeyvalue.cpp
+++ b/src/gateway/meteredkeyvalue.cpp
@@ -52,14 +52,15 @@
     co_return reply;
 }
 
-asio::awaitable<Error> MeteredKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent)
+asio::awaitable<Error>
+MeteredKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent, std::function<bool()> wanted)
 {
     // The service counts a watch anew with each answer, and each answer brings events.
     const auto counted = [this, onEvent = std::move(onEvent)](const KvEvent &event) {
         this->metrics.count("oleandergate_store_events_total");
         onEvent(event);
     };
-    Error ended = co_await this->service->watch(std::move(prefix), fromRevision, counted);
+    Error ended = co_await this->service->watch(std::move(prefix), fromRevision, counted, std::move(wanted));
     this->metrics.count("oleandergate_store_watches_ended_total");
     co_return ended;
 }
--- a/src/gateway/meteredkeyvalue.h
+++ b/src/gateway/meteredkeyvalue.h
@@ -19,7 +19,8 @@
     boost::asio::awaitable<Result<KvRange>> range(std::string prefix) override;
     boost::asio::awaitable<Result<std::uint64_t>> grantLease(Duration length) override;
     boost::asio::awaitable<Result<void>> renewLease(std::uint64_t lease) override;
-    boost::asio::awaitable<Error> watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent) override;
+    boost::asio::awaitable<Error>
+    watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent, std::function<bool()> wanted) override;
 
 private:
     void count(const char *call, bool succeeded, Time began, Time now);
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -31,8 +31,11 @@
 //! A step that comes this much late means that the process did not run.
 constexpr Duration pauseSign = std::chrono::milliseconds(600);
 
-//! Peers that one report goes to.
-constexpr std::size_t fanOut = 12;
+//! Up to so many peers each report goes to all of them, at once when something changed.
+constexpr std::size_t smallFleet = 12;
+
+//! In a larger fleet a report goes to so many peers each step, changed or not: 60 datagrams a second.
+constexpr std::size_t fanOut = 3;
 
 //! Addresses named in a report.
 constexpr std::size_t namedPeers = 3;
@@ -136,13 +139,13 @@
     this->core->table.onNamed(address, now);
 }
 
-std::size_t PeerGossip::liveCount() const
+std::vector<PeerNews> PeerGossip::livePeers() const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.live().size();
+    return this->core->table.liveNews();
 }
 
-LoadReport PeerGossip::makeReport(Time now)
+LoadReport PeerGossip::makeReport(Time now, bool always)
 {
     const OwnNews news = this->core->hooks.ownNews();
     LoadReport report;
@@ -162,7 +165,7 @@
         || news.endpointDigest != this->core->told.endpointDigest || news.keptSlots != this->core->told.keptSlots || news.leaving != this->core->told.leaving
         || news.serviceReached != this->core->told.serviceReached;
     this->core->told = news;
-    if (!changed && now - this->core->toldAt < lifeStep) {
+    if (!changed && !always && now - this->core->toldAt < lifeStep) {
         report.number = 0;
         return report;
     }
@@ -216,12 +219,21 @@
         const Time now = currentTime();
         this->step(now, before);
         before = now;
-        LoadReport report = this->makeReport(now);
         std::vector<std::string> targets;
+        std::size_t peers = 0;
+        std::vector<std::string> named;
         {
             const std::lock_guard lock(this->core->mutex);
-            report.peers = this->core->table.sample(namedPeers);
-            targets = report.number == 0 ? std::vector<std::string>() : this->core->table.nextTargets(fanOut, now);
+            peers = this->core->table.size();
+            const std::size_t steps = peers <= smallFleet ? 1 : peers / fanOut + 1;
+            this->core->table.setRound(reportStep * static_cast<Duration::rep>(steps));
+            named = this->core->table.sample(namedPeers);
+        }
+        LoadReport report = this->makeReport(now, peers > smallFleet);
+        report.peers = std::move(named);
+        if (report.number != 0) {
+            const std::lock_guard lock(this->core->mutex);
+            targets = this->core->table.nextTargets(peers > smallFleet ? fanOut : smallFleet, now);
         }
         if (!targets.empty()) {
             co_await this->tell(std::move(report), std::move(targets));
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -18,7 +18,8 @@
 namespace oleandergate {
 
 //! Tells the other instances over UDP that this one lives and how many calls it has at each endpoint, and hears theirs.
-//! Beyond a fixed number of peers each report goes to a rotating part of them, so the cost per instance stays level.
+//! Beyond a fixed number of peers each report goes to a rotating part of them, so the cost per instance stays level and the
+//! reports of each come more rarely.
 class PeerGossip
 {
 public:
@@ -60,7 +61,7 @@
     //! Adds an address to try. Thread-safe.
     void addAddress(const std::string &address, Time now);
 
-    std::size_t liveCount() const;
+    std::vector<PeerNews> livePeers() const;
 
 private:
     struct Core;
@@ -69,7 +70,8 @@
     boost::asio::awaitable<void> tell(LoadReport report, std::vector<std::string> targets);
     void step(Time now, Time before);
     void take(const std::string &datagram);
-    LoadReport makeReport(Time now);
+    //! Returns the report to send, with number 0 when there is none: nothing changed, and \p always is false.
+    LoadReport makeReport(Time now, bool always);
 
     std::unique_ptr<Core> core;
 };
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -151,10 +151,16 @@
     return this->catalog.ids();
 }
 
-std::vector<EndpointEntry> PoolSet::announcedEndpoints() const
+std::vector<EndpointEntry> PoolSet::endpointEntries() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->catalog.announced();
+    return this->catalog.entries();
+}
+
+bool PoolSet::isSettled(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.isSettled(now);
 }
 
 std::uint64_t PoolSet::endpointDigest() const
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -38,7 +38,8 @@
 
     //! As in EndpointCatalog.
     std::uint64_t endpointDigest() const;
-    std::vector<EndpointEntry> announcedEndpoints() const;
+    std::vector<EndpointEntry> endpointEntries() const;
+    bool isSettled(Time now) const;
     std::size_t endpointCount() const;
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -16,6 +16,9 @@
 constexpr Duration firstPause = std::chrono::milliseconds(50);
 constexpr Duration longestPause = std::chrono::milliseconds(400);
 
+//! How often a passive follower looks whether it is to watch.
+constexpr Duration passiveLook = std::chrono::milliseconds(100);
+
 //! Part of the pause that differs between instances, so that they do not all return at the same moment.
 Duration jitterOf(Duration pause)
 {
@@ -64,11 +67,20 @@
     return this->readAt;
 }
 
+void PrefixFollower::setActive(bool newActive)
+{
+    this->active = newActive;
+}
+
 asio::awaitable<void> PrefixFollower::run()
 {
     while (true) {
+        if (!this->active) {
+            co_await sleepFor(passiveLook);
+            continue;
+        }
         const bool loaded = co_await this->load();
-        if (loaded) {
+        if (loaded && this->active) {
             const auto onEvent = [this](const KvEvent &event) {
                 if (this->lost) {
                     // The watch outlived the outage, and may tell first of what lapsed meanwhile.
@@ -79,7 +91,13 @@
                     this->hooks.onEvent(event);
                 }
             };
-            const Error ended = co_await this->service.watch(this->prefix, this->seen + 1, onEvent);
+            const auto wanted = [this]() {
+                return this->active.load();
+            };
+            const Error ended = co_await this->service.watch(this->prefix, this->seen + 1, onEvent, wanted);
+            if (ended.code == ErrorCode::Cancelled) {
+                continue;
+            }
             logError("store", "the watch of " + this->prefix + " ended", ended);
             // A watch that broke for want of history says nothing about the service's health.
             this->lost = this->lost || ended.code == ErrorCode::ServiceUnavailable;
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -25,6 +25,9 @@
     //! Runs for the life of the process.
     boost::asio::awaitable<void> run();
 
+    //! While passive it watches nothing; others tell of changes. A watch that waits is left to end by itself.
+    void setActive(bool active);
+
     //! Reads all keys again. Returns false when the service does not answer.
     boost::asio::awaitable<bool> load();
 
@@ -40,6 +43,7 @@
     std::uint64_t seen = 0; //!< Revision up to which changes are known.
     bool lost = false;
     std::atomic<Time> readAt{Time{}};
+    std::atomic<bool> active{true};
     Duration pause{};
 };
 
--- a/src/runtime/clusterservice.cpp
+++ b/src/runtime/clusterservice.cpp
@@ -174,7 +174,9 @@
                 this->parts.config.offerStored(event.pair.value);
             }
         };
-        const Error ended = co_await this->parts.service.watch(clusterPrefix, range.value().revision + 1, onEvent);
+        const Error ended = co_await this->parts.service.watch(clusterPrefix, range.value().revision + 1, onEvent, []() {
+            return true;
+        });
         logError("cluster", "the watch broke", ended);
         co_await sleepFor(watchPause);
     }
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -252,7 +252,7 @@
 template <class Archive>
 void serialize(Archive &archive, EndpointsReply &value)
 {
-    archive(value.readAgo, value.entries);
+    archive(value.readAgo, value.settled, value.entries);
 }
 
 template <class Archive>
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -98,6 +98,7 @@
 struct EndpointsReply
 {
     std::uint64_t readAgo = 0; //!< Microseconds since the instance read them from the key-value service.
+    bool settled = false; //!< What is missing is gone, and not only not announced again yet.
     std::vector<EndpointEntry> entries{};
 };
 
--- a/tests/unit/budgetsafetytests.cpp
+++ b/tests/unit/budgetsafetytests.cpp
@@ -17,6 +17,7 @@
 constexpr Duration confirmation = std::chrono::seconds(20);
 constexpr Duration retention = std::chrono::seconds(60);
 constexpr Duration isolation = std::chrono::seconds(4);
+constexpr Duration settling = std::chrono::milliseconds(500);
 constexpr SlotId slotCount = 4;
 constexpr int programCount = 24;
 const TurnRequest shape{"", 1740, 290};
@@ -33,7 +34,7 @@
 {
     explicit Node(const InstanceId &id)
         : self{id, id, {}, false}
-        , slots(id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation})
+        , slots(id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation, settling})
     {
     }
 
--- a/tests/unit/endpointcatalogtests.cpp
+++ b/tests/unit/endpointcatalogtests.cpp
@@ -55,7 +55,7 @@
     CHECK(catalog.expire(start + reappearance));
 }
 
-TEST_CASE("The digest follows what is announced and not what is only kept in use")
+TEST_CASE("The digest follows every entry, also those that are kept for a moment and then dropped")
 {
     EndpointCatalog left(reappearance);
     EndpointCatalog right(reappearance);
@@ -63,7 +63,12 @@
     right.replace({entry("b")}, start);
     CHECK(left.digest() != right.digest());
     left.onKeeperBack(start);
+    CHECK_FALSE(left.isSettled(start));
     left.remove("a", start);
+    CHECK(left.digest() != right.digest());
+    CHECK(left.entries().size() == 2);
+    REQUIRE(left.expire(start + reappearance));
+    CHECK(left.isSettled(start + reappearance));
     CHECK(left.digest() == right.digest());
     right.put(entry("b", true));
     CHECK(left.digest() != right.digest());
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -67,7 +67,7 @@
         table.onHeard(news(std::to_string(peer)), start);
     }
     std::set<std::string> named;
-    for (int report = 0; report < 3; ++report) {
+    for (int report = 0; report < 60; ++report) {
         for (const std::string &address : table.sample(3)) {
             named.insert(address);
         }
@@ -131,3 +131,23 @@
     REQUIRE(table.live().size() == 1);
     CHECK(table.live().front().id == "1~2");
 }
+
+TEST_CASE("Every peer is told of every other one, although names and targets go round the same peers")
+{
+    PeerTable table("10.0.0.200:90", {});
+    constexpr int peers = 57;
+    for (int peer = 1; peer <= peers; ++peer) {
+        table.onHeard(news(std::to_string(peer)), start);
+    }
+    std::set<std::pair<std::string, std::string>> told;
+    // Nine pairs a report, about twenty times as many as there are pairs.
+    for (int report = 0; report < 7000; ++report) {
+        const std::vector<std::string> names = table.sample(3);
+        for (const std::string &target : table.nextTargets(3, start)) {
+            for (const std::string &name : names) {
+                told.emplace(target, name);
+            }
+        }
+    }
+    CHECK(told.size() == static_cast<std::size_t>(peers) * peers);
+}
--- /dev/null
+++ b/tests/unit/watcherchoicetests.cpp
@@ -0,0 +1,93 @@
+#include "decision/watcherchoice.h"
+
+#include "decision/hash.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr Time start{std::chrono::hours(1)};
+constexpr std::size_t watchers = 3;
+
+//! A fleet in which every instance hears the others at once, and a watching one reads each step.
+struct Fleet
+{
+    explicit Fleet(int size)
+    {
+        for (int index = 0; index < size; ++index) {
+            PeerNews news;
+            news.instance.id = "n" + std::to_string(index);
+            this->news.push_back(news);
+            this->choices.push_back(std::make_unique<WatcherChoice>(news.instance.id, watchers));
+            this->cut.push_back(false);
+        }
+    }
+
+    //! Returns how many instances watch after one step.
+    std::size_t step()
+    {
+        this->now += std::chrono::milliseconds(100);
+        std::size_t watching = 0;
+        for (std::size_t self = 0; self < this->news.size(); ++self) {
+            std::vector<PeerNews> others = this->news;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(self));
+            if (this->choices[self]->decide(others, this->now) && !this->cut[self]) {
+                this->news[self].serviceReached = this->now;
+                watching += 1;
+            }
+        }
+        return watching;
+    }
+
+    std::size_t steps(int count)
+    {
+        std::size_t watching = 0;
+        for (int step = 0; step < count; ++step) {
+            watching = this->step();
+        }
+        return watching;
+    }
+
+    Time now = start;
+    std::vector<PeerNews> news;
+    std::vector<std::unique_ptr<WatcherChoice>> choices;
+    std::vector<bool> cut; //!< Does not reach the service.
+};
+
+} // namespace
+
+TEST_CASE("A few instances watch, whatever the size of the fleet")
+{
+    for (const int size : {1, 2, 3, 8, 58, 420}) {
+        Fleet fleet(size);
+        CHECK(fleet.steps(50) == std::min<std::size_t>(watchers, static_cast<std::size_t>(size)));
+    }
+}
+
+TEST_CASE("Watchers that lose the service are replaced, and not by everybody at once")
+{
+    Fleet fleet(58);
+    fleet.steps(50);
+    for (std::size_t index = 0; index < fleet.news.size(); ++index) {
+        fleet.cut[index] = fleet.now - fleet.news[index].serviceReached < std::chrono::milliseconds(200);
+    }
+    std::size_t most = 0;
+    std::size_t last = 0;
+    for (int step = 0; step < 60; ++step) {
+        last = fleet.step();
+        most = std::max(most, last);
+    }
+    CHECK(last == watchers);
+    CHECK(most <= 4 * watchers);
+}
+
+TEST_CASE("An instance that hears nobody watches by itself")
+{
+    WatcherChoice choice("alone", watchers);
+    CHECK(choice.decide({}, start));
+}
