--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -1,9 +1,9 @@
 //! What the path adds to calling an engine directly, and what idle instances cost, with real processes on loopback.
 
 #include "decision/time.h"
+#include "runtime/commandline.h"
 #include "runtime/httpclient.h"
 #include "support/testcluster.h"
-#include "runtime/commandline.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -3,7 +3,6 @@
 #include "policy/runner.h"
 #include "runtime/commandline.h"
 
-
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -302,18 +302,19 @@
     call.reuse = false;
     call.keepBody = false;
     call.cancellation = std::make_shared<Cancellation>();
-    call.onPiece = [pending, onEvent = std::move(onEvent), wanted = std::move(wanted), cancellation = call.cancellation](int /*status*/, std::string_view piece) {
-        pending->append(piece);
-        std::size_t end = pending->find('\n');
-        while (end != std::string::npos) {
-            reportEvents(pending->substr(0, end), onEvent);
-            pending->erase(0, end + 1);
-            end = pending->find('\n');
-        }
-        if (!wanted()) {
-            cancellation->cancel();
-        }
-    };
+    call.onPiece
+        = [pending, onEvent = std::move(onEvent), wanted = std::move(wanted), cancellation = call.cancellation](int /*status*/, std::string_view piece) {
+              pending->append(piece);
+              std::size_t end = pending->find('\n');
+              while (end != std::string::npos) {
+                  reportEvents(pending->substr(0, end), onEvent);
+                  pending->erase(0, end + 1);
+                  end = pending->find('\n');
+              }
+              if (!wanted()) {
+                  cancellation->cancel();
+              }
+          };
     HttpOutcome outcome = co_await this->client.send(std::move(call), Step::ConfigFetch);
     if (!outcome) {
         co_return outcome.error().error;
--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -54,9 +54,11 @@
 
 bool EndpointCatalog::expire(Time now)
 {
-    return std::erase_if(this->listed, [now](const auto &item) {
-        return item.second.dropAt && *item.second.dropAt <= now;
-    }) > 0;
+    return std::erase_if(this->listed,
+                         [now](const auto &item) {
+                             return item.second.dropAt && *item.second.dropAt <= now;
+                         })
+        > 0;
 }
 
 std::vector<EndpointSpec> EndpointCatalog::endpointsOf(const std::string &service) const
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -188,22 +188,22 @@
     return latest;
 }
 
-std::string PeerTable::latestReader(Time readAt) const
+std::string PeerTable::bestInformed(std::uint64_t revision) const
 {
     std::string address;
     for (const auto &[id, known] : this->peers) {
-        if (known.news.serviceReached > readAt) {
-            readAt = known.news.serviceReached;
+        if (known.news.endpointRevision > revision) {
+            revision = known.news.endpointRevision;
             address = known.news.instance.peerAddress;
         }
     }
     return address;
 }
 
-bool PeerTable::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
+bool PeerTable::knowsOtherEndpoints(std::uint64_t digest, std::uint64_t revision) const
 {
-    return std::any_of(this->peers.begin(), this->peers.end(), [digest, readAt](const auto &entry) {
-        return entry.second.news.serviceReached > readAt && entry.second.news.endpointDigest != digest;
+    return std::any_of(this->peers.begin(), this->peers.end(), [digest, revision](const auto &entry) {
+        return entry.second.news.endpointRevision > revision && entry.second.news.endpointDigest != digest;
     });
 }
 
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -19,6 +19,7 @@
     std::uint64_t configVersion = 0;
     Time serviceReached{}; //!< When it last read configuration and endpoints from the key-value service.
     std::uint64_t endpointDigest = 0; //!< Hash over the endpoints it knows.
+    std::uint64_t endpointRevision = 0; //!< Revision of the key-value service up to which it knows them.
     std::set<SlotId> keptSlots{}; //!< Slots whose programs' budgets it keeps.
     std::map<std::uint32_t, std::uint32_t> loads{}; //!< Its calls by endpoint, by the hash of the endpoint's identifier.
 };
@@ -68,11 +69,13 @@
     //! Returns when a live peer last read from the key-value service.
     Time latestServiceReading() const;
 
-    //! Returns the peer address of the live peer that read the service last, if that was after \p readAt; else nothing.
-    std::string latestReader(Time readAt) const;
+    //! Returns the peer address of the live peer that knows the endpoints up to the highest revision, if that is beyond
+    //! \p revision; else nothing.
+    std::string bestInformed(std::uint64_t revision) const;
 
-    //! Returns true when a live peer that read the service after \p readAt knows other endpoints than \p digest says.
-    bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
+    //! Returns true when a live peer knows the endpoints up to a revision beyond \p revision, and other ones than \p digest
+    //! says.
+    bool knowsOtherEndpoints(std::uint64_t digest, std::uint64_t revision) const;
 
     //! Returns the addresses of a few live peers, drawn anew each time, to name to peers that do not know them.
     std::vector<std::string> sample(std::size_t count);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,13 +1,11 @@
 #include "gateway/gateway.h"
 
-#include "decision/hash.h"
-#include "decision/watcherchoice.h"
 #include "gateway/budgetkeeper.h"
+#include "gateway/directorysync.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
 #include "gateway/planholder.h"
 #include "gateway/poolset.h"
-#include "gateway/prefixfollower.h"
 #include "gateway/relay.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
@@ -22,7 +20,6 @@
 #include <boost/asio.hpp>
 
 #include <atomic>
-#include <random>
 #include <thread>
 
 namespace oleandergate {
@@ -38,27 +35,12 @@
 
 constexpr Duration housekeepingStep = std::chrono::milliseconds(250);
 
+//! Connections to one endpoint that an instance may have in a fleet of any size.
+constexpr std::size_t leastConnections = 4;
+
 //! How often the counters go to the log, for readers without the metrics.
 constexpr Duration summaryStep = std::chrono::seconds(10);
 
-//! Some instance reads everything again this long after the latest reading, so that a change that no watch reports is in
-//! force everywhere within two seconds.
-constexpr Duration rereadStep = std::chrono::milliseconds(600);
-constexpr Duration rereadJitter = std::chrono::milliseconds(400);
-constexpr Duration rereadLook = std::chrono::milliseconds(100);
-
-//! Reports of a change cross each other for this long at most.
-constexpr Duration reportDelay = std::chrono::milliseconds(250);
-
-//! Instances that watch the key-value service. Three bear the loss of two at once.
-constexpr std::size_t watcherCount = 3;
-
-//! Shortest time between two questions to peers.
-constexpr Duration askPause = std::chrono::milliseconds(200);
-
-//! Shortest time between two readings that a peer's report asks for.
-constexpr Duration rereadPause = std::chrono::milliseconds(700);
-
 InstanceRecord selfOf(const GatewaySettings &settings)
 {
     // The time makes the identifier differ from that of the process before.
@@ -96,7 +78,6 @@
 {
     Core(const GatewaySettings &given, const Dialect &dialect, const RecordFormat &givenFormat, const KeyValueFactory &makeKeyValue)
         : settings(given)
-        , format(givenFormat)
         , controlClient(control)
         , endpointClient(requests)
         , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient), metrics))
@@ -118,7 +99,7 @@
                                        this->budget.onMembers(live, keepers, now);
                                    },
                                    [this](const std::string &peer) {
-                                       this->fetchConfiguration(peer);
+                                       this->directory.fetchConfiguration(peer);
                                    }})
         , budget(BudgetKeeper::Parts{control,
                                      *keyValue,
@@ -156,256 +137,38 @@
                   return this->answerOperator(std::move(request), exchange);
               },
               refuseUnreadable)
-        , configurationFollower(
-              *keyValue,
-              format.configurationKey(),
-              PrefixFollower::Hooks{[this](const KvRange &range) {
-                                        for (const KvPair &pair : range.pairs) {
-                                            this->takeConfiguration(pair);
-                                        }
-                                    },
-                                    [this](const KvEvent &event) {
-                                        if (!event.deleted) {
-                                            this->takeConfiguration(event.pair);
-                                        }
-                                    },
-                                    []() {}})
-        , endpointFollower(
-              *keyValue,
-              format.endpointPrefix(),
-              PrefixFollower::Hooks{[this](const KvRange &range) {
-                                        this->loadEndpoints(range);
-                                    },
-                                    [this](const KvEvent &event) {
-                                        this->takeEndpoint(event);
-                                    },
-                                    [this]() {
-                                        this->pools.onKeeperBack(currentTime());
-                                    }})
+        , directory(control, DirectorySync::Parts{*keyValue, givenFormat, plans, pools, gossip, peers}, self.id)
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
-        , watcherChoice(self.id, watcherCount)
-    {
-    }
-
-    void takeConfiguration(const KvPair &pair)
-    {
-        if (pair.key != this->format.configurationKey()) {
-            return;
-        }
-        Result<GatewayConfiguration> read = this->format.readConfiguration(pair.value);
-        if (!read) {
-            logError("configuration", "a stored configuration cannot be used", read.error());
-            return;
-        }
-        read.value().source = pair.value;
-        const std::uint64_t version = read.value().version;
-        const std::size_t routes = read.value().routes.size();
-        const std::uint64_t before = this->plans.version();
-        if (!this->plans.offer(std::move(read.value()))) {
-            return;
-        }
-        logRecord(LogLevel::Info,
-                  "configuration",
-                  "in force",
-                  {{"version", std::to_string(version)},
-                   {"before", std::to_string(before)},
-                   {"revision", std::to_string(pair.revision)},
-                   {"routes", std::to_string(routes)}});
-    }
-
-    //! Returns when both configuration and endpoints had been read whole.
-    Time readAt() const
     {
-        return std::min(this->configurationFollower.loadedAt(), this->endpointFollower.loadedAt());
-    }
-
-    //! Decides whether this instance watches the key-value service, and sets its followers accordingly.
-    bool updateWatching(Time now)
-    {
-        const bool watches = this->watcherChoice.decide(this->gossip.livePeers(), now);
-        if (watches != this->watching) {
-            logRecord(LogLevel::Info, "store", watches ? "watches changes" : "learns of changes from peers");
-        }
-        this->watching = watches;
-        this->configurationFollower.setActive(watches);
-        this->endpointFollower.setActive(watches);
-        return watches;
-    }
-
-    //! Keeps what this instance knows of configuration and endpoints up to date beside the watches. A few instances watch
-    //! the key-value service. A watch may fall silent without breaking, so one of them after the other reads everything again;
-    //! the others ask a peer when the report of one that read later differs from what they know.
-    asio::awaitable<void> syncLoop()
-    {
-        std::mt19937_64 random(hashOf(this->self.id));
-        std::uniform_int_distribution<Duration::rep> jitter(0, rereadJitter.count());
-        Time agreedAt = currentTime();
-        Time latest{};
-        Time due{};
-        while (true) {
-            co_await sleepFor(rereadLook);
-            const Time now = currentTime();
-            const bool watches = this->updateWatching(now);
-            const Time known = std::max(this->readAt(), this->peerReadAt);
-            const Time latestNow = std::max(this->readAt(), this->gossip.latestServiceReading());
-            if (latestNow - latest > reportDelay) {
-                latest = latestNow;
-                due = latest + rereadStep + Duration(jitter(random));
-            }
-            if (!this->gossip.knowsOtherEndpoints(this->pools.endpointDigest(), known)) {
-                agreedAt = now;
-            }
-            const bool differs = now - agreedAt > reportDelay && now - known > (watches ? rereadPause : askPause);
-            if (!differs && (!watches || now < due)) {
-                continue;
-            }
-            const bool loaded = watches && co_await this->reread();
-            if (!loaded) {
-                co_await this->takeEndpointsFromPeer();
-            }
-        }
-    }
-
-    //! Returns false when the key-value service does not answer.
-    asio::awaitable<bool> reread()
-    {
-        const bool configurationRead = co_await this->configurationFollower.load();
-        const bool endpointsRead = co_await this->endpointFollower.load();
-        co_return configurationRead && endpointsRead;
-    }
-
-    asio::awaitable<void> takeEndpointsFromPeer()
-    {
-        const Time known = std::max(this->readAt(), this->peerReadAt);
-        const std::string peer = this->gossip.latestReader(known);
-        if (peer.empty()) {
-            co_return;
-        }
-        const Result<PeerMessage> reply = co_await this->peers.send(peer, EndpointsQuery());
-        const auto *found = reply ? std::get_if<EndpointsReply>(&reply.value()) : nullptr;
-        const Time now = currentTime();
-        const Time readThen = found == nullptr ? Time{} : now - Duration(static_cast<std::int64_t>(found->readAgo));
-        if (found == nullptr || readThen <= known || found->entries.empty()) {
-            co_return;
-        }
-        const std::uint64_t before = this->pools.endpointDigest();
-        if (found->settled) {
-            this->peerReadAt = readThen;
-            this->pools.replaceEndpoints(found->entries, now);
-        } else {
-            // What the peer lacks may come back to it, so only what it has is taken, and it or another one is asked again.
-            for (const EndpointEntry &entry : found->entries) {
-                this->pools.putEndpoint(entry, now);
-            }
-        }
-        if (this->pools.endpointDigest() != before) {
-            logRecord(LogLevel::Info,
-                      "endpoints",
-                      "taken from a peer",
-                      {{"peer", peer}, {"count", std::to_string(found->entries.size())}, {"read_ms_ago", std::to_string((now - readThen).count() / 1000)}});
-        }
     }
 
     PeerGossip::OwnNews ownNews() const
     {
-        return PeerGossip::OwnNews{this->plans.version(), this->readAt(), this->pools.endpointDigest(), this->draining, this->budget.keptSlots(), this->pools.ownCalls()};
+        return PeerGossip::OwnNews{this->plans.version(),
+                                   this->directory.readAt(),
+                                   this->pools.endpointDigest(),
+                                   this->directory.endpointRevision(),
+                                   this->draining,
+                                   this->budget.keptSlots(),
+                                   this->pools.ownCalls()};
     }
 
     asio::awaitable<PeerMessage> servePeer(PeerMessage command)
     {
-        if (std::holds_alternative<ConfigQuery>(command)) {
-            const std::shared_ptr<const ActivePlan> plan = this->plans.current();
-            ConfigReply reply;
-            if (plan) {
-                reply.version = plan->configuration.version;
-                reply.text = plan->configuration.source;
-            }
-            co_return reply;
+        std::optional<PeerMessage> reply = this->directory.serve(command, currentTime());
+        if (!reply) {
+            reply = co_await this->budget.serve(command);
         }
-        if (std::holds_alternative<EndpointsQuery>(command)) {
-            const Time now = currentTime();
-            const Duration ago = now - this->readAt();
-            co_return EndpointsReply{static_cast<std::uint64_t>(ago.count()), this->pools.isSettled(now), this->pools.endpointEntries()};
-        }
-        std::optional<PeerMessage> reply = co_await this->budget.serve(command);
         co_return reply ? std::move(*reply) : PeerMessage(TextReply());
     }
 
-    void fetchConfiguration(const std::string &peer)
-    {
-        if (this->fetching.exchange(true)) {
-            return;
-        }
-        asio::co_spawn(
-            this->control,
-            [this, peer]() -> asio::awaitable<void> {
-                const Result<PeerMessage> reply = co_await this->peers.send(peer, ConfigQuery());
-                const auto *found = reply ? std::get_if<ConfigReply>(&reply.value()) : nullptr;
-                if (found != nullptr && found->version > this->plans.version()) {
-                    this->takeConfiguration(KvPair{this->format.configurationKey(), found->text, 0});
-                }
-                this->fetching = false;
-            },
-            asio::detached);
-    }
-
     void applyPlan(const std::shared_ptr<const ActivePlan> &plan)
     {
         this->callerServer.setLimits(limitsOf(plan->configuration.bounds));
         this->pools.configure(*plan, currentTime());
     }
 
-    std::optional<EndpointEntry> readEndpoint(const KvPair &pair)
-    {
-        Result<EndpointEntry> entry = this->format.readEndpoint(pair);
-        if (!entry) {
-            logError("endpoints", "ignores the announcement " + pair.key, entry.error());
-            return std::nullopt;
-        }
-        return std::move(entry.value());
-    }
-
-    void loadEndpoints(const KvRange &range)
-    {
-        if (!this->endpointsLoaded) {
-            // Nobody knows yet whether the service was away until now.
-            this->endpointsLoaded = true;
-            this->pools.onKeeperBack(currentTime());
-        }
-        std::vector<EndpointEntry> entries;
-        for (const KvPair &pair : range.pairs) {
-            std::optional<EndpointEntry> entry = this->readEndpoint(pair);
-            if (entry) {
-                entries.push_back(std::move(*entry));
-            }
-        }
-        const std::uint64_t before = this->pools.endpointDigest();
-        this->pools.replaceEndpoints(entries, currentTime());
-        if (this->pools.endpointDigest() != before) {
-            logRecord(LogLevel::Info, "endpoints", "read", {{"count", std::to_string(entries.size())}, {"revision", std::to_string(range.revision)}});
-        }
-    }
-
-    void takeEndpoint(const KvEvent &event)
-    {
-        const Time now = currentTime();
-        const EndpointId id = this->format.endpointId(event.pair.key);
-        const std::optional<EndpointEntry> entry = event.deleted ? std::nullopt : this->readEndpoint(event.pair);
-        if (!entry) {
-            this->pools.removeEndpoint(id, now);
-        } else {
-            this->pools.putEndpoint(*entry, now);
-        }
-        logRecord(LogLevel::Info,
-                  "endpoints",
-                  event.deleted ? "gone" : "announced",
-                  {{"endpoint", id},
-                   {"service", entry ? entry->service : std::string()},
-                   {"leaving", entry && entry->spec.leaving ? "true" : "false"},
-                   {"revision", std::to_string(event.pair.revision)}});
-    }
-
     bool isReady() const
     {
         return !this->draining && this->plans.current() != nullptr && this->pools.endpointCount() > 0;
@@ -418,6 +181,8 @@
             this->metrics.setGauge("oleandergate_endpoints", "", static_cast<double>(this->pools.endpointCount()));
             this->metrics.setGauge("oleandergate_waiting", "", static_cast<double>(this->pools.waitingCount()));
             this->metrics.setGauge("oleandergate_running", "", static_cast<double>(this->pools.runningCount()));
+            this->metrics.setGauge("oleandergate_connections_opened_total", "", static_cast<double>(this->endpointClient.openedCount()));
+            this->metrics.setGauge("oleandergate_log_records_dropped_total", "", static_cast<double>(droppedLogRecords()));
             HttpResponse response = makeResponse(200, "text/plain", this->metrics.render());
             co_await exchange.respond(std::move(response));
             co_return;
@@ -427,6 +192,19 @@
         co_await exchange.respond(std::move(response));
     }
 
+    //! An endpoint's connections are bounded over all instances: each takes an equal share of the smallest bound.
+    void shareConnections()
+    {
+        const std::shared_ptr<const ActivePlan> plan = this->plans.current();
+        std::size_t bound = 0;
+        for (const GatewayService &service : plan ? plan->configuration.services : std::vector<GatewayService>()) {
+            bound = bound == 0 || (service.maxConnections > 0 && service.maxConnections < bound) ? service.maxConnections : bound;
+        }
+        if (bound > 0) {
+            this->endpointClient.limitConnections(std::max(leastConnections, bound / (this->gossip.livePeers().size() + 1)));
+        }
+    }
+
     asio::awaitable<void> keepHouse()
     {
         Time summarised = currentTime();
@@ -434,6 +212,7 @@
             co_await sleepFor(housekeepingStep);
             const Time now = currentTime();
             this->pools.expire(now, now - this->settings.programRetention);
+            this->shareConnections();
             if (now - summarised >= summaryStep) {
                 summarised = now;
                 logRecord(LogLevel::Info,
@@ -467,6 +246,13 @@
         }
     }
 
+    asio::awaitable<void> awaitIdle(Time limit)
+    {
+        while (currentTime() < limit && this->callerServer.activeCount() > 0) {
+            co_await sleepFor(drainStep);
+        }
+    }
+
     asio::awaitable<void> drainAndStop()
     {
         const Time began = currentTime();
@@ -479,11 +265,12 @@
         while (currentTime() < began + this->settings.balancerLag) {
             co_await sleepFor(drainStep);
         }
-        while (currentTime() < giveUp && this->callerServer.activeCount() > 0) {
-            co_await sleepFor(drainStep);
-        }
+        co_await this->awaitIdle(giveUp);
+        // A request that arrives from here on would be cut off with the process, so it is refused.
+        this->relay.endBy(Time{});
         this->callerServer.closeIdle();
         co_await sleepFor(drainStep);
+        co_await this->awaitIdle(giveUp);
         logRecord(LogLevel::Info, "instance", "stopped", {{"active", std::to_string(this->callerServer.activeCount())}});
         this->requests.stop();
         this->control.stop();
@@ -495,10 +282,8 @@
         this->plans.setListener([this](const std::shared_ptr<const ActivePlan> &plan) {
             this->applyPlan(plan);
         });
-        asio::co_spawn(this->control, this->configurationFollower.run(), asio::detached);
-        asio::co_spawn(this->control, this->endpointFollower.run(), asio::detached);
         asio::co_spawn(this->control, this->keepHouse(), asio::detached);
-        asio::co_spawn(this->control, this->syncLoop(), asio::detached);
+        this->directory.start();
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
             if (!error) {
                 asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
@@ -524,7 +309,6 @@
     }
 
     GatewaySettings settings;
-    const RecordFormat &format;
     asio::io_context control{1};
     asio::io_context requests{1};
     Metrics metrics{};
@@ -543,16 +327,10 @@
     HttpServer callerServer;
     HttpServer readyServer;
     HttpServer metricsServer;
-    PrefixFollower configurationFollower;
-    PrefixFollower endpointFollower;
+    DirectorySync directory;
     asio::signal_set signals;
     asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
-    std::atomic<bool> fetching{false};
-    WatcherChoice watcherChoice;
-    bool watching = true;
-    bool endpointsLoaded = false;
-    Time peerReadAt{}; //!< When a peer read the endpoints that were taken from it.
 };
 
 Gateway::Gateway(const GatewaySettings &settings, const Dialect &dialect, const RecordFormat &format, const KeyValueFactory &keyValue)
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -121,16 +121,16 @@
     return this->core->table.latestServiceReading();
 }
 
-std::string PeerGossip::latestReader(Time readAt) const
+std::string PeerGossip::bestInformed(std::uint64_t revision) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.latestReader(readAt);
+    return this->core->table.bestInformed(revision);
 }
 
-bool PeerGossip::knowsOtherEndpoints(std::uint64_t digest, Time readAt) const
+bool PeerGossip::knowsOtherEndpoints(std::uint64_t digest, std::uint64_t revision) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.knowsOtherEndpoints(digest, readAt);
+    return this->core->table.knowsOtherEndpoints(digest, revision);
 }
 
 void PeerGossip::addAddress(const std::string &address, Time now)
@@ -156,6 +156,7 @@
     report.configVersion = news.configVersion;
     report.serviceReachedAgo = static_cast<std::uint64_t>((now - news.serviceReached).count());
     report.endpointDigest = news.endpointDigest;
+    report.endpointRevision = news.endpointRevision;
     report.leaving = news.leaving;
     report.keptSlots = slotBits(news.keptSlots);
     for (const auto &[endpoint, calls] : news.loads) {
@@ -276,6 +277,7 @@
     news.configVersion = report.value().configVersion;
     news.serviceReached = now - Duration(static_cast<std::int64_t>(report.value().serviceReachedAgo));
     news.endpointDigest = report.value().endpointDigest;
+    news.endpointRevision = report.value().endpointRevision;
     news.keptSlots = slotsIn(report.value().keptSlots);
     for (const EndpointLoad &load : report.value().loads) {
         news.loads[load.endpoint] = load.calls;
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -29,6 +29,7 @@
         std::uint64_t configVersion = 0;
         Time serviceReached{}; //!< When it last read configuration and endpoints from the key-value service.
         std::uint64_t endpointDigest = 0;
+        std::uint64_t endpointRevision = 0;
         bool leaving = false;
         std::set<SlotId> keptSlots{};
         std::map<EndpointId, std::uint32_t> loads{};
@@ -55,8 +56,8 @@
 
     //! As in PeerTable. Thread-safe.
     Time latestServiceReading() const;
-    std::string latestReader(Time readAt) const;
-    bool knowsOtherEndpoints(std::uint64_t digest, Time readAt) const;
+    std::string bestInformed(std::uint64_t revision) const;
+    bool knowsOtherEndpoints(std::uint64_t digest, std::uint64_t revision) const;
 
     //! Adds an address to try. Thread-safe.
     void addAddress(const std::string &address, Time now);
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -62,6 +62,11 @@
     co_return true;
 }
 
+std::uint64_t PrefixFollower::seenRevision() const
+{
+    return this->seen;
+}
+
 Time PrefixFollower::loadedAt() const
 {
     return this->readAt;
@@ -87,7 +92,7 @@
                     this->hooks.onBack();
                 }
                 if (event.pair.revision > this->loaded) {
-                    this->seen = std::max(this->seen, event.pair.revision);
+                    this->seen = std::max(this->seen.load(), event.pair.revision);
                     this->hooks.onEvent(event);
                 }
             };
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -31,16 +31,18 @@
     //! Reads all keys again. Returns false when the service does not answer.
     boost::asio::awaitable<bool> load();
 
+    //! Returns the revision up to which changes are known.
+    std::uint64_t seenRevision() const;
+
     //! Returns when the keys were last read.
     Time loadedAt() const;
 
 private:
-
     KeyValueService &service;
     std::string prefix;
     Hooks hooks;
     std::uint64_t loaded = 0; //!< Revision of the latest whole reading; events up to it are old.
-    std::uint64_t seen = 0; //!< Revision up to which changes are known.
+    std::atomic<std::uint64_t> seen{0}; //!< Revision up to which changes are known.
     bool lost = false;
     std::atomic<Time> readAt{Time{}};
     std::atomic<bool> active{true};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -199,7 +199,7 @@
     const EndpointSpec endpoint = placed.value().endpoint;
     job.endpoint = endpoint.id;
     job.sends += 1;
-    const auto onEvents = [this, &job, id](std::uint64_t events) {
+    const auto onEvents = [&job, id](std::uint64_t events) {
         job.pool->progress(id, static_cast<Tokens>(events) * job.service->tokensPerEvent, currentTime());
     };
     EndpointSend send(
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -36,7 +36,6 @@
     //! From now on refuses requests that could last longer than until \p end, when this process ends.
     void endBy(Time end);
 
-
 private:
     struct Job;
 
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -70,7 +70,7 @@
     if (found == this->tickets.end() || !found->second->placement) {
         return std::nullopt;
     }
-    const std::optional<Placement> placement = found->second->placement;
+    std::optional<Placement> placement = found->second->placement;
     this->tickets.erase(found);
     return placement;
 }
--- a/src/programs/oleanderctl/main.cpp
+++ b/src/programs/oleanderctl/main.cpp
@@ -3,9 +3,9 @@
 #include "config/configuration.h"
 #include "programs/oleanderctl/adminclient.h"
 #include "programs/oleanderctl/linediff.h"
+#include "runtime/commandline.h"
 #include "runtime/jsonaccess.h"
 #include "runtime/textfile.h"
-#include "runtime/commandline.h"
 
 #include <boost/json.hpp>
 
--- a/src/programs/oleandergate/main.cpp
+++ b/src/programs/oleandergate/main.cpp
@@ -1,11 +1,10 @@
 //! Entry instance: accepts callers and operators, owns programs, and sends their calls to endpoints.
 
 #include "config/settings.h"
+#include "runtime/commandline.h"
 #include "runtime/entryinstance.h"
 #include "runtime/log.h"
 #include "runtime/textfile.h"
-#include "runtime/commandline.h"
-
 
 #include <iostream>
 
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -1,7 +1,7 @@
 //! Merges the event files of all processes into one time line.
 
-#include "runtime/jsonaccess.h"
 #include "runtime/commandline.h"
+#include "runtime/jsonaccess.h"
 
 #include <boost/json.hpp>
 
--- a/src/runtime/adminapi.cpp
+++ b/src/runtime/adminapi.cpp
@@ -1,9 +1,9 @@
 #include "runtime/adminapi.h"
 
-#include "runtime/errorresponse.h"
 #include "runtime/clock.h"
 #include "runtime/clusterview.h"
 #include "runtime/dispatchservice.h"
+#include "runtime/errorresponse.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/programdocument.h"
--- a/src/runtime/clusterview.h
+++ b/src/runtime/clusterview.h
@@ -1,9 +1,9 @@
 #ifndef OLEANDERGATE_RUNTIME_CLUSTERVIEW_H
 #define OLEANDERGATE_RUNTIME_CLUSTERVIEW_H
 
+#include "backing/interfaces/keyvalueservice.h"
 #include "decision/posture.h"
 #include "decision/slottable.h"
-#include "backing/interfaces/keyvalueservice.h"
 
 #include <map>
 #include <mutex>
--- a/src/runtime/configkeeper.h
+++ b/src/runtime/configkeeper.h
@@ -1,9 +1,9 @@
 #ifndef OLEANDERGATE_RUNTIME_CONFIGKEEPER_H
 #define OLEANDERGATE_RUNTIME_CONFIGKEEPER_H
 
+#include "backing/interfaces/keyvalueservice.h"
 #include "config/configuration.h"
 #include "decision/error.h"
-#include "backing/interfaces/keyvalueservice.h"
 
 #include <boost/asio/awaitable.hpp>
 
--- a/src/runtime/endpointupkeep.cpp
+++ b/src/runtime/endpointupkeep.cpp
@@ -1,5 +1,5 @@
-#include "decision/hash.h"
 #include "backing/interfaces/instancelist.h"
+#include "decision/hash.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/clusterview.h"
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -240,7 +240,8 @@
     co_return true;
 }
 
-asio::awaitable<HttpOutcome> receiveOne(ConnectionPointer connection, const HttpCall &call, Step step, http::response_parser<http::string_body> &parser, bool &accepted)
+asio::awaitable<HttpOutcome>
+receiveOne(ConnectionPointer connection, const HttpCall &call, Step step, http::response_parser<http::string_body> &parser, bool &accepted)
 {
     parser.body_limit(call.bodyLimit);
     std::size_t passed = 0;
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -318,7 +318,8 @@
     co_return !error && size > 0;
 }
 
-asio::awaitable<beast::error_code> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, Duration longest)
+asio::awaitable<beast::error_code>
+readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, http::request_parser<http::string_body> &parser, Duration longest)
 {
     stream.expires_after(longest);
     const auto [headError, headSize] = co_await http::async_read_header(stream, buffer, parser, useResult);
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -33,13 +33,14 @@
 class DropAndCount
 {
 public:
+    // The names are those that the queue calls.
     template <typename Lock>
-    static bool on_overflow(const boost::log::record_view & /*record*/, Lock & /*lock*/)
+    static bool on_overflow(const boost::log::record_view & /*record*/, Lock & /*lock*/) // NOLINT(readability-identifier-naming)
     {
         droppedCount() += 1;
         return false;
     }
-    static void on_queue_space_available()
+    static void on_queue_space_available() // NOLINT(readability-identifier-naming)
     {
     }
     static void interrupt()
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -252,7 +252,7 @@
 template <class Archive>
 void serialize(Archive &archive, EndpointsReply &value)
 {
-    archive(value.readAgo, value.settled, value.entries);
+    archive(value.revision, value.settled, value.entries);
 }
 
 template <class Archive>
@@ -265,7 +265,7 @@
 void serialize(Archive &archive, LoadReport &value)
 {
     archive(value.instance, value.address, value.domain, value.number, value.configVersion, value.serviceReachedAgo);
-    archive(value.endpointDigest, value.leaving, value.keptSlots, value.loads, value.peers);
+    archive(value.endpointDigest, value.endpointRevision, value.leaving, value.keptSlots, value.loads, value.peers);
 }
 
 namespace {
--- a/src/wire/loadreport.h
+++ b/src/wire/loadreport.h
@@ -25,6 +25,7 @@
     std::uint64_t configVersion = 0;
     std::uint64_t serviceReachedAgo = 0; //!< Microseconds since it read configuration and endpoints from the key-value service.
     std::uint64_t endpointDigest = 0; //!< Hash over the endpoints it knows.
+    std::uint64_t endpointRevision = 0; //!< Revision of the key-value service up to which it knows them.
     bool leaving = false;
     std::vector<std::uint8_t> keptSlots{}; //!< One bit a slot whose programs' budgets the instance keeps.
     std::vector<EndpointLoad> loads{};
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -97,7 +97,7 @@
 
 struct EndpointsReply
 {
-    std::uint64_t readAgo = 0; //!< Microseconds since the instance read them from the key-value service.
+    std::uint64_t revision = 0; //!< Revision of the key-value service up to which the instance knows them.
     bool settled = false; //!< What is missing is gone, and not only not announced again yet.
     std::vector<EndpointEntry> entries{};
 };
--- a/standins/kv/main.cpp
+++ b/standins/kv/main.cpp
@@ -1,8 +1,8 @@
 //! Stand-in for the platform's key-value service: the parts of etcd's version 3 JSON protocol that are used, with
 //! outages, slowness and answers lost after the write took effect.
 
-#include "common/standin.h"
 #include "backing/base64.h"
+#include "common/standin.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/commandline.h"
--- a/tests/fault/main.cpp
+++ b/tests/fault/main.cpp
@@ -4,7 +4,6 @@
 #include "fault/simulation.h"
 #include "runtime/commandline.h"
 
-
 #include <atomic>
 #include <cstdio>
 #include <iostream>
