--- a/src/gateway/budgetkeeper.cpp
+++ b/src/gateway/budgetkeeper.cpp
@@ -443,10 +443,4 @@
     return this->slots.keptSlots();
 }
 
-std::size_t BudgetKeeper::programCount() const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->ledger.size();
-}
-
 } // namespace oleandergate
--- a/src/gateway/budgetkeeper.h
+++ b/src/gateway/budgetkeeper.h
@@ -56,7 +56,6 @@
     Time confirmedAt() const;
 
     std::set<SlotId> keptSlots() const;
-    std::size_t programCount() const;
 
 private:
     //! A grant that was not settled yet.
--- a/src/runtime/clusterview.cpp
+++ b/src/runtime/clusterview.cpp
@@ -18,8 +18,7 @@
     record.id = pair.key.substr(std::string(instancePrefix).size());
     record.peerAddress = jsonText(object, "peer");
     record.domain = jsonText(object, "domain");
-    const json::value *leaving = object.if_contains("leaving");
-    record.leaving = leaving != nullptr && leaving->is_bool() && leaving->get_bool();
+    record.leaving = jsonFlag(object, "leaving");
     return record;
 }
 
--- a/src/runtime/jsonaccess.cpp
+++ b/src/runtime/jsonaccess.cpp
@@ -31,4 +31,25 @@
     return value != nullptr && value->is_int64() ? value->get_int64() : fallback;
 }
 
+bool jsonFlag(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(key);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+std::vector<json::object> jsonObjects(const json::object &object, std::string_view key)
+{
+    std::vector<json::object> found;
+    const json::value *list = object.if_contains(key);
+    if (list == nullptr || !list->is_array()) {
+        return found;
+    }
+    for (const json::value &entry : list->get_array()) {
+        if (entry.is_object()) {
+            found.push_back(entry.get_object());
+        }
+    }
+    return found;
+}
+
 } // namespace oleandergate
--- a/src/runtime/jsonaccess.h
+++ b/src/runtime/jsonaccess.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace oleandergate {
 
@@ -17,6 +18,12 @@
 //! Returns the whole number at \p key, also when it is written as a text; \p fallback when there is none.
 std::int64_t jsonNumber(const boost::json::object &object, std::string_view key, std::int64_t fallback = 0);
 
+//! Returns true when \p key holds true.
+bool jsonFlag(const boost::json::object &object, std::string_view key);
+
+//! Returns the objects of the list at \p key, without its other entries; none when there is no list.
+std::vector<boost::json::object> jsonObjects(const boost::json::object &object, std::string_view key);
+
 } // namespace oleandergate
 
 #endif
--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -39,19 +39,28 @@
     return true;
 }
 
+//! Two fronts that serve before one endpoint and keep all slots between them.
+struct Kept : GatewayCluster
+{
+    Kept()
+        : GatewayCluster(2, 1)
+    {
+        this->configure(1);
+        this->announce(0);
+        REQUIRE(this->waitReady());
+        REQUIRE(waitFor(
+            [this]() {
+                return allSlotsKept(*this);
+            },
+            patienceMs));
+    }
+};
+
 } // namespace
 
 TEST_CASE("A program that loops is stopped at its budget, through any front, and stays stopped over the loss of all")
 {
-    GatewayCluster cluster(2, 1);
-    cluster.configure(1);
-    cluster.announce(0);
-    REQUIRE(cluster.waitReady());
-    REQUIRE(waitFor(
-        [&]() {
-            return allSlotsKept(cluster);
-        },
-        patienceMs));
+    Kept cluster;
     const int tokens = loopUntilSpent(cluster, "looping");
     CHECK(tokens <= budget);
     // What the budget holds is handed out, but for what one turn may need.
@@ -71,15 +80,7 @@
 
 TEST_CASE("A program whose keeper died gets what is left and never more than one turn above its budget")
 {
-    GatewayCluster cluster(2, 1);
-    cluster.configure(1);
-    cluster.announce(0);
-    REQUIRE(cluster.waitReady());
-    REQUIRE(waitFor(
-        [&]() {
-            return allSlotsKept(cluster);
-        },
-        patienceMs));
+    Kept cluster;
     // Enough programs that both fronts keep some of them.
     for (int program = 0; program < 6; ++program) {
         const std::string name = "program-" + std::to_string(program);
