Bounds the token grant of an instance that does not use it

Cause: an instance that was alone in the ledger, as at a start during an outage, was granted the whole token cap without asking for any. Change: a grant passes an equal share, one newcomer counted in, only up to twice what the instance asked for. What a dead instance had asked for is still withheld until its minutes are over, since it may have been spent.

--- a/src/decision/minutepeak.cpp
+++ b/src/decision/minutepeak.cpp
@@ -12,6 +12,17 @@
 //! Tokens a minute that an instance is given even when it asked for none, as a fraction of an equal share.
 constexpr Tokens idleShareDivisor = 4;
 
+//! A grant may pass an equal share up to this multiple of what the instance asked for, so that a rise fits until the next renewal.
+constexpr Tokens demandHeadroom = 2;
+
+//! Returns the most that an instance may hold. What an instance holds is lost to all others until its minutes are over,
+//! should it die, so none holds far more than it uses; one equal share stays free for an instance that just arrived.
+Tokens spareShare(const PeakRenewal &renewal)
+{
+    const Tokens equalShare = renewal.cap / static_cast<Tokens>(renewal.live.size() + 1);
+    return std::max(equalShare, renewal.demand * demandHeadroom);
+}
+
 //! How long the first grant may take.
 constexpr Duration firstGrantWait = std::chrono::milliseconds(500);
 
@@ -73,7 +84,8 @@
         heldByGone += renewal.live.contains(instance) ? 0 : grant.allowanceAt(renewal.current);
     }
     const Tokens fair = next.fairShare(renewal, std::max<Tokens>(0, renewal.cap - heldByGone));
-    const Tokens target = std::min(fair, std::max<Tokens>(0, room));
+    const Tokens bounded = std::min(fair, spareShare(renewal));
+    const Tokens target = std::min(bounded, std::max<Tokens>(0, room));
     const Tokens held = old.allowanceAt(renewal.current);
     PeakGrant grant;
     grant.through = last;
--- /dev/null
+++ b/tests/unit/minutepeaktests.cpp
@@ -0,0 +1,40 @@
+#include "decision/minutepeak.h"
+
+#include <doctest/doctest.h>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr Tokens cap = 20000;
+constexpr Minute minute = 100;
+
+PeakRenewal renewalOf(const InstanceId &self, Tokens demand, std::set<InstanceId> live)
+{
+    return PeakRenewal{self, demand, 0, std::move(live), cap, minute, minute};
+}
+
+} // namespace
+
+TEST_CASE("An instance that dies with an unused grant leaves its successors something to spend")
+{
+    // It was alone for a moment, as at a start during an outage of the key-value service, and died before it had served anything.
+    const PeakLedger alone = PeakLedger{}.renewed(renewalOf("first", 0, {"first"}));
+    const PeakLedger next = alone.renewed(renewalOf("second", 1000, {"second", "third"}));
+    const PeakLedger last = next.renewed(renewalOf("third", 1000, {"second", "third"}));
+    CHECK(last.grants.at("second").allowanceAt(minute) >= 1000);
+    CHECK(last.grants.at("third").allowanceAt(minute) >= 1000);
+    CHECK(last.totalAt(minute) <= cap);
+}
+
+TEST_CASE("An instance that asks for the whole cap gets it while nobody else wants any")
+{
+    const PeakLedger ledger = PeakLedger{}.renewed(renewalOf("only", cap, {"only"}));
+    CHECK(ledger.grants.at("only").allowanceAt(minute) == cap);
+}
+
+TEST_CASE("An idle instance holds at least an equal share with one newcomer counted in")
+{
+    const PeakLedger ledger = PeakLedger{}.renewed(renewalOf("a", 0, {"a", "b", "c"}));
+    CHECK(ledger.grants.at("a").allowanceAt(minute) == cap / 4);
+}
