Tells an outage with every known instance heard from a partial one

Change: 'partial outage' is an outage in which a known instance is not heard, or none is known; only there 'not run' is not said. An instance that nobody knows and that reaches the service alone stays a limit of the proof.

--- a/src/decision/posture.cpp
+++ b/src/decision/posture.cpp
@@ -18,9 +18,6 @@
     if (now < view.leaseConfirmed + safeLength) {
         return Posture::Normal;
     }
-    if (view.peersKnown == 0) {
-        return Posture::Outage;
-    }
     // A minority cannot tell an outage from being cut off.
     const bool majority = 2 * (view.peersFresh + 1) > view.peersKnown + 1;
     if (!majority) {
@@ -29,7 +26,12 @@
     // Whoever reached the service after this lease had lapsed, or reaches it still, may have taken over.
     const Time reached = std::max(view.serviceReached, view.peerReachedService);
     const bool lapsedBefore = reached > view.leaseConfirmed + view.leaseLength;
-    return now > reached + view.leaseLength && !lapsedBefore ? Posture::Outage : Posture::Isolated;
+    if (lapsedBefore || now <= reached + view.leaseLength) {
+        return Posture::Isolated;
+    }
+    // Without peers there is no witness: the process may have been paused while an instance that it never saw took over.
+    const bool allHeard = view.peersKnown > 0 && view.peersFresh == view.peersKnown;
+    return allHeard ? Posture::Outage : Posture::PartialOutage;
 }
 
 } // namespace oleandergate
--- a/src/decision/posture.h
+++ b/src/decision/posture.h
@@ -13,16 +13,24 @@
 enum class Posture : std::uint8_t {
     Normal, //!< The lease is valid.
     Outage, //!< The key-value service is down for everybody: repeatable work under known ownership goes on.
+    PartialOutage, //!< As Outage for a majority, but what the other known instances did meanwhile is not known.
     Isolated //!< Others may have taken over, so nothing is sent.
 };
 
 //! Names of the postures.
-inline constexpr std::array<NamedValue<Posture>, 3> postureNames{{
+inline constexpr std::array<NamedValue<Posture>, 4> postureNames{{
     {Posture::Normal, "normal"},
     {Posture::Outage, "outage"},
+    {Posture::PartialOutage, "partial-outage"},
     {Posture::Isolated, "isolated"},
 }};
 
+//! Returns true when no other known instance can own what this one does.
+constexpr bool isSoleOwner(Posture posture)
+{
+    return posture == Posture::Normal || posture == Posture::Outage;
+}
+
 //! What an instance knows about reach, in absolute times.
 struct ReachView
 {
--- a/src/decision/programownercalls.cpp
+++ b/src/decision/programownercalls.cpp
@@ -17,7 +17,7 @@
     }
     Program *program = this->programFor(request.program, request.organisation);
     if (program == nullptr) {
-        const Ran ran = posture == Posture::Normal ? Ran::No : Ran::Unknown;
+        const Ran ran = isSoleOwner(posture) ? Ran::No : Ran::Unknown;
         Error error{ErrorCode::NotFound, Step::Admit, {}, ran, std::nullopt, "no such program"};
         actions.emplace_back(DeliverAction{callId, std::move(error)});
         return actions;
@@ -119,7 +119,7 @@
     if (call.request.deadline <= now) {
         return error(ErrorCode::DeadlineExceeded, std::nullopt, "the call's deadline has passed");
     }
-    if (this->latestPosture == Posture::Outage && this->unconfirmedTurns >= this->limits.maxUnconfirmedTurns) {
+    if (this->latestPosture != Posture::Normal && this->unconfirmedTurns >= this->limits.maxUnconfirmedTurns) {
         return error(ErrorCode::ServiceUnavailable, this->limits.retryAfter, "too many turns wait for the journal");
     }
     if (program.calls.size() > this->limits.maxWaitingPerProgram) {
@@ -431,8 +431,7 @@
 
 Ran ProgramOwner::ranIfRefused(const Program &program, const LiveCall &call) const
 {
-    // Without a valid lease another owner may have run the request unseen.
-    return this->latestPosture != Posture::Normal || this->mayHaveRun(program, call) ? Ran::Unknown : Ran::No;
+    return !isSoleOwner(this->latestPosture) || this->mayHaveRun(program, call) ? Ran::Unknown : Ran::No;
 }
 
 Error ProgramOwner::errorFor(
