A damaged size in a message allocates nothing

Cause: found by the address sanitizer in the damage test of the codec: a damaged length made cereal resize a text to up to 2^63 bytes before the read failed; a few gigabytes would have been granted in release builds. Change: the size of a list or text is refused beyond the bytes of its message, through cereal's archives with user data. Before and after: unit tests aborted under asan, pass after; a test that names the size fails without the change.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,8 @@
 #include "wire/codec.h"
 
+// The library offers archives with user data under this name only.
+#define CEREAL_FUTURE_EXPERIMENTAL
+#include <cereal/archives/adapters.hpp>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/map.hpp>
@@ -13,6 +16,34 @@
 
 namespace oleandergate {
 
+namespace {
+
+//! Most elements that one list or text of a message may have: no element is shorter than a byte.
+struct SizeLimit
+{
+    std::size_t bytes = 0;
+};
+
+} // namespace
+
+} // namespace oleandergate
+
+namespace cereal {
+
+//! Reads the size of a list or text. Preferred to the library's own, which lets a damaged size allocate any amount.
+template <class Size>
+void serialize(PortableBinaryInputArchive &archive, SizeTag<Size> &tag)
+{
+    archive(tag.size);
+    if (tag.size > get_user_data<oleandergate::SizeLimit>(archive).bytes) {
+        throw Exception("a size passes the message's end");
+    }
+}
+
+} // namespace cereal
+
+namespace oleandergate {
+
 template <class Archive>
 void serialize(Archive &archive, Error &value)
 {
@@ -293,7 +324,8 @@
     Value value{};
     try {
         std::istringstream in(bytes);
-        cereal::PortableBinaryInputArchive archive(in);
+        SizeLimit limit{bytes.size()};
+        cereal::UserDataAdapter<SizeLimit, cereal::PortableBinaryInputArchive> archive(limit, in);
         archive(value);
     } catch (const cereal::Exception &error) {
         return garbled(error.what());
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -57,6 +57,17 @@
     }
 }
 
+TEST_CASE("A damaged size is refused before anything of that size is allocated")
+{
+    std::string bytes = encodeHeartbeat(Heartbeat{"a"});
+    // The archive's first byte tells its byte order; the length of the first text follows.
+    constexpr std::size_t highestByteOfLength = 8;
+    bytes[highestByteOfLength] = 1;
+    const auto heartbeat = decodeHeartbeat(bytes);
+    REQUIRE_FALSE(heartbeat.has_value());
+    CHECK(heartbeat.error().detail.find("a size passes the message's end") != std::string::npos);
+}
+
 TEST_CASE("A code covers its message, its context and the key")
 {
     const MessageAuth auth("key of the instances");
