--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -99,7 +99,7 @@
     return service;
 }
 
-void checkReferences(CheckedTable &root, const Configuration &configuration)
+void checkReferences(CheckedTable &root, const Configuration &configuration, const std::set<std::string> &organisations)
 {
     const auto has = [](const auto &list, const std::string &name) {
         return std::any_of(list.begin(), list.end(), [&name](const auto &entry) {
@@ -109,7 +109,7 @@
     std::vector<CheckedTable> tables = root.tables("program");
     for (std::size_t index = 0; index < configuration.programs.size(); ++index) {
         const ProgramConfig &program = configuration.programs[index];
-        if (!has(configuration.organisations, program.organisation)) {
+        if (!organisations.contains(program.organisation)) {
             tables[index].addIssue("organisation", "'" + program.organisation + "'", "the name of an [[organisation]]");
         }
         for (const std::string &pool : program.pools) {
@@ -169,19 +169,28 @@
     if (configuration.operators.empty()) {
         root->addIssue("operator", "no operator", "at least one [[operator]], or nobody could apply the next configuration");
     }
-    checkReferences(*root, configuration);
+    checkReferences(*root, configuration, organisations);
     root->refuseOthers();
+    configuration.buildIndex();
     return issues.empty() ? std::optional(std::move(configuration)) : std::nullopt;
 }
 
-const ProgramConfig *Configuration::findProgram(const std::string &name, const OrganisationId &organisation) const
+void Configuration::buildIndex()
 {
-    for (const ProgramConfig &program : this->programs) {
-        if (program.name == name && program.organisation == organisation) {
-            return &program;
+    for (std::size_t position = 0; position < this->organisations.size(); ++position) {
+        for (const std::string &hash : this->organisations[position].keyHashes) {
+            this->organisationOfKey.insert_or_assign(hash, position);
         }
     }
-    return nullptr;
+    for (std::size_t position = 0; position < this->programs.size(); ++position) {
+        this->programOfName.emplace(std::pair(this->programs[position].organisation, this->programs[position].name), position);
+    }
+}
+
+const ProgramConfig *Configuration::findProgram(const std::string &name, const OrganisationId &organisation) const
+{
+    const auto found = this->programOfName.find(std::pair(organisation, name));
+    return found == this->programOfName.end() ? nullptr : &this->programs[found->second];
 }
 
 const PoolConfig *Configuration::findPoolOfModel(const std::string &model) const
@@ -206,15 +215,9 @@
 
 const OrganisationConfig *Configuration::findOrganisationByKey(const std::string &keyHash) const
 {
-    const OrganisationConfig *match = nullptr;
-    for (const OrganisationConfig &organisation : this->organisations) {
-        for (const std::string &hash : organisation.keyHashes) {
-            if (equalsInConstantTime(hash, keyHash)) {
-                match = &organisation;
-            }
-        }
-    }
-    return match;
+    // How long the search takes tells of the hash at most, which leads back to no key.
+    const auto found = this->organisationOfKey.find(keyHash);
+    return found == this->organisationOfKey.end() ? nullptr : &this->organisations[found->second];
 }
 
 const OperatorConfig *Configuration::findOperatorByKey(const std::string &keyHash) const
--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -6,8 +6,10 @@
 #include "decision/policyoptions.h"
 #include "decision/time.h"
 
+#include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace oleandergate {
@@ -85,9 +87,16 @@
     const PoolConfig *findPoolOfModel(const std::string &model) const;
     const ServiceConfig *findService(const std::string &name) const;
 
-    //! Returns the organisation whose key hashes to \p keyHash, compared in constant time.
+    //! Returns the organisation whose key hashes to \p keyHash.
     const OrganisationConfig *findOrganisationByKey(const std::string &keyHash) const;
     const OperatorConfig *findOperatorByKey(const std::string &keyHash) const;
+
+    //! Makes organisations and programs findable; called once all are read.
+    void buildIndex();
+
+private:
+    std::unordered_map<std::string, std::size_t> organisationOfKey{}; //!< Position by the key's hash.
+    std::map<std::pair<OrganisationId, std::string>, std::size_t> programOfName{}; //!< Position by organisation and name.
 };
 
 //! Returns the longest route that is a prefix of \p path, or nullptr.
--- a/tests/unit/configurationtests.cpp
+++ b/tests/unit/configurationtests.cpp
@@ -94,6 +94,23 @@
     }
 }
 
+TEST_CASE("Callers and programs are found by key and name, and names of two organisations are kept apart")
+{
+    std::string text = valid;
+    const std::string otherHash = sha256Hex("other key");
+    text += "\n[[organisation]]\nname = \"other\"\nkey_hashes = [\"" + otherHash + "\"]\n";
+    ConfigIssues issues;
+    const auto configuration = readConfiguration(text, "test", issues);
+    REQUIRE(configuration);
+    REQUIRE(configuration->findOrganisationByKey(otherHash) != nullptr);
+    CHECK(configuration->findOrganisationByKey(otherHash)->name == "other");
+    CHECK(configuration->findOrganisationByKey(sha256Hex("no key")) == nullptr);
+    REQUIRE_FALSE(configuration->programs.empty());
+    const ProgramConfig &program = configuration->programs.front();
+    CHECK(configuration->findProgram(program.name, program.organisation) == &program);
+    CHECK(configuration->findProgram(program.name, "other") == nullptr);
+}
+
 TEST_CASE("Input that trips the TOML library is refused with its line")
 {
     // A debug build of the library aborts on the first three, and its test for white space is undefined for the others.
