--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -180,6 +180,10 @@
         }
         acted = now;
         const bool loaded = watches && co_await this->reread();
+        if (watches && !loaded) {
+            // The service is away, at least for this instance; others have their own turn.
+            due = currentTime() + rereadStep + Duration(jitter(random));
+        }
         if (!loaded) {
             co_await this->takeEndpointsFromPeer();
         }
