--- a/bench/decision/configurationbench.cpp
+++ b/bench/decision/configurationbench.cpp
@@ -12,9 +12,10 @@
 
 std::string documentOf(std::int64_t organisations)
 {
-    std::string text = "[[operator]]\nname = \"o\"\nkey_hash = \"" + sha256Hex("operator") + "\"\n"
-                       "[[pool]]\nname = \"p\"\nservice = \"s\"\nmodels = [\"m\"]\nslots_per_endpoint = 8\nprice_per_1k_tokens = \"0.002\"\n"
-                       "favour = \"programs\"\n";
+    std::string text = "[[operator]]\nname = \"o\"\nkey_hash = \"" + sha256Hex("operator")
+        + "\"\n"
+          "[[pool]]\nname = \"p\"\nservice = \"s\"\nmodels = [\"m\"]\nslots_per_endpoint = 8\nprice_per_1k_tokens = \"0.002\"\n"
+          "favour = \"programs\"\n";
     for (std::int64_t index = 0; index < organisations; ++index) {
         const std::string name = "organisation-" + std::to_string(index);
         text += "[[organisation]]\nname = \"" + name + "\"\nkey_hashes = [\"" + sha256Hex(name) + "\"]\n";
--- a/src/runtime/latencyhistogram.cpp
+++ b/src/runtime/latencyhistogram.cpp
@@ -46,10 +46,9 @@
     std::vector<Bucket> all;
     std::uint64_t below = 0;
     // Bin -1 holds what is below the first bound, the bin behind the last one what is above all.
-    for (int bin = -1; bin < static_cast<int>(bounds.size()); ++bin) {
-        below += this->data->counts.at(bin).value();
-        const auto upper = static_cast<std::size_t>(bin + 1);
-        all.push_back(Bucket{upper < bounds.size() ? bounds.at(upper) : std::numeric_limits<double>::infinity(), below});
+    for (std::size_t bucket = 0; bucket <= bounds.size(); ++bucket) {
+        below += this->data->counts.at(static_cast<int>(bucket) - 1).value();
+        all.push_back(Bucket{bucket < bounds.size() ? bounds.at(bucket) : std::numeric_limits<double>::infinity(), below});
     }
     return all;
 }
--- a/tests/unit/metricstests.cpp
+++ b/tests/unit/metricstests.cpp
@@ -33,6 +33,7 @@
     Metrics metrics;
     Counter &counter = metrics.counter("test_total", "kind=\"a\"");
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int index = 0; index < threadCount; ++index) {
         threads.emplace_back([&counter]() {
             for (int number = 0; number < perThread; ++number) {
