One sender and receiver of signed datagrams for heartbeats and load reports

Cause: PeerGossip had written again what HeartbeatService has: binding, the code over the payload, the receive loop and its checks. Change: SignedDatagrams serves both; what is sent, to whom and what is refused stays as it was.

--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -1,26 +1,21 @@
 #include "gateway/peergossip.h"
 
 #include "decision/hash.h"
-#include "runtime/address.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "runtime/signeddatagrams.h"
 #include "wire/codec.h"
 
 #include <boost/asio.hpp>
 
-#include <array>
-#include <atomic>
-
 namespace oleandergate {
 
 namespace asio = boost::asio;
-using asio::ip::udp;
 
 namespace {
 
-constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
-constexpr const char *macContext = "load";
+constexpr const char *purpose = "load";
 
 //! How often changed loads are told; a call at an engine lasts several of these.
 constexpr Duration reportStep = std::chrono::milliseconds(50);
@@ -40,9 +35,6 @@
 //! Addresses named in a report.
 constexpr std::size_t namedPeers = 3;
 
-//! Largest datagram read; a larger one would be cut into packets.
-constexpr std::size_t datagramBytes = 1400;
-
 constexpr SlotId bitsPerByte = 8;
 
 std::vector<std::uint8_t> slotBits(const std::set<SlotId> &slots)
@@ -76,10 +68,9 @@
 struct PeerGossip::Core
 {
     asio::io_context &context;
-    const MessageAuth &auth;
     InstanceRecord self;
     Hooks hooks;
-    udp::socket socket;
+    SignedDatagrams datagrams;
     mutable std::mutex mutex{};
     PeerTable table; //!< Guarded by the mutex.
     OwnNews told{}; //!< In the latest report.
@@ -87,7 +78,7 @@
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks)
-    : core(new Core{context, auth, self, std::move(hooks), udp::socket(context), {}, PeerTable(self.peerAddress, seeds)})
+    : core(new Core{context, self, std::move(hooks), SignedDatagrams(context.get_executor(), auth, purpose), {}, PeerTable(self.peerAddress, seeds)})
 {
 }
 
@@ -95,17 +86,13 @@
 
 bool PeerGossip::start()
 {
-    const std::optional<udp::endpoint> endpoint = parseUdpAddress(this->core->self.peerAddress);
-    boost::system::error_code error = asio::error::invalid_argument;
-    if (endpoint) {
-        this->core->socket.open(endpoint->protocol(), error);
-        this->core->socket.bind(*endpoint, error);
-    }
-    if (error) {
+    const bool bound = this->core->datagrams.start(this->core->self.peerAddress, [this](const std::string &payload) {
+        this->take(payload);
+    });
+    if (!bound) {
         return false;
     }
     asio::co_spawn(this->core->context, this->sendLoop(), asio::detached);
-    asio::co_spawn(this->core->context, this->receiveLoop(), asio::detached);
     return true;
 }
 
@@ -174,18 +161,6 @@
     return report;
 }
 
-asio::awaitable<void> PeerGossip::tell(LoadReport report, std::vector<std::string> targets)
-{
-    const std::string payload = encodeLoadReport(report);
-    const std::string datagram = this->core->auth.macOf(macContext, payload) + payload;
-    for (const std::string &target : targets) {
-        const std::optional<udp::endpoint> endpoint = parseUdpAddress(target);
-        if (endpoint) {
-            co_await this->core->socket.async_send_to(asio::buffer(datagram), *endpoint, useResult);
-        }
-    }
-}
-
 void PeerGossip::step(Time now, Time before)
 {
     std::vector<InstanceId> gone;
@@ -237,35 +212,13 @@
             targets = this->core->table.nextTargets(peers > smallFleet ? fanOut : smallFleet, now);
         }
         if (!targets.empty()) {
-            co_await this->tell(std::move(report), std::move(targets));
+            co_await this->core->datagrams.send(encodeLoadReport(report), std::move(targets));
         }
     }
 }
 
-asio::awaitable<void> PeerGossip::receiveLoop()
+void PeerGossip::take(const std::string &payload)
 {
-    std::array<char, datagramBytes> buffer{};
-    while (true) {
-        udp::endpoint from;
-        const auto [error, size] = co_await this->core->socket.async_receive_from(asio::buffer(buffer), from, useResult);
-        if (error == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (!error) {
-            this->take(std::string(buffer.data(), size));
-        }
-    }
-}
-
-void PeerGossip::take(const std::string &datagram)
-{
-    if (datagram.size() <= macSize) {
-        return;
-    }
-    const std::string payload = datagram.substr(macSize);
-    if (!this->core->auth.isGenuine(macContext, payload, datagram.substr(0, macSize))) {
-        return;
-    }
     const Result<LoadReport> report = decodeLoadReport(payload);
     if (!report) {
         return;
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -67,10 +67,8 @@
 private:
     struct Core;
     boost::asio::awaitable<void> sendLoop();
-    boost::asio::awaitable<void> receiveLoop();
-    boost::asio::awaitable<void> tell(LoadReport report, std::vector<std::string> targets);
     void step(Time now, Time before);
-    void take(const std::string &datagram);
+    void take(const std::string &payload);
     //! Returns the report to send, with number 0 when there is none: nothing changed, and \p always is false.
     LoadReport makeReport(Time now, bool always);
 
--- a/src/runtime/heartbeatservice.h
+++ b/src/runtime/heartbeatservice.h
@@ -42,8 +42,7 @@
 private:
     struct Core;
     boost::asio::awaitable<void> sendLoop();
-    boost::asio::awaitable<void> receiveLoop();
-    void take(const std::string &datagram);
+    void take(const std::string &payload);
 
     std::unique_ptr<Core> core;
 };
--- /dev/null
+++ b/src/runtime/signeddatagrams.cpp
@@ -0,0 +1,76 @@
+#include "runtime/signeddatagrams.h"
+
+#include "runtime/address.h"
+
+#include <boost/asio.hpp>
+
+#include <array>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
+
+//! Largest datagram read; a larger one would be cut into packets.
+constexpr std::size_t datagramBytes = 1400;
+
+} // namespace
+
+SignedDatagrams::SignedDatagrams(const asio::any_io_executor &executor, const MessageAuth &auth, std::string purpose)
+    : socket(executor)
+    , auth(auth)
+    , purpose(std::move(purpose))
+{
+}
+
+bool SignedDatagrams::start(const std::string &address, Handler handler)
+{
+    const std::optional<udp::endpoint> endpoint = parseUdpAddress(address);
+    boost::system::error_code error = asio::error::invalid_argument;
+    if (endpoint) {
+        this->socket.open(endpoint->protocol(), error);
+        this->socket.bind(*endpoint, error);
+    }
+    if (error) {
+        return false;
+    }
+    asio::co_spawn(this->socket.get_executor(), this->receive(std::move(handler)), asio::detached);
+    return true;
+}
+
+asio::awaitable<void> SignedDatagrams::send(std::string payload, std::vector<std::string> addresses)
+{
+    const std::string datagram = this->auth.macOf(this->purpose, payload) + payload;
+    for (const std::string &address : addresses) {
+        const std::optional<udp::endpoint> endpoint = parseUdpAddress(address);
+        if (endpoint) {
+            co_await this->socket.async_send_to(asio::buffer(datagram), *endpoint, useResult);
+        }
+    }
+}
+
+asio::awaitable<void> SignedDatagrams::receive(Handler handler)
+{
+    std::array<char, datagramBytes> buffer{};
+    while (true) {
+        udp::endpoint from;
+        const auto [error, size] = co_await this->socket.async_receive_from(asio::buffer(buffer), from, useResult);
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error || size <= macSize) {
+            continue;
+        }
+        const std::string datagram(buffer.data(), size);
+        const std::string payload = datagram.substr(macSize);
+        if (this->auth.isGenuine(this->purpose, payload, datagram.substr(0, macSize))) {
+            handler(payload);
+        }
+    }
+}
+
+} // namespace oleandergate
