Keeps the digest of the endpoint list up to date instead of computing it anew

Cause: every instance asks for it some 40 times a second, to report it and to compare it, and each time all entries were written out and hashed. Change: each entry's hash is taken out of and put into a running sum; the values are the same as before.

--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -6,6 +6,16 @@
 
 namespace oleandergate {
 
+namespace {
+
+std::uint64_t hashOfEntry(const EndpointEntry &entry)
+{
+    return hashOf(entry.spec.id + '\n' + entry.service + '\n' + entry.spec.address + '\n' + std::to_string(entry.spec.slots)
+                  + (entry.spec.leaving ? "\nleaving\n" : "\n") + std::to_string(entry.startedAt));
+}
+
+} // namespace
+
 EndpointCatalog::EndpointCatalog(Duration reappearance)
     : reappearance(reappearance)
 {
@@ -13,7 +23,10 @@
 
 void EndpointCatalog::put(const EndpointEntry &entry)
 {
-    this->listed[entry.spec.id] = Listed{entry, std::nullopt};
+    Listed &known = this->listed[entry.spec.id];
+    this->hashes ^= known.hash;
+    known = Listed{entry, std::nullopt, hashOfEntry(entry)};
+    this->hashes ^= known.hash;
 }
 
 void EndpointCatalog::remove(const EndpointId &id, Time now)
@@ -23,7 +36,7 @@
         return;
     }
     if (now >= this->trustRemovalsFrom) {
-        this->listed.erase(found);
+        this->drop(found);
     } else if (!found->second.dropAt) {
         found->second.dropAt = this->trustRemovalsFrom;
     }
@@ -54,11 +67,18 @@
 
 bool EndpointCatalog::expire(Time now)
 {
-    return std::erase_if(this->listed,
-                         [now](const auto &item) {
-                             return item.second.dropAt && *item.second.dropAt <= now;
-                         })
-        > 0;
+    const std::size_t before = this->listed.size();
+    for (auto position = this->listed.begin(); position != this->listed.end();) {
+        const bool due = position->second.dropAt && *position->second.dropAt <= now;
+        position = due ? this->drop(position) : std::next(position);
+    }
+    return this->listed.size() < before;
+}
+
+EndpointCatalog::Position EndpointCatalog::drop(Position position)
+{
+    this->hashes ^= position->second.hash;
+    return this->listed.erase(position);
 }
 
 std::vector<EndpointSpec> EndpointCatalog::endpointsOf(const std::string &service) const
@@ -99,14 +119,7 @@
 
 std::uint64_t EndpointCatalog::digest() const
 {
-    std::uint64_t sum = 0;
-    for (const auto &[id, item] : this->listed) {
-        const EndpointEntry &entry = item.entry;
-        const std::string text = id + '\n' + entry.service + '\n' + entry.spec.address + '\n' + std::to_string(entry.spec.slots)
-            + (entry.spec.leaving ? "\nleaving\n" : "\n") + std::to_string(entry.startedAt);
-        sum ^= hashOf(text);
-    }
-    return sum;
+    return this->hashes;
 }
 
 const EndpointEntry *EndpointCatalog::find(const EndpointId &id) const
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -65,11 +65,17 @@
     {
         EndpointEntry entry{};
         std::optional<Time> dropAt{}; //!< Missing; dropped at this time unless it comes back.
+        std::uint64_t hash = 0; //!< Of the entry.
     };
 
+    using Position = std::map<EndpointId, Listed>::iterator;
+
+    Position drop(Position position);
+
     Duration reappearance;
     Time trustRemovalsFrom{};
     std::map<EndpointId, Listed> listed;
+    std::uint64_t hashes = 0; //!< Of all entries, combined so that each can be taken out again; asked for many times a second.
 };
 
 } // namespace oleandergate
