Counters of budget verdicts are looked up once; one handler for both operator addresses

Cause: a turn's verdict still built a label and took the metrics' lock, which the other counters of a request no longer do; gateway.cpp had the same handler twice. Change: Metrics::counters gives one counter for each name of an enumeration; verdicts that never came are shown as 0.

--- a/src/gateway/budgetkeeper.cpp
+++ b/src/gateway/budgetkeeper.cpp
@@ -95,6 +95,8 @@
     : parts(parts)
     , self(self)
     , retention(retention)
+    , verdicts(parts.metrics.counters("oleandergate_budget_asks_total", "verdict", budgetVerdictNames))
+    , draws(parts.metrics.counter("oleandergate_budget_draws_total"))
     , slots(self.id, BudgetSlots::Limits{slotCount, confirmation, retention, isolation, settling})
 {
 }
@@ -254,7 +256,7 @@
                 co_return BudgetVerdict::Unavailable;
             }
         }
-        this->parts.metrics.count("oleandergate_budget_draws_total");
+        this->draws.add();
         const bool reached = co_await this->record(ask.request, *draw);
         if (!reached) {
             co_return BudgetVerdict::Unavailable;
@@ -364,7 +366,7 @@
             verdict = BudgetVerdict::Unavailable;
         }
     }
-    this->parts.metrics.count("oleandergate_budget_asks_total", "verdict=\"" + std::string(nameIn(budgetVerdictNames, verdict)) + "\"");
+    this->verdicts.at(static_cast<std::size_t>(verdict))->add();
     if (verdict == BudgetVerdict::Granted) {
         co_return boost::outcome_v2::success();
     }
--- a/src/gateway/budgetkeeper.h
+++ b/src/gateway/budgetkeeper.h
@@ -7,6 +7,7 @@
 #include "gateway/interfaces/turnbudget.h"
 #include "wire/peermessage.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <mutex>
@@ -17,6 +18,7 @@
 
 namespace oleandergate {
 
+class Counter;
 class Metrics;
 class PeerClient;
 
@@ -100,6 +102,8 @@
     Parts parts;
     InstanceRecord self;
     Duration retention;
+    std::array<Counter *, budgetVerdictNames.size()> verdicts; //!< Turns asked for, by verdict.
+    Counter &draws;
     mutable std::mutex mutex;
     BudgetSlots slots; //!< Guarded by the mutex, as what follows.
     TokenLedger ledger;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -123,20 +123,8 @@
                   return this->relay.handle(std::move(request), exchange);
               },
               refuseUnreadable)
-        , readyServer(
-              control,
-              limitsOf(CallerBounds()),
-              [this](HttpRequest request, HttpExchange &exchange) {
-                  return this->answerOperator(std::move(request), exchange);
-              },
-              refuseUnreadable)
-        , metricsServer(
-              control,
-              limitsOf(CallerBounds()),
-              [this](HttpRequest request, HttpExchange &exchange) {
-                  return this->answerOperator(std::move(request), exchange);
-              },
-              refuseUnreadable)
+        , readyServer(control, limitsOf(CallerBounds()), this->operatorHandler(), refuseUnreadable)
+        , metricsServer(control, limitsOf(CallerBounds()), this->operatorHandler(), refuseUnreadable)
         , directory(control, DirectorySync::Parts{*keyValue, givenFormat, plans, pools, gossip, peers}, self.id)
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
@@ -174,6 +162,13 @@
         return !this->draining && this->plans.current() != nullptr && this->pools.endpointCount() > 0;
     }
 
+    HttpHandler operatorHandler()
+    {
+        return [this](HttpRequest request, HttpExchange &exchange) {
+            return this->answerOperator(std::move(request), exchange);
+        };
+    }
+
     asio::awaitable<void> answerOperator(HttpRequest request, HttpExchange &exchange)
     {
         if (request.path() == "/metrics") {
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -1,9 +1,11 @@
 #ifndef OLEANDERGATE_RUNTIME_METRICS_H
 #define OLEANDERGATE_RUNTIME_METRICS_H
 
+#include "decision/nametable.h"
 #include "runtime/counter.h"
 #include "runtime/latencyhistogram.h"
 
+#include <array>
 #include <map>
 #include <mutex>
 #include <string>
@@ -32,6 +34,17 @@
     //! Returns the counters and gauges that are not zero in one line, such as "name{labels}=value ...".
     std::string renderBrief() const;
 
+    //! Returns a counter for each value of an enumeration, labelled with its name.
+    template <typename Enum, std::size_t Size>
+    std::array<Counter *, Size> counters(const std::string &name, const std::string &label, const std::array<NamedValue<Enum>, Size> &names)
+    {
+        std::array<Counter *, Size> found{};
+        for (const NamedValue<Enum> &value : names) {
+            found.at(static_cast<std::size_t>(value.value)) = &this->counter(name, label + "=\"" + std::string(value.name) + "\"");
+        }
+        return found;
+    }
+
 private:
     struct Series
     {
