--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -39,12 +39,8 @@
 KvPair pairOf(const json::object &object)
 {
     KvPair pair;
-    if (const json::value *key = object.if_contains("key"); key != nullptr && key->is_string()) {
-        pair.key = fromBase64(key->get_string());
-    }
-    if (const json::value *value = object.if_contains("value"); value != nullptr && value->is_string()) {
-        pair.value = fromBase64(value->get_string());
-    }
+    pair.key = fromBase64(jsonText(object, "key"));
+    pair.value = fromBase64(jsonText(object, "value"));
     pair.revision = numberAt(object, "mod_revision");
     return pair;
 }
@@ -124,19 +120,13 @@
 {
 }
 
-std::uint64_t EtcdKeyValue::callCount() const
-{
-    return this->calls;
-}
-
-asio::awaitable<Result<std::string>> EtcdKeyValue::post(std::string path, std::string body)
+asio::awaitable<Result<json::object>> EtcdKeyValue::post(std::string path, json::object body)
 {
-    this->calls += 1;
     HttpCall call;
     call.address = this->address;
     call.method = "POST";
     call.target = std::move(path);
-    call.body = std::move(body);
+    call.body = json::serialize(body);
     call.headers.push_back(HttpHeader{"Content-Type", "application/json"});
     call.connectTimeout = this->timeout;
     call.idleTimeout = this->timeout;
@@ -153,7 +143,7 @@
         co_return Error{
             ErrorCode::ServiceUnavailable, Step::JournalIntent, this->address, Ran::Unknown, std::nullopt, "status " + std::to_string(outcome.value().status)};
     }
-    co_return std::move(outcome.value().body);
+    co_return parseObject(outcome.value().body, this->address);
 }
 
 asio::awaitable<Result<KvTransactionReply>> EtcdKeyValue::transact(KvTransaction transaction)
@@ -174,18 +164,13 @@
         failure.push_back(json::object{{"request_range", json::object{{"key", toBase64(key)}}}});
     }
     const json::object body{{"compare", compares}, {"success", success}, {"failure", failure}};
-    Result<std::string> answer = co_await this->post("/v3/kv/txn", json::serialize(body));
+    Result<json::object> answer = co_await this->post("/v3/kv/txn", body);
     if (!answer) {
         co_return answer.error();
     }
-    Result<json::object> parsed = parseObject(answer.value(), this->address);
-    if (!parsed) {
-        co_return parsed.error();
-    }
-    const json::object &object = parsed.value();
+    const json::object &object = answer.value();
     KvTransactionReply reply;
-    const json::value *succeeded = object.if_contains("succeeded");
-    reply.succeeded = succeeded != nullptr && succeeded->is_bool() && succeeded->get_bool();
+    reply.succeeded = jsonFlag(object, "succeeded");
     reply.revision = headerRevision(object);
     const json::value *responses = object.if_contains("responses");
     if (reply.succeeded || responses == nullptr || !responses->is_array()) {
@@ -218,28 +203,18 @@
         if (range.revision != 0) {
             body["revision"] = std::to_string(range.revision);
         }
-        Result<std::string> answer = co_await this->post("/v3/kv/range", json::serialize(body));
+        Result<json::object> answer = co_await this->post("/v3/kv/range", body);
         if (!answer) {
             co_return answer.error();
         }
-        Result<json::object> parsed = parseObject(answer.value(), this->address);
-        if (!parsed) {
-            co_return parsed.error();
-        }
-        const json::object &object = parsed.value();
+        const json::object &object = answer.value();
         if (range.revision == 0) {
             range.revision = headerRevision(object);
         }
-        const json::value *kvs = object.if_contains("kvs");
-        if (kvs != nullptr && kvs->is_array()) {
-            for (const json::value &kv : kvs->get_array()) {
-                if (kv.is_object()) {
-                    range.pairs.push_back(pairOf(kv.get_object()));
-                }
-            }
+        for (const json::object &kv : jsonObjects(object, "kvs")) {
+            range.pairs.push_back(pairOf(kv));
         }
-        const json::value *moreValue = object.if_contains("more");
-        more = moreValue != nullptr && moreValue->is_bool() && moreValue->get_bool() && !range.pairs.empty();
+        more = jsonFlag(object, "more") && !range.pairs.empty();
         if (more) {
             from = range.pairs.back().key + std::string(1, '\0');
         }
@@ -251,15 +226,11 @@
 {
     const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(length).count());
     const json::object body{{"TTL", std::to_string(seconds)}};
-    Result<std::string> answer = co_await this->post("/v3/lease/grant", json::serialize(body));
+    Result<json::object> answer = co_await this->post("/v3/lease/grant", body);
     if (!answer) {
         co_return answer.error();
     }
-    Result<json::object> parsed = parseObject(answer.value(), this->address);
-    if (!parsed) {
-        co_return parsed.error();
-    }
-    const std::uint64_t lease = numberAt(parsed.value(), "ID");
+    const std::uint64_t lease = numberAt(answer.value(), "ID");
     if (lease == 0) {
         co_return garbled(this->address);
     }
@@ -269,15 +240,11 @@
 asio::awaitable<Result<void>> EtcdKeyValue::renewLease(std::uint64_t lease)
 {
     const json::object body{{"ID", std::to_string(lease)}};
-    Result<std::string> answer = co_await this->post("/v3/lease/keepalive", json::serialize(body));
+    Result<json::object> answer = co_await this->post("/v3/lease/keepalive", body);
     if (!answer) {
         co_return answer.error();
     }
-    Result<json::object> parsed = parseObject(answer.value(), this->address);
-    if (!parsed) {
-        co_return parsed.error();
-    }
-    const json::value *result = parsed.value().if_contains("result");
+    const json::value *result = answer.value().if_contains("result");
     if (result == nullptr || !result->is_object() || numberAt(result->get_object(), "TTL") == 0) {
         co_return Error{ErrorCode::NotFound, Step::LeaseRenew, this->address, Ran::Yes, std::nullopt, "the lease has lapsed"};
     }
@@ -287,7 +254,6 @@
 asio::awaitable<Error>
 EtcdKeyValue::watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent, std::function<bool()> wanted)
 {
-    this->calls += 1;
     constexpr std::chrono::hours watchSilence{24};
     auto pending = std::make_shared<std::string>();
     HttpCall call;
--- a/src/backing/etcdkeyvalue.h
+++ b/src/backing/etcdkeyvalue.h
@@ -3,7 +3,8 @@
 
 #include "backing/interfaces/keyvalueservice.h"
 
-#include <atomic>
+#include <boost/json/object.hpp>
+
 #include <memory>
 
 namespace oleandergate {
@@ -23,16 +24,12 @@
     boost::asio::awaitable<Error>
     watch(std::string prefix, std::uint64_t fromRevision, std::function<void(const KvEvent &)> onEvent, std::function<bool()> wanted) override;
 
-    //! Returns the number of calls made, a waiting watch as one.
-    std::uint64_t callCount() const;
-
 private:
-    boost::asio::awaitable<Result<std::string>> post(std::string path, std::string body);
+    boost::asio::awaitable<Result<boost::json::object>> post(std::string path, boost::json::object body);
 
     HttpClient &client;
     std::string address;
     Duration timeout;
-    std::atomic<std::uint64_t> calls{0};
 };
 
 } // namespace oleandergate
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -149,18 +149,6 @@
     return found;
 }
 
-const PeerNews *PeerTable::newerConfig(std::uint64_t version) const
-{
-    const PeerNews *best = nullptr;
-    for (const auto &[id, known] : this->peers) {
-        if (known.news.configVersion > version) {
-            version = known.news.configVersion;
-            best = &known.news;
-        }
-    }
-    return best;
-}
-
 bool PeerTable::reachedServiceAfter(Time time) const
 {
     return std::any_of(this->peers.begin(), this->peers.end(), [time](const auto &entry) {
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -57,9 +57,6 @@
     std::vector<InstanceRecord> live() const;
     std::vector<PeerNews> liveNews() const;
 
-    //! Returns the live peer with the newest configuration, if it is newer than \p version.
-    const PeerNews *newerConfig(std::uint64_t version) const;
-
     //! Returns true when some live peer reached the key-value service after \p time.
     bool reachedServiceAfter(Time time) const;
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -489,11 +489,6 @@
     }
 }
 
-std::size_t HttpServer::openCount() const
-{
-    return this->core->open;
-}
-
 std::size_t HttpServer::activeCount() const
 {
     return this->core->active;
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -47,9 +47,6 @@
     //! Closes connections without a request under way.
     void closeIdle();
 
-    //! Returns the number of open connections.
-    std::size_t openCount() const;
-
     //! Binds \p address, an IP number and a port, and starts accepting.
     Result<void> start(const std::string &address);
 
--- a/tests/unit/endpointcatalogtests.cpp
+++ b/tests/unit/endpointcatalogtests.cpp
@@ -85,3 +85,15 @@
     CHECK(catalog.endpointsOf("service").empty());
     CHECK(catalog.endpointsOf("other").size() == 1);
 }
+
+TEST_CASE("What is kept for a moment is not passed on to instances that know it to be gone")
+{
+    EndpointCatalog catalog(reappearance);
+    catalog.put(entry("a"));
+    catalog.onKeeperBack(start);
+    catalog.remove("a", start + std::chrono::milliseconds(100));
+    CHECK(catalog.size() == 1);
+    CHECK(catalog.entries().empty());
+    catalog.put(entry("a"));
+    CHECK(catalog.entries().size() == 1);
+}
--- a/tests/unit/servicesighttests.cpp
+++ b/tests/unit/servicesighttests.cpp
@@ -52,18 +52,3 @@
     catalog.remove("e1", at(7100));
     CHECK(catalog.size() == 0);
 }
-
-TEST_CASE("What is kept for a moment is not passed on to instances that know it to be gone")
-{
-    EndpointCatalog catalog(reappearance);
-    EndpointEntry entry;
-    entry.spec.id = "e1";
-    entry.service = "model";
-    catalog.put(entry);
-    catalog.onKeeperBack(at(0));
-    catalog.remove("e1", at(100));
-    CHECK(catalog.size() == 1);
-    CHECK(catalog.entries().empty());
-    catalog.put(entry);
-    CHECK(catalog.entries().size() == 1);
-}
