Request lines state what placed a call; the age of load reports is a metric

'request ended' now has own_calls, peer_calls, cached_tokens, prompt_tokens and finish_ms, and two histograms hold the age that a peer's report reaches before its next one, for the own failure domain and for the others. No decision changes.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -218,7 +218,14 @@
     const Waiting taken = this->waiting.at(choice->call);
     this->order.erase(std::pair(taken.key, choice->call));
     this->waiting.erase(choice->call);
-    Placement placement{taken.call.call, this->endpoints.at(choice->endpoint).spec, this->cachedTokens(choice->endpoint, taken.call) > 0};
+    const EndpointState &state = this->endpoints.at(choice->endpoint);
+    Placement placement;
+    placement.call = taken.call.call;
+    placement.endpoint = state.spec;
+    placement.expectsCache = this->cachedTokens(choice->endpoint, taken.call) > 0;
+    placement.ownCalls = state.inFlight;
+    placement.peerCalls = state.peerCalls;
+    placement.cachedTokens = this->cachedPartTokens(choice->endpoint, taken.call);
     this->start(taken, choice->endpoint, now);
     return placement;
 }
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -70,6 +70,12 @@
     return true;
 }
 
+std::optional<Duration> PeerTable::reportAge(const InstanceId &instance, Time now) const
+{
+    const auto found = this->peers.find(instance);
+    return found == this->peers.end() ? std::nullopt : std::optional<Duration>(now - found->second.receivedAt);
+}
+
 void PeerTable::addCandidate(const std::string &address, Time /*now*/)
 {
     if (address != this->ownAddress && this->candidates.size() < maxCandidates) {
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -4,6 +4,7 @@
 #include "decision/slottable.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -38,6 +39,9 @@
     //! Processes a report. Returns false when it is not newer than the latest one of its sender, or is this instance's own.
     bool onReport(const PeerReport &report, Time now);
 
+    //! Returns how long ago the latest report of \p instance arrived, or nothing when it has sent none.
+    std::optional<Duration> reportAge(const InstanceId &instance, Time now) const;
+
     //! Adds an address that another instance named, as a candidate to report to.
     void addCandidate(const std::string &address, Time now);
 
--- a/src/decision/placement.h
+++ b/src/decision/placement.h
@@ -12,6 +12,9 @@
     CallId call = 0;
     EndpointSpec endpoint{};
     bool expectsCache = false; //!< The endpoint probably has the prefix of the call's branch in its cache.
+    std::uint32_t ownCalls = 0; //!< Other calls of this instance at the endpoint.
+    std::uint32_t peerCalls = 0; //!< Calls of other instances at the endpoint, as far as known.
+    Tokens cachedTokens = 0; //!< Tokens of the prompt that the endpoint is known to have cached.
 };
 
 //! Request to interrupt a stream; Dispatcher::onInterrupted() queues the call again.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,6 +100,9 @@
                                    },
                                    [this](const std::string &peer) {
                                        this->directory.fetchConfiguration(peer);
+                                   },
+                                   [this](bool sameDomain, Duration age) {
+                                       (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
         , budget(BudgetCoordinator::Parts{control,
                                           *keyValue,
@@ -308,6 +311,9 @@
     asio::io_context control{1};
     asio::io_context requests{1};
     Metrics metrics{};
+    //! Age that a peer's report reached before the next one arrived: the load counts in use are up to this old.
+    LatencyHistogram &ownDomainReportAge = metrics.histogram("oleandergate_own_domain_report_age_seconds");
+    LatencyHistogram &otherDomainReportAge = metrics.histogram("oleandergate_other_domain_report_age_seconds");
     HttpClient controlClient;
     HttpClient endpointClient;
     std::unique_ptr<KeyValueService> keyValue;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -237,13 +237,18 @@
     for (const EndpointLoad &load : report.value().loads) {
         peerReport.loads[load.endpoint] = load.calls;
     }
+    std::optional<Duration> replacedAge;
     {
         const std::lock_guard lock(this->core->mutex);
+        replacedAge = this->core->table.reportAge(peerReport.instance.id, now);
         this->core->table.onReport(peerReport, now);
         for (const std::string &address : report.value().peers) {
             this->core->table.addCandidate(address, now);
         }
     }
+    if (replacedAge) {
+        this->core->hooks.onReportReplaced(peerReport.instance.domain == this->core->self.domain, *replacedAge);
+    }
     if (peerReport.configVersion > this->core->lastReported.configVersion) {
         this->core->hooks.onNewerConfiguration(peerReport.instance.peerAddress);
     }
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -42,6 +42,7 @@
         std::function<void(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now)>
             onMembers{}; //!< Called in each report interval.
         std::function<void(const std::string &peerAddress)> onNewerConfiguration{};
+        std::function<void(bool sameDomain, Duration age)> onReportReplaced{}; //!< Called with the age that a peer's previous report had reached.
     };
 
     PeerGossip(boost::asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -75,7 +75,7 @@
     std::optional<HttpResponse> answer{};
     bool streamed = false;
     std::optional<Error> lastError{};
-    EndpointId endpoint{};
+    std::optional<Placement> placement{}; //!< The latest one.
     std::uint32_t sends = 0;
     Duration waited{};
     int status = 0;
@@ -180,7 +180,7 @@
     while (nextStep == NextStep::TryElsewhere || nextStep == NextStep::TrySame) {
         EndpointId requiredEndpoint;
         if (nextStep == NextStep::TrySame) {
-            requiredEndpoint = context.endpoint;
+            requiredEndpoint = context.placement->endpoint.id;
         }
         nextStep = co_await this->sendOnce(context, std::move(requiredEndpoint));
     }
@@ -213,7 +213,7 @@
         co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
     }
     const EndpointSpec endpoint = placed.value().endpoint;
-    context.endpoint = endpoint.id;
+    context.placement = placed.value();
     context.sends += 1;
     const auto onEvents = [&context, id](std::uint64_t events) {
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
@@ -312,6 +312,8 @@
     this->requestCounters.at(context.outcome)->add();
     this->requestSeconds.observe(now - context.arrived);
     const bool failed = context.outcome != answeredOutcome && context.outcome != streamedOutcome;
+    const std::optional<Duration> timeToFinish = context.call.program ? context.call.program->timeToFinish : std::nullopt;
+    const Placement placement = context.placement.value_or(Placement{});
     logRecord(LogLevel::Info,
               "relay",
               "request ended",
@@ -319,7 +321,12 @@
                {"program", context.call.program ? context.call.program->program : std::string()},
                {"route", route},
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
-               {"endpoint", context.endpoint},
+               {"endpoint", placement.endpoint.id},
+               {"own_calls", std::to_string(placement.ownCalls)},
+               {"peer_calls", std::to_string(placement.peerCalls)},
+               {"cached_tokens", std::to_string(placement.cachedTokens)},
+               {"prompt_tokens", std::to_string(context.call.promptTokens)},
+               {"finish_ms", timeToFinish ? milliseconds(*timeToFinish) : std::string()},
                {"outcome", context.outcome},
                {"status", std::to_string(context.status)},
                {"sends", std::to_string(context.sends)},
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -185,3 +185,24 @@
     CHECK(dispatcher.next(start)->endpoint.id == "b");
     CHECK(dispatcher.ownCalls().at("b") == 1);
 }
+
+TEST_CASE("A placement states the counts that decided it, so that a late call can be explained afterwards")
+{
+    PolicyOptions options = policyFor(PolicyGoal::Programs);
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setEndpoints({EndpointSpec{"a", {}, {}, 6}});
+    dispatcher.setPeerCalls("a", 3);
+    QueuedCall first = call(1, "p");
+    first.promptParts = {PromptPart{"x", 1500}, PromptPart{"y", 500}};
+    REQUIRE(dispatcher.enqueue(first, start));
+    const auto placed = dispatcher.next(start);
+    CHECK(placed->ownCalls == 0);
+    CHECK(placed->peerCalls == 3);
+    CHECK(placed->cachedTokens == 0);
+    QueuedCall second = call(2, "p");
+    second.promptParts = first.promptParts;
+    REQUIRE(dispatcher.enqueue(second, start));
+    const auto next = dispatcher.next(start);
+    CHECK(next->ownCalls == 1);
+    CHECK(next->cachedTokens == 2000);
+}
