The peer table decides who gets a load report

PeerGossip held the rule how many peers get a report, where only a test with sockets reaches it. It is PeerTable::nextTargets() now, with the two constants; a test covers that few peers get only reports that differ. Behaviour is unchanged.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -24,6 +24,12 @@
     return std::max(minimum, fromSeconds(toSeconds(reportPeriod) * periods));
 }
 
+//! Up to this many peers, each report goes to all of them.
+constexpr std::size_t maxPeersForBroadcast = 12;
+
+//! With more peers, each report goes to this many of them in rotation: 60 datagrams a second with an interval of 50 ms.
+constexpr std::size_t rotationTargets = 3;
+
 //! Interval between two tries of an address that has not sent a report.
 constexpr Duration candidateRetryInterval = std::chrono::milliseconds(500);
 
@@ -41,14 +47,15 @@
     }
 }
 
-void PeerTable::setReportPeriod(Duration newReportPeriod)
+void PeerTable::updateReportPeriod(Duration interval)
 {
-    this->reportPeriod = newReportPeriod;
+    const std::size_t intervals = this->reportsToAll() ? 1 : this->peers.size() / rotationTargets + 1;
+    this->reportPeriod = interval * static_cast<Duration::rep>(intervals);
 }
 
-std::size_t PeerTable::size() const
+bool PeerTable::reportsToAll() const
 {
-    return this->peers.size();
+    return this->peers.size() <= maxPeersForBroadcast;
 }
 
 bool PeerTable::onReport(const PeerReport &report, Time now)
@@ -104,8 +111,12 @@
     }
 }
 
-std::vector<std::string> PeerTable::nextTargets(std::size_t count, Time now)
+std::vector<std::string> PeerTable::nextTargets(bool changed, Time now)
 {
+    if (!changed && this->reportsToAll()) {
+        return {};
+    }
+    const std::size_t count = this->reportsToAll() ? maxPeersForBroadcast : rotationTargets;
     std::vector<std::string> targets;
     std::vector<std::string> liveAddresses;
     for (const auto &[id, peer] : this->peers) {
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -31,10 +31,11 @@
 public:
     PeerTable(std::string ownAddress, std::vector<std::string> seeds);
 
-    //! Sets the time within which every live peer sends a report.
-    void setReportPeriod(Duration reportPeriod);
+    //! Updates the time within which every live peer sends a report, for reports that are sent every \p interval.
+    void updateReportPeriod(Duration interval);
 
-    std::size_t size() const;
+    //! Returns true when there are so few peers that each report goes to all of them.
+    bool reportsToAll() const;
 
     //! Processes a report. Returns false when it is not newer than the latest one of its sender, or is this instance's own.
     bool onReport(const PeerReport &report, Time now);
@@ -51,9 +52,10 @@
     //! Restarts the timeouts of all peers. To be called after this process was paused, when missing reports say nothing about the peers.
     void resetTimeouts(Time now);
 
-    //! Returns the addresses to report to next: at most \p count live peers, in rotation, and those candidates that are due for
-    //! another try.
-    std::vector<std::string> nextTargets(std::size_t count, Time now);
+    //! Returns the addresses that get the next report: all live peers if they are few, else some of them in rotation; and those
+    //! candidates that are due for another try. Few peers get no report unless \p changed says that it differs from the previous one;
+    //! a rotation goes on in any case, as each peer gets only some of the reports.
+    std::vector<std::string> nextTargets(bool changed, Time now);
 
     //! Returns the total number of the live peers' calls at each endpoint, by the hash of its identifier.
     std::map<std::uint32_t, std::uint32_t> loads(Time now) const;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -26,12 +26,6 @@
 //! A longer time between two steps means that the process was paused.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(600);
 
-//! Up to this many peers, reports go to all of them, in the interval in which something changed.
-constexpr std::size_t maxPeersForBroadcast = 12;
-
-//! With more peers, a report goes to this many of them in each interval, changed or not: 60 datagrams a second.
-constexpr std::size_t targetsPerInterval = 3;
-
 //! Number of peer addresses in a report.
 constexpr std::size_t advertisedPeers = 3;
 
@@ -134,10 +128,9 @@
     return this->core->table.liveReports();
 }
 
-LoadReport PeerGossip::makeReport(Time now, bool always)
+bool PeerGossip::updateReport(LoadReport &report, Time now)
 {
     const OwnState state = this->core->hooks.ownState();
-    LoadReport report;
     report.instance = this->core->self.id;
     report.address = this->core->self.peerAddress;
     report.domain = this->core->self.domain;
@@ -155,12 +148,11 @@
         || state.endpointDigest != this->core->lastReported.endpointDigest || state.ownedBudgetSlots != this->core->lastReported.ownedBudgetSlots
         || state.leaving != this->core->lastReported.leaving || state.lastServiceContact != this->core->lastReported.lastServiceContact;
     this->core->lastReported = state;
-    if (!changed && !always && now - this->core->lastReportedAt < keepaliveInterval) {
-        report.number = 0;
-        return report;
+    if (!changed && now - this->core->lastReportedAt < keepaliveInterval) {
+        return false;
     }
     this->core->lastReportedAt = now;
-    return report;
+    return true;
 }
 
 void PeerGossip::step(Time now, Time before)
@@ -198,20 +190,18 @@
         this->step(now, before);
         before = now;
         std::vector<std::string> targets;
-        std::size_t peers = 0;
         std::vector<std::string> advertised;
         {
             const std::lock_guard lock(this->core->mutex);
-            peers = this->core->table.size();
-            const std::size_t intervals = peers <= maxPeersForBroadcast ? 1 : peers / targetsPerInterval + 1;
-            this->core->table.setReportPeriod(reportInterval * static_cast<Duration::rep>(intervals));
+            this->core->table.updateReportPeriod(reportInterval);
             advertised = this->core->table.sampleAddresses(advertisedPeers);
         }
-        LoadReport report = this->makeReport(now, peers > maxPeersForBroadcast);
+        LoadReport report;
+        const bool changed = this->updateReport(report, now);
         report.peers = std::move(advertised);
-        if (report.number != 0) {
+        {
             const std::lock_guard lock(this->core->mutex);
-            targets = this->core->table.nextTargets(peers > maxPeersForBroadcast ? targetsPerInterval : maxPeersForBroadcast, now);
+            targets = this->core->table.nextTargets(changed, now);
         }
         if (!targets.empty()) {
             co_await this->core->datagrams.send(encodeLoadReport(report), std::move(targets));
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -72,8 +72,8 @@
     void step(Time now, Time before);
     void onDatagram(const std::string &payload);
 
-    //! Returns the report to send. Its number is 0 when none is due: nothing changed, no keep-alive is due and \p always is false.
-    LoadReport makeReport(Time now, bool always);
+    //! Fills \p report with the own state. Returns false when nothing changed since the latest change and no keep-alive is due.
+    bool updateReport(LoadReport &report, Time now);
 
     std::unique_ptr<Core> core;
 };
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -82,20 +82,32 @@
         table.onReport(makeReport(std::to_string(peer)), start);
     }
     std::set<std::string> allTargets;
-    for (int report = 0; report < 4; ++report) {
-        const std::vector<std::string> targets = table.nextTargets(12, start);
-        CHECK(targets.size() <= 12);
+    for (int report = 0; report < 14; ++report) {
+        const std::vector<std::string> targets = table.nextTargets(true, start);
+        CHECK(targets.size() <= 3);
         allTargets.insert(targets.begin(), targets.end());
     }
     CHECK(allTargets.size() == 40);
 }
 
+TEST_CASE("Few peers get only reports that differ, while a rotation goes on")
+{
+    PeerTable table("10.0.0.200:90", {});
+    for (int peer = 1; peer <= 12; ++peer) {
+        table.onReport(makeReport(std::to_string(peer)), start);
+    }
+    CHECK(table.nextTargets(false, start).empty());
+    CHECK(table.nextTargets(true, start).size() == 12);
+    table.onReport(makeReport("13"), start);
+    CHECK(table.nextTargets(false, start).size() == 3);
+}
+
 TEST_CASE("An address that never answered is retried at intervals")
 {
     PeerTable table("10.0.0.9:90", {"10.0.0.1:90", "10.0.0.9:90"});
-    CHECK(table.nextTargets(12, start) == std::vector<std::string>{"10.0.0.1:90"});
-    CHECK(table.nextTargets(12, start + std::chrono::milliseconds(100)).empty());
-    CHECK(table.nextTargets(12, start + std::chrono::milliseconds(600)).size() == 1);
+    CHECK(table.nextTargets(true, start) == std::vector<std::string>{"10.0.0.1:90"});
+    CHECK(table.nextTargets(true, start + std::chrono::milliseconds(100)).empty());
+    CHECK(table.nextTargets(true, start + std::chrono::milliseconds(600)).size() == 1);
 }
 
 TEST_CASE("Only a peer that knows the endpoints up to a later revision is queried, regardless of when it read them")
@@ -146,7 +158,7 @@
     // Each report carries three addresses to three targets: 63000 pairs in total, about twenty times as many as there are.
     for (int report = 0; report < 7000; ++report) {
         const std::vector<std::string> names = table.sampleAddresses(3);
-        for (const std::string &target : table.nextTargets(3, start)) {
+        for (const std::string &target : table.nextTargets(true, start)) {
             for (const std::string &name : names) {
                 sentPairs.emplace(target, name);
             }
