Changed load reports go to the peers of the own failure domain at once

Cause: beyond twelve peers each load report went to three of them in rotation. With 56 instances a given peer heard of a change after up to 0.95 s, several times as long as a call lasts, so calls were placed by the counts of calls that had ended: some engines held twelve calls and more for six places while others had none, and calls waited in a gateway for engines that were free. Of the class: a bound on messages that holds the cost constant and lets the age of the state grow with the number of instances, unseen.

Change: a report that differs from the previous one also goes to up to 16 peers of the own failure domain in rotation, whose calls mostly use the same endpoints. The rotation over all peers stays. Counts of the own domain are 50 ms old with 14 instances in it, at most 200 ms with 52; up to 380 datagrams a second instead of 60 where loads change in every interval.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -30,6 +30,10 @@
 //! With more peers, each report goes to this many of them in rotation: 60 datagrams a second with an interval of 50 ms.
 constexpr std::size_t rotationTargets = 3;
 
+//! A changed report also goes to this many peers of the own failure domain. With an interval of 50 ms the counts of 52 instances, a
+//! domain of the largest planned installation, are at most 200 ms old.
+constexpr std::size_t domainTargets = 16;
+
 //! Interval between two tries of an address that has not sent a report.
 constexpr Duration candidateRetryInterval = std::chrono::milliseconds(500);
 
@@ -38,8 +42,9 @@
 
 } // namespace
 
-PeerTable::PeerTable(std::string ownAddress, std::vector<std::string> seeds)
+PeerTable::PeerTable(std::string ownAddress, std::string ownDomain, std::vector<std::string> seeds)
     : ownAddress(std::move(ownAddress))
+    , ownDomain(std::move(ownDomain))
     , random(static_cast<std::minstd_rand::result_type>(hashOf(this->ownAddress)))
 {
     for (const std::string &seed : seeds) {
@@ -111,6 +116,16 @@
     }
 }
 
+void PeerTable::addInRotation(const std::vector<std::string> &addresses, std::size_t count, std::size_t &position, std::vector<std::string> &targets)
+{
+    for (std::size_t taken = 0; taken < std::min(count, addresses.size()); ++taken) {
+        const std::string &address = addresses[position++ % addresses.size()];
+        if (std::find(targets.begin(), targets.end(), address) == targets.end()) {
+            targets.push_back(address);
+        }
+    }
+}
+
 std::vector<std::string> PeerTable::nextTargets(bool changed, Time now)
 {
     if (!changed && this->reportsToAll()) {
@@ -119,11 +134,17 @@
     const std::size_t count = this->reportsToAll() ? maxPeersForBroadcast : rotationTargets;
     std::vector<std::string> targets;
     std::vector<std::string> liveAddresses;
+    std::vector<std::string> domainAddresses;
     for (const auto &[id, peer] : this->peers) {
-        liveAddresses.push_back(peer.report.instance.peerAddress);
+        const InstanceRecord &instance = peer.report.instance;
+        liveAddresses.push_back(instance.peerAddress);
+        if (instance.domain == this->ownDomain) {
+            domainAddresses.push_back(instance.peerAddress);
+        }
     }
-    for (std::size_t taken = 0; taken < std::min(count, liveAddresses.size()); ++taken) {
-        targets.push_back(liveAddresses[this->nextPeer++ % liveAddresses.size()]);
+    addInRotation(liveAddresses, count, this->nextPeer, targets);
+    if (changed) {
+        addInRotation(domainAddresses, domainTargets, this->nextDomainPeer, targets);
     }
     for (auto &[address, triedAt] : this->candidates) {
         const bool isLive = std::find(liveAddresses.begin(), liveAddresses.end(), address) != liveAddresses.end();
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -29,7 +29,8 @@
 class PeerTable
 {
 public:
-    PeerTable(std::string ownAddress, std::vector<std::string> seeds);
+    //! \p ownDomain is this instance's failure domain.
+    PeerTable(std::string ownAddress, std::string ownDomain, std::vector<std::string> seeds);
 
     //! Updates the time within which every live peer sends a report, for reports that are sent every \p interval.
     void updateReportPeriod(Duration interval);
@@ -53,8 +54,9 @@
     void resetTimeouts(Time now);
 
     //! Returns the addresses that get the next report: all live peers if they are few, else some of them in rotation; and those
-    //! candidates that are due for another try. Few peers get no report unless \p changed says that it differs from the previous one;
-    //! a rotation goes on in any case, as each peer gets only some of the reports.
+    //! candidates that are due for another try. Few peers get no report unless \p changed says that it differs from the previous one.
+    //! A rotation goes on in any case, as each peer gets only some of the reports; a changed report also goes to the peers of the
+    //! own failure domain, most of whose calls use the same endpoints.
     std::vector<std::string> nextTargets(bool changed, Time now);
 
     //! Returns the total number of the live peers' calls at each endpoint, by the hash of its identifier.
@@ -90,11 +92,16 @@
         Time receivedAt{};
     };
 
+    //! Appends up to \p count of \p addresses that are not among \p targets yet, starting at \p position, and moves it on.
+    static void addInRotation(const std::vector<std::string> &addresses, std::size_t count, std::size_t &position, std::vector<std::string> &targets);
+
     std::string ownAddress;
+    std::string ownDomain;
     std::map<InstanceId, Peer> peers;
     std::map<std::string, Time> candidates; //!< Addresses to try, with the time of the last try.
     Duration reportPeriod{};
     std::size_t nextPeer = 0;
+    std::size_t nextDomainPeer = 0;
     std::minstd_rand random;
 };
 
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -74,7 +74,8 @@
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks)
-    : core(new Core{context, self, std::move(hooks), SignedDatagrams(context.get_executor(), auth, messagePurpose), {}, PeerTable(self.peerAddress, seeds)})
+    : core(new Core{
+        context, self, std::move(hooks), SignedDatagrams(context.get_executor(), auth, messagePurpose), {}, PeerTable(self.peerAddress, self.domain, seeds)})
 {
 }
 
--- a/tests/unit/loadreporttests.cpp
+++ b/tests/unit/loadreporttests.cpp
@@ -25,7 +25,7 @@
                 const std::string address = "10.0." + name + ":90";
                 const std::string domainName = "domain" + std::to_string(domain);
                 this->records.push_back(InstanceRecord{name, address, domainName, false});
-                this->tables.emplace(address, PeerTable(address, {}));
+                this->tables.emplace(address, PeerTable(address, domainName, {}));
             }
         }
         for (const InstanceRecord &sender : this->records) {
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -22,7 +22,7 @@
 
 TEST_CASE("Calls of live peers are added up, and those of peers without recent reports are ignored")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     PeerReport first = makeReport("1");
     first.loads[7] = 2;
     PeerReport second = makeReport("2");
@@ -35,7 +35,7 @@
 
 TEST_CASE("A late or repeated report is ignored")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     CHECK(table.onReport(makeReport("1", 5), start));
     CHECK_FALSE(table.onReport(makeReport("1", 5), start));
     CHECK_FALSE(table.onReport(makeReport("1", 4), start));
@@ -44,7 +44,7 @@
 
 TEST_CASE("A peer without reports is removed, unless this process itself was paused")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     table.onReport(makeReport("1"), start);
     const Time later = start + std::chrono::seconds(5);
     SUBCASE("silent peer")
@@ -62,7 +62,7 @@
 
 TEST_CASE("The address of every live peer is sent at some time, so that instances that are not seeds learn of each other")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     for (int peer = 1; peer <= 7; ++peer) {
         table.onReport(makeReport(std::to_string(peer)), start);
     }
@@ -77,7 +77,7 @@
 
 TEST_CASE("Each report is sent to a limited number of peers, and over time reports are sent to all")
 {
-    PeerTable table("10.0.0.200:90", {});
+    PeerTable table("10.0.0.200:90", "b", {});
     for (int peer = 1; peer <= 40; ++peer) {
         table.onReport(makeReport(std::to_string(peer)), start);
     }
@@ -92,7 +92,7 @@
 
 TEST_CASE("Few peers get only reports that differ, while a rotation goes on")
 {
-    PeerTable table("10.0.0.200:90", {});
+    PeerTable table("10.0.0.200:90", "b", {});
     for (int peer = 1; peer <= 12; ++peer) {
         table.onReport(makeReport(std::to_string(peer)), start);
     }
@@ -102,9 +102,26 @@
     CHECK(table.nextTargets(false, start).size() == 3);
 }
 
+TEST_CASE("A changed report also goes to a limited number of peers in the own failure domain, and over time to all of them")
+{
+    PeerTable table("10.0.0.200:90", "a", {});
+    for (int peer = 1; peer <= 51; ++peer) {
+        table.onReport(makeReport(std::to_string(peer)), start);
+    }
+    std::set<std::string> reached;
+    for (int report = 0; report < 4; ++report) {
+        const std::vector<std::string> targets = table.nextTargets(true, start);
+        CHECK(targets.size() <= 19);
+        CHECK(std::set<std::string>(targets.begin(), targets.end()).size() == targets.size());
+        reached.insert(targets.begin(), targets.end());
+    }
+    CHECK(reached.size() == 51);
+    CHECK(table.nextTargets(false, start).size() == 3);
+}
+
 TEST_CASE("An address that never answered is retried at intervals")
 {
-    PeerTable table("10.0.0.9:90", {"10.0.0.1:90", "10.0.0.9:90"});
+    PeerTable table("10.0.0.9:90", "a", {"10.0.0.1:90", "10.0.0.9:90"});
     CHECK(table.nextTargets(true, start) == std::vector<std::string>{"10.0.0.1:90"});
     CHECK(table.nextTargets(true, start + std::chrono::milliseconds(100)).empty());
     CHECK(table.nextTargets(true, start + std::chrono::milliseconds(600)).size() == 1);
@@ -112,7 +129,7 @@
 
 TEST_CASE("Only a peer that knows the endpoints up to a later revision is queried, regardless of when it read them")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     PeerReport other = makeReport("1");
     other.endpointDigest = 8;
     other.endpointRevision = 20;
@@ -127,7 +144,7 @@
 
 TEST_CASE("The owner of a budget slot is the live peer that reports it")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     PeerReport owner = makeReport("1");
     owner.ownedBudgetSlots = {3, 5};
     table.onReport(owner, start);
@@ -138,7 +155,7 @@
 
 TEST_CASE("A new instance at an address replaces the previous one at once")
 {
-    PeerTable table("10.0.0.9:90", {});
+    PeerTable table("10.0.0.9:90", "a", {});
     table.onReport(makeReport("1"), start);
     PeerReport restarted = makeReport("1");
     restarted.instance.id = "1~2";
@@ -149,7 +166,7 @@
 
 TEST_CASE("Every peer receives the address of every other one, although addresses and targets are drawn from the same peers")
 {
-    PeerTable table("10.0.0.200:90", {});
+    PeerTable table("10.0.0.200:90", "b", {});
     constexpr int peers = 57;
     for (int peer = 1; peer <= peers; ++peer) {
         table.onReport(makeReport(std::to_string(peer)), start);
