Answers without end are cut off before they fill an instance's memory

Callers would see: an instance that is killed at its memory limit with all requests that it holds. An endpoint in trouble may send bytes without end, in a head or a body, until the caller closes.

Cause: a body was collected up to 64 MB whatever its head said, an event without end likewise, and the buffer of unparsed bytes, which a chunk head fills, had no limit at all. Instances have 88 to 512 MB. The class: a limit in time where one in bytes is needed.

Change: an answer whose head already shows that it will not be delivered is given up at the head; one that is no stream is held up to 8 MB, an event up to 1 MB, unparsed bytes up to 256 KB, there also for callers. Streams keep their 64 MB in all, as they are not held.

Test: gateway case "Answers without end are cut off before they fill an instance's memory", five kinds of endless bytes against a bound of a third of 88 MB.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -18,6 +18,11 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
+//! Limits of what is held of an answer that is no stream, and of one event of a stream: endpoints in trouble send bytes without end,
+//! and the smallest instances have 88 MB.
+constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
+constexpr std::size_t maxEventBytes = 1024UL * 1024;
+
 constexpr int statusOk = 200;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusMisdirected = 421;
@@ -82,18 +87,34 @@
     co_return sent;
 }
 
+bool EndpointSend::collect(const HttpResponse &head, const std::string &chunk)
+{
+    if (this->classifyAnswer(head, this->rejection) == SendOutcome::Broken) {
+        return false;
+    }
+    if (this->collected.size() + chunk.size() > maxAnswerBytes) {
+        this->rejection = "the answer is longer than " + std::to_string(maxAnswerBytes) + " bytes";
+        return false;
+    }
+    this->collected += chunk;
+    return true;
+}
+
 asio::awaitable<bool> EndpointSend::forwardChunk(const HttpResponse &head, std::string chunk)
 {
     const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(head);
     const bool isForwardable = metadata.signedByEndpoint && head.header("Content-Encoding").empty();
     if (!isEventStream(head) || this->kind != RouteKind::Stream || !isForwardable) {
-        this->collected += chunk;
-        co_return true;
+        co_return this->collect(head, chunk);
     }
     StreamProgress &progress = this->parts.progress;
     const std::uint64_t before = this->splitter.eventCount();
     std::string events = this->splitter.feed(chunk);
     this->streaming = true;
+    if (this->splitter.pendingSize() > maxEventBytes) {
+        this->rejection = "an event is longer than " + std::to_string(maxEventBytes) + " bytes";
+        co_return false;
+    }
     if (events.empty()) {
         co_return true;
     }
@@ -147,7 +168,7 @@
     SendResult result;
     result.report.endpoint = endpoint.id;
     result.report.endpointGone = failure.connectionRefused;
-    result.detail = failure.error.detail;
+    result.detail = this->rejection.empty() ? failure.error.detail : this->rejection;
     if (this->cancellation->isCancelled() || this->parts.progress.callerDisconnected) {
         result.report.outcome = SendOutcome::CallerLeft;
     } else if (failure.provablyNotSent) {
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -56,8 +56,11 @@
 private:
     HttpCall makeCall(const EndpointSpec &endpoint, int priority, Time deadline, Time now) const;
 
-    //! Takes one chunk of the answer's body. Returns false when the caller has disconnected.
+    //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
+
+    //! Keeps a chunk of an answer that is no stream. Returns false when the answer will not be delivered.
+    bool collect(const HttpResponse &head, const std::string &chunk);
     boost::asio::awaitable<bool> deliver(std::string events);
     SendOutcome classifyAnswer(const HttpResponse &answer, std::string &detail) const;
     SendResult resultOfFailure(const EndpointSpec &endpoint, const HttpFailure &failure, Time deadline, Time now) const;
@@ -68,6 +71,7 @@
     std::shared_ptr<Cancellation> cancellation;
     EventSplitter splitter;
     std::string collected;
+    std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     bool streaming = false;
 };
 
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -45,6 +45,11 @@
     return rest;
 }
 
+std::size_t EventSplitter::pendingSize() const
+{
+    return this->pendingBytes.size();
+}
+
 std::optional<std::uint64_t> EventSplitter::lastId() const
 {
     return this->lastEventId;
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -18,6 +18,9 @@
     //! Returns and discards the bytes after the last whole event.
     std::string takeRest();
 
+    //! Returns the number of bytes after the last whole event.
+    std::size_t pendingSize() const;
+
     //! Returns the number of the last whole event that carried one.
     std::optional<std::uint64_t> lastId() const;
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -46,6 +46,10 @@
 //! Largest number of responses to other requests that a call skips.
 constexpr int maxSkippedResponses = 4;
 
+//! Largest number of bytes that are received but not parsed yet. Bounds what a chunk head without end takes; the parser itself
+//! bounds heads of responses.
+constexpr std::size_t maxUnparsedBytes = 256UL * 1024;
+
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
@@ -74,7 +78,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer{};
+    beast::flat_buffer buffer{maxUnparsedBytes};
     bool established = false;
     Time idleSince{};
     Time usableUntil = Time::max(); //!< The peer may close the connection after this time.
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+//! Largest number of bytes beyond a head that are received but not parsed yet; bounds what a chunk head without end takes.
+constexpr std::size_t maxUnparsedBytes = 256UL * 1024;
+
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds writeTimeout{30};
 constexpr std::chrono::milliseconds acceptRetryDelay{20};
@@ -353,6 +356,7 @@
             }
         }
         idle = false;
+        buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
         http::request_parser<http::string_body> parser;
         parser.body_limit(limits.maxBodyBytes);
         parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -336,3 +336,40 @@
     cluster.store.setRefusing(false);
     CHECK(cluster.call(0, "GET", "/reads/1")->status == 200);
 }
+
+// Guards against an endpoint in trouble that sends bytes without end until the gateway closes: what is held of them counts as
+// memory of the instance, and the smallest instance of the installations has 88 MB. The bound leaves room for the sockets' buffers.
+TEST_CASE("Answers without end are cut off before they fill an instance's memory")
+{
+    constexpr std::size_t maxFlood = 88UL * 1024 * 1024 / 3;
+    for (const Behaviour behaviour :
+         {Behaviour::EndlessHead, Behaviour::EndlessUnsignedBody, Behaviour::EndlessBody, Behaviour::EndlessEvent, Behaviour::EndlessChunkHead}) {
+        CAPTURE(static_cast<int>(behaviour));
+        ServingCluster cluster(1);
+        StandinEndpoint &endpoint = *cluster.endpoints[0];
+        endpoint.setNextBehaviours({behaviour});
+        const std::optional<HttpResponse> order = cluster.call(0, "POST", "/orders/1");
+        REQUIRE(order);
+        CHECK(order->status == 502);
+        CHECK(waitFor(
+            [&]() {
+                return endpoint.closedFloodCount() == 1;
+            },
+            timeoutMs));
+        CHECK(endpoint.largestFlood() <= maxFlood);
+        // The failed endpoint is avoided for a while.
+        CHECK(waitFor(
+            [&]() {
+                endpoint.setNextBehaviours({behaviour});
+                const std::optional<HttpResponse> turn = cluster.turn(0, "p", 1000);
+                return !turn || turn->status != 503;
+            },
+            timeoutMs));
+        CHECK(waitFor(
+            [&]() {
+                return endpoint.closedFloodCount() == 2;
+            },
+            timeoutMs));
+        CHECK(endpoint.largestFlood() <= maxFlood);
+    }
+}
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds pollInterval{2};
 constexpr std::uint64_t brokenEvent = 2; //!< Position of the incomplete event of Behaviour::BreakMidEvent.
 constexpr std::size_t brokenEventBytes = 8;
+constexpr std::size_t floodBlockBytes = 64UL * 1024;
+constexpr std::size_t maxFloodBytes = 256UL * 1024 * 1024; //!< Ends an endless answer whose connection is never closed.
 
 std::string chunk(const std::string &text)
 {
@@ -198,6 +200,33 @@
     return send(socket, this->head(request, "Content-Length: 4") + "late");
 }
 
+std::size_t StandinEndpoint::closedFloodCount() const
+{
+    return this->closedFloods;
+}
+
+std::size_t StandinEndpoint::largestFlood() const
+{
+    return this->largestFloodBytes;
+}
+
+bool StandinEndpoint::flood(tcp::socket &socket, const std::string &start, const std::string &filler)
+{
+    std::string block;
+    while (block.size() < floodBlockBytes) {
+        block += filler;
+    }
+    std::size_t sent = 0;
+    bool open = send(socket, start);
+    while (open && !this->stopping && sent < maxFloodBytes) {
+        open = send(socket, block);
+        sent += block.size();
+    }
+    this->largestFloodBytes = std::max(this->largestFloodBytes.load(), sent);
+    this->closedFloods += open ? 0 : 1;
+    return false;
+}
+
 bool StandinEndpoint::answer(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour)
 {
     switch (behaviour) {
@@ -217,6 +246,16 @@
         other.headers = {{"Oleandergate-Request-Id", "another"}};
         return send(socket, this->head(request, "Content-Length: 5") + "right" + this->head(other, "Content-Length: 5") + "wrong");
     }
+    case Behaviour::EndlessHead:
+        return this->flood(socket, "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n");
+    case Behaviour::EndlessUnsignedBody:
+        return this->flood(socket, "HTTP/1.1 200 OK\r\n\r\n", "filler");
+    case Behaviour::EndlessBody:
+        return this->flood(socket, this->head(request, "Connection: close"), "filler");
+    case Behaviour::EndlessEvent:
+        return this->flood(socket, this->head(request, "Content-Type: text/event-stream\r\nConnection: close") + "data: ", "filler");
+    case Behaviour::EndlessChunkHead:
+        return this->flood(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") + "5;", "filler");
     case Behaviour::Slow:
         return this->answerSlowly(socket, request);
     case Behaviour::Normal:
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -26,6 +26,11 @@
     FullWithoutStatement, //!< Status 503 without the statement that the request did not run.
     ExtraAnswer, //!< A second answer, to another request, follows the first.
     BreakMidEvent, //!< Ends a stream inside its third event.
+    EndlessHead, //!< Header fields without end, until the connection is closed.
+    EndlessUnsignedBody, //!< A head without identifier and signature, then bytes without end.
+    EndlessBody, //!< A valid head, then bytes without end.
+    EndlessEvent, //!< The head of a stream, then one event without end.
+    EndlessChunkHead, //!< The head of a stream, then the head of one chunk without end.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
 };
 
@@ -58,6 +63,10 @@
     //! Returns how many requests with Behaviour::Slow ended because their connection was closed.
     std::size_t abandonedCount() const;
 
+    //! Returns how many endless answers ended because their connection was closed, and the size of the largest one in bytes.
+    std::size_t closedFloodCount() const;
+    std::size_t largestFlood() const;
+
     //! Answers all requests with Behaviour::Slow, pending and future.
     void release();
 
@@ -67,6 +76,7 @@
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
     bool answer(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour);
+    bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     Behaviour nextBehaviour();
@@ -82,6 +92,8 @@
     std::atomic<bool> stopping{false};
     std::atomic<bool> released{false};
     std::atomic<std::size_t> abandoned{0};
+    std::atomic<std::size_t> closedFloods{0};
+    std::atomic<std::size_t> largestFloodBytes{0};
     std::thread acceptThread;
 };
 
