Gateways leave the queue at the crest of a burst to the endpoints

Cause: a gateway placed a call only at an endpoint whose count was below its slots, and waited up to 1 s for the one with the call's cached prefix. Both go by counts of other gateways that are 50 to 950 ms old, so calls were held back for places that were free. The class: admission by a stale view where the owner of the resource has an exact queue.

Change: the policy of gateways, now in a file of its own, counts an endpoint as full at three calls per slot and does not wait for a prefix; the estimate already weighs the prefix against the calls beside it. The endpoint's queue orders calls by their route's priority.

--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -1,35 +1,8 @@
 #include "gateway/poolset.h"
 
-namespace oleandergate {
+#include "gateway/gatewaypolicy.h"
 
-namespace {
-
-//! Load added to endpoints in other failure domains, as traffic between domains costs money and time. It equals about two
-//! more calls at a local endpoint with the usual 6 or 16 slots.
-constexpr double serviceRemotePenalty = 0.34;
-constexpr double engineRemotePenalty = 0.15;
-
-//! How much earlier the deadline of a program counts for each step of its route's priority.
-constexpr Duration priorityStep = std::chrono::milliseconds(250);
-constexpr Duration remoteDelay = std::chrono::milliseconds(10);
-
-PolicyOptions policyOf(const GatewayService &service)
-{
-    PolicyOptions options;
-    options.admissionControl = false;
-    options.preempt = false;
-    options.migrate = false;
-    options.order = QueueOrder::Deadline;
-    options.priorityStep = priorityStep;
-    options.remoteLoadPenalty = service.isEngine ? engineRemotePenalty : serviceRemotePenalty;
-    options.remoteDelay = remoteDelay;
-    if (!service.isEngine) {
-        options.placement = PlacementRule::LeastOutstanding;
-    }
-    return options;
-}
-
-} // namespace
+namespace oleandergate {
 
 PoolSet::PoolSet(Duration reregistrationTimeout, std::string domain, std::uint64_t seed)
     : catalog(reregistrationTimeout)
@@ -46,7 +19,7 @@
     });
     for (const auto &[name, service] : active.services) {
         if (!this->pools.contains(name)) {
-            this->pools[name] = std::make_shared<ServicePool>(policyOf(service), this->domain, this->seed);
+            this->pools[name] = std::make_shared<ServicePool>(gatewayPolicyFor(service), this->domain, this->seed);
             this->refresh(name, now);
         }
     }
