One limit of unparsed bytes for HTTP client and server; an answer's head is judged once

Change: the constant stands in runtime/unparsedbytes.h; the head is judged with the first chunk. Behaviour is unchanged.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -89,7 +89,8 @@
 
 bool EndpointSend::collect(const HttpResponse &head, const std::string &chunk)
 {
-    if (this->classifyAnswer(head, this->rejection) == SendOutcome::Broken) {
+    // The head is the same for all chunks.
+    if (this->collected.empty() && this->classifyAnswer(head, this->rejection) == SendOutcome::Broken) {
         return false;
     }
     if (this->collected.size() + chunk.size() > maxAnswerBytes) {
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -4,6 +4,7 @@
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
 #include "runtime/connectionpool.h"
+#include "runtime/unparsedbytes.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -46,10 +47,6 @@
 //! Largest number of responses to other requests that a call skips.
 constexpr int maxSkippedResponses = 4;
 
-//! Largest number of bytes that are received but not parsed yet. Bounds what a chunk head without end takes; the parser itself
-//! bounds heads of responses.
-constexpr std::size_t maxUnparsedBytes = 256UL * 1024;
-
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/unparsedbytes.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -21,9 +22,6 @@
 
 namespace {
 
-//! Largest number of bytes beyond a head that are received but not parsed yet; bounds what a chunk head without end takes.
-constexpr std::size_t maxUnparsedBytes = 256UL * 1024;
-
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds writeTimeout{30};
 constexpr std::chrono::milliseconds acceptRetryDelay{20};
