PeerTable::reportsToAll() is private

Cause: it became public while the rule who gets a report moved into the peer table; only nextTargets() and updateReportPeriod() call it. Change: declared private. Behaviour is unchanged.

--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -35,9 +35,6 @@
     //! Updates the time within which every live peer sends a report, for reports that are sent every \p interval.
     void updateReportPeriod(Duration interval);
 
-    //! Returns true when there are so few peers that each report goes to all of them.
-    bool reportsToAll() const;
-
     //! Processes a report. Returns false when it is not newer than the latest one of its sender, or is this instance's own.
     bool onReport(const PeerReport &report, Time now);
 
@@ -92,6 +89,9 @@
         Time receivedAt{};
     };
 
+    //! Returns true when there are so few peers that each report goes to all of them.
+    bool reportsToAll() const;
+
     //! Appends up to \p count of \p addresses that are not among \p targets yet, starting at \p position, and moves it on.
     static void addInRotation(const std::vector<std::string> &addresses, std::size_t count, std::size_t &position, std::vector<std::string> &targets);
 
