Request lines state how an endpoint's answer ended

Callers got short streams that were framed as complete, logged as streamed without a detail. Whether the endpoint's answer ended with its connection or by its framing, and whether bytes of an unfinished event were left, was not in the logs. Both are now in each 'request ended'. Forwarding is unchanged.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -198,6 +198,8 @@
     }
     SendResult result;
     result.report.endpoint = endpoint.id;
+    result.endedWithConnection = outcome.value().endsWithConnection;
+    result.unfinishedBytes = this->splitter.pendingSize();
     if (this->streaming) {
         // Bytes after the last event, such as a comment, are part of the answer.
         const bool delivered = co_await this->deliver(this->splitter.takeRest());
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -32,6 +32,8 @@
     SendReport report{};
     std::optional<HttpResponse> answer{}; //!< A complete answer that was not forwarded as a stream.
     bool streamed = false; //!< The stream was forwarded to its end.
+    bool endedWithConnection = false; //!< The answer had neither a length nor chunks.
+    std::size_t unfinishedBytes = 0; //!< Bytes of a stream behind its last whole event.
     std::string detail{};
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -74,6 +74,8 @@
     std::optional<RetryPlan> retries{};
     std::optional<HttpResponse> answer{};
     bool streamed = false;
+    bool endedWithConnection = false; //!< The latest answer had neither a length nor chunks.
+    std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
     std::optional<Error> lastError{};
     std::optional<Placement> placement{}; //!< The latest one.
     std::uint32_t sends = 0;
@@ -246,6 +248,8 @@
     }
     context.answer = std::move(result.answer);
     context.streamed = result.streamed;
+    context.endedWithConnection = result.endedWithConnection;
+    context.unfinishedBytes = result.unfinishedBytes;
     co_return next;
 }
 
@@ -331,6 +335,8 @@
                {"status", std::to_string(context.status)},
                {"sends", std::to_string(context.sends)},
                {"events", std::to_string(context.progress.events)},
+               {"ended_by", context.endedWithConnection ? std::string("connection") : std::string("framing")},
+               {"unfinished_bytes", std::to_string(context.unfinishedBytes)},
                {"waited_ms", milliseconds(context.waited)},
                {"took_ms", milliseconds(now - context.arrived)},
                {"detail", failed && context.lastError ? context.lastError->detail : std::string()}});
--- a/src/runtime/httpmessage.h
+++ b/src/runtime/httpmessage.h
@@ -39,6 +39,7 @@
     std::string contentType = "application/json";
     std::string body{};
     std::vector<HttpHeader> headers{};
+    bool endsWithConnection = false; //!< Received with neither a length nor chunks: the body lasts until its connection ends.
 
     //! Returns the value of the first header field \p name, ignoring case; empty when there is none.
     std::string header(const std::string &name) const;
