--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -101,11 +101,15 @@
     return true;
 }
 
+bool EndpointSend::isForwardableStream(const HttpResponse &head) const
+{
+    const bool isUnchanged = this->parts.headerCodec.readAnswerMetadata(head).signedByEndpoint && head.header("Content-Encoding").empty();
+    return isEventStream(head) && this->kind == RouteKind::Stream && isUnchanged;
+}
+
 asio::awaitable<bool> EndpointSend::forwardChunk(const HttpResponse &head, std::string chunk)
 {
-    const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(head);
-    const bool isForwardable = metadata.signedByEndpoint && head.header("Content-Encoding").empty();
-    if (!isEventStream(head) || this->kind != RouteKind::Stream || !isForwardable) {
+    if (!this->isForwardableStream(head)) {
         co_return this->collect(head, chunk);
     }
     StreamProgress &progress = this->parts.progress;
@@ -200,6 +204,11 @@
     result.report.endpoint = endpoint.id;
     result.endedWithConnection = outcome.value().endsWithConnection;
     result.unfinishedBytes = this->splitter.pendingSize();
+    if (this->isForwardableStream(outcome.value()) && !this->splitter.isWhole(result.endedWithConnection)) {
+        result.report.outcome = SendOutcome::Broken;
+        result.detail = "the stream ended before it was whole";
+        co_return result;
+    }
     if (this->streaming) {
         // Bytes after the last event, such as a comment, are part of the answer.
         const bool delivered = co_await this->deliver(this->splitter.takeRest());
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -58,6 +58,9 @@
 private:
     HttpCall makeCall(const EndpointSpec &endpoint, int priority, Time deadline, Time now) const;
 
+    //! Returns whether the answer is a stream whose events are forwarded as they arrive.
+    bool isForwardableStream(const HttpResponse &head) const;
+
     //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
 
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -45,6 +45,11 @@
     return rest;
 }
 
+bool EventSplitter::isWhole(bool /*endsWithConnection*/) const
+{
+    return true;
+}
+
 std::size_t EventSplitter::pendingSize() const
 {
     return this->pendingBytes.size();
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -18,6 +18,10 @@
     //! Returns and discards the bytes after the last whole event.
     std::string takeRest();
 
+    //! Returns whether a stream that ends after the bytes fed so far is whole. \p endsWithConnection tells that its answer has neither a length
+    //! nor chunks, so that nothing but the end of the connection ends it.
+    bool isWhole(bool endsWithConnection) const;
+
     //! Returns the number of bytes after the last whole event.
     std::size_t pendingSize() const;
 
