Adds the failing tests for streams whose connection ends before they are whole

On the current code a stream that ends inside an event is delivered with a final chunk, and one without length, chunks and events becomes an empty success: the cases of gateway-unfinished-streams fail. Whole answers without length and chunks are forwarded whole already.

--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -153,6 +153,36 @@
     CHECK(received[1].request.header("Last-Event-Id") == "2");
 }
 
+TEST_CASE("Answers with neither length nor chunks are forwarded whole")
+{
+    ServingCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed, Behaviour::Unframed});
+    const std::optional<HttpResponse> stream = cluster.turn(0, "p", 1000);
+    REQUIRE(stream);
+    CHECK(stream->body == wholeStream());
+    const std::optional<HttpResponse> answer = cluster.call(0, "GET", "/reads/x");
+    REQUIRE(answer);
+    CHECK(answer->body == "right");
+    CHECK(cluster.endpoints[0]->receivedCount() == 2);
+}
+
+// Guards against short streams that reach their caller framed as complete: without length and chunks, a crash of the endpoint looks like the
+// end of its answer.
+TEST_CASE("A stream whose connection ends before it is whole is resumed after the last whole event")
+{
+    ServingCluster cluster(1);
+    for (const Behaviour behaviour : {Behaviour::EndMidEvent, Behaviour::EndBeforeFirstEvent}) {
+        cluster.endpoints[0]->setNextBehaviours({behaviour});
+        const std::optional<HttpResponse> answer = cluster.turn(0, "p", 1000);
+        REQUIRE(answer);
+        CHECK(answer->body == wholeStream());
+    }
+    const std::vector<ReceivedRequest> received = cluster.endpoints[0]->received();
+    REQUIRE(received.size() == 4);
+    CHECK(received[1].request.header("Last-Event-Id") == "2");
+    CHECK(received[3].request.header("Last-Event-Id").empty());
+}
+
 TEST_CASE("An answer to another request is never delivered")
 {
     ServingCluster cluster(1);
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -30,6 +30,11 @@
     return out.str();
 }
 
+std::string unchanged(const std::string &text)
+{
+    return text;
+}
+
 std::string event(std::uint64_t number)
 {
     return "id: " + std::to_string(number) + "\ndata: token " + std::to_string(number) + "\n\n";
@@ -258,24 +263,37 @@
         return this->flood(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") + "5;", "filler");
     case Behaviour::Slow:
         return this->answerSlowly(socket, request);
+    case Behaviour::EndBeforeFirstEvent:
+        send(socket, this->head(request, "Content-Type: text/event-stream\r\nConnection: close"));
+        return false;
     case Behaviour::Normal:
     case Behaviour::BreakMidEvent:
+    case Behaviour::EndMidEvent:
+    case Behaviour::Unframed:
         break;
     }
+    const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed;
     if (request.header("Oleandergate-Token-Counts").empty()) {
-        return send(socket, this->head(request, "Content-Length: 5") + "right");
+        return send(socket, this->head(request, framed ? "Content-Length: 5" : "Connection: close") + "right") && framed;
     }
+    return this->stream(socket, request, behaviour, framed);
+}
+
+bool StandinEndpoint::stream(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed)
+{
     const std::string last = request.header("Last-Event-Id");
     const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
-    send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    send(socket, this->head(request, std::string("Content-Type: text/event-stream\r\n") + (framed ? "Transfer-Encoding: chunked" : "Connection: close")));
+    const auto encode = framed ? chunk : unchanged;
+    const bool breaks = behaviour == Behaviour::BreakMidEvent || behaviour == Behaviour::EndMidEvent;
     for (std::uint64_t number = first; number <= eventCount; ++number) {
-        if (behaviour == Behaviour::BreakMidEvent && number == first + brokenEvent) {
-            send(socket, chunk(event(number).substr(0, brokenEventBytes)));
+        if (breaks && number == first + brokenEvent) {
+            send(socket, encode(event(number).substr(0, brokenEventBytes)));
             return false;
         }
-        send(socket, chunk(event(number)));
+        send(socket, encode(event(number)));
     }
-    return send(socket, "0\r\n\r\n");
+    return framed && send(socket, "0\r\n\r\n");
 }
 
 } // namespace oleandergate::support
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -26,6 +26,9 @@
     FullWithoutStatement, //!< Status 503 without the statement that the request did not run.
     ExtraAnswer, //!< A second answer, to another request, follows the first.
     BreakMidEvent, //!< Ends a stream inside its third event.
+    EndMidEvent, //!< The same in an answer with neither length nor chunks, whose connection ends in order.
+    EndBeforeFirstEvent, //!< The head of a stream with neither length nor chunks, then the connection ends in order.
+    Unframed, //!< A whole answer with neither length nor chunks.
     EndlessHead, //!< Header fields without end, until the connection is closed.
     EndlessUnsignedBody, //!< A head without identifier and signature, then bytes without end.
     EndlessBody, //!< A valid head, then bytes without end.
@@ -76,6 +79,7 @@
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
     bool answer(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour);
+    bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
