An answer with a length or chunks that closes its connection does not count as ended by it

The field ended_by of 'request ended' said connection for framed answers with Connection: close as well.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -156,7 +156,7 @@
     response.status = static_cast<int>(message.result_int());
     response.contentType = std::string(message[http::field::content_type]);
     response.body = message.body();
-    response.endsWithConnection = message.need_eof();
+    response.endsWithConnection = message.need_eof() && !message.has_content_length() && !message.chunked();
     for (const auto &field : message) {
         response.headers.push_back(HttpHeader{std::string(field.name_string()), std::string(field.value())});
     }
