A stream that ends inside an event is broken off, however its answer is framed

Cause: an answer with neither length nor chunks ends with its connection, so the HTTP client reports it complete when the endpoint's side closes in order. The gateway then forwarded the bytes behind the last whole event and ended the caller's stream with a final chunk. The class of the fault is the end of a connection taken for the end of a message.

Evidence: the incident's requests are logged as streamed after one event, beside sends in the same seconds whose connections were reset and which were resumed. The cases listed as gateway-unfinished-streams failed before: a stream cut inside its third event without length and chunks was delivered as whole, one cut behind its head became an empty success.

Change: the event splitter decides whether a stream may end where it does: only comments and blank lines may follow its last whole event, and a stream that nothing but its connection ends has at least one event. Any other end counts as a broken send.

Why it works: a broken send already goes the right way. Whole events are the only bytes that were forwarded, so a resumable stream goes on behind the last of them, and any other one ends without a final chunk.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -206,7 +206,7 @@
     result.unfinishedBytes = this->splitter.pendingSize();
     if (this->isForwardableStream(outcome.value()) && !this->splitter.isWhole(result.endedWithConnection)) {
         result.report.outcome = SendOutcome::Broken;
-        result.detail = "the stream ended before it was whole";
+        result.detail = "the stream ended inside an event or before its first one";
         co_return result;
     }
     if (this->streaming) {
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -22,6 +22,20 @@
     return std::string_view::npos;
 }
 
+//! Returns whether \p rest, the bytes after the last whole event, are comments and blank lines only.
+bool endsBetweenEvents(std::string_view rest)
+{
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        const bool isIgnored = rest.starts_with(":") || rest.starts_with("\n") || rest.starts_with("\r\n");
+        if (end == std::string_view::npos || !isIgnored) {
+            return false;
+        }
+        rest.remove_prefix(end + 1);
+    }
+    return true;
+}
+
 } // namespace
 
 std::string EventSplitter::feed(const std::string &bytes)
@@ -45,9 +59,11 @@
     return rest;
 }
 
-bool EventSplitter::isWhole(bool /*endsWithConnection*/) const
+bool EventSplitter::isWhole(bool endsWithConnection) const
 {
-    return true;
+    // An answer that only the end of its connection ends may have been cut behind its head.
+    const bool mayBeEmpty = !endsWithConnection;
+    return endsBetweenEvents(this->pendingBytes) && (mayBeEmpty || this->events > 0);
 }
 
 std::size_t EventSplitter::pendingSize() const
