A response that ends with its connection is an error wherever no endpoint sent it

An answer of the store without length and chunks that is cut inside its document was complete for the HTTP client, its document did not parse, and an empty document counted as an empty range: no endpoints, no configuration.

Change: a call states whether its response may end with its connection. Requests of callers to engines and tools state so; store, instance list, load and cache queries and the operator's command line do not and get an error, as after any other broken response.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -71,6 +71,7 @@
     out.maxIdleAge = this->kind == RouteKind::Idempotent ? out.maxIdleAge : maxIdleForSingleSend;
     out.resendOnStale = this->kind == RouteKind::Idempotent;
     out.cancellation = this->cancellation;
+    out.mayEndWithConnection = true;
     out.collectBody = false;
     return out;
 }
--- a/src/runtime/callsender.cpp
+++ b/src/runtime/callsender.cpp
@@ -101,6 +101,7 @@
     call.address = placement.endpoint.address;
     call.method = "POST";
     call.target = dispatched.request.path;
+    call.mayEndWithConnection = true;
     call.cancellation = dispatched.cancellation;
     call.maySend = [this, id = dispatched.call]() {
         return this->programs.mayStillSend(id);
@@ -231,6 +232,7 @@
         HttpCall call;
         call.address = placement.endpoint.address;
         call.target = config.outcomePath + dispatched->request.requestId;
+        call.mayEndWithConnection = true;
         call.idleTimeout = config.timeout;
         const HttpOutcome outcome = co_await this->client.send(std::move(call), Step::Stream);
         if (outcome && outcome.value().status == statusOk) {
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -263,6 +263,11 @@
             head = toResponse(parser.get());
             head.body.clear();
             accepted = !call.accepts || call.accepts(head);
+            if (head.endsWithConnection && !call.mayEndWithConnection) {
+                HttpFailure unframed = failure(ErrorCode::EndpointGarbled, step, call, false, "the response has neither a length nor chunks");
+                unframed.responseStarted = accepted;
+                co_return unframed;
+            }
         }
         if (headReceived && accepted) {
             const bool wanted = co_await deliverBody(call, head, parser, deliveredBytes);
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -34,6 +34,7 @@
     Duration maxIdleAge = std::chrono::seconds(60); //!< Idle connections are reused only up to this age.
     bool resendOnStale = true; //!< Send again when a reused connection fails. Off for requests that must not be sent twice.
     std::optional<Time> deadline{}; //!< Time by which the response has to be complete.
+    bool mayEndWithConnection = false; //!< Accept a response with neither a length nor chunks, which cannot be told from a cut one.
     bool collectBody = true; //!< Keep the whole body for the returned response. Off for endless streams.
     std::function<void(int status, std::string_view chunk)> onBodyChunk{}; //!< Called with each part of the body as it arrives.
     std::function<bool()> maySend{}; //!< Called just before the request is written; if it returns false, the request is not sent.
