A stream without events gets the head of its response

A whole stream of comments alone was forwarded as chunks without the head before them, so its caller received bytes that are no response. The head is now sent by the function that sends the bytes, so neither path can pass it over.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -76,12 +76,20 @@
     return out;
 }
 
-asio::awaitable<bool> EndpointSend::deliver(std::string events)
+asio::awaitable<bool> EndpointSend::deliver(const HttpResponse &head, std::string events)
 {
-    if (events.empty()) {
-        co_return true;
+    bool sent = true;
+    if (!this->parts.progress.headSent) {
+        this->parts.progress.headSent = true;
+        HttpResponse start;
+        start.status = head.status;
+        start.contentType.clear();
+        start.headers = endToEndHeaders(head.headers);
+        sent = co_await this->parts.exchange.startStream(std::move(start));
+    }
+    if (sent && !events.empty()) {
+        sent = co_await this->parts.exchange.sendChunk(std::move(events));
     }
-    const bool sent = co_await this->parts.exchange.sendChunk(std::move(events));
     if (!sent) {
         this->parts.progress.callerDisconnected = true;
     }
@@ -124,23 +132,11 @@
     if (events.empty()) {
         co_return true;
     }
-    if (!progress.headSent) {
-        progress.headSent = true;
-        HttpResponse start;
-        start.status = head.status;
-        start.contentType.clear();
-        start.headers = endToEndHeaders(head.headers);
-        const bool started = co_await this->parts.exchange.startStream(std::move(start));
-        if (!started) {
-            progress.callerDisconnected = true;
-            co_return false;
-        }
-    }
     const std::uint64_t count = this->splitter.eventCount() - before;
     progress.events += count;
     progress.lastEvent = this->splitter.lastId() ? this->splitter.lastId() : progress.lastEvent;
     this->parts.onEvents(count);
-    co_return co_await this->deliver(std::move(events));
+    co_return co_await this->deliver(head, std::move(events));
 }
 
 SendOutcome EndpointSend::classifyAnswer(const HttpResponse &answer, std::string &detail) const
@@ -212,7 +208,7 @@
     }
     if (this->streaming) {
         // Bytes after the last event, such as a comment, are part of the answer.
-        const bool delivered = co_await this->deliver(this->splitter.takeRest());
+        const bool delivered = co_await this->deliver(outcome.value(), this->splitter.takeRest());
         result.report.outcome = delivered ? SendOutcome::Answered : SendOutcome::CallerLeft;
         result.streamed = delivered;
         co_return result;
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -66,7 +66,9 @@
 
     //! Keeps a chunk of an answer that is no stream. Returns false when the answer will not be delivered.
     bool collect(const HttpResponse &head, const std::string &chunk);
-    boost::asio::awaitable<bool> deliver(std::string events);
+
+    //! Sends the caller \p events, behind the head of the response if that has not been sent yet. Returns false when the caller has disconnected.
+    boost::asio::awaitable<bool> deliver(const HttpResponse &head, std::string events);
     SendOutcome classifyAnswer(const HttpResponse &answer, std::string &detail) const;
     SendResult resultOfFailure(const EndpointSpec &endpoint, const HttpFailure &failure, Time deadline, Time now) const;
 
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -166,6 +166,17 @@
     CHECK(cluster.endpoints[0]->receivedCount() == 2);
 }
 
+// Guards against chunks that precede the head of their response.
+TEST_CASE("A stream without events is forwarded as one")
+{
+    ServingCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::OnlyComment});
+    const std::optional<HttpResponse> answer = cluster.turn(0, "p", 1000);
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == ": none\n");
+}
+
 // Guards against short streams that reach their caller framed as complete: without length and chunks, a crash of the endpoint looks like the
 // end of its answer.
 TEST_CASE("A stream whose connection ends before it is whole is resumed after the last whole event")
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -28,6 +28,7 @@
     BreakMidEvent, //!< Ends a stream inside its third event.
     EndMidEvent, //!< The same in an answer with neither length nor chunks, whose connection ends in order.
     EndBeforeFirstEvent, //!< The head of a stream with neither length nor chunks, then the connection ends in order.
+    OnlyComment, //!< A stream of one comment and no event.
     Unframed, //!< A whole answer with neither length nor chunks.
     EndlessHead, //!< Header fields without end, until the connection is closed.
     EndlessUnsignedBody, //!< A head without identifier and signature, then bytes without end.
