Logs name a request over all its attempts, and say whether the endpoint behind a broken send has ended

Logs named only single attempts, and a broken send looked the same whether its endpoint had ended or had only closed a connection. A hash of method, host, path and body is now in each 'request ended' and each broken send, and a broken send is followed by one connection to its endpoint, kept for the next call, whose outcome is logged as endpoint_listens.

--- a/src/decision/ids.h
+++ b/src/decision/ids.h
@@ -21,6 +21,9 @@
 //! Number of a journal commit, unique within one instance.
 using CommitId = std::uint64_t;
 
+//! Hash of what a request keeps when its caller sends it again.
+using RequestFingerprint = std::uint64_t;
+
 //! Price in millionths of a unit of the operator's currency.
 using MicroUnits = std::int64_t;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -27,6 +27,9 @@
 //! Retry-After while this instance shuts down: a new connection reaches another instance, so callers may retry almost at once.
 constexpr Duration otherInstanceRetryAfter = std::chrono::milliseconds(20);
 
+//! Longest time that a request waits to learn whether the endpoint that broke its connection still listens.
+constexpr Duration probeTimeout = std::chrono::milliseconds(100);
+
 //! Outcomes of requests that ended without an error code.
 constexpr const char *streamedOutcome = "streamed";
 constexpr const char *answeredOutcome = "answered";
@@ -45,6 +48,13 @@
     return out;
 }
 
+std::string hexadecimal(RequestFingerprint fingerprint)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
+    return text.data();
+}
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
@@ -65,6 +75,7 @@
     Time arrived;
     Time deadline{};
     RelayCall call{};
+    RequestFingerprint fingerprint = 0;
     std::shared_ptr<const ActiveGatewayConfiguration> active{};
     const Route *route = nullptr;
     const GatewayService *service = nullptr;
@@ -111,6 +122,7 @@
         co_await this->refuse(context, decoded.error());
     } else {
         context.call = std::move(decoded.value());
+        context.fingerprint = fingerprintOf(context.call);
         co_await this->serve(context);
     }
     this->recordOutcome(context);
@@ -226,6 +238,11 @@
                       context.cancellation);
     const int endpointPriority = std::min(lowestPriority, context.route->rank);
     SendResult result = co_await send.run(endpoint, endpointPriority, context.deadline, currentTime());
+    // A broken connection alone does not tell whether its endpoint has ended.
+    Listening listening = Listening::Unknown;
+    if (result.report.outcome == SendOutcome::Broken) {
+        listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
+    }
     const bool healthy
         = result.report.outcome == SendOutcome::Answered || result.report.outcome == SendOutcome::Refused || result.report.outcome == SendOutcome::CallerLeft;
     context.pool->finish(id, healthy, currentTime());
@@ -238,7 +255,9 @@
                   {{"request", context.call.requestId},
                    {"endpoint", endpoint.id},
                    {"address", endpoint.address},
+                   {"fingerprint", hexadecimal(context.fingerprint)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
+                   {"endpoint_listens", std::string(nameIn(listeningNames, listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
                    {"events", std::to_string(context.progress.events)},
                    {"left_ms", milliseconds(context.deadline - currentTime())},
@@ -322,6 +341,7 @@
               "relay",
               "request ended",
               {{"request", context.call.requestId},
+               {"fingerprint", hexadecimal(context.fingerprint)},
                {"program", context.call.program ? context.call.program->program : std::string()},
                {"route", route},
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -38,6 +38,10 @@
     std::vector<PromptPart> promptParts{}; //!< In order; empty when the caller does not name them.
 };
 
+//! Returns the hash of method, host, target and body, which stay the same in every attempt of a request. Identifiers, programs and other header
+//! fields are new in each.
+RequestFingerprint fingerprintOf(const RelayCall &call);
+
 //! What the gateway adds to a call for the endpoint.
 struct ForwardingOptions
 {
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -385,6 +385,19 @@
     co_return outcome;
 }
 
+asio::awaitable<Listening> probeConnection(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, HttpCall call)
+{
+    const std::optional<HttpFailure> failed = co_await connect(*core, connection, call, Step::Send);
+    if (failed) {
+        co_return failed->connectionRefused ? Listening::No : Listening::Unknown;
+    }
+    connection->stream.expires_never();
+    connection->established = true;
+    connection->idleSince = currentTime();
+    core->idleConnections.release(call.address, connection);
+    co_return Listening::Yes;
+}
+
 } // namespace
 
 HttpClient::HttpClient(asio::io_context &context)
@@ -432,4 +445,17 @@
     co_return std::move(*second);
 }
 
+asio::awaitable<Listening> HttpClient::probe(std::string address, Duration timeout)
+{
+    const std::shared_ptr<Core> shared = this->core;
+    const ConnectionPointer connection = shared->create(address);
+    if (!connection) {
+        co_return Listening::Unknown;
+    }
+    HttpCall call;
+    call.address = std::move(address);
+    call.connectTimeout = timeout;
+    co_return co_await asio::co_spawn(connection->stream.get_executor(), probeConnection(shared, connection, std::move(call)), asio::use_awaitable);
+}
+
 } // namespace oleandergate
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -3,6 +3,7 @@
 
 #include "decision/error.h"
 #include "runtime/httpmessage.h"
+#include "runtime/listening.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -74,6 +75,9 @@
     //! Sends \p call and waits for the response. \p step is the step that errors report.
     boost::asio::awaitable<HttpOutcome> send(HttpCall call, Step step);
 
+    //! Opens a connection to \p address within \p timeout and keeps it for the next call. Returns whether a process listens there.
+    boost::asio::awaitable<Listening> probe(std::string address, Duration timeout);
+
     //! State shared with running connections.
     struct Core;
 
