The crash history finds requests that end each endpoint that runs them

The decision alone; nothing asks it yet, so callers see no change.

Many requests run at an endpoint when it ends, and one of them may be the cause. What tells it from the others is that it never completes: a complete run anywhere clears a request. Crashes count one after the other, so endpoints that end together under copies of a popular request count once. A suspect runs at one endpoint at a time over all instances. After two crashes it runs isolated, later than others of the same crash, and the next crash there counts for it alone. After three it is refused, for ten minutes; then it may run once more.

--- a/src/decision/crashhistory.h
+++ b/src/decision/crashhistory.h
@@ -5,7 +5,7 @@
 #include "decision/runadmission.h"
 #include "decision/suspectrun.h"
 
-#include <optional>
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -16,7 +16,7 @@
 //!
 //! A request that causes crashes never completes, so a complete run anywhere clears its request. Crashes count only one after the other:
 //! endpoints that end together, under copies of a popular request, count once. Instances exchange their records, so that each of them
-//! decides by the crashes that all have seen.
+//! decides by the crashes that all have seen. A request with two crashes runs isolated, and the next crash there counts for it alone.
 //!
 //! Bounded in memory. Not thread-safe.
 class CrashHistory
@@ -45,7 +45,7 @@
     //! Merges a record of another instance.
     void merge(const CrashRecord &record, Time now);
 
-    //! Replaces the runs of suspects that \p instance reported. They count until \ref remoteRunTimeout after the latest report.
+    //! Replaces the runs of suspects that \p instance reported. They count until about a second after the latest report.
     void setRemoteRuns(const InstanceId &instance, const std::vector<SuspectRun> &runs, Time now);
 
     //! Returns up to \p count records to report next: those that changed lately, then the others in rotation.
@@ -66,7 +66,37 @@
     std::size_t recordCount() const;
 
 private:
+    struct Entry
+    {
+        CrashRecord record{};
+        std::uint32_t newsLeft = 0; //!< Number of reports that are still to name a change of the record.
+    };
+
+    struct RemoteRuns
+    {
+        std::vector<SuspectRun> runs{};
+        Time reportedAt{};
+    };
+
+    //! Returns the record of a request that is a suspect, else nullptr.
+    const CrashRecord *suspicionOf(RequestFingerprint request, Time now) const;
+
+    //! Returns true when a run of the request is under way at this instance or at another one.
+    bool isRunning(RequestFingerprint request, Time now) const;
+
+    //! Returns true when the crash of \p endpoint is put down to an isolated run there.
+    bool isExplained(std::uint32_t endpoint, Time now) const;
+    void removeRun(RequestFingerprint request, std::uint32_t endpoint);
+
+    //! Returns the entry of the request; a new one may displace the least suspect.
+    Entry &entryFor(RequestFingerprint request);
+
     std::size_t maxRecords;
+    std::map<RequestFingerprint, Entry> entries;
+    std::unordered_multimap<RequestFingerprint, std::uint32_t> ownRuns; //!< Endpoints of the runs under way at this instance.
+    std::map<InstanceId, RemoteRuns> remoteRuns;
+    std::map<std::uint32_t, Time> crashedIsolated; //!< Endpoints that ended under an isolated run, with the time.
+    RequestFingerprint lastReported = 0; //!< Position of the rotation in \ref nextReport().
 };
 
 } // namespace oleandergate
