Gateways ask the crash history before each run and exchange it

Callers saw a third of all requests served while one request came again and again: each broken send moved it to the next endpoint, which ended as well, and with it the streams of all that ran there.

Change: a gateway asks before each send whether the request may run. A suspect waits while another run of it is under way, runs at the least loaded endpoint, which others leave alone, and is refused after three crashes: 503 with the time until it may run once more where it has not run in this attempt, 502 where it has. Instances exchange records and runs under way beside their load reports, in datagrams of their own that older builds ignore. A crash is a broken send whose endpoint refuses connections afterwards; such a send goes elsewhere at once instead of to the same endpoint. Logs: one line a crash, a clearance, a peer's news of two crashes or more; refused requests end with crashes_endpoints. Metrics: runs crashed, suspects cleared, records.

Evidence: unit 113 of 113, gateway 43 of 43.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -197,7 +197,8 @@
 bool Dispatcher::waitsForPrefix(const Waiting &waiting, std::size_t endpoint, Time now) const
 {
     const auto program = this->programs.find(waiting.call.program);
-    if (this->options.placement != PlacementRule::Estimated || program == this->programs.end() || now > waiting.queuedAt + this->options.maxAffinityWait) {
+    if (waiting.call.isolated || this->options.placement != PlacementRule::Estimated || program == this->programs.end()
+        || now > waiting.queuedAt + this->options.maxAffinityWait) {
         return false;
     }
     const auto cache = program->second.caches.find(waiting.call.branch);
@@ -236,7 +237,8 @@
         const std::optional<std::size_t> index = this->endpoints.indexOf(waiting.call.requiredEndpoint);
         return index && this->endpoints.at(*index).listed ? *index : noEndpoint;
     }
-    switch (this->options.placement) {
+    const PlacementRule rule = waiting.call.isolated ? PlacementRule::LeastOutstanding : this->options.placement;
+    switch (rule) {
     case PlacementRule::RoundRobin:
         for (std::size_t tried = 0; tried < this->endpoints.size(); ++tried) {
             const std::size_t index = this->roundRobin++ % this->endpoints.size();
--- a/src/decision/queuedcall.h
+++ b/src/decision/queuedcall.h
@@ -32,6 +32,7 @@
     Time deadline{}; //!< Deadline of this call.
     Time programDeadline{};
     EndpointId requiredEndpoint{}; //!< The only endpoint that may serve the call, even when it is full; empty for any.
+    bool isolated = false; //!< Goes to the endpoint with the least load, whatever that has cached.
     std::set<EndpointId> avoid{}; //!< Endpoints at which an attempt failed.
 };
 
--- /dev/null
+++ b/src/gateway/crashregistry.cpp
@@ -0,0 +1,182 @@
+#include "gateway/crashregistry.h"
+
+#include "gateway/endpointhash.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+#include <array>
+
+namespace oleandergate {
+
+namespace {
+
+//! Records and runs in one report, which then has less than 1,000 bytes.
+constexpr std::size_t recordsPerReport = 16;
+constexpr std::size_t runsPerReport = 16;
+
+//! From so many crashes on, what a peer reports of a request is logged: each ordinary crash makes suspects of all that ran there.
+constexpr std::uint32_t minLoggedCrashes = 2;
+
+std::uint64_t ageOf(Time time, Time now)
+{
+    return static_cast<std::uint64_t>(std::max(Duration::zero(), now - time).count());
+}
+
+} // namespace
+
+std::string fingerprintText(RequestFingerprint fingerprint)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
+    return text.data();
+}
+
+CrashRegistry::CrashRegistry(Metrics &metrics)
+    : crashes(metrics.counter("oleandergate_runs_crashed_total"))
+    , cleared(metrics.counter("oleandergate_crash_suspects_cleared_total"))
+{
+}
+
+RunAdmission CrashRegistry::admit(RequestFingerprint request, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->history.admit(request, now);
+}
+
+RunAdmission CrashRegistry::begin(RequestFingerprint request, const EndpointId &endpoint, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const RunAdmission admission = this->history.admit(request, now);
+    if (admission.verdict == RunVerdict::Allowed || admission.verdict == RunVerdict::AllowedIsolated) {
+        this->history.onStarted(request, endpointHash(endpoint), now);
+    }
+    return admission;
+}
+
+void CrashRegistry::endWithCrash(RequestFingerprint request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId)
+{
+    RunAdmission admission;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->history.onCrashed(request, endpointHash(endpoint), startedAt, now);
+        admission = this->history.admit(request, now);
+    }
+    this->crashes.add();
+    logRecord(LogLevel::Info,
+              "crashes",
+              "an endpoint ended under a request",
+              {{"request", requestId},
+               {"fingerprint", fingerprintText(request)},
+               {"endpoint", endpoint},
+               {"ran_ms", std::to_string(std::chrono::round<std::chrono::milliseconds>(now - startedAt).count())},
+               {"crashes", std::to_string(admission.crashes)},
+               {"next_run", std::string(nameIn(runVerdictNames, admission.verdict))}});
+}
+
+void CrashRegistry::endWithAnswer(RequestFingerprint request, const EndpointId &endpoint, Time now)
+{
+    bool wasSuspect = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        wasSuspect = this->history.onCompleted(request, endpointHash(endpoint), now);
+    }
+    if (wasSuspect) {
+        this->cleared.add();
+        logRecord(LogLevel::Info, "crashes", "a complete run cleared a request", {{"fingerprint", fingerprintText(request)}, {"endpoint", endpoint}});
+    }
+}
+
+void CrashRegistry::endWithoutAnswer(RequestFingerprint request, const EndpointId &endpoint)
+{
+    const std::lock_guard lock(this->mutex);
+    this->history.onAbandoned(request, endpointHash(endpoint));
+}
+
+std::set<EndpointId> CrashRegistry::isolatedAmong(const std::vector<EndpointId> &endpoints, Time now) const
+{
+    std::set<std::uint32_t> isolated;
+    {
+        const std::lock_guard lock(this->mutex);
+        isolated = this->history.isolatedEndpoints(now);
+    }
+    std::set<EndpointId> found;
+    for (const EndpointId &endpoint : endpoints) {
+        if (isolated.contains(endpointHash(endpoint))) {
+            found.insert(endpoint);
+        }
+    }
+    return found;
+}
+
+bool CrashRegistry::hasIsolatedRuns(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return !this->history.isolatedEndpoints(now).empty();
+}
+
+CrashReport CrashRegistry::nextReport(const InstanceId &self, Time now)
+{
+    CrashReport report;
+    report.instance = self;
+    const std::lock_guard lock(this->mutex);
+    for (const CrashRecord &record : this->history.nextReport(recordsPerReport)) {
+        ReportedCrashRecord reported{record.request, record.crashes, ageOf(record.lastCrash, now), std::nullopt};
+        if (record.lastCompletion != Time{}) {
+            reported.completionAge = ageOf(record.lastCompletion, now);
+        }
+        report.records.push_back(reported);
+    }
+    report.runs = this->history.suspectRuns(runsPerReport);
+    return report;
+}
+
+bool CrashRegistry::hasNews() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->history.hasNews() || !this->history.suspectRuns(1).empty();
+}
+
+void CrashRegistry::onReport(const CrashReport &report, Time now)
+{
+    for (const ReportedCrashRecord &reported : report.records) {
+        CrashRecord record{reported.request, reported.crashes, now - Duration(static_cast<std::int64_t>(reported.crashAge))};
+        if (reported.completionAge) {
+            record.lastCompletion = now - Duration(static_cast<std::int64_t>(*reported.completionAge));
+        }
+        RunAdmission before;
+        RunAdmission after;
+        {
+            const std::lock_guard lock(this->mutex);
+            before = this->history.admit(reported.request, now);
+            this->history.merge(record, now);
+            after = this->history.admit(reported.request, now);
+        }
+        if (after.crashes != before.crashes && std::max(before.crashes, after.crashes) >= minLoggedCrashes) {
+            logRecord(LogLevel::Info,
+                      "crashes",
+                      "a peer reported crashes of a request",
+                      {{"fingerprint", fingerprintText(reported.request)},
+                       {"peer", report.instance},
+                       {"crashes_before", std::to_string(before.crashes)},
+                       {"crashes", std::to_string(after.crashes)},
+                       {"age_ms", std::to_string(std::chrono::round<std::chrono::milliseconds>(after.sinceLastCrash).count())},
+                       {"next_run", std::string(nameIn(runVerdictNames, after.verdict))}});
+        }
+    }
+    const std::lock_guard lock(this->mutex);
+    this->history.setRemoteRuns(report.instance, report.runs, now);
+}
+
+void CrashRegistry::expire(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->history.expire(now);
+}
+
+std::size_t CrashRegistry::recordCount() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->history.recordCount();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/crashregistry.h
@@ -0,0 +1,65 @@
+#ifndef OLEANDERGATE_GATEWAY_CRASHREGISTRY_H
+#define OLEANDERGATE_GATEWAY_CRASHREGISTRY_H
+
+#include "decision/crashhistory.h"
+#include "wire/crashreport.h"
+
+#include <mutex>
+#include <string>
+
+namespace oleandergate {
+
+class Counter;
+class Metrics;
+
+//! The crash history of this instance, shared by its requests and its reports; logs what changes it. Thread-safe.
+class CrashRegistry
+{
+public:
+    explicit CrashRegistry(Metrics &metrics);
+
+    //! Decides whether a request may run now.
+    RunAdmission admit(RequestFingerprint request, Time now) const;
+
+    //! Decides once more, and records a run at \p endpoint unless the verdict is to wait or to refuse. Such a run has to be ended by one of the
+    //! next three functions.
+    RunAdmission begin(RequestFingerprint request, const EndpointId &endpoint, Time now);
+
+    //! Ends a run that began at \p startedAt and whose endpoint ended. \p requestId is the attempt's identifier, for the log.
+    void endWithCrash(RequestFingerprint request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId);
+
+    //! Ends a run with an answer.
+    void endWithAnswer(RequestFingerprint request, const EndpointId &endpoint, Time now);
+
+    //! Ends a run without an answer, whose endpoint goes on or which did not take place.
+    void endWithoutAnswer(RequestFingerprint request, const EndpointId &endpoint);
+
+    //! Returns those of \p endpoints that are kept for isolated runs.
+    std::set<EndpointId> isolatedAmong(const std::vector<EndpointId> &endpoints, Time now) const;
+
+    //! Returns true when there are isolated runs.
+    bool hasIsolatedRuns(Time now) const;
+
+    //! Returns what to report to other instances next; no records and no runs when there is nothing to report.
+    CrashReport nextReport(const InstanceId &self, Time now);
+
+    //! Returns true when the next report has news or names runs under way.
+    bool hasNews() const;
+
+    void onReport(const CrashReport &report, Time now);
+    void expire(Time now);
+    std::size_t recordCount() const;
+
+private:
+    mutable std::mutex mutex;
+    CrashHistory history; //!< Guarded by the mutex.
+    Counter &crashes;
+    Counter &cleared;
+};
+
+//! Returns the text of a fingerprint in logs.
+std::string fingerprintText(RequestFingerprint fingerprint);
+
+} // namespace oleandergate
+
+#endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gateway.h"
 
 #include "gateway/budgetcoordinator.h"
+#include "gateway/crashregistry.h"
 #include "gateway/directorysync.h"
+#include "gateway/endpointhash.h"
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
@@ -101,6 +103,15 @@
                                    [this](const std::string &peer) {
                                        this->directory.fetchConfiguration(peer);
                                    },
+                                   [this](Time now) {
+                                       return this->crashes.nextReport(this->self.id, now);
+                                   },
+                                   [this]() {
+                                       return this->crashes.hasNews();
+                                   },
+                                   [this](const CrashReport &report, Time now) {
+                                       this->crashes.onReport(report, now);
+                                   },
                                    [this](bool sameDomain, Duration age) {
                                        (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
@@ -118,7 +129,7 @@
                      [this](PeerMessage command, std::shared_ptr<AnswerChannel> /*answerChannel*/) {
                          return this->servePeer(std::move(command));
                      })
-        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, metrics})
+        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -177,6 +188,7 @@
         if (request.path() == "/metrics") {
             this->metrics.setGauge("oleandergate_config_version", static_cast<double>(this->configurationHolder.version()));
             this->metrics.setGauge("oleandergate_endpoints", static_cast<double>(this->pools.endpointCount()));
+            this->metrics.setGauge("oleandergate_crash_records", static_cast<double>(this->crashes.recordCount()));
             this->metrics.setGauge("oleandergate_waiting", static_cast<double>(this->pools.waitingCount()));
             this->metrics.setGauge("oleandergate_running", static_cast<double>(this->pools.runningCount()));
             this->metrics.setGauge("oleandergate_connections_opened_total", static_cast<double>(this->endpointClient.openedCount()));
@@ -210,6 +222,7 @@
         while (true) {
             co_await sleepFor(housekeepingInterval);
             const Time now = currentTime();
+            this->crashes.expire(now);
             this->pools.expire(now, now - this->settings.programRetention);
             this->shareConnections();
             if (now - lastSummaryAt >= summaryInterval) {
@@ -322,6 +335,7 @@
     PeerClient peers;
     GatewayConfigurationHolder configurationHolder{};
     PoolSet pools;
+    CrashRegistry crashes{metrics};
     PeerGossip gossip;
     BudgetCoordinator budget;
     PeerServer peerServer;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -1,6 +1,6 @@
 #include "gateway/peergossip.h"
 
-#include "decision/hash.h"
+#include "gateway/endpointhash.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -56,11 +56,6 @@
 
 } // namespace
 
-std::uint32_t endpointHash(const EndpointId &endpoint)
-{
-    return static_cast<std::uint32_t>(hashOf(endpoint));
-}
-
 struct PeerGossip::Core
 {
     asio::io_context &context;
@@ -198,25 +193,34 @@
             advertised = this->core->table.sampleAddresses(advertisedPeers);
         }
         LoadReport report;
-        const bool changed = this->updateReport(report, now);
+        const bool changed = this->updateReport(report, now) || this->core->hooks.hasCrashNews();
         report.peers = std::move(advertised);
         {
             const std::lock_guard lock(this->core->mutex);
             targets = this->core->table.nextTargets(changed, now);
         }
-        if (!targets.empty()) {
-            co_await this->core->datagrams.send(encodeLoadReport(report), std::move(targets));
+        if (targets.empty()) {
+            continue;
+        }
+        const CrashReport crashReport = this->core->hooks.nextCrashReport(now);
+        if (!crashReport.records.empty() || !crashReport.runs.empty()) {
+            co_await this->core->datagrams.send(encodeCrashReport(crashReport), targets);
         }
+        co_await this->core->datagrams.send(encodeLoadReport(report), std::move(targets));
     }
 }
 
 void PeerGossip::onDatagram(const std::string &payload)
 {
+    const Time now = currentTime();
+    if (const Result<CrashReport> crashReport = decodeCrashReport(payload)) {
+        this->core->hooks.onCrashReport(crashReport.value(), now);
+        return;
+    }
     const Result<LoadReport> report = decodeLoadReport(payload);
     if (!report) {
         return;
     }
-    const Time now = currentTime();
     PeerReport peerReport;
     peerReport.instance = InstanceRecord{report.value().instance, report.value().address, report.value().domain, report.value().leaving};
     peerReport.number = report.value().number;
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_PEERGOSSIP_H
 
 #include "decision/peertable.h"
+#include "wire/crashreport.h"
 #include "wire/loadreport.h"
 #include "wire/messageauth.h"
 
@@ -42,6 +43,9 @@
         std::function<void(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now)>
             onMembers{}; //!< Called in each report interval.
         std::function<void(const std::string &peerAddress)> onNewerConfiguration{};
+        std::function<CrashReport(Time now)> nextCrashReport{}; //!< Called before each report; returns what to send beside it.
+        std::function<bool()> hasCrashNews{}; //!< Returns true when the next crash report is urgent.
+        std::function<void(const CrashReport &report, Time now)> onCrashReport{};
         std::function<void(bool sameDomain, Duration age)> onReportReplaced{}; //!< Called with the age that a peer's previous report had reached.
     };
 
@@ -78,9 +82,6 @@
     std::unique_ptr<Core> core;
 };
 
-//! Returns the hash that stands for an endpoint in reports.
-std::uint32_t endpointHash(const EndpointId &endpoint);
-
 } // namespace oleandergate
 
 #endif
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -30,6 +30,13 @@
 //! Longest time that a request waits to learn whether the endpoint that broke its connection still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
+//! How long a request waits for another run of the same request that decides whether it crashes endpoints. Such a run is short if it does.
+constexpr Duration maxSuspectWait = std::chrono::seconds(1);
+constexpr Duration suspectPollInterval = std::chrono::milliseconds(10);
+
+//! Other requests leave the endpoints of isolated runs alone only in pools that have this many endpoints for each.
+constexpr std::size_t minEndpointsPerIsolatedRun = 3;
+
 //! Outcomes of requests that ended without an error code.
 constexpr const char *streamedOutcome = "streamed";
 constexpr const char *answeredOutcome = "answered";
@@ -48,13 +55,6 @@
     return out;
 }
 
-std::string hexadecimal(RequestFingerprint fingerprint)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
-    return text.data();
-}
-
 std::string milliseconds(Duration duration)
 {
     return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
@@ -201,7 +201,33 @@
     co_await this->sendFinalAnswer(context, nextStep);
 }
 
-asio::awaitable<NextStep> Relay::sendOnce(RequestContext &context, EndpointId requiredEndpoint)
+asio::awaitable<RunAdmission> Relay::awaitAdmission(RequestContext &context)
+{
+    const Time giveUpAt = std::min(context.deadline, currentTime() + maxSuspectWait);
+    RunAdmission admission = this->parts.crashes.admit(context.fingerprint, currentTime());
+    while (admission.verdict == RunVerdict::Wait && currentTime() < giveUpAt && !context.cancellation->isCancelled()) {
+        co_await sleepFor(suspectPollInterval);
+        admission = this->parts.crashes.admit(context.fingerprint, currentTime());
+    }
+    co_return admission;
+}
+
+NextStep Relay::onNotAdmitted(RequestContext &context, const RunAdmission &admission)
+{
+    if (context.cancellation->isCancelled()) {
+        return NextStep::Stop;
+    }
+    const bool refused = admission.verdict == RunVerdict::Refused;
+    const std::string detail = std::to_string(admission.crashes) + " endpoints ended under this request, the last one " + milliseconds(admission.sinceLastCrash)
+        + " ms ago" + (refused ? "" : "; another run of it is under way");
+    context.lastError = makeError(ErrorCode::CrashesEndpoints, Step::Admit, Executed::No, detail);
+    if (refused) {
+        context.lastError->retryAfter = admission.retryAfter;
+    }
+    return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
+}
+
+QueuedCall Relay::makeQueuedCall(const RequestContext &context, EndpointId requiredEndpoint, const RunAdmission &admission, Time now)
 {
     QueuedCall queued;
     queued.call = this->nextCallId++;
@@ -214,7 +240,37 @@
     queued.deadline = context.deadline;
     queued.programDeadline = context.arrived + (context.call.program ? context.call.program->timeToFinish : std::nullopt).value_or(context.route->objective);
     queued.requiredEndpoint = std::move(requiredEndpoint);
+    queued.isolated = admission.verdict == RunVerdict::AllowedIsolated;
     queued.avoid = context.retries->avoided();
+    if (this->parts.crashes.hasIsolatedRuns(now)) {
+        const std::set<EndpointId> isolated = this->parts.crashes.isolatedAmong(this->parts.pools.endpointIds(), now);
+        // In a small pool the other requests need these endpoints.
+        if (isolated.size() * minEndpointsPerIsolatedRun <= context.pool->endpointCount()) {
+            queued.avoid.insert(isolated.begin(), isolated.end());
+        }
+    }
+    return queued;
+}
+
+void Relay::recordRunEnd(const RequestContext &context, const SendResult &result, Time startedAt, Time now)
+{
+    const EndpointId &endpoint = result.report.endpoint;
+    if (result.report.outcome == SendOutcome::Answered) {
+        this->parts.crashes.endWithAnswer(context.fingerprint, endpoint, now);
+    } else if (result.report.outcome == SendOutcome::Broken && result.report.endpointGone) {
+        this->parts.crashes.endWithCrash(context.fingerprint, endpoint, startedAt, now, context.call.requestId);
+    } else {
+        this->parts.crashes.endWithoutAnswer(context.fingerprint, endpoint);
+    }
+}
+
+asio::awaitable<NextStep> Relay::sendOnce(RequestContext &context, EndpointId requiredEndpoint)
+{
+    const RunAdmission admission = co_await this->awaitAdmission(context);
+    if (admission.verdict == RunVerdict::Wait || admission.verdict == RunVerdict::Refused) {
+        co_return this->onNotAdmitted(context, admission);
+    }
+    QueuedCall queued = this->makeQueuedCall(context, requiredEndpoint, admission, currentTime());
     const CallId id = queued.call;
     const Time queuedAt = currentTime();
     const Result<Placement> placed = co_await context.pool->place(std::move(queued), context.cancellation);
@@ -228,6 +284,13 @@
     }
     const EndpointSpec endpoint = placed.value().endpoint;
     context.placement = placed.value();
+    const Time startedAt = currentTime();
+    const RunAdmission begun = this->parts.crashes.begin(context.fingerprint, endpoint.id, startedAt);
+    if (begun.verdict == RunVerdict::Wait || begun.verdict == RunVerdict::Refused) {
+        // The verdict changed while the request waited for its endpoint.
+        context.pool->finish(id, true, startedAt);
+        co_return requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
+    }
     context.sends += 1;
     const auto onEvents = [&context, id](std::uint64_t events) {
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
@@ -242,7 +305,9 @@
     Listening listening = Listening::Unknown;
     if (result.report.outcome == SendOutcome::Broken) {
         listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
+        result.report.endpointGone = listening == Listening::No;
     }
+    this->recordRunEnd(context, result, startedAt, currentTime());
     const bool healthy
         = result.report.outcome == SendOutcome::Answered || result.report.outcome == SendOutcome::Refused || result.report.outcome == SendOutcome::CallerLeft;
     context.pool->finish(id, healthy, currentTime());
@@ -255,7 +320,7 @@
                   {{"request", context.call.requestId},
                    {"endpoint", endpoint.id},
                    {"address", endpoint.address},
-                   {"fingerprint", hexadecimal(context.fingerprint)},
+                   {"fingerprint", fingerprintText(context.fingerprint)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
                    {"endpoint_listens", std::string(nameIn(listeningNames, listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
@@ -310,7 +375,9 @@
     case NextStep::TrySame:
         break;
     }
-    co_await this->refuse(context, makeError(ErrorCode::OutcomeUnknown, Step::Send, Executed::Unknown, "the endpoint gave no complete answer"));
+    const bool stopped = context.lastError && context.lastError->code == ErrorCode::CrashesEndpoints;
+    std::string detail = stopped ? context.lastError->detail : "the endpoint gave no complete answer";
+    co_await this->refuse(context, makeError(ErrorCode::OutcomeUnknown, Step::Send, Executed::Unknown, std::move(detail)));
 }
 
 asio::awaitable<void> Relay::refuse(RequestContext &context, const Error &error)
@@ -341,7 +408,7 @@
               "relay",
               "request ended",
               {{"request", context.call.requestId},
-               {"fingerprint", hexadecimal(context.fingerprint)},
+               {"fingerprint", fingerprintText(context.fingerprint)},
                {"program", context.call.program ? context.call.program->program : std::string()},
                {"route", route},
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_RELAY_H
 #define OLEANDERGATE_GATEWAY_RELAY_H
 
+#include "gateway/crashregistry.h"
 #include "gateway/endpointsend.h"
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/interfaces/headercodec.h"
@@ -30,6 +31,7 @@
         HttpClient &client;
         const HeaderCodec &headerCodec;
         TokenBudgetService &budget;
+        CrashRegistry &crashes;
         Metrics &metrics;
     };
 
@@ -46,6 +48,16 @@
     boost::asio::awaitable<void> serve(RequestContext &context);
     boost::asio::awaitable<void> awaitConfiguration(RequestContext &context);
     boost::asio::awaitable<void> serveAdmitted(RequestContext &context);
+
+    //! Waits while another run of the request decides whether it crashes endpoints. Returns the last verdict.
+    boost::asio::awaitable<RunAdmission> awaitAdmission(RequestContext &context);
+
+    //! Returns the next step of a request that may not run, and keeps the reason for its caller.
+    NextStep onNotAdmitted(RequestContext &context, const RunAdmission &admission);
+    QueuedCall makeQueuedCall(const RequestContext &context, EndpointId requiredEndpoint, const RunAdmission &admission, Time now);
+
+    //! Records the end of a run, and whether its endpoint ended with it.
+    void recordRunEnd(const RequestContext &context, const SendResult &result, Time startedAt, Time now);
     boost::asio::awaitable<NextStep> sendOnce(RequestContext &context, EndpointId requiredEndpoint);
     boost::asio::awaitable<void> sendFinalAnswer(RequestContext &context, NextStep nextStep);
     boost::asio::awaitable<void> refuse(RequestContext &context, const Error &error);
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -299,10 +299,31 @@
     archive(value.endpointDigest, value.endpointRevision, value.leaving, value.ownedBudgetSlots, value.loads, value.peers);
 }
 
+template <class Archive>
+void serialize(Archive &archive, ReportedCrashRecord &value)
+{
+    archive(value.request, value.crashes, value.crashAge, value.completionAge);
+}
+
+template <class Archive>
+void serialize(Archive &archive, SuspectRun &value)
+{
+    archive(value.request, value.endpoint, value.isolated);
+}
+
+template <class Archive>
+void serialize(Archive &archive, CrashReport &value)
+{
+    archive(value.instance, value.records, value.runs);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
 
+//! First byte of a crash report. Other messages begin with cereal's byte order, 0 or 1.
+constexpr char crashReportMark = '\x7f';
+
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
 
@@ -390,6 +411,19 @@
     return decode<LoadReport>(bytes);
 }
 
+std::string encodeCrashReport(const CrashReport &report)
+{
+    return crashReportMark + encode(report);
+}
+
+Result<CrashReport> decodeCrashReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(crashReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a crash report"};
+    }
+    return decode<CrashReport>(bytes.substr(1));
+}
+
 std::string encodeLogRecord(const LogRecord &record)
 {
     return compress(encode(record));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -4,6 +4,7 @@
 #include "decision/error.h"
 #include "decision/journalentry.h"
 #include "decision/programstate.h"
+#include "wire/crashreport.h"
 #include "wire/loadreport.h"
 #include "wire/peermessage.h"
 
@@ -30,6 +31,10 @@
 std::string encodeLoadReport(const LoadReport &report);
 Result<LoadReport> decodeLoadReport(const std::string &bytes);
 
+//! Crash reports begin with a byte that no other message begins with, so that instances which do not know them ignore them.
+std::string encodeCrashReport(const CrashReport &report);
+Result<CrashReport> decodeCrashReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
