--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -4,22 +4,24 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace oleandergate {
 
 namespace {
 
-//! Records and runs in one report, which then has less than 1,000 bytes.
-constexpr std::size_t recordsPerReport = 16;
+//! Records and runs in one report, which then fits into one packet.
+constexpr std::size_t recordsPerReport = 48;
 constexpr std::size_t runsPerReport = 16;
 
 //! From so many crashes on, what a peer reports of a request is logged: each ordinary crash makes suspects of all that ran there.
 constexpr std::uint32_t minLoggedCrashes = 2;
 
-std::uint64_t ageOf(Time time, Time now)
+std::uint32_t ageInMilliseconds(Time time, Time now)
 {
-    return static_cast<std::uint64_t>(std::max(Duration::zero(), now - time).count());
+    return static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(std::max(Duration::zero(), now - time)).count());
 }
 
 } // namespace
@@ -120,9 +122,10 @@
     report.instance = self;
     const std::lock_guard lock(this->mutex);
     for (const CrashRecord &record : this->history.nextReport(recordsPerReport)) {
-        ReportedCrashRecord reported{record.request, record.crashes, ageOf(record.lastCrash, now), std::nullopt};
+        const auto crashCount = static_cast<std::uint8_t>(std::min<std::uint32_t>(record.crashes, std::numeric_limits<std::uint8_t>::max()));
+        ReportedCrashRecord reported{record.request, crashCount, ageInMilliseconds(record.lastCrash, now), std::nullopt};
         if (record.lastCompletion != Time{}) {
-            reported.completionAge = ageOf(record.lastCompletion, now);
+            reported.completionAge = ageInMilliseconds(record.lastCompletion, now);
         }
         report.records.push_back(reported);
     }
@@ -139,9 +142,9 @@
 void CrashRegistry::onReport(const CrashReport &report, Time now)
 {
     for (const ReportedCrashRecord &reported : report.records) {
-        CrashRecord record{reported.request, reported.crashes, now - Duration(static_cast<std::int64_t>(reported.crashAge))};
+        CrashRecord record{reported.request, reported.crashes, now - std::chrono::milliseconds(reported.crashAge)};
         if (reported.completionAge) {
-            record.lastCompletion = now - Duration(static_cast<std::int64_t>(*reported.completionAge));
+            record.lastCompletion = now - std::chrono::milliseconds(*reported.completionAge);
         }
         RunAdmission before;
         RunAdmission after;
--- a/src/wire/crashreport.h
+++ b/src/wire/crashreport.h
@@ -12,9 +12,9 @@
 struct ReportedCrashRecord
 {
     RequestFingerprint request = 0;
-    std::uint32_t crashes = 0;
-    std::uint64_t crashAge = 0; //!< Microseconds since the latest crash.
-    std::optional<std::uint64_t> completionAge{}; //!< Microseconds since a run last completed.
+    std::uint8_t crashes = 0; //!< At most 255.
+    std::uint32_t crashAge = 0; //!< Milliseconds since the latest crash.
+    std::optional<std::uint32_t> completionAge{}; //!< Milliseconds since a run last completed.
 };
 
 //! Requests under which endpoints ended, reported between instances over UDP beside load reports.
