A request is also known by the start of its body, and one that completes elsewhere is no suspect

Cause: the request that ends endpoints comes again as part of longer prompts.

Change: a request has a second fingerprint, over path and the first 1,024 bytes of its body, and the stricter verdict of both counts. Where many requests share that start, one of them completes all the time; a crash within 3 s of a complete run therefore does not count, and an instance that saw the completion tells the others, so that a popular start is never held back.

--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -27,12 +27,15 @@
 //! A changed record is part of so many reports before it waits for its turn: reports may be lost, and each goes to some of the peers only.
 constexpr std::uint32_t reportsOfNews = 4;
 
+//! Bound of the recent completions, as a multiple of that of the records.
+constexpr std::size_t completionsPerRecord = 4;
+
 //! Runs at another instance are forgotten when its reports fail to come for this long.
 constexpr Duration remoteRunTimeout = std::chrono::seconds(1);
 
 std::uint32_t crashesAfter(const CrashRecord &record, Time completion)
 {
-    return record.lastCrash > completion ? record.crashes : 0;
+    return record.lastCrash > completion + CrashHistory::immunityTime ? record.crashes : 0;
 }
 
 } // namespace
@@ -101,9 +104,20 @@
     }
 }
 
+Time CrashHistory::latestCompletion(RequestFingerprint request) const
+{
+    const auto recent = this->recentCompletions.find(request);
+    const auto known = this->entries.find(request);
+    return std::max(recent == this->recentCompletions.end() ? Time{} : recent->second,
+                    known == this->entries.end() ? Time{} : known->second.record.lastCompletion);
+}
+
 std::uint32_t CrashHistory::onCrashed(RequestFingerprint request, std::uint32_t endpoint, Time startedAt, Time now)
 {
     this->removeRun(request, endpoint);
+    if (now <= this->latestCompletion(request) + immunityTime) {
+        return 0;
+    }
     Entry &entry = this->entryFor(request);
     if (entry.record.crashes == 0 || startedAt >= entry.record.lastCrash) {
         entry.record.crashes += 1;
@@ -116,6 +130,10 @@
 bool CrashHistory::onCompleted(RequestFingerprint request, std::uint32_t endpoint, Time now)
 {
     this->removeRun(request, endpoint);
+    if (this->recentCompletions.size() >= this->maxRecords * completionsPerRecord) {
+        this->recentCompletions.clear();
+    }
+    this->recentCompletions[request] = now;
     const auto found = this->entries.find(request);
     if (found == this->entries.end()) {
         return false;
@@ -145,10 +163,11 @@
     Entry &entry = this->entryFor(record.request);
     const CrashRecord before = entry.record;
     CrashRecord &merged = entry.record;
-    merged.lastCompletion = std::max(before.lastCompletion, record.lastCompletion);
+    merged.lastCompletion = std::max(this->latestCompletion(record.request), record.lastCompletion);
     merged.crashes = std::max(crashesAfter(before, merged.lastCompletion), crashesAfter(record, merged.lastCompletion));
     merged.lastCrash = std::max(before.lastCrash, record.lastCrash);
-    if (merged.crashes != before.crashes) {
+    // The peer learns in turn what it does not know yet.
+    if (merged.crashes != before.crashes || merged.crashes != record.crashes) {
         entry.newsLeft = reportsOfNews;
     }
 }
@@ -244,6 +263,9 @@
         // A condemned request is kept longer than it is refused: should it end another endpoint, it is refused again at once.
         return now >= record.lastCrash + (record.crashes >= crashesToRefuse ? 2 * recordLifetime : recordLifetime);
     });
+    std::erase_if(this->recentCompletions, [now](const auto &item) {
+        return now > item.second + immunityTime;
+    });
     std::erase_if(this->remoteRuns, [now](const auto &item) {
         return now >= item.second.reportedAt + remoteRunTimeout;
     });
--- a/src/decision/crashhistory.h
+++ b/src/decision/crashhistory.h
@@ -25,6 +25,10 @@
     //! Largest number of records by default; each has about 100 bytes.
     static constexpr std::size_t defaultMaxRecords = 4096;
 
+    //! A crash does not count for a request of which a run completed within this time before it. Popular requests run at nearly every endpoint that
+    //! ends; this keeps them from becoming suspects, which run one at a time.
+    static constexpr Duration immunityTime = std::chrono::seconds(3);
+
     explicit CrashHistory(std::size_t maxRecords = defaultMaxRecords);
 
     //! Decides whether a request may run now.
@@ -83,6 +87,9 @@
 
     //! Returns true when a run of the request is under way at this instance or at another one.
     bool isRunning(RequestFingerprint request, Time now) const;
+
+    //! Returns when a run of the request last completed, as far as known; the epoch for never.
+    Time latestCompletion(RequestFingerprint request) const;
     void removeRun(RequestFingerprint request, std::uint32_t endpoint);
 
     //! Returns the entry of the request; a new one may displace the least suspect.
@@ -91,6 +98,7 @@
     std::size_t maxRecords;
     std::map<RequestFingerprint, Entry> entries;
     std::unordered_multimap<RequestFingerprint, std::uint32_t> ownRuns; //!< Endpoints of the runs under way at this instance.
+    std::unordered_map<RequestFingerprint, Time> recentCompletions; //!< At this instance, of all requests, within \ref immunityTime.
     std::map<InstanceId, RemoteRuns> remoteRuns;
     RequestFingerprint lastReported = 0; //!< Position of the rotation in \ref nextReport().
 };
--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -24,6 +24,12 @@
     return static_cast<std::uint32_t>(std::chrono::floor<std::chrono::milliseconds>(std::max(Duration::zero(), now - time)).count());
 }
 
+//! Returns the different fingerprints of a request.
+std::set<RequestFingerprint> fingerprintsOf(const RequestIdentity &request)
+{
+    return {request.exact, request.start};
+}
+
 } // namespace
 
 std::string fingerprintText(RequestFingerprint fingerprint)
@@ -39,59 +45,78 @@
 {
 }
 
-RunAdmission CrashRegistry::admit(RequestFingerprint request, Time now) const
+RunAdmission CrashRegistry::admitLocked(const RequestIdentity &request, Time now) const
+{
+    const RunAdmission exact = this->history.admit(request.exact, now);
+    const RunAdmission start = this->history.admit(request.start, now);
+    return start.verdict > exact.verdict ? start : exact;
+}
+
+RunAdmission CrashRegistry::admit(const RequestIdentity &request, Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->history.admit(request, now);
+    return this->admitLocked(request, now);
 }
 
-RunAdmission CrashRegistry::begin(RequestFingerprint request, const EndpointId &endpoint, Time now)
+RunAdmission CrashRegistry::begin(const RequestIdentity &request, const EndpointId &endpoint, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    const RunAdmission admission = this->history.admit(request, now);
+    const RunAdmission admission = this->admitLocked(request, now);
     if (admission.verdict == RunVerdict::Allowed || admission.verdict == RunVerdict::AllowedIsolated) {
-        this->history.onStarted(request, endpointHash(endpoint), now);
+        for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
+            this->history.onStarted(fingerprint, endpointHash(endpoint), now);
+        }
     }
     return admission;
 }
 
-void CrashRegistry::endWithCrash(RequestFingerprint request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId)
+void CrashRegistry::endWithCrash(const RequestIdentity &request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId)
 {
     RunAdmission admission;
     {
         const std::lock_guard lock(this->mutex);
-        this->history.onCrashed(request, endpointHash(endpoint), startedAt, now);
-        admission = this->history.admit(request, now);
+        for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
+            this->history.onCrashed(fingerprint, endpointHash(endpoint), startedAt, now);
+        }
+        admission = this->admitLocked(request, now);
     }
     this->crashes.add();
     logRecord(LogLevel::Info,
               "crashes",
               "an endpoint ended under a request",
               {{"request", requestId},
-               {"fingerprint", fingerprintText(request)},
+               {"fingerprint", fingerprintText(request.exact)},
+               {"start_fingerprint", fingerprintText(request.start)},
                {"endpoint", endpoint},
                {"ran_ms", std::to_string(std::chrono::round<std::chrono::milliseconds>(now - startedAt).count())},
                {"crashes", std::to_string(admission.crashes)},
                {"next_run", std::string(nameIn(runVerdictNames, admission.verdict))}});
 }
 
-void CrashRegistry::endWithAnswer(RequestFingerprint request, const EndpointId &endpoint, Time now)
+void CrashRegistry::endWithAnswer(const RequestIdentity &request, const EndpointId &endpoint, Time now)
 {
     bool wasSuspect = false;
     {
         const std::lock_guard lock(this->mutex);
-        wasSuspect = this->history.onCompleted(request, endpointHash(endpoint), now);
+        for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
+            wasSuspect = this->history.onCompleted(fingerprint, endpointHash(endpoint), now) || wasSuspect;
+        }
     }
     if (wasSuspect) {
         this->cleared.add();
-        logRecord(LogLevel::Info, "crashes", "a complete run cleared a request", {{"fingerprint", fingerprintText(request)}, {"endpoint", endpoint}});
+        logRecord(LogLevel::Info,
+                  "crashes",
+                  "a complete run cleared a request",
+                  {{"fingerprint", fingerprintText(request.exact)}, {"start_fingerprint", fingerprintText(request.start)}, {"endpoint", endpoint}});
     }
 }
 
-void CrashRegistry::endWithoutAnswer(RequestFingerprint request, const EndpointId &endpoint)
+void CrashRegistry::endWithoutAnswer(const RequestIdentity &request, const EndpointId &endpoint)
 {
     const std::lock_guard lock(this->mutex);
-    this->history.onAbandoned(request, endpointHash(endpoint));
+    for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
+        this->history.onAbandoned(fingerprint, endpointHash(endpoint));
+    }
 }
 
 std::set<EndpointId> CrashRegistry::isolatedAmong(const std::vector<EndpointId> &endpoints, Time now) const
--- a/src/gateway/crashregistry.h
+++ b/src/gateway/crashregistry.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_CRASHREGISTRY_H
 
 #include "decision/crashhistory.h"
+#include "gateway/relaycall.h"
 #include "wire/crashreport.h"
 
 #include <mutex>
@@ -19,20 +20,20 @@
     explicit CrashRegistry(Metrics &metrics);
 
     //! Decides whether a request may run now.
-    RunAdmission admit(RequestFingerprint request, Time now) const;
+    RunAdmission admit(const RequestIdentity &request, Time now) const;
 
     //! Decides once more, and records a run at \p endpoint unless the verdict is to wait or to refuse. Such a run has to be ended by one of the
     //! next three functions.
-    RunAdmission begin(RequestFingerprint request, const EndpointId &endpoint, Time now);
+    RunAdmission begin(const RequestIdentity &request, const EndpointId &endpoint, Time now);
 
     //! Ends a run that began at \p startedAt and whose endpoint ended. \p requestId is the attempt's identifier, for the log.
-    void endWithCrash(RequestFingerprint request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId);
+    void endWithCrash(const RequestIdentity &request, const EndpointId &endpoint, Time startedAt, Time now, const RequestId &requestId);
 
     //! Ends a run with an answer.
-    void endWithAnswer(RequestFingerprint request, const EndpointId &endpoint, Time now);
+    void endWithAnswer(const RequestIdentity &request, const EndpointId &endpoint, Time now);
 
     //! Ends a run without an answer, whose endpoint goes on or which did not take place.
-    void endWithoutAnswer(RequestFingerprint request, const EndpointId &endpoint);
+    void endWithoutAnswer(const RequestIdentity &request, const EndpointId &endpoint);
 
     //! Returns those of \p endpoints that are kept for isolated runs.
     std::set<EndpointId> isolatedAmong(const std::vector<EndpointId> &endpoints, Time now) const;
@@ -51,6 +52,9 @@
     std::size_t recordCount() const;
 
 private:
+    //! Returns the stricter verdict of the request's fingerprints. The mutex has to be held.
+    RunAdmission admitLocked(const RequestIdentity &request, Time now) const;
+
     mutable std::mutex mutex;
     CrashHistory history; //!< Guarded by the mutex.
     Counter &crashes;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -75,7 +75,7 @@
     Time arrived;
     Time deadline{};
     RelayCall call{};
-    RequestFingerprint fingerprint = 0;
+    RequestIdentity identity{};
     std::shared_ptr<const ActiveGatewayConfiguration> active{};
     const Route *route = nullptr;
     const GatewayService *service = nullptr;
@@ -122,7 +122,7 @@
         co_await this->refuse(context, decoded.error());
     } else {
         context.call = std::move(decoded.value());
-        context.fingerprint = fingerprintOf(context.call);
+        context.identity = identityOf(context.call);
         co_await this->serve(context);
     }
     this->recordOutcome(context);
@@ -204,10 +204,10 @@
 asio::awaitable<RunAdmission> Relay::awaitAdmission(RequestContext &context)
 {
     const Time giveUpAt = std::min(context.deadline, currentTime() + maxSuspectWait);
-    RunAdmission admission = this->parts.crashes.admit(context.fingerprint, currentTime());
+    RunAdmission admission = this->parts.crashes.admit(context.identity, currentTime());
     while (admission.verdict == RunVerdict::Wait && currentTime() < giveUpAt && !context.cancellation->isCancelled()) {
         co_await sleepFor(suspectPollInterval);
-        admission = this->parts.crashes.admit(context.fingerprint, currentTime());
+        admission = this->parts.crashes.admit(context.identity, currentTime());
     }
     co_return admission;
 }
@@ -256,11 +256,11 @@
 {
     const EndpointId &endpoint = result.report.endpoint;
     if (result.report.outcome == SendOutcome::Answered) {
-        this->parts.crashes.endWithAnswer(context.fingerprint, endpoint, now);
+        this->parts.crashes.endWithAnswer(context.identity, endpoint, now);
     } else if (result.report.outcome == SendOutcome::Broken && result.report.endpointGone) {
-        this->parts.crashes.endWithCrash(context.fingerprint, endpoint, startedAt, now, context.call.requestId);
+        this->parts.crashes.endWithCrash(context.identity, endpoint, startedAt, now, context.call.requestId);
     } else {
-        this->parts.crashes.endWithoutAnswer(context.fingerprint, endpoint);
+        this->parts.crashes.endWithoutAnswer(context.identity, endpoint);
     }
 }
 
@@ -285,7 +285,7 @@
     const EndpointSpec endpoint = placed.value().endpoint;
     context.placement = placed.value();
     const Time startedAt = currentTime();
-    const RunAdmission begun = this->parts.crashes.begin(context.fingerprint, endpoint.id, startedAt);
+    const RunAdmission begun = this->parts.crashes.begin(context.identity, endpoint.id, startedAt);
     if (begun.verdict == RunVerdict::Wait || begun.verdict == RunVerdict::Refused) {
         // The verdict changed while the request waited for its endpoint.
         context.pool->finish(id, true, startedAt);
@@ -320,7 +320,8 @@
                   {{"request", context.call.requestId},
                    {"endpoint", endpoint.id},
                    {"address", endpoint.address},
-                   {"fingerprint", fingerprintText(context.fingerprint)},
+                   {"fingerprint", fingerprintText(context.identity.exact)},
+                   {"start_fingerprint", fingerprintText(context.identity.start)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
                    {"endpoint_listens", std::string(nameIn(listeningNames, listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
@@ -408,7 +409,8 @@
               "relay",
               "request ended",
               {{"request", context.call.requestId},
-               {"fingerprint", fingerprintText(context.fingerprint)},
+               {"fingerprint", fingerprintText(context.identity.exact)},
+               {"start_fingerprint", fingerprintText(context.identity.start)},
                {"program", context.call.program ? context.call.program->program : std::string()},
                {"route", route},
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
--- a/src/gateway/relaycall.cpp
+++ b/src/gateway/relaycall.cpp
@@ -4,10 +4,18 @@
 
 namespace oleandergate {
 
-RequestFingerprint fingerprintOf(const RelayCall &call)
+namespace {
+
+//! Bytes of a body that identify a request whose prompt grows.
+constexpr std::size_t identifyingBytes = 1024;
+
+} // namespace
+
+RequestIdentity identityOf(const RelayCall &call)
 {
     // Each hash seeds the next one, so that parts of two requests cannot change places.
-    return hashOf(call.body, hashOf(call.target, hashOf(call.host, hashOf(call.method))));
+    const std::uint64_t seed = hashOf(call.target, hashOf(call.host, hashOf(call.method)));
+    return RequestIdentity{hashOf(call.body, seed), hashOf(std::string_view(call.body).substr(0, identifyingBytes), seed)};
 }
 
 } // namespace oleandergate
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -38,9 +38,17 @@
     std::vector<PromptPart> promptParts{}; //!< In order; empty when the caller does not name them.
 };
 
-//! Returns the hash of method, host, target and body, which stay the same in every attempt of a request. Identifiers, programs and other header
-//! fields are new in each.
-RequestFingerprint fingerprintOf(const RelayCall &call);
+//! What identifies a request in every attempt of its callers. Identifiers, programs and other header fields are new in each.
+struct RequestIdentity
+{
+    RequestFingerprint exact = 0; //!< Hash of method, host, target and body.
+
+    //! Hash of method, host, target and the start of the body. Prompts grow at their end, so that a request that comes again with a longer prompt keeps
+    //! it. Equal to \ref exact for short bodies.
+    RequestFingerprint start = 0;
+};
+
+RequestIdentity identityOf(const RelayCall &call);
 
 //! What the gateway adds to a call for the endpoint.
 struct ForwardingOptions
--- a/tests/unit/crashhistorytests.cpp
+++ b/tests/unit/crashhistorytests.cpp
@@ -277,6 +277,8 @@
     CHECK(history.onCompleted(deadly, 7, now + tick));
     CHECK(history.admit(deadly, now + tick).verdict == RunVerdict::Allowed);
     now += reportInterval;
+    CHECK(crashOnce(now - tick) == 0); // A run completed just before.
+    now += CrashHistory::immunityTime;
     for (std::uint32_t crash = 1; crash <= 3; ++crash) {
         now += reportInterval;
         CHECK(history.admit(deadly, now).verdict != RunVerdict::Refused);
@@ -286,6 +288,31 @@
     CHECK(history.admit(deadly, now).retryAfter > Duration::zero());
 }
 
+// Guards against a route that stands still after each ordinary crash: copies of a popular request would run one at a time until one completes.
+TEST_CASE("A popular request does not become a suspect, here or at an instance that has not seen it complete")
+{
+    CrashHistory busy;
+    CrashHistory idle;
+    Time now = start;
+    busy.onStarted(popular, 7, now);
+    busy.onCompleted(popular, 7, now);
+    now += tick;
+    idle.onStarted(popular, 8, now);
+    now += tick;
+    CHECK(idle.onCrashed(popular, 8, now - tick, now) == 1);
+    const auto report = [&](CrashHistory &sender, CrashHistory &receiver) {
+        for (const CrashRecord &record : sender.nextReport(recordsPerReport)) {
+            receiver.merge(record, now);
+        }
+    };
+    report(idle, busy);
+    busy.onStarted(popular, 9, now);
+    CHECK(busy.admit(popular, now).verdict == RunVerdict::Allowed);
+    report(busy, idle);
+    CHECK(idle.admit(popular, now).verdict == RunVerdict::Allowed);
+    CHECK(idle.suspectRuns(recordsPerReport).empty());
+}
+
 TEST_CASE("A suspect runs at one endpoint at a time, here and at other instances, and isolated after two crashes")
 {
     CrashHistory here;
