Tests a request that ends endpoints with two gateways, and broken connections of endpoints that go on

The stand-in endpoint can end: it stops listening and closes its connections. Two gateways before five such endpoints: the third crash ends the request with 502, the other gateway refuses it with 503 and a time to come back without sending it, and both serve other requests. Eight broken connections to an endpoint that goes on condemn nothing.

--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -414,3 +414,49 @@
         CHECK(endpoint.largestFlood() <= maxFlood);
     }
 }
+
+// Guards against one request that ends endpoint after endpoint, through every gateway its caller can reach.
+TEST_CASE("A request that ends each endpoint that runs it is refused by all gateways, and others are served")
+{
+    ServingCluster cluster(5, 2);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({Behaviour::Crash});
+    }
+    const std::optional<HttpResponse> first = cluster.turn(0, "p", 1000);
+    REQUIRE(first);
+    CHECK(first->status == 502);
+    CHECK(cluster.receivedCount() == 3);
+    REQUIRE(waitFor(
+        [&cluster]() {
+            return cluster.log(1).find("a peer reported crashes of a request") != std::string::npos
+                && cluster.log(1).find("\"next_run\":\"refused\"") != std::string::npos;
+        },
+        timeoutMs));
+    const std::optional<HttpResponse> second = cluster.turn(1, "q", 1000);
+    REQUIRE(second);
+    CHECK(second->status == 503);
+    CHECK(std::stod(second->header("Retry-After")) > 0.0);
+    CHECK(cluster.receivedCount() == 3);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({});
+    }
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        const std::optional<HttpResponse> other = cluster.call(gateway, "GET", "/reads/other");
+        REQUIRE(other);
+        CHECK(other->status == 200);
+    }
+}
+
+// Guards against requests that are condemned for connections that broke while their endpoint went on.
+TEST_CASE("Broken connections of endpoints that go on condemn no request")
+{
+    ServingCluster cluster(1);
+    for (int call = 0; call < 4; ++call) {
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::CloseUnanswered, Behaviour::BreakMidEvent, Behaviour::CloseUnanswered, Behaviour::BreakMidEvent});
+        cluster.turn(0, "p", 1000);
+    }
+    cluster.endpoints[0]->setNextBehaviours({});
+    const std::optional<HttpResponse> answer = cluster.turn(0, "p", 1000);
+    REQUIRE(answer);
+    CHECK(answer->body == wholeStream());
+}
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <sys/socket.h>
+
 namespace oleandergate::support {
 
 namespace asio = boost::asio;
@@ -149,6 +151,23 @@
             });
         }
     }
+    // Child processes may have inherited the socket, so closing it is not enough.
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    this->listening = false;
+}
+
+void StandinEndpoint::crash()
+{
+    this->stopping = true;
+    boost::system::error_code ignored;
+    // One more connection unblocks the accepting thread.
+    tcp::socket wake(this->context);
+    wake.connect(*parseTcpAddress(this->listenAddress), ignored);
+    while (this->listening) {
+        std::this_thread::sleep_for(pollInterval);
+    }
 }
 
 void StandinEndpoint::serve(tcp::socket socket)
@@ -261,6 +280,9 @@
         return this->flood(socket, this->head(request, "Content-Type: text/event-stream\r\nConnection: close") + "data: ", "filler");
     case Behaviour::EndlessChunkHead:
         return this->flood(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") + "5;", "filler");
+    case Behaviour::Crash:
+        this->crash();
+        return false;
     case Behaviour::Slow:
         return this->answerSlowly(socket, request);
     case Behaviour::EndBeforeFirstEvent:
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -35,6 +35,7 @@
     EndlessBody, //!< A valid head, then bytes without end.
     EndlessEvent, //!< The head of a stream, then one event without end.
     EndlessChunkHead, //!< The head of a stream, then the head of one chunk without end.
+    Crash, //!< Receives the request, then stops listening and closes all connections.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
 };
 
@@ -80,6 +81,7 @@
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
     bool answer(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour);
+    void crash();
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
@@ -95,6 +97,7 @@
     std::vector<ReceivedRequest> receivedRequests;
     std::list<std::thread> workers;
     std::atomic<bool> stopping{false};
+    std::atomic<bool> listening{true};
     std::atomic<bool> released{false};
     std::atomic<std::size_t> abandoned{0};
     std::atomic<std::size_t> closedFloods{0};
