A request that was sent on a kept connection is not reported as not run when the next one is refused

Cause: an idempotent request whose kept connection breaks is sent once more on a new one. When that was refused, the call failed as provably not sent, although the first connection may have delivered the request. Callers were told 503, not run, of a request under which an endpoint had just ended, and its crash went unnoticed.

Change: the failure of the second connection states that the request may have run. Its endpoint counts as ended, without another probe.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -302,8 +302,8 @@
     const int endpointPriority = std::min(lowestPriority, context.route->rank);
     SendResult result = co_await send.run(endpoint, endpointPriority, context.deadline, currentTime());
     // A broken connection alone does not tell whether its endpoint has ended.
-    Listening listening = Listening::Unknown;
-    if (result.report.outcome == SendOutcome::Broken) {
+    Listening listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
+    if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone) {
         listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
         result.report.endpointGone = listening == Listening::No;
     }
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -442,6 +442,11 @@
     }
     std::optional<HttpOutcome> second
         = co_await asio::co_spawn(connection->stream.get_executor(), exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
+    if (!*second) {
+        // The first connection may have delivered the request before it failed.
+        second->error().provablyNotSent = false;
+        second->error().error.executed = Executed::Unknown;
+    }
     co_return std::move(*second);
 }
 
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -447,6 +447,21 @@
     }
 }
 
+// Guards against a crash that passes for a kept connection that went stale: the request was sent again and its caller told that it had not run.
+TEST_CASE("A request that was sent on a kept connection is not reported as not run when its endpoint ends")
+{
+    ServingCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Normal, Behaviour::Crash});
+    const std::optional<HttpResponse> first = cluster.call(0, "GET", "/reads/1");
+    REQUIRE(first);
+    CHECK(first->status == 200);
+    const std::optional<HttpResponse> second = cluster.call(0, "GET", "/reads/2");
+    REQUIRE(second);
+    CHECK(second->status == 502);
+    CHECK(cluster.receivedCount() == 2);
+    CHECK(cluster.log(0).find("an endpoint ended under a request") != std::string::npos);
+}
+
 // Guards against requests that are condemned for connections that broke while their endpoint went on.
 TEST_CASE("Broken connections of endpoints that go on condemn no request")
 {
