--- a/src/decision/crashhistory.h
+++ b/src/decision/crashhistory.h
@@ -29,7 +29,8 @@
     //! ends; this keeps them from becoming suspects, which run one at a time.
     static constexpr Duration immunityTime = std::chrono::seconds(3);
 
-    explicit CrashHistory(std::size_t maxRecords = defaultMaxRecords);
+    //! \p instanceSeed differs between instances.
+    explicit CrashHistory(std::uint64_t instanceSeed, std::size_t maxRecords = defaultMaxRecords);
 
     //! Decides whether a request may run now.
     RunAdmission admit(RequestFingerprint request, Time now) const;
@@ -85,6 +86,9 @@
     //! Returns the record of a request that is a suspect, else nullptr.
     const CrashRecord *suspicionOf(RequestFingerprint request, Time now) const;
 
+    //! Returns when an isolated run of the request may begin at this instance.
+    Time isolatedTurn(const CrashRecord &record) const;
+
     //! Returns true when a run of the request is under way at this instance or at another one.
     bool isRunning(RequestFingerprint request, Time now) const;
 
@@ -95,6 +99,7 @@
     //! Returns the entry of the request; a new one may displace the least suspect.
     Entry &entryFor(RequestFingerprint request);
 
+    std::uint64_t instanceSeed;
     std::size_t maxRecords;
     std::map<RequestFingerprint, Entry> entries;
     std::unordered_multimap<RequestFingerprint, std::uint32_t> ownRuns; //!< Endpoints of the runs under way at this instance.
--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -39,8 +39,10 @@
     return text.data();
 }
 
-CrashRegistry::CrashRegistry(Metrics &metrics)
-    : crashes(metrics.counter("oleandergate_runs_crashed_total"))
+CrashRegistry::CrashRegistry(Metrics &metrics, std::uint64_t instanceSeed, std::function<void()> onNews)
+    : onNews(std::move(onNews))
+    , history(instanceSeed)
+    , crashes(metrics.counter("oleandergate_runs_crashed_total"))
     , cleared(metrics.counter("oleandergate_crash_suspects_cleared_total"))
 {
 }
@@ -60,13 +62,20 @@
 
 RunAdmission CrashRegistry::begin(const RequestIdentity &request, const EndpointId &endpoint, Time now)
 {
-    const std::lock_guard lock(this->mutex);
-    const RunAdmission admission = this->admitLocked(request, now);
-    if (admission.verdict == RunVerdict::Allowed || admission.verdict == RunVerdict::AllowedIsolated) {
+    RunAdmission admission;
+    {
+        const std::lock_guard lock(this->mutex);
+        admission = this->admitLocked(request, now);
+        if (admission.verdict == RunVerdict::Wait || admission.verdict == RunVerdict::Refused) {
+            return admission;
+        }
         for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
             this->history.onStarted(fingerprint, endpointHash(endpoint), now);
         }
     }
+    if (admission.crashes > 0) {
+        this->onNews();
+    }
     return admission;
 }
 
@@ -81,6 +90,7 @@
         admission = this->admitLocked(request, now);
     }
     this->crashes.add();
+    this->onNews();
     logRecord(LogLevel::Info,
               "crashes",
               "an endpoint ended under a request",
--- a/src/gateway/crashregistry.h
+++ b/src/gateway/crashregistry.h
@@ -5,6 +5,7 @@
 #include "gateway/relaycall.h"
 #include "wire/crashreport.h"
 
+#include <functional>
 #include <mutex>
 #include <string>
 
@@ -17,7 +18,8 @@
 class CrashRegistry
 {
 public:
-    explicit CrashRegistry(Metrics &metrics);
+    //! \p instanceSeed differs between instances. \p onNews is called when other instances have to know of a change at once.
+    CrashRegistry(Metrics &metrics, std::uint64_t instanceSeed, std::function<void()> onNews);
 
     //! Decides whether a request may run now.
     RunAdmission admit(const RequestIdentity &request, Time now) const;
@@ -56,6 +58,7 @@
     RunAdmission admitLocked(const RequestIdentity &request, Time now) const;
 
     mutable std::mutex mutex;
+    std::function<void()> onNews;
     CrashHistory history; //!< Guarded by the mutex.
     Counter &crashes;
     Counter &cleared;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "decision/hash.h"
 #include "gateway/budgetcoordinator.h"
 #include "gateway/crashregistry.h"
 #include "gateway/directorysync.h"
@@ -87,6 +88,11 @@
         , auth(settings.peerKey)
         , peers(control, auth)
         , pools(settings.reregistrationTimeout, settings.domain, static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
+        , crashes(metrics,
+                  hashOf(self.id),
+                  [this]() {
+                      this->gossip.sendCrashNews();
+                  })
         , gossip(control,
                  auth,
                  self,
@@ -335,7 +341,7 @@
     PeerClient peers;
     GatewayConfigurationHolder configurationHolder{};
     PoolSet pools;
-    CrashRegistry crashes{metrics};
+    CrashRegistry crashes;
     PeerGossip gossip;
     BudgetCoordinator budget;
     PeerServer peerServer;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -20,6 +20,9 @@
 //! How often changed loads are reported; a call at an engine lasts several intervals.
 constexpr Duration reportInterval = std::chrono::milliseconds(50);
 
+//! Shortest time between two crash reports that do not wait for a load report. An endpoint that ends is noticed by all requests there within it.
+constexpr Duration crashNewsInterval = std::chrono::milliseconds(5);
+
 //! An unchanged report is repeated after this time as a keep-alive.
 constexpr Duration keepaliveInterval = std::chrono::milliseconds(500);
 
@@ -63,14 +66,20 @@
     Hooks hooks;
     SignedDatagrams datagrams;
     mutable std::mutex mutex{};
+    AsyncSignal crashNews{};
     PeerTable table; //!< Guarded by the mutex.
     OwnState lastReported{}; //!< State in the latest report.
     Time lastReportedAt{};
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks)
-    : core(new Core{
-        context, self, std::move(hooks), SignedDatagrams(context.get_executor(), auth, messagePurpose), {}, PeerTable(self.peerAddress, self.domain, seeds)})
+    : core(new Core{context,
+                    self,
+                    std::move(hooks),
+                    SignedDatagrams(context.get_executor(), auth, messagePurpose),
+                    {},
+                    {},
+                    PeerTable(self.peerAddress, self.domain, seeds)})
 {
 }
 
@@ -85,6 +94,7 @@
         return false;
     }
     asio::co_spawn(this->core->context, this->sendLoop(), asio::detached);
+    asio::co_spawn(this->core->context, this->crashNewsLoop(), asio::detached);
     return true;
 }
 
@@ -210,6 +220,29 @@
     }
 }
 
+void PeerGossip::sendCrashNews()
+{
+    this->core->crashNews.notify();
+}
+
+asio::awaitable<void> PeerGossip::crashNewsLoop()
+{
+    while (true) {
+        co_await this->core->crashNews.wait(keepaliveInterval);
+        if (!this->core->hooks.hasCrashNews()) {
+            continue;
+        }
+        const Time now = currentTime();
+        std::vector<std::string> targets;
+        {
+            const std::lock_guard lock(this->core->mutex);
+            targets = this->core->table.nextTargets(true, now);
+        }
+        co_await this->core->datagrams.send(encodeCrashReport(this->core->hooks.nextCrashReport(now)), std::move(targets));
+        co_await sleepFor(crashNewsInterval);
+    }
+}
+
 void PeerGossip::onDatagram(const std::string &payload)
 {
     const Time now = currentTime();
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -70,9 +70,13 @@
 
     std::vector<PeerReport> livePeers() const;
 
+    //! Sends a crash report soon, without waiting for the next load report. Thread-safe.
+    void sendCrashNews();
+
 private:
     struct Core;
     boost::asio::awaitable<void> sendLoop();
+    boost::asio::awaitable<void> crashNewsLoop();
     void step(Time now, Time before);
     void onDatagram(const std::string &payload);
 
