Runs of suspects are found among the runs under way, not among all records; crash reports have a wire test

Each request that is sent asks for the endpoints of isolated runs, which went over up to 4,096 records. Now it goes over the runs of this instance, at most some hundred.

--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -239,10 +239,10 @@
 std::vector<SuspectRun> CrashHistory::suspectRuns(std::size_t count) const
 {
     std::vector<SuspectRun> runs;
-    for (const auto &[request, entry] : this->entries) {
-        const auto [first, last] = this->ownRuns.equal_range(request);
-        for (auto run = first; run != last && entry.record.crashes > 0 && runs.size() < count; ++run) {
-            runs.push_back(SuspectRun{request, run->second, entry.record.crashes >= crashesToIsolate});
+    for (const auto &[request, endpoint] : this->ownRuns) {
+        const auto entry = this->entries.find(request);
+        if (entry != this->entries.end() && entry->second.record.crashes > 0 && runs.size() < count) {
+            runs.push_back(SuspectRun{request, endpoint, entry->second.record.crashes >= crashesToIsolate});
         }
     }
     return runs;
@@ -258,7 +258,7 @@
             }
         }
     };
-    add(this->suspectRuns(this->maxRecords));
+    add(this->suspectRuns(this->ownRuns.size()));
     for (const auto &[instance, remote] : this->remoteRuns) {
         if (now < remote.reportedAt + remoteRunTimeout) {
             add(remote.runs);
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -139,3 +139,29 @@
     }
     CHECK(refused > 1000);
 }
+
+TEST_CASE("Crash reports keep their content, and neither they nor load reports are taken for the other")
+{
+    CrashReport report;
+    report.instance = "front-1~5";
+    report.records = {ReportedCrashRecord{0xfeedU, 3, 250, std::nullopt}, ReportedCrashRecord{7, 0, 90, 12}};
+    report.runs = {SuspectRun{0xfeedU, 42, true}};
+    const std::string bytes = encodeCrashReport(report);
+    const Result<CrashReport> decoded = decodeCrashReport(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().instance == report.instance);
+    REQUIRE(decoded.value().records.size() == 2);
+    CHECK(decoded.value().records[0].request == 0xfeedU);
+    CHECK(decoded.value().records[0].crashes == 3);
+    CHECK(decoded.value().records[0].crashAge == 250);
+    CHECK_FALSE(decoded.value().records[0].completionAge);
+    CHECK(decoded.value().records[1].completionAge == 12);
+    REQUIRE(decoded.value().runs.size() == 1);
+    CHECK(decoded.value().runs[0].endpoint == 42);
+    CHECK(decoded.value().runs[0].isolated);
+    CHECK_FALSE(decodeLoadReport(bytes));
+    CHECK_FALSE(decodeCrashReport(encodeLoadReport(LoadReport{"front-1~5", "10.0.0.1:90", "a"})));
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decodeCrashReport(bytes.substr(0, size)));
+    }
+}
