--- a/tests/unit/crashhistorytests.cpp
+++ b/tests/unit/crashhistorytests.cpp
@@ -1,6 +1,7 @@
 //! Requests that end each endpoint that runs them, among requests that only run at an endpoint when it ends.
 
 #include "decision/crashhistory.h"
+#include "decision/peertable.h"
 
 #include <doctest/doctest.h>
 
@@ -431,6 +432,53 @@
     }
 }
 
+// Guards against news that stay where they arose: beyond a dozen peers each report goes to some of them only.
+TEST_CASE("With 420 instances in eight failure domains all of them refuse a request soon after its third crash")
+{
+    constexpr std::size_t instances = 420;
+    constexpr std::size_t domains = 8;
+    std::vector<CrashHistory> histories;
+    std::vector<PeerTable> tables;
+    std::map<std::string, std::size_t> indices;
+    const auto recordOf = [](std::size_t index) {
+        return InstanceRecord{std::to_string(index), "10.0.0.0:" + std::to_string(index), "domain" + std::to_string(index % domains), false};
+    };
+    for (std::size_t index = 0; index < instances; ++index) {
+        const InstanceRecord self = recordOf(index);
+        indices[self.peerAddress] = index;
+        histories.emplace_back(index);
+        tables.emplace_back(self.peerAddress, self.domain, std::vector<std::string>());
+        for (std::size_t peer = 0; peer < instances; ++peer) {
+            tables.back().onReport(PeerReport{recordOf(peer), 1}, start);
+        }
+    }
+    Time now = start;
+    for (int crash = 0; crash < 3; ++crash) {
+        histories[0].onStarted(deadly, 7, now);
+        now += tick;
+        histories[0].onCrashed(deadly, 7, now - tick, now);
+    }
+    const Time condemnedAt = now;
+    const auto allRefuse = [&]() {
+        return std::all_of(histories.begin(), histories.end(), [now](const CrashHistory &history) {
+            return history.admit(deadly, now).verdict == RunVerdict::Refused;
+        });
+    };
+    while (!allRefuse() && now <= condemnedAt + contactBound) {
+        now += reportInterval;
+        for (std::size_t sender = 0; sender < instances; ++sender) {
+            const std::vector<std::string> targets = tables[sender].nextTargets(histories[sender].hasNews(), now);
+            const std::vector<CrashRecord> records = histories[sender].nextReport(recordsPerReport);
+            for (const std::string &target : targets) {
+                for (const CrashRecord &record : records) {
+                    histories[indices.at(target)].merge(record, now);
+                }
+            }
+        }
+    }
+    CHECK(allRefuse());
+}
+
 TEST_CASE("Records are bounded and forgotten, and new suspects displace no condemned request")
 {
     constexpr std::size_t maxRecords = 100;
