Reports between instances repeat records of two crashes and more only, four at a time

Cause: whatever ran at an endpoint that ended is a suspect for ten minutes unless it completes, and every load report, 20 a second to each peer, carried up to 48 such records again, 900 B each time.

Change: records without news are repeated only from two crashes on, for instances that start later, and four in a report. After an ordinary crash and its news nothing is sent.

Evidence: the new case fails before (48 records a report without end) and passes now; unit 118 of 118, gateway 46 of 46.

--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -21,6 +21,9 @@
 constexpr Duration isolationStep = std::chrono::milliseconds(100);
 constexpr std::uint64_t isolationSteps = 4;
 
+//! Records without news in one report, for instances that started later. Suspects with one crash are left out: each ordinary crash makes some.
+constexpr std::size_t recordsInRotation = 4;
+
 //! Copies of one request that wait at several instances begin one after the other as well, so that one of them runs and the others hear of it.
 constexpr Duration instanceStep = std::chrono::milliseconds(15);
 constexpr std::uint64_t instanceSteps = 16;
@@ -215,12 +218,13 @@
         entry->newsLeft -= 1;
         records.push_back(entry->record);
     }
+    const std::size_t limit = std::min(count, records.size() + recordsInRotation);
     auto next = this->entries.upper_bound(this->lastReported);
-    for (std::size_t considered = 0; considered < this->entries.size() && records.size() < count; ++considered) {
+    for (std::size_t considered = 0; considered < this->entries.size() && records.size() < limit; ++considered) {
         if (next == this->entries.end()) {
             next = this->entries.begin();
         }
-        if (next->second.newsLeft == 0) {
+        if (next->second.newsLeft == 0 && next->second.record.crashes >= crashesToIsolate) {
             records.push_back(next->second.record);
         }
         this->lastReported = next->first;
--- a/src/decision/crashhistory.h
+++ b/src/decision/crashhistory.h
@@ -53,7 +53,8 @@
     //! Replaces the runs of suspects that \p instance reported. They count until about a second after the latest report.
     void setRemoteRuns(const InstanceId &instance, const std::vector<SuspectRun> &runs, Time now);
 
-    //! Returns up to \p count records to report next: those that changed lately, the most crashes first, then the others in rotation.
+    //! Returns up to \p count records to report next: those that changed lately, the most crashes first, then a few others with
+    //! two crashes or more, in rotation.
     std::vector<CrashRecord> nextReport(std::size_t count);
 
     //! Returns true when a record changed so lately that not all peers may have it.
--- a/tests/unit/crashhistorytests.cpp
+++ b/tests/unit/crashhistorytests.cpp
@@ -404,6 +404,20 @@
     CHECK(history.isolatedEndpoints(start + std::chrono::seconds(2)).empty());
 }
 
+// Guards against reports that grow with each ordinary crash: all that ran at the endpoint stays a suspect until it completes or is forgotten.
+TEST_CASE("After the news of an ordinary crash reports name none of its suspects")
+{
+    CrashHistory history(1);
+    for (RequestFingerprint request = 1000; request < 1100; ++request) {
+        history.onStarted(request, 7, start);
+        history.onCrashed(request, 7, start, start + tick);
+    }
+    while (history.hasNews()) {
+        CHECK_FALSE(history.nextReport(recordsPerReport).empty());
+    }
+    CHECK(history.nextReport(recordsPerReport).empty());
+}
+
 TEST_CASE("An instance that starts later learns of all condemned requests from one that goes on")
 {
     CrashHistory survivor(1);
