--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -21,9 +21,6 @@
 constexpr Duration isolationStep = std::chrono::milliseconds(100);
 constexpr std::uint64_t isolationSteps = 4;
 
-//! Records without news in one report, for instances that started later. Suspects with one crash are left out: each ordinary crash makes some.
-constexpr std::size_t recordsInRotation = 4;
-
 //! Copies of one request that wait at several instances begin one after the other as well, so that one of them runs and the others hear of it.
 constexpr Duration instanceStep = std::chrono::milliseconds(15);
 constexpr std::uint64_t instanceSteps = 16;
@@ -37,6 +34,9 @@
 //! A changed record is part of so many reports before it waits for its turn: reports may be lost, and each goes to some of the peers only.
 constexpr std::uint32_t reportsOfNews = 4;
 
+//! Records without news in one report, for instances that started later. Suspects with one crash are left out: each ordinary crash makes some.
+constexpr std::size_t recordsInRotation = 4;
+
 //! Bound of the recent completions, as a multiple of that of the records.
 constexpr std::size_t completionsPerRecord = 4;
 
@@ -105,7 +105,7 @@
     return admission;
 }
 
-void CrashHistory::onStarted(RequestFingerprint request, std::uint32_t endpoint, Time /*now*/)
+void CrashHistory::onStarted(RequestFingerprint request, std::uint32_t endpoint)
 {
     this->ownRuns.emplace(request, endpoint);
 }
--- a/src/decision/crashhistory.h
+++ b/src/decision/crashhistory.h
@@ -36,7 +36,7 @@
     RunAdmission admit(RequestFingerprint request, Time now) const;
 
     //! Records that a run began at \p endpoint, the hash of its identifier.
-    void onStarted(RequestFingerprint request, std::uint32_t endpoint, Time now);
+    void onStarted(RequestFingerprint request, std::uint32_t endpoint);
 
     //! Records that the endpoint of a run that began at \p startedAt ended under it. Returns the crashes of the request so far.
     std::uint32_t onCrashed(RequestFingerprint request, std::uint32_t endpoint, Time startedAt, Time now);
--- a/src/decision/queuedcall.h
+++ b/src/decision/queuedcall.h
@@ -33,7 +33,7 @@
     Time programDeadline{};
     EndpointId requiredEndpoint{}; //!< The only endpoint that may serve the call, even when it is full; empty for any.
     bool isolated = false; //!< Goes to the endpoint with the least load, whatever that has cached.
-    std::set<EndpointId> avoid{}; //!< Endpoints at which an attempt failed.
+    std::set<EndpointId> avoid{}; //!< Endpoints that may not serve the call: an attempt failed there, or they are kept for an isolated run.
 };
 
 } // namespace oleandergate
--- a/src/decision/runadmission.h
+++ b/src/decision/runadmission.h
@@ -8,11 +8,11 @@
 
 namespace oleandergate {
 
-//! Whether a request may run now.
+//! Whether a request may run now; later values are stricter.
 enum class RunVerdict : std::uint8_t {
     Allowed,
     AllowedIsolated, //!< Endpoints have ended under it: it is to run beside as few other requests as possible.
-    Wait, //!< Another run of the request is under way, whose end decides.
+    Wait, //!< Another run of the request is under way, whose end decides, or its turn to run isolated has not come.
     Refused //!< It is taken for the cause of the crashes.
 };
 
--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -70,7 +70,7 @@
             return admission;
         }
         for (const RequestFingerprint fingerprint : fingerprintsOf(request)) {
-            this->history.onStarted(fingerprint, endpointHash(endpoint), now);
+            this->history.onStarted(fingerprint, endpointHash(endpoint));
         }
     }
     if (admission.crashes > 0) {
--- a/tests/unit/crashhistorytests.cpp
+++ b/tests/unit/crashhistorytests.cpp
@@ -173,7 +173,7 @@
         request.running = true;
         request.endpoint = usable.front();
         request.startedAt = now;
-        this->histories[request.instance].onStarted(request.fingerprint, static_cast<std::uint32_t>(request.endpoint), now);
+        this->histories[request.instance].onStarted(request.fingerprint, static_cast<std::uint32_t>(request.endpoint));
         if (request.fingerprint == deadly) {
             this->deadlyRuns.push_back(now);
         }
@@ -269,14 +269,14 @@
     CrashHistory history(1);
     Time now = start;
     const auto crashOnce = [&](Time startedAt) {
-        history.onStarted(deadly, 7, startedAt);
+        history.onStarted(deadly, 7);
         return history.onCrashed(deadly, 7, startedAt, now);
     };
     CHECK(crashOnce(now - tick) == 1);
     CHECK(crashOnce(now - tick) == 1); // A copy that ran at the same time.
     now += reportInterval;
     CHECK(crashOnce(now - tick) == 2);
-    history.onStarted(deadly, 7, now);
+    history.onStarted(deadly, 7);
     CHECK(history.onCompleted(deadly, 7, now + tick));
     CHECK(history.admit(deadly, now + tick).verdict == RunVerdict::Allowed);
     now += reportInterval;
@@ -300,7 +300,7 @@
         CrashHistory history(instance);
         Time now = start;
         for (int crash = 0; crash < 2; ++crash) {
-            history.onStarted(deadly, 7, now);
+            history.onStarted(deadly, 7);
             now += tick;
             history.onCrashed(deadly, 7, now - tick, now);
         }
@@ -318,10 +318,10 @@
     CrashHistory busy(1);
     CrashHistory idle(2);
     Time now = start;
-    busy.onStarted(popular, 7, now);
+    busy.onStarted(popular, 7);
     busy.onCompleted(popular, 7, now);
     now += tick;
-    idle.onStarted(popular, 8, now);
+    idle.onStarted(popular, 8);
     now += tick;
     CHECK(idle.onCrashed(popular, 8, now - tick, now) == 1);
     const auto report = [&](CrashHistory &sender, CrashHistory &receiver) {
@@ -330,7 +330,7 @@
         }
     };
     report(idle, busy);
-    busy.onStarted(popular, 9, now);
+    busy.onStarted(popular, 9);
     CHECK(busy.admit(popular, now).verdict == RunVerdict::Allowed);
     report(busy, idle);
     CHECK(idle.admit(popular, now).verdict == RunVerdict::Allowed);
@@ -349,7 +349,7 @@
         other.setRemoteRuns("here", here.suspectRuns(recordsPerReport), now);
     };
     for (const RunVerdict verdict : {RunVerdict::Allowed, RunVerdict::AllowedIsolated}) {
-        here.onStarted(deadly, 7, now);
+        here.onStarted(deadly, 7);
         now += tick;
         here.onCrashed(deadly, 7, now - tick, now);
         report();
@@ -358,7 +358,7 @@
         CHECK(other.admit(deadly, now).verdict == verdict);
     }
     CHECK(here.isolatedEndpoints(now).empty());
-    here.onStarted(deadly, 8, now);
+    here.onStarted(deadly, 8);
     report();
     CHECK(here.admit(deadly, now).verdict == RunVerdict::Wait);
     CHECK(other.admit(deadly, now).verdict == RunVerdict::Wait);
@@ -377,12 +377,12 @@
     CrashHistory here(1);
     Time now = start;
     for (RequestFingerprint request = 1000; request < 2000; ++request) {
-        here.onStarted(request, 7, now);
+        here.onStarted(request, 7);
         here.onCrashed(request, 7, now, now);
     }
     constexpr RequestFingerprint last = 5000;
     for (int crash = 0; crash < 3; ++crash) {
-        here.onStarted(last, 7, now);
+        here.onStarted(last, 7);
         now += tick;
         here.onCrashed(last, 7, now - tick, now);
     }
@@ -396,7 +396,7 @@
 TEST_CASE("A run at an instance that died does not hold its request back")
 {
     CrashHistory history(1);
-    history.onStarted(deadly, 7, start);
+    history.onStarted(deadly, 7);
     history.onCrashed(deadly, 7, start, start + tick);
     history.setRemoteRuns("died", {SuspectRun{deadly, 8, true}}, start + tick);
     CHECK(history.admit(deadly, start + tick).verdict == RunVerdict::Wait);
@@ -409,7 +409,7 @@
 {
     CrashHistory history(1);
     for (RequestFingerprint request = 1000; request < 1100; ++request) {
-        history.onStarted(request, 7, start);
+        history.onStarted(request, 7);
         history.onCrashed(request, 7, start, start + tick);
     }
     while (history.hasNews()) {
@@ -427,7 +427,7 @@
         for (int crash = 0; crash < 3; ++crash) {
             const auto endpoint = static_cast<std::uint32_t>(request); // An endpoint that ended is away for a while.
             now += tick;
-            survivor.onStarted(request, endpoint, now);
+            survivor.onStarted(request, endpoint);
             now += tick;
             survivor.onCrashed(request, endpoint, now - tick, now);
         }
@@ -468,7 +468,7 @@
     }
     Time now = start;
     for (int crash = 0; crash < 3; ++crash) {
-        histories[0].onStarted(deadly, 7, now);
+        histories[0].onStarted(deadly, 7);
         now += tick;
         histories[0].onCrashed(deadly, 7, now - tick, now);
     }
@@ -499,13 +499,13 @@
     CrashHistory history(1, maxRecords);
     Time now = start;
     for (int crash = 0; crash < 3; ++crash) {
-        history.onStarted(deadly, 7, now);
+        history.onStarted(deadly, 7);
         now += tick;
         history.onCrashed(deadly, 7, now - tick, now);
     }
     for (RequestFingerprint request = 1000; request < 2000; ++request) {
         now += tick;
-        history.onStarted(request, 7, now);
+        history.onStarted(request, 7);
         history.onCrashed(request, 7, now, now);
         CHECK(history.recordCount() <= maxRecords);
     }
@@ -514,7 +514,7 @@
     now += retryAfter;
     history.expire(now);
     CHECK(history.admit(deadly, now).verdict == RunVerdict::AllowedIsolated);
-    history.onStarted(deadly, 7, now);
+    history.onStarted(deadly, 7);
     CHECK(history.onCrashed(deadly, 7, now, now + tick) >= 3);
     CHECK(history.admit(deadly, now + tick).verdict == RunVerdict::Refused);
     history.expire(now + std::chrono::hours(1));
