--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -21,7 +21,7 @@
 constexpr Duration isolationStep = std::chrono::milliseconds(100);
 constexpr std::uint64_t isolationSteps = 4;
 
-//! Copies of one request that wait at several instances begin one after the other as well, so that one of them runs and the others hear of it.
+//! Copies of one request that wait at several instances begin one after the other as well, so that the first run is known before the next one.
 constexpr Duration instanceStep = std::chrono::milliseconds(15);
 constexpr std::uint64_t instanceSteps = 16;
 
