--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -459,7 +459,10 @@
     REQUIRE(second);
     CHECK(second->status == 502);
     CHECK(cluster.receivedCount() == 2);
-    CHECK(cluster.log(0).find("an endpoint ended under a request") != std::string::npos);
+    const auto crashIsLogged = [&cluster]() {
+        return cluster.log(0).find("an endpoint ended under a request") != std::string::npos;
+    };
+    CHECK(waitFor(crashIsLogged, timeoutMs)); // Lines are written behind the answer.
 }
 
 // Guards against requests that are condemned for connections that broke while their endpoint went on.
