Gateways watch the configuration themselves and query several peers at a time

Callers saw: on the first grown installation a request was refused as only an older version allows, later than the bound after a newer one was acknowledged.

Cause: an instance that learned of a newer version had one query to one peer under way and dropped all other reports until it ended, which a silent peer delays by up to 3 s. Class: progress that depends on one peer's answer. Endpoints were fetched in the same way, in the loop that rereads the store.

Change: each instance watches the configuration; three still watch the endpoints. PeerQueryPlan schedules queries to peers, several side by side, those that reported last first, and in the end a reading of the store; configuration and endpoints use it. Queries have a time limit of 0.3 and 0.4 s. A request without a route waits up to 0.5 s for a newer configuration that another instance has. `activated` has its source and how long the instance was behind.

Why it works: no instance needs a particular peer any more, neither to learn of a change nor to get it; what is left is one round trip to the store, or 20 ms, two rounds of queries and a reading.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -215,25 +215,31 @@
     return latest;
 }
 
-std::string PeerTable::peerWithLatestEndpoints(std::uint64_t revision) const
+std::vector<PeerOffer> PeerTable::offersOfEndpoints(std::uint64_t digest, std::uint64_t revision) const
 {
-    std::string address;
-    for (const auto &[id, peer] : this->peers) {
-        if (peer.report.endpointRevision > revision) {
-            revision = peer.report.endpointRevision;
-            address = peer.report.instance.peerAddress;
-        }
-    }
-    return address;
+    return this->offersWhere([digest, revision](const PeerReport &report) {
+        return report.endpointRevision > revision && report.endpointDigest != digest;
+    });
 }
 
-bool PeerTable::hasNewerEndpoints(std::uint64_t digest, std::uint64_t revision) const
+std::vector<PeerOffer> PeerTable::offersOfConfiguration(std::uint64_t version) const
 {
-    return std::any_of(this->peers.begin(), this->peers.end(), [digest, revision](const auto &entry) {
-        return entry.second.report.endpointRevision > revision && entry.second.report.endpointDigest != digest;
+    return this->offersWhere([version](const PeerReport &report) {
+        return report.configVersion > version;
     });
 }
 
+std::vector<PeerOffer> PeerTable::offersWhere(const std::function<bool(const PeerReport &report)> &isNewer) const
+{
+    std::vector<PeerOffer> offers;
+    for (const auto &[id, peer] : this->peers) {
+        if (isNewer(peer.report)) {
+            offers.push_back(PeerOffer{peer.report.instance.peerAddress, peer.receivedAt});
+        }
+    }
+    return offers;
+}
+
 std::vector<std::string> PeerTable::sampleAddresses(std::size_t count)
 {
     std::vector<std::string> liveAddresses;
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -1,8 +1,10 @@
 #ifndef OLEANDERGATE_DECISION_PEERTABLE_H
 #define OLEANDERGATE_DECISION_PEERTABLE_H
 
+#include "decision/peeroffer.h"
 #include "decision/slottable.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -71,13 +73,11 @@
     //! Returns when a live peer last read from the key-value service.
     Time latestServiceContact() const;
 
-    //! Returns the peer address of the live peer that knows the endpoints up to the highest revision, or an empty string when no
-    //! peer knows them beyond \p revision.
-    std::string peerWithLatestEndpoints(std::uint64_t revision) const;
+    //! Returns the live peers that know the endpoints up to a revision beyond \p revision, and whose digest differs from \p digest.
+    std::vector<PeerOffer> offersOfEndpoints(std::uint64_t digest, std::uint64_t revision) const;
 
-    //! Returns true when a live peer knows the endpoints up to a revision beyond \p revision, and their digest differs from
-    //! \p digest.
-    bool hasNewerEndpoints(std::uint64_t digest, std::uint64_t revision) const;
+    //! Returns the live peers that have a newer configuration than \p version.
+    std::vector<PeerOffer> offersOfConfiguration(std::uint64_t version) const;
 
     //! Returns the addresses of up to \p count random live peers, to be sent to other peers that may not know them.
     std::vector<std::string> sampleAddresses(std::size_t count);
@@ -89,6 +89,8 @@
         Time receivedAt{};
     };
 
+    std::vector<PeerOffer> offersWhere(const std::function<bool(const PeerReport &report)> &isNewer) const;
+
     //! Returns true when there are so few peers that each report goes to all of them.
     bool reportsToAll() const;
 
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -26,9 +26,21 @@
 constexpr Duration pollInterval = std::chrono::milliseconds(50);
 
 //! Reports of one change reach all instances within this time. An instance that reads the service waits that long before it
-//! rereads; the others query a peer after a shorter delay, as a query costs little.
+//! rereads.
 constexpr Duration maxReportDelay = std::chrono::milliseconds(250);
-constexpr Duration peerQueryDelay = std::chrono::milliseconds(60);
+
+//! How often this instance checks whether peers have newer state.
+constexpr Duration queryPollInterval = std::chrono::milliseconds(20);
+
+//! A peer answers within a few milliseconds. A slower one is frozen or cut off, and others are queried by then.
+constexpr Duration configurationQueryTimeout = std::chrono::milliseconds(300);
+constexpr Duration endpointsQueryTimeout = std::chrono::milliseconds(400);
+
+//! With the poll interval, at least six peers and the service were asked by 0.3 s after the first report of a newer version.
+constexpr PeerQueryPlan::Limits configurationQueryLimits{std::chrono::milliseconds(20), std::chrono::milliseconds(80), 2, 6, std::chrono::milliseconds(200)};
+
+//! Endpoints change many times a second while they restart, and each reply has all of them.
+constexpr PeerQueryPlan::Limits endpointQueryLimits{std::chrono::milliseconds(60), std::chrono::milliseconds(200), 1, 3, std::nullopt};
 
 //! Longest time between two readings of an available service by any instance: the intervals above, with one reader failing.
 constexpr Duration maxReadingGap = std::chrono::milliseconds(1200);
@@ -37,15 +49,21 @@
 //! time is still out of use within two seconds.
 constexpr Duration assumedServiceUptime = std::chrono::milliseconds(700);
 
-//! Number of instances that watch the key-value service. Three tolerate the loss of two at once.
+//! Number of instances that watch the endpoints. Three tolerate the loss of two at once.
 constexpr std::size_t watcherCount = 3;
 
-//! Shortest time between two queries to peers.
-constexpr Duration minPeerQueryInterval = std::chrono::milliseconds(200);
-
 //! Shortest time between two readings that peers' reports trigger.
 constexpr Duration minRereadInterval = std::chrono::milliseconds(700);
 
+//! Sources of a configuration in the log, besides the addresses of peers.
+constexpr const char *watchSource = "watch";
+constexpr const char *readingSource = "reading";
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
+}
+
 } // namespace
 
 DirectorySync::DirectorySync(asio::io_context &context, const Parts &parts, InstanceId self)
@@ -57,12 +75,12 @@
                             parts.format.configurationKey(),
                             PrefixFollower::Hooks{[this](const KvRange &range) {
                                                       for (const KvPair &pair : range.pairs) {
-                                                          this->storeConfiguration(pair);
+                                                          this->storeConfiguration(pair, readingSource);
                                                       }
                                                   },
                                                   [this](const KvEvent &event) {
                                                       if (!event.deleted) {
-                                                          this->storeConfiguration(event.pair);
+                                                          this->storeConfiguration(event.pair, watchSource);
                                                       }
                                                   },
                                                   []() {}})
@@ -78,6 +96,8 @@
                                                  this->parts.pools.onRegistryRecovered(this->availability.availableSince().value_or(currentTime()));
                                              }})
     , availability(maxReadingGap)
+    , configurationQueries(configurationQueryLimits)
+    , endpointQueries(endpointQueryLimits)
 {
 }
 
@@ -86,6 +106,7 @@
     asio::co_spawn(this->context, this->configurationFollower.run(), asio::detached);
     asio::co_spawn(this->context, this->endpointFollower.run(), asio::detached);
     asio::co_spawn(this->context, this->run(), asio::detached);
+    asio::co_spawn(this->context, this->queryLoop(), asio::detached);
 }
 
 std::optional<PeerMessage> DirectorySync::serve(const PeerMessage &message, Time now) const
@@ -105,7 +126,7 @@
     return std::nullopt;
 }
 
-void DirectorySync::storeConfiguration(const KvPair &pair)
+void DirectorySync::storeConfiguration(const KvPair &pair, const std::string &source)
 {
     if (pair.key != this->parts.format.configurationKey()) {
         return;
@@ -128,6 +149,8 @@
               {{"version", std::to_string(version)},
                {"before", std::to_string(before)},
                {"revision", std::to_string(pair.revision)},
+               {"source", source},
+               {"behind_ms", milliseconds(this->configurationQueries.behindFor(currentTime()).value_or(Duration::zero()))},
                {"routes", std::to_string(routes)}});
 }
 
@@ -145,10 +168,10 @@
 {
     const bool watches = this->watcherSelection.shouldWatch(this->parts.gossip.livePeers(), now);
     if (watches != this->watching) {
-        logRecord(LogLevel::Info, "store", watches ? "watching for changes" : "learning of changes from peers");
+        logRecord(LogLevel::Info, "store", watches ? "watching for changes of endpoints" : "learning of changes of endpoints from peers");
     }
     this->watching = watches;
-    this->configurationFollower.setActive(watches);
+    this->configurationFollower.setRelaxed(!watches);
     this->endpointFollower.setActive(watches);
     return watches;
 }
@@ -160,7 +183,7 @@
     Time lastAgreedAt = currentTime();
     Time lastReading{};
     Time rereadDue{};
-    Time lastActionAt{};
+    Time lastReadAt{};
     while (true) {
         co_await sleepFor(pollInterval);
         const Time now = currentTime();
@@ -171,23 +194,21 @@
             lastReading = latestReading;
             rereadDue = lastReading + rereadInterval + Duration(jitter(random));
         }
-        if (!this->parts.gossip.hasNewerEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision())) {
+        if (!watches || this->parts.gossip.offersOfEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision()).empty()) {
             lastAgreedAt = now;
         }
-        const bool peersDiffer
-            = now - lastAgreedAt > (watches ? maxReportDelay : peerQueryDelay) && now - lastActionAt > (watches ? minRereadInterval : minPeerQueryInterval);
-        if (!peersDiffer && (!watches || now < rereadDue)) {
+        const bool peersDiffer = now - lastAgreedAt > maxReportDelay && now - lastReadAt > minRereadInterval;
+        if (!watches || (!peersDiffer && now < rereadDue)) {
+            this->rereading = this->rereading && watches;
             continue;
         }
-        lastActionAt = now;
-        const bool loaded = watches && co_await this->reread();
-        if (watches && !loaded) {
+        lastReadAt = now;
+        this->rereading = true;
+        this->rereading = !co_await this->reread();
+        if (this->rereading) {
             // The service does not answer this instance. The others reread on their own schedule.
             rereadDue = currentTime() + rereadInterval + Duration(jitter(random));
         }
-        if (!loaded) {
-            co_await this->fetchEndpointsFromPeer();
-        }
     }
 }
 
@@ -198,16 +219,80 @@
     co_return configurationRead &&endpointsRead;
 }
 
-asio::awaitable<void> DirectorySync::fetchEndpointsFromPeer()
+asio::awaitable<void> DirectorySync::queryLoop()
+{
+    while (true) {
+        co_await sleepFor(queryPollInterval);
+        const Time now = currentTime();
+        this->queryForConfiguration(now);
+        this->queryForEndpoints(now);
+    }
+}
+
+void DirectorySync::queryForConfiguration(Time now)
 {
-    const std::string peer = this->parts.gossip.peerWithLatestEndpoints(this->endpointRevision());
-    if (peer.empty()) {
+    const PeerQueryPlan::Step step = this->configurationQueries.next(this->parts.gossip.offersOfConfiguration(this->parts.configurationHolder.version()), now);
+    for (const std::string &peer : step.queries) {
+        asio::co_spawn(this->context, this->fetchConfiguration(peer), asio::detached);
+    }
+    if (step.readService && !this->readingConfiguration) {
+        asio::co_spawn(this->context, this->readConfiguration(), asio::detached);
+    }
+}
+
+void DirectorySync::queryForEndpoints(Time now)
+{
+    // An instance that watches the service learns of changes there first.
+    const bool needsPeers = !this->watching || this->rereading;
+    const std::vector<PeerOffer> offers
+        = needsPeers ? this->parts.gossip.offersOfEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision()) : std::vector<PeerOffer>();
+    for (const std::string &peer : this->endpointQueries.next(offers, now).queries) {
+        asio::co_spawn(this->context, this->fetchEndpoints(peer), asio::detached);
+    }
+}
+
+asio::awaitable<void> DirectorySync::readConfiguration()
+{
+    this->readingConfiguration = true;
+    co_await this->configurationFollower.load();
+    this->readingConfiguration = false;
+}
+
+asio::awaitable<void> DirectorySync::fetchConfiguration(std::string peer)
+{
+    const Result<PeerMessage> reply = co_await this->parts.peers.sendWithin(configurationQueryTimeout, peer, ConfigQuery());
+    this->configurationQueries.onQueryEnded(peer);
+    const auto *found = reply ? std::get_if<ConfigReply>(&reply.value()) : nullptr;
+    if (found == nullptr) {
+        this->logUnanswered("configuration", peer, reply, this->configurationQueries);
         co_return;
     }
-    const Result<PeerMessage> reply = co_await this->parts.peers.send(peer, EndpointsQuery());
+    if (found->version > this->parts.configurationHolder.version()) {
+        this->storeConfiguration(KvPair{this->parts.format.configurationKey(), found->text, 0}, peer);
+    }
+}
+
+void DirectorySync::logUnanswered(const char *component, const std::string &peer, const Result<PeerMessage> &reply, const PeerQueryPlan &plan) const
+{
+    logRecord(LogLevel::Info,
+              component,
+              "a peer did not answer a query for newer state",
+              {{"peer", peer},
+               {"behind_ms", milliseconds(plan.behindFor(currentTime()).value_or(Duration::zero()))},
+               {"detail", reply ? "the reply is of another kind" : reply.error().detail}});
+}
+
+asio::awaitable<void> DirectorySync::fetchEndpoints(std::string peer)
+{
+    const Result<PeerMessage> reply = co_await this->parts.peers.sendWithin(endpointsQueryTimeout, peer, EndpointsQuery());
+    this->endpointQueries.onQueryEnded(peer);
     const auto *found = reply ? std::get_if<EndpointsReply>(&reply.value()) : nullptr;
+    if (found == nullptr) {
+        this->logUnanswered("endpoints", peer, reply, this->endpointQueries);
+        co_return;
+    }
     const Time now = currentTime();
-    if (found == nullptr || found->revision <= this->endpointRevision() || found->entries.empty()) {
+    if (found->revision <= this->endpointRevision() || found->entries.empty()) {
         co_return;
     }
     const std::uint64_t before = this->parts.pools.endpointDigest();
@@ -228,24 +313,6 @@
     }
 }
 
-void DirectorySync::fetchConfiguration(const std::string &peer)
-{
-    if (this->fetching.exchange(true)) {
-        return;
-    }
-    asio::co_spawn(
-        this->context,
-        [this, peer]() -> asio::awaitable<void> {
-            const Result<PeerMessage> reply = co_await this->parts.peers.send(peer, ConfigQuery());
-            const auto *found = reply ? std::get_if<ConfigReply>(&reply.value()) : nullptr;
-            if (found != nullptr && found->version > this->parts.configurationHolder.version()) {
-                this->storeConfiguration(KvPair{this->parts.format.configurationKey(), found->text, 0});
-            }
-            this->fetching = false;
-        },
-        asio::detached);
-}
-
 std::optional<EndpointEntry> DirectorySync::readEndpoint(const KvPair &pair)
 {
     Result<EndpointEntry> entry = this->parts.format.readEndpoint(pair);
--- a/src/gateway/directorysync.h
+++ b/src/gateway/directorysync.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_DIRECTORYSYNC_H
 #define OLEANDERGATE_GATEWAY_DIRECTORYSYNC_H
 
+#include "decision/peerqueryplan.h"
 #include "decision/serviceavailability.h"
 #include "decision/watcherselection.h"
 #include "gateway/interfaces/recordformat.h"
@@ -24,8 +25,9 @@
 
 //! Keeps this instance's copy of the configuration and the endpoints up to date.
 //!
-//! A few instances watch the key-value service. A watch may stop delivering events without an error, so these instances take
-//! turns to read everything again. The others query a peer when a peer with a newer reading reports different endpoints.
+//! All instances watch the configuration in the key-value service, and a few watch the endpoints, which change far more often. A watch
+//! may stop delivering events without an error, so these few take turns to read everything again. An instance that learns from a peer's
+//! report that it lacks a newer configuration or newer endpoints queries peers.
 class DirectorySync
 {
 public:
@@ -47,9 +49,6 @@
     //! Answers a peer's ConfigQuery or EndpointsQuery; returns nothing for other messages.
     std::optional<PeerMessage> serve(const PeerMessage &message, Time now) const;
 
-    //! Fetches the configuration of the instance at \p peer and activates it if it is newer.
-    void fetchConfiguration(const std::string &peer);
-
     //! Returns when configuration and endpoints were last read, the earlier of the two times.
     Time readAt() const;
 
@@ -65,8 +64,17 @@
     //! Reads configuration and endpoints. Returns false when the key-value service does not answer.
     boost::asio::awaitable<bool> reread();
 
-    boost::asio::awaitable<void> fetchEndpointsFromPeer();
-    void storeConfiguration(const KvPair &pair);
+    //! Queries peers for newer state as long as their reports say that there is any.
+    boost::asio::awaitable<void> queryLoop();
+    void queryForConfiguration(Time now);
+    void queryForEndpoints(Time now);
+    boost::asio::awaitable<void> fetchConfiguration(std::string peer);
+    boost::asio::awaitable<void> fetchEndpoints(std::string peer);
+    boost::asio::awaitable<void> readConfiguration();
+    void logUnanswered(const char *component, const std::string &peer, const Result<PeerMessage> &reply, const PeerQueryPlan &plan) const;
+
+    //! Activates the configuration in \p pair if it is newer. \p source is where it comes from, for the log.
+    void storeConfiguration(const KvPair &pair, const std::string &source);
     void loadEndpoints(const KvRange &range);
     void applyEndpointEvent(const KvEvent &event);
     std::optional<EndpointEntry> readEndpoint(const KvPair &pair);
@@ -78,8 +86,11 @@
     PrefixFollower configurationFollower;
     PrefixFollower endpointFollower;
     ServiceAvailability availability;
-    std::atomic<bool> fetching{false};
-    bool watching = true;
+    PeerQueryPlan configurationQueries;
+    PeerQueryPlan endpointQueries;
+    bool watching = true; //!< Watches the endpoints, too.
+    bool rereading = false; //!< A reading is under way, or the latest one failed.
+    bool readingConfiguration = false;
     bool endpointsLoaded = false;
     std::atomic<std::uint64_t> peerRevision{0}; //!< Up to which a peer knew the endpoints that were fetched from it.
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,8 +106,8 @@
                                    [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
                                        this->budget.onMembers(live, budgetSlotOwners, now);
                                    },
-                                   [this](const std::string &peer) {
-                                       this->directory.fetchConfiguration(peer);
+                                   [this](std::uint64_t version) {
+                                       this->configurationHolder.announce(version);
                                    },
                                    [this](Time now) {
                                        return this->crashes.nextReport(this->self.id, now);
--- a/src/gateway/gatewayconfigurationholder.cpp
+++ b/src/gateway/gatewayconfigurationholder.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewayconfigurationholder.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 void GatewayConfigurationHolder::setListener(Listener newListener)
@@ -41,4 +43,15 @@
     return this->active ? this->active->configuration.version : 0;
 }
 
+void GatewayConfigurationHolder::announce(std::uint64_t announced)
+{
+    const std::lock_guard lock(this->mutex);
+    this->announcedVersion = std::max(this->announcedVersion.load(), announced);
+}
+
+bool GatewayConfigurationHolder::isOutdated() const
+{
+    return this->announcedVersion > this->version();
+}
+
 } // namespace oleandergate
--- a/src/gateway/gatewayconfigurationholder.h
+++ b/src/gateway/gatewayconfigurationholder.h
@@ -3,6 +3,7 @@
 
 #include "gateway/activegatewayconfiguration.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -27,10 +28,17 @@
     //! Returns the version of the active configuration, or 0.
     std::uint64_t version() const;
 
+    //! Records that another instance has the version \p announced.
+    void announce(std::uint64_t announced);
+
+    //! Returns true when a newer version than the active one has been announced.
+    bool isOutdated() const;
+
 private:
     mutable std::mutex mutex;
     std::shared_ptr<const ActiveGatewayConfiguration> active;
     Listener listener;
+    std::atomic<std::uint64_t> announcedVersion{0}; //!< Newest version that another instance is known to have.
 };
 
 } // namespace oleandergate
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -110,16 +110,16 @@
     return this->core->table.latestServiceContact();
 }
 
-std::string PeerGossip::peerWithLatestEndpoints(std::uint64_t revision) const
+std::vector<PeerOffer> PeerGossip::offersOfEndpoints(std::uint64_t digest, std::uint64_t revision) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.peerWithLatestEndpoints(revision);
+    return this->core->table.offersOfEndpoints(digest, revision);
 }
 
-bool PeerGossip::hasNewerEndpoints(std::uint64_t digest, std::uint64_t revision) const
+std::vector<PeerOffer> PeerGossip::offersOfConfiguration(std::uint64_t version) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.hasNewerEndpoints(digest, revision);
+    return this->core->table.offersOfConfiguration(version);
 }
 
 void PeerGossip::addAddress(const std::string &address, Time now)
@@ -278,7 +278,7 @@
         this->core->hooks.onReportReplaced(peerReport.instance.domain == this->core->self.domain, *replacedAge);
     }
     if (peerReport.configVersion > this->core->lastReported.configVersion) {
-        this->core->hooks.onNewerConfiguration(peerReport.instance.peerAddress);
+        this->core->hooks.onNewerConfiguration(peerReport.configVersion);
     }
 }
 
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -42,7 +42,7 @@
         std::function<void(const std::map<std::uint32_t, std::uint32_t> &loads, Time now)> onLoads{}; //!< Calls of the other instances by endpoint hash.
         std::function<void(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now)>
             onMembers{}; //!< Called in each report interval.
-        std::function<void(const std::string &peerAddress)> onNewerConfiguration{};
+        std::function<void(std::uint64_t version)> onNewerConfiguration{}; //!< A peer has a newer configuration than this instance.
         std::function<CrashReport(Time now)> nextCrashReport{}; //!< Called before each report; returns what to send beside it.
         std::function<bool()> hasCrashNews{}; //!< Returns true when the next crash report is urgent.
         std::function<void(const CrashReport &report, Time now)> onCrashReport{};
@@ -62,8 +62,8 @@
 
     //! As in PeerTable. Thread-safe.
     Time latestServiceContact() const;
-    std::string peerWithLatestEndpoints(std::uint64_t revision) const;
-    bool hasNewerEndpoints(std::uint64_t digest, std::uint64_t revision) const;
+    std::vector<PeerOffer> offersOfEndpoints(std::uint64_t digest, std::uint64_t revision) const;
+    std::vector<PeerOffer> offersOfConfiguration(std::uint64_t version) const;
 
     //! Adds the address of a possible peer. Thread-safe.
     void addAddress(const std::string &address, Time now);
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -15,6 +15,7 @@
 //! Delay before the first retry, doubled up to the maximum. Both are short, as configuration has to arrive within seconds.
 constexpr Duration initialRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(400);
+constexpr Duration maxRelaxedRetryDelay = std::chrono::milliseconds(2000);
 
 //! How often an inactive follower checks whether it was activated.
 constexpr Duration passivePollInterval = std::chrono::milliseconds(100);
@@ -77,6 +78,11 @@
     this->active = newActive;
 }
 
+void PrefixFollower::setRelaxed(bool newRelaxed)
+{
+    this->relaxed = newRelaxed;
+}
+
 asio::awaitable<void> PrefixFollower::run()
 {
     while (true) {
@@ -108,7 +114,7 @@
             this->serviceDown = this->serviceDown || ended.code == ErrorCode::ServiceUnavailable;
         }
         co_await sleepFor(this->retryDelay + jitterOf(this->retryDelay));
-        this->retryDelay = std::min(maxRetryDelay, this->retryDelay * 2);
+        this->retryDelay = std::min(this->relaxed ? maxRelaxedRetryDelay : maxRetryDelay, this->retryDelay * 2);
     }
 }
 
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -28,6 +28,9 @@
     //! An inactive follower does not watch. A pending watch is not aborted, but ends with its next response.
     void setActive(bool active);
 
+    //! With \p relaxed set, calls that fail are repeated less often. To be set where changes also arrive in another way.
+    void setRelaxed(bool relaxed);
+
     //! Reads all keys again. Returns false when the service does not answer.
     boost::asio::awaitable<bool> load();
 
@@ -46,6 +49,7 @@
     bool serviceDown = false;
     std::atomic<Time> readAt{Time{}};
     std::atomic<bool> active{true};
+    std::atomic<bool> relaxed{false};
     Duration retryDelay{};
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -24,6 +24,9 @@
 constexpr Duration configurationTimeout = std::chrono::milliseconds(200);
 constexpr Duration configurationPollInterval = std::chrono::milliseconds(10);
 
+//! How long a request without a route waits for a newer configuration that another instance is known to have.
+constexpr Duration announcedConfigurationTimeout = std::chrono::milliseconds(500);
+
 //! Retry-After while this instance shuts down: a new connection reaches another instance, so callers may retry almost at once.
 constexpr Duration otherInstanceRetryAfter = std::chrono::milliseconds(20);
 
@@ -136,6 +139,23 @@
     }
 }
 
+asio::awaitable<void> Relay::findRoute(RequestContext &context)
+{
+    const std::string_view path = std::string_view(context.call.target).substr(0, context.call.target.find('?'));
+    const Time giveUpAt = context.arrived + std::min(context.call.timeLeft.value_or(announcedConfigurationTimeout), announcedConfigurationTimeout);
+    while (true) {
+        // Read before the search, or a configuration that arrives in between would be missed.
+        const bool outdated = this->parts.configurationHolder.isOutdated();
+        context.active = this->parts.configurationHolder.current();
+        context.route = context.active->routes.find(context.call.host, path);
+        const bool found = context.route != nullptr && !context.route->targets.empty();
+        if (found || !outdated || currentTime() >= giveUpAt) {
+            co_return;
+        }
+        co_await sleepFor(configurationPollInterval);
+    }
+}
+
 asio::awaitable<void> Relay::serve(RequestContext &context)
 {
     co_await this->awaitConfiguration(context);
@@ -143,7 +163,7 @@
         co_await this->refuse(context, makeError(ErrorCode::ServiceUnavailable, Step::ConfigFetch, Executed::No, "no configuration has been received yet"));
         co_return;
     }
-    context.route = context.active->routes.find(context.call.host, std::string_view(context.call.target).substr(0, context.call.target.find('?')));
+    co_await this->findRoute(context);
     if (context.route == nullptr || context.route->targets.empty()) {
         co_await this->refuse(context,
                               makeError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -47,6 +47,9 @@
 
     boost::asio::awaitable<void> serve(RequestContext &context);
     boost::asio::awaitable<void> awaitConfiguration(RequestContext &context);
+
+    //! Finds the route of a request; a request without one waits for a newer configuration if another instance has it already.
+    boost::asio::awaitable<void> findRoute(RequestContext &context);
     boost::asio::awaitable<void> serveAdmitted(RequestContext &context);
 
     //! Waits while another run of the request decides whether it crashes endpoints. Returns the last verdict.
--- a/src/runtime/peerclient.cpp
+++ b/src/runtime/peerclient.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/answerchannel.h"
+#include "runtime/clock.h"
 #include "runtime/connectionpool.h"
 #include "runtime/peerframing.h"
 
@@ -19,6 +20,9 @@
 //! The server sends empty chunks more often than this while it executes a command.
 constexpr std::chrono::seconds silenceTimeout{2};
 
+//! A step of an exchange that is out of time fails after this time.
+constexpr Duration minTimeout = std::chrono::milliseconds(1);
+
 //! Idle connections kept per instance.
 constexpr std::size_t maxIdlePerPeer = 64;
 
@@ -56,11 +60,18 @@
 
 using Reply = std::optional<Result<PeerMessage>>;
 
+//! Returns \p limit, or what is left until \p giveUpAt if that is less.
+Duration timeoutWithin(Duration limit, Time giveUpAt)
+{
+    return std::clamp(Duration(giveUpAt - currentTime()), minTimeout, limit);
+}
+
 asio::awaitable<Reply> exchange(std::shared_ptr<PeerClient::Core> core,
                                 ConnectionPointer connection,
                                 const std::string &address,
                                 const PeerMessage &command,
                                 const std::shared_ptr<AnswerChannel> &chunks,
+                                Time giveUpAt,
                                 bool &replyStarted)
 {
     const auto failed = [&address](const std::string &detail) {
@@ -71,24 +82,24 @@
         if (!endpoint) {
             co_return failed("the address is not an IP address and a port");
         }
-        connection->stream.expires_after(connectTimeout);
+        connection->stream.expires_after(timeoutWithin(connectTimeout, giveUpAt));
         const auto [error] = co_await connection->stream.async_connect(*endpoint, useResult);
         if (error) {
             co_return failed("connect: " + error.message());
         }
         boost::system::error_code ignored;
         connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-        const Result<void> opened = co_await connection->framing.handshake(connectTimeout);
+        const Result<void> opened = co_await connection->framing.handshake(timeoutWithin(connectTimeout, giveUpAt));
         if (!opened) {
             co_return opened.error();
         }
     }
-    const Result<void> written = co_await connection->framing.write(command, silenceTimeout);
+    const Result<void> written = co_await connection->framing.write(command, timeoutWithin(silenceTimeout, giveUpAt));
     if (!written) {
         co_return written.error();
     }
     while (true) {
-        Result<PeerMessage> message = co_await connection->framing.read(silenceTimeout);
+        Result<PeerMessage> message = co_await connection->framing.read(timeoutWithin(silenceTimeout, giveUpAt));
         if (!message) {
             co_return message.error();
         }
@@ -119,20 +130,30 @@
 }
 
 asio::awaitable<Result<PeerMessage>> PeerClient::send(std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks)
+{
+    return this->sendBefore(Time::max(), std::move(address), std::move(command), std::move(chunks));
+}
+
+asio::awaitable<Result<PeerMessage>> PeerClient::sendWithin(Duration timeLimit, std::string address, PeerMessage command)
+{
+    return this->sendBefore(currentTime() + timeLimit, std::move(address), std::move(command), nullptr);
+}
+
+asio::awaitable<Result<PeerMessage>> PeerClient::sendBefore(Time giveUpAt, std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks)
 {
     const std::shared_ptr<Core> shared = this->core;
     ConnectionPointer connection = shared->acquire(address, false);
     const bool reused = connection->established;
     bool replyStarted = false;
-    Reply reply
-        = co_await asio::co_spawn(connection->stream.get_executor(), exchange(shared, connection, address, command, chunks, replyStarted), asio::use_awaitable);
-    if (*reply || !reused || replyStarted) {
+    Reply reply = co_await asio::co_spawn(
+        connection->stream.get_executor(), exchange(shared, connection, address, command, chunks, giveUpAt, replyStarted), asio::use_awaitable);
+    if (*reply || !reused || replyStarted || currentTime() >= giveUpAt) {
         co_return std::move(*reply);
     }
     // The peer may have closed the idle connection. Commands are idempotent at their owner, so sending one again is safe.
     connection = shared->acquire(address, true);
-    Reply second
-        = co_await asio::co_spawn(connection->stream.get_executor(), exchange(shared, connection, address, command, chunks, replyStarted), asio::use_awaitable);
+    Reply second = co_await asio::co_spawn(
+        connection->stream.get_executor(), exchange(shared, connection, address, command, chunks, giveUpAt, replyStarted), asio::use_awaitable);
     co_return std::move(*second);
 }
 
--- a/src/runtime/peerclient.h
+++ b/src/runtime/peerclient.h
@@ -30,10 +30,15 @@
     //! After ErrorCode::PeerFailed it is unknown whether the command was executed.
     boost::asio::awaitable<Result<PeerMessage>> send(std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks = nullptr);
 
+    //! As above, for a command whose reply is of no use after \p timeLimit.
+    boost::asio::awaitable<Result<PeerMessage>> sendWithin(Duration timeLimit, std::string address, PeerMessage command);
+
     //! State shared with running commands.
     struct Core;
 
 private:
+    boost::asio::awaitable<Result<PeerMessage>> sendBefore(Time giveUpAt, std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks);
+
     std::shared_ptr<Core> core;
 };
 
--- a/tests/gateway/gatewayconfigurationholdertests.cpp
+++ b/tests/gateway/gatewayconfigurationholdertests.cpp
@@ -30,3 +30,18 @@
     CHECK(holder.version() == 9);
     CHECK(versions == std::vector<std::uint64_t>{4, 9});
 }
+
+// Guards against requests that are refused for want of a route which a newer version has, while that version is on its way.
+TEST_CASE("The active configuration is outdated from the report of a newer version until that version is active")
+{
+    GatewayConfigurationHolder holder;
+    CHECK_FALSE(holder.isOutdated());
+    holder.activateIfNewer(version(4));
+    holder.announce(9);
+    holder.announce(7);
+    CHECK(holder.isOutdated());
+    holder.activateIfNewer(version(7));
+    CHECK(holder.isOutdated());
+    holder.activateIfNewer(version(9));
+    CHECK_FALSE(holder.isOutdated());
+}
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -135,11 +135,11 @@
     other.endpointRevision = 20;
     other.lastServiceContact = start - std::chrono::seconds(1);
     table.onReport(other, start);
-    CHECK(table.hasNewerEndpoints(9, 19));
-    CHECK_FALSE(table.hasNewerEndpoints(8, 19));
-    CHECK_FALSE(table.hasNewerEndpoints(9, 20));
-    CHECK(table.peerWithLatestEndpoints(19) == "10.0.0.1:90");
-    CHECK(table.peerWithLatestEndpoints(20).empty());
+    REQUIRE(table.offersOfEndpoints(9, 19).size() == 1);
+    CHECK(table.offersOfEndpoints(9, 19).front().address == "10.0.0.1:90");
+    CHECK(table.offersOfEndpoints(9, 19).front().reportedAt == start);
+    CHECK(table.offersOfEndpoints(8, 19).empty());
+    CHECK(table.offersOfEndpoints(9, 20).empty());
 }
 
 TEST_CASE("The owner of a budget slot is the live peer that reports it")
