Gateways keep the rate limits that endpoints name, all together

Callers saw: on most systems like ours an endpoint in need gets far more requests than it says it takes.

Cause: no code knew the limit, and no instance could keep it alone. The limit is for all together; a fair share is less than one call in the time in which demand changes. Class: a bound on a shared resource that each instance would have to divide by what it cannot see.

Change: answers are decoded into a rate of the endpoint with the time of the answer (RateLimitTable), which instances exchange beside load reports through NewsChannel, as crash records are. Each call to a limited endpoint needs a permit of the one instance that issues them for it (PermitMembers, PermitIssuer, RateLimiter).

Why it works: the issuer sees every call, so the sum is exact whatever the spread of demand.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -61,6 +61,10 @@
 //! Load reports that are older are ignored.
 constexpr Duration maxReportAge = std::chrono::seconds(10);
 
+//! Shortest time between two requests of one instance for permits of the same endpoint, as a share of the limit's interval.
+constexpr double permitSpacing = 0.5;
+constexpr Duration maxPermitSpacing = std::chrono::milliseconds(200);
+
 void updateMean(double &mean, double sample, double weight)
 {
     mean += weight * (sample - mean);
@@ -235,7 +239,7 @@
 {
     if (!waiting.call.requiredEndpoint.empty()) {
         const std::optional<std::size_t> index = this->endpoints.indexOf(waiting.call.requiredEndpoint);
-        return index && this->endpoints.at(*index).listed ? *index : noEndpoint;
+        return index && this->endpoints.at(*index).listed && this->endpoints.at(*index).blockedUntil <= now ? *index : noEndpoint;
     }
     const PlacementRule rule = waiting.call.isolated ? PlacementRule::LeastOutstanding : this->options.placement;
     switch (rule) {
@@ -436,6 +440,12 @@
     running.interrupted = waiting.interrupted;
     ProgramView &program = this->programs[waiting.call.program];
     running.previouslyAttained = program.attained;
+    const double callsPerSecond = this->endpoints.at(endpoint).callsPerSecond;
+    if (callsPerSecond > 0.0) {
+        running.cachesBefore = program;
+        // The endpoint's permits are requested one after the other.
+        this->endpoints.block(endpoint, now + std::min(maxPermitSpacing, fromSeconds(permitSpacing / callsPerSecond)));
+    }
     program.endpoints.insert(this->endpoints.at(endpoint).spec.id);
     if (!waiting.call.promptParts.empty()) {
         running.uncached = std::max<Tokens>(0, waiting.call.promptTokens - this->cachedPartTokens(endpoint, waiting.call));
@@ -523,6 +533,44 @@
     }
 }
 
+void Dispatcher::onDeclined(CallId call, Time retryAt)
+{
+    const auto found = this->running.find(call);
+    if (found == this->running.end()) {
+        return;
+    }
+    const Running running = found->second;
+    this->running.erase(found);
+    this->endpoints.removeCall(running.endpoint);
+    this->endpoints.block(running.endpoint, retryAt);
+    ProgramView &program = this->programs[running.call.program];
+    program.openCalls -= 1;
+    if (running.cachesBefore) {
+        static_cast<CacheView &>(program) = *running.cachesBefore;
+    }
+}
+
+void Dispatcher::setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances)
+{
+    if (limits.empty() && !this->hasRateLimits) {
+        return;
+    }
+    this->hasRateLimits = !limits.empty();
+    this->limitSharers = std::max<std::size_t>(1, instances);
+    for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+        const auto found = limits.find(this->endpoints.at(index).spec.id);
+        const double callsPerSecond = found == limits.end() ? 0.0 : found->second;
+        if (callsPerSecond != this->endpoints.at(index).callsPerSecond) {
+            this->endpoints.setRateLimit(index, callsPerSecond);
+        }
+    }
+}
+
+Time Dispatcher::nextUnblock(Time now) const
+{
+    return this->endpoints.nextUnblock(now);
+}
+
 void Dispatcher::keepRunning(CallId call)
 {
     const auto found = this->running.find(call);
@@ -677,9 +725,7 @@
 
 Duration Dispatcher::predictedWait() const
 {
-    const std::uint32_t capacity = std::max(1U, this->endpoints.capacity());
-    const double rounds = static_cast<double>(this->order.size()) / static_cast<double>(capacity);
-    return fromSeconds(rounds * this->meanCallSeconds);
+    return fromSeconds(static_cast<double>(this->order.size()) / this->endpoints.callRate(this->meanCallSeconds, this->limitSharers));
 }
 
 Duration Dispatcher::meanServiceTime() const
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -56,6 +56,15 @@
     //! Records the end of a running call. Unless \p healthy is set, its endpoint gets no new calls for a while.
     void onFinished(CallId call, bool healthy, Time now);
 
+    //! Ends a placed call that was not sent, because its endpoint's rate limit leaves no room before \p retryAt.
+    void onDeclined(CallId call, Time retryAt);
+
+    //! Sets the rate limits of endpoints, in calls a second from all \p instances instances together. Endpoints that \p limits lacks have none.
+    void setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances);
+
+    //! Returns the earliest time after \p now at which a rate-limited endpoint may take a call again; Time::max() when none is blocked.
+    Time nextUnblock(Time now) const;
+
     //! Records that a stream could not be interrupted and continues. It is not chosen for interruption again.
     void keepRunning(CallId call);
 
@@ -99,15 +108,20 @@
         Tokens tokens = 0; //!< Length of the prefix.
     };
 
+    //! Where prefixes of a program's calls are cached, as far as known.
+    struct CacheView
+    {
+        std::map<std::string, BranchCache> caches{}; //!< By branch; the main line is the empty name.
+        std::map<std::size_t, std::map<std::string, Tokens>> parts{}; //!< Cached tokens of each prompt part, by endpoint.
+    };
+
     //! What this instance knows of a program.
-    struct ProgramView
+    struct ProgramView : CacheView
     {
         double attained = 0.0; //!< Seconds of service received.
         std::size_t openCalls = 0; //!< Waiting and running calls.
         Time usedAt{}; //!< When its latest call was queued.
         std::size_t calls = 0; //!< Calls queued so far.
-        std::map<std::string, BranchCache> caches{}; //!< By branch; the main line is the empty name.
-        std::map<std::size_t, std::map<std::string, Tokens>> parts{}; //!< Cached tokens of each prompt part, by endpoint.
         std::set<EndpointId> endpoints{}; //!< Every endpoint that got a call.
     };
 
@@ -132,6 +146,7 @@
         Tokens uncached = 0; //!< Tokens of the prompt that the endpoint had not cached at the start.
         Tokens generated = 0;
         std::uint32_t interrupted = 0;
+        std::optional<CacheView> cachesBefore{}; //!< For a call that may be declined: what was known of its program before it was placed.
         double previouslyAttained = 0.0; //!< Seconds of service that the program had received before.
     };
 
@@ -170,6 +185,8 @@
     std::unordered_map<CallId, Waiting> waiting;
     std::map<CallId, Running> running;
     std::unordered_map<ProgramId, ProgramView> programs;
+    bool hasRateLimits = false;
+    std::size_t limitSharers = 1; //!< Instances that share rate limits.
     std::size_t roundRobin = 0; //!< Next endpoint to try, modulo the number of endpoints.
     std::uint64_t startedCalls = 0;
     std::uint64_t migrations = 0; //!< Interruptions for stalls.
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -13,6 +13,12 @@
 //! Odd multiplier that shuffles equally loaded endpoints, so that instances with the same view of the loads choose different ones.
 constexpr std::uint64_t tieBreakFactor = 0x9E3779B97F4A7C15ULL;
 
+//! Returns true unless the endpoint is excluded from new calls for a time.
+bool isOpen(const EndpointState &state, Time now)
+{
+    return state.avoidUntil <= now && state.blockedUntil <= now;
+}
+
 } // namespace
 
 bool EndpointTable::Ranked::operator<(const Ranked &other) const
@@ -114,7 +120,7 @@
 
 bool EndpointTable::hasRoom(std::size_t index, Time now) const
 {
-    return this->ranked[index] && this->states[index].avoidUntil <= now;
+    return this->ranked[index] && isOpen(this->states[index], now);
 }
 
 std::vector<std::size_t> EndpointTable::leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, Time now) const
@@ -122,7 +128,7 @@
     std::vector<std::size_t> found;
     for (const Ranked &candidate : this->order) {
         const EndpointState &state = this->states[candidate.index];
-        if (state.avoidUntil > now || avoid.contains(state.spec.id)) {
+        if (!isOpen(state, now) || avoid.contains(state.spec.id)) {
             continue;
         }
         found.push_back(candidate.index);
@@ -172,6 +178,49 @@
     state.avoidances += 1;
 }
 
+void EndpointTable::setRateLimit(std::size_t index, double callsPerSecond)
+{
+    EndpointState &state = this->states[index];
+    state.callsPerSecond = callsPerSecond;
+    if (callsPerSecond > 0.0) {
+        this->rateLimited.insert(index);
+    } else {
+        state.blockedUntil = Time{};
+        this->rateLimited.erase(index);
+    }
+}
+
+void EndpointTable::block(std::size_t index, Time time)
+{
+    EndpointState &state = this->states[index];
+    state.blockedUntil = std::max(state.blockedUntil, time);
+}
+
+Time EndpointTable::nextUnblock(Time now) const
+{
+    Time next = Time::max();
+    for (const std::size_t index : this->rateLimited) {
+        const EndpointState &state = this->states[index];
+        if (state.listed && !state.spec.leaving && state.blockedUntil > now) {
+            next = std::min(next, state.blockedUntil);
+        }
+    }
+    return next;
+}
+
+double EndpointTable::callRate(double callSeconds, std::size_t instances) const
+{
+    double rate = static_cast<double>(std::max(1U, this->totalSlots)) / callSeconds;
+    for (const std::size_t index : this->rateLimited) {
+        const EndpointState &state = this->states[index];
+        if (state.listed && !state.spec.leaving) {
+            const double bySlots = static_cast<double>(state.spec.slots) / callSeconds;
+            rate -= bySlots - std::min(bySlots, state.callsPerSecond / static_cast<double>(instances));
+        }
+    }
+    return rate;
+}
+
 void EndpointTable::clearAvoidance(std::size_t index)
 {
     this->states[index].avoidances = 0;
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -20,6 +20,8 @@
     std::uint32_t peerCalls = 0; //!< Calls of other instances, from the latest load report.
     double slowness = 1.0; //!< Time its streams take relative to the pool's mean; 1 is average, larger is slower.
     Time avoidUntil{}; //!< The endpoint gets no new call before this time.
+    double callsPerSecond = 0.0; //!< Rate limit of this instance's and all others' calls; 0 for none.
+    Time blockedUntil{}; //!< With a rate limit: the endpoint gets no new call of this instance before this time.
     std::uint32_t avoidances = 0; //!< Number of consecutive avoidances, for the exponential backoff.
 };
 
@@ -67,6 +69,19 @@
     //! Excludes an endpoint from new calls for \p length, doubled with each consecutive avoidance.
     void avoid(std::size_t index, Duration length, Time now);
 
+    //! Sets the rate limit of an endpoint; 0 for none.
+    void setRateLimit(std::size_t index, double callsPerSecond);
+
+    //! Excludes a rate-limited endpoint from new calls until \p time.
+    void block(std::size_t index, Time time);
+
+    //! Returns the earliest time after \p now at which a usable endpoint is no longer blocked; Time::max() when none is.
+    Time nextUnblock(Time now) const;
+
+    //! Returns how many calls a second the usable endpoints take from this instance and others, if a call occupies a slot for \p callSeconds
+    //! and \p instances instances share the rate limits equally.
+    double callRate(double callSeconds, std::size_t instances) const;
+
     //! Resets the backoff of an endpoint. A running avoidance stays.
     void clearAvoidance(std::size_t index);
 
@@ -97,6 +112,7 @@
     std::uint32_t totalSlots = 0;
     std::size_t usable = 0;
     std::uint64_t rankCount = 0;
+    std::set<std::size_t> rateLimited; //!< Endpoints with a rate limit.
 };
 
 } // namespace oleandergate
--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -3,6 +3,7 @@
 #include "gateway/endpointhash.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
+#include "wire/codec.h"
 
 #include <algorithm>
 #include <array>
@@ -151,6 +152,24 @@
     return !this->history.isolatedEndpoints(now).empty();
 }
 
+NewsChannel CrashRegistry::channel(const InstanceId &self)
+{
+    return NewsChannel{[this, self](Time now) {
+                           const CrashReport report = this->nextReport(self, now);
+                           return report.records.empty() && report.runs.empty() ? std::string() : encodeCrashReport(report);
+                       },
+                       [this]() {
+                           return this->hasNews();
+                       },
+                       [this](const std::string &payload, Time now) {
+                           const Result<CrashReport> report = decodeCrashReport(payload);
+                           if (report) {
+                               this->onReport(report.value(), now);
+                           }
+                           return report.has_value();
+                       }};
+}
+
 CrashReport CrashRegistry::nextReport(const InstanceId &self, Time now)
 {
     CrashReport report;
--- a/src/gateway/crashregistry.h
+++ b/src/gateway/crashregistry.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_CRASHREGISTRY_H
 
 #include "decision/crashhistory.h"
+#include "gateway/newschannel.h"
 #include "gateway/relaycall.h"
 #include "wire/crashreport.h"
 
@@ -43,6 +44,13 @@
     //! Returns true when there are isolated runs.
     bool hasIsolatedRuns(Time now) const;
 
+    //! Exchanges records and runs under way with the other instances, as \p self. The channel refers to this object.
+    NewsChannel channel(const InstanceId &self);
+
+    void expire(Time now);
+    std::size_t recordCount() const;
+
+private:
     //! Returns what to report to other instances next; no records and no runs when there is nothing to report.
     CrashReport nextReport(const InstanceId &self, Time now);
 
@@ -50,10 +58,7 @@
     bool hasNews() const;
 
     void onReport(const CrashReport &report, Time now);
-    void expire(Time now);
-    std::size_t recordCount() const;
 
-private:
     //! Returns the stricter verdict of the request's fingerprints. The mutex has to be held.
     RunAdmission admitLocked(const RequestIdentity &request, Time now) const;
 
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -187,8 +187,12 @@
 {
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
     out.accepts = [this](const HttpResponse &head) {
-        const RequestId answered = this->parts.headerCodec.readAnswerMetadata(head).requestId;
-        return answered.empty() || answered == this->call.requestId;
+        const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(head);
+        const bool isOwn = metadata.requestId.empty() || metadata.requestId == this->call.requestId;
+        if (isOwn) {
+            this->parts.onAnswerHead(metadata, head.status);
+        }
+        return isOwn;
     };
     out.forwardChunk = [this](const HttpResponse &head, std::string chunk) {
         return this->forwardChunk(head, std::move(chunk));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
+#include "gateway/ratelimiter.h"
 #include "gateway/relay.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
@@ -91,7 +92,13 @@
         , crashes(metrics,
                   hashOf(self.id),
                   [this]() {
-                      this->gossip.sendCrashNews();
+                      this->gossip.sendNews();
+                  })
+        , limiter(peers,
+                  metrics,
+                  self,
+                  [this]() {
+                      this->gossip.sendNews();
                   })
         , gossip(control,
                  auth,
@@ -101,23 +108,18 @@
                                        return this->ownState();
                                    },
                                    [this](const std::map<std::uint32_t, std::uint32_t> &loads, Time now) {
-                                       this->pools.setPeerCalls(callsByEndpoint(loads, this->pools.endpointIds()), now);
+                                       const std::vector<EndpointId> endpoints = this->pools.endpointIds();
+                                       this->pools.setPeerCalls(callsByEndpoint(loads, endpoints), now);
+                                       this->pools.setRateLimits(this->limiter.limitsOf(endpoints), this->limiter.sharerCount(), now);
                                    },
                                    [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
                                        this->budget.onMembers(live, budgetSlotOwners, now);
+                                       this->limiter.onMembers(live, now);
                                    },
                                    [this](std::uint64_t version) {
                                        this->configurationHolder.announce(version);
                                    },
-                                   [this](Time now) {
-                                       return this->crashes.nextReport(this->self.id, now);
-                                   },
-                                   [this]() {
-                                       return this->crashes.hasNews();
-                                   },
-                                   [this](const CrashReport &report, Time now) {
-                                       this->crashes.onReport(report, now);
-                                   },
+                                   {crashes.channel(self.id), limiter.channel()},
                                    [this](bool sameDomain, Duration age) {
                                        (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
@@ -135,7 +137,7 @@
                      [this](PeerMessage command, std::shared_ptr<AnswerChannel> /*answerChannel*/) {
                          return this->servePeer(std::move(command));
                      })
-        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, metrics})
+        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -165,6 +167,9 @@
     asio::awaitable<PeerMessage> servePeer(PeerMessage command)
     {
         std::optional<PeerMessage> reply = this->directory.serve(command, currentTime());
+        if (!reply) {
+            reply = this->limiter.serve(command, currentTime());
+        }
         if (!reply) {
             reply = co_await this->budget.serve(command);
         }
@@ -195,6 +200,7 @@
             this->metrics.setGauge("oleandergate_config_version", static_cast<double>(this->configurationHolder.version()));
             this->metrics.setGauge("oleandergate_endpoints", static_cast<double>(this->pools.endpointCount()));
             this->metrics.setGauge("oleandergate_crash_records", static_cast<double>(this->crashes.recordCount()));
+            this->metrics.setGauge("oleandergate_limited_endpoints", static_cast<double>(this->limiter.limitedCount()));
             this->metrics.setGauge("oleandergate_waiting", static_cast<double>(this->pools.waitingCount()));
             this->metrics.setGauge("oleandergate_running", static_cast<double>(this->pools.runningCount()));
             this->metrics.setGauge("oleandergate_connections_opened_total", static_cast<double>(this->endpointClient.openedCount()));
@@ -229,6 +235,7 @@
             co_await sleepFor(housekeepingInterval);
             const Time now = currentTime();
             this->crashes.expire(now);
+            this->limiter.expire(now);
             this->pools.expire(now, now - this->settings.programRetention);
             this->shareConnections();
             if (now - lastSummaryAt >= summaryInterval) {
@@ -342,6 +349,7 @@
     GatewayConfigurationHolder configurationHolder{};
     PoolSet pools;
     CrashRegistry crashes;
+    RateLimiter limiter;
     PeerGossip gossip;
     BudgetCoordinator budget;
     PeerServer peerServer;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -20,8 +22,8 @@
 //! How often changed loads are reported; a call at an engine lasts several intervals.
 constexpr Duration reportInterval = std::chrono::milliseconds(50);
 
-//! Shortest time between two crash reports that do not wait for a load report. An endpoint that ends is noticed by all requests there within it.
-constexpr Duration crashNewsInterval = std::chrono::milliseconds(5);
+//! Shortest time between two reports of news that do not wait for a load report. An endpoint that ends is noticed by all requests there within it.
+constexpr Duration newsInterval = std::chrono::milliseconds(5);
 
 //! An unchanged report is repeated after this time as a keep-alive.
 constexpr Duration keepaliveInterval = std::chrono::milliseconds(500);
@@ -66,7 +68,7 @@
     Hooks hooks;
     SignedDatagrams datagrams;
     mutable std::mutex mutex{};
-    AsyncSignal crashNews{};
+    AsyncSignal news{};
     PeerTable table; //!< Guarded by the mutex.
     OwnState lastReported{}; //!< State in the latest report.
     Time lastReportedAt{};
@@ -94,7 +96,7 @@
         return false;
     }
     asio::co_spawn(this->core->context, this->sendLoop(), asio::detached);
-    asio::co_spawn(this->core->context, this->crashNewsLoop(), asio::detached);
+    asio::co_spawn(this->core->context, this->newsLoop(), asio::detached);
     return true;
 }
 
@@ -203,7 +205,7 @@
             advertised = this->core->table.sampleAddresses(advertisedPeers);
         }
         LoadReport report;
-        const bool changed = this->updateReport(report, now) || this->core->hooks.hasCrashNews();
+        const bool changed = this->updateReport(report, now) || this->hasNews();
         report.peers = std::move(advertised);
         {
             const std::lock_guard lock(this->core->mutex);
@@ -212,42 +214,57 @@
         if (targets.empty()) {
             continue;
         }
-        const CrashReport crashReport = this->core->hooks.nextCrashReport(now);
-        if (!crashReport.records.empty() || !crashReport.runs.empty()) {
-            co_await this->core->datagrams.send(encodeCrashReport(crashReport), targets);
-        }
+        co_await this->sendChannels(targets);
         co_await this->core->datagrams.send(encodeLoadReport(report), std::move(targets));
     }
 }
 
-void PeerGossip::sendCrashNews()
+void PeerGossip::sendNews()
 {
-    this->core->crashNews.notify();
+    this->core->news.notify();
 }
 
-asio::awaitable<void> PeerGossip::crashNewsLoop()
+bool PeerGossip::hasNews() const
+{
+    return std::any_of(this->core->hooks.channels.begin(), this->core->hooks.channels.end(), [](const NewsChannel &channel) {
+        return channel.hasNews();
+    });
+}
+
+asio::awaitable<void> PeerGossip::sendChannels(std::vector<std::string> targets)
+{
+    for (const NewsChannel &channel : this->core->hooks.channels) {
+        std::string report = channel.nextReport(currentTime());
+        if (!report.empty()) {
+            co_await this->core->datagrams.send(std::move(report), targets);
+        }
+    }
+}
+
+asio::awaitable<void> PeerGossip::newsLoop()
 {
     while (true) {
-        co_await this->core->crashNews.wait(keepaliveInterval);
-        if (!this->core->hooks.hasCrashNews()) {
+        co_await this->core->news.wait(keepaliveInterval);
+        if (!this->hasNews()) {
             continue;
         }
-        const Time now = currentTime();
         std::vector<std::string> targets;
         {
             const std::lock_guard lock(this->core->mutex);
-            targets = this->core->table.nextTargets(true, now);
+            targets = this->core->table.nextTargets(true, currentTime());
         }
-        co_await this->core->datagrams.send(encodeCrashReport(this->core->hooks.nextCrashReport(now)), std::move(targets));
-        co_await sleepFor(crashNewsInterval);
+        co_await this->sendChannels(std::move(targets));
+        co_await sleepFor(newsInterval);
     }
 }
 
 void PeerGossip::onDatagram(const std::string &payload)
 {
     const Time now = currentTime();
-    if (const Result<CrashReport> crashReport = decodeCrashReport(payload)) {
-        this->core->hooks.onCrashReport(crashReport.value(), now);
+    const bool isTaken = std::any_of(this->core->hooks.channels.begin(), this->core->hooks.channels.end(), [&payload, now](const NewsChannel &channel) {
+        return channel.onPayload(payload, now);
+    });
+    if (isTaken) {
         return;
     }
     const Result<LoadReport> report = decodeLoadReport(payload);
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -2,7 +2,7 @@
 #define OLEANDERGATE_GATEWAY_PEERGOSSIP_H
 
 #include "decision/peertable.h"
-#include "wire/crashreport.h"
+#include "gateway/newschannel.h"
 #include "wire/loadreport.h"
 #include "wire/messageauth.h"
 
@@ -43,9 +43,7 @@
         std::function<void(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now)>
             onMembers{}; //!< Called in each report interval.
         std::function<void(std::uint64_t version)> onNewerConfiguration{}; //!< A peer has a newer configuration than this instance.
-        std::function<CrashReport(Time now)> nextCrashReport{}; //!< Called before each report; returns what to send beside it.
-        std::function<bool()> hasCrashNews{}; //!< Returns true when the next crash report is urgent.
-        std::function<void(const CrashReport &report, Time now)> onCrashReport{};
+        std::vector<NewsChannel> channels{}; //!< What else is exchanged beside the reports.
         std::function<void(bool sameDomain, Duration age)> onReportReplaced{}; //!< Called with the age that a peer's previous report had reached.
     };
 
@@ -70,13 +68,17 @@
 
     std::vector<PeerReport> livePeers() const;
 
-    //! Sends a crash report soon, without waiting for the next load report. Thread-safe.
-    void sendCrashNews();
+    //! Sends the reports of the channels soon, without waiting for the next load report. Thread-safe.
+    void sendNews();
 
 private:
     struct Core;
     boost::asio::awaitable<void> sendLoop();
-    boost::asio::awaitable<void> crashNewsLoop();
+    boost::asio::awaitable<void> newsLoop();
+    bool hasNews() const;
+
+    //! Sends the next reports of the channels to \p targets.
+    boost::asio::awaitable<void> sendChannels(std::vector<std::string> targets);
     void step(Time now, Time before);
     void onDatagram(const std::string &payload);
 
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -118,6 +118,14 @@
     }
 }
 
+void PoolSet::setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto &[name, pool] : this->pools) {
+        pool->setRateLimits(limits, instances, now);
+    }
+}
+
 std::vector<EndpointId> PoolSet::endpointIds() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -34,6 +34,9 @@
     //! Sets the number of the other instances' calls at each endpoint; 0 for endpoints that \p calls lacks.
     void setPeerCalls(const std::map<EndpointId, std::uint32_t> &calls, Time now);
 
+    //! Sets the rate limits of endpoints, as in Dispatcher.
+    void setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances, Time now);
+
     std::vector<EndpointId> endpointIds() const;
 
     //! As in EndpointCatalog.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -46,6 +46,9 @@
 constexpr const char *brokenOffOutcome = "broken-off";
 constexpr const char *callerLeftOutcome = "caller-left";
 
+//! Status of another endpoint that has the address now.
+constexpr int statusMisdirected = 421;
+
 //! Lowest priority that endpoints accept; 0 is the highest.
 constexpr int lowestPriority = 9;
 
@@ -93,6 +96,8 @@
     std::optional<Error> lastError{};
     std::optional<Placement> placement{}; //!< The latest one.
     std::uint32_t sends = 0;
+    std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
+    Duration permitWait{}; //!< Spent on requests for permits.
     Duration waited{};
     int status = 0;
     std::string outcome{};
@@ -304,6 +309,17 @@
     }
     const EndpointSpec endpoint = placed.value().endpoint;
     context.placement = placed.value();
+    const Time permitRequestedAt = currentTime();
+    const PermitDecision permit = co_await this->parts.limiter.requestPermit(endpoint);
+    context.permitWait += currentTime() - permitRequestedAt;
+    if (!permit.granted || context.cancellation->isCancelled()) {
+        context.declined += 1;
+        context.pool->decline(id, currentTime() + permit.retryAfter, currentTime());
+        if (context.cancellation->isCancelled()) {
+            co_return NextStep::Stop;
+        }
+        co_return requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
+    }
     const Time startedAt = currentTime();
     const RunAdmission begun = this->parts.crashes.begin(context.identity, endpoint.id, startedAt);
     if (begun.verdict == RunVerdict::Wait || begun.verdict == RunVerdict::Refused) {
@@ -315,7 +331,12 @@
     const auto onEvents = [&context, id](std::uint64_t events) {
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
     };
-    EndpointSend send(EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onEvents},
+    const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata, int status) {
+        if (status != statusMisdirected) {
+            this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
+        }
+    };
+    EndpointSend send(EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents},
                       context.call,
                       context.route->kind,
                       context.cancellation);
@@ -447,6 +468,8 @@
                {"ended_by", context.endedWithConnection ? std::string("connection") : std::string("framing")},
                {"unfinished_bytes", std::to_string(context.unfinishedBytes)},
                {"waited_ms", milliseconds(context.waited)},
+               {"rate_declined", std::to_string(context.declined)},
+               {"permit_ms", milliseconds(context.permitWait)},
                {"took_ms", milliseconds(now - context.arrived)},
                {"detail", failed && context.lastError ? context.lastError->detail : std::string()}});
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -7,6 +7,7 @@
 #include "gateway/interfaces/headercodec.h"
 #include "gateway/interfaces/tokenbudgetservice.h"
 #include "gateway/poolset.h"
+#include "gateway/ratelimiter.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
 
@@ -32,6 +33,7 @@
         const HeaderCodec &headerCodec;
         TokenBudgetService &budget;
         CrashRegistry &crashes;
+        RateLimiter &limiter;
         Metrics &metrics;
     };
 
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -65,6 +65,8 @@
     bool notRun = false; //!< The endpoint states that it did not run the request.
     bool signedByEndpoint = false;
     RequestId requestId{}; //!< The request that it answers; empty when not stated.
+    std::optional<double> callsPerSecond{}; //!< Rate limit of the endpoint, from all instances together.
+    bool hasUnreadableRateLimit = false; //!< It names a limit that is no positive finite number.
 };
 
 } // namespace oleandergate
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -121,12 +121,18 @@
             co_return Error{
                 code, Step::Queue, {}, Executed::No, recheckInterval, left ? "the caller disconnected" : "no endpoint had a free slot before the deadline"};
         }
-        co_await waiter->signal.wait(std::clamp(Duration(deadline - now), minWait, recheckInterval));
+        co_await waiter->signal.wait(std::clamp(Duration(std::min(deadline, this->nextUnblock(now)) - now), minWait, recheckInterval));
         const std::lock_guard lock(this->mutex);
         this->placeWaitingCalls(currentTime());
     }
 }
 
+Time ServicePool::nextUnblock(Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.nextUnblock(now);
+}
+
 void ServicePool::progress(CallId call, Tokens tokens, Time now)
 {
     const std::lock_guard lock(this->mutex);
@@ -140,6 +146,20 @@
     this->placeWaitingCalls(now);
 }
 
+void ServicePool::decline(CallId call, Time retryAt, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->dispatcher.onDeclined(call, retryAt);
+    this->placeWaitingCalls(now);
+}
+
+void ServicePool::setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->dispatcher.setRateLimits(limits, instances);
+    this->placeWaitingCalls(now);
+}
+
 std::map<EndpointId, std::uint32_t> ServicePool::ownCalls() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -37,6 +37,10 @@
     //! Ends a placed call. \p healthy is false when the endpoint failed.
     void finish(CallId call, bool healthy, Time now);
 
+    //! As in Dispatcher.
+    void decline(CallId call, Time retryAt, Time now);
+    void setRateLimits(const std::map<EndpointId, double> &limits, std::size_t instances, Time now);
+
     //! Returns the number of this instance's calls at each endpoint.
     std::map<EndpointId, std::uint32_t> ownCalls() const;
 
@@ -56,6 +60,7 @@
     void placeWaitingCalls(Time now);
     std::optional<Placement> takePlaced(CallId call);
     bool withdraw(CallId call);
+    Time nextUnblock(Time now) const;
 
     mutable std::mutex mutex;
     Dispatcher dispatcher;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -317,12 +317,37 @@
     archive(value.instance, value.records, value.runs);
 }
 
+template <class Archive>
+void serialize(Archive &archive, PermitRequest &value)
+{
+    archive(value.endpoint, value.callsPerSecond, value.limitAge);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PermitReply &value)
+{
+    archive(value.granted, value.retryAfter);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ReportedRateLimit &value)
+{
+    archive(value.endpoint, value.callsPerSecond, value.age);
+}
+
+template <class Archive>
+void serialize(Archive &archive, RateLimitReport &value)
+{
+    archive(value.instance, value.limits);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
 
-//! First byte of a crash report. Other messages begin with cereal's byte order, 0 or 1.
+//! First bytes of a crash report and of a rate limit report. Other messages begin with cereal's byte order, 0 or 1.
 constexpr char crashReportMark = '\x7f';
+constexpr char rateLimitReportMark = '\x7e';
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -424,6 +449,19 @@
     return decode<CrashReport>(bytes.substr(1));
 }
 
+std::string encodeRateLimitReport(const RateLimitReport &report)
+{
+    return rateLimitReportMark + encode(report);
+}
+
+Result<RateLimitReport> decodeRateLimitReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(rateLimitReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a rate limit report"};
+    }
+    return decode<RateLimitReport>(bytes.substr(1));
+}
+
 std::string encodeLogRecord(const LogRecord &record)
 {
     return compress(encode(record));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -7,6 +7,7 @@
 #include "wire/crashreport.h"
 #include "wire/loadreport.h"
 #include "wire/peermessage.h"
+#include "wire/ratelimitreport.h"
 
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
 std::string encodeCrashReport(const CrashReport &report);
 Result<CrashReport> decodeCrashReport(const std::string &bytes);
 
+std::string encodeRateLimitReport(const RateLimitReport &report);
+Result<RateLimitReport> decodeRateLimitReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -8,6 +8,7 @@
 #include "decision/programphase.h"
 #include "decision/programspec.h"
 #include "wire/budgetmessages.h"
+#include "wire/permitmessages.h"
 
 #include <string>
 #include <variant>
@@ -120,7 +121,9 @@
                                  BudgetHandover,
                                  EndpointsQuery,
                                  EndpointsReply,
-                                 BudgetReturn>;
+                                 BudgetReturn,
+                                 PermitRequest,
+                                 PermitReply>;
 
 //! State that entry instances report to each other over UDP, a few times a second.
 struct Heartbeat
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -98,6 +98,25 @@
     CHECK(PlatformHeaderCodec().decode(std::move(damaged)).error().code == ErrorCode::BadRequest);
 }
 
+TEST_CASE("The rate limit that an endpoint names is parsed, and one that is no positive finite number is unreadable")
+{
+    const auto metadataWith = [](const std::string &limit) {
+        HttpResponse answer;
+        answer.headers.push_back(HttpHeader{"Server-Limit", limit});
+        return PlatformHeaderCodec().readAnswerMetadata(answer);
+    };
+    CHECK(metadataWith("8").callsPerSecond == 8.0);
+    CHECK(metadataWith("0.25").callsPerSecond == 0.25);
+    for (const char *unreadable : {"0", "-3", "nan", "inf", "1e999", "8 a second", "eight", "0x8"}) {
+        CAPTURE(unreadable);
+        CHECK_FALSE(metadataWith(unreadable).callsPerSecond);
+        CHECK(metadataWith(unreadable).hasUnreadableRateLimit);
+    }
+    const AnswerMetadata without = PlatformHeaderCodec().readAnswerMetadata(HttpResponse());
+    CHECK_FALSE(without.callsPerSecond);
+    CHECK_FALSE(without.hasUnreadableRateLimit);
+}
+
 TEST_CASE("Retry-After has fractions of a second")
 {
     CHECK(PlatformHeaderCodec().retryAfter(std::chrono::milliseconds(250)).value == "0.250");
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -203,8 +203,16 @@
 
 std::string StandinEndpoint::head(const HttpRequest &request, const std::string &framing, int status) const
 {
+    const std::lock_guard lock(this->mutex);
+    const std::string limit = this->rateLimit.empty() ? std::string() : "Server-Limit: " + this->rateLimit + "\r\n";
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id")
-        + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + framing + "\r\n\r\n";
+        + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + limit + framing + "\r\n\r\n";
+}
+
+void StandinEndpoint::setRateLimit(const std::string &limit)
+{
+    const std::lock_guard lock(this->mutex);
+    this->rateLimit = limit;
 }
 
 bool StandinEndpoint::answerSlowly(tcp::socket &socket, const HttpRequest &request)
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -62,6 +62,9 @@
     //! Sets the behaviours for the next requests, in order. Later requests get Behaviour::Normal.
     void setNextBehaviours(const std::vector<Behaviour> &behaviours);
 
+    //! Sets the value of the rate limit field in its answers; none when empty.
+    void setRateLimit(const std::string &limit);
+
     std::vector<ReceivedRequest> received() const;
     std::size_t receivedCount() const;
 
@@ -94,6 +97,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     mutable std::mutex mutex;
     std::deque<Behaviour> nextBehaviours;
+    std::string rateLimit;
     std::vector<ReceivedRequest> receivedRequests;
     std::list<std::thread> workers;
     std::atomic<bool> stopping{false};
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -206,3 +206,76 @@
     CHECK(next->ownCalls == 1);
     CHECK(next->cachedTokens == 2000);
 }
+
+// Guards against calls that queue up behind an endpoint in need while another one is free.
+TEST_CASE("A call that the rate limit of its endpoint declines goes elsewhere, and knows of no prefix at the first one")
+{
+    Dispatcher dispatcher(policyFor(PolicyGoal::Programs), 1);
+    dispatcher.setEndpoints(twoEndpoints(4));
+    dispatcher.setRateLimits({{"a", 10.0}, {"b", 10.0}}, 1);
+    REQUIRE(dispatcher.enqueue(call(1, "p"), start));
+    const auto first = dispatcher.next(start);
+    REQUIRE(first);
+    dispatcher.onDeclined(1, start + std::chrono::milliseconds(300));
+    CHECK(dispatcher.runningCount() == 0);
+    CHECK(dispatcher.ownCalls().empty());
+    REQUIRE(dispatcher.enqueue(call(2, "p"), start));
+    const auto second = dispatcher.next(start);
+    REQUIRE(second);
+    CHECK(second->endpoint.id != first->endpoint.id);
+    CHECK_FALSE(second->expectsCache);
+    dispatcher.onDeclined(2, start + std::chrono::milliseconds(500));
+    REQUIRE(dispatcher.enqueue(call(3, "p"), start));
+    CHECK_FALSE(dispatcher.next(start));
+    CHECK(dispatcher.nextUnblock(start) == start + std::chrono::milliseconds(300));
+    CHECK_FALSE(dispatcher.next(start + std::chrono::milliseconds(299)));
+    const auto third = dispatcher.next(start + std::chrono::milliseconds(300));
+    REQUIRE(third);
+    CHECK(third->endpoint.id == first->endpoint.id);
+}
+
+TEST_CASE("A call that needs one endpoint waits for its rate limit, and others are placed meanwhile")
+{
+    Dispatcher dispatcher(policyFor(PolicyGoal::ShortCalls), 1);
+    dispatcher.setEndpoints(twoEndpoints(4));
+    dispatcher.setRateLimits({{"a", 2.0}}, 1);
+    QueuedCall bound = call(1, "p");
+    bound.requiredEndpoint = "a";
+    REQUIRE(dispatcher.enqueue(bound, start));
+    REQUIRE(dispatcher.next(start));
+    dispatcher.onDeclined(1, start + std::chrono::milliseconds(400));
+    bound.call = 2;
+    REQUIRE(dispatcher.enqueue(bound, start));
+    REQUIRE(dispatcher.enqueue(call(3, "q"), start));
+    const auto next = dispatcher.next(start);
+    REQUIRE(next);
+    CHECK(next->call == 3);
+    CHECK(next->endpoint.id == "b");
+    CHECK(dispatcher.next(start + std::chrono::milliseconds(400))->call == 2);
+}
+
+TEST_CASE("Permits of one endpoint are requested one after the other, and a lifted limit blocks no more")
+{
+    Dispatcher dispatcher(policyFor(PolicyGoal::ShortCalls), 1);
+    dispatcher.setEndpoints({EndpointSpec{"a", {}, {}, 8}});
+    dispatcher.setRateLimits({{"a", 10.0}}, 1);
+    REQUIRE(dispatcher.enqueue(call(1, "p"), start));
+    REQUIRE(dispatcher.enqueue(call(2, "q"), start));
+    REQUIRE(dispatcher.next(start));
+    CHECK_FALSE(dispatcher.next(start));
+    dispatcher.setRateLimits({}, 1);
+    CHECK(dispatcher.next(start));
+}
+
+TEST_CASE("The predicted wait follows from what rate limits leave to this instance")
+{
+    Dispatcher dispatcher(policyFor(PolicyGoal::ShortCalls), 1);
+    dispatcher.setEndpoints({EndpointSpec{"a", {}, {}, 8}});
+    for (CallId id = 1; id <= 6; ++id) {
+        REQUIRE(dispatcher.enqueue(call(id, "p" + std::to_string(id)), start));
+    }
+    const Duration unlimited = dispatcher.predictedWait();
+    CHECK(unlimited == dispatcher.meanServiceTime() * 6 / 8);
+    dispatcher.setRateLimits({{"a", 2.0}}, 4);
+    CHECK(dispatcher.predictedWait() == std::chrono::seconds(12));
+}
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -165,3 +165,41 @@
         CHECK_FALSE(decodeCrashReport(bytes.substr(0, size)));
     }
 }
+
+TEST_CASE("Rate limit reports keep their content, and no other report is taken for one")
+{
+    RateLimitReport report;
+    report.instance = "front-1~5";
+    report.limits = {ReportedRateLimit{7, 8.5, 250}, ReportedRateLimit{9, std::nullopt, 3}};
+    const std::string bytes = encodeRateLimitReport(report);
+    const Result<RateLimitReport> decoded = decodeRateLimitReport(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().instance == report.instance);
+    REQUIRE(decoded.value().limits.size() == 2);
+    CHECK(decoded.value().limits[0].endpoint == 7);
+    CHECK(decoded.value().limits[0].callsPerSecond == 8.5);
+    CHECK(decoded.value().limits[0].age == 250);
+    CHECK_FALSE(decoded.value().limits[1].callsPerSecond);
+    CHECK_FALSE(decodeLoadReport(bytes));
+    CHECK_FALSE(decodeCrashReport(bytes));
+    CHECK_FALSE(decodeRateLimitReport(encodeCrashReport(CrashReport{"front-1~5"})));
+    CHECK_FALSE(decodeRateLimitReport(encodeLoadReport(LoadReport{"front-1~5", "10.0.0.1:90", "a"})));
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decodeRateLimitReport(bytes.substr(0, size)));
+    }
+}
+
+TEST_CASE("Permits keep their content between instances")
+{
+    const Result<PeerMessage> request = decodePeerMessage(encodePeerMessage(PermitRequest{7, 8.5, 2'000'000}));
+    REQUIRE(request);
+    REQUIRE(std::holds_alternative<PermitRequest>(request.value()));
+    CHECK(std::get<PermitRequest>(request.value()).endpoint == 7);
+    CHECK(std::get<PermitRequest>(request.value()).callsPerSecond == 8.5);
+    CHECK(std::get<PermitRequest>(request.value()).limitAge == 2'000'000);
+    const Result<PeerMessage> reply = decodePeerMessage(encodePeerMessage(PermitReply{true, 90}));
+    REQUIRE(reply);
+    REQUIRE(std::holds_alternative<PermitReply>(reply.value()));
+    CHECK(std::get<PermitReply>(reply.value()).granted);
+    CHECK(std::get<PermitReply>(reply.value()).retryAfter == 90);
+}
