Rates of permits are bounded, so that a value out of range cannot overflow an interval

Rates below 0.001 or above 100,000 a second count as these; other values are as before. Test: ratesharingtests, 'A rate out of range or no number ...'; before, its intervals are undefined behaviour.

--- a/bench/sharing/main.cpp
+++ b/bench/sharing/main.cpp
@@ -41,10 +41,17 @@
     double total = 0.0; //!< Demand of all instances, as known at this one.
     Time totalDue{}; //!< When to sum it up again.
     std::vector<double> reported{}; //!< Demand of each instance, as last reported to this one.
-    PermitIssuer issuer{Time{}};
+    PermitIssuer issuer{start - std::chrono::hours(1)};
+    PermitIssuer loneIssuer{Time{}}; //!< For calls whose issuer is away.
 };
 
-//! How often an instance hears a given other one, as in PeerTable.
+//! Returns an issuer whose first permit comes at a time that differs between instances.
+PermitIssuer loneIssuerOf(std::size_t index)
+{
+    return PermitIssuer(Time{}, PermitIssuer::Pacing{0.0, static_cast<double>(index % 10 + 1) / 10.0});
+}
+
+//! How often a report of one instance reaches a given other one, as in PeerTable.
 Duration reportPeriod(std::size_t size)
 {
     const auto rounds = size <= 13 ? 1 : size / 3 + 1;
@@ -63,6 +70,7 @@
             auto instance = std::make_unique<Instance>();
             instance->weight = std::pow(static_cast<double>(index + 1), -scenario.skew);
             instance->reported.assign(size, 0.0);
+            instance->loneIssuer = loneIssuerOf(index);
             total += instance->weight;
             this->instances.push_back(std::move(instance));
         }
@@ -169,6 +177,8 @@
                 instance = Instance{};
                 instance.weight = weight;
                 instance.startedAt = now;
+                instance.issuer = PermitIssuer(now);
+                instance.loneIssuer = loneIssuerOf(index);
                 instance.reported.assign(this->instances.size(), 0.0);
             }
         }
@@ -252,7 +262,7 @@
             return this->instances[issuer]->issuer.decide(endpoint, limitPerSecond, now - start, now + roundTrip / 2).granted;
         }
         const double cautious = limitPerSecond / 2.0 / static_cast<double>(this->instances.size());
-        return instance.issuer.decide(endpoint + 1, cautious, Duration::zero(), now).granted;
+        return instance.loneIssuer.decide(endpoint, cautious, Duration::zero(), now).granted;
     }
 
     //! Instance 0 is the issuer and instance 1 its successor; each instance notices a change at a time of its own.
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -63,7 +63,7 @@
 
 //! Shortest time between two requests of one instance for permits of the same endpoint, as a share of the limit's interval.
 constexpr double permitSpacing = 0.5;
-constexpr Duration maxPermitSpacing = std::chrono::milliseconds(200);
+constexpr double maxPermitSpacing = 0.2; //!< In seconds.
 
 void updateMean(double &mean, double sample, double weight)
 {
@@ -444,7 +444,7 @@
     if (callsPerSecond > 0.0) {
         running.cachesBefore = program;
         // The endpoint's permits are requested one after the other.
-        this->endpoints.block(endpoint, now + std::min(maxPermitSpacing, fromSeconds(permitSpacing / callsPerSecond)));
+        this->endpoints.block(endpoint, now + fromSeconds(std::min(maxPermitSpacing, permitSpacing / callsPerSecond)));
     }
     program.endpoints.insert(this->endpoints.at(endpoint).spec.id);
     if (!waiting.call.promptParts.empty()) {
--- a/src/decision/permitissuer.cpp
+++ b/src/decision/permitissuer.cpp
@@ -9,6 +9,10 @@
 //! The requests that are denied in a row are told to return for as many different permits, up to this number.
 constexpr std::uint32_t maxDeniedAhead = 3;
 
+//! Limits of the rate, in calls a second, within which intervals are exact.
+constexpr double minRate = 0.001;
+constexpr double maxRate = 100'000.0;
+
 } // namespace
 
 PermitIssuer::PermitIssuer(Time startedAt, const Pacing &pacing)
@@ -30,10 +34,12 @@
     if (schedule.takenOver && now < takenOverAt) {
         return PermitDecision{false, takenOverAt - now};
     }
-    const Duration interval = fromSeconds(1.0 / callsPerSecond);
-    const Duration burst = fromSeconds(this->pacing.burst / callsPerSecond);
+    // A rate that is no number counts as the lowest one.
+    const double rate = callsPerSecond > minRate ? std::min(callsPerSecond, maxRate) : minRate;
+    const Duration interval = fromSeconds(1.0 / rate);
+    const Duration burst = fromSeconds(this->pacing.burst / rate);
     if (schedule.nextCall + interval < now) {
-        const Duration firstDelay = fromSeconds(this->pacing.firstDelay / callsPerSecond);
+        const Duration firstDelay = fromSeconds(this->pacing.firstDelay / rate);
         schedule.nextCall = now + firstDelay + (isNew ? burst : Duration::zero());
     }
     if (schedule.nextCall - burst <= now) {
--- a/src/decision/permitissuer.h
+++ b/src/decision/permitissuer.h
@@ -12,7 +12,7 @@
 //! Issues permits for single calls to rate-limited endpoints, spaced by the generic cell rate algorithm.
 //!
 //! One instance issues the permits of an endpoint for all instances, so that their calls together keep the limit however the demand is
-//! spread. Bounded in memory. Not thread-safe.
+//! spread. State of endpoints that are no longer asked for is dropped by expire(). Not thread-safe.
 class PermitIssuer
 {
 public:
--- a/tests/unit/ratesharingtests.cpp
+++ b/tests/unit/ratesharingtests.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <random>
 #include <set>
@@ -238,6 +239,19 @@
     CHECK_FALSE(decide(5000).granted);
 }
 
+TEST_CASE("A rate out of range or no number neither overflows nor lets calls through without bound")
+{
+    for (const double rate : {0.0, -1.0, 1e-300, std::numeric_limits<double>::quiet_NaN()}) {
+        CAPTURE(rate);
+        PermitIssuer issuer(Time{});
+        CHECK(issuer.decide(endpoint, rate, Duration::zero(), start).granted);
+        CHECK(issuer.decide(endpoint, rate, Duration::zero(), start + std::chrono::seconds(900)).retryAfter <= std::chrono::seconds(100));
+        CHECK_FALSE(issuer.decide(endpoint, rate, Duration::zero(), start + std::chrono::seconds(900)).granted);
+    }
+    PermitIssuer issuer(Time{});
+    CHECK(issuer.decide(endpoint, std::numeric_limits<double>::infinity(), Duration::zero(), start).granted);
+}
+
 // Guards against twice the limit while some instances ask the former issuer and some the new one.
 TEST_CASE("An issuer issues no permits of a limit that another one may still issue")
 {
