--- a/bench/sharing/main.cpp
+++ b/bench/sharing/main.cpp
@@ -185,9 +185,10 @@
     }
 };
 
-//! Each instance takes an equal share.
-class EqualShares : public Simulation
+//! Each instance keeps a share of the limit by a token bucket of its own.
+class TokenBuckets : public Simulation
 {
+protected:
     using Simulation::Simulation;
 
     bool maySend(std::size_t index, Time /*now*/) override
@@ -199,6 +200,12 @@
         instance.tokens -= 1.0;
         return true;
     }
+};
+
+//! Each instance takes an equal share.
+class EqualShares : public TokenBuckets
+{
+    using TokenBuckets::TokenBuckets;
 
     void advance(std::size_t index, Time /*now*/) override
     {
@@ -208,19 +215,9 @@
 };
 
 //! Each instance takes a share by the demand that all report.
-class DemandShares : public Simulation
+class DemandShares : public TokenBuckets
 {
-    using Simulation::Simulation;
-
-    bool maySend(std::size_t index, Time /*now*/) override
-    {
-        Instance &instance = *this->instances[index];
-        if (instance.tokens < 1.0) {
-            return false;
-        }
-        instance.tokens -= 1.0;
-        return true;
-    }
+    using TokenBuckets::TokenBuckets;
 
     void advance(std::size_t index, Time now) override
     {
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -113,11 +113,6 @@
     return this->usable;
 }
 
-std::uint32_t EndpointTable::capacity() const
-{
-    return this->totalSlots;
-}
-
 bool EndpointTable::hasRoom(std::size_t index, Time now) const
 {
     return this->ranked[index] && isOpen(this->states[index], now);
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -52,9 +52,6 @@
     //! Returns the number of endpoints that are listed and not leaving.
     std::size_t usableCount() const;
 
-    //! Returns the total number of batch slots of the usable endpoints.
-    std::uint32_t capacity() const;
-
     //! Returns true when the endpoint may take another call at \p now.
     bool hasRoom(std::size_t index, Time now) const;
 
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/hash.h"
 #include "gateway/gatewayconfigurationholder.h"
+#include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
 #include "runtime/asyncsignal.h"
@@ -59,11 +60,6 @@
 constexpr const char *watchSource = "watch";
 constexpr const char *readingSource = "reading";
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 DirectorySync::DirectorySync(asio::io_context &context, const Parts &parts, InstanceId self)
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -189,8 +189,9 @@
     out.accepts = [this](const HttpResponse &head) {
         const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(head);
         const bool isOwn = metadata.requestId.empty() || metadata.requestId == this->call.requestId;
-        if (isOwn) {
-            this->parts.onAnswerHead(metadata, head.status);
+        // With this status another endpoint answers, which has the address now.
+        if (isOwn && head.status != statusMisdirected) {
+            this->parts.onAnswerHead(metadata);
         }
         return isOwn;
     };
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -47,7 +47,7 @@
         const HeaderCodec &headerCodec;
         HttpExchange &exchange;
         StreamProgress &progress;
-        std::function<void(const AnswerMetadata &metadata, int status)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
+        std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
     };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay.h"
 
 #include "gateway/endtoend.h"
+#include "gateway/milliseconds.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
@@ -46,9 +47,6 @@
 constexpr const char *brokenOffOutcome = "broken-off";
 constexpr const char *callerLeftOutcome = "caller-left";
 
-//! Status of another endpoint that has the address now.
-constexpr int statusMisdirected = 421;
-
 //! Lowest priority that endpoints accept; 0 is the highest.
 constexpr int lowestPriority = 9;
 
@@ -61,11 +59,6 @@
     return out;
 }
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::round<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 //! State of one request.
@@ -331,10 +324,8 @@
     const auto onEvents = [&context, id](std::uint64_t events) {
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
     };
-    const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata, int status) {
-        if (status != statusMisdirected) {
-            this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
-        }
+    const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata) {
+        this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
     };
     EndpointSend send(EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents},
                       context.call,
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -161,4 +161,13 @@
     return readTextFile(this->file(gateway, ".log")).value_or("");
 }
 
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        count += 1;
+    }
+    return count;
+}
+
 } // namespace oleandergate::support
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -74,6 +74,9 @@
     int requestCount = 0;
 };
 
+//! Returns how often \p part occurs in \p text, without overlaps.
+std::size_t countOf(const std::string &text, const std::string &part);
+
 } // namespace oleandergate::support
 
 #endif
--- a/tests/gateway/ratelimittests.cpp
+++ b/tests/gateway/ratelimittests.cpp
@@ -20,15 +20,6 @@
         timeoutMs);
 }
 
-std::size_t countOf(const std::string &text, const std::string &part)
-{
-    std::size_t count = 0;
-    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
-        count += 1;
-    }
-    return count;
-}
-
 } // namespace
 
 // Guards against gateways that ignore the limit of an endpoint in need, or keep it after it was lifted.
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -29,15 +29,6 @@
     }
 };
 
-std::size_t countOf(const std::string &text, const std::string &part)
-{
-    std::size_t count = 0;
-    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
-        count += 1;
-    }
-    return count;
-}
-
 //! Returns the stream that every caller of a turn must receive: each event once and in order.
 std::string wholeStream()
 {
