--- a/src/decision/endpointspec.h
+++ b/src/decision/endpointspec.h
@@ -15,6 +15,7 @@
     std::string domain{}; //!< Failure domain.
     std::uint32_t slots = 8; //!< Number of calls that it processes concurrently.
     bool leaving = false; //!< Shutting down; gets no new calls.
+    std::string version{}; //!< Version of its software, not of a model; empty when not known. What two versions write does not fit together.
 
     bool operator==(const EndpointSpec &) const = default;
 };
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -287,10 +287,16 @@
         this->logUnanswered("endpoints", peer, reply, this->endpointQueries);
         co_return;
     }
-    const Time now = currentTime();
     if (found->revision <= this->endpointRevision() || found->entries.empty()) {
         co_return;
     }
+    if (!found->hasVersions) {
+        // Instances of an earlier build do not send software versions.
+        logRecord(LogLevel::Info, "endpoints", "a peer sent no software versions; reading the service instead", {{"peer", peer}});
+        co_await this->endpointFollower.load();
+        co_return;
+    }
+    const Time now = currentTime();
     const std::uint64_t before = this->parts.pools.endpointDigest();
     if (found->trustsRemovals) {
         this->peerRevision = found->revision;
@@ -355,6 +361,7 @@
               event.deleted ? "gone" : "announced",
               {{"endpoint", id},
                {"service", entry ? entry->service : std::string()},
+               {"version", entry ? entry->spec.version : std::string()},
                {"leaving", entry && entry->spec.leaving ? "true" : "false"},
                {"revision", std::to_string(event.pair.revision)}});
 }
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -32,6 +32,7 @@
     std::string body{};
     std::optional<Duration> timeLeft{}; //!< How long the caller waits.
     std::optional<std::uint64_t> resumeAfter{}; //!< Number of the last event that the caller received of an interrupted stream.
+    RequestId resumedRequest{}; //!< The attempt that brought the first event of that stream; empty when not stated.
     std::optional<ProgramContext> program{};
     Tokens promptTokens = 0;
     Tokens maxTokens = 0; //!< Most tokens that this turn may generate.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -280,10 +280,32 @@
     archive(value.spec.id, value.spec.address, value.spec.domain, value.spec.slots, value.spec.leaving, value.service, value.startedAt);
 }
 
+//! Reads the software version of each entry. Returns false when the message ends before them.
+template <class Archive>
+bool readVersions(Archive &archive, std::vector<EndpointEntry> &entries)
+{
+    try {
+        for (EndpointEntry &entry : entries) {
+            archive(entry.spec.version);
+        }
+    } catch (const cereal::Exception &) {
+        return false;
+    }
+    return true;
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointsReply &value)
 {
     archive(value.revision, value.trustsRemovals, value.entries);
+    // Behind everything that earlier builds know: they ignore what follows, and send nothing here.
+    if constexpr (Archive::is_saving::value) {
+        for (EndpointEntry &entry : value.entries) {
+            archive(entry.spec.version);
+        }
+    } else {
+        value.hasVersions = readVersions(archive, value.entries);
+    }
 }
 
 template <class Archive>
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -101,6 +101,7 @@
     std::uint64_t revision = 0; //!< Revision of the key-value service that the entries reflect.
     bool trustsRemovals = false; //!< An endpoint that is missing was removed; false while it may only not have registered again yet.
     std::vector<EndpointEntry> entries{};
+    bool hasVersions = false; //!< The entries have software versions. Instances of an earlier build send none.
 };
 
 //! Message between instances over TCP. The index of the type in this list is part of the encoding.
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -149,12 +149,13 @@
 TEST_CASE("A registration yields an endpoint only if every field is valid")
 {
     const PlatformRecordFormat records;
-    const std::string good = R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"a","Slots":16,"State":"draining","Seq":4,"born":17})";
+    const std::string good = R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"a","Version":"v1.2","Slots":16,"State":"draining","Seq":4,"born":17})";
     const Result<EndpointEntry> entry = records.readEndpoint(KvPair{"servers/i-1", good, 1});
     REQUIRE(entry);
     CHECK(entry.value().spec.id == "i-1");
     CHECK(entry.value().spec.leaving);
     CHECK(entry.value().startedAt == 17);
+    CHECK(entry.value().spec.version == "v1.2");
     for (const char *bad : {"",
                             "[]",
                             R"({"Service":"s1"})",
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -203,3 +203,21 @@
     CHECK(std::get<PermitReply>(reply.value()).granted);
     CHECK(std::get<PermitReply>(reply.value()).retryAfter == 90);
 }
+
+// Guards against lost endpoints while instances of two builds run side by side: earlier ones send and read no software versions.
+TEST_CASE("Endpoints from a peer of an earlier build are read without versions")
+{
+    EndpointsReply reply;
+    reply.entries.push_back(EndpointEntry{EndpointSpec{"a", "10.1.0.1:80", "d", 4, false, "v1"}, "service", 7});
+    const std::string bytes = encodePeerMessage(reply);
+    const Result<PeerMessage> whole = decodePeerMessage(bytes);
+    REQUIRE(whole);
+    CHECK(std::get<EndpointsReply>(whole.value()).hasVersions);
+    CHECK(std::get<EndpointsReply>(whole.value()).entries == reply.entries);
+    constexpr std::size_t versionBytes = 8 + 2; // A length and the text.
+    const Result<PeerMessage> earlier = decodePeerMessage(bytes.substr(0, bytes.size() - versionBytes));
+    REQUIRE(earlier);
+    CHECK_FALSE(std::get<EndpointsReply>(earlier.value()).hasVersions);
+    REQUIRE(std::get<EndpointsReply>(earlier.value()).entries.size() == 1);
+    CHECK(std::get<EndpointsReply>(earlier.value()).entries.front().spec.id == "a");
+}
