--- /dev/null
+++ b/tests/gateway/softwareversiontests.cpp
@@ -0,0 +1,145 @@
+//! Streams that go on while endpoints of two software versions serve one service.
+
+#include "gatewaycluster.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int programCount = 12;
+constexpr int timeoutMs = 5000;
+
+//! Gateways before endpoints of which the first half runs v1, the others v2.
+struct MixedCluster : GatewayCluster
+{
+    MixedCluster(std::size_t gatewayCount, std::size_t endpointCount)
+        : GatewayCluster(gatewayCount, endpointCount)
+    {
+        this->configure(1);
+        for (std::size_t index = 0; index < endpointCount; ++index) {
+            this->endpoints[index]->setVersion(index < endpointCount / 2 ? "v1" : "v2");
+            this->registerEndpoint(index);
+        }
+        REQUIRE(this->waitUntilReady());
+    }
+
+    static std::vector<HttpHeader> headersOf(const std::string &program)
+    {
+        return {{"Oleandergate-Program-Id", program},
+                {"Oleandergate-Session-Id", program + "-main"},
+                {"Oleandergate-Token-Counts", "100,100"},
+                {"Oleandergate-Prompt-Prefix", "a1:50," + program + ":50"}};
+    }
+
+    //! Begins a stream of \p program. Returns the identifier of the attempt.
+    std::string begin(std::size_t gateway, const std::string &program)
+    {
+        const std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headersOf(program));
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
+        return answer->header("Oleandergate-Request-Id");
+    }
+
+    //! Takes the stream that \p request began up again behind its second event.
+    std::optional<HttpResponse> takeUp(std::size_t gateway, const std::string &program, const std::string &request)
+    {
+        std::vector<HttpHeader> headers = headersOf(program);
+        headers.push_back(HttpHeader{"Resumes", request});
+        headers.push_back(HttpHeader{"Last-Event-Id", "2"});
+        return this->call(gateway, "POST", "/turns/1", headers);
+    }
+
+    //! Returns the software versions of the endpoints that received \p request.
+    std::string versionsThatGot(const std::string &request) const
+    {
+        std::string versions;
+        for (const std::unique_ptr<StandinEndpoint> &endpoint : this->endpoints) {
+            for (const ReceivedRequest &received : endpoint->received()) {
+                if (received.request.header("Oleandergate-Request-Id") == request) {
+                    versions += endpoint->softwareVersion();
+                }
+            }
+        }
+        return versions;
+    }
+
+    void restartAllGateways()
+    {
+        for (ChildProcess &gateway : this->gateways) {
+            gateway.kill();
+        }
+        for (std::size_t index = 0; index < this->gateways.size(); ++index) {
+            this->startGateway(index);
+        }
+        REQUIRE(this->waitUntilReady());
+    }
+};
+
+} // namespace
+
+// Guards against streams joined from two versions: nothing that is only in the memory of the gateways is left after all of them were killed.
+TEST_CASE("Software versions: a stream that is taken up after all gateways were killed goes on at the version that began it")
+{
+    MixedCluster cluster(2, 4);
+    std::map<std::string, std::string> attempts;
+    for (int number = 0; number < programCount; ++number) {
+        const std::string program = "p" + std::to_string(number);
+        attempts[program] = cluster.begin(static_cast<std::size_t>(number % 2), program);
+    }
+    // One endpoint of each version leaves, so that half of the streams have to go on at another endpoint.
+    cluster.registerEndpoint(0, "draining");
+    cluster.registerEndpoint(2, "draining");
+    cluster.restartAllGateways();
+    for (const auto &[program, attempt] : attempts) {
+        const std::optional<HttpResponse> answer = cluster.takeUp(1, program, attempt);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK(cluster.versionsThatGot(answer->header("Oleandergate-Request-Id")) == cluster.versionsThatGot(attempt));
+    }
+}
+
+// Guards against streams joined from two versions when the endpoints of one have all left.
+TEST_CASE("Software versions: a stream of a version that nobody serves any more is refused at once and not sent")
+{
+    MixedCluster cluster(1, 2);
+    std::map<std::string, std::string> attempts;
+    for (int number = 0; number < programCount; ++number) {
+        const std::string program = "p" + std::to_string(number);
+        attempts[program] = cluster.begin(0, program);
+    }
+    cluster.registerEndpoint(0, "draining");
+    REQUIRE(waitFor(
+        [&cluster]() {
+            return cluster.log(0).find("\"leaving\":\"true\"") != std::string::npos || cluster.log(0).find("leaving=true") != std::string::npos;
+        },
+        timeoutMs));
+    std::size_t refused = 0;
+    for (const auto &[program, attempt] : attempts) {
+        const bool gone = cluster.versionsThatGot(attempt) == "v1";
+        const std::size_t before = cluster.receivedCount();
+        const std::optional<HttpResponse> answer = cluster.takeUp(0, program, attempt);
+        REQUIRE(answer);
+        CHECK(answer->status == (gone ? 503 : 200));
+        CHECK(cluster.receivedCount() == before + (gone ? 0 : 1));
+        refused += gone ? 1 : 0;
+    }
+    CHECK(refused > 0);
+}
+
+// Guards against streams joined from two versions within one answer: the gateway sends a broken stream again by itself.
+TEST_CASE("Software versions: a stream whose endpoint crashes goes on at another endpoint of its version")
+{
+    MixedCluster cluster(1, 4);
+    for (const auto &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({Behaviour::CrashMidEvent});
+    }
+    const std::optional<HttpResponse> answer = cluster.call(0, "POST", "/turns/1", MixedCluster::headersOf("p"));
+    REQUIRE(answer);
+    const std::string versions = cluster.versionsThatGot(answer->header("Oleandergate-Request-Id"));
+    CHECK((versions == "v1v1" || versions == "v2v2"));
+}
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -91,8 +91,24 @@
 std::string StandinEndpoint::registration(const std::string &service, const std::string &state) const
 {
     namespace json = boost::json;
-    return json::serialize(json::object{
-        {"Service", service}, {"Address", this->listenAddress}, {"Zone", "a"}, {"Version", "v1"}, {"Slots", 8}, {"State", state}, {"Seq", 1}, {"born", 1}});
+    return json::serialize(json::object{{"Service", service},
+                                        {"Address", this->listenAddress},
+                                        {"Zone", "a"},
+                                        {"Version", this->version},
+                                        {"Slots", 8},
+                                        {"State", state},
+                                        {"Seq", 1},
+                                        {"born", 1}});
+}
+
+void StandinEndpoint::setVersion(const std::string &newVersion)
+{
+    this->version = newVersion;
+}
+
+const std::string &StandinEndpoint::softwareVersion() const
+{
+    return this->version;
 }
 
 const std::string &StandinEndpoint::identifier() const
@@ -300,6 +316,7 @@
         return send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") + chunk(": none\n") + "0\r\n\r\n");
     case Behaviour::Normal:
     case Behaviour::BreakMidEvent:
+    case Behaviour::CrashMidEvent:
     case Behaviour::EndMidEvent:
     case Behaviour::Unframed:
         break;
@@ -317,10 +334,14 @@
     const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
     send(socket, this->head(request, std::string("Content-Type: text/event-stream\r\n") + (framed ? "Transfer-Encoding: chunked" : "Connection: close")));
     const auto encode = framed ? chunk : unchanged;
-    const bool breaks = behaviour == Behaviour::BreakMidEvent || behaviour == Behaviour::EndMidEvent;
+    const bool crashes = behaviour == Behaviour::CrashMidEvent;
+    const bool breaks = crashes || behaviour == Behaviour::BreakMidEvent || behaviour == Behaviour::EndMidEvent;
     for (std::uint64_t number = first; number <= eventCount; ++number) {
         if (breaks && number == first + brokenEvent) {
             send(socket, encode(event(number).substr(0, brokenEventBytes)));
+            if (crashes) {
+                this->crash();
+            }
             return false;
         }
         send(socket, encode(event(number)));
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -35,6 +35,7 @@
     EndlessBody, //!< A valid head, then bytes without end.
     EndlessEvent, //!< The head of a stream, then one event without end.
     EndlessChunkHead, //!< The head of a stream, then the head of one chunk without end.
+    CrashMidEvent, //!< Ends a stream inside its third event, then stops listening and closes all connections.
     Crash, //!< Receives the request, then stops listening and closes all connections.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
 };
@@ -62,6 +63,10 @@
     //! Sets the behaviours for the next requests, in order. Later requests get Behaviour::Normal.
     void setNextBehaviours(const std::vector<Behaviour> &behaviours);
 
+    //! Sets the software version that it registers; v1 until then.
+    void setVersion(const std::string &version);
+    const std::string &softwareVersion() const;
+
     //! Sets the value of the rate limit field in its answers; none when empty.
     void setRateLimit(const std::string &limit);
 
@@ -93,6 +98,7 @@
 
     std::string id;
     std::string listenAddress;
+    std::string version = "v1";
     boost::asio::io_context context{1};
     boost::asio::ip::tcp::acceptor acceptor;
     mutable std::mutex mutex;
