--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -117,6 +117,15 @@
     if (this->endpoints.usableCount() == 0) {
         return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Executed::No, noEndpointRetryAfter, "the pool has no usable endpoint"};
     }
+    if (!this->hasCandidate(call) && call.requiredVersion) {
+        // A wait would not help: endpoints of a version that left do not come back.
+        return Error{ErrorCode::NoEndpoint,
+                     Step::Queue,
+                     {},
+                     Executed::No,
+                     std::nullopt,
+                     "no usable endpoint of the pool runs software version '" + *call.requiredVersion + "', which the stream needs"};
+    }
     if (!this->hasCandidate(call)) {
         return Error{
             ErrorCode::NoEndpoint, Step::Queue, {}, Executed::No, fromSeconds(this->meanCallSeconds), "no usable endpoint of the pool may serve the call"};
@@ -144,12 +153,43 @@
     };
     if (!call.requiredEndpoint.empty()) {
         const std::optional<std::size_t> index = this->endpoints.indexOf(call.requiredEndpoint);
-        return index && this->endpoints.at(*index).listed;
+        return index && this->endpoints.at(*index).listed && this->endpoints.hasVersion(*index, call.requiredVersion);
+    }
+    if (call.requiredVersion) {
+        for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+            const EndpointState &state = this->endpoints.at(index);
+            if (state.listed && !state.spec.leaving && this->allows(call, index)) {
+                return true;
+            }
+        }
+        return false;
     }
     const auto avoided = static_cast<std::size_t>(std::count_if(call.avoid.begin(), call.avoid.end(), usable));
     return avoided < this->endpoints.usableCount();
 }
 
+bool Dispatcher::allows(const QueuedCall &call, std::size_t endpoint) const
+{
+    return !call.avoid.contains(this->endpoints.at(endpoint).spec.id) && this->endpoints.hasVersion(endpoint, call.requiredVersion);
+}
+
+bool Dispatcher::mayServe(CallId call) const
+{
+    const auto found = this->waiting.find(call);
+    return found == this->waiting.end() || !found->second.call.requiredVersion || this->hasCandidate(found->second.call);
+}
+
+bool Dispatcher::takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const
+{
+    for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+        const EndpointState &state = this->endpoints.at(index);
+        if (state.listed && !state.spec.leaving && state.spec.version == version && state.avoidUntil <= now && !avoid.contains(state.spec.id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool Dispatcher::wouldBeLate(const QueuedCall &call, Time now) const
 {
     const Duration wait = this->predictedWait();
@@ -190,7 +230,7 @@
             return Choice{call, endpoint};
         }
         // A call that only some endpoints may serve does not block the calls behind it.
-        const bool restricted = !candidate.call.requiredEndpoint.empty() || !candidate.call.avoid.empty();
+        const bool restricted = !candidate.call.requiredEndpoint.empty() || !candidate.call.avoid.empty() || candidate.call.requiredVersion.has_value();
         if ((endpoint == noEndpoint && !restricted) || considered >= this->options.affinityLookahead) {
             break;
         }
@@ -210,7 +250,7 @@
         return false;
     }
     const EndpointState &holder = this->endpoints.at(cache->second.endpoint);
-    const bool usable = holder.listed && !holder.spec.leaving && holder.avoidUntil <= now && !waiting.call.avoid.contains(holder.spec.id);
+    const bool usable = holder.listed && !holder.spec.leaving && holder.avoidUntil <= now && this->allows(waiting.call, cache->second.endpoint);
     return usable && !this->endpoints.hasRoom(cache->second.endpoint, now);
 }
 
@@ -239,14 +279,15 @@
 {
     if (!waiting.call.requiredEndpoint.empty()) {
         const std::optional<std::size_t> index = this->endpoints.indexOf(waiting.call.requiredEndpoint);
-        return index && this->endpoints.at(*index).listed && this->endpoints.at(*index).blockedUntil <= now ? *index : noEndpoint;
+        const bool mayServe = index && this->endpoints.at(*index).listed && this->endpoints.hasVersion(*index, waiting.call.requiredVersion);
+        return mayServe && this->endpoints.at(*index).blockedUntil <= now ? *index : noEndpoint;
     }
     const PlacementRule rule = waiting.call.isolated ? PlacementRule::LeastOutstanding : this->options.placement;
     switch (rule) {
     case PlacementRule::RoundRobin:
         for (std::size_t tried = 0; tried < this->endpoints.size(); ++tried) {
             const std::size_t index = this->roundRobin++ % this->endpoints.size();
-            if (this->endpoints.hasRoom(index, now) && !waiting.call.avoid.contains(this->endpoints.at(index).spec.id)) {
+            if (this->endpoints.hasRoom(index, now) && this->allows(waiting.call, index)) {
                 return index;
             }
         }
@@ -255,14 +296,15 @@
         const auto program = this->programs.find(waiting.call.program);
         if (program != this->programs.end()) {
             const auto cache = program->second.caches.find(waiting.call.branch);
-            if (cache != program->second.caches.end() && this->endpoints.hasRoom(cache->second.endpoint, now)) {
+            if (cache != program->second.caches.end() && this->endpoints.hasRoom(cache->second.endpoint, now)
+                && this->endpoints.hasVersion(cache->second.endpoint, waiting.call.requiredVersion)) {
                 return cache->second.endpoint;
             }
         }
         [[fallthrough]];
     }
     case PlacementRule::LeastOutstanding: {
-        const std::vector<std::size_t> least = this->endpoints.leastLoaded(1, waiting.call.avoid, now);
+        const std::vector<std::size_t> least = this->endpoints.leastLoaded(1, waiting.call.avoid, waiting.call.requiredVersion, now);
         return least.empty() ? noEndpoint : least.front();
     }
     case PlacementRule::Estimated:
@@ -271,11 +313,14 @@
     return waiting.call.promptParts.empty() ? this->chooseByBranch(waiting, now) : this->chooseByParts(waiting, now);
 }
 
-std::vector<std::size_t> Dispatcher::preferredEndpoints(const std::string &key) const
+std::vector<std::size_t> Dispatcher::preferredEndpoints(const std::string &key, const std::optional<std::string> &version) const
 {
     // Rendezvous hashing: all instances choose the same endpoints without communication.
     std::array<std::pair<std::uint64_t, std::size_t>, preferredEndpointCount> best{};
     for (const std::size_t index : this->endpoints.localEndpoints()) {
+        if (!this->endpoints.hasVersion(index, version)) {
+            continue;
+        }
         const std::pair<std::uint64_t, std::size_t> entry{hashOf(this->endpoints.at(index).spec.id, hashOf(key)), index};
         for (std::size_t place = 0; place < preferredEndpointCount; ++place) {
             if (entry > best[place]) {
@@ -341,7 +386,7 @@
     std::size_t best = noEndpoint;
     double bestCost = std::numeric_limits<double>::max();
     const auto consider = [&](std::size_t candidate, Tokens cached) {
-        if (!this->endpoints.hasRoom(candidate, now) || call.avoid.contains(this->endpoints.at(candidate).spec.id)) {
+        if (!this->endpoints.hasRoom(candidate, now) || !this->allows(call, candidate)) {
             return;
         }
         const double cost = this->estimateByParts(candidate, waiting, cached);
@@ -350,12 +395,12 @@
             bestCost = cost;
         }
     };
-    for (const std::size_t candidate : this->endpoints.leastLoaded(candidateCount, call.avoid, now)) {
+    for (const std::size_t candidate : this->endpoints.leastLoaded(candidateCount, call.avoid, call.requiredVersion, now)) {
         consider(candidate, this->cachedPartTokens(candidate, call));
     }
     // Calls of this program at other instances were sent to its preferred endpoint, unless that was loaded.
     double assumedShare = assumedCachedShare;
-    for (const std::size_t preferredEndpoint : this->preferredEndpoints(placementKey)) {
+    for (const std::size_t preferredEndpoint : this->preferredEndpoints(placementKey, call.requiredVersion)) {
         consider(preferredEndpoint,
                  std::max(this->cachedPartTokens(preferredEndpoint, call), static_cast<Tokens>(assumedShare * static_cast<double>(call.promptTokens))));
         assumedShare = 0.0;
@@ -379,12 +424,12 @@
 
 std::size_t Dispatcher::chooseByBranch(const Waiting &waiting, Time now) const
 {
-    std::vector<std::size_t> candidates = this->endpoints.leastLoaded(candidateCount, waiting.call.avoid, now);
+    std::vector<std::size_t> candidates = this->endpoints.leastLoaded(candidateCount, waiting.call.avoid, waiting.call.requiredVersion, now);
     const auto program = this->programs.find(waiting.call.program);
     if (program != this->programs.end()) {
         for (const auto &[branch, cache] : program->second.caches) {
             const bool related = branch == waiting.call.branch || branch.empty();
-            if (related && this->endpoints.hasRoom(cache.endpoint, now) && !waiting.call.avoid.contains(this->endpoints.at(cache.endpoint).spec.id)) {
+            if (related && this->endpoints.hasRoom(cache.endpoint, now) && this->allows(waiting.call, cache.endpoint)) {
                 candidates.push_back(cache.endpoint);
             }
         }
@@ -580,6 +625,12 @@
     }
 }
 
+std::optional<std::string> Dispatcher::versionFor(const Running &running) const
+{
+    const std::string &version = this->endpoints.at(running.endpoint).spec.version;
+    return running.firstToken && !version.empty() ? std::optional(version) : running.call.requiredVersion;
+}
+
 void Dispatcher::onInterrupted(CallId call, Tokens generated, Time now)
 {
     const auto found = this->running.find(call);
@@ -591,6 +642,7 @@
     this->recordService(running, now);
     this->endpoints.removeCall(running.endpoint);
     Waiting entry{running.call, this->queueKey(running.call, now), running.interrupted + 1, false, generated, now};
+    entry.call.requiredVersion = this->versionFor(running);
     this->programs[running.call.program].caches[running.call.branch] = BranchCache{running.endpoint, running.call.promptTokens + generated};
     this->order.emplace(std::pair(entry.key, call), call);
     this->waiting[call] = std::move(entry);
@@ -619,7 +671,7 @@
         }
         this->endpoints.avoid(running.endpoint, this->options.avoidance, now);
         const auto allowed = static_cast<std::uint64_t>(this->options.maxMigrationShare * static_cast<double>(this->startedCalls)) + minAllowedMigrations;
-        const bool hasAlternative = !this->endpoints.leastLoaded(1, running.call.avoid, now).empty();
+        const bool hasAlternative = !this->endpoints.leastLoaded(1, running.call.avoid, this->versionFor(running), now).empty();
         if (running.call.resumable && !running.interrupting && this->migrations < allowed && hasAlternative) {
             this->migrations += 1;
             running.interrupting = true;
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -37,6 +37,13 @@
     //! miss its deadline.
     Result<void> enqueue(const QueuedCall &call, Time now);
 
+    //! Returns whether an endpoint of the latest list runs the software version that the waiting call \p call requires. Also true for calls that
+    //! require none or are not waiting.
+    bool mayServe(CallId call) const;
+
+    //! Returns whether an endpoint of the software version \p version takes calls, other than those in \p avoid. It may be full.
+    bool takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
+
     //! Removes a waiting call from the queue. Returns false when the call is not waiting.
     bool remove(CallId call);
 
@@ -152,6 +159,9 @@
 
     Time queueKey(const QueuedCall &call, Time now) const;
     bool hasCandidate(const QueuedCall &call) const;
+
+    //! Returns whether \p call is allowed at the endpoint, whatever its load.
+    bool allows(const QueuedCall &call, std::size_t endpoint) const;
     bool wouldBeLate(const QueuedCall &call, Time now) const;
 
     //! The call to send next and its endpoint.
@@ -168,7 +178,7 @@
     std::size_t chooseByParts(const Waiting &waiting, Time now) const;
     double estimateByParts(std::size_t endpoint, const Waiting &waiting, Tokens cached) const;
     Tokens cachedPartTokens(std::size_t endpoint, const QueuedCall &call) const;
-    std::vector<std::size_t> preferredEndpoints(const std::string &key) const;
+    std::vector<std::size_t> preferredEndpoints(const std::string &key, const std::optional<std::string> &version) const;
     void recordPrefix(std::size_t endpoint, const QueuedCall &call, Tokens generated);
     double estimateByBranch(std::size_t endpoint, const Waiting &waiting) const;
     Tokens cachedTokens(std::size_t endpoint, const QueuedCall &call) const;
@@ -178,6 +188,9 @@
     void addPreempted(Time now, std::vector<Interruption> &chosen);
     Duration quantumFor(const Running &running) const;
 
+    //! Returns the software version at which a running stream would have to go on after an interruption.
+    std::optional<std::string> versionFor(const Running &running) const;
+
     PolicyOptions options;
     std::mt19937_64 random;
     EndpointTable endpoints;
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -118,12 +118,18 @@
     return this->ranked[index] && isOpen(this->states[index], now);
 }
 
-std::vector<std::size_t> EndpointTable::leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, Time now) const
+bool EndpointTable::hasVersion(std::size_t index, const std::optional<std::string> &version) const
+{
+    return !version || this->states[index].spec.version == *version;
+}
+
+std::vector<std::size_t>
+EndpointTable::leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, const std::optional<std::string> &version, Time now) const
 {
     std::vector<std::size_t> found;
     for (const Ranked &candidate : this->order) {
         const EndpointState &state = this->states[candidate.index];
-        if (!isOpen(state, now) || avoid.contains(state.spec.id)) {
+        if (!isOpen(state, now) || avoid.contains(state.spec.id) || !this->hasVersion(candidate.index, version)) {
             continue;
         }
         found.push_back(candidate.index);
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -55,8 +55,12 @@
     //! Returns true when the endpoint may take another call at \p now.
     bool hasRoom(std::size_t index, Time now) const;
 
-    //! Returns up to \p count endpoints that may take another call, least loaded first and without those in \p avoid.
-    std::vector<std::size_t> leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, Time now) const;
+    //! Returns up to \p count endpoints that may take another call, least loaded first and without those in \p avoid. Only those of the software
+    //! version \p version if it is set.
+    std::vector<std::size_t> leastLoaded(std::size_t count, const std::set<EndpointId> &avoid, const std::optional<std::string> &version, Time now) const;
+
+    //! Returns whether the endpoint has the software version \p version, if it is set.
+    bool hasVersion(std::size_t index, const std::optional<std::string> &version) const;
 
     void addCall(std::size_t index);
     void removeCall(std::size_t index);
--- a/src/decision/errorcode.h
+++ b/src/decision/errorcode.h
@@ -37,6 +37,7 @@
     PeerFailed,
     Timeout,
     Internal,
+    VersionUnknown,
     Count
 };
 
@@ -70,6 +71,7 @@
     {ErrorCode::PeerFailed, "peer_failed"},
     {ErrorCode::Timeout, "timeout"},
     {ErrorCode::Internal, "internal"},
+    {ErrorCode::VersionUnknown, "version_unknown"},
 }};
 
 //! Returns the name of \p code.
--- a/src/decision/queuedcall.h
+++ b/src/decision/queuedcall.h
@@ -4,6 +4,7 @@
 #include "decision/ids.h"
 #include "decision/time.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +33,7 @@
     Time deadline{}; //!< Deadline of this call.
     Time programDeadline{};
     EndpointId requiredEndpoint{}; //!< The only endpoint that may serve the call, even when it is full; empty for any.
+    std::optional<std::string> requiredVersion{}; //!< Only endpoints of this software version may serve the call; any if not set.
     bool isolated = false; //!< Goes to the endpoint with the least load, whatever that has cached.
     std::set<EndpointId> avoid{}; //!< Endpoints that may not serve the call: an attempt failed there, or they are kept for an isolated run.
 };
--- /dev/null
+++ b/src/decision/versiontable.cpp
@@ -0,0 +1,71 @@
+#include "decision/versiontable.h"
+
+namespace oleandergate {
+
+void VersionTable::assign(const std::string &service, std::uint64_t revision, VersionBuckets buckets)
+{
+    this->assignments[service] = Assignment{revision, std::move(buckets)};
+}
+
+void VersionTable::addEarlier(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now)
+{
+    this->earlier[key] = Earlier{service, std::move(versions), now};
+}
+
+void VersionTable::expireEarlier(Time before)
+{
+    std::erase_if(this->earlier, [before](const auto &entry) {
+        return entry.second.addedAt < before;
+    });
+}
+
+void VersionTable::dropEarlier(const std::string &key)
+{
+    this->earlier.erase(key);
+}
+
+std::optional<std::string> VersionTable::assigned(const std::string &service, std::size_t bucket) const
+{
+    const auto found = this->assignments.find(service);
+    return found == this->assignments.end() || bucket >= found->second.buckets.size() ? std::nullopt : std::optional(found->second.buckets[bucket]);
+}
+
+std::set<std::string> VersionTable::candidates(const std::string &service, std::size_t bucket) const
+{
+    std::set<std::string> versions;
+    const std::optional<std::string> current = this->assigned(service, bucket);
+    if (!current) {
+        return versions;
+    }
+    versions.insert(*current);
+    for (const auto &[key, former] : this->earlier) {
+        const auto found = former.versions.find(bucket);
+        if (former.service == service && found != former.versions.end()) {
+            versions.insert(found->second.begin(), found->second.end());
+        }
+    }
+    return versions;
+}
+
+std::optional<std::string> VersionTable::resolve(const std::string &service, std::size_t bucket, const std::string &recorded) const
+{
+    if (!recorded.empty()) {
+        return recorded;
+    }
+    const std::set<std::string> possible = this->candidates(service, bucket);
+    return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
+}
+
+VersionBuckets VersionTable::bucketsOf(const std::string &service) const
+{
+    const auto found = this->assignments.find(service);
+    return found == this->assignments.end() ? VersionBuckets() : found->second.buckets;
+}
+
+std::uint64_t VersionTable::revisionOf(const std::string &service) const
+{
+    const auto found = this->assignments.find(service);
+    return found == this->assignments.end() ? 0 : found->second.revision;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/versiontable.h
@@ -0,0 +1,63 @@
+#ifndef OLEANDERGATE_DECISION_VERSIONTABLE_H
+#define OLEANDERGATE_DECISION_VERSIONTABLE_H
+
+#include "decision/versionbuckets.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace oleandergate {
+
+//! Which software versions may have begun the streams of each service: the one to which the stream's bucket is assigned, and those to which it was
+//! assigned not long ago.
+class VersionTable
+{
+public:
+    //! Sets the assignment of \p service, which the key-value service holds since its revision \p revision.
+    void assign(const std::string &service, std::uint64_t revision, VersionBuckets buckets);
+
+    //! Adds earlier assignments of some buckets of \p service. They count until dropEarlier() is called with the same \p key, or expireEarlier().
+    void addEarlier(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now);
+    void dropEarlier(const std::string &key);
+
+    //! Drops earlier assignments that were added before \p before: the event that they ended may have been lost.
+    void expireEarlier(Time before);
+
+    //! Returns the version to which \p bucket is assigned; nothing when the service has no assignment.
+    std::optional<std::string> assigned(const std::string &service, std::size_t bucket) const;
+
+    //! Returns the versions that may have begun a stream in \p bucket; none when the service has no assignment.
+    std::set<std::string> candidates(const std::string &service, std::size_t bucket) const;
+
+    //! Returns the version that began a stream in \p bucket, if there is no doubt. \p recorded is the version in the record of the stream itself, empty if
+    //! it has none.
+    std::optional<std::string> resolve(const std::string &service, std::size_t bucket, const std::string &recorded) const;
+
+    //! Returns the assignment of \p service, empty if there is none, and its revision, 0 if there is none.
+    VersionBuckets bucketsOf(const std::string &service) const;
+    std::uint64_t revisionOf(const std::string &service) const;
+
+private:
+    struct Assignment
+    {
+        std::uint64_t revision = 0;
+        VersionBuckets buckets{};
+    };
+
+    struct Earlier
+    {
+        std::string service{};
+        std::map<std::size_t, std::set<std::string>> versions{}; //!< By bucket.
+        Time addedAt{};
+    };
+
+    std::map<std::string, Assignment> assignments;
+    std::map<std::string, Earlier> earlier; //!< By the key of its record.
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relay.h"
+#include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/errorresponse.h"
@@ -137,7 +138,8 @@
                      [this](PeerMessage command, std::shared_ptr<AnswerChannel> /*answerChannel*/) {
                          return this->servePeer(std::move(command));
                      })
-        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, metrics})
+        , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, metrics}, self.id)
+        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, versions, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -236,6 +238,7 @@
             const Time now = currentTime();
             this->crashes.expire(now);
             this->limiter.expire(now);
+            this->versions.expire(now);
             this->pools.expire(now, now - this->settings.programRetention);
             this->shareConnections();
             if (now - lastSummaryAt >= summaryInterval) {
@@ -309,6 +312,7 @@
         });
         asio::co_spawn(this->control, this->housekeepingLoop(), asio::detached);
         this->directory.start();
+        this->versions.start();
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
             if (!error) {
                 asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
@@ -353,6 +357,7 @@
     PeerGossip gossip;
     BudgetCoordinator budget;
     PeerServer peerServer;
+    StreamVersions versions;
     Relay relay;
     HttpServer callerServer;
     HttpServer readyServer;
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -39,6 +39,9 @@
 
     std::vector<EndpointId> endpointIds() const;
 
+    //! Returns the slots of the endpoints of \p service by software version. Versions whose endpoints are all leaving have none.
+    std::map<std::string, std::uint32_t> slotsByVersion(const std::string &service) const;
+
     //! As in EndpointCatalog.
     std::uint64_t endpointDigest() const;
     std::vector<EndpointEntry> endpointEntries() const;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -81,6 +81,8 @@
     std::shared_ptr<ServicePool> pool{};
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
     StreamProgress progress{};
+    std::optional<StreamIdentity> stream{}; //!< Set if the answer is a stream that may be resumed.
+    std::optional<std::string> streamVersion{}; //!< The only software version at which the stream may go on; any as long as it has not begun.
     std::optional<RetryPlan> retries{};
     std::optional<HttpResponse> answer{};
     bool streamed = false;
@@ -191,6 +193,9 @@
             cancellation->cancel();
         });
     }
+    if (!co_await this->findStreamVersion(context)) {
+        co_return;
+    }
     const bool budgeted = context.route->kind == RouteKind::Stream && context.call.program && context.call.program->tokenBudget;
     if (budgeted) {
         const Result<void> reserved = co_await this->parts.budget.reserve(*context.call.program, context.call.maxTokens, context.call.requestId);
@@ -204,6 +209,66 @@
         const auto used = static_cast<Tokens>(context.progress.events) * context.service->tokensPerEvent;
         this->parts.budget.settle(*context.call.program, context.call.requestId, used);
     }
+    if (context.stream) {
+        this->parts.versions.onEnded(*context.stream, currentTime());
+    }
+}
+
+asio::awaitable<bool> Relay::findStreamVersion(RequestContext &context)
+{
+    if (context.route->kind != RouteKind::Stream || !context.route->resumable) {
+        co_return true;
+    }
+    const RelayCall &call = context.call;
+    const bool takenUp = call.resumeAfter.has_value();
+    const RequestId attempt = takenUp && !call.resumedRequest.empty() ? call.resumedRequest : call.requestId;
+    const std::string &key = call.program ? call.program->program : attempt;
+    context.stream = StreamIdentity{attempt, context.service->name, versionBucketOf(key)};
+    if (!takenUp) {
+        co_return true;
+    }
+    const Result<std::string> version = co_await this->parts.versions.find(*context.stream, call.requestId);
+    if (!version) {
+        co_await this->refuse(context, version.error());
+        co_return false;
+    }
+    context.streamVersion = version.value();
+    co_return true;
+}
+
+void Relay::requireVersion(const RequestContext &context, QueuedCall &queued, Time now) const
+{
+    if (!context.stream) {
+        return;
+    }
+    if (context.streamVersion) {
+        queued.requiredVersion = context.streamVersion;
+        if (!context.pool->takesCalls(*context.streamVersion, queued.avoid, now)) {
+            // Endpoints that refused the stream may have room by now, and no others may serve it.
+            queued.avoid.clear();
+        }
+        return;
+    }
+    const std::optional<std::string> assigned = this->parts.versions.assignedVersion(*context.stream);
+    if (queued.requiredEndpoint.empty() && assigned && context.pool->takesCalls(*assigned, queued.avoid, now)) {
+        queued.requiredVersion = assigned;
+    }
+}
+
+asio::awaitable<Result<void>> Relay::recordVersion(RequestContext &context, std::string version)
+{
+    if (!context.stream || context.streamVersion || !this->parts.versions.needsRecord(*context.stream, version)) {
+        co_return boost::outcome_v2::success();
+    }
+    Result<void> recorded = co_await this->parts.versions.record(*context.stream, version);
+    logRecord(LogLevel::Info,
+              "relay",
+              recorded ? "a stream begins at another software version than assigned" : "a stream may not begin at another software version than assigned",
+              {{"request", context.call.requestId}, {"version", version}, {"detail", recorded ? std::string() : recorded.error().detail}});
+    if (recorded) {
+        context.streamVersion = std::move(version);
+    }
+    co_return recorded;
 }
 
 asio::awaitable<void> Relay::serveAdmitted(RequestContext &context)
@@ -267,6 +332,7 @@
             queued.avoid.insert(isolated.begin(), isolated.end());
         }
     }
+    this->requireVersion(context, queued, now);
     return queued;
 }
 
@@ -290,6 +356,7 @@
     }
     QueuedCall queued = this->makeQueuedCall(context, requiredEndpoint, admission, currentTime());
     const CallId id = queued.call;
+    const bool restricted = queued.requiredVersion.has_value();
     const Time queuedAt = currentTime();
     const Result<Placement> placed = co_await context.pool->place(std::move(queued), context.cancellation);
     context.waited += currentTime() - queuedAt;
@@ -298,6 +365,10 @@
         if (context.cancellation->isCancelled()) {
             co_return NextStep::Stop;
         }
+        if (restricted && !context.streamVersion && placed.error().code == ErrorCode::NoEndpoint && currentTime() < context.deadline) {
+            // The endpoints of the assigned version left while the stream waited for them. It has not begun, so another one may serve it.
+            co_return NextStep::TryElsewhere;
+        }
         co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
     }
     const EndpointSpec endpoint = placed.value().endpoint;
@@ -313,6 +384,15 @@
         }
         co_return requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
     }
+    const Result<void> versionRecorded = co_await this->recordVersion(context, endpoint.version);
+    if (!versionRecorded) {
+        context.pool->decline(id, currentTime(), currentTime());
+        context.lastError = versionRecorded.error();
+        co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
+    }
+    if (context.stream) {
+        this->parts.versions.onSend(*context.stream, endpoint.version);
+    }
     const Time startedAt = currentTime();
     const RunAdmission begun = this->parts.crashes.begin(context.identity, endpoint.id, startedAt);
     if (begun.verdict == RunVerdict::Wait || begun.verdict == RunVerdict::Refused) {
@@ -340,6 +420,9 @@
         result.report.endpointGone = listening == Listening::No;
     }
     this->recordRunEnd(context, result, startedAt, currentTime());
+    if (context.stream && context.progress.events > 0 && !context.streamVersion) {
+        context.streamVersion = endpoint.version;
+    }
     const bool healthy
         = result.report.outcome == SendOutcome::Answered || result.report.outcome == SendOutcome::Refused || result.report.outcome == SendOutcome::CallerLeft;
     context.pool->finish(id, healthy, currentTime());
@@ -449,6 +532,7 @@
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
                {"endpoint", placement.endpoint.id},
                {"version", placement.endpoint.version},
+               {"stream_version", context.streamVersion.value_or(std::string())},
                {"resumes", context.call.resumedRequest},
                {"resumes_after", context.call.resumeAfter ? std::to_string(*context.call.resumeAfter) : std::string()},
                {"own_calls", std::to_string(placement.ownCalls)},
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -8,6 +8,7 @@
 #include "gateway/interfaces/tokenbudgetservice.h"
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
+#include "gateway/streamversions.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
 
@@ -34,6 +35,7 @@
         TokenBudgetService &budget;
         CrashRegistry &crashes;
         RateLimiter &limiter;
+        StreamVersions &versions;
         Metrics &metrics;
     };
 
@@ -59,6 +61,15 @@
 
     //! Returns the next step of a request that may not run, and keeps the reason for its caller.
     NextStep onNotAdmitted(RequestContext &context, const RunAdmission &admission);
+
+    //! Finds the software version of a stream that the caller takes up. Returns false when the request was refused because it cannot be told.
+    boost::asio::awaitable<bool> findStreamVersion(RequestContext &context);
+
+    //! Restricts \p queued to the software version that its stream needs, or at which it should begin.
+    void requireVersion(const RequestContext &context, QueuedCall &queued, Time now) const;
+
+    //! Records the software version of a stream that begins elsewhere than its assignment says. Fails when the stream may not begin there.
+    boost::asio::awaitable<Result<void>> recordVersion(RequestContext &context, std::string version);
     QueuedCall makeQueuedCall(const RequestContext &context, EndpointId requiredEndpoint, const RunAdmission &admission, Time now);
 
     //! Records the end of a run, and whether its endpoint ended with it.
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -75,6 +75,18 @@
     return placement;
 }
 
+bool ServicePool::mayServe(CallId call) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.mayServe(call);
+}
+
+bool ServicePool::takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.takesCalls(version, avoid, now);
+}
+
 bool ServicePool::withdraw(CallId call)
 {
     const std::lock_guard lock(this->mutex);
@@ -115,6 +127,10 @@
         }
         const Time now = currentTime();
         const bool left = cancellation->isCancelled();
+        if (!this->mayServe(id) && this->withdraw(id)) {
+            cancellation->setHook({});
+            co_return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Executed::No, std::nullopt, "the endpoints that may serve the call have left"};
+        }
         if ((left || now >= deadline) && this->withdraw(id)) {
             cancellation->setHook({});
             const ErrorCode code = left ? ErrorCode::Cancelled : ErrorCode::Overloaded;
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -31,6 +31,9 @@
     //! \p cancellation comes first. A placed call has to be ended by finish().
     boost::asio::awaitable<Result<Placement>> place(QueuedCall call, std::shared_ptr<Cancellation> cancellation);
 
+    //! As in Dispatcher.
+    bool takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
+
     //! Records that \p tokens more of the answer arrived.
     void progress(CallId call, Tokens tokens, Time now);
 
@@ -60,6 +63,7 @@
     void placeWaitingCalls(Time now);
     std::optional<Placement> takePlaced(CallId call);
     bool withdraw(CallId call);
+    bool mayServe(CallId call) const;
     Time nextUnblock(Time now) const;
 
     mutable std::mutex mutex;
--- /dev/null
+++ b/src/gateway/streamversions.cpp
@@ -0,0 +1,574 @@
+#include "gateway/streamversions.h"
+
+#include "decision/hash.h"
+#include "gateway/gatewayconfigurationholder.h"
+#include "gateway/milliseconds.h"
+#include "gateway/peergossip.h"
+#include "gateway/poolset.h"
+#include "runtime/asyncsignal.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
+#include <boost/algorithm/string/join.hpp>
+#include <boost/asio.hpp>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+
+namespace {
+
+//! Added to the longest timeout of a route: the time in which a change reaches all instances.
+constexpr Duration changeDelay = std::chrono::seconds(2);
+constexpr Duration minRetention = std::chrono::seconds(6);
+
+//! How long a request waits for the key-value service. A resumption has little time left.
+constexpr Duration serviceTimeout = std::chrono::milliseconds(250);
+constexpr Duration pollInterval = std::chrono::milliseconds(10);
+
+constexpr Duration proposeInterval = std::chrono::milliseconds(100);
+constexpr Duration proposeRetryDelay = std::chrono::milliseconds(500);
+
+//! Instances that propose changes take turns, as all would propose the same one.
+constexpr std::size_t proposerCount = 3;
+constexpr Duration proposerDelay = std::chrono::milliseconds(300);
+
+//! An instance that has not seen a due change for this long rereads the assignments, as a watch may stop delivering events.
+constexpr Duration unseenChangeDelay = std::chrono::milliseconds(800);
+constexpr int unseenChangeJitterMs = 400;
+
+//! Entries of a transaction that the key-value service accepts.
+constexpr std::size_t maxBatch = 32;
+
+constexpr const char *memorySource = "memory";
+constexpr const char *recordSource = "record";
+constexpr const char *assignmentSource = "assignment";
+
+std::string joined(const std::set<std::string> &versions)
+{
+    return boost::algorithm::join(versions, ",");
+}
+
+} // namespace
+
+struct StreamVersions::PendingRecord
+{
+    std::atomic<bool> ended{false};
+    std::atomic<bool> stored{false};
+    AsyncSignal signal{};
+
+    void end(bool success)
+    {
+        this->stored = success;
+        this->ended = true;
+        this->signal.notify();
+    }
+};
+
+StreamVersions::StreamVersions(const Parts &parts, InstanceId self)
+    : parts(parts)
+    , self(std::move(self))
+    , follower(parts.service,
+               versionRecordPrefix,
+               PrefixFollower::Hooks{[this](const KvRange &range) {
+                                         this->load(range);
+                                     },
+                                     [this](const KvEvent &event) {
+                                         this->apply(event);
+                                     },
+                                     []() {}})
+    , recordsStored(parts.metrics.counter("oleandergate_stream_records_total", "result=\"stored\""))
+    , recordsFailed(parts.metrics.counter("oleandergate_stream_records_total", "result=\"failed\""))
+    , unknownVersions(parts.metrics.counter("oleandergate_unknown_versions_total"))
+    , random(hashOf(this->self))
+    , retention(minRetention)
+{
+}
+
+void StreamVersions::start()
+{
+    asio::co_spawn(this->parts.context, this->follower.run(), asio::detached);
+    asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
+}
+
+void StreamVersions::put(const KvPair &pair)
+{
+    const std::optional<VersionRecord> record = decodeVersionRecord(pair.value);
+    if (!record) {
+        logRecord(LogLevel::Error, "versions", "ignored an invalid record", {{"key", pair.key}, {"revision", std::to_string(pair.revision)}});
+        return;
+    }
+    if (record->earlier) {
+        this->table.addEarlier(pair.key, record->service, record->versions, currentTime());
+        return;
+    }
+    VersionBuckets buckets;
+    std::map<std::string, std::size_t> counts;
+    for (const auto &[bucket, versions] : record->versions) {
+        buckets.push_back(*versions.begin());
+        counts[*versions.begin()] += 1;
+    }
+    if (this->table.revisionOf(record->service) == pair.revision) {
+        return;
+    }
+    this->table.assign(record->service, pair.revision, std::move(buckets));
+    this->movedAt[record->service] = currentTime();
+    std::string shares;
+    for (const auto &[version, count] : counts) {
+        shares += (shares.empty() ? "" : ",") + version + ":" + std::to_string(count);
+    }
+    logRecord(LogLevel::Info, "versions", "assigned", {{"service", record->service}, {"buckets", shares}, {"revision", std::to_string(pair.revision)}});
+}
+
+void StreamVersions::load(const KvRange &range)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        const VersionTable before = std::move(this->table);
+        this->table = VersionTable();
+        for (const KvPair &pair : range.pairs) {
+            const std::optional<VersionRecord> record = decodeVersionRecord(pair.value);
+            if (record && !record->earlier && before.revisionOf(record->service) == pair.revision) {
+                this->table.assign(record->service, pair.revision, before.bucketsOf(record->service));
+            } else {
+                this->put(pair);
+            }
+        }
+        this->loaded = true;
+    }
+    this->recordMoved();
+}
+
+void StreamVersions::apply(const KvEvent &event)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        if (event.deleted) {
+            // Only records of earlier assignments are ever deleted, when their lease ends.
+            this->table.dropEarlier(event.pair.key);
+            return;
+        }
+        this->put(event.pair);
+    }
+    this->recordMoved();
+}
+
+std::optional<std::string> StreamVersions::assignedVersion(const StreamIdentity &stream) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->table.assigned(stream.service, stream.bucket);
+}
+
+bool StreamVersions::needsRecord(const StreamIdentity &stream, const std::string &version) const
+{
+    const std::map<std::string, std::uint32_t> listed = this->parts.pools.slotsByVersion(stream.service);
+    const std::lock_guard lock(this->mutex);
+    const std::set<std::string> candidates = this->table.candidates(stream.service, stream.bucket);
+    // Without an assignment, the first one states that all versions listed by then may have begun streams.
+    return candidates.empty() ? listed.size() > 1 : !candidates.contains(version);
+}
+
+void StreamVersions::onSend(const StreamIdentity &stream, const std::string &version)
+{
+    const std::lock_guard lock(this->mutex);
+    KnownStream &known = this->streams[stream.attempt];
+    known.recordedVersion = known.recordedVersion && known.version == version;
+    known.identity = stream;
+    known.version = version;
+    known.endedAt = std::nullopt;
+    this->recordIfOpen(known);
+}
+
+void StreamVersions::recordIfOpen(KnownStream &stream)
+{
+    const std::set<std::string> candidates = this->table.candidates(stream.identity.service, stream.identity.bucket);
+    // Streams of an instance that learned of a change too late may not be among the candidates at all.
+    const bool open = candidates.size() > 1 || (candidates.size() == 1 && !candidates.contains(stream.version));
+    if (open && !stream.endedAt && !stream.recordedVersion) {
+        this->enqueueRecord(stream, nullptr);
+    }
+}
+
+void StreamVersions::onEnded(const StreamIdentity &stream, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->streams.find(stream.attempt);
+    if (found != this->streams.end()) {
+        found->second.endedAt = now;
+    }
+}
+
+void StreamVersions::expire(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->table.expireEarlier(now - 2 * this->retention);
+    std::erase_if(this->streams, [this, now](const auto &entry) {
+        return entry.second.endedAt && now - *entry.second.endedAt > this->retention;
+    });
+}
+
+void StreamVersions::recordMoved()
+{
+    const std::lock_guard lock(this->mutex);
+    for (auto &[attempt, stream] : this->streams) {
+        this->recordIfOpen(stream);
+    }
+}
+
+void StreamVersions::enqueueRecord(KnownStream &stream, std::shared_ptr<PendingRecord> pending)
+{
+    stream.records += 1;
+    stream.recordedVersion = true;
+    // A later record has a key of its own: an earlier write may still take effect after its answer was lost.
+    this->queue.push_back(QueuedRecord{streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records), stream.version, std::move(pending)});
+    this->startWriting();
+}
+
+void StreamVersions::startWriting()
+{
+    if (!this->writing) {
+        this->writing = true;
+        // Not started here: on the context's own thread it would run at once, and the mutex is held.
+        asio::post(this->parts.context, [this]() {
+            asio::co_spawn(this->parts.context, this->writeRecords(), asio::detached);
+        });
+    }
+}
+
+asio::awaitable<std::uint64_t> StreamVersions::leaseForRecords()
+{
+    const Time now = currentTime();
+    if (now < this->leaseRenewAt) {
+        co_return this->lease;
+    }
+    Duration lifetime{};
+    {
+        const std::lock_guard lock(this->mutex);
+        lifetime = this->retention;
+    }
+    // Records that are written until the next lease is granted last long enough, too.
+    const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(2 * lifetime);
+    if (!granted) {
+        logError("versions", "no lease for records of streams", granted.error());
+        co_return 0;
+    }
+    this->lease = granted.value();
+    this->leaseRenewAt = now + lifetime;
+    co_return this->lease;
+}
+
+asio::awaitable<bool> StreamVersions::writeBatch(const std::vector<QueuedRecord> &batch)
+{
+    const std::uint64_t batchLease = co_await this->leaseForRecords();
+    if (batchLease == 0) {
+        co_return false;
+    }
+    KvTransaction write;
+    for (const QueuedRecord &record : batch) {
+        write.puts.push_back(KvPut{record.key, record.version, batchLease});
+    }
+    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    if (!reply) {
+        this->leaseRenewAt = Time{}; // The lease may be what the service no longer knows.
+        logError("versions", "could not record the software versions of " + std::to_string(batch.size()) + " streams", reply.error());
+    }
+    co_return reply &&reply.value().succeeded;
+}
+
+asio::awaitable<void> StreamVersions::writeRecords()
+{
+    while (true) {
+        std::vector<QueuedRecord> batch;
+        {
+            const std::lock_guard lock(this->mutex);
+            while (!this->queue.empty() && batch.size() < maxBatch) {
+                batch.push_back(std::move(this->queue.front()));
+                this->queue.pop_front();
+            }
+            if (batch.empty()) {
+                this->writing = false;
+                co_return;
+            }
+        }
+        const bool stored = co_await this->writeBatch(batch);
+        (stored ? this->recordsStored : this->recordsFailed).add(static_cast<double>(batch.size()));
+        for (const QueuedRecord &record : batch) {
+            if (record.pending) {
+                record.pending->end(stored);
+            }
+        }
+    }
+}
+
+asio::awaitable<Result<void>> StreamVersions::record(StreamIdentity stream, std::string version)
+{
+    const auto pending = std::make_shared<PendingRecord>();
+    {
+        const std::lock_guard lock(this->mutex);
+        KnownStream &known = this->streams[stream.attempt];
+        known.identity = stream;
+        known.version = version;
+        known.endedAt = std::nullopt;
+        this->enqueueRecord(known, pending);
+    }
+    const Time giveUpAt = currentTime() + serviceTimeout;
+    while (!pending->ended && currentTime() < giveUpAt) {
+        co_await pending->signal.wait(giveUpAt - currentTime());
+    }
+    if (!pending->stored) {
+        co_return Error{ErrorCode::ServiceUnavailable,
+                        Step::Admit,
+                        {},
+                        Executed::No,
+                        serviceTimeout,
+                        "no endpoint of the stream's software version takes calls, and the start at version '" + version + "' could not be recorded"};
+    }
+    co_return boost::outcome_v2::success();
+}
+
+std::optional<std::string> StreamVersions::knownVersion(const StreamIdentity &stream) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->streams.find(stream.attempt);
+    return found == this->streams.end() ? std::nullopt : std::optional(found->second.version);
+}
+
+asio::awaitable<std::optional<std::string>> StreamVersions::readRecord(RequestId attempt)
+{
+    struct Reading
+    {
+        std::mutex mutex{};
+        std::optional<std::string> version{};
+        bool ended = false;
+        AsyncSignal signal{};
+    };
+    const auto reading = std::make_shared<Reading>();
+    asio::co_spawn(
+        this->parts.context,
+        [this, reading, prefix = streamRecordPrefix(attempt)]() -> asio::awaitable<void> {
+            const Result<KvRange> range = co_await this->parts.service.range(prefix);
+            {
+                const std::lock_guard lock(reading->mutex);
+                reading->ended = true;
+                if (range) {
+                    reading->version = range.value().pairs.empty() ? std::string() : range.value().pairs.back().value;
+                }
+            }
+            if (!range) {
+                logError("versions", "cannot read the record of a stream", range.error());
+            }
+            reading->signal.notify();
+        },
+        asio::detached);
+    const Time giveUpAt = currentTime() + serviceTimeout;
+    while (currentTime() < giveUpAt) {
+        {
+            const std::lock_guard lock(reading->mutex);
+            if (reading->ended) {
+                break;
+            }
+        }
+        co_await reading->signal.wait(giveUpAt - currentTime());
+    }
+    const std::lock_guard lock(reading->mutex);
+    co_return reading->version;
+}
+
+asio::awaitable<void> StreamVersions::awaitAssignments()
+{
+    const Time giveUpAt = currentTime() + serviceTimeout;
+    while (currentTime() < giveUpAt) {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (this->loaded) {
+                co_return;
+            }
+        }
+        co_await sleepFor(pollInterval);
+    }
+}
+
+Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source)
+{
+    logRecord(LogLevel::Info,
+              "versions",
+              "a stream goes on at its software version",
+              {{"request", request},
+               {"resumes", stream.attempt},
+               {"service", stream.service},
+               {"bucket", std::to_string(stream.bucket)},
+               {"version", version},
+               {"source", source}});
+    return version;
+}
+
+asio::awaitable<Result<std::string>> StreamVersions::find(StreamIdentity stream, RequestId request)
+{
+    const std::optional<std::string> known = this->knownVersion(stream);
+    if (known) {
+        co_return this->onFound(stream, request, *known, memorySource);
+    }
+    co_await this->awaitAssignments();
+    std::set<std::string> listed;
+    for (const auto &[version, slots] : this->parts.pools.slotsByVersion(stream.service)) {
+        listed.insert(version);
+    }
+    std::set<std::string> candidates;
+    {
+        const std::lock_guard lock(this->mutex);
+        candidates = this->table.candidates(stream.service, stream.bucket);
+    }
+    const bool unversioned = candidates.empty() && listed == std::set<std::string>{std::string()};
+    if (unversioned || (candidates.size() == 1 && listed == candidates)) {
+        co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), assignmentSource);
+    }
+    const std::optional<std::string> recorded = co_await this->readRecord(stream.attempt);
+    std::optional<std::string> version;
+    {
+        // Without an answer of the service this may miss a stream that began elsewhere because no endpoint of its version took calls. Then none
+        // is likely to take this call.
+        const std::lock_guard lock(this->mutex);
+        version = this->table.resolve(stream.service, stream.bucket, recorded.value_or(std::string()));
+        candidates = this->table.candidates(stream.service, stream.bucket);
+    }
+    if (version) {
+        co_return this->onFound(stream, request, *version, recorded && !recorded->empty() ? recordSource : assignmentSource);
+    }
+    this->unknownVersions.add();
+    logRecord(LogLevel::Info,
+              "versions",
+              "the software version of a stream is not known",
+              {{"request", request},
+               {"resumes", stream.attempt},
+               {"service", stream.service},
+               {"bucket", std::to_string(stream.bucket)},
+               {"candidates", joined(candidates)},
+               {"listed", joined(listed)},
+               {"record", recorded ? "none" : "not read"}});
+    co_return Error{ErrorCode::VersionUnknown,
+                    Step::Admit,
+                    {},
+                    Executed::No,
+                    std::nullopt,
+                    "the software version that began the stream is not known; the request may be sent again from its start"};
+}
+
+std::size_t StreamVersions::proposerRank() const
+{
+    std::size_t rank = 0;
+    for (const PeerReport &peer : this->parts.gossip.livePeers()) {
+        rank += !peer.instance.leaving && peer.instance.id < this->self ? 1 : 0;
+    }
+    return rank;
+}
+
+asio::awaitable<void> StreamVersions::proposeLoop()
+{
+    while (true) {
+        co_await sleepFor(proposeInterval);
+        const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
+        std::set<std::string> services;
+        Duration longestTimeout{};
+        for (const Route &route : active ? active->configuration.routes : std::vector<Route>()) {
+            if (route.kind != RouteKind::Stream || !route.resumable) {
+                continue;
+            }
+            longestTimeout = std::max(longestTimeout, route.timeout);
+            for (const RouteTarget &target : route.targets) {
+                services.insert(target.service);
+            }
+        }
+        bool ready = false;
+        {
+            const std::lock_guard lock(this->mutex);
+            this->retention = std::max(minRetention, longestTimeout + changeDelay);
+            ready = this->loaded;
+        }
+        for (const std::string &service : services) {
+            if (ready) {
+                co_await this->proposeFor(service, currentTime());
+            }
+        }
+    }
+}
+
+asio::awaitable<void> StreamVersions::proposeFor(std::string service, Time now)
+{
+    std::map<std::string, std::uint32_t> slots = this->parts.pools.slotsByVersion(service);
+    slots.erase(std::string()); // Endpoints that state no version take no streams that may be resumed.
+    VersionBuckets current;
+    Duration sinceMove{};
+    {
+        const std::lock_guard lock(this->mutex);
+        current = this->table.bucketsOf(service);
+        const auto moved = this->movedAt.find(service);
+        sinceMove = moved == this->movedAt.end() ? Duration::max() : Duration(now - moved->second);
+    }
+    VersionBuckets planned = planVersionBuckets(current, slots);
+    if (planned.empty() || !isVersionMoveDue(current, planned, slots, sinceMove)) {
+        this->dueSince.erase(service);
+        co_return;
+    }
+    const Duration due = now - this->dueSince.emplace(service, now).first->second;
+    const std::size_t rank = this->proposerRank();
+    if (rank < proposerCount && due >= proposerDelay * static_cast<Duration::rep>(rank) && now >= this->proposeAgainAt) {
+        co_await this->propose(std::move(service), std::move(current), std::move(planned));
+        co_return;
+    }
+    std::uniform_int_distribution<int> jitter(0, unseenChangeJitterMs);
+    if (due >= unseenChangeDelay) {
+        this->dueSince[service] = now + std::chrono::milliseconds(jitter(this->random));
+        co_await this->follower.load();
+    }
+}
+
+asio::awaitable<void> StreamVersions::propose(std::string service, VersionBuckets current, VersionBuckets planned)
+{
+    Duration lifetime{};
+    std::uint64_t revision = 0;
+    {
+        const std::lock_guard lock(this->mutex);
+        lifetime = this->retention;
+        revision = this->table.revisionOf(service);
+    }
+    VersionRecord record{service, false, {}};
+    VersionRecord earlier{service, true, {}};
+    std::set<std::string> listed;
+    for (const auto &[version, slots] : this->parts.pools.slotsByVersion(service)) {
+        listed.insert(version);
+    }
+    for (std::size_t bucket = 0; bucket < planned.size(); ++bucket) {
+        record.versions[bucket] = {planned[bucket]};
+        if (current.empty() && listed.size() > 1) {
+            earlier.versions[bucket] = listed;
+        } else if (!current.empty() && current[bucket] != planned[bucket]) {
+            earlier.versions[bucket] = {current[bucket]};
+        }
+    }
+    KvTransaction write;
+    write.compares.push_back(KvCompare{versionRecordKey(service), revision});
+    write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
+    if (!earlier.versions.empty()) {
+        const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(lifetime);
+        if (!granted) {
+            logError("versions", "no lease for a change of the assignment of " + service, granted.error());
+            this->proposeAgainAt = currentTime() + proposeRetryDelay;
+            co_return;
+        }
+        write.puts.push_back(KvPut{earlierRecordKey(service, revision), encodeVersionRecord(earlier), granted.value()});
+    }
+    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    if (!reply) {
+        logError("versions", "could not change the assignment of " + service, reply.error());
+        this->proposeAgainAt = currentTime() + proposeRetryDelay;
+        co_return;
+    }
+    logRecord(LogLevel::Info,
+              "versions",
+              reply.value().succeeded ? "changed the assignment" : "another instance changed the assignment",
+              {{"service", service}, {"moved", std::to_string(earlier.versions.size())}, {"revision", std::to_string(reply.value().revision)}});
+    co_await this->follower.load();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/streamversions.h
@@ -0,0 +1,151 @@
+#ifndef OLEANDERGATE_GATEWAY_STREAMVERSIONS_H
+#define OLEANDERGATE_GATEWAY_STREAMVERSIONS_H
+
+#include "decision/ids.h"
+#include "decision/versiontable.h"
+#include "gateway/prefixfollower.h"
+#include "gateway/versionrecords.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <random>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace oleandergate {
+
+class Counter;
+class GatewayConfigurationHolder;
+class Metrics;
+class PeerGossip;
+class PoolSet;
+
+//! A stream, as far as its software version depends on it.
+struct StreamIdentity
+{
+    RequestId attempt{}; //!< The attempt that brought, or is to bring, its first event.
+    std::string service{};
+    std::size_t bucket = 0;
+};
+
+//! Knows the software version at which a stream has to go on, whichever instance began it. Thread-safe.
+//!
+//! New streams of resumable routes start at the version to which their bucket is assigned (see VersionBuckets). The assignment is in the key-value
+//! service, with a leased record of what each change replaced. Streams in buckets that were moved not long ago are recorded one by one.
+class StreamVersions
+{
+public:
+    struct Parts
+    {
+        boost::asio::io_context &context; //!< Runs the calls to the key-value service.
+        KeyValueService &service;
+        PoolSet &pools;
+        const GatewayConfigurationHolder &configurationHolder;
+        const PeerGossip &gossip;
+        Metrics &metrics;
+    };
+
+    StreamVersions(const Parts &parts, InstanceId self);
+
+    //! Starts to follow the assignments and to propose changes.
+    void start();
+
+    //! Returns the version at which the stream should begin; nothing when the service has no assignment.
+    std::optional<std::string> assignedVersion(const StreamIdentity &stream) const;
+
+    //! Returns whether \ref record() has to succeed before the stream may begin at \p version.
+    bool needsRecord(const StreamIdentity &stream, const std::string &version) const;
+
+    //! Stores the version of a stream. Fails with ServiceUnavailable when the key-value service does not confirm it in time.
+    boost::asio::awaitable<Result<void>> record(StreamIdentity stream, std::string version);
+
+    //! Records that a stream is sent to an endpoint of \p version, to begin or to go on there.
+    void onSend(const StreamIdentity &stream, const std::string &version);
+
+    //! Records the end of the answer to \p stream.
+    void onEnded(const StreamIdentity &stream, Time now);
+
+    //! Returns the version that began a stream. Fails with VersionUnknown when that cannot be told. \p request is for the log.
+    boost::asio::awaitable<Result<std::string>> find(StreamIdentity stream, RequestId request);
+
+    //! Forgets streams that have ended.
+    void expire(Time now);
+
+private:
+    struct KnownStream
+    {
+        StreamIdentity identity{};
+        std::string version{};
+        std::uint32_t records = 0; //!< Stored so far.
+        bool recordedVersion = false; //!< A record of \ref version is stored or queued.
+        std::optional<Time> endedAt{};
+    };
+
+    //! Outcome of a record, for a stream that waits for it.
+    struct PendingRecord;
+
+    struct QueuedRecord
+    {
+        std::string key{};
+        std::string version{};
+        std::shared_ptr<PendingRecord> pending{};
+    };
+
+    void load(const KvRange &range);
+    void apply(const KvEvent &event);
+    void put(const KvPair &pair);
+
+    //! Queues a record of the stream if its bucket alone does not tell its version.
+    void recordIfOpen(KnownStream &stream);
+
+    //! Queues records of the streams under way whose bucket does not tell their version any more.
+    void recordMoved();
+    void enqueueRecord(KnownStream &stream, std::shared_ptr<PendingRecord> pending);
+    void startWriting();
+    boost::asio::awaitable<void> writeRecords();
+    boost::asio::awaitable<bool> writeBatch(const std::vector<QueuedRecord> &batch);
+    boost::asio::awaitable<std::uint64_t> leaseForRecords();
+
+    //! Returns the version in a stream's record, an empty text when it has none, and nothing when the key-value service does not answer in time.
+    boost::asio::awaitable<std::optional<std::string>> readRecord(RequestId attempt);
+    std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
+    boost::asio::awaitable<void> awaitAssignments();
+    Result<std::string> onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source);
+
+    boost::asio::awaitable<void> proposeLoop();
+    boost::asio::awaitable<void> proposeFor(std::string service, Time now);
+    boost::asio::awaitable<void> propose(std::string service, VersionBuckets current, VersionBuckets planned);
+
+    //! Returns how many live instances are to propose changes before this one.
+    std::size_t proposerRank() const;
+
+    Parts parts;
+    InstanceId self;
+    PrefixFollower follower;
+    Counter &recordsStored;
+    Counter &recordsFailed;
+    Counter &unknownVersions;
+    std::mt19937_64 random;
+    std::map<std::string, Time>
+        dueSince; //!< By service: since when a change of its assignment is due. Used on the context's thread only, like lease and leaseRenewAt.
+    std::uint64_t lease = 0;
+    Time leaseRenewAt{};
+    Time proposeAgainAt{};
+    mutable std::mutex mutex; //!< Guards the members below.
+    VersionTable table;
+    bool loaded = false;
+    Duration retention; //!< Longer than any stream lasts over all attempts.
+    std::map<std::string, Time> movedAt; //!< By service: when the assignment was seen to change.
+    std::map<RequestId, KnownStream> streams; //!< Sent by this instance, by the attempt that began them.
+    std::deque<QueuedRecord> queue;
+    bool writing = false;
+};
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/versionrecords.cpp
@@ -0,0 +1,85 @@
+#include "gateway/versionrecords.h"
+
+#include "decision/hash.h"
+#include "runtime/jsonaccess.h"
+
+#include <boost/json.hpp>
+
+#include <iomanip>
+#include <sstream>
+
+namespace oleandergate {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *streamRecordsPrefix = "oleandergate/streams/";
+
+//! Keys have a limited length, and names may hold any character.
+std::string keyText(const std::string &name)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << hashOf(name);
+    return text.str();
+}
+
+} // namespace
+
+std::string versionRecordKey(const std::string &service)
+{
+    return versionRecordPrefix + keyText(service);
+}
+
+std::string earlierRecordKey(const std::string &service, std::uint64_t revision)
+{
+    return versionRecordKey(service) + "/before/" + std::to_string(revision);
+}
+
+std::string streamRecordPrefix(const std::string &stream)
+{
+    return streamRecordsPrefix + keyText(stream) + "/";
+}
+
+std::string encodeVersionRecord(const VersionRecord &record)
+{
+    std::map<std::string, json::array> bucketsByVersion;
+    for (const auto &[bucket, versions] : record.versions) {
+        for (const std::string &version : versions) {
+            bucketsByVersion[version].push_back(bucket);
+        }
+    }
+    json::object versions;
+    for (auto &[version, buckets] : bucketsByVersion) {
+        versions[version] = std::move(buckets);
+    }
+    return json::serialize(json::object{{"service", record.service}, {"earlier", record.earlier}, {"versions", std::move(versions)}});
+}
+
+std::optional<VersionRecord> decodeVersionRecord(const std::string &text)
+{
+    const json::object object = parseJsonObject(text);
+    VersionRecord record;
+    record.service = jsonText(object, "service");
+    record.earlier = jsonFlag(object, "earlier");
+    const json::value *versions = object.if_contains("versions");
+    if (record.service.empty() || versions == nullptr || !versions->is_object()) {
+        return std::nullopt;
+    }
+    for (const auto &[version, buckets] : versions->get_object()) {
+        if (!buckets.is_array()) {
+            return std::nullopt;
+        }
+        for (const json::value &bucket : buckets.get_array()) {
+            if (!bucket.is_int64() || bucket.get_int64() < 0 || bucket.get_int64() >= static_cast<std::int64_t>(versionBucketCount)) {
+                return std::nullopt;
+            }
+            record.versions[static_cast<std::size_t>(bucket.get_int64())].insert(std::string(version));
+        }
+    }
+    // Each bucket has one present version; a stream without one could not be resumed.
+    const bool complete = record.versions.size() == versionBucketCount;
+    return record.earlier || complete ? std::optional(std::move(record)) : std::nullopt;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/versionrecords.h
@@ -0,0 +1,38 @@
+#ifndef OLEANDERGATE_GATEWAY_VERSIONRECORDS_H
+#define OLEANDERGATE_GATEWAY_VERSIONRECORDS_H
+
+#include "backing/interfaces/keyvalueservice.h"
+#include "decision/versiontable.h"
+
+#include <optional>
+#include <string>
+
+namespace oleandergate {
+
+//! Prefix of the keys of all assignments of buckets to software versions, present and earlier ones.
+inline constexpr const char *versionRecordPrefix = "oleandergate/versions/";
+
+//! An assignment of buckets to software versions, as stored in the key-value service.
+struct VersionRecord
+{
+    std::string service{};
+    bool earlier = false; //!< A former assignment, of the moved buckets only.
+    std::map<std::size_t, std::set<std::string>> versions{}; //!< By bucket; one a bucket unless \ref earlier is set.
+};
+
+//! Returns the key of the assignment of \p service.
+std::string versionRecordKey(const std::string &service);
+
+//! Returns the key for what the change of the assignment with the revision \p revision replaced.
+std::string earlierRecordKey(const std::string &service, std::uint64_t revision);
+
+//! Returns the prefix of the keys that hold the software version of the stream that the attempt \p stream began.
+std::string streamRecordPrefix(const std::string &stream);
+
+//! Texts are JSON documents. Decoding returns nothing when a field is missing or invalid.
+std::string encodeVersionRecord(const VersionRecord &record);
+std::optional<VersionRecord> decodeVersionRecord(const std::string &text);
+
+} // namespace oleandergate
+
+#endif
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -279,3 +279,74 @@
     dispatcher.setRateLimits({{"a", 2.0}}, 4);
     CHECK(dispatcher.predictedWait() == std::chrono::seconds(12));
 }
+
+// Guards against streams joined from two software versions: calls with a required version wait for it, whatever else is free.
+TEST_CASE("A call that requires a software version goes to no other, and is refused when none is left")
+{
+    for (const PlacementRule rule : {PlacementRule::RoundRobin, PlacementRule::CacheAffine, PlacementRule::LeastOutstanding, PlacementRule::Estimated}) {
+        PolicyOptions options;
+        options.placement = rule;
+        options.admissionControl = false;
+        Dispatcher dispatcher(options, 1);
+        const auto specs = [](bool leaving) {
+            return std::vector<EndpointSpec>{
+                EndpointSpec{"old", {}, {}, 2, leaving, "v1"}, EndpointSpec{"new", {}, {}, 8, false, "v2"}, EndpointSpec{"newer", {}, {}, 8, false, "v3"}};
+        };
+        dispatcher.setEndpoints(specs(false));
+        for (CallId call = 1; call <= 6; ++call) {
+            QueuedCall queued;
+            queued.call = call;
+            queued.program = "p" + std::to_string(call);
+            queued.promptParts = {PromptPart{"a", 10}, PromptPart{queued.program, 10}};
+            queued.promptTokens = 20;
+            queued.deadline = Time(std::chrono::seconds(100));
+            queued.programDeadline = queued.deadline;
+            queued.requiredVersion = "v1";
+            REQUIRE(dispatcher.enqueue(queued, Time(std::chrono::seconds(1))));
+        }
+        std::size_t placed = 0;
+        while (const std::optional<Placement> placement = dispatcher.next(Time(std::chrono::seconds(1)))) {
+            CHECK(placement->endpoint.id == "old");
+            placed += 1;
+        }
+        CHECK(placed > 0);
+        CHECK(dispatcher.takesCalls("v1", {}, Time(std::chrono::seconds(1))));
+        CHECK_FALSE(dispatcher.takesCalls("v1", {"old"}, Time(std::chrono::seconds(1))));
+        dispatcher.setEndpoints(specs(true));
+        QueuedCall late;
+        late.call = 7;
+        late.program = "late";
+        late.requiredVersion = "v1";
+        CHECK_FALSE(dispatcher.enqueue(late, Time(std::chrono::seconds(1))));
+        CHECK_FALSE(dispatcher.takesCalls("v1", {}, Time(std::chrono::seconds(1))));
+    }
+}
+
+// Guards against streams joined from two software versions when the dispatcher itself moves one.
+TEST_CASE("A stream that has begun is not interrupted for another software version")
+{
+    PolicyOptions options;
+    options.admissionControl = false;
+    options.migrate = true;
+    Dispatcher dispatcher(options, 1);
+    dispatcher.setEndpoints({EndpointSpec{"old", {}, {}, 1, false, "v1"}, EndpointSpec{"new", {}, {}, 1, false, "v2"}});
+    QueuedCall queued;
+    queued.call = 1;
+    queued.program = "p";
+    queued.resumable = true;
+    queued.deadline = Time(std::chrono::hours(1));
+    queued.programDeadline = queued.deadline;
+    queued.requiredVersion = "v1";
+    const Time start(std::chrono::seconds(1));
+    REQUIRE(dispatcher.enqueue(queued, start));
+    REQUIRE(dispatcher.next(start));
+    dispatcher.onProgress(1, 1, start + std::chrono::milliseconds(20));
+    CHECK(dispatcher.interruptions(start + std::chrono::minutes(5)).empty());
+    dispatcher.setEndpoints(
+        {EndpointSpec{"old", {}, {}, 1, false, "v1"}, EndpointSpec{"new", {}, {}, 1, false, "v2"}, EndpointSpec{"old-too", {}, {}, 1, false, "v1"}});
+    REQUIRE(dispatcher.interruptions(start + std::chrono::minutes(5)).size() == 1);
+    dispatcher.onInterrupted(1, 1, start + std::chrono::minutes(5));
+    const std::optional<Placement> moved = dispatcher.next(start + std::chrono::minutes(5));
+    REQUIRE(moved);
+    CHECK(moved->endpoint.id == "old-too");
+}
