--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -162,11 +162,15 @@
 
 bool StreamVersions::needsRecord(const StreamIdentity &stream, const std::string &version) const
 {
-    const std::map<std::string, std::uint32_t> listed = this->parts.pools.slotsByVersion(stream.service);
-    const std::lock_guard lock(this->mutex);
-    const std::set<std::string> candidates = this->table.candidates(stream.service, stream.bucket);
-    // Without an assignment, the first one states that all versions listed by then may have begun streams.
-    return candidates.empty() ? listed.size() > 1 : !candidates.contains(version);
+    {
+        const std::lock_guard lock(this->mutex);
+        const std::set<std::string> candidates = this->table.candidates(stream.service, stream.bucket);
+        if (!candidates.empty()) {
+            return !candidates.contains(version);
+        }
+    }
+    // The first assignment states that all versions listed by then may have begun streams.
+    return this->parts.pools.slotsByVersion(stream.service).size() > 1;
 }
 
 void StreamVersions::onSend(const StreamIdentity &stream, const std::string &version)
