A stream that begins at a former version of its bucket is recorded before it is sent

Callers could have got a joined stream: if no endpoint of the assigned version took calls, a stream might begin at the version that its bucket had before, with a record that was not waited for. After the lease of that version ended, the bucket alone would have named the other one. Found by reading; no run showed it. Every start away from the assigned version now waits for its record.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -164,9 +164,10 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        const std::set<std::string> candidates = this->table.candidates(stream.service, stream.bucket);
-        if (!candidates.empty()) {
-            return !candidates.contains(version);
+        const std::optional<std::string> assigned = this->table.assigned(stream.service, stream.bucket);
+        if (assigned) {
+            // A former version is told by the bucket no longer than its lease lasts.
+            return *assigned != version;
         }
     }
     // The first assignment states that all versions listed by then may have begun streams.
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -131,8 +131,8 @@
     Counter &recordsFailed;
     Counter &unknownVersions;
     std::mt19937_64 random;
-    std::map<std::string, Time>
-        dueSince; //!< By service: since when a change of its assignment is due. Used on the context's thread only, like lease and leaseRenewAt.
+    // Used on the context's thread only, up to the mutex.
+    std::map<std::string, Time> dueSince; //!< By service: since when a change of its assignment is due.
     std::uint64_t lease = 0;
     Time leaseRenewAt{};
     Time proposeAgainAt{};
