--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -117,18 +117,15 @@
     if (this->endpoints.usableCount() == 0) {
         return Error{ErrorCode::NoEndpoint, Step::Queue, {}, Executed::No, noEndpointRetryAfter, "the pool has no usable endpoint"};
     }
-    if (!this->hasCandidate(call) && call.requiredVersion) {
-        // A wait would not help: endpoints of a version that left do not come back.
-        return Error{ErrorCode::NoEndpoint,
-                     Step::Queue,
-                     {},
-                     Executed::No,
-                     std::nullopt,
-                     "no usable endpoint of the pool runs software version '" + *call.requiredVersion + "', which the stream needs"};
-    }
     if (!this->hasCandidate(call)) {
-        return Error{
+        Error error{
             ErrorCode::NoEndpoint, Step::Queue, {}, Executed::No, fromSeconds(this->meanCallSeconds), "no usable endpoint of the pool may serve the call"};
+        if (call.requiredVersion) {
+            // A wait would not help: endpoints of a version that left do not come back.
+            error.retryAfter = std::nullopt;
+            error.detail = "no usable endpoint of the pool runs software version '" + *call.requiredVersion + "', which the stream needs";
+        }
+        return error;
     }
     const bool isNew = !this->programs.contains(call.program);
     if (this->options.admissionControl && isNew && this->wouldBeLate(call, now)) {
@@ -149,7 +146,7 @@
 {
     const auto usable = [this](const EndpointId &id) {
         const std::optional<std::size_t> index = this->endpoints.indexOf(id);
-        return index && this->endpoints.at(*index).listed && !this->endpoints.at(*index).spec.leaving;
+        return index && this->endpoints.isUsable(*index);
     };
     if (!call.requiredEndpoint.empty()) {
         const std::optional<std::size_t> index = this->endpoints.indexOf(call.requiredEndpoint);
@@ -157,8 +154,7 @@
     }
     if (call.requiredVersion) {
         for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
-            const EndpointState &state = this->endpoints.at(index);
-            if (state.listed && !state.spec.leaving && this->allows(call, index)) {
+            if (this->endpoints.isUsable(index) && this->allows(call, index)) {
                 return true;
             }
         }
@@ -183,7 +179,7 @@
 {
     for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
         const EndpointState &state = this->endpoints.at(index);
-        if (state.listed && !state.spec.leaving && state.spec.version == version && state.avoidUntil <= now && !avoid.contains(state.spec.id)) {
+        if (this->endpoints.isUsable(index) && state.spec.version == version && state.avoidUntil <= now && !avoid.contains(state.spec.id)) {
             return true;
         }
     }
@@ -250,7 +246,7 @@
         return false;
     }
     const EndpointState &holder = this->endpoints.at(cache->second.endpoint);
-    const bool usable = holder.listed && !holder.spec.leaving && holder.avoidUntil <= now && this->allows(waiting.call, cache->second.endpoint);
+    const bool usable = this->endpoints.isUsable(cache->second.endpoint) && holder.avoidUntil <= now && this->allows(waiting.call, cache->second.endpoint);
     return usable && !this->endpoints.hasRoom(cache->second.endpoint, now);
 }
 
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -72,7 +72,7 @@
     this->localIndices.clear();
     for (std::size_t index = 0; index < this->states.size(); ++index) {
         const EndpointState &state = this->states[index];
-        if (state.listed && !state.spec.leaving) {
+        if (this->isUsable(index)) {
             this->totalSlots += state.spec.slots;
             this->usable += 1;
             all.push_back(index);
@@ -113,6 +113,11 @@
     return this->usable;
 }
 
+bool EndpointTable::isUsable(std::size_t index) const
+{
+    return this->states[index].listed && !this->states[index].spec.leaving;
+}
+
 bool EndpointTable::hasRoom(std::size_t index, Time now) const
 {
     return this->ranked[index] && isOpen(this->states[index], now);
@@ -202,7 +207,7 @@
     Time next = Time::max();
     for (const std::size_t index : this->rateLimited) {
         const EndpointState &state = this->states[index];
-        if (state.listed && !state.spec.leaving && state.blockedUntil > now) {
+        if (this->isUsable(index) && state.blockedUntil > now) {
             next = std::min(next, state.blockedUntil);
         }
     }
@@ -214,7 +219,7 @@
     double rate = static_cast<double>(std::max(1U, this->totalSlots)) / callSeconds;
     for (const std::size_t index : this->rateLimited) {
         const EndpointState &state = this->states[index];
-        if (state.listed && !state.spec.leaving) {
+        if (this->isUsable(index)) {
             const double bySlots = static_cast<double>(state.spec.slots) / callSeconds;
             rate -= bySlots - std::min(bySlots, state.callsPerSecond / static_cast<double>(instances));
         }
@@ -251,7 +256,7 @@
 {
     const EndpointState &state = this->states[index];
     const bool full = this->limited && state.inFlight + state.peerCalls >= this->limitOf(state);
-    if (!state.listed || state.spec.leaving || full) {
+    if (!this->isUsable(index) || full) {
         return;
     }
     this->rankCount += 1;
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -52,6 +52,9 @@
     //! Returns the number of endpoints that are listed and not leaving.
     std::size_t usableCount() const;
 
+    //! Returns whether the endpoint is listed and not leaving.
+    bool isUsable(std::size_t index) const;
+
     //! Returns true when the endpoint may take another call at \p now.
     bool hasRoom(std::size_t index, Time now) const;
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -7,6 +7,7 @@
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
+#include "runtime/pendingresult.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -74,22 +75,10 @@
     return programsPrefix + (isPlain ? program : "hash/" + std::to_string(hashOf(program)));
 }
 
-//! The reply to a command that was sent to a peer, for a caller that waits for a limited time.
-struct PendingReply
-{
-    std::mutex mutex{};
-    std::optional<Result<PeerMessage>> reply{};
-    AsyncSignal signal{};
-};
-
-asio::awaitable<void> sendAndNotify(PeerClient &peers, std::string address, PeerMessage message, std::shared_ptr<PendingReply> pending)
+asio::awaitable<void> sendAndSet(PeerClient &peers, std::string address, PeerMessage message, std::shared_ptr<PendingResult<Result<PeerMessage>>> pending)
 {
     Result<PeerMessage> reply = co_await peers.send(std::move(address), std::move(message));
-    {
-        const std::lock_guard lock(pending->mutex);
-        pending->reply = std::move(reply);
-    }
-    pending->signal.notify();
+    pending->set(std::move(reply));
 }
 
 } // namespace
@@ -300,11 +289,10 @@
 
 asio::awaitable<BudgetDecision> BudgetCoordinator::askOwner(std::string address, BudgetRequest ask)
 {
-    const auto pending = std::make_shared<PendingReply>();
-    asio::co_spawn(this->parts.context, sendAndNotify(this->parts.peers, address, std::move(ask), pending), asio::detached);
-    co_await pending->signal.wait(ownerReplyTimeout);
-    const std::lock_guard replyLock(pending->mutex);
-    const auto *reply = pending->reply && *pending->reply ? std::get_if<BudgetReply>(&pending->reply->value()) : nullptr;
+    const auto pending = std::make_shared<PendingResult<Result<PeerMessage>>>();
+    asio::co_spawn(this->parts.context, sendAndSet(this->parts.peers, address, std::move(ask), pending), asio::detached);
+    const std::optional<Result<PeerMessage>> answer = co_await pending->wait(ownerReplyTimeout);
+    const auto *reply = answer && *answer ? std::get_if<BudgetReply>(&answer->value()) : nullptr;
     if (reply != nullptr) {
         co_return reply->decision;
     }
--- a/src/gateway/crashregistry.cpp
+++ b/src/gateway/crashregistry.cpp
@@ -1,5 +1,6 @@
 #include "gateway/crashregistry.h"
 
+#include "decision/hash.h"
 #include "gateway/endpointhash.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
@@ -33,13 +34,6 @@
 
 } // namespace
 
-std::string fingerprintText(RequestFingerprint fingerprint)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
-    return text.data();
-}
-
 CrashRegistry::CrashRegistry(Metrics &metrics, std::uint64_t instanceSeed, std::function<void()> onNews)
     : onNews(std::move(onNews))
     , history(instanceSeed)
@@ -96,8 +90,8 @@
               "crashes",
               "an endpoint ended under a request",
               {{"request", requestId},
-               {"fingerprint", fingerprintText(request.exact)},
-               {"start_fingerprint", fingerprintText(request.start)},
+               {"fingerprint", hashText(request.exact)},
+               {"start_fingerprint", hashText(request.start)},
                {"endpoint", endpoint},
                {"ran_ms", std::to_string(std::chrono::round<std::chrono::milliseconds>(now - startedAt).count())},
                {"crashes", std::to_string(admission.crashes)},
@@ -118,7 +112,7 @@
         logRecord(LogLevel::Info,
                   "crashes",
                   "a complete run cleared a request",
-                  {{"fingerprint", fingerprintText(request.exact)}, {"start_fingerprint", fingerprintText(request.start)}, {"endpoint", endpoint}});
+                  {{"fingerprint", hashText(request.exact)}, {"start_fingerprint", hashText(request.start)}, {"endpoint", endpoint}});
     }
 }
 
@@ -212,7 +206,7 @@
             logRecord(LogLevel::Info,
                       "crashes",
                       "a peer reported crashes of a request",
-                      {{"fingerprint", fingerprintText(reported.request)},
+                      {{"fingerprint", hashText(reported.request)},
                        {"peer", report.instance},
                        {"crashes_before", std::to_string(before.crashes)},
                        {"crashes", std::to_string(after.crashes)},
--- a/src/gateway/crashregistry.h
+++ b/src/gateway/crashregistry.h
@@ -69,9 +69,6 @@
     Counter &cleared;
 };
 
-//! Returns the text of a fingerprint in logs.
-std::string fingerprintText(RequestFingerprint fingerprint);
-
 } // namespace oleandergate
 
 #endif
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,5 +1,6 @@
 #include "gateway/relay.h"
 
+#include "decision/hash.h"
 #include "gateway/endtoend.h"
 #include "gateway/milliseconds.h"
 #include "runtime/asyncsignal.h"
@@ -436,8 +437,8 @@
                    {"endpoint", endpoint.id},
                    {"address", endpoint.address},
                    {"version", endpoint.version},
-                   {"fingerprint", fingerprintText(context.identity.exact)},
-                   {"start_fingerprint", fingerprintText(context.identity.start)},
+                   {"fingerprint", hashText(context.identity.exact)},
+                   {"start_fingerprint", hashText(context.identity.start)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
                    {"endpoint_listens", std::string(nameIn(listeningNames, listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
@@ -525,8 +526,8 @@
               "relay",
               "request ended",
               {{"request", context.call.requestId},
-               {"fingerprint", fingerprintText(context.identity.exact)},
-               {"start_fingerprint", fingerprintText(context.identity.start)},
+               {"fingerprint", hashText(context.identity.exact)},
+               {"start_fingerprint", hashText(context.identity.start)},
                {"program", context.call.program ? context.call.program->program : std::string()},
                {"route", route},
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -2,7 +2,6 @@
 
 #include "decision/hash.h"
 #include "gateway/gatewayconfigurationholder.h"
-#include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
 #include "runtime/asyncsignal.h"
@@ -52,20 +51,6 @@
 
 } // namespace
 
-struct StreamVersions::PendingRecord
-{
-    std::atomic<bool> ended{false};
-    std::atomic<bool> stored{false};
-    AsyncSignal signal{};
-
-    void end(bool success)
-    {
-        this->stored = success;
-        this->ended = true;
-        this->signal.notify();
-    }
-};
-
 StreamVersions::StreamVersions(const Parts &parts, InstanceId self)
     : parts(parts)
     , self(std::move(self))
@@ -92,7 +77,7 @@
     asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
 }
 
-void StreamVersions::put(const KvPair &pair)
+void StreamVersions::put(const KvPair &pair, const VersionTable &before)
 {
     const std::optional<VersionRecord> record = decodeVersionRecord(pair.value);
     if (!record) {
@@ -109,10 +94,11 @@
         buckets.push_back(*versions.begin());
         counts[*versions.begin()] += 1;
     }
-    if (this->table.revisionOf(record->service) == pair.revision) {
+    const bool changed = before.revisionOf(record->service) != pair.revision;
+    this->table.assign(record->service, pair.revision, std::move(buckets));
+    if (!changed) {
         return;
     }
-    this->table.assign(record->service, pair.revision, std::move(buckets));
     this->movedAt[record->service] = currentTime();
     std::string shares;
     for (const auto &[version, count] : counts) {
@@ -125,15 +111,9 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        const VersionTable before = std::move(this->table);
-        this->table = VersionTable();
+        const VersionTable before = std::exchange(this->table, VersionTable());
         for (const KvPair &pair : range.pairs) {
-            const std::optional<VersionRecord> record = decodeVersionRecord(pair.value);
-            if (record && !record->earlier && before.revisionOf(record->service) == pair.revision) {
-                this->table.assign(record->service, pair.revision, before.bucketsOf(record->service));
-            } else {
-                this->put(pair);
-            }
+            this->put(pair, before);
         }
         this->loaded = true;
     }
@@ -149,7 +129,7 @@
             this->table.dropEarlier(event.pair.key);
             return;
         }
-        this->put(event.pair);
+        this->put(event.pair, this->table);
     }
     this->recordMoved();
 }
@@ -171,18 +151,32 @@
         }
     }
     // The first assignment states that all versions listed by then may have begun streams.
-    return this->parts.pools.slotsByVersion(stream.service).size() > 1;
+    return this->listedVersions(stream.service).size() > 1;
 }
 
-void StreamVersions::onSend(const StreamIdentity &stream, const std::string &version)
+std::set<std::string> StreamVersions::listedVersions(const std::string &service) const
+{
+    std::set<std::string> versions;
+    for (const auto &[version, slots] : this->parts.pools.slotsByVersion(service)) {
+        versions.insert(version);
+    }
+    return versions;
+}
+
+StreamVersions::KnownStream &StreamVersions::remember(const StreamIdentity &stream, const std::string &version)
 {
-    const std::lock_guard lock(this->mutex);
     KnownStream &known = this->streams[stream.attempt];
     known.recordedVersion = known.recordedVersion && known.version == version;
     known.identity = stream;
     known.version = version;
     known.endedAt = std::nullopt;
-    this->recordIfOpen(known);
+    return known;
+}
+
+void StreamVersions::onSend(const StreamIdentity &stream, const std::string &version)
+{
+    const std::lock_guard lock(this->mutex);
+    this->recordIfOpen(this->remember(stream, version));
 }
 
 void StreamVersions::recordIfOpen(KnownStream &stream)
@@ -221,7 +215,7 @@
     }
 }
 
-void StreamVersions::enqueueRecord(KnownStream &stream, std::shared_ptr<PendingRecord> pending)
+void StreamVersions::enqueueRecord(KnownStream &stream, std::shared_ptr<PendingResult<bool>> pending)
 {
     stream.records += 1;
     stream.recordedVersion = true;
@@ -300,7 +294,7 @@
         (stored ? this->recordsStored : this->recordsFailed).add(static_cast<double>(batch.size()));
         for (const QueuedRecord &record : batch) {
             if (record.pending) {
-                record.pending->end(stored);
+                record.pending->set(stored);
             }
         }
     }
@@ -308,20 +302,13 @@
 
 asio::awaitable<Result<void>> StreamVersions::record(StreamIdentity stream, std::string version)
 {
-    const auto pending = std::make_shared<PendingRecord>();
+    const auto pending = std::make_shared<PendingResult<bool>>();
     {
         const std::lock_guard lock(this->mutex);
-        KnownStream &known = this->streams[stream.attempt];
-        known.identity = stream;
-        known.version = version;
-        known.endedAt = std::nullopt;
-        this->enqueueRecord(known, pending);
-    }
-    const Time giveUpAt = currentTime() + serviceTimeout;
-    while (!pending->ended && currentTime() < giveUpAt) {
-        co_await pending->signal.wait(giveUpAt - currentTime());
+        this->enqueueRecord(this->remember(stream, version), pending);
     }
-    if (!pending->stored) {
+    const std::optional<bool> stored = co_await pending->wait(serviceTimeout);
+    if (!stored.value_or(false)) {
         co_return Error{ErrorCode::ServiceUnavailable,
                         Step::Admit,
                         {},
@@ -341,43 +328,23 @@
 
 asio::awaitable<std::optional<std::string>> StreamVersions::readRecord(RequestId attempt)
 {
-    struct Reading
-    {
-        std::mutex mutex{};
-        std::optional<std::string> version{};
-        bool ended = false;
-        AsyncSignal signal{};
-    };
-    const auto reading = std::make_shared<Reading>();
+    using Version = std::optional<std::string>;
+    const auto pending = std::make_shared<PendingResult<Version>>();
     asio::co_spawn(
         this->parts.context,
-        [this, reading, prefix = streamRecordPrefix(attempt)]() -> asio::awaitable<void> {
+        [this, pending, prefix = streamRecordPrefix(attempt)]() -> asio::awaitable<void> {
             const Result<KvRange> range = co_await this->parts.service.range(prefix);
-            {
-                const std::lock_guard lock(reading->mutex);
-                reading->ended = true;
-                if (range) {
-                    reading->version = range.value().pairs.empty() ? std::string() : range.value().pairs.back().value;
-                }
-            }
-            if (!range) {
+            Version version;
+            if (range) {
+                version = range.value().pairs.empty() ? std::string() : range.value().pairs.back().value;
+            } else {
                 logError("versions", "cannot read the record of a stream", range.error());
             }
-            reading->signal.notify();
+            pending->set(std::move(version));
         },
         asio::detached);
-    const Time giveUpAt = currentTime() + serviceTimeout;
-    while (currentTime() < giveUpAt) {
-        {
-            const std::lock_guard lock(reading->mutex);
-            if (reading->ended) {
-                break;
-            }
-        }
-        co_await reading->signal.wait(giveUpAt - currentTime());
-    }
-    const std::lock_guard lock(reading->mutex);
-    co_return reading->version;
+    const std::optional<Version> read = co_await pending->wait(serviceTimeout);
+    co_return read.value_or(std::nullopt);
 }
 
 asio::awaitable<void> StreamVersions::awaitAssignments()
@@ -415,10 +382,7 @@
         co_return this->onFound(stream, request, *known, memorySource);
     }
     co_await this->awaitAssignments();
-    std::set<std::string> listed;
-    for (const auto &[version, slots] : this->parts.pools.slotsByVersion(stream.service)) {
-        listed.insert(version);
-    }
+    const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
     {
         const std::lock_guard lock(this->mutex);
@@ -473,9 +437,12 @@
     while (true) {
         co_await sleepFor(proposeInterval);
         const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
+        if (!active) {
+            continue;
+        }
         std::set<std::string> services;
         Duration longestTimeout{};
-        for (const Route &route : active ? active->configuration.routes : std::vector<Route>()) {
+        for (const Route &route : active->configuration.routes) {
             if (route.kind != RouteKind::Stream || !route.resumable) {
                 continue;
             }
@@ -539,10 +506,7 @@
     }
     VersionRecord record{service, false, {}};
     VersionRecord earlier{service, true, {}};
-    std::set<std::string> listed;
-    for (const auto &[version, slots] : this->parts.pools.slotsByVersion(service)) {
-        listed.insert(version);
-    }
+    const std::set<std::string> listed = this->listedVersions(service);
     for (std::size_t bucket = 0; bucket < planned.size(); ++bucket) {
         record.versions[bucket] = {planned[bucket]};
         if (current.empty() && listed.size() > 1) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -5,6 +5,7 @@
 #include "decision/versiontable.h"
 #include "gateway/prefixfollower.h"
 #include "gateway/versionrecords.h"
+#include "runtime/pendingresult.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -86,26 +87,29 @@
         std::optional<Time> endedAt{};
     };
 
-    //! Outcome of a record, for a stream that waits for it.
-    struct PendingRecord;
-
     struct QueuedRecord
     {
         std::string key{};
         std::string version{};
-        std::shared_ptr<PendingRecord> pending{};
+        std::shared_ptr<PendingResult<bool>> pending{}; //!< Whether it was stored, for a stream that waits for it.
     };
 
     void load(const KvRange &range);
     void apply(const KvEvent &event);
-    void put(const KvPair &pair);
+
+    //! Applies one record. \p before is the table as it was known, to tell whether the record is new.
+    void put(const KvPair &pair, const VersionTable &before);
+    std::set<std::string> listedVersions(const std::string &service) const;
+
+    //! Notes at which version a stream is to run here.
+    KnownStream &remember(const StreamIdentity &stream, const std::string &version);
 
     //! Queues a record of the stream if its bucket alone does not tell its version.
     void recordIfOpen(KnownStream &stream);
 
     //! Queues records of the streams under way whose bucket does not tell their version any more.
     void recordMoved();
-    void enqueueRecord(KnownStream &stream, std::shared_ptr<PendingRecord> pending);
+    void enqueueRecord(KnownStream &stream, std::shared_ptr<PendingResult<bool>> pending);
     void startWriting();
     boost::asio::awaitable<void> writeRecords();
     boost::asio::awaitable<bool> writeBatch(const std::vector<QueuedRecord> &batch);
--- a/src/gateway/versionrecords.cpp
+++ b/src/gateway/versionrecords.cpp
@@ -5,9 +5,6 @@
 
 #include <boost/json.hpp>
 
-#include <iomanip>
-#include <sstream>
-
 namespace oleandergate {
 
 namespace json = boost::json;
@@ -19,9 +16,7 @@
 //! Keys have a limited length, and names may hold any character.
 std::string keyText(const std::string &name)
 {
-    std::ostringstream text;
-    text << std::hex << std::setw(16) << std::setfill('0') << hashOf(name);
-    return text.str();
+    return hashText(hashOf(name));
 }
 
 } // namespace
