--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -47,9 +47,7 @@
     ClusterWithOwnedSlots()
         : GatewayCluster(2, 1)
     {
-        this->configure(1);
-        this->registerEndpoint(0);
-        REQUIRE(this->waitUntilReady());
+        REQUIRE(this->startServing());
         REQUIRE(waitFor(
             [this]() {
                 return allSlotsOwned(*this);
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -93,6 +93,15 @@
         timeoutMs);
 }
 
+bool GatewayCluster::startServing()
+{
+    this->configure(1);
+    for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+        this->registerEndpoint(index);
+    }
+    return this->waitUntilReady();
+}
+
 void GatewayCluster::configure(int version, const std::string &routes)
 {
     this->store.put("op/config",
@@ -161,6 +170,15 @@
     return readTextFile(this->file(gateway, ".log")).value_or("");
 }
 
+bool GatewayCluster::logHas(std::size_t gateway, const std::string &text, int limitMs) const
+{
+    return waitFor(
+        [&]() {
+            return this->log(gateway).find(text) != std::string::npos;
+        },
+        limitMs);
+}
+
 std::size_t countOf(const std::string &text, const std::string &part)
 {
     std::size_t count = 0;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -31,6 +31,10 @@
     //! Waits until all gateways are ready. Returns false when that takes too long.
     bool waitUntilReady();
 
+    //! Stores the first configuration and the registrations of all endpoints, and waits until all gateways are ready. Returns false when that takes
+    //! too long.
+    bool startServing();
+
     //! Stores a configuration with \p version; \p routes are added to the default ones.
     void configure(int version, const std::string &routes = "");
 
@@ -54,6 +58,11 @@
     //! Returns the gateway's log.
     std::string log(std::size_t gateway) const;
 
+    //! Waits until the gateway's log has \p text. Returns false when that takes over \p limitMs.
+    bool logHas(std::size_t gateway, const std::string &text, int limitMs = logTimeoutMs) const;
+
+    static constexpr int logTimeoutMs = 20000;
+
     StandinStore store{};
     std::vector<std::unique_ptr<StandinEndpoint>> endpoints{};
     std::vector<ChildProcess> gateways{};
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -21,11 +21,7 @@
     explicit ServingCluster(std::size_t endpointCount, std::size_t gatewayCount = 1)
         : GatewayCluster(gatewayCount, endpointCount)
     {
-        this->configure(1);
-        for (std::size_t index = 0; index < endpointCount; ++index) {
-            this->registerEndpoint(index);
-        }
-        REQUIRE(this->waitUntilReady());
+        REQUIRE(this->startServing());
     }
 };
 
@@ -273,11 +269,7 @@
     ServingCluster cluster(2);
     cluster.registerEndpoint(0, "draining");
     cluster.store.put("servers/forged", R"({"Service":"engine","Address":"127.0.0.1:1","Slots":99,"State":"resting"})");
-    REQUIRE(waitFor(
-        [&]() {
-            return cluster.log(0).find("\"leaving\":\"true\"") != std::string::npos;
-        },
-        timeoutMs));
+    REQUIRE(cluster.logHas(0, "\"leaving\":\"true\""));
     const std::size_t before = cluster.endpoints[0]->receivedCount();
     for (int call = 0; call < 10; ++call) {
         CHECK(cluster.call(0, "GET", "/reads/1")->status == 200);
@@ -349,11 +341,7 @@
 {
     ServingCluster cluster(2);
     cluster.store.setRefusing(true);
-    REQUIRE(waitFor(
-        [&]() {
-            return cluster.log(0).find("cannot read servers/") != std::string::npos;
-        },
-        timeoutMs));
+    REQUIRE(cluster.logHas(0, "cannot read servers/"));
     // The pending watch reports the expired keys before the store can be read again.
     cluster.store.remove("servers/i-0");
     cluster.store.remove("servers/i-1");
@@ -450,10 +438,7 @@
     REQUIRE(second);
     CHECK(second->status == 502);
     CHECK(cluster.receivedCount() == 2);
-    const auto crashIsLogged = [&cluster]() {
-        return cluster.log(0).find("an endpoint ended under a request") != std::string::npos;
-    };
-    CHECK(waitFor(crashIsLogged, timeoutMs)); // Lines are written behind the answer.
+    CHECK(cluster.logHas(0, "an endpoint ended under a request")); // Lines are written behind the answer.
 }
 
 // Guards against requests that are condemned for connections that broke while their endpoint went on.
--- a/tests/gateway/softwareversiontests.cpp
+++ b/tests/gateway/softwareversiontests.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr int programCount = 12;
-constexpr int timeoutMs = 5000;
+constexpr int leavingSeenMs = 5000;
 
 //! Gateways before endpoints of which the first half runs v1, the others v2.
 struct MixedCluster : GatewayCluster
@@ -20,12 +20,10 @@
     MixedCluster(std::size_t gatewayCount, std::size_t endpointCount)
         : GatewayCluster(gatewayCount, endpointCount)
     {
-        this->configure(1);
-        for (std::size_t index = 0; index < endpointCount; ++index) {
-            this->endpoints[index]->setVersion(index < endpointCount / 2 ? "v1" : "v2");
-            this->registerEndpoint(index);
+        for (std::size_t index = endpointCount / 2; index < endpointCount; ++index) {
+            this->endpoints[index]->setVersion("v2");
         }
-        REQUIRE(this->waitUntilReady());
+        REQUIRE(this->startServing());
     }
 
     static std::vector<HttpHeader> headersOf(const std::string &program)
@@ -113,11 +111,7 @@
         attempts[program] = cluster.begin(0, program);
     }
     cluster.registerEndpoint(0, "draining");
-    REQUIRE(waitFor(
-        [&cluster]() {
-            return cluster.log(0).find("\"leaving\":\"true\"") != std::string::npos || cluster.log(0).find("leaving=true") != std::string::npos;
-        },
-        timeoutMs));
+    REQUIRE(cluster.logHas(0, "\"leaving\":\"true\"", leavingSeenMs));
     std::size_t refused = 0;
     for (const auto &[program, attempt] : attempts) {
         const bool gone = cluster.versionsThatGot(attempt) == "v1";
