--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-GatewayCluster::GatewayCluster(std::size_t gatewayCount, std::size_t endpointCount)
+GatewayCluster::GatewayCluster(std::size_t gatewayCount, std::size_t endpointCount, std::size_t linkedGateways)
     : root((std::filesystem::temp_directory_path() / ("oleander-gateway-" + std::to_string(::getpid()) + "-" + unusedAddress().substr(portPosition))).string())
 {
     std::filesystem::create_directories(this->root);
@@ -33,7 +33,16 @@
         this->endpoints.push_back(std::make_unique<StandinEndpoint>("i-" + std::to_string(index)));
     }
     for (std::size_t index = 0; index < gatewayCount; ++index) {
-        this->addresses.push_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress()});
+        this->addresses.push_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress(), this->store.address()});
+    }
+    this->links.resize(linkedGateways);
+    for (std::size_t index = 0; index < linkedGateways; ++index) {
+        std::map<std::string, std::string> replaced;
+        for (const std::unique_ptr<StandinEndpoint> &endpoint : this->endpoints) {
+            this->links[index].push_back(std::make_unique<LoopbackProxy>(endpoint->address()));
+            replaced[endpoint->address()] = this->links[index].back()->address();
+        }
+        this->addresses[index].store = this->store.addView(replaced);
     }
     this->gateways.resize(gatewayCount);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
@@ -60,7 +69,7 @@
     std::ofstream out(this->file(index, ".toml"));
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
-        << "[Bounds]\nGraceS = 8\n[Platform]\nAddress = \"" << this->store.address() << "\"\n";
+        << "[Bounds]\nGraceS = 8\n[Platform]\nAddress = \"" << own.store << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
@@ -151,6 +160,13 @@
     return answer;
 }
 
+void GatewayCluster::setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount)
+{
+    for (std::size_t index = 0; index < endpointCount.value_or(this->endpoints.size()); ++index) {
+        this->links[gateway][index]->setLink(link);
+    }
+}
+
 std::size_t GatewayCluster::receivedCount() const
 {
     std::size_t count = 0;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -4,6 +4,7 @@
 #include "standinendpoint.h"
 #include "standinstore.h"
 #include "support/childprocess.h"
+#include "support/loopbackproxy.h"
 #include "support/testcluster.h"
 
 #include <memory>
@@ -17,7 +18,8 @@
 class GatewayCluster
 {
 public:
-    GatewayCluster(std::size_t gateways, std::size_t endpoints);
+    //! The first \p linkedGateways gateways reach the endpoints over links of their own, which setLink() changes.
+    GatewayCluster(std::size_t gateways, std::size_t endpoints, std::size_t linkedGateways = 0);
     ~GatewayCluster();
     GatewayCluster(const GatewayCluster &) = delete;
     GatewayCluster &operator=(const GatewayCluster &) = delete;
@@ -50,6 +52,9 @@
     //! Sends \p bytes unchanged. Returns everything that is received until the connection ends.
     std::string sendRaw(std::size_t gateway, const std::string &bytes) const;
 
+    //! Changes the links of \p gateway to all endpoints, or to the first \p endpointCount ones.
+    void setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount = std::nullopt);
+
     //! Returns the number of requests that all endpoints received together.
     std::size_t receivedCount() const;
 
@@ -73,6 +78,7 @@
         std::string caller{};
         std::string ready{};
         std::string peer{};
+        std::string store{};
     };
 
     std::string file(std::size_t gateway, const std::string &ending) const;
@@ -80,6 +86,7 @@
 
     std::string root;
     std::vector<Addresses> addresses;
+    std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
     int requestCount = 0;
 };
 
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -116,6 +116,11 @@
     return this->id;
 }
 
+const std::string &StandinEndpoint::address() const
+{
+    return this->listenAddress;
+}
+
 void StandinEndpoint::setNextBehaviours(const std::vector<Behaviour> &behaviours)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -59,6 +59,7 @@
     //! Returns the value that it registers in the store.
     std::string registration(const std::string &service, const std::string &state = "ready") const;
     const std::string &identifier() const;
+    const std::string &address() const;
 
     //! Sets the behaviours for the next requests, in order. Later requests get Behaviour::Normal.
     void setNextBehaviours(const std::vector<Behaviour> &behaviours);
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -7,6 +7,7 @@
 #include "runtime/jsonaccess.h"
 #include "support/testcluster.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
@@ -21,8 +22,11 @@
 
 constexpr Duration watchPollInterval = std::chrono::milliseconds(5);
 
-json::object itemOf(const std::string &key, const std::string &value, std::uint64_t revision)
+json::object itemOf(const std::string &key, std::string value, std::uint64_t revision, const std::map<std::string, std::string> &replaced)
 {
+    for (const auto &[text, shown] : replaced) {
+        boost::algorithm::replace_all(value, text, shown);
+    }
     return json::object{{"Key", key}, {"Value", toBase64(value)}, {"Revision", revision}, {"CreateRevision", revision}, {"Lease", 0}};
 }
 
@@ -30,24 +34,38 @@
 
 StandinStore::StandinStore()
     : listenAddress(unusedAddress())
-    , server(
-          context,
-          HttpLimits(),
-          [this](HttpRequest request, HttpExchange &exchange) {
-              return this->handle(std::move(request), exchange);
-          },
-          unreadableRequestResponse)
-{
-    const Result<void> started = this->server.start(this->listenAddress);
-    if (!started) {
-        throw std::runtime_error("the stand-in store cannot listen at " + this->listenAddress);
-    }
+    , server(this->serve(listenAddress, unchanged))
+{
     this->thread = std::thread([this]() {
         const auto work = asio::make_work_guard(this->context);
         this->context.run();
     });
 }
 
+std::unique_ptr<HttpServer> StandinStore::serve(const std::string &servedAddress, const View &view)
+{
+    auto made = std::make_unique<HttpServer>(
+        this->context,
+        HttpLimits(),
+        [this, &view](HttpRequest request, HttpExchange &exchange) {
+            return this->handle(std::move(request), exchange, view);
+        },
+        unreadableRequestResponse);
+    const Result<void> started = made->start(servedAddress);
+    if (!started) {
+        throw std::runtime_error("the stand-in store cannot listen at " + servedAddress);
+    }
+    return made;
+}
+
+std::string StandinStore::addView(const std::map<std::string, std::string> &replaced)
+{
+    ViewServer &added = this->views.emplace_back(ViewServer{View{replaced}, nullptr});
+    std::string viewAddress = unusedAddress();
+    added.server = this->serve(viewAddress, added.view);
+    return viewAddress;
+}
+
 StandinStore::~StandinStore()
 {
     this->context.stop();
@@ -100,20 +118,20 @@
     this->watchesSilent = newWatchesSilent;
 }
 
-HttpResponse StandinStore::range(const HttpRequest &request) const
+HttpResponse StandinStore::range(const HttpRequest &request, const View &view) const
 {
     const std::lock_guard lock(this->mutex);
     const std::string prefix = request.query("PathPrefix");
     json::array found;
     for (const auto &[key, item] : this->items) {
         if (key.starts_with(prefix)) {
-            found.push_back(itemOf(key, item.value, item.revision));
+            found.push_back(itemOf(key, item.value, item.revision, view.replaced));
         }
     }
     return jsonResponse(json::serialize(json::object{{"items", found}, {"Truncated", false}, {"CurrentRev", this->revision}}));
 }
 
-asio::awaitable<HttpResponse> StandinStore::watch(const HttpRequest &request)
+asio::awaitable<HttpResponse> StandinStore::watch(const HttpRequest &request, const View &view)
 {
     const std::string prefix = request.query("PathPrefix");
     const std::uint64_t after = std::stoull(request.query("after"));
@@ -126,7 +144,7 @@
                 if (this->watchesSilent || change.revision <= after || !change.key.starts_with(prefix)) {
                     continue;
                 }
-                json::object event = itemOf(change.key, change.value, change.revision);
+                json::object event = itemOf(change.key, change.value, change.revision, view.replaced);
                 if (change.removed) {
                     event = json::object{{"Key", change.key}, {"Revision", change.revision}, {"Tombstone", true}};
                 }
@@ -143,7 +161,7 @@
     co_return response;
 }
 
-HttpResponse StandinStore::transact(const json::object &body)
+HttpResponse StandinStore::transact(const json::object &body, const View &view)
 {
     const std::lock_guard lock(this->mutex);
     json::array current;
@@ -154,7 +172,7 @@
         const std::uint64_t actual = found == this->items.end() ? 0 : found->second.revision;
         holds = holds && actual == static_cast<std::uint64_t>(jsonNumber(row.as_object(), "Revision"));
         if (found != this->items.end()) {
-            current.push_back(itemOf(key, found->second.value, actual));
+            current.push_back(itemOf(key, found->second.value, actual, view.replaced));
         }
     }
     if (!holds) {
@@ -167,18 +185,18 @@
     return jsonResponse(json::serialize(json::object{{"Revision", this->revision}}));
 }
 
-asio::awaitable<void> StandinStore::handle(HttpRequest request, HttpExchange &exchange)
+asio::awaitable<void> StandinStore::handle(HttpRequest request, HttpExchange &exchange, const View &view)
 {
     HttpResponse response = jsonResponse("{}", 404);
     const std::string path = request.path();
     if (this->refusing) {
         response = jsonResponse("{}", 503);
     } else if (path == "/kv-range") {
-        response = this->range(request);
+        response = this->range(request, view);
     } else if (path == "/kv-watch") {
-        response = co_await this->watch(request);
+        response = co_await this->watch(request, view);
     } else if (path == "/kv-txn") {
-        response = this->transact(parseJsonObject(request.body));
+        response = this->transact(parseJsonObject(request.body), view);
     } else if (path == "/kv-lease") {
         response = jsonResponse(R"({"Lease":77,"TtlMs":600000})");
     }
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -7,7 +7,9 @@
 #include <boost/json/object.hpp>
 
 #include <atomic>
+#include <list>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -26,6 +28,9 @@
 
     const std::string &address() const;
 
+    //! Returns a further address at which the store shows each text that is a key of \p replaced, in all values, as the text that belongs to it.
+    std::string addView(const std::map<std::string, std::string> &replaced);
+
     //! Writes as an operator or an endpoint does.
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
@@ -54,15 +59,31 @@
         bool removed = false;
     };
 
-    boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
-    boost::asio::awaitable<HttpResponse> watch(const HttpRequest &request);
-    HttpResponse range(const HttpRequest &request) const;
-    HttpResponse transact(const boost::json::object &body);
+    //! What callers of one address see.
+    struct View
+    {
+        std::map<std::string, std::string> replaced{}; //!< Texts in values, with what is shown in their place.
+    };
+
+    //! The server of a view.
+    struct ViewServer
+    {
+        View view{};
+        std::unique_ptr<HttpServer> server{};
+    };
+
+    std::unique_ptr<HttpServer> serve(const std::string &servedAddress, const View &view);
+    boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange, const View &view);
+    boost::asio::awaitable<HttpResponse> watch(const HttpRequest &request, const View &view);
+    HttpResponse range(const HttpRequest &request, const View &view) const;
+    HttpResponse transact(const boost::json::object &body, const View &view);
     void write(const std::string &key, const std::string &value, bool removed);
 
     std::string listenAddress;
     boost::asio::io_context context{1};
-    HttpServer server;
+    View unchanged{};
+    std::unique_ptr<HttpServer> server;
+    std::list<ViewServer> views;
     mutable std::mutex mutex;
     std::map<std::string, Item> items;
     std::vector<Change> changes;
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <limits>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -39,6 +40,8 @@
         // The child is killed when the test ends, also if the test itself is killed.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         redirectOutput(logFile.c_str());
+        // A copy of a listening socket in the child would keep its port open after the test has closed it.
+        ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
         ::execv(arguments.front(), arguments.data());
         ::_exit(exitNotStarted);
     }
