The steps before a send are objects in a sequence, with one place that undoes them

Cause: Relay::sendOnce did admission, placement, permit, version record, registration of the run, sending and judging in one function of 90 lines, each with its own way back. A second way to an endpoint would have been one more.

Change: SendStep is the interface of a step, which proceeds, begins anew, refuses or ends with its caller; SendSteps takes them in order and gives back in reverse what was acquired. Relay sends and judges. The state of a request is RelayRequest. Behaviour is meant to be the same.

--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -35,6 +35,7 @@
     bool endedWithConnection = false; //!< The answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes of a stream behind its last whole event.
     std::string detail{};
+    Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a broken send.
 };
 
 //! Sends one request to one endpoint and forwards the events of a stream as they arrive.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include "decision/hash.h"
 #include "gateway/endtoend.h"
 #include "gateway/milliseconds.h"
+#include "gateway/relayerror.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
@@ -18,9 +19,6 @@
 
 namespace {
 
-//! Retry-After of a refusal without a better estimate: about the time that an engine takes for one call.
-constexpr Duration defaultRetryAfter = std::chrono::milliseconds(250);
-
 //! How long a request waits for the first configuration. A process that has not received it by then receives it much later, so
 //! waiting longer would not help.
 constexpr Duration configurationTimeout = std::chrono::milliseconds(200);
@@ -35,13 +33,6 @@
 //! Longest time that a request waits to learn whether the endpoint that broke its connection still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
-//! How long a request waits for another run of the same request that decides whether it crashes endpoints. Such a run is short if it does.
-constexpr Duration maxSuspectWait = std::chrono::seconds(1);
-constexpr Duration suspectPollInterval = std::chrono::milliseconds(10);
-
-//! Other requests leave the endpoints of isolated runs alone only in pools that have this many endpoints for each.
-constexpr std::size_t minEndpointsPerIsolatedRun = 3;
-
 //! Outcomes of requests that ended without an error code.
 constexpr const char *streamedOutcome = "streamed";
 constexpr const char *answeredOutcome = "answered";
@@ -51,56 +42,11 @@
 //! Lowest priority that endpoints accept; 0 is the highest.
 constexpr int lowestPriority = 9;
 
-Error makeError(ErrorCode code, Step step, Executed executed, std::string detail)
-{
-    Error out{code, step, {}, executed, std::nullopt, std::move(detail)};
-    if (executed == Executed::No && code != ErrorCode::NotFound && code != ErrorCode::BadRequest) {
-        out.retryAfter = defaultRetryAfter;
-    }
-    return out;
-}
-
 } // namespace
 
-//! State of one request.
-struct Relay::RequestContext
-{
-    RequestContext(HttpExchange &given, Time now)
-        : exchange(given)
-        , arrived(now)
-    {
-    }
-
-    HttpExchange &exchange;
-    Time arrived;
-    Time deadline{};
-    RelayCall call{};
-    RequestIdentity identity{};
-    std::shared_ptr<const ActiveGatewayConfiguration> active{};
-    const Route *route = nullptr;
-    const GatewayService *service = nullptr;
-    std::shared_ptr<ServicePool> pool{};
-    std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
-    StreamProgress progress{};
-    std::optional<StreamIdentity> stream{}; //!< Set if the answer is a stream that may be resumed.
-    std::optional<std::string> streamVersion{}; //!< The only software version at which the stream may go on; any as long as it has not begun.
-    std::optional<RetryPlan> retries{};
-    std::optional<HttpResponse> answer{};
-    bool streamed = false;
-    bool endedWithConnection = false; //!< The latest answer had neither a length nor chunks.
-    std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
-    std::optional<Error> lastError{};
-    std::optional<Placement> placement{}; //!< The latest one.
-    std::uint32_t sends = 0;
-    std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
-    Duration permitWait{}; //!< Spent on requests for permits.
-    Duration waited{};
-    int status = 0;
-    std::string outcome{};
-};
-
 Relay::Relay(const Parts &parts)
     : parts(parts)
+    , steps(SendSteps::Parts{parts.pools, parts.crashes, parts.limiter, parts.versions})
     , requestSeconds(parts.metrics.histogram("oleandergate_request_seconds"))
 {
     std::vector<std::string> outcomes{streamedOutcome, answeredOutcome, brokenOffOutcome, callerLeftOutcome};
@@ -119,7 +65,7 @@
 
 asio::awaitable<void> Relay::handle(HttpRequest request, HttpExchange &exchange)
 {
-    RequestContext context(exchange, currentTime());
+    RelayRequest context(exchange, currentTime());
     context.active = this->parts.configurationHolder.current();
     Result<RelayCall> decoded = this->parts.headerCodec.decode(std::move(request));
     if (!decoded) {
@@ -132,7 +78,7 @@
     this->recordOutcome(context);
 }
 
-asio::awaitable<void> Relay::awaitConfiguration(RequestContext &context)
+asio::awaitable<void> Relay::awaitConfiguration(RelayRequest &context)
 {
     while (!context.active && currentTime() < context.arrived + configurationTimeout) {
         co_await sleepFor(configurationPollInterval);
@@ -140,7 +86,7 @@
     }
 }
 
-asio::awaitable<void> Relay::findRoute(RequestContext &context)
+asio::awaitable<void> Relay::findRoute(RelayRequest &context)
 {
     const std::string_view path = std::string_view(context.call.target).substr(0, context.call.target.find('?'));
     const Time giveUpAt = context.arrived + std::min(context.call.timeLeft.value_or(announcedConfigurationTimeout), announcedConfigurationTimeout);
@@ -157,17 +103,17 @@
     }
 }
 
-asio::awaitable<void> Relay::serve(RequestContext &context)
+asio::awaitable<void> Relay::serve(RelayRequest &context)
 {
     co_await this->awaitConfiguration(context);
     if (!context.active) {
-        co_await this->refuse(context, makeError(ErrorCode::ServiceUnavailable, Step::ConfigFetch, Executed::No, "no configuration has been received yet"));
+        co_await this->refuse(context, relayError(ErrorCode::ServiceUnavailable, Step::ConfigFetch, Executed::No, "no configuration has been received yet"));
         co_return;
     }
     co_await this->findRoute(context);
     if (context.route == nullptr || context.route->targets.empty()) {
         co_await this->refuse(context,
-                              makeError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
+                              relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
     const std::string &key = context.call.program ? context.call.program->branch : context.call.requestId;
@@ -175,14 +121,14 @@
     const auto foundService = context.active->services.find(service);
     context.pool = this->parts.pools.find(service);
     if (foundService == context.active->services.end() || !context.pool) {
-        co_await this->refuse(context, makeError(ErrorCode::NoEndpoint, Step::Queue, Executed::No, "the service " + service + " is not configured"));
+        co_await this->refuse(context, relayError(ErrorCode::NoEndpoint, Step::Queue, Executed::No, "the service " + service + " is not configured"));
         co_return;
     }
     context.service = &foundService->second;
     context.deadline = context.arrived + std::min(context.call.timeLeft.value_or(context.route->timeout), context.route->timeout);
     if (std::min(context.deadline, context.arrived + context.pool->expectedMaxCallTime()) > this->shutdownTime.load()) {
         context.exchange.closeAfterResponse();
-        Error shutdownError = makeError(ErrorCode::ServiceUnavailable, Step::Drain, Executed::No, "the instance shuts down before the request could complete");
+        Error shutdownError = relayError(ErrorCode::ServiceUnavailable, Step::Drain, Executed::No, "the instance shuts down before the request could complete");
         shutdownError.retryAfter = otherInstanceRetryAfter;
         co_await this->refuse(context, shutdownError);
         co_return;
@@ -215,7 +161,7 @@
     }
 }
 
-asio::awaitable<bool> Relay::findStreamVersion(RequestContext &context)
+asio::awaitable<bool> Relay::findStreamVersion(RelayRequest &context)
 {
     if (context.route->kind != RouteKind::Stream || !context.route->resumable) {
         co_return true;
@@ -237,42 +183,7 @@
     co_return true;
 }
 
-void Relay::requireVersion(const RequestContext &context, QueuedCall &queued, Time now) const
-{
-    if (!context.stream) {
-        return;
-    }
-    if (context.streamVersion) {
-        queued.requiredVersion = context.streamVersion;
-        if (!context.pool->takesCalls(*context.streamVersion, queued.avoid, now)) {
-            // Endpoints that refused the stream may have room by now, and no others may serve it.
-            queued.avoid.clear();
-        }
-        return;
-    }
-    const std::optional<std::string> assigned = this->parts.versions.assignedVersion(*context.stream);
-    if (queued.requiredEndpoint.empty() && assigned && context.pool->takesCalls(*assigned, queued.avoid, now)) {
-        queued.requiredVersion = assigned;
-    }
-}
-
-asio::awaitable<Result<void>> Relay::recordVersion(RequestContext &context, std::string version)
-{
-    if (!context.stream || context.streamVersion || !this->parts.versions.needsRecord(*context.stream, version)) {
-        co_return boost::outcome_v2::success();
-    }
-    Result<void> recorded = co_await this->parts.versions.record(*context.stream, version);
-    logRecord(LogLevel::Info,
-              "relay",
-              recorded ? "a stream begins at another software version than assigned" : "a stream may not begin at another software version than assigned",
-              {{"request", context.call.requestId}, {"version", version}, {"detail", recorded ? std::string() : recorded.error().detail}});
-    if (recorded) {
-        context.streamVersion = std::move(version);
-    }
-    co_return recorded;
-}
-
-asio::awaitable<void> Relay::serveAdmitted(RequestContext &context)
+asio::awaitable<void> Relay::serveAdmitted(RelayRequest &context)
 {
     NextStep nextStep = NextStep::TryElsewhere;
     while (nextStep == NextStep::TryElsewhere || nextStep == NextStep::TrySame) {
@@ -285,59 +196,7 @@
     co_await this->sendFinalAnswer(context, nextStep);
 }
 
-asio::awaitable<RunAdmission> Relay::awaitAdmission(RequestContext &context)
-{
-    const Time giveUpAt = std::min(context.deadline, currentTime() + maxSuspectWait);
-    RunAdmission admission = this->parts.crashes.admit(context.identity, currentTime());
-    while (admission.verdict == RunVerdict::Wait && currentTime() < giveUpAt && !context.cancellation->isCancelled()) {
-        co_await sleepFor(suspectPollInterval);
-        admission = this->parts.crashes.admit(context.identity, currentTime());
-    }
-    co_return admission;
-}
-
-NextStep Relay::onNotAdmitted(RequestContext &context, const RunAdmission &admission)
-{
-    if (context.cancellation->isCancelled()) {
-        return NextStep::Stop;
-    }
-    const bool refused = admission.verdict == RunVerdict::Refused;
-    const std::string detail = std::to_string(admission.crashes) + " endpoints ended under this request, the last one " + milliseconds(admission.sinceLastCrash)
-        + " ms ago" + (refused ? "" : "; another run of it is under way");
-    context.lastError = makeError(ErrorCode::CrashesEndpoints, Step::Admit, Executed::No, detail);
-    if (refused) {
-        context.lastError->retryAfter = admission.retryAfter;
-    }
-    return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
-}
-
-QueuedCall Relay::makeQueuedCall(const RequestContext &context, EndpointId requiredEndpoint, const RunAdmission &admission, Time now)
-{
-    QueuedCall queued;
-    queued.call = this->nextCallId++;
-    queued.program = context.call.program ? context.call.program->program : context.call.requestId;
-    queued.branch = context.call.program ? context.call.program->branch : std::string();
-    queued.priority = -context.route->rank; // Rank 0 is the most urgent, whereas larger priorities are dispatched first.
-    queued.promptParts = context.call.promptParts;
-    queued.promptTokens = context.call.promptTokens;
-    queued.maxTokens = context.call.maxTokens;
-    queued.deadline = context.deadline;
-    queued.programDeadline = context.arrived + (context.call.program ? context.call.program->timeToFinish : std::nullopt).value_or(context.route->objective);
-    queued.requiredEndpoint = std::move(requiredEndpoint);
-    queued.isolated = admission.verdict == RunVerdict::AllowedIsolated;
-    queued.avoid = context.retries->avoided();
-    if (this->parts.crashes.hasIsolatedRuns(now)) {
-        const std::set<EndpointId> isolated = this->parts.crashes.isolatedAmong(this->parts.pools.endpointIds(), now);
-        // In a small pool the other requests need these endpoints.
-        if (isolated.size() * minEndpointsPerIsolatedRun <= context.pool->endpointCount()) {
-            queued.avoid.insert(isolated.begin(), isolated.end());
-        }
-    }
-    this->requireVersion(context, queued, now);
-    return queued;
-}
-
-void Relay::recordRunEnd(const RequestContext &context, const SendResult &result, Time startedAt, Time now)
+void Relay::recordRunEnd(const RelayRequest &context, const SendResult &result, Time startedAt, Time now)
 {
     const EndpointId &endpoint = result.report.endpoint;
     if (result.report.outcome == SendOutcome::Answered) {
@@ -349,59 +208,30 @@
     }
 }
 
-asio::awaitable<NextStep> Relay::sendOnce(RequestContext &context, EndpointId requiredEndpoint)
+asio::awaitable<NextStep> Relay::sendOnce(RelayRequest &context, EndpointId requiredEndpoint)
 {
-    const RunAdmission admission = co_await this->awaitAdmission(context);
-    if (admission.verdict == RunVerdict::Wait || admission.verdict == RunVerdict::Refused) {
-        co_return this->onNotAdmitted(context, admission);
-    }
-    QueuedCall queued = this->makeQueuedCall(context, requiredEndpoint, admission, currentTime());
-    const CallId id = queued.call;
-    const bool restricted = queued.requiredVersion.has_value();
-    const Time queuedAt = currentTime();
-    const Result<Placement> placed = co_await context.pool->place(std::move(queued), context.cancellation);
-    context.waited += currentTime() - queuedAt;
-    if (!placed) {
-        context.lastError = placed.error();
-        if (context.cancellation->isCancelled()) {
-            co_return NextStep::Stop;
-        }
-        if (restricted && !context.streamVersion && placed.error().code == ErrorCode::NoEndpoint && currentTime() < context.deadline) {
-            // The endpoints of the assigned version left while the stream waited for them. It has not begun, so another one may serve it.
-            co_return NextStep::TryElsewhere;
-        }
-        co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
-    }
-    const EndpointSpec endpoint = placed.value().endpoint;
-    context.placement = placed.value();
-    const Time permitRequestedAt = currentTime();
-    const PermitDecision permit = co_await this->parts.limiter.requestPermit(endpoint);
-    context.permitWait += currentTime() - permitRequestedAt;
-    if (!permit.granted || context.cancellation->isCancelled()) {
-        context.declined += 1;
-        context.pool->decline(id, currentTime() + permit.retryAfter, currentTime());
-        if (context.cancellation->isCancelled()) {
-            co_return NextStep::Stop;
-        }
-        co_return requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
-    }
-    const Result<void> versionRecorded = co_await this->recordVersion(context, endpoint.version);
-    if (!versionRecorded) {
-        context.pool->decline(id, currentTime(), currentTime());
-        context.lastError = versionRecorded.error();
+    SendAttempt attempt;
+    attempt.requiredEndpoint = std::move(requiredEndpoint);
+    const SendDecision decision = co_await this->steps.prepare(context, attempt);
+    switch (decision) {
+    case SendDecision::Proceed:
+        break;
+    case SendDecision::Again:
+        co_return attempt.requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
+    case SendDecision::Refuse:
         co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
-    }
-    if (context.stream) {
-        this->parts.versions.onSend(*context.stream, endpoint.version);
-    }
-    const Time startedAt = currentTime();
-    const RunAdmission begun = this->parts.crashes.begin(context.identity, endpoint.id, startedAt);
-    if (begun.verdict == RunVerdict::Wait || begun.verdict == RunVerdict::Refused) {
-        // The verdict changed while the request waited for its endpoint.
-        context.pool->finish(id, true, startedAt);
-        co_return requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
+    case SendDecision::CallerLeft:
+        co_return NextStep::Stop;
     }
     context.sends += 1;
+    const SendResult result = co_await this->run(context, attempt);
+    co_return this->judge(context, attempt, result);
+}
+
+asio::awaitable<SendResult> Relay::run(RelayRequest &context, const SendAttempt &attempt)
+{
+    const EndpointSpec endpoint = attempt.endpoint;
+    const CallId id = attempt.call;
     const auto onEvents = [&context, id](std::uint64_t events) {
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
     };
@@ -415,18 +245,24 @@
     const int endpointPriority = std::min(lowestPriority, context.route->rank);
     SendResult result = co_await send.run(endpoint, endpointPriority, context.deadline, currentTime());
     // A broken connection alone does not tell whether its endpoint has ended.
-    Listening listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
+    result.listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
     if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone) {
-        listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
-        result.report.endpointGone = listening == Listening::No;
+        result.listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
+        result.report.endpointGone = result.listening == Listening::No;
     }
-    this->recordRunEnd(context, result, startedAt, currentTime());
+    co_return result;
+}
+
+NextStep Relay::judge(RelayRequest &context, const SendAttempt &attempt, SendResult result)
+{
+    const EndpointSpec &endpoint = attempt.endpoint;
+    this->recordRunEnd(context, result, attempt.startedAt, currentTime());
     if (context.stream && context.progress.events > 0 && !context.streamVersion) {
         context.streamVersion = endpoint.version;
     }
-    const bool healthy
-        = result.report.outcome == SendOutcome::Answered || result.report.outcome == SendOutcome::Refused || result.report.outcome == SendOutcome::CallerLeft;
-    context.pool->finish(id, healthy, currentTime());
+    const SendOutcome outcome = result.report.outcome;
+    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft;
+    context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
         this->parts.metrics.count("oleandergate_sends_failed_total", "end=\"" + std::string(nameIn(sendOutcomeNames, result.report.outcome)) + "\"");
@@ -440,22 +276,22 @@
                    {"fingerprint", hashText(context.identity.exact)},
                    {"start_fingerprint", hashText(context.identity.start)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
-                   {"endpoint_listens", std::string(nameIn(listeningNames, listening))},
+                   {"endpoint_listens", std::string(nameIn(listeningNames, result.listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
                    {"events", std::to_string(context.progress.events)},
                    {"left_ms", milliseconds(context.deadline - currentTime())},
                    {"detail", result.detail}});
         // The caller gets this error only with NextStep::RefuseNotRun, that is when the request did not run at any endpoint.
-        context.lastError = makeError(ErrorCode::NoEndpoint, Step::Send, Executed::No, result.detail);
+        context.lastError = relayError(ErrorCode::NoEndpoint, Step::Send, Executed::No, result.detail);
     }
     context.answer = std::move(result.answer);
     context.streamed = result.streamed;
     context.endedWithConnection = result.endedWithConnection;
     context.unfinishedBytes = result.unfinishedBytes;
-    co_return next;
+    return next;
 }
 
-asio::awaitable<void> Relay::sendFinalAnswer(RequestContext &context, NextStep nextStep)
+asio::awaitable<void> Relay::sendFinalAnswer(RelayRequest &context, NextStep nextStep)
 {
     if (context.progress.headSent && !context.streamed) {
         // Closing without the final chunk shows the caller that the stream is incomplete.
@@ -479,10 +315,10 @@
         co_return;
     case NextStep::RefuseNotRun:
         co_await this->refuse(context,
-                              context.lastError.value_or(makeError(ErrorCode::NoEndpoint, Step::Send, Executed::No, "no endpoint accepted the request")));
+                              context.lastError.value_or(relayError(ErrorCode::NoEndpoint, Step::Send, Executed::No, "no endpoint accepted the request")));
         co_return;
     case NextStep::FailLate:
-        co_await this->refuse(context, makeError(ErrorCode::Timeout, Step::Stream, Executed::Unknown, "the endpoint did not answer before the deadline"));
+        co_await this->refuse(context, relayError(ErrorCode::Timeout, Step::Stream, Executed::Unknown, "the endpoint did not answer before the deadline"));
         co_return;
     case NextStep::Stop:
         context.outcome = callerLeftOutcome;
@@ -495,10 +331,10 @@
     }
     const bool stopped = context.lastError && context.lastError->code == ErrorCode::CrashesEndpoints;
     std::string detail = stopped ? context.lastError->detail : "the endpoint gave no complete answer";
-    co_await this->refuse(context, makeError(ErrorCode::OutcomeUnknown, Step::Send, Executed::Unknown, std::move(detail)));
+    co_await this->refuse(context, relayError(ErrorCode::OutcomeUnknown, Step::Send, Executed::Unknown, std::move(detail)));
 }
 
-asio::awaitable<void> Relay::refuse(RequestContext &context, const Error &error)
+asio::awaitable<void> Relay::refuse(RelayRequest &context, const Error &error)
 {
     HttpResponse response = errorResponse(error);
     std::erase_if(response.headers, [](const HttpHeader &header) {
@@ -513,7 +349,7 @@
     co_await context.exchange.respond(std::move(response));
 }
 
-void Relay::recordOutcome(const RequestContext &context) const
+void Relay::recordOutcome(const RelayRequest &context) const
 {
     const Time now = currentTime();
     const std::string route = context.route == nullptr ? std::string("none") : context.route->name;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -8,6 +8,8 @@
 #include "gateway/interfaces/tokenbudgetservice.h"
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
+#include "gateway/relayrequest.h"
+#include "gateway/sendsteps.h"
 #include "gateway/streamversions.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
@@ -47,42 +49,33 @@
     void setShutdownTime(Time time);
 
 private:
-    struct RequestContext;
-
-    boost::asio::awaitable<void> serve(RequestContext &context);
-    boost::asio::awaitable<void> awaitConfiguration(RequestContext &context);
+    boost::asio::awaitable<void> serve(RelayRequest &context);
+    boost::asio::awaitable<void> awaitConfiguration(RelayRequest &context);
 
     //! Finds the route of a request; a request without one waits for a newer configuration if another instance has it already.
-    boost::asio::awaitable<void> findRoute(RequestContext &context);
-    boost::asio::awaitable<void> serveAdmitted(RequestContext &context);
-
-    //! Waits while another run of the request decides whether it crashes endpoints. Returns the last verdict.
-    boost::asio::awaitable<RunAdmission> awaitAdmission(RequestContext &context);
-
-    //! Returns the next step of a request that may not run, and keeps the reason for its caller.
-    NextStep onNotAdmitted(RequestContext &context, const RunAdmission &admission);
+    boost::asio::awaitable<void> findRoute(RelayRequest &context);
+    boost::asio::awaitable<void> serveAdmitted(RelayRequest &context);
 
     //! Finds the software version of a stream that the caller takes up. Returns false when the request was refused because it cannot be told.
-    boost::asio::awaitable<bool> findStreamVersion(RequestContext &context);
+    boost::asio::awaitable<bool> findStreamVersion(RelayRequest &context);
 
-    //! Restricts \p queued to the software version that its stream needs, or at which it should begin.
-    void requireVersion(const RequestContext &context, QueuedCall &queued, Time now) const;
+    //! Records the end of a run, and whether its endpoint ended with it.
+    void recordRunEnd(const RelayRequest &context, const SendResult &result, Time startedAt, Time now);
+    boost::asio::awaitable<NextStep> sendOnce(RelayRequest &context, EndpointId requiredEndpoint);
 
-    //! Records the software version of a stream that begins elsewhere than its assignment says. Fails when the stream may not begin there.
-    boost::asio::awaitable<Result<void>> recordVersion(RequestContext &context, std::string version);
-    QueuedCall makeQueuedCall(const RequestContext &context, EndpointId requiredEndpoint, const RunAdmission &admission, Time now);
+    //! Sends the request as prepared.
+    boost::asio::awaitable<SendResult> run(RelayRequest &context, const SendAttempt &attempt);
 
-    //! Records the end of a run, and whether its endpoint ended with it.
-    void recordRunEnd(const RequestContext &context, const SendResult &result, Time startedAt, Time now);
-    boost::asio::awaitable<NextStep> sendOnce(RequestContext &context, EndpointId requiredEndpoint);
-    boost::asio::awaitable<void> sendFinalAnswer(RequestContext &context, NextStep nextStep);
-    boost::asio::awaitable<void> refuse(RequestContext &context, const Error &error);
-    void recordOutcome(const RequestContext &context) const;
+    //! Records the result of a send and decides what follows.
+    NextStep judge(RelayRequest &context, const SendAttempt &attempt, SendResult result);
+    boost::asio::awaitable<void> sendFinalAnswer(RelayRequest &context, NextStep nextStep);
+    boost::asio::awaitable<void> refuse(RelayRequest &context, const Error &error);
+    void recordOutcome(const RelayRequest &context) const;
 
     Parts parts;
+    SendSteps steps;
     std::map<std::string, Counter *> requestCounters; //!< Ended requests by outcome.
     LatencyHistogram &requestSeconds;
-    std::atomic<CallId> nextCallId{1};
     std::atomic<Time> shutdownTime{Time::max()};
 };
 
--- /dev/null
+++ b/src/gateway/relayerror.cpp
@@ -0,0 +1,21 @@
+#include "gateway/relayerror.h"
+
+namespace oleandergate {
+
+namespace {
+
+//! Retry-After of a refusal without a better estimate: about the time that an engine takes for one call.
+constexpr Duration defaultRetryAfter = std::chrono::milliseconds(250);
+
+} // namespace
+
+Error relayError(ErrorCode code, Step step, Executed executed, std::string detail)
+{
+    Error out{code, step, {}, executed, std::nullopt, std::move(detail)};
+    if (executed == Executed::No && code != ErrorCode::NotFound && code != ErrorCode::BadRequest) {
+        out.retryAfter = defaultRetryAfter;
+    }
+    return out;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/gateway/relayerror.h
@@ -0,0 +1,13 @@
+#ifndef OLEANDERGATE_GATEWAY_RELAYERROR_H
+#define OLEANDERGATE_GATEWAY_RELAYERROR_H
+
+#include "decision/error.h"
+
+namespace oleandergate {
+
+//! Returns an error for a caller. If the request did not run and may come again, it names when.
+Error relayError(ErrorCode code, Step step, Executed executed, std::string detail);
+
+} // namespace oleandergate
+
+#endif
--- /dev/null
+++ b/src/gateway/relayrequest.h
@@ -0,0 +1,58 @@
+#ifndef OLEANDERGATE_GATEWAY_RELAYREQUEST_H
+#define OLEANDERGATE_GATEWAY_RELAYREQUEST_H
+
+#include "decision/placement.h"
+#include "gateway/activegatewayconfiguration.h"
+#include "gateway/endpointsend.h"
+#include "gateway/relaycall.h"
+#include "gateway/servicepool.h"
+#include "gateway/streamversions.h"
+#include "runtime/cancellation.h"
+#include "runtime/httpexchange.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace oleandergate {
+
+//! State of one caller's request while the relay handles it.
+struct RelayRequest
+{
+    RelayRequest(HttpExchange &given, Time now)
+        : exchange(given)
+        , arrived(now)
+    {
+    }
+
+    HttpExchange &exchange;
+    Time arrived;
+    Time deadline{};
+    RelayCall call{};
+    RequestIdentity identity{};
+    std::shared_ptr<const ActiveGatewayConfiguration> active{};
+    const Route *route = nullptr;
+    const GatewayService *service = nullptr;
+    std::shared_ptr<ServicePool> pool{};
+    std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
+    StreamProgress progress{};
+    std::optional<StreamIdentity> stream{}; //!< Set if the answer is a stream that may be resumed.
+    std::optional<std::string> streamVersion{}; //!< The only software version at which the stream may go on; any as long as it has not begun.
+    std::optional<RetryPlan> retries{};
+    std::optional<HttpResponse> answer{};
+    bool streamed = false;
+    bool endedWithConnection = false; //!< The latest answer had neither a length nor chunks.
+    std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
+    std::optional<Error> lastError{};
+    std::optional<Placement> placement{}; //!< The latest one.
+    std::uint32_t sends = 0;
+    std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
+    Duration permitWait{}; //!< Spent on requests for permits.
+    Duration waited{};
+    int status = 0;
+    std::string outcome{};
+};
+
+} // namespace oleandergate
+
+#endif
