An instance that is cut off from endpoints reaches them by way of other instances

Cause: an instance judged endpoints by its own connections alone and had no second way to them. It chose among endpoints that it could not reach, connections that hung held their places, and refused connections counted as ends of endpoints.

Change: connections to endpoints come from EndpointPaths. A direct connection has a head start of 100 ms, then up to three peers are asked to carry one; the first that is established is used, before a byte of the request is sent. A peer copies bytes and decides nothing, so budgets, permits, versions, "not run" and cancellation stay where they were; an empty chunk tells an orderly end from a carrier's. An endpoint is cut off once a peer reaches it, and down once a peer that reaches others does not; a refused connection counts as the end of an endpoint only then. Calls that may be repeated leave connections that are taken to hang after 500 ms of silence. Endpoints that are cut off are tried again seldom, a few at a time.

Ruled out: passing on requests instead of connections (each rule would be kept by two processes), and not being ready (docs/design/endpoint-paths.md).

--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/hash.h"
 
+#include <algorithm>
+
 #include <set>
 
 namespace oleandergate {
@@ -128,6 +130,14 @@
     return found == this->registrations.end() ? nullptr : &found->second.entry;
 }
 
+EndpointId EndpointCatalog::endpointAt(const std::string &address) const
+{
+    const auto found = std::find_if(this->registrations.begin(), this->registrations.end(), [&address](const auto &registration) {
+        return registration.second.entry.spec.address == address;
+    });
+    return found == this->registrations.end() ? EndpointId() : found->first;
+}
+
 std::size_t EndpointCatalog::size() const
 {
     return this->registrations.size();
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -60,6 +60,9 @@
     bool trustsRemovals(Time now) const;
 
     const EndpointEntry *find(const EndpointId &id) const;
+
+    //! Returns the identifier of the endpoint at \p address; empty when there is none.
+    EndpointId endpointAt(const std::string &address) const;
     std::size_t size() const;
 
 private:
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -75,8 +75,10 @@
     //! Returns the endpoints to which the request is not sent again.
     const std::set<EndpointId> &avoided() const;
 
-private:
+    //! Returns whether the request may be sent again after it may have run.
     bool repeatable() const;
+
+private:
     NextStep afterBroken(const SendReport &report);
 
     RouteKind kind;
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -44,10 +44,11 @@
 
 } // namespace
 
-EndpointSend::EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, std::shared_ptr<Cancellation> cancellation)
+EndpointSend::EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, bool isRepeatable, std::shared_ptr<Cancellation> cancellation)
     : parts(parts)
     , call(call)
     , kind(kind)
+    , isRepeatable(isRepeatable)
     , cancellation(std::move(cancellation))
 {
 }
@@ -70,6 +71,8 @@
     out.deadline = deadline;
     out.maxIdleAge = this->kind == RouteKind::Idempotent ? out.maxIdleAge : maxIdleForSingleSend;
     out.resendOnStale = this->kind == RouteKind::Idempotent;
+    out.isRepeatable = this->isRepeatable;
+    out.onConnection = this->parts.onConnection;
     out.cancellation = this->cancellation;
     out.mayEndWithConnection = true;
     out.collectBody = false;
@@ -170,6 +173,7 @@
     SendResult result;
     result.report.endpoint = endpoint.id;
     result.report.endpointGone = failure.connectionRefused;
+    result.connectionLost = failure.connectionLost;
     result.detail = this->rejection.empty() ? failure.error.detail : this->rejection;
     if (this->cancellation->isCancelled() || this->parts.progress.callerDisconnected) {
         result.report.outcome = SendOutcome::CallerLeft;
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -34,6 +34,7 @@
     bool streamed = false; //!< The stream was forwarded to its end.
     bool endedWithConnection = false; //!< The answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes of a stream behind its last whole event.
+    bool connectionLost = false; //!< The way to the endpoint was cut off; says nothing about the endpoint.
     std::string detail{};
     Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a broken send.
 };
@@ -50,9 +51,11 @@
         StreamProgress &progress;
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
+        std::function<void(const ConnectionPath &path)> onConnection{}; //!< Called with the way of the connection that the request is sent on.
     };
 
-    EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, std::shared_ptr<Cancellation> cancellation);
+    //! With \p isRepeatable the request may be sent again when its connection is given up.
+    EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, bool isRepeatable, std::shared_ptr<Cancellation> cancellation);
 
     //! Sends the call to \p endpoint. The answer has to be complete by \p deadline. \p priority is 0 for the highest.
     boost::asio::awaitable<SendResult> run(EndpointSpec endpoint, int priority, Time deadline, Time now);
@@ -77,6 +80,7 @@
     Parts parts;
     const RelayCall &call;
     RouteKind kind;
+    bool isRepeatable;
     std::shared_ptr<Cancellation> cancellation;
     EventSplitter splitter;
     std::string collected;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/crashregistry.h"
 #include "gateway/directorysync.h"
 #include "gateway/endpointhash.h"
+#include "gateway/endpointpaths.h"
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
@@ -21,6 +22,7 @@
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/peerserver.h"
+#include "runtime/tunnelserver.h"
 
 #include <boost/asio.hpp>
 
@@ -43,6 +45,18 @@
 //! Connections to one endpoint that an instance may open in a cluster of any size.
 constexpr std::size_t minConnections = 4;
 
+//! Connections to endpoints that this instance carries for others at a time. Each takes two descriptors and some 40 KB.
+constexpr std::size_t maxTunnels = 256;
+
+constexpr Duration pathCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
+
+//! A call that may be repeated is sent on by another way when nothing has arrived for this long and its way is cut off.
+constexpr Duration maxSilence = std::chrono::milliseconds(500);
+
+//! Time for a new connection to an endpoint that is silent, over any way.
+constexpr Duration pathCheckTimeout = std::chrono::milliseconds(400);
+
 //! How often the metrics are logged, for operators without access to the metrics address.
 constexpr Duration summaryInterval = std::chrono::seconds(10);
 
@@ -83,11 +97,33 @@
 {
     Core(const GatewaySettings &given, const HeaderCodec &headerCodec, const RecordFormat &givenFormat, const KeyValueFactory &makeKeyValue)
         : settings(given)
-        , controlClient(control)
-        , endpointClient(requests)
-        , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient), metrics))
         , self(makeSelfRecord(settings))
         , auth(settings.peerKey)
+        , paths(auth,
+                metrics,
+                self,
+                EndpointPaths::Hooks{[this](const std::string &address) {
+                                         return this->pools.endpointAt(address);
+                                     },
+                                     [this](const EndpointId &endpoint) {
+                                         return this->pools.addressOf(endpoint);
+                                     },
+                                     [this]() {
+                                         return static_cast<std::uint32_t>(this->tunnels.activeCount());
+                                     },
+                                     [this]() {
+                                         this->gossip.sendNews();
+                                     }})
+        , tunnels(TunnelServer::Hooks{[this](const TunnelRequest &request, Time now) {
+                                          return this->paths.addressFor(request, now);
+                                      },
+                                      [this](std::string address, ReachOutcome outcome) {
+                                          return this->paths.onCarriedDial(std::move(address), outcome);
+                                      }},
+                  maxTunnels)
+        , controlClient(control)
+        , endpointClient(requests, paths)
+        , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient), metrics))
         , peers(control, auth)
         , pools(settings.reregistrationTimeout, settings.domain, static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
         , crashes(metrics,
@@ -116,11 +152,12 @@
                                    [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
                                        this->budget.onMembers(live, budgetSlotOwners, now);
                                        this->limiter.onMembers(live, now);
+                                       this->paths.onMembers(live);
                                    },
                                    [this](std::uint64_t version) {
                                        this->configurationHolder.announce(version);
                                    },
-                                   {crashes.channel(self.id), limiter.channel()},
+                                   {crashes.channel(self.id), limiter.channel(), paths.channel()},
                                    [this](bool sameDomain, Duration age) {
                                        (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
@@ -133,11 +170,13 @@
                                           }},
                  self,
                  settings.programRetention)
-        , peerServer(control,
-                     auth,
-                     [this](PeerMessage command, std::shared_ptr<AnswerChannel> /*answerChannel*/) {
-                         return this->servePeer(std::move(command));
-                     })
+        , peerServer(
+              control,
+              auth,
+              [this](PeerMessage command, std::shared_ptr<AnswerChannel> /*answerChannel*/) {
+                  return this->servePeer(std::move(command));
+              },
+              &tunnels)
         , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, metrics}, self.id)
         , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, versions, metrics})
         , callerServer(
@@ -203,6 +242,9 @@
             this->metrics.setGauge("oleandergate_endpoints", static_cast<double>(this->pools.endpointCount()));
             this->metrics.setGauge("oleandergate_crash_records", static_cast<double>(this->crashes.recordCount()));
             this->metrics.setGauge("oleandergate_limited_endpoints", static_cast<double>(this->limiter.limitedCount()));
+            this->metrics.setGauge("oleandergate_endpoints_cut_off", static_cast<double>(this->paths.cutOffCount()));
+            this->metrics.setGauge("oleandergate_tunnels_carried", static_cast<double>(this->tunnels.activeCount()));
+            this->metrics.setGauge("oleandergate_tunnels_carried_total", static_cast<double>(this->tunnels.servedCount()));
             this->metrics.setGauge("oleandergate_waiting", static_cast<double>(this->pools.waitingCount()));
             this->metrics.setGauge("oleandergate_running", static_cast<double>(this->pools.runningCount()));
             this->metrics.setGauge("oleandergate_connections_opened_total", static_cast<double>(this->endpointClient.openedCount()));
@@ -239,6 +281,7 @@
             this->crashes.expire(now);
             this->limiter.expire(now);
             this->versions.expire(now);
+            this->paths.expire(now);
             this->pools.expire(now, now - this->settings.programRetention);
             this->shareConnections();
             if (now - lastSummaryAt >= summaryInterval) {
@@ -251,6 +294,35 @@
         }
     }
 
+    //! Finds endpoints that this instance no longer reaches, and those that it reaches again.
+    asio::awaitable<void> pathLoop()
+    {
+        Time idleDroppedAt{};
+        while (true) {
+            co_await sleepFor(pathCheckInterval);
+            const Time now = currentTime();
+            if (now - idleDroppedAt >= idleCheckInterval) {
+                idleDroppedAt = now;
+                this->endpointClient.dropLostIdle(now);
+            }
+            const std::vector<std::string> silent = this->endpointClient.giveUpLostCalls(maxSilence, now);
+            for (const std::string &address : this->paths.takeDueChecks(silent, now)) {
+                asio::co_spawn(this->requests, this->checkPath(address), asio::detached);
+            }
+            for (const std::string &address : this->paths.takeSuspects(now)) {
+                asio::co_spawn(this->requests, this->checkPath(address), asio::detached);
+            }
+            for (const std::string &address : this->paths.takeDueProbes(now)) {
+                asio::co_spawn(this->requests, this->paths.probe(address), asio::detached);
+            }
+        }
+    }
+
+    asio::awaitable<void> checkPath(std::string address)
+    {
+        co_await this->endpointClient.probe(address, pathCheckTimeout);
+    }
+
     asio::awaitable<void> reloadLoop(SettingsReader readSettings)
     {
         while (true) {
@@ -276,7 +348,7 @@
 
     asio::awaitable<void> awaitIdle(Time limit)
     {
-        while (currentTime() < limit && this->callerServer.activeCount() > 0) {
+        while (currentTime() < limit && this->callerServer.activeCount() + this->tunnels.activeCount() > 0) {
             co_await sleepFor(drainPollInterval);
         }
     }
@@ -287,6 +359,7 @@
         const Time giveUpAt = began + this->settings.drainLimit - stopMargin;
         logRecord(LogLevel::Info, "instance", "draining", {{"active", std::to_string(this->callerServer.activeCount())}});
         this->draining = true;
+        this->tunnels.stop();
         this->callerServer.disableKeepAlive();
         this->relay.setShutdownTime(giveUpAt);
         co_await this->budget.handOverAll(began + this->settings.balancerLag);
@@ -311,6 +384,7 @@
             this->applyConfiguration(active);
         });
         asio::co_spawn(this->control, this->housekeepingLoop(), asio::detached);
+        asio::co_spawn(this->requests, this->pathLoop(), asio::detached);
         this->directory.start();
         this->versions.start();
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
@@ -344,11 +418,13 @@
     //! Age that a peer's report reached before the next one arrived: the load counts in use are up to this old.
     LatencyHistogram &ownDomainReportAge = metrics.histogram("oleandergate_own_domain_report_age_seconds");
     LatencyHistogram &otherDomainReportAge = metrics.histogram("oleandergate_other_domain_report_age_seconds");
+    InstanceRecord self;
+    MessageAuth auth;
+    EndpointPaths paths;
+    TunnelServer tunnels;
     HttpClient controlClient;
     HttpClient endpointClient;
     std::unique_ptr<KeyValueService> keyValue;
-    InstanceRecord self;
-    MessageAuth auth;
     PeerClient peers;
     GatewayConfigurationHolder configurationHolder{};
     PoolSet pools;
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -142,6 +142,19 @@
     return this->catalog.ids();
 }
 
+EndpointId PoolSet::endpointAt(const std::string &address) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.endpointAt(address);
+}
+
+std::string PoolSet::addressOf(const EndpointId &id) const
+{
+    const std::lock_guard lock(this->mutex);
+    const EndpointEntry *known = this->catalog.find(id);
+    return known == nullptr ? std::string() : known->spec.address;
+}
+
 std::vector<EndpointEntry> PoolSet::endpointEntries() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -39,6 +39,12 @@
 
     std::vector<EndpointId> endpointIds() const;
 
+    //! Returns the identifier of the endpoint at \p address; empty when there is none.
+    EndpointId endpointAt(const std::string &address) const;
+
+    //! Returns the address of the endpoint \p id; empty when it is not known.
+    std::string addressOf(const EndpointId &id) const;
+
     //! Returns the slots of the endpoints of \p service by software version. Versions whose endpoints are all leaving have none.
     std::map<std::string, std::uint32_t> slotsByVersion(const std::string &service) const;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -238,15 +238,20 @@
     const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata) {
         this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
     };
-    EndpointSend send(EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents},
-                      context.call,
-                      context.route->kind,
-                      context.cancellation);
+    const auto onConnection = [&context](const ConnectionPath &path) {
+        context.path = path;
+    };
+    EndpointSend send(
+        EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection},
+        context.call,
+        context.route->kind,
+        context.retries->repeatable(),
+        context.cancellation);
     const int endpointPriority = std::min(lowestPriority, context.route->rank);
     SendResult result = co_await send.run(endpoint, endpointPriority, context.deadline, currentTime());
     // A broken connection alone does not tell whether its endpoint has ended.
     result.listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
-    if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone) {
+    if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone && !result.connectionLost) {
         result.listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
         result.report.endpointGone = result.listening == Listening::No;
     }
@@ -261,7 +266,7 @@
         context.streamVersion = endpoint.version;
     }
     const SendOutcome outcome = result.report.outcome;
-    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft;
+    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft || result.connectionLost;
     context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
@@ -273,6 +278,8 @@
                    {"endpoint", endpoint.id},
                    {"address", endpoint.address},
                    {"version", endpoint.version},
+                   {"via", context.path.peer},
+                   {"tunnel", std::to_string(context.path.tunnel)},
                    {"fingerprint", hashText(context.identity.exact)},
                    {"start_fingerprint", hashText(context.identity.start)},
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
@@ -369,6 +376,8 @@
                {"config", std::to_string(context.active ? context.active->configuration.version : 0)},
                {"endpoint", placement.endpoint.id},
                {"version", placement.endpoint.version},
+               {"via", context.path.peer},
+               {"tunnel", std::to_string(context.path.tunnel)},
                {"stream_version", context.streamVersion.value_or(std::string())},
                {"resumes", context.call.resumedRequest},
                {"resumes_after", context.call.resumeAfter ? std::to_string(*context.call.resumeAfter) : std::string()},
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -45,6 +45,7 @@
     std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
     std::optional<Error> lastError{};
     std::optional<Placement> placement{}; //!< The latest one.
+    ConnectionPath path{}; //!< Way of the latest send to its endpoint.
     std::uint32_t sends = 0;
     std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
     Duration permitWait{}; //!< Spent on requests for permits.
--- a/src/runtime/connectionpool.h
+++ b/src/runtime/connectionpool.h
@@ -1,6 +1,9 @@
 #ifndef OLEANDERGATE_RUNTIME_CONNECTIONPOOL_H
 #define OLEANDERGATE_RUNTIME_CONNECTIONPOOL_H
 
+#include <algorithm>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +51,22 @@
         }
     }
 
+    //! Drops the connections for which \p isUnusable returns true.
+    void dropIf(const std::function<bool(const std::string &address, const Connection &connection)> &isUnusable)
+    {
+        std::vector<Pointer> dropped; // Destroyed without the lock.
+        const std::lock_guard lock(this->mutex);
+        for (auto position = this->connections.begin(); position != this->connections.end();) {
+            std::vector<Pointer> &idle = position->second;
+            const auto end = std::partition(idle.begin(), idle.end(), [&](const Pointer &connection) {
+                return !isUnusable(position->first, *connection);
+            });
+            dropped.insert(dropped.end(), std::make_move_iterator(end), std::make_move_iterator(idle.end()));
+            idle.erase(end, idle.end());
+            position = idle.empty() ? this->connections.erase(position) : std::next(position);
+        }
+    }
+
     void clear()
     {
         const std::lock_guard lock(this->mutex);
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -1,22 +1,22 @@
 #include "runtime/httpclient.h"
 
-#include "runtime/address.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
 #include "runtime/connectionpool.h"
+#include "runtime/directdialer.h"
 #include "runtime/unparsedbytes.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/tcp.h>
-
 #include <atomic>
 #include <cstring>
 #include <limits>
+#include <list>
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace oleandergate {
 
@@ -29,15 +29,6 @@
 
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 
-//! TCP keep-alive and user timeout: a peer that is gone is detected after about two seconds without a reply to a probe or an
-//! acknowledgement of sent bytes.
-constexpr int keepAliveProbeSeconds = 1;
-constexpr int keepAliveProbeCount = 2;
-constexpr int tcpUserTimeoutMs = 2000;
-
-template <int Name>
-using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
-
 //! Idle connections are no longer used from this long before their peer closes them, as announced in Keep-Alive.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds(500);
 
@@ -51,7 +42,7 @@
 struct Connection
 {
     explicit Connection(asio::io_context &context)
-        : stream(asio::make_strand(context))
+        : executor(asio::make_strand(context))
     {
     }
 
@@ -64,19 +55,38 @@
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
 
+    bool isEstablished() const
+    {
+        return this->dialed.stream != nullptr;
+    }
+
+    EndpointStream &stream()
+    {
+        return *this->dialed.stream;
+    }
+
     //! Returns false when the peer has closed the connection or sent unrequested bytes.
     bool isReusable()
     {
         char probe = 0;
         beast::error_code error;
-        this->stream.socket().non_blocking(true, error);
-        this->stream.socket().receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
+        tcp::socket &socket = this->stream().tcp().socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
         return error == asio::error::would_block;
     }
 
-    beast::tcp_stream stream;
+    //! Ends all operations. To be called on the strand.
+    void close()
+    {
+        if (this->isEstablished()) {
+            this->stream().tcp().close();
+        }
+    }
+
+    asio::any_io_executor executor;
+    DialedConnection dialed{};
     beast::flat_buffer buffer{maxUnparsedBytes};
-    bool established = false;
     Time idleSince{};
     Time usableUntil = Time::max(); //!< The peer may close the connection after this time.
     std::shared_ptr<std::atomic<std::size_t>> openCount{}; //!< Number of open connections to the same address.
@@ -84,16 +94,35 @@
 
 using ConnectionPointer = std::shared_ptr<Connection>;
 
+//! A call whose request is being sent or was sent.
+struct CallUnderWay
+{
+    ConnectionPointer connection{};
+    std::string address{};
+    bool isRepeatable = false;
+    bool lost = false; //!< Was given up.
+    Time lastReceived{}; //!< When bytes last arrived, at first when the request was sent.
+};
+
 } // namespace
 
 struct HttpClient::Core
 {
+    Core(asio::io_context &context, Dialer *givenDialer)
+        : context(context)
+        , dialer(givenDialer == nullptr ? this->directDialer : *givenDialer)
+    {
+    }
+
     asio::io_context &context;
+    DirectDialer directDialer{};
+    Dialer &dialer;
     ConnectionPool<Connection> idleConnections{maxIdlePerAddress};
     std::atomic<std::size_t> maxOpenPerAddress{std::numeric_limits<std::size_t>::max()};
     std::atomic<std::uint64_t> openedConnections{0};
     std::mutex mutex{};
     std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> openCounts{}; //!< Guarded by the mutex.
+    std::list<CallUnderWay> callsUnderWay{}; //!< Guarded by the mutex.
 
     //! Returns an idle connection or a new one; nullptr when too many connections to the address are open.
     ConnectionPointer acquire(const HttpCall &call)
@@ -104,13 +133,22 @@
             if (!connection) {
                 break;
             }
-            if (now - connection->idleSince <= call.maxIdleAge && now < connection->usableUntil && connection->isReusable()) {
+            const bool isFresh = now - connection->idleSince <= call.maxIdleAge && now < connection->usableUntil;
+            if (isFresh && this->dialer.mayReuse(call.address, connection->dialed.path, now) && connection->isReusable()) {
                 return connection;
             }
         }
         return this->create(call.address);
     }
 
+    //! Keeps a connection without a call for the next one.
+    void keepIdle(const std::string &address, const ConnectionPointer &connection, Time now)
+    {
+        connection->stream().tcp().expires_never();
+        connection->idleSince = now;
+        this->idleConnections.release(address, connection);
+    }
+
     //! Returns a new connection; nullptr when too many connections to \p address are open.
     ConnectionPointer create(const std::string &address)
     {
@@ -193,7 +231,7 @@
         }
         timeout = std::min(timeout, left);
     }
-    connection.stream.expires_after(timeout);
+    connection.stream().tcp().expires_after(timeout);
     return true;
 }
 
@@ -212,16 +250,13 @@
 
 void keepConnection(HttpClient::Core &core, const ConnectionPointer &connection, const HttpCall &call, const http::response<http::string_body> &message)
 {
-    connection->stream.expires_never();
     // Bytes after a complete response belong to no request, so such a connection cannot be reused.
     if (!message.keep_alive() || message.need_eof() || connection->buffer.size() > 0) {
         return;
     }
     const Time now = currentTime();
     applyKeepAliveTimeout(*connection, message, now);
-    connection->established = true;
-    connection->idleSince = now;
-    core.idleConnections.release(call.address, connection);
+    core.keepIdle(call.address, connection, now);
 }
 
 //! Passes the part of the body that has arrived since the last call to the callbacks. Returns false when the call is to stop.
@@ -244,8 +279,47 @@
     co_return true;
 }
 
-asio::awaitable<HttpOutcome>
-receiveResponse(ConnectionPointer connection, const HttpCall &call, Step step, http::response_parser<http::string_body> &parser, bool &accepted)
+//! Registers a call as long as it is under way.
+class UnderWay
+{
+public:
+    UnderWay(HttpClient::Core &core, const ConnectionPointer &connection, const HttpCall &call, Time now)
+        : core(core)
+    {
+        const std::lock_guard lock(core.mutex);
+        this->position = core.callsUnderWay.insert(core.callsUnderWay.end(), CallUnderWay{connection, call.address, call.isRepeatable, false, now});
+    }
+
+    ~UnderWay()
+    {
+        const std::lock_guard lock(this->core.mutex);
+        this->core.callsUnderWay.erase(this->position);
+    }
+    UnderWay(const UnderWay &) = delete;
+    UnderWay &operator=(const UnderWay &) = delete;
+
+    void onReceived(Time now)
+    {
+        {
+            const std::lock_guard lock(this->core.mutex);
+            this->position->lastReceived = now;
+        }
+        this->core.dialer.onReceived(this->position->address, this->position->connection->dialed.path, now);
+    }
+
+    bool isLost() const
+    {
+        const std::lock_guard lock(this->core.mutex);
+        return this->position->lost;
+    }
+
+private:
+    HttpClient::Core &core;
+    std::list<CallUnderWay>::iterator position;
+};
+
+asio::awaitable<HttpOutcome> receiveResponse(
+    UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step, http::response_parser<http::string_body> &parser, bool &accepted)
 {
     parser.body_limit(call.maxBodyBytes);
     std::size_t deliveredBytes = 0;
@@ -257,7 +331,10 @@
             timedOut.responseStarted = headReceived && accepted;
             co_return timedOut;
         }
-        const auto [error, size] = co_await http::async_read_some(connection->stream, connection->buffer, parser, useResult);
+        const auto [error, size] = co_await http::async_read_some(connection->stream(), connection->buffer, parser, useResult);
+        if (size > 0) {
+            underWay.onReceived(currentTime());
+        }
         if (parser.is_header_done() && !headReceived) {
             headReceived = true;
             head = toResponse(parser.get());
@@ -290,12 +367,12 @@
     co_return toResponse(parser.get());
 }
 
-asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, ConnectionPointer connection, const HttpCall &call, Step step)
+asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
 {
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
-        HttpOutcome outcome = co_await receiveResponse(connection, call, step, parser, accepted);
+        HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
         if (outcome && accepted) {
             keepConnection(core, connection, call, parser.get());
         }
@@ -309,40 +386,24 @@
     co_return failure(ErrorCode::EndpointGarbled, step, call, false, "only responses to other requests were received");
 }
 
-void setSocketOptions(tcp::socket &socket)
-{
-    beast::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(TcpOption<TCP_KEEPIDLE>(keepAliveProbeSeconds), ignored);
-    socket.set_option(TcpOption<TCP_KEEPINTVL>(keepAliveProbeSeconds), ignored);
-    socket.set_option(TcpOption<TCP_KEEPCNT>(keepAliveProbeCount), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(tcpUserTimeoutMs), ignored);
-}
-
 asio::awaitable<std::optional<HttpFailure>> connect(HttpClient::Core &core, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    const std::optional<tcp::endpoint> endpoint = parseTcpAddress(call.address);
-    if (!endpoint) {
-        co_return failure(ErrorCode::NoEndpoint, step, call, true, "the address is not an IP address and a port");
-    }
-    if (!armTimer(*connection, call, call.connectTimeout)) {
-        co_return failure(ErrorCode::Timeout, step, call, true, "the deadline passed before connecting");
-    }
+    const Time now = currentTime();
     core.openedConnections += 1;
-    const auto [error] = co_await connection->stream.async_connect(*endpoint, useResult);
-    if (error) {
-        HttpFailure result = failure(codeOf(error), step, call, true, "connect: " + error.message());
-        result.connectionRefused = error == asio::error::connection_refused;
+    const Time giveUpAt = std::min(call.deadline.value_or(Time::max()), now + call.connectTimeout);
+    DialOutcome dialed = co_await core.dialer.dial(connection->executor, call.address, giveUpAt);
+    if (!dialed) {
+        HttpFailure result = failure(dialed.error().code, step, call, true, dialed.error().detail);
+        result.connectionRefused = dialed.error().refused;
         co_return result;
     }
-    setSocketOptions(connection->stream.socket());
+    connection->dialed = std::move(dialed.value());
     co_return std::nullopt;
 }
 
 asio::awaitable<HttpOutcome> exchange(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    if (!connection->established) {
+    if (!connection->isEstablished()) {
         std::optional<HttpFailure> failed = co_await connect(*core, connection, call, step);
         if (failed) {
             co_return std::move(*failed);
@@ -358,11 +419,20 @@
     if (!armTimer(*connection, call, call.idleTimeout)) {
         co_return failure(ErrorCode::Timeout, step, call, true, "the deadline passed before sending");
     }
-    const auto [error, size] = co_await http::async_write(connection->stream, message, useResult);
-    if (error) {
-        co_return failure(codeOf(error), step, call, false, "write: " + error.message());
+    if (call.onConnection) {
+        call.onConnection(connection->dialed.path);
+    }
+    UnderWay underWay(*core, connection, call, currentTime());
+    const auto [error, size] = co_await http::async_write(connection->stream(), message, useResult);
+    HttpOutcome outcome = failure(codeOf(error), step, call, false, "write: " + error.message());
+    if (!error) {
+        outcome = co_await receiveAcceptedResponse(*core, underWay, connection, call, step);
+    }
+    if (!outcome && underWay.isLost()) {
+        outcome.error().connectionLost = true;
+        outcome.error().error.detail = "nothing arrived over a connection whose way is cut off";
     }
-    co_return co_await receiveAcceptedResponse(*core, connection, call, step);
+    co_return outcome;
 }
 
 asio::awaitable<std::optional<HttpOutcome>>
@@ -370,8 +440,8 @@
 {
     if (call.cancellation) {
         call.cancellation->setHook([connection]() {
-            asio::post(connection->stream.get_executor(), [connection]() {
-                connection->stream.close();
+            asio::post(connection->executor, [connection]() {
+                connection->close();
             });
         });
     }
@@ -391,17 +461,19 @@
     if (failed) {
         co_return failed->connectionRefused ? Listening::No : Listening::Unknown;
     }
-    connection->stream.expires_never();
-    connection->established = true;
-    connection->idleSince = currentTime();
-    core->idleConnections.release(call.address, connection);
+    core->keepIdle(call.address, connection, currentTime());
     co_return Listening::Yes;
 }
 
 } // namespace
 
 HttpClient::HttpClient(asio::io_context &context)
-    : core(new Core{context})
+    : core(std::make_shared<Core>(context, nullptr))
+{
+}
+
+HttpClient::HttpClient(asio::io_context &context, Dialer &dialer)
+    : core(std::make_shared<Core>(context, &dialer))
 {
 }
 
@@ -427,9 +499,8 @@
     if (!connection) {
         co_return failure(ErrorCode::Overloaded, step, call, true, "too many open connections to the address");
     }
-    const bool reused = connection->established;
-    std::optional<HttpOutcome> first
-        = co_await asio::co_spawn(connection->stream.get_executor(), exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
+    const bool reused = connection->isEstablished();
+    std::optional<HttpOutcome> first = co_await asio::co_spawn(connection->executor, exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
     HttpOutcome outcome = std::move(*first);
     const bool cancelled = call.cancellation && call.cancellation->isCancelled();
     if (outcome || !reused || !call.resendOnStale || cancelled || outcome.error().responseStarted || outcome.error().error.code == ErrorCode::Timeout) {
@@ -440,8 +511,7 @@
     if (!connection) {
         co_return outcome;
     }
-    std::optional<HttpOutcome> second
-        = co_await asio::co_spawn(connection->stream.get_executor(), exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
+    std::optional<HttpOutcome> second = co_await asio::co_spawn(connection->executor, exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
     if (!*second) {
         // The first connection may have delivered the request before it failed.
         second->error().provablyNotSent = false;
@@ -460,7 +530,36 @@
     HttpCall call;
     call.address = std::move(address);
     call.connectTimeout = timeout;
-    co_return co_await asio::co_spawn(connection->stream.get_executor(), probeConnection(shared, connection, std::move(call)), asio::use_awaitable);
+    co_return co_await asio::co_spawn(connection->executor, probeConnection(shared, connection, std::move(call)), asio::use_awaitable);
+}
+
+void HttpClient::dropLostIdle(Time now)
+{
+    this->core->idleConnections.dropIf([this, now](const std::string &address, const Connection &connection) {
+        return !this->core->dialer.mayReuse(address, connection.dialed.path, now);
+    });
+}
+
+std::vector<std::string> HttpClient::giveUpLostCalls(Duration silence, Time now)
+{
+    std::set<std::string> silent;
+    const std::lock_guard lock(this->core->mutex);
+    for (CallUnderWay &call : this->core->callsUnderWay) {
+        const ConnectionPath &path = call.connection->dialed.path;
+        if (call.lost || now - call.lastReceived < silence) {
+            continue;
+        }
+        if (path.peer.empty()) {
+            silent.insert(call.address);
+        }
+        if (call.isRepeatable && !this->core->dialer.mayReuse(call.address, path, now)) {
+            call.lost = true;
+            asio::post(call.connection->executor, [connection = call.connection]() {
+                connection->close();
+            });
+        }
+    }
+    return {silent.begin(), silent.end()};
 }
 
 } // namespace oleandergate
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -3,6 +3,7 @@
 
 #include "decision/error.h"
 #include "runtime/httpmessage.h"
+#include "runtime/interfaces/dialer.h"
 #include "runtime/listening.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,7 @@
     bool reuse = true; //!< Use an idle connection if there is one. Off for requests that must not be sent twice.
     Duration maxIdleAge = std::chrono::seconds(60); //!< Idle connections are reused only up to this age.
     bool resendOnStale = true; //!< Send again when a reused connection fails. Off for requests that must not be sent twice.
+    bool isRepeatable = false; //!< The caller can send the request again when its connection is given up.
     std::optional<Time> deadline{}; //!< Time by which the response has to be complete.
     bool mayEndWithConnection = false; //!< Accept a response with neither a length nor chunks, which cannot be told from a cut one.
     bool collectBody = true; //!< Keep the whole body for the returned response. Off for endless streams.
@@ -42,6 +44,7 @@
     std::function<bool(const HttpResponse &head)> accepts{}; //!< Returns false for the head of a response to another request, which is then skipped.
     std::function<boost::asio::awaitable<bool>(const HttpResponse &head, std::string chunk)>
         forwardChunk{}; //!< Consumes the body chunk by chunk instead of collecting it; returning false stops the call.
+    std::function<void(const ConnectionPath &path)> onConnection{}; //!< Called with the way of the connection that the request is sent on.
     std::shared_ptr<Cancellation> cancellation{};
 };
 
@@ -52,6 +55,7 @@
     bool provablyNotSent = false; //!< No byte of the request was written to a socket.
     bool responseStarted = false; //!< The head of the response has arrived.
     bool connectionRefused = false; //!< No process listens at the address.
+    bool connectionLost = false; //!< The connection was given up because its way to the address is taken to be cut off.
     HttpResponse partial{}; //!< The part of the response that has arrived.
 };
 
@@ -61,7 +65,11 @@
 class HttpClient
 {
 public:
+    //! Connects straight to each address.
     explicit HttpClient(boost::asio::io_context &context);
+
+    //! Connects by \p dialer, which has to outlive this object.
+    HttpClient(boost::asio::io_context &context, Dialer &dialer);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -78,6 +86,13 @@
     //! Opens a connection to \p address within \p timeout and keeps it for the next call. Returns whether a process listens there.
     boost::asio::awaitable<Listening> probe(std::string address, Duration timeout);
 
+    //! Gives up the calls that may be repeated, have received nothing for \p silence, and use connections that the dialer would not reuse. They fail
+    //! with HttpFailure::connectionLost. Returns the addresses of direct connections with calls that have received nothing for so long.
+    std::vector<std::string> giveUpLostCalls(Duration silence, Time now);
+
+    //! Closes idle connections that the dialer would not reuse.
+    void dropLostIdle(Time now);
+
     //! State shared with running connections.
     struct Core;
 
--- a/src/runtime/peerserver.cpp
+++ b/src/runtime/peerserver.cpp
@@ -4,6 +4,7 @@
 #include "runtime/answerchannel.h"
 #include "runtime/log.h"
 #include "runtime/peerframing.h"
+#include "runtime/tunnelserver.h"
 
 #include <boost/asio.hpp>
 
@@ -32,6 +33,7 @@
     asio::io_context &context;
     const MessageAuth &auth;
     PeerHandler handler;
+    TunnelServer *tunnels = nullptr;
     std::optional<tcp::acceptor> acceptor{};
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> activeCommands{0};
@@ -101,6 +103,11 @@
             }
             co_return;
         }
+        const auto *tunnel = std::get_if<TunnelRequest>(&command.value());
+        if (tunnel != nullptr && core->tunnels != nullptr) {
+            healthy = co_await core->tunnels->serve(*tunnel, framing, stream);
+            continue;
+        }
         healthy = co_await serveCommand(core, framing, std::move(command.value()));
     }
 }
@@ -120,8 +127,8 @@
 
 } // namespace
 
-PeerServer::PeerServer(asio::io_context &context, const MessageAuth &auth, PeerHandler handler)
-    : core(new Core{context, auth, std::move(handler)})
+PeerServer::PeerServer(asio::io_context &context, const MessageAuth &auth, PeerHandler handler, TunnelServer *tunnels)
+    : core(new Core{context, auth, std::move(handler), tunnels})
 {
 }
 
--- a/src/runtime/peerserver.h
+++ b/src/runtime/peerserver.h
@@ -17,6 +17,7 @@
 namespace oleandergate {
 
 class AnswerChannel;
+class TunnelServer;
 
 //! Executes one command. Text pushed to \p chunks is sent to the peer immediately; the returned message is the final reply.
 using PeerHandler = std::function<boost::asio::awaitable<PeerMessage>(PeerMessage command, std::shared_ptr<AnswerChannel> chunks)>;
@@ -25,7 +26,8 @@
 class PeerServer
 {
 public:
-    PeerServer(boost::asio::io_context &context, const MessageAuth &auth, PeerHandler handler);
+    //! TunnelRequest messages go to \p tunnels; without it they are declined.
+    PeerServer(boost::asio::io_context &context, const MessageAuth &auth, PeerHandler handler, TunnelServer *tunnels = nullptr);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -363,13 +363,32 @@
     archive(value.instance, value.limits);
 }
 
+template <class Archive>
+void serialize(Archive &archive, TunnelRequest &value)
+{
+    archive(value.tunnel, value.instance, value.endpoint, value.timeout);
+}
+
+template <class Archive>
+void serialize(Archive &archive, TunnelReply &value)
+{
+    archive(value.outcome);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ReachReport &value)
+{
+    archive(value.instance, value.isolated, value.cutOff, value.carried);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
 
-//! First bytes of a crash report and of a rate limit report. Other messages begin with cereal's byte order, 0 or 1.
+//! First bytes of the reports that not every build knows. Other messages begin with cereal's byte order, 0 or 1.
 constexpr char crashReportMark = '\x7f';
 constexpr char rateLimitReportMark = '\x7e';
+constexpr char reachReportMark = '\x7d';
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -484,6 +503,19 @@
     return decode<RateLimitReport>(bytes.substr(1));
 }
 
+std::string encodeReachReport(const ReachReport &report)
+{
+    return reachReportMark + encode(report);
+}
+
+Result<ReachReport> decodeReachReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(reachReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of reached endpoints"};
+    }
+    return decode<ReachReport>(bytes.substr(1));
+}
+
 std::string encodeLogRecord(const LogRecord &record)
 {
     return compress(encode(record));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -8,6 +8,7 @@
 #include "wire/loadreport.h"
 #include "wire/peermessage.h"
 #include "wire/ratelimitreport.h"
+#include "wire/reachreport.h"
 
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
 std::string encodeRateLimitReport(const RateLimitReport &report);
 Result<RateLimitReport> decodeRateLimitReport(const std::string &bytes);
 
+std::string encodeReachReport(const ReachReport &report);
+Result<ReachReport> decodeReachReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -9,6 +9,7 @@
 #include "decision/programspec.h"
 #include "wire/budgetmessages.h"
 #include "wire/permitmessages.h"
+#include "wire/tunnelmessages.h"
 
 #include <string>
 #include <variant>
@@ -124,7 +125,9 @@
                                  EndpointsReply,
                                  BudgetReturn,
                                  PermitRequest,
-                                 PermitReply>;
+                                 PermitReply,
+                                 TunnelRequest,
+                                 TunnelReply>;
 
 //! State that entry instances report to each other over UDP, a few times a second.
 struct Heartbeat
--- a/tests/gateway/cutofftests.cpp
+++ b/tests/gateway/cutofftests.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <csignal>
 #include <thread>
 
 using namespace oleandergate;
@@ -28,8 +29,8 @@
 //! Gateways of which the first has links of its own to the endpoints, and has served requests over them.
 struct LinkedCluster : GatewayCluster
 {
-    LinkedCluster()
-        : GatewayCluster(gatewayCount, endpointCount, 1)
+    explicit LinkedCluster(std::size_t linkedGateways = 1)
+        : GatewayCluster(gatewayCount, endpointCount, linkedGateways)
     {
         REQUIRE(this->startServing());
         std::this_thread::sleep_for(membershipTime);
@@ -123,8 +124,94 @@
 // Guards against taking the end of an endpoint for a cut: the others do not reach it either.
 TEST_CASE("Cut off: an endpoint that has ended for all instances is left alone")
 {
-    LinkedCluster cluster;
+    // A proxy would accept connections for the endpoint that has ended.
+    LinkedCluster cluster(0);
     cluster.endpoints[0]->setNextBehaviours({Behaviour::Crash});
     CHECK(cluster.countServed(1) >= minServed);
     CHECK(countOf(cluster.log(1), "\"via\":\"127.") == 0);
 }
+
+// Guards against an answer that its connection ends looking whole, or cut, because other connections carried it.
+TEST_CASE("Cut off: answers without a length are delivered whole by way of others, and broken ones are not")
+{
+    LinkedCluster cluster;
+    cluster.setLink(0, Link::Reset);
+    REQUIRE(cluster.servedBy(0, "GET", "/reads/1"));
+    for (const Behaviour behaviour : {Behaviour::Unframed, Behaviour::Truncate, Behaviour::EndMidEvent, Behaviour::EndBeforeFirstEvent}) {
+        for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+            endpoint->setNextBehaviours({behaviour});
+        }
+        const bool isStream = behaviour == Behaviour::EndMidEvent || behaviour == Behaviour::EndBeforeFirstEvent;
+        const std::optional<HttpResponse> answer = isStream
+            ? cluster.call(0,
+                           "POST",
+                           "/turns/1",
+                           {{"Oleandergate-Deadline-Ms", patienceMs}, {"Oleandergate-Token-Counts", "100,100"}, {"Oleandergate-Prompt-Prefix", "a1:100"}})
+            : cluster.call(0, "POST", "/orders/1", {{"Oleandergate-Deadline-Ms", patienceMs}});
+        REQUIRE(answer);
+        if (isStream) {
+            // The rest comes from the same endpoint or another one, each event once.
+            CHECK(answer->status == 200);
+            CHECK(countOf(answer->body, "data:") == StandinEndpoint::eventCount);
+        } else {
+            CHECK(answer->status == (behaviour == Behaviour::Unframed ? 200 : 502));
+        }
+    }
+}
+
+// Guards against a second run of a request that runs at most once, and against a wrong "not run", when the carrying instance ends.
+TEST_CASE("Cut off: an order under way by way of an instance that ends may have run, and runs once")
+{
+    LinkedCluster cluster;
+    cluster.setLink(0, Link::Reset);
+    REQUIRE(cluster.servedBy(0, "GET", "/reads/1"));
+    const std::size_t before = cluster.receivedCount();
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({Behaviour::Slow});
+    }
+    std::optional<HttpResponse> answer;
+    std::thread caller([&]() {
+        answer = cluster.call(0, "POST", "/orders/1", {{"Oleandergate-Deadline-Ms", "5000"}});
+    });
+    CHECK(waitFor(
+        [&]() {
+            return cluster.receivedCount() > before;
+        },
+        GatewayCluster::logTimeoutMs));
+    cluster.gateways[1].kill();
+    cluster.gateways[2].kill();
+    caller.join();
+    REQUIRE(answer);
+    CHECK(answer->status == 502);
+    CHECK(cluster.receivedCount() == before + 1);
+}
+
+// Guards against requests that were passed on being cut off by a planned stop of the instance that carries them.
+TEST_CASE("Cut off: an instance that stops finishes what it carries for others")
+{
+    LinkedCluster cluster;
+    cluster.setLink(0, Link::Reset);
+    REQUIRE(cluster.servedBy(0, "GET", "/reads/1"));
+    const std::size_t before = cluster.receivedCount();
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({Behaviour::Slow});
+    }
+    std::optional<HttpResponse> answer;
+    std::thread caller([&]() {
+        answer = cluster.call(0, "POST", "/orders/1", {{"Oleandergate-Deadline-Ms", "6000"}});
+    });
+    CHECK(waitFor(
+        [&]() {
+            return cluster.receivedCount() > before;
+        },
+        GatewayCluster::logTimeoutMs));
+    cluster.gateways[1].signal(SIGTERM);
+    cluster.gateways[2].signal(SIGTERM);
+    std::this_thread::sleep_for(detectionTime);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->release();
+    }
+    caller.join();
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+}
--- a/tests/support/loopbackproxy.cpp
+++ b/tests/support/loopbackproxy.cpp
@@ -120,7 +120,7 @@
         socket.open(endpoint.protocol());
         socket.native_non_blocking(true);
         // Not by the socket's own function, which waits for the end of the attempt.
-        ::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
+        static_cast<void>(::connect(socket.native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size())));
         this->backlog.push_back(std::move(socket));
     }
 }
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -204,6 +204,39 @@
     CHECK(std::get<PermitReply>(reply.value()).retryAfter == 90);
 }
 
+TEST_CASE("Reports of reached endpoints keep their content, and no other report is taken for one")
+{
+    const ReachReport report{"front-1~5", true, {7, 9}, 12};
+    const std::string bytes = encodeReachReport(report);
+    const Result<ReachReport> decoded = decodeReachReport(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().instance == report.instance);
+    CHECK(decoded.value().isolated);
+    CHECK(decoded.value().cutOff == report.cutOff);
+    CHECK(decoded.value().carried == 12);
+    CHECK_FALSE(decodeLoadReport(bytes));
+    CHECK_FALSE(decodeRateLimitReport(bytes));
+    CHECK_FALSE(decodeReachReport(encodeLoadReport(LoadReport{"front-1~5", "10.0.0.1:90", "a"})));
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decodeReachReport(bytes.substr(0, size)));
+    }
+}
+
+TEST_CASE("Requests for tunnels keep their content between instances")
+{
+    const Result<PeerMessage> request = decodePeerMessage(encodePeerMessage(TunnelRequest{5, "front-1~5", "i-3", 200}));
+    REQUIRE(request);
+    REQUIRE(std::holds_alternative<TunnelRequest>(request.value()));
+    CHECK(std::get<TunnelRequest>(request.value()).tunnel == 5);
+    CHECK(std::get<TunnelRequest>(request.value()).instance == "front-1~5");
+    CHECK(std::get<TunnelRequest>(request.value()).endpoint == "i-3");
+    CHECK(std::get<TunnelRequest>(request.value()).timeout == 200);
+    const Result<PeerMessage> reply = decodePeerMessage(encodePeerMessage(TunnelReply{TunnelOutcome::Refused}));
+    REQUIRE(reply);
+    REQUIRE(std::holds_alternative<TunnelReply>(reply.value()));
+    CHECK(std::get<TunnelReply>(reply.value()).outcome == TunnelOutcome::Refused);
+}
+
 // Guards against lost endpoints while instances of two builds run side by side: earlier ones send and read no software versions.
 TEST_CASE("Endpoints from a peer of an earlier build are read without versions")
 {
