An endpoint that states in an answer that it is leaving gets no new requests

Registrations tell the same up to a second or more later, and to instances that the store does not answer not at all (DRAIN holds for those too).

From the head of such an answer on, before it is passed to the caller, the endpoint takes no new calls at this instance; the statement goes to the others with the reports and those that did not know it report it on. It counts for the process, by the start time of its registration: it outlives a registration that lags or vanishes for a while, and ends when a new process registers. The digest of registrations, which instances compare, leaves it out. A peer does not open tunnels to such an endpoint.

--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -3,7 +3,6 @@
 #include "decision/hash.h"
 
 #include <algorithm>
-
 #include <set>
 
 namespace oleandergate {
@@ -69,6 +68,10 @@
 
 bool EndpointCatalog::expire(Time now)
 {
+    for (const auto &[id, registration] : this->registrations) {
+        this->leavingTable.onRegistered(id, registration.entry.startedAt, now);
+    }
+    this->leavingTable.expire(now);
     const std::size_t before = this->registrations.size();
     for (auto position = this->registrations.begin(); position != this->registrations.end();) {
         const bool isExpired = position->second.expiresAt && *position->second.expiresAt <= now;
@@ -83,12 +86,44 @@
     return this->registrations.erase(position);
 }
 
+std::optional<LeavingStatement> EndpointCatalog::addLeaving(const EndpointId &id, Time now)
+{
+    const auto found = this->registrations.find(id);
+    if (found == this->registrations.end()) {
+        return std::nullopt;
+    }
+    const LeavingStatement statement{id, found->second.entry.startedAt};
+    return this->leavingTable.add(statement, now) ? std::optional(statement) : std::nullopt;
+}
+
+bool EndpointCatalog::addLeaving(const LeavingStatement &statement, Time now)
+{
+    return this->leavingTable.add(statement, now);
+}
+
+LeavingTable &EndpointCatalog::leaving()
+{
+    return this->leavingTable;
+}
+
+const LeavingTable &EndpointCatalog::leaving() const
+{
+    return this->leavingTable;
+}
+
+EndpointSpec EndpointCatalog::specOf(const Registration &registration) const
+{
+    EndpointSpec spec = registration.entry.spec;
+    spec.leaving = spec.leaving || this->leavingTable.isLeaving(spec.id, registration.entry.startedAt);
+    return spec;
+}
+
 std::vector<EndpointSpec> EndpointCatalog::endpointsOf(const std::string &service) const
 {
     std::vector<EndpointSpec> found;
     for (const auto &[id, registration] : this->registrations) {
         if (registration.entry.service == service) {
-            found.push_back(registration.entry.spec);
+            found.push_back(this->specOf(registration));
         }
     }
     return found;
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_DECISION_ENDPOINTCATALOG_H
 
 #include "decision/endpointspec.h"
+#include "decision/leavingtable.h"
 #include "decision/time.h"
 
 #include <map>
@@ -44,7 +45,18 @@
     //! Drops endpoints that did not register again in time. Returns true when any was dropped.
     bool expire(Time now);
 
-    //! Returns the endpoints of \p service.
+    //! Records that an endpoint stated in an answer that it is leaving, for its process that is registered now. Returns nothing when that is known, or
+    //! the endpoint is not.
+    std::optional<LeavingStatement> addLeaving(const EndpointId &id, Time now);
+
+    //! Records a statement that another instance reported. Returns false when it is known.
+    bool addLeaving(const LeavingStatement &statement, Time now);
+
+    //! Statements to report to other instances, as in LeavingTable.
+    LeavingTable &leaving();
+    const LeavingTable &leaving() const;
+
+    //! Returns the endpoints of \p service. Those that have stated that they are leaving are so, whatever their registration says.
     std::vector<EndpointSpec> endpointsOf(const std::string &service) const;
 
     std::vector<EndpointId> ids() const;
@@ -77,9 +89,12 @@
 
     Position drop(Position position);
 
+    EndpointSpec specOf(const Registration &registration) const;
+
     Duration reregistrationTimeout;
     Time trustRemovalsFrom{};
     std::map<EndpointId, Registration> registrations;
+    LeavingTable leavingTable;
     std::uint64_t combinedHash = 0; //!< XOR of all entry hashes, kept up to date because digest() is called many times a second.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/endpointhash.h"
 #include "gateway/endpointpaths.h"
 #include "gateway/gatewayconfigurationholder.h"
+#include "gateway/leavingendpoints.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
@@ -137,6 +138,12 @@
                   [this]() {
                       this->gossip.sendNews();
                   })
+        , leaving(pools,
+                  metrics,
+                  self.id,
+                  [this]() {
+                      this->gossip.sendNews();
+                  })
         , gossip(control,
                  auth,
                  self,
@@ -157,7 +164,7 @@
                                    [this](std::uint64_t version) {
                                        this->configurationHolder.announce(version);
                                    },
-                                   {crashes.channel(self.id), limiter.channel(), paths.channel()},
+                                   {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel()},
                                    [this](bool sameDomain, Duration age) {
                                        (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
@@ -178,7 +185,7 @@
               },
               &tunnels)
         , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, metrics}, self.id)
-        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, versions, metrics})
+        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, versions, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -430,6 +437,7 @@
     PoolSet pools;
     CrashRegistry crashes;
     RateLimiter limiter;
+    LeavingEndpoints leaving;
     PeerGossip gossip;
     BudgetCoordinator budget;
     PeerServer peerServer;
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -77,6 +77,41 @@
     this->catalog.onServiceRecovered(now);
 }
 
+std::optional<LeavingStatement> PoolSet::addLeaving(const EndpointId &id, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::optional<LeavingStatement> added = this->catalog.addLeaving(id, now);
+    if (added) {
+        this->refresh(this->catalog.find(id)->service, now);
+    }
+    return added;
+}
+
+bool PoolSet::addLeaving(const LeavingStatement &statement, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->catalog.addLeaving(statement, now)) {
+        return false;
+    }
+    const EndpointEntry *known = this->catalog.find(statement.endpoint);
+    if (known != nullptr) {
+        this->refresh(known->service, now);
+    }
+    return true;
+}
+
+std::vector<LeavingStatement> PoolSet::nextLeavingReport(std::size_t count)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.leaving().nextReport(count);
+}
+
+bool PoolSet::hasLeavingNews() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.leaving().hasNews();
+}
+
 void PoolSet::expire(Time now, Time idleSince)
 {
     const std::lock_guard lock(this->mutex);
@@ -152,7 +187,8 @@
 {
     const std::lock_guard lock(this->mutex);
     const EndpointEntry *known = this->catalog.find(id);
-    return known == nullptr ? std::string() : known->spec.address;
+    const bool isUsable = known != nullptr && !this->catalog.leaving().isLeaving(id, known->startedAt);
+    return isUsable ? known->spec.address : std::string();
 }
 
 std::vector<EndpointEntry> PoolSet::endpointEntries() const
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -22,6 +22,12 @@
     void replaceEndpoints(const std::vector<EndpointEntry> &entries, Time now);
     void onRegistryRecovered(Time now);
 
+    //! As in EndpointCatalog; an endpoint that is leaving gets no new calls from the end of this function on.
+    std::optional<LeavingStatement> addLeaving(const EndpointId &id, Time now);
+    bool addLeaving(const LeavingStatement &statement, Time now);
+    std::vector<LeavingStatement> nextLeavingReport(std::size_t count);
+    bool hasLeavingNews() const;
+
     //! Drops endpoints that did not register again, and the state of programs without a call since \p idleSince.
     void expire(Time now, Time idleSince);
 
@@ -42,7 +48,7 @@
     //! Returns the identifier of the endpoint at \p address; empty when there is none.
     EndpointId endpointAt(const std::string &address) const;
 
-    //! Returns the address of the endpoint \p id; empty when it is not known.
+    //! Returns the address of the endpoint \p id; empty when it is not known or has stated that it is leaving.
     std::string addressOf(const EndpointId &id) const;
 
     //! Returns the slots of the endpoints of \p service by software version. Versions whose endpoints are all leaving have none.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -237,6 +237,7 @@
     };
     const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata) {
         this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
+        this->parts.leaving.onAnswer(endpoint, metadata, currentTime());
     };
     const auto onConnection = [&context](const ConnectionPath &path) {
         context.path = path;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -6,6 +6,7 @@
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/interfaces/headercodec.h"
 #include "gateway/interfaces/tokenbudgetservice.h"
+#include "gateway/leavingendpoints.h"
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relayrequest.h"
@@ -37,6 +38,7 @@
         TokenBudgetService &budget;
         CrashRegistry &crashes;
         RateLimiter &limiter;
+        LeavingEndpoints &leaving;
         StreamVersions &versions;
         Metrics &metrics;
     };
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -65,6 +65,7 @@
 {
     bool notRun = false; //!< The endpoint states that it did not run the request.
     bool signedByEndpoint = false;
+    bool leaving = false; //!< The endpoint states that it is shutting down.
     RequestId requestId{}; //!< The request that it answers; empty when not stated.
     std::optional<double> callsPerSecond{}; //!< Rate limit of the endpoint, from all instances together.
     bool hasUnreadableRateLimit = false; //!< It names a limit that is no positive finite number.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -381,6 +381,18 @@
     archive(value.instance, value.isolated, value.cutOff, value.carried);
 }
 
+template <class Archive>
+void serialize(Archive &archive, LeavingStatement &value)
+{
+    archive(value.endpoint, value.startedAt);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LeavingReport &value)
+{
+    archive(value.instance, value.endpoints);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
@@ -389,6 +401,7 @@
 constexpr char crashReportMark = '\x7f';
 constexpr char rateLimitReportMark = '\x7e';
 constexpr char reachReportMark = '\x7d';
+constexpr char leavingReportMark = '\x7c';
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -516,6 +529,19 @@
     return decode<ReachReport>(bytes.substr(1));
 }
 
+std::string encodeLeavingReport(const LeavingReport &report)
+{
+    return leavingReportMark + encode(report);
+}
+
+Result<LeavingReport> decodeLeavingReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(leavingReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of leaving endpoints"};
+    }
+    return decode<LeavingReport>(bytes.substr(1));
+}
+
 std::string encodeLogRecord(const LogRecord &record)
 {
     return compress(encode(record));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -5,6 +5,7 @@
 #include "decision/journalentry.h"
 #include "decision/programstate.h"
 #include "wire/crashreport.h"
+#include "wire/leavingreport.h"
 #include "wire/loadreport.h"
 #include "wire/peermessage.h"
 #include "wire/ratelimitreport.h"
@@ -43,6 +44,9 @@
 std::string encodeReachReport(const ReachReport &report);
 Result<ReachReport> decodeReachReport(const std::string &bytes);
 
+std::string encodeLeavingReport(const LeavingReport &report);
+Result<LeavingReport> decodeLeavingReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -227,7 +227,12 @@
     const std::lock_guard lock(this->mutex);
     const std::string limit = this->rateLimit.empty() ? std::string() : "Server-Limit: " + this->rateLimit + "\r\n";
     return "HTTP/1.1 " + std::to_string(status) + " Status\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id")
-        + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + limit + framing + "\r\n\r\n";
+        + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + limit + (this->statesLeaving ? "Server-Leaving: 1\r\n" : "") + framing + "\r\n\r\n";
+}
+
+void StandinEndpoint::setStatesLeaving(bool newStatesLeaving)
+{
+    this->statesLeaving = newStatesLeaving;
 }
 
 void StandinEndpoint::setRateLimit(const std::string &limit)
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -68,6 +68,9 @@
     void setVersion(const std::string &version);
     const std::string &softwareVersion() const;
 
+    //! Sets whether its answers state that it is leaving. Its registration does not change.
+    void setStatesLeaving(bool statesLeaving);
+
     //! Sets the value of the rate limit field in its answers; none when empty.
     void setRateLimit(const std::string &limit);
 
@@ -107,6 +110,7 @@
     std::string rateLimit;
     std::vector<ReceivedRequest> receivedRequests;
     std::list<std::thread> workers;
+    std::atomic<bool> statesLeaving{false};
     std::atomic<bool> stopping{false};
     std::atomic<bool> listening{true};
     std::atomic<bool> released{false};
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -222,6 +222,24 @@
     }
 }
 
+TEST_CASE("Reports of leaving endpoints keep their content, and no other report is taken for one")
+{
+    const LeavingReport report{"front-1~5", {LeavingStatement{"i-3", 17}, LeavingStatement{"i-4", 18}}};
+    const std::string bytes = encodeLeavingReport(report);
+    const Result<LeavingReport> decoded = decodeLeavingReport(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().instance == report.instance);
+    REQUIRE(decoded.value().endpoints.size() == 2);
+    CHECK(decoded.value().endpoints[1].endpoint == "i-4");
+    CHECK(decoded.value().endpoints[1].startedAt == 18);
+    CHECK_FALSE(decodeLoadReport(bytes));
+    CHECK_FALSE(decodeReachReport(bytes));
+    CHECK_FALSE(decodeLeavingReport(encodeReachReport(ReachReport{"front-1~5"})));
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decodeLeavingReport(bytes.substr(0, size)));
+    }
+}
+
 TEST_CASE("Requests for tunnels keep their content between instances")
 {
     const Result<PeerMessage> request = decodePeerMessage(encodePeerMessage(TunnelRequest{5, "front-1~5", "i-3", 200}));
