--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -319,7 +319,16 @@
 {
     Result<EndpointEntry> entry = this->parts.format.readEndpoint(pair);
     if (!entry) {
-        logError("endpoints", "ignored the registration " + pair.key, entry.error());
+        // Registrations are read several times a second, also those that do not change.
+        constexpr std::size_t maxIgnoredKeys = 1024;
+        const auto [known, added] = this->ignoredRevisions.try_emplace(pair.key, 0);
+        if (known->second != pair.revision) {
+            known->second = pair.revision;
+            logError("endpoints", "ignored the registration " + pair.key, entry.error());
+        }
+        if (added && this->ignoredRevisions.size() > maxIgnoredKeys) {
+            this->ignoredRevisions.clear();
+        }
         return std::nullopt;
     }
     return std::move(entry.value());
--- a/src/gateway/directorysync.h
+++ b/src/gateway/directorysync.h
@@ -9,6 +9,7 @@
 #include "wire/peermessage.h"
 
 #include <atomic>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -93,6 +94,7 @@
     bool readingConfiguration = false;
     bool endpointsLoaded = false;
     std::atomic<std::uint64_t> peerRevision{0}; //!< Up to which a peer knew the endpoints that were fetched from it.
+    std::map<std::string, std::uint64_t> ignoredRevisions; //!< Revisions of registrations that were logged as ignored, by key.
 };
 
 } // namespace oleandergate
