A stream of another instance goes on only by an assignment of software versions that is in force

Cause: the assignment that tells the version of a stream was used whatever its age. After a pause requests are answered before the change arrives.

Change: an instance that finds a gap in its own time, or hears from no peer for a second, is out of step until it has read the assignments again. Out of step, or with several versions in use, take-ups wait for assignments that are at most 200 ms old. Without an answer of the store the assignment stands only if no peer reaches the store either; else the take-up is refused as not run.

--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio.hpp>
 
 #include <algorithm>
+#include <atomic>
 
 namespace oleandergate {
 
@@ -72,6 +73,7 @@
     PeerTable table; //!< Guarded by the mutex.
     OwnState lastReported{}; //!< State in the latest report.
     Time lastReportedAt{};
+    std::atomic<Time> lastReceivedAt{Time{}}; //!< Latest report of another instance.
 };
 
 PeerGossip::PeerGossip(asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks)
@@ -106,6 +108,11 @@
     return this->core->table.hasServiceContactAfter(time);
 }
 
+Time PeerGossip::lastReportAt() const
+{
+    return this->core->lastReceivedAt;
+}
+
 Time PeerGossip::latestServiceContact() const
 {
     const std::lock_guard lock(this->core->mutex);
@@ -286,7 +293,9 @@
     {
         const std::lock_guard lock(this->core->mutex);
         replacedAge = this->core->table.reportAge(peerReport.instance.id, now);
-        this->core->table.onReport(peerReport, now);
+        if (this->core->table.onReport(peerReport, now)) {
+            this->core->lastReceivedAt = now;
+        }
         for (const std::string &address : report.value().peers) {
             this->core->table.addCandidate(address, now);
         }
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -58,6 +58,9 @@
     //! Returns true when a live peer reached the key-value service after \p time. Thread-safe.
     bool hasServiceContactAfter(Time time) const;
 
+    //! Returns when a report of another instance last arrived; the epoch for never. Thread-safe.
+    Time lastReportAt() const;
+
     //! As in PeerTable. Thread-safe.
     Time latestServiceContact() const;
     std::vector<PeerOffer> offersOfEndpoints(std::uint64_t digest, std::uint64_t revision) const;
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/hash.h"
 #include "gateway/gatewayconfigurationholder.h"
+#include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
 #include "runtime/asyncsignal.h"
@@ -40,6 +41,18 @@
 //! Entries of a transaction that the key-value service accepts.
 constexpr std::size_t maxBatch = 32;
 
+//! Assignments that were read from the key-value service this long ago are current: a change is not in use by others any sooner.
+constexpr Duration confirmationTime = std::chrono::milliseconds(200);
+
+//! A longer time between two steps of a coroutine that sleeps for proposeInterval means that the process stood still.
+constexpr Duration standstillThreshold = std::chrono::milliseconds(500);
+
+//! Instances report to each other at least every 500 ms.
+constexpr Duration peerSilenceThreshold = std::chrono::milliseconds(1000);
+
+//! An instance that reached the key-value service within this time shows that it is not down for all.
+constexpr Duration serviceContactThreshold = std::chrono::milliseconds(1500);
+
 constexpr const char *memorySource = "memory";
 constexpr const char *recordSource = "record";
 constexpr const char *assignmentSource = "assignment";
@@ -361,6 +374,58 @@
     }
 }
 
+bool StreamVersions::isOutOfStep(Time now) const
+{
+    const Time ticked = this->tickedAt;
+    const Time heard = this->parts.gossip.lastReportAt();
+    const bool standsStill = this->stoodStill || (ticked != Time{} && now - ticked > standstillThreshold);
+    return standsStill || (heard != Time{} && now - heard > peerSilenceThreshold);
+}
+
+asio::awaitable<void> StreamVersions::reload()
+{
+    const Time startedAt = currentTime();
+    const bool loaded = co_await this->follower.load();
+    this->reloading = false;
+    if (loaded && startedAt - this->tickedAt.load() <= standstillThreshold) {
+        this->stoodStill = false;
+    }
+}
+
+asio::awaitable<bool> StreamVersions::confirmAssignments(Time now)
+{
+    const auto isConfirmed = [this, now]() {
+        return this->follower.loadedAt() >= now - confirmationTime;
+    };
+    if (!isConfirmed() && !this->reloading.exchange(true)) {
+        asio::post(this->parts.context, [this]() {
+            asio::co_spawn(this->parts.context, this->reload(), asio::detached);
+        });
+    }
+    const Time giveUpAt = now + serviceTimeout;
+    while (!isConfirmed() && currentTime() < giveUpAt) {
+        co_await sleepFor(pollInterval);
+    }
+    co_return isConfirmed();
+}
+
+bool StreamVersions::standsUnconfirmed(Time now) const
+{
+    // In an outage for all instances nobody changes assignments. An instance that is alone with it may miss a change.
+    return !this->isOutOfStep(now) && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
+}
+
+asio::awaitable<void> StreamVersions::catchUp(Time now)
+{
+    const Time before = this->tickedAt.exchange(now);
+    if (before != Time{} && now - before > standstillThreshold) {
+        this->stoodStill = true;
+    }
+    if (this->stoodStill && !this->reloading.exchange(true)) {
+        co_await this->reload();
+    }
+}
+
 Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source)
 {
     logRecord(LogLevel::Info,
@@ -382,6 +447,8 @@
         co_return this->onFound(stream, request, *known, memorySource);
     }
     co_await this->awaitAssignments();
+    const Time now = currentTime();
+    const bool outOfStep = this->isOutOfStep(now);
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
     {
@@ -389,7 +456,14 @@
         candidates = this->table.candidates(stream.service, stream.bucket);
     }
     const bool unversioned = candidates.empty() && listed == std::set<std::string>{std::string()};
-    if (unversioned || (candidates.size() == 1 && listed == candidates)) {
+    const bool isSingle = unversioned || (candidates.size() == 1 && listed == candidates);
+    // With several versions in use, or if this instance may have missed that, an assignment that is out of date would join two versions.
+    if (outOfStep || !isSingle) {
+        const bool confirmed = co_await this->confirmAssignments(now);
+        if (!confirmed && !this->standsUnconfirmed(currentTime())) {
+            co_return this->refuse(stream, request, "the assignment in force could not be read");
+        }
+    } else {
         co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), assignmentSource);
     }
     const std::optional<std::string> recorded = co_await this->readRecord(stream.attempt);
@@ -399,11 +473,21 @@
         // is likely to take this call.
         const std::lock_guard lock(this->mutex);
         version = this->table.resolve(stream.service, stream.bucket, recorded.value_or(std::string()));
-        candidates = this->table.candidates(stream.service, stream.bucket);
     }
     if (version) {
         co_return this->onFound(stream, request, *version, recorded && !recorded->empty() ? recordSource : assignmentSource);
     }
+    co_return this->refuse(stream, request, recorded ? "the stream has no record" : "the record of the stream could not be read");
+}
+
+Error StreamVersions::refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason)
+{
+    const std::set<std::string> listed = this->listedVersions(stream.service);
+    std::set<std::string> candidates;
+    {
+        const std::lock_guard lock(this->mutex);
+        candidates = this->table.candidates(stream.service, stream.bucket);
+    }
     this->unknownVersions.add();
     logRecord(LogLevel::Info,
               "versions",
@@ -414,13 +498,15 @@
                {"bucket", std::to_string(stream.bucket)},
                {"candidates", joined(candidates)},
                {"listed", joined(listed)},
-               {"record", recorded ? "none" : "not read"}});
-    co_return Error{ErrorCode::VersionUnknown,
-                    Step::Admit,
-                    {},
-                    Executed::No,
-                    std::nullopt,
-                    "the software version that began the stream is not known; the request may be sent again from its start"};
+               {"assignments_age_ms", milliseconds(currentTime() - this->follower.loadedAt())},
+               {"out_of_step", this->isOutOfStep(currentTime()) ? "true" : "false"},
+               {"reason", reason}});
+    return Error{ErrorCode::VersionUnknown,
+                 Step::Admit,
+                 {},
+                 Executed::No,
+                 std::nullopt,
+                 "the software version that began the stream is not known; the request may be sent again from its start"};
 }
 
 std::size_t StreamVersions::proposerRank() const
@@ -436,6 +522,7 @@
 {
     while (true) {
         co_await sleepFor(proposeInterval);
+        co_await this->catchUp(currentTime());
         const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
         if (!active) {
             continue;
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <mutex>
@@ -119,6 +120,20 @@
     boost::asio::awaitable<std::optional<std::string>> readRecord(RequestId attempt);
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
     boost::asio::awaitable<void> awaitAssignments();
+
+    //! Returns whether this instance may have missed a change: it stood still, or hears from no other instance any more.
+    bool isOutOfStep(Time now) const;
+
+    //! Makes sure that the assignments are those of the key-value service at \p now or later. Returns false when that cannot be told in time.
+    boost::asio::awaitable<bool> confirmAssignments(Time now);
+
+    //! Returns whether the assignments may be used although the key-value service did not confirm them.
+    bool standsUnconfirmed(Time now) const;
+    boost::asio::awaitable<void> reload();
+    boost::asio::awaitable<void> catchUp(Time now);
+
+    //! Logs that the version of a stream cannot be told, and returns the error for its caller.
+    Error refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason);
     Result<std::string> onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source);
 
     boost::asio::awaitable<void> proposeLoop();
@@ -140,6 +155,9 @@
     std::uint64_t lease = 0;
     Time leaseRenewAt{};
     Time proposeAgainAt{};
+    std::atomic<Time> tickedAt{Time{}}; //!< When the proposing coroutine last ran, which it does many times a second unless the process stands still.
+    std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
+    std::atomic<bool> reloading{false};
     mutable std::mutex mutex; //!< Guards the members below.
     VersionTable table;
     bool loaded = false;
--- a/tests/gateway/softwareversiontests.cpp
+++ b/tests/gateway/softwareversiontests.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <map>
 
 using namespace oleandergate;
@@ -101,6 +102,43 @@
     }
 }
 
+// Guards against an instance that stood still while endpoints of a new version joined, and goes on with a stream by an assignment that is out of date.
+TEST_CASE("Software versions: an instance that stood still during a change does not join a stream of the new version to the old one")
+{
+    GatewayCluster cluster(2, 2);
+    cluster.endpoints[1]->setVersion("v2");
+    cluster.configure(1);
+    cluster.registerEndpoint(0);
+    REQUIRE(cluster.waitUntilReady());
+    REQUIRE(cluster.logHas(0, "\"buckets\":\"v1:128\""));
+    REQUIRE(cluster.logHas(1, "\"buckets\":\"v1:128\""));
+    // No event tells the instance of the change once it goes on: it would have to ask.
+    cluster.store.setWatchesSilent(true);
+    cluster.gateways[0].signal(SIGSTOP);
+    cluster.registerEndpoint(1);
+    cluster.registerEndpoint(0, "draining");
+    REQUIRE(cluster.logHas(1, "\"buckets\":\"v2:128\""));
+    std::map<std::string, std::string> attempts;
+    for (int number = 0; number < programCount; ++number) {
+        const std::string program = "p" + std::to_string(number);
+        const std::optional<HttpResponse> answer = cluster.call(1, "POST", "/turns/1", MixedCluster::headersOf(program));
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
+        attempts[program] = answer->header("Oleandergate-Request-Id");
+    }
+    const std::size_t before = cluster.endpoints[0]->receivedCount();
+    cluster.gateways[0].signal(SIGCONT);
+    for (const auto &[program, attempt] : attempts) {
+        std::vector<HttpHeader> headers = MixedCluster::headersOf(program);
+        headers.push_back(HttpHeader{"Resumes", attempt});
+        headers.push_back(HttpHeader{"Last-Event-Id", "2"});
+        const std::optional<HttpResponse> answer = cluster.call(0, "POST", "/turns/1", headers);
+        REQUIRE(answer);
+        CHECK((answer->status == 200 || answer->status == 503));
+    }
+    CHECK(cluster.endpoints[0]->receivedCount() == before);
+}
+
 // Guards against streams joined from two versions when the endpoints of one have all left.
 TEST_CASE("Software versions: a stream of a version that nobody serves any more is refused at once and not sent")
 {
