--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds pollInterval{2};
 constexpr std::uint64_t brokenEvent = 2; //!< Position of the incomplete event of Behaviour::BreakMidEvent.
 constexpr std::size_t brokenEventBytes = 8;
+constexpr std::chrono::milliseconds slowEventGap{400};
+constexpr std::chrono::milliseconds trickleGap{50};
 constexpr std::size_t floodBlockBytes = 64UL * 1024;
 constexpr std::size_t maxFloodBytes = 256UL * 1024 * 1024; //!< Ends an endless answer whose connection is never closed.
 
@@ -195,6 +197,7 @@
 {
     beast::flat_buffer buffer;
     bool open = true;
+    std::string lateCopy;
     while (open && !this->stopping) {
         // Polls, so that the endpoint can end while connections are idle.
         if (buffer.size() == 0) {
@@ -218,6 +221,10 @@
             const std::lock_guard lock(this->mutex);
             this->receivedRequests.push_back(ReceivedRequest{request, behaviour});
         }
+        if (!lateCopy.empty()) {
+            send(socket, lateCopy);
+        }
+        lateCopy = behaviour == Behaviour::LateCopy ? this->head(request, "Content-Length: 5") + "right" : std::string();
         open = this->answer(socket, request, behaviour);
     }
 }
@@ -241,6 +248,17 @@
     this->rateLimit = limit;
 }
 
+bool StandinEndpoint::trickle(tcp::socket &socket, const HttpRequest &request)
+{
+    bool open = send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    while (open && !this->stopping) {
+        open = send(socket, chunk("d"));
+        std::this_thread::sleep_for(trickleGap);
+    }
+    this->abandoned += 1;
+    return false;
+}
+
 bool StandinEndpoint::answerSlowly(tcp::socket &socket, const HttpRequest &request)
 {
     while (!this->released && !this->stopping) {
@@ -317,6 +335,8 @@
     case Behaviour::Crash:
         this->crash();
         return false;
+    case Behaviour::Trickle:
+        return this->trickle(socket, request);
     case Behaviour::Slow:
         return this->answerSlowly(socket, request);
     case Behaviour::EndBeforeFirstEvent:
@@ -325,6 +345,8 @@
     case Behaviour::OnlyComment:
         return send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked") + chunk(": none\n") + "0\r\n\r\n");
     case Behaviour::Normal:
+    case Behaviour::LateCopy:
+    case Behaviour::SlowStream:
     case Behaviour::BreakMidEvent:
     case Behaviour::CrashMidEvent:
     case Behaviour::EndMidEvent:
@@ -355,6 +377,9 @@
             return false;
         }
         send(socket, encode(event(number)));
+        if (behaviour == Behaviour::SlowStream) {
+            std::this_thread::sleep_for(slowEventGap);
+        }
     }
     return framed && send(socket, "0\r\n\r\n");
 }
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -25,6 +25,7 @@
     Unsigned, //!< A success without the endpoint's signature.
     FullWithoutStatement, //!< Status 503 without the statement that the request did not run.
     ExtraAnswer, //!< A second answer, to another request, follows the first.
+    LateCopy, //!< A second copy of the answer is sent when the next request has arrived on the connection, before that one's answer.
     BreakMidEvent, //!< Ends a stream inside its third event.
     EndMidEvent, //!< The same in an answer with neither length nor chunks, whose connection ends in order.
     EndBeforeFirstEvent, //!< The head of a stream with neither length nor chunks, then the connection ends in order.
@@ -37,6 +38,8 @@
     EndlessChunkHead, //!< The head of a stream, then the head of one chunk without end.
     CrashMidEvent, //!< Ends a stream inside its third event, then stops listening and closes all connections.
     Crash, //!< Receives the request, then stops listening and closes all connections.
+    SlowStream, //!< Pauses between the events of a stream.
+    Trickle, //!< The head of a stream, then a byte of its first event now and then, until the connection is closed.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
 };
 
@@ -77,7 +80,7 @@
     std::vector<ReceivedRequest> received() const;
     std::size_t receivedCount() const;
 
-    //! Returns how many requests with Behaviour::Slow ended because their connection was closed.
+    //! Returns how many requests with Behaviour::Slow or Behaviour::Trickle ended because their connection was closed.
     std::size_t abandonedCount() const;
 
     //! Returns how many endless answers ended because their connection was closed, and the size of the largest one in bytes.
@@ -96,6 +99,7 @@
     void crash();
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
+    bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     Behaviour nextBehaviour();
