--- a/src/gateway/endpointpaths.cpp
+++ b/src/gateway/endpointpaths.cpp
@@ -221,9 +221,12 @@
             const std::lock_guard lock(this->mutex);
             this->peers.onOpened(peerAddress);
         }
-        dialed.lease = std::shared_ptr<void>(nullptr, [this, peerAddress](void * /*unused*/) {
-            const std::lock_guard lock(this->mutex);
-            this->peers.onClosed(peerAddress);
+        // At the end of the process connections may outlive this object.
+        dialed.lease = std::shared_ptr<void>(nullptr, [this, isAlive = std::weak_ptr<bool>(this->alive), peerAddress](void * /*unused*/) {
+            if (!isAlive.expired()) {
+                const std::lock_guard lock(this->mutex);
+                this->peers.onClosed(peerAddress);
+            }
         });
         race->winner = std::move(dialed);
     }
--- a/src/gateway/endpointpaths.h
+++ b/src/gateway/endpointpaths.h
@@ -94,6 +94,7 @@
     ReachabilityTable table;
     TunnelPeers peers;
     std::uint32_t newsLeft = 0; //!< Reports that are still to name the latest change.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); //!< Expires with this object.
 };
 
 } // namespace oleandergate
