--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -80,7 +80,7 @@
 std::optional<LeavingStatement> PoolSet::addLeaving(const EndpointId &id, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    const std::optional<LeavingStatement> added = this->catalog.addLeaving(id, now);
+    std::optional<LeavingStatement> added = this->catalog.addLeaving(id, now);
     if (added) {
         this->refresh(this->catalog.find(id)->service, now);
     }
--- a/tests/gateway/reportedfaultstests.cpp
+++ b/tests/gateway/reportedfaultstests.cpp
@@ -76,6 +76,7 @@
     std::atomic<bool> stopped{false};
     LoadResult result;
     std::vector<std::thread> callers;
+    callers.reserve(callerCount);
     for (int caller = 0; caller < callerCount; ++caller) {
         callers.emplace_back([&]() {
             loadUntil(cluster, stopped, result);
