--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -411,7 +411,7 @@
 
 bool StreamVersions::standsUnconfirmed(Time now) const
 {
-    // In an outage for all instances nobody changes assignments. An instance that is alone with it may miss a change.
+    // In an outage for all instances assignments do not change. An instance that is alone with it may miss a change.
     return !this->isOutOfStep(now) && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
 }
 
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -121,7 +121,7 @@
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
     boost::asio::awaitable<void> awaitAssignments();
 
-    //! Returns whether this instance may have missed a change: it stood still, or hears from no other instance any more.
+    //! Returns whether this instance may have missed a change: it stood still, or receives no reports of other instances any more.
     bool isOutOfStep(Time now) const;
 
     //! Makes sure that the assignments are those of the key-value service at \p now or later. Returns false when that cannot be told in time.
--- a/tests/support/loopbackproxy.h
+++ b/tests/support/loopbackproxy.h
@@ -16,7 +16,7 @@
 //! State of the link that a proxy stands for.
 enum class Link : std::uint8_t {
     Open, //!< Bytes pass in both directions.
-    Silent, //!< Nothing passes, neither new connections nor bytes of open ones, and nobody is told.
+    Silent, //!< Nothing passes, neither new connections nor bytes of open ones, and neither end learns of it.
     Reset, //!< Open connections are reset and new ones are refused.
     NoNew //!< Open connections live on, new ones are refused.
 };
