One function records the end of an attempt to reach an endpoint

onDirect and onPeer of EndpointPaths were the same but for the function of the table that they call; a pointer to that member tells them apart now.

--- a/src/gateway/endpointpaths.cpp
+++ b/src/gateway/endpointpaths.cpp
@@ -253,24 +253,21 @@
 
 void EndpointPaths::onDirect(const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now)
 {
-    ReachabilityTable::Change change = ReachabilityTable::Change::None;
-    bool isolated = false;
-    {
-        const std::lock_guard lock(this->mutex);
-        change = this->table.onDirect(address, outcome, now);
-        isolated = this->table.isIsolated();
-        this->newsLeft = change == ReachabilityTable::Change::None ? this->newsLeft : reportsPerChange;
-    }
-    this->logChange(address, change, isolated, evidence);
+    this->record(&ReachabilityTable::onDirect, address, outcome, evidence, now);
 }
 
 void EndpointPaths::onPeer(const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now)
+{
+    this->record(&ReachabilityTable::onPeer, address, outcome, evidence, now);
+}
+
+void EndpointPaths::record(RecordFunction function, const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now)
 {
     ReachabilityTable::Change change = ReachabilityTable::Change::None;
     bool isolated = false;
     {
         const std::lock_guard lock(this->mutex);
-        change = this->table.onPeer(address, outcome, now);
+        change = (this->table.*function)(address, outcome, now);
         isolated = this->table.isIsolated();
         this->newsLeft = change == ReachabilityTable::Change::None ? this->newsLeft : reportsPerChange;
     }
--- a/src/gateway/endpointpaths.h
+++ b/src/gateway/endpointpaths.h
@@ -79,6 +79,10 @@
     DialOutcome takeResult(Race &race);
     void onDirect(const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now);
     void onPeer(const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now);
+
+    //! Records the end of an attempt with \p function, and logs and reports what it changes.
+    using RecordFunction = ReachabilityTable::Change (ReachabilityTable::*)(const std::string &address, ReachOutcome outcome, Time now);
+    void record(RecordFunction function, const std::string &address, ReachOutcome outcome, const std::string &evidence, Time now);
     void logChange(const std::string &address, ReachabilityTable::Change change, bool isolated, const std::string &evidence) const;
     std::string nextReport(Time now);
     bool onPayload(const std::string &payload, Time now);
