One mapping from a direct connection attempt to its outcome

It stood three times: in the tunnel server and twice in EndpointPaths. No change of behaviour: the cases of gateway-cut-off, of tunnels and of reported faults pass.

--- a/src/gateway/endpointpaths.cpp
+++ b/src/gateway/endpointpaths.cpp
@@ -140,16 +140,11 @@
 asio::awaitable<void> EndpointPaths::connectDirectly(std::shared_ptr<Race> race, Time giveUpAt)
 {
     DialOutcome dialed = co_await this->direct.dial(race->executor, race->address, giveUpAt);
-    const Time now = currentTime();
-    if (dialed) {
-        this->onDirect(race->address, ReachOutcome::Connected, {}, now);
-        if (!race->decided && !race->winner) {
-            race->winner = std::move(dialed.value());
-        }
-    } else {
-        const DialFailure &failure = dialed.error();
-        this->onDirect(race->address, failure.refused ? ReachOutcome::Refused : ReachOutcome::TimedOut, failure.detail, now);
-        race->directFailure = failure;
+    this->onDirect(race->address, reachOutcomeOf(dialed), dialed ? std::string() : dialed.error().detail, currentTime());
+    if (!dialed) {
+        race->directFailure = dialed.error();
+    } else if (!race->decided && !race->winner) {
+        race->winner = std::move(dialed.value());
     }
     race->directEnded = true;
     race->progress.notify();
@@ -398,8 +393,7 @@
 {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     const DialOutcome dialed = co_await this->direct.dial(executor, address, currentTime() + timeout);
-    const ReachOutcome failed = !dialed && dialed.error().refused ? ReachOutcome::Refused : ReachOutcome::TimedOut;
-    this->onDirect(address, dialed ? ReachOutcome::Connected : failed, {}, currentTime());
+    this->onDirect(address, reachOutcomeOf(dialed), {}, currentTime());
 }
 
 std::vector<std::string> EndpointPaths::takeDueChecks(const std::vector<std::string> &silentAddresses, Time now)
--- a/src/runtime/directdialer.cpp
+++ b/src/runtime/directdialer.cpp
@@ -48,6 +48,14 @@
     socket.set_option(TcpOption<TCP_USER_TIMEOUT>(tcpUserTimeoutMs), ignored);
 }
 
+ReachOutcome reachOutcomeOf(const DialOutcome &dialed)
+{
+    if (dialed) {
+        return ReachOutcome::Connected;
+    }
+    return dialed.error().refused ? ReachOutcome::Refused : ReachOutcome::TimedOut;
+}
+
 asio::awaitable<DialOutcome> DirectDialer::dial(asio::any_io_executor executor, std::string address, Time giveUpAt)
 {
     const std::optional<tcp::endpoint> endpoint = parseTcpAddress(address);
--- a/src/runtime/directdialer.h
+++ b/src/runtime/directdialer.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_RUNTIME_DIRECTDIALER_H
 #define OLEANDERGATE_RUNTIME_DIRECTDIALER_H
 
+#include "decision/pathplan.h"
 #include "runtime/interfaces/dialer.h"
 
 namespace oleandergate {
@@ -14,6 +15,9 @@
     void onReceived(const std::string &address, const ConnectionPath &path, Time now) override;
 };
 
+//! Returns what a direct connection attempt tells about the way to its address.
+ReachOutcome reachOutcomeOf(const DialOutcome &dialed);
+
 //! Sets the options that connections to endpoints have: no delay, and probes that end a connection whose other end is gone.
 void setConnectionOptions(boost::asio::ip::tcp::socket &socket);
 
--- a/src/runtime/tunnelserver.cpp
+++ b/src/runtime/tunnelserver.cpp
@@ -24,14 +24,6 @@
 constexpr std::chrono::seconds writeTimeout{5};
 constexpr Duration maxConnectTimeout = std::chrono::milliseconds(500);
 
-ReachOutcome reachOutcomeOf(const DialOutcome &dialed)
-{
-    if (dialed) {
-        return ReachOutcome::Connected;
-    }
-    return dialed.error().refused ? ReachOutcome::Refused : ReachOutcome::TimedOut;
-}
-
 TunnelOutcome tunnelOutcomeOf(ReachOutcome outcome)
 {
     switch (outcome) {
