A stopping instance sends a request only if its own time limit ends before the process

Cause: admission by five times the mean time of a call. A mean is no bound. Nothing answered what was under way at the end, and requests that waited stayed in the queue until then.

Change: ShutdownPlan decides on arrival, before each send and as the request is written; waiting requests are withdrawn as not run once they could not complete; the time handed to endpoints ends with the process; what is left at the end gets a whole answer. The wait for the balancer no longer outlasts a short grace.

--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -42,6 +42,9 @@
     case SendOutcome::TimedOut:
         this->possiblyExecuted = true;
         return NextStep::FailLate;
+    case SendOutcome::CutOff:
+        this->possiblyExecuted = true;
+        return NextStep::FailUnknown;
     case SendOutcome::NotSent:
     case SendOutcome::Refused:
         this->refusals += 1;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -15,16 +15,18 @@
     Answered, //!< A complete answer arrived.
     Broken, //!< The request was sent, but no complete answer arrived.
     TimedOut, //!< The request's deadline passed.
-    CallerLeft //!< The caller closed the connection.
+    CallerLeft, //!< The caller closed the connection.
+    CutOff //!< This instance ended the send because it shuts down.
 };
 
-inline constexpr std::array<NamedValue<SendOutcome>, 6> sendOutcomeNames{{
+inline constexpr std::array<NamedValue<SendOutcome>, 7> sendOutcomeNames{{
     {SendOutcome::NotSent, "not-sent"},
     {SendOutcome::Refused, "refused"},
     {SendOutcome::Answered, "answered"},
     {SendOutcome::Broken, "broken"},
     {SendOutcome::TimedOut, "timed-out"},
     {SendOutcome::CallerLeft, "caller-left"},
+    {SendOutcome::CutOff, "cut-off"},
 }};
 
 //! What to do after a send.
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -73,6 +73,7 @@
     out.resendOnStale = this->kind == RouteKind::Idempotent;
     out.isRepeatable = this->isRepeatable;
     out.onConnection = this->parts.onConnection;
+    out.maySend = this->parts.maySend;
     out.cancellation = this->cancellation;
     out.mayEndWithConnection = true;
     out.collectBody = false;
@@ -175,10 +176,14 @@
     result.report.endpointGone = failure.connectionRefused;
     result.connectionLost = failure.connectionLost;
     result.detail = this->rejection.empty() ? failure.error.detail : this->rejection;
-    if (this->cancellation->isCancelled() || this->parts.progress.callerDisconnected) {
+    const std::optional<CancelReason> cancelled = this->cancellation->reason();
+    if (cancelled == CancelReason::CallerLeft || this->parts.progress.callerDisconnected) {
         result.report.outcome = SendOutcome::CallerLeft;
     } else if (failure.provablyNotSent) {
         result.report.outcome = SendOutcome::NotSent;
+    } else if (cancelled) {
+        result.report.outcome = SendOutcome::CutOff;
+        result.detail = "the instance shut down before the endpoint answered";
     } else if (failure.error.code == ErrorCode::Timeout && now >= deadline) {
         result.report.outcome = SendOutcome::TimedOut;
     } else {
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -52,6 +52,7 @@
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
         std::function<void(const ConnectionPath &path)> onConnection{}; //!< Called with the way of the connection that the request is sent on.
+        std::function<bool()> maySend{}; //!< Called just before the request is written to a connection; if it returns false, it is not sent.
     };
 
     //! With \p isRepeatable the request may be sent again when its connection is given up.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,10 +9,12 @@
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/leavingendpoints.h"
 #include "gateway/meteredkeyvalue.h"
+#include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relay.h"
+#include "gateway/requestdrain.h"
 #include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
@@ -38,9 +40,12 @@
 
 constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
 
-//! A shutdown ends this much before the drain limit, so that the process has exited by then.
+//! Requests end this much before the drain limit, so that the process has exited by then.
 constexpr Duration stopMargin = std::chrono::milliseconds(400);
 
+//! Part of the margin in which the last answers are sent.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(200);
+
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 
 //! Connections to one endpoint that an instance may open in a cluster of any size.
@@ -185,7 +190,7 @@
               },
               &tunnels)
         , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, metrics}, self.id)
-        , relay(Relay::Parts{configurationHolder, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, versions, metrics})
+        , relay(Relay::Parts{configurationHolder, drain, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, versions, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -360,25 +365,50 @@
         }
     }
 
+    void planShutdown(const ShutdownPlan &plan)
+    {
+        asio::post(this->requests, [this, plan]() {
+            this->drain.begin(plan);
+        });
+    }
+
+    //! Runs on the context of the requests until the process ends.
+    asio::awaitable<void> withdrawLoop()
+    {
+        while (true) {
+            this->drain.withdrawWaiting(currentTime());
+            co_await sleepFor(drainPollInterval);
+        }
+    }
+
     asio::awaitable<void> drainAndStop()
     {
         const Time began = currentTime();
-        const Time giveUpAt = began + this->settings.drainLimit - stopMargin;
-        logRecord(LogLevel::Info, "instance", "draining", {{"active", std::to_string(this->callerServer.activeCount())}});
+        const Time endsAt = began + std::max(Duration::zero(), this->settings.drainLimit - stopMargin);
+        const Time balancerKnowsAt = std::min(began + this->settings.balancerLag, endsAt);
+        logRecord(LogLevel::Info,
+                  "instance",
+                  "draining",
+                  {{"active", std::to_string(this->callerServer.activeCount())}, {"ends_in_ms", milliseconds(endsAt - began)}});
         this->draining = true;
         this->tunnels.stop();
         this->callerServer.disableKeepAlive();
-        this->relay.setShutdownTime(giveUpAt);
-        co_await this->budget.handOverAll(began + this->settings.balancerLag);
-        while (currentTime() < began + this->settings.balancerLag) {
+        this->planShutdown(ShutdownPlan(balancerKnowsAt, endsAt));
+        asio::co_spawn(this->requests, this->withdrawLoop(), asio::detached);
+        co_await this->budget.handOverAll(balancerKnowsAt);
+        while (currentTime() < balancerKnowsAt) {
             co_await sleepFor(drainPollInterval);
         }
-        co_await this->awaitIdle(giveUpAt);
-        // Refuses all further requests: the process would exit before they complete.
-        this->relay.setShutdownTime(Time{});
+        co_await this->awaitIdle(endsAt);
+        // Refuses all further requests: the process exits as soon as those under way have ended.
+        this->planShutdown(ShutdownPlan(Time{}, Time{}));
         this->callerServer.closeIdleConnections();
         co_await sleepFor(drainPollInterval);
-        co_await this->awaitIdle(giveUpAt);
+        co_await this->awaitIdle(endsAt);
+        asio::post(this->requests, [this]() {
+            this->drain.cutOff();
+        });
+        co_await this->awaitIdle(endsAt + lastAnswersTime);
         logRecord(LogLevel::Info, "instance", "stopped", {{"active", std::to_string(this->callerServer.activeCount())}});
         this->requests.stop();
         this->control.stop();
@@ -442,6 +472,7 @@
     BudgetCoordinator budget;
     PeerServer peerServer;
     StreamVersions versions;
+    RequestDrain drain{};
     Relay relay;
     HttpServer callerServer;
     HttpServer readyServer;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -27,9 +27,6 @@
 //! How long a request without a route waits for a newer configuration that another instance is known to have.
 constexpr Duration announcedConfigurationTimeout = std::chrono::milliseconds(500);
 
-//! Retry-After while this instance shuts down: a new connection reaches another instance, so callers may retry almost at once.
-constexpr Duration otherInstanceRetryAfter = std::chrono::milliseconds(20);
-
 //! Longest time that a request waits to learn whether the endpoint that broke its connection still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
@@ -46,7 +43,7 @@
 
 Relay::Relay(const Parts &parts)
     : parts(parts)
-    , steps(SendSteps::Parts{parts.pools, parts.crashes, parts.limiter, parts.versions})
+    , steps(SendSteps::Parts{parts.drain, parts.pools, parts.crashes, parts.limiter, parts.versions})
     , requestSeconds(parts.metrics.histogram("oleandergate_request_seconds"))
 {
     std::vector<std::string> outcomes{streamedOutcome, answeredOutcome, brokenOffOutcome, callerLeftOutcome};
@@ -58,14 +55,10 @@
     }
 }
 
-void Relay::setShutdownTime(Time newShutdownTime)
-{
-    this->shutdownTime = newShutdownTime;
-}
-
 asio::awaitable<void> Relay::handle(HttpRequest request, HttpExchange &exchange)
 {
     RelayRequest context(exchange, currentTime());
+    const RequestDrain::Registration registration(this->parts.drain, context);
     context.active = this->parts.configurationHolder.current();
     Result<RelayCall> decoded = this->parts.headerCodec.decode(std::move(request));
     if (!decoded) {
@@ -119,18 +112,15 @@
     const std::string &key = context.call.program ? context.call.program->branch : context.call.requestId;
     const std::string &service = targetFor(*context.route, key).service;
     const auto foundService = context.active->services.find(service);
+    context.deadline = context.arrived + std::min(context.call.timeLeft.value_or(context.route->timeout), context.route->timeout);
     context.pool = this->parts.pools.find(service);
     if (foundService == context.active->services.end() || !context.pool) {
         co_await this->refuse(context, relayError(ErrorCode::NoEndpoint, Step::Queue, Executed::No, "the service " + service + " is not configured"));
         co_return;
     }
     context.service = &foundService->second;
-    context.deadline = context.arrived + std::min(context.call.timeLeft.value_or(context.route->timeout), context.route->timeout);
-    if (std::min(context.deadline, context.arrived + context.pool->expectedMaxCallTime()) > this->shutdownTime.load()) {
-        context.exchange.closeAfterResponse();
-        Error shutdownError = relayError(ErrorCode::ServiceUnavailable, Step::Drain, Executed::No, "the instance shuts down before the request could complete");
-        shutdownError.retryAfter = otherInstanceRetryAfter;
-        co_await this->refuse(context, shutdownError);
+    if (!this->parts.drain.admits(context, currentTime())) {
+        co_await this->refuse(context, shutdownError());
         co_return;
     }
     context.retries.emplace(context.route->kind, context.route->resumable, context.route->maxAttempts);
@@ -242,14 +232,19 @@
     const auto onConnection = [&context](const ConnectionPath &path) {
         context.path = path;
     };
+    const auto maySend = [this, &context]() {
+        return this->parts.drain.admits(context, currentTime());
+    };
     EndpointSend send(
-        EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection},
+        EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection, maySend},
         context.call,
         context.route->kind,
         context.retries->repeatable(),
         context.cancellation);
     const int endpointPriority = std::min(lowestPriority, context.route->rank);
-    SendResult result = co_await send.run(endpoint, endpointPriority, context.deadline, currentTime());
+    context.atEndpoint = true;
+    SendResult result = co_await send.run(endpoint, endpointPriority, this->parts.drain.limit(context.deadline), currentTime());
+    context.atEndpoint = false;
     // A broken connection alone does not tell whether its endpoint has ended.
     result.listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
     if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone && !result.connectionLost) {
@@ -267,7 +262,8 @@
         context.streamVersion = endpoint.version;
     }
     const SendOutcome outcome = result.report.outcome;
-    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft || result.connectionLost;
+    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft
+        || outcome == SendOutcome::CutOff || result.connectionLost;
     context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
@@ -337,8 +333,9 @@
     case NextStep::TrySame:
         break;
     }
-    const bool stopped = context.lastError && context.lastError->code == ErrorCode::CrashesEndpoints;
-    std::string detail = stopped ? context.lastError->detail : "the endpoint gave no complete answer";
+    const bool isExplained
+        = context.lastError && (context.lastError->code == ErrorCode::CrashesEndpoints || context.cancellation->reason() == CancelReason::Shutdown);
+    std::string detail = isExplained ? context.lastError->detail : "the endpoint gave no complete answer";
     co_await this->refuse(context, relayError(ErrorCode::OutcomeUnknown, Step::Send, Executed::Unknown, std::move(detail)));
 }
 
@@ -351,6 +348,9 @@
     if (error.executed == Executed::No && error.retryAfter) {
         response.headers.push_back(this->parts.headerCodec.retryAfter(*error.retryAfter));
     }
+    if (error.step == Step::Drain) {
+        context.exchange.closeAfterResponse();
+    }
     context.status = response.status;
     context.outcome = std::string(errorCodeName(error.code));
     context.lastError = error;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -10,12 +10,12 @@
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relayrequest.h"
+#include "gateway/requestdrain.h"
 #include "gateway/sendsteps.h"
 #include "gateway/streamversions.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
 
-#include <atomic>
 #include <map>
 #include <string>
 
@@ -32,6 +32,7 @@
     struct Parts
     {
         GatewayConfigurationHolder &configurationHolder;
+        RequestDrain &drain;
         PoolSet &pools;
         HttpClient &client;
         const HeaderCodec &headerCodec;
@@ -47,9 +48,6 @@
 
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
 
-    //! Sets when this process ends. Requests that might not complete by \p time are refused from now on.
-    void setShutdownTime(Time time);
-
 private:
     boost::asio::awaitable<void> serve(RelayRequest &context);
     boost::asio::awaitable<void> awaitConfiguration(RelayRequest &context);
@@ -78,7 +76,6 @@
     SendSteps steps;
     std::map<std::string, Counter *> requestCounters; //!< Ended requests by outcome.
     LatencyHistogram &requestSeconds;
-    std::atomic<Time> shutdownTime{Time::max()};
 };
 
 } // namespace oleandergate
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -46,6 +46,7 @@
     std::optional<Error> lastError{};
     std::optional<Placement> placement{}; //!< The latest one.
     ConnectionPath path{}; //!< Way of the latest send to its endpoint.
+    bool atEndpoint = false; //!< A send is under way.
     std::uint32_t sends = 0;
     std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
     Duration permitWait{}; //!< Spent on requests for permits.
--- a/src/gateway/sendsteps.cpp
+++ b/src/gateway/sendsteps.cpp
@@ -5,6 +5,7 @@
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relayerror.h"
+#include "gateway/requestdrain.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -29,6 +30,45 @@
     return admission.verdict != RunVerdict::Wait && admission.verdict != RunVerdict::Refused;
 }
 
+//! Returns what a step decides about a request that was cancelled.
+SendDecision decideOnCancelled(RelayRequest &request)
+{
+    if (request.cancellation->reason() == CancelReason::CallerLeft) {
+        return SendDecision::CallerLeft;
+    }
+    request.lastError = shutdownError();
+    return SendDecision::Refuse;
+}
+
+//! Refuses what could not complete before this instance has shut down.
+class ShutdownStep : public SendStep
+{
+public:
+    explicit ShutdownStep(const RequestDrain &drain)
+        : drain(drain)
+    {
+    }
+
+    asio::awaitable<SendDecision> prepare(RelayRequest &request, SendAttempt & /*attempt*/) override
+    {
+        if (request.cancellation->isCancelled()) {
+            co_return decideOnCancelled(request);
+        }
+        if (this->drain.admits(request, currentTime())) {
+            co_return SendDecision::Proceed;
+        }
+        request.lastError = shutdownError();
+        co_return SendDecision::Refuse;
+    }
+
+    void undo(const RelayRequest & /*request*/, const SendAttempt & /*attempt*/, Time /*now*/) override
+    {
+    }
+
+private:
+    const RequestDrain &drain;
+};
+
 //! Waits while another run of the request decides whether it crashes endpoints.
 class AdmissionStep : public SendStep
 {
@@ -50,7 +90,7 @@
             co_return SendDecision::Proceed;
         }
         if (request.cancellation->isCancelled()) {
-            co_return SendDecision::CallerLeft;
+            co_return decideOnCancelled(request);
         }
         request.lastError = this->errorOf(attempt.admission);
         co_return SendDecision::Refuse;
@@ -102,7 +142,7 @@
         }
         request.lastError = placed.error();
         if (request.cancellation->isCancelled()) {
-            co_return SendDecision::CallerLeft;
+            co_return decideOnCancelled(request);
         }
         if (restricted && !request.streamVersion && placed.error().code == ErrorCode::NoEndpoint && currentTime() < request.deadline) {
             // The endpoints of the assigned version left while the stream waited for them. It has not begun, so another one may serve it.
@@ -195,7 +235,7 @@
         }
         request.declined += 1;
         attempt.placementDeclinedUntil = currentTime() + permit.retryAfter;
-        co_return cancelled ? SendDecision::CallerLeft : SendDecision::Again;
+        co_return cancelled ? decideOnCancelled(request) : SendDecision::Again;
     }
 
     void undo(const RelayRequest & /*request*/, const SendAttempt & /*attempt*/, Time /*now*/) override
@@ -284,6 +324,7 @@
 
 SendSteps::SendSteps(const Parts &parts)
 {
+    this->steps.push_back(std::make_unique<ShutdownStep>(parts.drain));
     this->steps.push_back(std::make_unique<AdmissionStep>(parts.crashes));
     this->steps.push_back(std::make_unique<PlacementStep>(parts.pools, parts.crashes, parts.versions));
     this->steps.push_back(std::make_unique<PermitStep>(parts.limiter));
--- a/src/gateway/sendsteps.h
+++ b/src/gateway/sendsteps.h
@@ -11,14 +11,16 @@
 class CrashRegistry;
 class PoolSet;
 class RateLimiter;
+class RequestDrain;
 
-//! The steps before each send, in order: admission by the crash history, placement, the endpoint's rate limit, the record of the
+//! The steps before each send, in order: the shutdown of this instance, admission by the crash history, placement, the endpoint's rate limit, the record of the
 //! stream's software version, registration of the run.
 class SendSteps
 {
 public:
     struct Parts
     {
+        RequestDrain &drain;
         PoolSet &pools;
         CrashRegistry &crashes;
         RateLimiter &limiter;
--- a/src/runtime/cancellation.h
+++ b/src/runtime/cancellation.h
@@ -1,8 +1,11 @@
 #ifndef OLEANDERGATE_RUNTIME_CANCELLATION_H
 #define OLEANDERGATE_RUNTIME_CANCELLATION_H
 
+#include "runtime/cancelreason.h"
+
 #include <functional>
 #include <mutex>
+#include <optional>
 
 namespace oleandergate {
 
@@ -10,13 +13,13 @@
 class Cancellation
 {
 public:
-    //! Calls the hook. A hook that is set afterwards is called at once.
-    void cancel()
+    //! Calls the hook. A hook that is set afterwards is called at once. The first reason stays.
+    void cancel(CancelReason why = CancelReason::CallerLeft)
     {
         std::function<void()> call;
         {
             const std::lock_guard lock(this->mutex);
-            this->cancelled = true;
+            this->firstReason = this->firstReason.value_or(why);
             call = this->hook;
         }
         if (call) {
@@ -26,9 +29,15 @@
 
     //! Returns true after cancel() was called.
     bool isCancelled() const
+    {
+        return this->reason().has_value();
+    }
+
+    //! Returns why cancel() was called; nothing if it was not.
+    std::optional<CancelReason> reason() const
     {
         const std::lock_guard lock(this->mutex);
-        return this->cancelled;
+        return this->firstReason;
     }
 
     //! Sets the function that cancel() calls; an empty function removes it.
@@ -38,7 +47,7 @@
         {
             const std::lock_guard lock(this->mutex);
             this->hook = newHook;
-            callNow = this->cancelled;
+            callNow = this->firstReason.has_value();
         }
         if (callNow && newHook) {
             newHook();
@@ -47,7 +56,7 @@
 
 private:
     mutable std::mutex mutex;
-    bool cancelled = false;
+    std::optional<CancelReason> firstReason;
     std::function<void()> hook;
 };
 
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr int timeoutMs = 20000;
+constexpr int defaultGraceSeconds = 8;
 constexpr std::size_t portPosition = 10; //!< In an address like 127.0.0.1:8080.
 
 constexpr const char *defaultRoutes = R"(
@@ -45,6 +47,7 @@
         this->addresses[index].store = this->store.addView(replaced);
     }
     this->gateways.resize(gatewayCount);
+    this->graceSeconds.assign(gatewayCount, defaultGraceSeconds);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
         this->writeSettings(index);
         this->startGateway(index);
@@ -69,7 +72,7 @@
     std::ofstream out(this->file(index, ".toml"));
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
-        << "[Bounds]\nGraceS = 8\n[Platform]\nAddress = \"" << own.store << "\"\n";
+        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Platform]\nAddress = \"" << own.store << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
@@ -167,6 +170,19 @@
     }
 }
 
+void GatewayCluster::setGrace(std::size_t gateway, int seconds)
+{
+    this->graceSeconds[gateway] = seconds;
+    this->writeSettings(gateway);
+    const std::size_t reloads = countOf(this->log(gateway), "reloaded settings");
+    this->gateways[gateway].signal(SIGHUP);
+    waitFor(
+        [&]() {
+            return countOf(this->log(gateway), "reloaded settings") > reloads;
+        },
+        timeoutMs);
+}
+
 std::size_t GatewayCluster::receivedCount() const
 {
     std::size_t count = 0;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -7,6 +7,7 @@
 #include "support/loopbackproxy.h"
 #include "support/testcluster.h"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +56,9 @@
     //! Changes the links of \p gateway to all endpoints, or to the first \p endpointCount ones.
     void setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount = std::nullopt);
 
+    //! Changes how long the gateway's process may take to stop, and has it read its settings again.
+    void setGrace(std::size_t gateway, int seconds);
+
     //! Returns the number of requests that all endpoints received together.
     std::size_t receivedCount() const;
 
@@ -87,7 +91,8 @@
     std::string root;
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
-    int requestCount = 0;
+    std::vector<int> graceSeconds; //!< By gateway.
+    std::atomic<int> requestCount{0};
 };
 
 //! Returns how often \p part occurs in \p text, without overlaps.
