In an outage an unreadable record is not taken for a missing one

Cause: StreamVersions::find merged "the store did not answer" with "there is no record" and named the assigned version. A stream begins elsewhere when the endpoints of its version are full, and they may have room again.

Ruled out: a changed assignment (same revision throughout), a record that was stored too late (it is found with the store up).

Change: StreamRecord has three states. Before a stream begins off its assignment its bucket is marked, in the transaction of its record; all instances follow the marks. Without a readable record the assignment counts only where the bucket has no mark.

--- a/src/decision/versiontable.cpp
+++ b/src/decision/versiontable.cpp
@@ -1,5 +1,7 @@
 #include "decision/versiontable.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 void VersionTable::assign(const std::string &service, std::uint64_t revision, VersionBuckets buckets)
@@ -9,7 +11,12 @@
 
 void VersionTable::addEarlier(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now)
 {
-    this->earlier[key] = Earlier{service, std::move(versions), now};
+    this->earlier[key] = Earlier{false, service, std::move(versions), now};
+}
+
+void VersionTable::addDiverted(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now)
+{
+    this->earlier[key] = Earlier{true, service, std::move(versions), now};
 }
 
 void VersionTable::expireEarlier(Time before)
@@ -40,17 +47,27 @@
     versions.insert(*current);
     for (const auto &[key, former] : this->earlier) {
         const auto found = former.versions.find(bucket);
-        if (former.service == service && found != former.versions.end()) {
+        if (!former.diverted && former.service == service && found != former.versions.end()) {
             versions.insert(found->second.begin(), found->second.end());
         }
     }
     return versions;
 }
 
-std::optional<std::string> VersionTable::resolve(const std::string &service, std::size_t bucket, const std::string &recorded) const
+bool VersionTable::mayBeDiverted(const std::string &service, std::size_t bucket) const
 {
-    if (!recorded.empty()) {
-        return recorded;
+    return std::any_of(this->earlier.begin(), this->earlier.end(), [&service, bucket](const auto &entry) {
+        return entry.second.diverted && entry.second.service == service && entry.second.versions.contains(bucket);
+    });
+}
+
+std::optional<std::string> VersionTable::resolve(const std::string &service, std::size_t bucket, const StreamRecord &record) const
+{
+    if (record.state == RecordState::Found) {
+        return record.version;
+    }
+    if (record.state == RecordState::Unknown && this->mayBeDiverted(service, bucket)) {
+        return std::nullopt;
     }
     const std::set<std::string> possible = this->candidates(service, bucket);
     return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
--- a/src/decision/versiontable.h
+++ b/src/decision/versiontable.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_DECISION_VERSIONTABLE_H
 #define OLEANDERGATE_DECISION_VERSIONTABLE_H
 
+#include "decision/streamrecord.h"
 #include "decision/versionbuckets.h"
 
 #include <cstdint>
@@ -23,6 +24,10 @@
     void addEarlier(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now);
     void dropEarlier(const std::string &key);
 
+    //! Notes that some streams in \p buckets of \p service begin at another version than the assigned one, with a record each. Ends as an earlier
+    //! assignment does.
+    void addDiverted(const std::string &key, const std::string &service, std::map<std::size_t, std::set<std::string>> versions, Time now);
+
     //! Drops earlier assignments that were added before \p before: the event that they ended may have been lost.
     void expireEarlier(Time before);
 
@@ -32,9 +37,12 @@
     //! Returns the versions that may have begun a stream in \p bucket; none when the service has no assignment.
     std::set<std::string> candidates(const std::string &service, std::size_t bucket) const;
 
-    //! Returns the version that began a stream in \p bucket, if there is no doubt. \p recorded is the version in the record of the stream itself, empty if
-    //! it has none.
-    std::optional<std::string> resolve(const std::string &service, std::size_t bucket, const std::string &recorded) const;
+    //! Returns the version that began a stream in \p bucket, if there is no doubt. The assignment alone does not tell it while streams of the bucket
+    //! are diverted, unless the stream is known to have no record.
+    std::optional<std::string> resolve(const std::string &service, std::size_t bucket, const StreamRecord &record) const;
+
+    //! Returns whether some streams in \p bucket may have begun at another version than their assigned one.
+    bool mayBeDiverted(const std::string &service, std::size_t bucket) const;
 
     //! Returns the assignment of \p service, empty if there is none, and its revision, 0 if there is none.
     VersionBuckets bucketsOf(const std::string &service) const;
@@ -49,6 +57,7 @@
 
     struct Earlier
     {
+        bool diverted = false; //!< Of single streams, not of the assignment.
         std::string service{};
         std::map<std::size_t, std::set<std::string>> versions{}; //!< By bucket.
         Time addedAt{};
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -90,16 +90,20 @@
     asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
 }
 
-void StreamVersions::put(const KvPair &pair, const VersionTable &before)
+bool StreamVersions::put(const KvPair &pair, const VersionTable &before)
 {
     const std::optional<VersionRecord> record = decodeVersionRecord(pair.value);
     if (!record) {
         logRecord(LogLevel::Error, "versions", "ignored an invalid record", {{"key", pair.key}, {"revision", std::to_string(pair.revision)}});
-        return;
+        return false;
+    }
+    if (record->diverted) {
+        this->table.addDiverted(pair.key, record->service, record->versions, currentTime());
+        return true;
     }
     if (record->earlier) {
         this->table.addEarlier(pair.key, record->service, record->versions, currentTime());
-        return;
+        return false;
     }
     VersionBuckets buckets;
     std::map<std::string, std::size_t> counts;
@@ -110,7 +114,7 @@
     const bool changed = before.revisionOf(record->service) != pair.revision;
     this->table.assign(record->service, pair.revision, std::move(buckets));
     if (!changed) {
-        return;
+        return false;
     }
     this->movedAt[record->service] = currentTime();
     std::string shares;
@@ -118,6 +122,7 @@
         shares += (shares.empty() ? "" : ",") + version + ":" + std::to_string(count);
     }
     logRecord(LogLevel::Info, "versions", "assigned", {{"service", record->service}, {"buckets", shares}, {"revision", std::to_string(pair.revision)}});
+    return false;
 }
 
 void StreamVersions::load(const KvRange &range)
@@ -138,11 +143,15 @@
     {
         const std::lock_guard lock(this->mutex);
         if (event.deleted) {
-            // Only records of earlier assignments are ever deleted, when their lease ends.
+            // Only records of earlier assignments and of diverted streams are ever deleted, when their lease ends.
             this->table.dropEarlier(event.pair.key);
+            this->markedAt.erase(event.pair.key);
             return;
         }
-        this->put(event.pair, this->table);
+        if (this->put(event.pair, this->table)) {
+            // An event shows that the mark was just written; one that load() finds may be old.
+            this->markedAt[event.pair.key] = currentTime();
+        }
     }
     this->recordMoved();
 }
@@ -198,7 +207,7 @@
     // Streams of an instance that learned of a change too late may not be among the candidates at all.
     const bool open = candidates.size() > 1 || (candidates.size() == 1 && !candidates.contains(stream.version));
     if (open && !stream.endedAt && !stream.recordedVersion) {
-        this->enqueueRecord(stream, nullptr);
+        this->enqueueRecord(stream, std::nullopt, nullptr);
     }
 }
 
@@ -215,6 +224,9 @@
 {
     const std::lock_guard lock(this->mutex);
     this->table.expireEarlier(now - 2 * this->retention);
+    std::erase_if(this->markedAt, [this, now](const auto &entry) {
+        return now - entry.second > this->retention;
+    });
     std::erase_if(this->streams, [this, now](const auto &entry) {
         return entry.second.endedAt && now - *entry.second.endedAt > this->retention;
     });
@@ -228,12 +240,25 @@
     }
 }
 
-void StreamVersions::enqueueRecord(KnownStream &stream, std::shared_ptr<PendingResult<bool>> pending)
+std::optional<KvPut> StreamVersions::divertedMark(const StreamIdentity &stream, const std::string &version, Time now) const
+{
+    const std::string key = divertedRecordKey(stream.service, stream.bucket, version);
+    const auto marked = this->markedAt.find(key);
+    if (!this->table.assigned(stream.service, stream.bucket) || (marked != this->markedAt.end() && now - marked->second <= this->retention)) {
+        return std::nullopt;
+    }
+    VersionRecord record{stream.service, true, true, {}};
+    record.versions[stream.bucket] = {version};
+    return KvPut{key, encodeVersionRecord(record), 0};
+}
+
+void StreamVersions::enqueueRecord(KnownStream &stream, std::optional<KvPut> mark, std::shared_ptr<PendingResult<bool>> pending)
 {
     stream.records += 1;
     stream.recordedVersion = true;
     // A later record has a key of its own: an earlier write may still take effect after its answer was lost.
-    this->queue.push_back(QueuedRecord{streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records), stream.version, std::move(pending)});
+    this->queue.push_back(
+        QueuedRecord{streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records), stream.version, std::move(mark), std::move(pending)});
     this->startWriting();
 }
 
@@ -259,8 +284,8 @@
         const std::lock_guard lock(this->mutex);
         lifetime = this->retention;
     }
-    // Records that are written until the next lease is granted last long enough, too.
-    const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(2 * lifetime);
+    // What is written until the next lease is granted lasts long enough, too. Streams begin for another lifetime after a mark, and then last up to one.
+    const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(3 * lifetime);
     if (!granted) {
         logError("versions", "no lease for records of streams", granted.error());
         co_return 0;
@@ -279,6 +304,9 @@
     KvTransaction write;
     for (const QueuedRecord &record : batch) {
         write.puts.push_back(KvPut{record.key, record.version, batchLease});
+        if (record.mark) {
+            write.puts.push_back(KvPut{record.mark->key, record.mark->value, batchLease});
+        }
     }
     const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
     if (!reply) {
@@ -288,13 +316,30 @@
     co_return reply &&reply.value().succeeded;
 }
 
+std::size_t StreamVersions::entriesOf(const QueuedRecord &record)
+{
+    return record.mark ? 2 : 1;
+}
+
+void StreamVersions::noteMarks(const std::vector<QueuedRecord> &batch, bool stored, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    for (const QueuedRecord &record : batch) {
+        if (record.mark && stored) {
+            this->markedAt[record.mark->key] = now;
+        }
+    }
+}
+
 asio::awaitable<void> StreamVersions::writeRecords()
 {
     while (true) {
         std::vector<QueuedRecord> batch;
         {
             const std::lock_guard lock(this->mutex);
-            while (!this->queue.empty() && batch.size() < maxBatch) {
+            std::size_t entries = 0;
+            while (!this->queue.empty() && entries + entriesOf(this->queue.front()) <= maxBatch) {
+                entries += entriesOf(this->queue.front());
                 batch.push_back(std::move(this->queue.front()));
                 this->queue.pop_front();
             }
@@ -305,6 +350,7 @@
         }
         const bool stored = co_await this->writeBatch(batch);
         (stored ? this->recordsStored : this->recordsFailed).add(static_cast<double>(batch.size()));
+        this->noteMarks(batch, stored, currentTime());
         for (const QueuedRecord &record : batch) {
             if (record.pending) {
                 record.pending->set(stored);
@@ -318,7 +364,7 @@
     const auto pending = std::make_shared<PendingResult<bool>>();
     {
         const std::lock_guard lock(this->mutex);
-        this->enqueueRecord(this->remember(stream, version), pending);
+        this->enqueueRecord(this->remember(stream, version), this->divertedMark(stream, version, currentTime()), pending);
     }
     const std::optional<bool> stored = co_await pending->wait(serviceTimeout);
     if (!stored.value_or(false)) {
@@ -339,25 +385,26 @@
     return found == this->streams.end() ? std::nullopt : std::optional(found->second.version);
 }
 
-asio::awaitable<std::optional<std::string>> StreamVersions::readRecord(RequestId attempt)
+asio::awaitable<StreamRecord> StreamVersions::readRecord(RequestId attempt)
 {
-    using Version = std::optional<std::string>;
-    const auto pending = std::make_shared<PendingResult<Version>>();
+    const auto pending = std::make_shared<PendingResult<StreamRecord>>();
     asio::co_spawn(
         this->parts.context,
         [this, pending, prefix = streamRecordPrefix(attempt)]() -> asio::awaitable<void> {
             const Result<KvRange> range = co_await this->parts.service.range(prefix);
-            Version version;
-            if (range) {
-                version = range.value().pairs.empty() ? std::string() : range.value().pairs.back().value;
-            } else {
+            StreamRecord record;
+            if (!range) {
                 logError("versions", "cannot read the record of a stream", range.error());
+            } else if (range.value().pairs.empty()) {
+                record.state = RecordState::Absent;
+            } else {
+                record = StreamRecord{RecordState::Found, range.value().pairs.back().value};
             }
-            pending->set(std::move(version));
+            pending->set(std::move(record));
         },
         asio::detached);
-    const std::optional<Version> read = co_await pending->wait(serviceTimeout);
-    co_return read.value_or(std::nullopt);
+    const std::optional<StreamRecord> read = co_await pending->wait(serviceTimeout);
+    co_return read.value_or(StreamRecord{});
 }
 
 asio::awaitable<void> StreamVersions::awaitAssignments()
@@ -466,27 +513,28 @@
     } else {
         co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), assignmentSource);
     }
-    const std::optional<std::string> recorded = co_await this->readRecord(stream.attempt);
+    const StreamRecord recorded = co_await this->readRecord(stream.attempt);
     std::optional<std::string> version;
     {
-        // Without an answer of the service this may miss a stream that began elsewhere because no endpoint of its version took calls. Then none
-        // is likely to take this call.
         const std::lock_guard lock(this->mutex);
-        version = this->table.resolve(stream.service, stream.bucket, recorded.value_or(std::string()));
+        version = this->table.resolve(stream.service, stream.bucket, recorded);
     }
     if (version) {
-        co_return this->onFound(stream, request, *version, recorded && !recorded->empty() ? recordSource : assignmentSource);
+        co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? recordSource : assignmentSource);
     }
-    co_return this->refuse(stream, request, recorded ? "the stream has no record" : "the record of the stream could not be read");
+    const bool isUnknown = recorded.state == RecordState::Unknown;
+    co_return this->refuse(stream, request, isUnknown ? "the record of the stream could not be read" : "the stream has no record");
 }
 
 Error StreamVersions::refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason)
 {
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
+    bool diverted = false;
     {
         const std::lock_guard lock(this->mutex);
         candidates = this->table.candidates(stream.service, stream.bucket);
+        diverted = this->table.mayBeDiverted(stream.service, stream.bucket);
     }
     this->unknownVersions.add();
     logRecord(LogLevel::Info,
@@ -497,6 +545,7 @@
                {"service", stream.service},
                {"bucket", std::to_string(stream.bucket)},
                {"candidates", joined(candidates)},
+               {"diverted", diverted ? "true" : "false"},
                {"listed", joined(listed)},
                {"assignments_age_ms", milliseconds(currentTime() - this->follower.loadedAt())},
                {"out_of_step", this->isOutOfStep(currentTime()) ? "true" : "false"},
@@ -591,8 +640,8 @@
         lifetime = this->retention;
         revision = this->table.revisionOf(service);
     }
-    VersionRecord record{service, false, {}};
-    VersionRecord earlier{service, true, {}};
+    VersionRecord record{service, false, false, {}};
+    VersionRecord earlier{service, true, false, {}};
     const std::set<std::string> listed = this->listedVersions(service);
     for (std::size_t bucket = 0; bucket < planned.size(); ++bucket) {
         record.versions[bucket] = {planned[bucket]};
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_STREAMVERSIONS_H
 
 #include "decision/ids.h"
+#include "decision/streamrecord.h"
 #include "decision/versiontable.h"
 #include "gateway/prefixfollower.h"
 #include "gateway/versionrecords.h"
@@ -92,14 +93,15 @@
     {
         std::string key{};
         std::string version{};
+        std::optional<KvPut> mark{}; //!< Stored together with the record: the bucket has diverted streams. Its lease is not set yet.
         std::shared_ptr<PendingResult<bool>> pending{}; //!< Whether it was stored, for a stream that waits for it.
     };
 
     void load(const KvRange &range);
     void apply(const KvEvent &event);
 
-    //! Applies one record. \p before is the table as it was known, to tell whether the record is new.
-    void put(const KvPair &pair, const VersionTable &before);
+    //! Applies one record. \p before is the table as it was known, to tell whether the record is new. Returns whether it is a mark of diverted streams.
+    bool put(const KvPair &pair, const VersionTable &before);
     std::set<std::string> listedVersions(const std::string &service) const;
 
     //! Notes at which version a stream is to run here.
@@ -110,14 +112,23 @@
 
     //! Queues records of the streams under way whose bucket does not tell their version any more.
     void recordMoved();
-    void enqueueRecord(KnownStream &stream, std::shared_ptr<PendingResult<bool>> pending);
+    void enqueueRecord(KnownStream &stream, std::optional<KvPut> mark, std::shared_ptr<PendingResult<bool>> pending);
+
+    //! Returns the mark that has to be stored before \p stream may begin off its assignment; nothing when all instances have been told not long ago.
+    std::optional<KvPut> divertedMark(const StreamIdentity &stream, const std::string &version, Time now) const;
     void startWriting();
     boost::asio::awaitable<void> writeRecords();
     boost::asio::awaitable<bool> writeBatch(const std::vector<QueuedRecord> &batch);
+
+    //! Returns the number of entries that \p record adds to a transaction.
+    static std::size_t entriesOf(const QueuedRecord &record);
+
+    //! Remembers which marks were stored.
+    void noteMarks(const std::vector<QueuedRecord> &batch, bool stored, Time now);
     boost::asio::awaitable<std::uint64_t> leaseForRecords();
 
-    //! Returns the version in a stream's record, an empty text when it has none, and nothing when the key-value service does not answer in time.
-    boost::asio::awaitable<std::optional<std::string>> readRecord(RequestId attempt);
+    //! Reads the record of a stream. It stays unknown when the key-value service does not answer in time.
+    boost::asio::awaitable<StreamRecord> readRecord(RequestId attempt);
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
     boost::asio::awaitable<void> awaitAssignments();
 
@@ -163,6 +174,7 @@
     bool loaded = false;
     Duration retention; //!< Longer than any stream lasts over all attempts.
     std::map<std::string, Time> movedAt; //!< By service: when the assignment was seen to change.
+    std::map<std::string, Time> markedAt; //!< By key: when the mark of diverted streams was last written, by any instance.
     std::map<RequestId, KnownStream> streams; //!< Sent by this instance, by the attempt that began them.
     std::deque<QueuedRecord> queue;
     bool writing = false;
--- a/src/gateway/versionrecords.cpp
+++ b/src/gateway/versionrecords.cpp
@@ -31,6 +31,11 @@
     return versionRecordKey(service) + "/before/" + std::to_string(revision);
 }
 
+std::string divertedRecordKey(const std::string &service, std::size_t bucket, const std::string &version)
+{
+    return versionRecordKey(service) + "/diverted/" + std::to_string(bucket) + "/" + keyText(version);
+}
+
 std::string streamRecordPrefix(const std::string &stream)
 {
     return streamRecordsPrefix + keyText(stream) + "/";
@@ -48,7 +53,8 @@
     for (auto &[version, buckets] : bucketsByVersion) {
         versions[version] = std::move(buckets);
     }
-    return json::serialize(json::object{{"service", record.service}, {"earlier", record.earlier}, {"versions", std::move(versions)}});
+    return json::serialize(
+        json::object{{"service", record.service}, {"earlier", record.earlier}, {"diverted", record.diverted}, {"versions", std::move(versions)}});
 }
 
 std::optional<VersionRecord> decodeVersionRecord(const std::string &text)
@@ -57,6 +63,7 @@
     VersionRecord record;
     record.service = jsonText(object, "service");
     record.earlier = jsonFlag(object, "earlier");
+    record.diverted = jsonFlag(object, "diverted");
     const json::value *versions = object.if_contains("versions");
     if (record.service.empty() || versions == nullptr || !versions->is_object()) {
         return std::nullopt;
--- a/src/gateway/versionrecords.h
+++ b/src/gateway/versionrecords.h
@@ -17,6 +17,8 @@
 {
     std::string service{};
     bool earlier = false; //!< A former assignment, of the moved buckets only.
+    bool diverted = false; //!< Versions other than the assigned one at which single streams of a bucket begin. Builds that do not know the field take
+                           //!< the record for an earlier assignment, which makes them more careful.
     std::map<std::size_t, std::set<std::string>> versions{}; //!< By bucket; one a bucket unless \ref earlier is set.
 };
 
@@ -26,6 +28,9 @@
 //! Returns the key for what the change of the assignment with the revision \p revision replaced.
 std::string earlierRecordKey(const std::string &service, std::uint64_t revision);
 
+//! Returns the key for the diverted streams of a bucket at \p version.
+std::string divertedRecordKey(const std::string &service, std::size_t bucket, const std::string &version);
+
 //! Returns the prefix of the keys that hold the software version of the stream that the attempt \p stream began.
 std::string streamRecordPrefix(const std::string &stream);
 
--- a/tests/gateway/softwareversiontests.cpp
+++ b/tests/gateway/softwareversiontests.cpp
@@ -4,8 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
 #include <map>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -15,17 +17,10 @@
 constexpr int programCount = 12;
 constexpr int leavingSeenMs = 5000;
 
-//! Gateways before endpoints of which the first half runs v1, the others v2.
-struct MixedCluster : GatewayCluster
+//! Gateways with requests of programs whose streams may be taken up.
+struct VersionCluster : GatewayCluster
 {
-    MixedCluster(std::size_t gatewayCount, std::size_t endpointCount)
-        : GatewayCluster(gatewayCount, endpointCount)
-    {
-        for (std::size_t index = endpointCount / 2; index < endpointCount; ++index) {
-            this->endpoints[index]->setVersion("v2");
-        }
-        REQUIRE(this->startServing());
-    }
+    using GatewayCluster::GatewayCluster;
 
     static std::vector<HttpHeader> headersOf(const std::string &program)
     {
@@ -44,6 +39,17 @@
         return answer->header("Oleandergate-Request-Id");
     }
 
+    //! Begins a stream for each of \p count programs. Returns the identifiers of the attempts by program.
+    std::map<std::string, std::string> beginAll(std::size_t gateway, int count)
+    {
+        std::map<std::string, std::string> attempts;
+        for (int number = 0; number < count; ++number) {
+            const std::string program = "p" + std::to_string(number);
+            attempts[program] = this->begin(gateway, program);
+        }
+        return attempts;
+    }
+
     //! Takes the stream that \p request began up again behind its second event.
     std::optional<HttpResponse> takeUp(std::size_t gateway, const std::string &program, const std::string &request)
     {
@@ -52,6 +58,52 @@
         headers.push_back(HttpHeader{"Last-Event-Id", "2"});
         return this->call(gateway, "POST", "/turns/1", headers);
     }
+};
+
+//! Three gateways before an endpoint of v1, and one of v2 that joined later: half of the buckets were moved, the others were not.
+struct ReleaseCluster : VersionCluster
+{
+    ReleaseCluster()
+        : VersionCluster(gatewayCount, 2)
+    {
+        this->endpoints[1]->setVersion("v2");
+        this->configure(1);
+        this->registerEndpoint(0);
+        REQUIRE(this->waitUntilReady());
+        this->awaitBuckets("v1:128");
+        this->registerEndpoint(1);
+        this->awaitBuckets("v1:64,v2:64");
+    }
+
+    void awaitBuckets(const std::string &shares) const
+    {
+        for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
+            REQUIRE(this->logHas(gateway, "\"buckets\":\"" + shares + "\""));
+        }
+    }
+
+    //! Takes the store away from all gateways, ends the first one, and waits until none has reached the store for a while.
+    void loseStoreAndFirstGateway()
+    {
+        this->store.setRefusing(true);
+        this->gateways[0].kill();
+        std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    }
+
+    static constexpr std::size_t gatewayCount = 3;
+};
+
+//! Gateways before endpoints of which the first half runs v1, the others v2.
+struct MixedCluster : VersionCluster
+{
+    MixedCluster(std::size_t gatewayCount, std::size_t endpointCount)
+        : VersionCluster(gatewayCount, endpointCount)
+    {
+        for (std::size_t index = endpointCount / 2; index < endpointCount; ++index) {
+            this->endpoints[index]->setVersion("v2");
+        }
+        REQUIRE(this->startServing());
+    }
 
     //! Returns the software versions of the endpoints that received \p request.
     std::string versionsThatGot(const std::string &request) const
@@ -143,11 +195,7 @@
 TEST_CASE("Software versions: a stream of a version that nobody serves any more is refused at once and not sent")
 {
     MixedCluster cluster(1, 2);
-    std::map<std::string, std::string> attempts;
-    for (int number = 0; number < programCount; ++number) {
-        const std::string program = "p" + std::to_string(number);
-        attempts[program] = cluster.begin(0, program);
-    }
+    const std::map<std::string, std::string> attempts = cluster.beginAll(0, programCount);
     cluster.registerEndpoint(0, "draining");
     REQUIRE(cluster.logHas(0, "\"leaving\":\"true\"", leavingSeenMs));
     std::size_t refused = 0;
@@ -177,3 +225,40 @@
     }
     CHECK(resumed > 0);
 }
+
+// Guards against streams joined from two versions in an outage of the key-value service: that no record can be read does not mean that there is none.
+TEST_CASE("Software versions: a stream that began off its assignment is not joined to the assigned version in an outage of the store")
+{
+    constexpr int refusalCount = 200;
+    ReleaseCluster cluster;
+    // The endpoint of v1 is full, so that its streams begin at v2.
+    cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(refusalCount, Behaviour::Refuse));
+    const std::map<std::string, std::string> attempts = cluster.beginAll(0, 2 * programCount);
+    REQUIRE(countOf(cluster.log(0), "a stream begins at another software version than assigned") > 2);
+    cluster.endpoints[0]->setNextBehaviours({});
+    const std::size_t received = cluster.endpoints[0]->receivedCount();
+    cluster.loseStoreAndFirstGateway();
+    for (const auto &[program, attempt] : attempts) {
+        const std::optional<HttpResponse> answer = cluster.takeUp(1, program, attempt);
+        REQUIRE(answer);
+        CHECK((answer->status == 200 || answer->status == 503));
+    }
+    // All of them began at v2.
+    CHECK(cluster.endpoints[0]->receivedCount() == received);
+}
+
+// Guards against refusing in an outage what is known: a stream in a bucket without diverted streams began at its assigned version.
+TEST_CASE("Software versions: a stream that began at its assigned version is taken up in an outage of the store")
+{
+    ReleaseCluster cluster;
+    const std::map<std::string, std::string> attempts = cluster.beginAll(0, 2 * programCount);
+    cluster.loseStoreAndFirstGateway();
+    std::size_t resumed = 0;
+    for (const auto &[program, attempt] : attempts) {
+        const std::optional<HttpResponse> answer = cluster.takeUp(1, program, attempt);
+        REQUIRE(answer);
+        resumed += answer->status == 200 ? 1 : 0;
+    }
+    // The buckets that were moved not long ago need the records of their streams.
+    CHECK(resumed >= static_cast<std::size_t>(programCount) / 2);
+}
--- a/tests/unit/versiontabletests.cpp
+++ b/tests/unit/versiontabletests.cpp
@@ -17,6 +17,9 @@
 constexpr double retentionSeconds = 6.0; //!< Lifetime of leased records; streams end sooner.
 constexpr double recordSeconds = 0.01; //!< Until a record is stored.
 
+const StreamRecord noRecord{RecordState::Absent, {}};
+const StreamRecord unknownRecord{};
+
 //! What the key-value service holds.
 struct Store
 {
@@ -92,7 +95,8 @@
         for (const Stream &stream : this->streams) {
             const auto record = this->store.records.find(stream.number);
             const bool stored = record != this->store.records.end() && record->second.storedAt <= powerLoss;
-            const std::optional<std::string> version = table.resolve(service, stream.bucket, stored ? record->second.version : std::string());
+            const std::optional<std::string> version
+                = table.resolve(service, stream.bucket, stored ? StreamRecord{RecordState::Found, record->second.version} : noRecord);
             takeUps.all += 1;
             takeUps.known += version ? 1 : 0;
             takeUps.wrong += version && *version != stream.version ? 1 : 0;
@@ -215,20 +219,38 @@
 TEST_CASE("A record of a stream goes before its bucket, and a moved bucket without a record leaves its version open")
 {
     VersionTable table;
-    CHECK_FALSE(table.resolve(service, 3, ""));
+    CHECK_FALSE(table.resolve(service, 3, noRecord));
     table.assign(service, 1, VersionBuckets(versionBucketCount, "v2"));
-    CHECK(table.resolve(service, 3, "") == std::optional<std::string>("v2"));
+    CHECK(table.resolve(service, 3, noRecord) == std::optional<std::string>("v2"));
     const Time added(std::chrono::seconds(5));
     table.addEarlier("k", service, {{3, {"v1"}}}, added);
-    CHECK_FALSE(table.resolve(service, 3, ""));
-    CHECK(table.resolve(service, 3, "v1") == std::optional<std::string>("v1"));
-    CHECK(table.resolve(service, 4, "") == std::optional<std::string>("v2"));
-    CHECK_FALSE(table.resolve("other", 4, ""));
+    CHECK_FALSE(table.resolve(service, 3, noRecord));
+    CHECK(table.resolve(service, 3, StreamRecord{RecordState::Found, "v1"}) == std::optional<std::string>("v1"));
+    CHECK(table.resolve(service, 4, noRecord) == std::optional<std::string>("v2"));
+    CHECK_FALSE(table.resolve("other", 4, noRecord));
     table.dropEarlier("k");
-    CHECK(table.resolve(service, 3, "") == std::optional<std::string>("v2"));
+    CHECK(table.resolve(service, 3, noRecord) == std::optional<std::string>("v2"));
     table.addEarlier("k", service, {{3, {"v1"}}}, added);
     table.expireEarlier(added);
-    CHECK_FALSE(table.resolve(service, 3, ""));
+    CHECK_FALSE(table.resolve(service, 3, noRecord));
+    table.expireEarlier(added + Duration(1));
+    CHECK(table.resolve(service, 3, noRecord) == std::optional<std::string>("v2"));
+}
+
+// Guards against streams joined from two software versions in an outage of the key-value service, when "no answer" is taken for "no record".
+TEST_CASE("While streams of a bucket are diverted, its assignment tells their version only if they are known to have no record")
+{
+    VersionTable table;
+    table.assign(service, 1, VersionBuckets(versionBucketCount, "v2"));
+    CHECK(table.resolve(service, 3, unknownRecord) == std::optional<std::string>("v2"));
+    const Time added(std::chrono::seconds(5));
+    table.addDiverted("d", service, {{3, {"v1"}}}, added);
+    CHECK_FALSE(table.resolve(service, 3, unknownRecord));
+    CHECK(table.resolve(service, 3, noRecord) == std::optional<std::string>("v2"));
+    CHECK(table.resolve(service, 3, StreamRecord{RecordState::Found, "v1"}) == std::optional<std::string>("v1"));
+    CHECK(table.resolve(service, 4, unknownRecord) == std::optional<std::string>("v2"));
+    // Only single streams are diverted: the others of the bucket need no records.
+    CHECK(table.candidates(service, 3) == std::set<std::string>{"v2"});
     table.expireEarlier(added + Duration(1));
-    CHECK(table.resolve(service, 3, "") == std::optional<std::string>("v2"));
+    CHECK(table.resolve(service, 3, unknownRecord) == std::optional<std::string>("v2"));
 }
