An endpoint that is required gets a request only while it takes requests

Cause: the dispatcher asked of a required endpoint only that it is listed. MaxAttempts 1 says "there or nowhere", not "there in any state".

Ruled out: late news (the registration had been read 2.5 s before).

Change: a required endpoint has to take calls, at the choice, while the call waits, and once more as the request is written, which covers the waits in between and the repeat inside the HTTP client. After a refusal a request that may have run at as many endpoints as its route allows stays with its endpoint.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -125,6 +125,9 @@
             error.retryAfter = std::nullopt;
             error.detail = "no usable endpoint of the pool runs software version '" + *call.requiredVersion + "', which the stream needs";
         }
+        if (!call.requiredEndpoint.empty()) {
+            error.detail = "the endpoint '" + call.requiredEndpoint + "', which may have run the request, takes no new ones";
+        }
         return error;
     }
     const bool isNew = !this->programs.contains(call.program);
@@ -145,12 +148,10 @@
 bool Dispatcher::hasCandidate(const QueuedCall &call) const
 {
     const auto usable = [this](const EndpointId &id) {
-        const std::optional<std::size_t> index = this->endpoints.indexOf(id);
-        return index && this->endpoints.isUsable(*index);
+        return this->takesCalls(id);
     };
     if (!call.requiredEndpoint.empty()) {
-        const std::optional<std::size_t> index = this->endpoints.indexOf(call.requiredEndpoint);
-        return index && this->endpoints.at(*index).listed && this->endpoints.hasVersion(*index, call.requiredVersion);
+        return this->requiredIndex(call).has_value();
     }
     if (call.requiredVersion) {
         for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
@@ -169,10 +170,27 @@
     return !call.avoid.contains(this->endpoints.at(endpoint).spec.id) && this->endpoints.hasVersion(endpoint, call.requiredVersion);
 }
 
+std::optional<std::size_t> Dispatcher::requiredIndex(const QueuedCall &call) const
+{
+    const std::optional<std::size_t> index = this->endpoints.indexOf(call.requiredEndpoint);
+    const bool mayServe = index && this->endpoints.isUsable(*index) && this->endpoints.hasVersion(*index, call.requiredVersion);
+    return mayServe ? index : std::nullopt;
+}
+
 bool Dispatcher::mayServe(CallId call) const
 {
     const auto found = this->waiting.find(call);
-    return found == this->waiting.end() || !found->second.call.requiredVersion || this->hasCandidate(found->second.call);
+    if (found == this->waiting.end()) {
+        return true;
+    }
+    const QueuedCall &queued = found->second.call;
+    return (!queued.requiredVersion && queued.requiredEndpoint.empty()) || this->hasCandidate(queued);
+}
+
+bool Dispatcher::takesCalls(const EndpointId &endpoint) const
+{
+    const std::optional<std::size_t> index = this->endpoints.indexOf(endpoint);
+    return index && this->endpoints.isUsable(*index);
 }
 
 bool Dispatcher::takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const
@@ -274,9 +292,8 @@
 std::size_t Dispatcher::choose(const Waiting &waiting, Time now)
 {
     if (!waiting.call.requiredEndpoint.empty()) {
-        const std::optional<std::size_t> index = this->endpoints.indexOf(waiting.call.requiredEndpoint);
-        const bool mayServe = index && this->endpoints.at(*index).listed && this->endpoints.hasVersion(*index, waiting.call.requiredVersion);
-        return mayServe && this->endpoints.at(*index).blockedUntil <= now ? *index : noEndpoint;
+        const std::optional<std::size_t> index = this->requiredIndex(waiting.call);
+        return index && this->endpoints.at(*index).blockedUntil <= now ? *index : noEndpoint;
     }
     const PlacementRule rule = waiting.call.isolated ? PlacementRule::LeastOutstanding : this->options.placement;
     switch (rule) {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -37,10 +37,13 @@
     //! miss its deadline.
     Result<void> enqueue(const QueuedCall &call, Time now);
 
-    //! Returns whether an endpoint of the latest list runs the software version that the waiting call \p call requires. Also true for calls that
-    //! require none or are not waiting.
+    //! Returns whether an endpoint that takes calls is the one, or runs the software version, that the waiting call \p call requires. Also true for calls
+    //! that require neither or are not waiting.
     bool mayServe(CallId call) const;
 
+    //! Returns whether the endpoint is listed and not leaving. It may be full.
+    bool takesCalls(const EndpointId &endpoint) const;
+
     //! Returns whether an endpoint of the software version \p version takes calls, other than those in \p avoid. It may be full.
     bool takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
 
@@ -160,6 +163,9 @@
     Time queueKey(const QueuedCall &call, Time now) const;
     bool hasCandidate(const QueuedCall &call) const;
 
+    //! Returns the endpoint that \p call requires, if it takes new calls. It gets the call whatever its load.
+    std::optional<std::size_t> requiredIndex(const QueuedCall &call) const;
+
     //! Returns whether \p call is allowed at the endpoint, whatever its load.
     bool allows(const QueuedCall &call, std::size_t endpoint) const;
     bool wouldBeLate(const QueuedCall &call, Time now) const;
--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -47,12 +47,7 @@
         return NextStep::FailUnknown;
     case SendOutcome::NotSent:
     case SendOutcome::Refused:
-        this->refusals += 1;
-        this->avoid.insert(report.endpoint);
-        if (this->refusals < maxRefusals) {
-            return NextStep::TryElsewhere;
-        }
-        return this->possiblyExecuted ? NextStep::FailUnknown : NextStep::RefuseNotRun;
+        return this->afterNotRun(report);
     case SendOutcome::Answered:
         this->possiblyExecuted = true;
         this->possiblyExecutedAt.insert(report.endpoint);
@@ -68,6 +63,22 @@
     return this->afterBroken(report);
 }
 
+NextStep RetryPlan::afterNotRun(const SendReport &report)
+{
+    this->refusals += 1;
+    if (this->refusals >= maxRefusals) {
+        return this->possiblyExecuted ? NextStep::FailUnknown : NextStep::RefuseNotRun;
+    }
+    if (report.endpointGone) {
+        this->possiblyExecutedAt.erase(report.endpoint);
+    }
+    if (!this->possiblyExecutedAt.empty() && this->possiblyExecutedAt.size() >= this->maxAttempts) {
+        return NextStep::TrySame;
+    }
+    this->avoid.insert(report.endpoint);
+    return NextStep::TryElsewhere;
+}
+
 NextStep RetryPlan::afterBroken(const SendReport &report)
 {
     this->possiblyExecuted = true;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -82,6 +82,7 @@
 
 private:
     NextStep afterBroken(const SendReport &report);
+    NextStep afterNotRun(const SendReport &report);
 
     RouteKind kind;
     bool resumable;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -232,8 +232,9 @@
     const auto onConnection = [&context](const ConnectionPath &path) {
         context.path = path;
     };
-    const auto maySend = [this, &context]() {
-        return this->parts.drain.admits(context, currentTime());
+    // Much may have changed since the endpoint was chosen: the wait for a permit, a record or a connection takes its time.
+    const auto maySend = [this, &context, &endpoint]() {
+        return context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime());
     };
     EndpointSend send(
         EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection, maySend},
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -87,6 +87,12 @@
     return this->dispatcher.takesCalls(version, avoid, now);
 }
 
+bool ServicePool::takesCalls(const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.takesCalls(endpoint);
+}
+
 bool ServicePool::withdraw(CallId call)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/gateway/leavingtests.cpp
+++ b/tests/gateway/leavingtests.cpp
@@ -4,12 +4,15 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace oleandergate;
 using namespace oleandergate::support;
 
 namespace {
 
 constexpr int callCount = 12;
+constexpr int timeoutMs = 20000;
 
 } // namespace
 
@@ -39,3 +42,30 @@
     CHECK(countOf(cluster.log(0), "an endpoint states that it is leaving") == 1);
     CHECK(countOf(cluster.log(1), "an endpoint states that it is leaving") == 1);
 }
+
+// Guards against a stream that breaks off and is sent again to its endpoint, which is leaving.
+TEST_CASE("Leaving: a stream that breaks off at an endpoint that is leaving is not sent there again, and does not end as complete")
+{
+    GatewayCluster cluster(1, 2);
+    REQUIRE(cluster.startServing());
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({Behaviour::SlowBreakMidEvent});
+    }
+    std::optional<HttpResponse> answer;
+    std::jthread caller([&]() {
+        answer = cluster.call(0, "POST", "/turns/1", {{"Oleandergate-Token-Counts", "100,100"}, {"Oleandergate-Prompt-Prefix", "a1:100"}});
+    });
+    REQUIRE(waitFor(
+        [&]() {
+            return cluster.receivedCount() == 1;
+        },
+        timeoutMs));
+    const std::size_t leaving = cluster.endpoints[0]->receivedCount() == 1 ? 0 : 1;
+    cluster.registerEndpoint(leaving, "draining");
+    caller.join();
+    // Its route allows one endpoint, so the stream cannot go on elsewhere either.
+    CHECK(cluster.receivedCount() == 1);
+    CHECK_FALSE(answer);
+    REQUIRE(cluster.logHas(0, "takes no new ones"));
+    CHECK(cluster.logHas(0, "\"outcome\":\"broken-off\""));
+}
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t brokenEvent = 2; //!< Position of the incomplete event of Behaviour::BreakMidEvent.
 constexpr std::size_t brokenEventBytes = 8;
 constexpr std::chrono::milliseconds slowEventGap{400};
+constexpr int refusedStatus = 503;
 constexpr std::chrono::milliseconds trickleGap{50};
 constexpr std::size_t floodBlockBytes = 64UL * 1024;
 constexpr std::size_t maxFloodBytes = 256UL * 1024 * 1024; //!< Ends an endless answer whose connection is never closed.
@@ -224,7 +225,7 @@
         if (!lateCopy.empty()) {
             send(socket, lateCopy);
         }
-        lateCopy = behaviour == Behaviour::LateCopy ? this->head(request, "Content-Length: 5") + "right" : std::string();
+        lateCopy = this->lateCopyOf(request, behaviour);
         open = this->answer(socket, request, behaviour);
     }
 }
@@ -237,6 +238,25 @@
         + "\r\nOleandergate-Server-Stamp: stamp-" + this->id + "\r\n" + limit + (this->statesLeaving ? "Server-Leaving: 1\r\n" : "") + framing + "\r\n\r\n";
 }
 
+std::string StandinEndpoint::refusal(const HttpRequest &request) const
+{
+    return this->head(request, "Oleandergate-Not-Run: 1\r\nContent-Length: 0", refusedStatus);
+}
+
+std::string StandinEndpoint::lateCopyOf(const HttpRequest &request, Behaviour behaviour) const
+{
+    switch (behaviour) {
+    case Behaviour::LateCopy:
+        return this->head(request, "Content-Length: 5") + "right";
+    case Behaviour::LateRefusal:
+        return this->refusal(request);
+    case Behaviour::LateUnnamedRefusal:
+        return "HTTP/1.1 503 Status\r\nOleandergate-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    default:
+        return {};
+    }
+}
+
 void StandinEndpoint::setStatesLeaving(bool newStatesLeaving)
 {
     this->statesLeaving = newStatesLeaving;
@@ -307,7 +327,14 @@
 {
     switch (behaviour) {
     case Behaviour::Refuse:
-        return send(socket, this->head(request, "Oleandergate-Not-Run: 1\r\nContent-Length: 0", 503));
+    case Behaviour::LateRefusal:
+    case Behaviour::LateUnnamedRefusal:
+        return send(socket, this->refusal(request));
+    case Behaviour::Failure:
+        return send(socket, this->head(request, "Content-Type: text/plain\r\nContent-Length: 12", 500) + "failure text");
+    case Behaviour::EndMidHead:
+        send(socket, "HTTP/1.1 200 OK\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id") + "\r\nContent-Len");
+        return false;
     case Behaviour::CloseUnanswered:
         return false;
     case Behaviour::Truncate:
@@ -347,6 +374,7 @@
     case Behaviour::Normal:
     case Behaviour::LateCopy:
     case Behaviour::SlowStream:
+    case Behaviour::SlowBreakMidEvent:
     case Behaviour::BreakMidEvent:
     case Behaviour::CrashMidEvent:
     case Behaviour::EndMidEvent:
@@ -367,7 +395,8 @@
     send(socket, this->head(request, std::string("Content-Type: text/event-stream\r\n") + (framed ? "Transfer-Encoding: chunked" : "Connection: close")));
     const auto encode = framed ? chunk : unchanged;
     const bool crashes = behaviour == Behaviour::CrashMidEvent;
-    const bool breaks = crashes || behaviour == Behaviour::BreakMidEvent || behaviour == Behaviour::EndMidEvent;
+    const bool slow = behaviour == Behaviour::SlowStream || behaviour == Behaviour::SlowBreakMidEvent;
+    const bool breaks = crashes || behaviour == Behaviour::BreakMidEvent || behaviour == Behaviour::SlowBreakMidEvent || behaviour == Behaviour::EndMidEvent;
     for (std::uint64_t number = first; number <= eventCount; ++number) {
         if (breaks && number == first + brokenEvent) {
             send(socket, encode(event(number).substr(0, brokenEventBytes)));
@@ -377,7 +406,7 @@
             return false;
         }
         send(socket, encode(event(number)));
-        if (behaviour == Behaviour::SlowStream) {
+        if (slow) {
             std::this_thread::sleep_for(slowEventGap);
         }
     }
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -20,6 +20,10 @@
 enum class Behaviour : std::uint8_t {
     Normal, //!< A stream for a request with prompt headers, otherwise a short answer.
     Refuse, //!< Status 503 with the statement that the request did not run.
+    LateRefusal, //!< The same, and a second copy of the refusal is sent when the next request has arrived on the connection, before that one's answer.
+    LateUnnamedRefusal, //!< The same, but the copy does not say which request it refuses.
+    Failure, //!< Status 500 with a text.
+    EndMidHead, //!< Ends the connection in order inside the head of its answer.
     CloseUnanswered, //!< Receives the request and closes the connection without an answer.
     Truncate, //!< Declares a longer body than it sends.
     Unsigned, //!< A success without the endpoint's signature.
@@ -39,6 +43,7 @@
     CrashMidEvent, //!< Ends a stream inside its third event, then stops listening and closes all connections.
     Crash, //!< Receives the request, then stops listening and closes all connections.
     SlowStream, //!< Pauses between the events of a stream.
+    SlowBreakMidEvent, //!< The same, and ends the stream inside its third event.
     Trickle, //!< The head of a stream, then a byte of its first event now and then, until the connection is closed.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
 };
@@ -102,6 +107,10 @@
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
+    std::string refusal(const HttpRequest &request) const;
+
+    //! Returns the copy of the answer to \p request that is sent before the next answer on its connection; empty for none.
+    std::string lateCopyOf(const HttpRequest &request, Behaviour behaviour) const;
     Behaviour nextBehaviour();
 
     std::string id;
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -145,6 +145,28 @@
     CHECK(dispatcher.next(start)->endpoint.id == "b");
 }
 
+// Guards against requests that may have run at an endpoint and are sent there again although it is leaving.
+TEST_CASE("A call that needs an endpoint that is leaving or gone is not placed there")
+{
+    Dispatcher dispatcher(policyFor(PolicyGoal::Programs), 1);
+    std::vector<EndpointSpec> endpoints = twoEndpoints(4);
+    dispatcher.setEndpoints(endpoints);
+    QueuedCall bound = call(1, "p");
+    bound.requiredEndpoint = endpoints.front().id;
+    REQUIRE(dispatcher.enqueue(bound, start));
+    CHECK(dispatcher.mayServe(1));
+    CHECK(dispatcher.takesCalls(bound.requiredEndpoint));
+    endpoints.front().leaving = true;
+    dispatcher.setEndpoints(endpoints);
+    CHECK_FALSE(dispatcher.next(start));
+    CHECK_FALSE(dispatcher.mayServe(1));
+    CHECK_FALSE(dispatcher.takesCalls(bound.requiredEndpoint));
+    bound.call = 2;
+    CHECK(dispatcher.enqueue(bound, start).error().code == ErrorCode::NoEndpoint);
+    dispatcher.setEndpoints({endpoints.back()});
+    CHECK(dispatcher.enqueue(bound, start).error().code == ErrorCode::NoEndpoint);
+}
+
 TEST_CASE("A call that only a full endpoint may serve does not block the calls behind it")
 {
     Dispatcher dispatcher(policyFor(PolicyGoal::Programs), 1);
--- a/tests/unit/retryplantests.cpp
+++ b/tests/unit/retryplantests.cpp
@@ -108,3 +108,17 @@
     RetryPlan late(RouteKind::Idempotent, false, 3);
     CHECK(late.after(report("a", SendOutcome::TimedOut)) == NextStep::FailLate);
 }
+
+// Guards against a stream that breaks, is refused when it is sent again, and then goes on at more endpoints than its route allows.
+TEST_CASE("A request that may have run at as many endpoints as its route allows is not sent elsewhere after a refusal")
+{
+    RetryPlan plan(RouteKind::Stream, true, 1);
+    CHECK(plan.after(report("a", SendOutcome::Broken)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Refused)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::NotSent)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Refused)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Refused)) == NextStep::FailUnknown);
+    RetryPlan ended(RouteKind::Stream, true, 1);
+    CHECK(ended.after(report("a", SendOutcome::Broken)) == NextStep::TrySame);
+    CHECK(ended.after(SendReport{"a", SendOutcome::NotSent, true, false}) == NextStep::TryElsewhere);
+}
