A refusal that names no request is no proof on a kept connection

Reported by operators of similar systems: a faulty endpoint writes an earlier refusal once more on a kept connection, and callers are told "not run" for requests that run (REFUSED), or they run at a second endpoint (TWICE).

Cause: a response without an identifier was accepted for whatever request waited on the connection.

Change: without an identifier a refusal counts only on a connection that carried no request before; else the outcome is unknown.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -72,7 +72,6 @@
     out.maxIdleAge = this->kind == RouteKind::Idempotent ? out.maxIdleAge : maxIdleForSingleSend;
     out.resendOnStale = this->kind == RouteKind::Idempotent;
     out.isRepeatable = this->isRepeatable;
-    out.onConnection = this->parts.onConnection;
     out.maySend = this->parts.maySend;
     out.cancellation = this->cancellation;
     out.mayEndWithConnection = true;
@@ -146,7 +145,12 @@
 SendOutcome EndpointSend::classifyAnswer(const HttpResponse &answer, std::string &detail) const
 {
     const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(answer);
-    if (metadata.notRun || answer.status == statusMisdirected) {
+    const bool saysNotRun = metadata.notRun || answer.status == statusMisdirected;
+    if (saysNotRun && metadata.requestId.empty() && this->onUsedConnection) {
+        detail = "a refusal that names no request, on a connection of earlier requests: it may be a copy of one of theirs";
+        return SendOutcome::Broken;
+    }
+    if (saysNotRun) {
         detail = "refused with status " + std::to_string(answer.status);
         return SendOutcome::Refused;
     }
@@ -204,6 +208,10 @@
         }
         return isOwn;
     };
+    out.onConnection = [this](const ConnectionPath &path, bool wasUsed) {
+        this->onUsedConnection = wasUsed;
+        this->parts.onConnection(path);
+    };
     out.forwardChunk = [this](const HttpResponse &head, std::string chunk) {
         return this->forwardChunk(head, std::move(chunk));
     };
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -87,6 +87,7 @@
     std::string collected;
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     bool streaming = false;
+    bool onUsedConnection = false; //!< The latest connection carried other requests before.
 };
 
 } // namespace oleandergate
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -403,7 +403,8 @@
 
 asio::awaitable<HttpOutcome> exchange(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    if (!connection->isEstablished()) {
+    const bool wasUsed = connection->isEstablished();
+    if (!wasUsed) {
         std::optional<HttpFailure> failed = co_await connect(*core, connection, call, step);
         if (failed) {
             co_return std::move(*failed);
@@ -420,7 +421,7 @@
         co_return failure(ErrorCode::Timeout, step, call, true, "the deadline passed before sending");
     }
     if (call.onConnection) {
-        call.onConnection(connection->dialed.path);
+        call.onConnection(connection->dialed.path, wasUsed);
     }
     UnderWay underWay(*core, connection, call, currentTime());
     const auto [error, size] = co_await http::async_write(connection->stream(), message, useResult);
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -44,7 +44,8 @@
     std::function<bool(const HttpResponse &head)> accepts{}; //!< Returns false for the head of a response to another request, which is then skipped.
     std::function<boost::asio::awaitable<bool>(const HttpResponse &head, std::string chunk)>
         forwardChunk{}; //!< Consumes the body chunk by chunk instead of collecting it; returning false stops the call.
-    std::function<void(const ConnectionPath &path)> onConnection{}; //!< Called with the way of the connection that the request is sent on.
+    std::function<void(const ConnectionPath &path, bool wasUsed)>
+        onConnection{}; //!< Called with the way of the connection that the request is sent on, and whether that carried requests before.
     std::shared_ptr<Cancellation> cancellation{};
 };
 
--- a/tests/gateway/reportedfaultstests.cpp
+++ b/tests/gateway/reportedfaultstests.cpp
@@ -140,3 +140,77 @@
     CHECK(cluster.receivedCount() == 1);
     CHECK(cluster.log(0).find("cut off from an endpoint") == std::string::npos);
 }
+
+// Guards against "not run" for a request that runs, by a copy of an earlier refusal on its connection.
+TEST_CASE("Reported: an earlier refusal that an endpoint writes once more is not taken for that of the next request")
+{
+    for (const Behaviour copied : {Behaviour::LateRefusal, Behaviour::LateUnnamedRefusal}) {
+        CAPTURE(static_cast<int>(copied));
+        GatewayCluster cluster(1, 1);
+        REQUIRE(cluster.startServing());
+        cluster.endpoints[0]->setNextBehaviours({copied});
+        const std::optional<HttpResponse> refused = cluster.call(0, "POST", "/orders/1");
+        REQUIRE(refused);
+        CHECK(refused->status == 503);
+        const std::optional<HttpResponse> next = cluster.call(0, "POST", "/orders/2");
+        REQUIRE(next);
+        // A refusal that names no request may be one of this request or of another.
+        CHECK(next->status == (copied == Behaviour::LateRefusal ? 200 : 502));
+        CHECK(cluster.receivedCount() == 2);
+    }
+}
+
+// Guards against the text or the head of an error in the middle of a stream, and against a stream that ends as complete before its last event.
+TEST_CASE("Reported: a stream that broke off and is answered with an error when it is sent again is broken off for its caller")
+{
+    for (const Behaviour second : {Behaviour::Refuse,
+                                   Behaviour::Failure,
+                                   Behaviour::FullWithoutStatement,
+                                   Behaviour::Unsigned,
+                                   Behaviour::Truncate,
+                                   Behaviour::EndMidHead,
+                                   Behaviour::CloseUnanswered,
+                                   Behaviour::EndBeforeFirstEvent}) {
+        CAPTURE(static_cast<int>(second));
+        GatewayCluster cluster(1, 1);
+        REQUIRE(cluster.startServing());
+        constexpr std::size_t repeats = 8;
+        std::vector<Behaviour> behaviours(repeats, second);
+        behaviours.insert(behaviours.begin(), Behaviour::BreakMidEvent);
+        cluster.endpoints[0]->setNextBehaviours(behaviours);
+        const std::string received = cluster.sendRaw(0,
+                                                     "POST /turns/1 HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: broken\r\n"
+                                                     "Oleandergate-Token-Counts: 100,100\r\nOleandergate-Prompt-Prefix: a1:100\r\n"
+                                                     "Content-Length: 4\r\nConnection: close\r\n\r\nbody");
+        CHECK(cluster.receivedCount() > 1);
+        CHECK(countOf(received, "HTTP/1.1") == 1);
+        CHECK(received.starts_with("HTTP/1.1 200"));
+        CHECK(countOf(received, "data:") > 0);
+        CHECK(countOf(received, "data:") < StandinEndpoint::eventCount);
+        CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+        for (const char *part : {"failure text", "error", "Not-Run", "short", "ok\r\n"}) {
+            CHECK(countOf(received, part) == 0);
+        }
+    }
+}
+
+// Guards against a success with an empty or a short body, framed as whole, for an answer whose head was cut.
+TEST_CASE("Reported: an answer that ends inside its head is not delivered as a success")
+{
+    GatewayCluster cluster(1, 1);
+    REQUIRE(cluster.startServing());
+    constexpr std::size_t repeats = 8;
+    const std::vector<HttpHeader> turn{{"Oleandergate-Token-Counts", "100,100"}, {"Oleandergate-Prompt-Prefix", "a1:100"}};
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::EndMidHead});
+    CHECK(cluster.call(0, "POST", "/orders/1")->status == 502);
+    CHECK(cluster.receivedCount() == 1);
+    for (const char *target : {"/reads/1", "/turns/1"}) {
+        CAPTURE(target);
+        cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(repeats, Behaviour::EndMidHead));
+        const bool isTurn = std::string(target) == "/turns/1";
+        const std::optional<HttpResponse> answer = cluster.call(0, isTurn ? "POST" : "GET", target, isTurn ? turn : std::vector<HttpHeader>());
+        REQUIRE(answer);
+        CHECK(answer->status == 502);
+        cluster.endpoints[0]->setNextBehaviours({});
+    }
+}
