Records of streams that could not be stored are written again

Callers would see: after a short outage of the store and the end of an instance, streams in buckets that were moved not long ago are refused with version_unknown, although the store is back.

Cause: a stream counts as recorded once its record is queued; a failed write was logged and counted, and never repeated.

Change: records that no stream waits for are queued again 0.5 s after a failed write, as long as their stream is known and at the same version.

Test: "Software versions: a record that could not be stored ..." failed on (12 of 24 take-ups refused) and passes.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -27,6 +27,9 @@
 constexpr Duration serviceTimeout = std::chrono::milliseconds(250);
 constexpr Duration pollInterval = std::chrono::milliseconds(10);
 
+//! Delay before records that could not be stored are written again.
+constexpr Duration recordRetryDelay = std::chrono::milliseconds(500);
+
 constexpr Duration proposeInterval = std::chrono::milliseconds(100);
 constexpr Duration proposeRetryDelay = std::chrono::milliseconds(500);
 
@@ -257,8 +260,11 @@
     stream.records += 1;
     stream.recordedVersion = true;
     // A later record has a key of its own: an earlier write may still take effect after its answer was lost.
-    this->queue.push_back(
-        QueuedRecord{streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records), stream.version, std::move(mark), std::move(pending)});
+    this->queue.push_back(QueuedRecord{stream.identity.attempt,
+                                       streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records),
+                                       stream.version,
+                                       std::move(mark),
+                                       std::move(pending)});
     this->startWriting();
 }
 
@@ -321,13 +327,36 @@
     return record.mark ? 2 : 1;
 }
 
-void StreamVersions::noteMarks(const std::vector<QueuedRecord> &batch, bool stored, Time now)
+std::vector<StreamVersions::QueuedRecord> StreamVersions::onWritten(std::vector<QueuedRecord> batch, bool stored, Time now)
 {
+    std::vector<QueuedRecord> failed;
     const std::lock_guard lock(this->mutex);
-    for (const QueuedRecord &record : batch) {
+    for (QueuedRecord &record : batch) {
         if (record.mark && stored) {
             this->markedAt[record.mark->key] = now;
         }
+        if (record.pending) {
+            record.pending->set(stored);
+        } else if (!stored) {
+            failed.push_back(std::move(record));
+        }
+    }
+    return failed;
+}
+
+asio::awaitable<void> StreamVersions::repeatLater(std::vector<QueuedRecord> records)
+{
+    co_await sleepFor(recordRetryDelay);
+    const std::lock_guard lock(this->mutex);
+    for (QueuedRecord &record : records) {
+        const auto stream = this->streams.find(record.attempt);
+        // A stream that ended long ago is not taken up any more; one that went on at another version has a later record.
+        if (stream != this->streams.end() && stream->second.version == record.version) {
+            this->queue.push_back(std::move(record));
+        }
+    }
+    if (!this->queue.empty()) {
+        this->startWriting();
     }
 }
 
@@ -350,11 +379,9 @@
         }
         const bool stored = co_await this->writeBatch(batch);
         (stored ? this->recordsStored : this->recordsFailed).add(static_cast<double>(batch.size()));
-        this->noteMarks(batch, stored, currentTime());
-        for (const QueuedRecord &record : batch) {
-            if (record.pending) {
-                record.pending->set(stored);
-            }
+        std::vector<QueuedRecord> failed = this->onWritten(std::move(batch), stored, currentTime());
+        if (!failed.empty()) {
+            asio::co_spawn(this->parts.context, this->repeatLater(std::move(failed)), asio::detached);
         }
     }
 }
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -91,6 +91,7 @@
 
     struct QueuedRecord
     {
+        RequestId attempt{}; //!< That began the stream.
         std::string key{};
         std::string version{};
         std::optional<KvPut> mark{}; //!< Stored together with the record: the bucket has diverted streams. Its lease is not set yet.
@@ -123,8 +124,12 @@
     //! Returns the number of entries that \p record adds to a transaction.
     static std::size_t entriesOf(const QueuedRecord &record);
 
-    //! Remembers which marks were stored.
-    void noteMarks(const std::vector<QueuedRecord> &batch, bool stored, Time now);
+    //! Notes whether \p batch was stored, and tells the streams that wait for it. Returns the records that have to be written again: those that no
+    //! stream waits for.
+    std::vector<QueuedRecord> onWritten(std::vector<QueuedRecord> batch, bool stored, Time now);
+
+    //! Writes records again that could not be stored.
+    boost::asio::awaitable<void> repeatLater(std::vector<QueuedRecord> records);
     boost::asio::awaitable<std::uint64_t> leaseForRecords();
 
     //! Reads the record of a stream. It stays unknown when the key-value service does not answer in time.
--- a/tests/gateway/softwareversiontests.cpp
+++ b/tests/gateway/softwareversiontests.cpp
@@ -262,3 +262,20 @@
     // The buckets that were moved not long ago need the records of their streams.
     CHECK(resumed >= static_cast<std::size_t>(programCount) / 2);
 }
+
+// Guards against records that are lost with one failed write: their streams could not be taken up after the end of their instance.
+TEST_CASE("Software versions: a record that could not be stored is written again")
+{
+    ReleaseCluster cluster;
+    cluster.store.setRefusing(true);
+    const std::map<std::string, std::string> attempts = cluster.beginAll(0, 2 * programCount);
+    REQUIRE(cluster.logHas(0, "no lease for records of streams"));
+    cluster.store.setRefusing(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    cluster.gateways[0].kill();
+    for (const auto &[program, attempt] : attempts) {
+        const std::optional<HttpResponse> answer = cluster.takeUp(1, program, attempt);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+    }
+}
