A stopping process counts, reads and answers all requests that have begun to arrive

Callers saw: a request whose body arrives in chunks around a SIGTERM is cut with a reset, seconds before the grace ends; of requests sent at once on a connection only the first is answered; an answer may be lost because its connection is reset behind it.

Cause: the server counted a request from the start of its handler on. What it had accepted before that did not count for the end of the process: heads and bodies that arrive, bytes that lie unread in a socket, connections that wait to be accepted, answers that are written and not yet received.

Change: each connection is an object in one of four phases (idle, receiving, handling, closing), and the process ends when no connection is left. stop() takes the connections that callers have opened already and closes those on which nothing has arrived. A request that is still arriving at the end, or whose head shows that it could not complete in time, is refused as not run at once. The sending side is closed first and input is read out after every last response, so that the response arrives. Connections over the limit are told 503 instead of being dropped. The counts are logged at SIGTERM, when the balancer knows, when everything is refused and at the end. The entry instance uses the same counts.

Not shown by a run: connections over the limit.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,7 @@
 #include "gateway/poolset.h"
 #include "gateway/ratelimiter.h"
 #include "gateway/relay.h"
+#include "gateway/relayerror.h"
 #include "gateway/requestdrain.h"
 #include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
@@ -66,6 +67,8 @@
 //! How often the metrics are logged, for operators without access to the metrics address.
 constexpr Duration summaryInterval = std::chrono::seconds(10);
 
+constexpr int serviceUnavailable = 503;
+
 InstanceRecord makeSelfRecord(const GatewaySettings &settings)
 {
     // The start time distinguishes the identifier from that of the instance's previous process.
@@ -197,7 +200,12 @@
               [this](HttpRequest request, HttpExchange &exchange) {
                   return this->relay.handle(std::move(request), exchange);
               },
-              unreadableRequestResponse)
+              [&headerCodec](int status, const std::string &detail) {
+                  return status == serviceUnavailable ? refusalResponse(unreadError(detail), headerCodec) : unreadableRequestResponse(status, detail);
+              },
+              [this](HttpRequest head, Time now) {
+                  return this->relay.refuseUnread(std::move(head), now);
+              })
         , readyServer(control, limitsOf(CallerBounds()), this->operatorHandler(), unreadableRequestResponse)
         , metricsServer(control, limitsOf(CallerBounds()), this->operatorHandler(), unreadableRequestResponse)
         , directory(control, DirectorySync::Parts{*keyValue, givenFormat, configurationHolder, pools, gossip, peers}, self.id)
@@ -358,13 +366,36 @@
         }
     }
 
-    asio::awaitable<void> awaitIdle(Time limit)
+    //! Waits until no request is arriving, handled or being answered, here or for a peer.
+    asio::awaitable<void> awaitQuiet(Time limit)
+    {
+        while (currentTime() < limit && this->callerServer.connections().busy() + this->tunnels.activeCount() > 0) {
+            co_await sleepFor(drainPollInterval);
+        }
+    }
+
+    //! Waits until all connections of callers have ended, after the server was stopped, and those carried for peers.
+    asio::awaitable<void> awaitClosed(Time limit)
     {
-        while (currentTime() < limit && this->callerServer.activeCount() + this->tunnels.activeCount() > 0) {
+        while (currentTime() < limit && (!this->callerServer.isClosed() || this->tunnels.activeCount() > 0)) {
             co_await sleepFor(drainPollInterval);
         }
     }
 
+    void logShutdown(const char *message, Duration left) const
+    {
+        const ConnectionCounts counts = this->callerServer.connections();
+        logRecord(LogLevel::Info,
+                  "instance",
+                  message,
+                  {{"idle", std::to_string(counts.in(ConnectionPhase::Idle))},
+                   {"receiving", std::to_string(counts.in(ConnectionPhase::Receiving))},
+                   {"handling", std::to_string(counts.in(ConnectionPhase::Handling))},
+                   {"closing", std::to_string(counts.in(ConnectionPhase::Closing))},
+                   {"carried", std::to_string(this->tunnels.activeCount())},
+                   {"left_ms", milliseconds(left)}});
+    }
+
     void planShutdown(const ShutdownPlan &plan)
     {
         asio::post(this->requests, [this, plan]() {
@@ -384,12 +415,10 @@
     asio::awaitable<void> drainAndStop()
     {
         const Time began = currentTime();
-        const Time endsAt = began + std::max(Duration::zero(), this->settings.drainLimit - stopMargin);
+        const Duration drainLimit = this->settings.drainLimit;
+        const Time endsAt = began + std::max(Duration::zero(), drainLimit - stopMargin);
         const Time balancerKnowsAt = std::min(began + this->settings.balancerLag, endsAt);
-        logRecord(LogLevel::Info,
-                  "instance",
-                  "draining",
-                  {{"active", std::to_string(this->callerServer.activeCount())}, {"ends_in_ms", milliseconds(endsAt - began)}});
+        this->logShutdown("draining", endsAt - began);
         this->draining = true;
         this->tunnels.stop();
         this->callerServer.disableKeepAlive();
@@ -399,17 +428,19 @@
         while (currentTime() < balancerKnowsAt) {
             co_await sleepFor(drainPollInterval);
         }
-        co_await this->awaitIdle(endsAt);
+        this->logShutdown("waiting for requests under way", endsAt - currentTime());
+        co_await this->awaitQuiet(endsAt);
         // Refuses all further requests: the process exits as soon as those under way have ended.
+        this->logShutdown("refusing further requests", endsAt - currentTime());
         this->planShutdown(ShutdownPlan(Time{}, Time{}));
-        this->callerServer.closeIdleConnections();
-        co_await sleepFor(drainPollInterval);
-        co_await this->awaitIdle(endsAt);
+        this->callerServer.stop();
+        co_await this->awaitClosed(endsAt);
         asio::post(this->requests, [this]() {
             this->drain.cutOff();
+            this->callerServer.refuseArriving();
         });
-        co_await this->awaitIdle(endsAt + lastAnswersTime);
-        logRecord(LogLevel::Info, "instance", "stopped", {{"active", std::to_string(this->callerServer.activeCount())}});
+        co_await this->awaitClosed(endsAt + lastAnswersTime);
+        this->logShutdown("stopped", began + drainLimit - currentTime());
         this->requests.stop();
         this->control.stop();
     }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -7,7 +7,6 @@
 #include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
-#include "runtime/errorresponse.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
 
@@ -39,6 +38,23 @@
 //! Lowest priority that endpoints accept; 0 is the highest.
 constexpr int lowestPriority = 9;
 
+std::string_view pathOf(const RelayCall &call)
+{
+    return std::string_view(call.target).substr(0, call.target.find('?'));
+}
+
+//! Returns the key that selects one of a route's targets.
+const std::string &routingKeyOf(const RelayCall &call)
+{
+    return call.program ? call.program->branch : call.requestId;
+}
+
+//! Returns how long \p call may take on \p route.
+Duration timeLimitOf(const RelayCall &call, const Route &route)
+{
+    return std::min(call.timeLeft.value_or(route.timeout), route.timeout);
+}
+
 } // namespace
 
 Relay::Relay(const Parts &parts)
@@ -71,6 +87,32 @@
     this->recordOutcome(context);
 }
 
+std::optional<HttpResponse> Relay::refuseUnread(HttpRequest head, Time now) const
+{
+    const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
+    if (!this->parts.drain.hasBegun() || !active) {
+        return std::nullopt;
+    }
+    const Result<RelayCall> decoded = this->parts.headerCodec.decode(std::move(head));
+    if (!decoded) {
+        return std::nullopt;
+    }
+    const RelayCall &call = decoded.value();
+    const Route *route = active->routes.find(call.host, pathOf(call));
+    const std::shared_ptr<ServicePool> pool
+        = route == nullptr || route->targets.empty() ? nullptr : this->parts.pools.find(targetFor(*route, routingKeyOf(call)).service);
+    if (!pool || this->parts.drain.admits(now + timeLimitOf(call, *route), pool->expectedMaxCallTime(), now)) {
+        return std::nullopt;
+    }
+    const Error error = shutdownError();
+    this->requestCounters.at(std::string(errorCodeName(error.code)))->add();
+    logRecord(LogLevel::Info,
+              "relay",
+              "refused a request before its body arrived: it could not complete before the shutdown",
+              {{"request", call.requestId}, {"route", route->name}, {"limit_ms", milliseconds(timeLimitOf(call, *route))}});
+    return refusalResponse(error, this->parts.headerCodec);
+}
+
 asio::awaitable<void> Relay::awaitConfiguration(RelayRequest &context)
 {
     while (!context.active && currentTime() < context.arrived + configurationTimeout) {
@@ -81,7 +123,7 @@
 
 asio::awaitable<void> Relay::findRoute(RelayRequest &context)
 {
-    const std::string_view path = std::string_view(context.call.target).substr(0, context.call.target.find('?'));
+    const std::string_view path = pathOf(context.call);
     const Time giveUpAt = context.arrived + std::min(context.call.timeLeft.value_or(announcedConfigurationTimeout), announcedConfigurationTimeout);
     while (true) {
         // Read before the search, or a configuration that arrives in between would be missed.
@@ -109,10 +151,9 @@
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
-    const std::string &key = context.call.program ? context.call.program->branch : context.call.requestId;
-    const std::string &service = targetFor(*context.route, key).service;
+    const std::string &service = targetFor(*context.route, routingKeyOf(context.call)).service;
     const auto foundService = context.active->services.find(service);
-    context.deadline = context.arrived + std::min(context.call.timeLeft.value_or(context.route->timeout), context.route->timeout);
+    context.deadline = context.arrived + timeLimitOf(context.call, *context.route);
     context.pool = this->parts.pools.find(service);
     if (foundService == context.active->services.end() || !context.pool) {
         co_await this->refuse(context, relayError(ErrorCode::NoEndpoint, Step::Queue, Executed::No, "the service " + service + " is not configured"));
@@ -342,16 +383,7 @@
 
 asio::awaitable<void> Relay::refuse(RelayRequest &context, const Error &error)
 {
-    HttpResponse response = errorResponse(error);
-    std::erase_if(response.headers, [](const HttpHeader &header) {
-        return header.name == "Retry-After";
-    });
-    if (error.executed == Executed::No && error.retryAfter) {
-        response.headers.push_back(this->parts.headerCodec.retryAfter(*error.retryAfter));
-    }
-    if (error.step == Step::Drain) {
-        context.exchange.closeAfterResponse();
-    }
+    HttpResponse response = refusalResponse(error, this->parts.headerCodec);
     context.status = response.status;
     context.outcome = std::string(errorCodeName(error.code));
     context.lastError = error;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -48,6 +48,9 @@
 
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange);
 
+    //! Returns the refusal of a request of which only \p head has arrived, if it could not complete before this instance has shut down.
+    std::optional<HttpResponse> refuseUnread(HttpRequest head, Time now) const;
+
 private:
     boost::asio::awaitable<void> serve(RelayRequest &context);
     boost::asio::awaitable<void> awaitConfiguration(RelayRequest &context);
--- a/src/gateway/relayerror.cpp
+++ b/src/gateway/relayerror.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relayerror.h"
 
+#include "runtime/errorresponse.h"
+
 namespace oleandergate {
 
 namespace {
@@ -7,7 +9,7 @@
 //! Retry-After of a refusal without a better estimate: about the time that an engine takes for one call.
 constexpr Duration defaultRetryAfter = std::chrono::milliseconds(250);
 
-//! Retry-After while this instance shuts down: a new connection reaches another instance, so callers may retry almost at once.
+//! Retry-After while this instance shuts down or is full: a new connection reaches another instance, so callers may retry almost at once.
 constexpr Duration otherInstanceRetryAfter = std::chrono::milliseconds(20);
 
 } // namespace
@@ -28,4 +30,23 @@
     return out;
 }
 
+Error unreadError(std::string detail)
+{
+    Error out = relayError(ErrorCode::ServiceUnavailable, Step::Receive, Executed::No, std::move(detail));
+    out.retryAfter = otherInstanceRetryAfter;
+    return out;
+}
+
+HttpResponse refusalResponse(const Error &error, const HeaderCodec &headerCodec)
+{
+    HttpResponse response = errorResponse(error);
+    std::erase_if(response.headers, [](const HttpHeader &header) {
+        return header.name == "Retry-After";
+    });
+    if (error.executed == Executed::No && error.retryAfter) {
+        response.headers.push_back(headerCodec.retryAfter(*error.retryAfter));
+    }
+    return response;
+}
+
 } // namespace oleandergate
--- a/src/gateway/requestdrain.cpp
+++ b/src/gateway/requestdrain.cpp
@@ -23,9 +23,19 @@
     this->plan = newPlan;
 }
 
+bool RequestDrain::hasBegun() const
+{
+    return this->plan.has_value();
+}
+
+bool RequestDrain::admits(Time deadline, Duration expectedMaxCallTime, Time now) const
+{
+    return !this->plan || this->plan->admits(now, deadline, expectedMaxCallTime);
+}
+
 bool RequestDrain::admits(const RelayRequest &request, Time now) const
 {
-    return !this->plan || this->plan->admits(now, request.deadline, request.pool->expectedMaxCallTime());
+    return !this->plan || this->admits(request.deadline, request.pool->expectedMaxCallTime(), now);
 }
 
 Time RequestDrain::limit(Time deadline) const
--- a/src/gateway/requestdrain.h
+++ b/src/gateway/requestdrain.h
@@ -31,6 +31,11 @@
     //! Begins the shutdown, or replaces its plan.
     void begin(const ShutdownPlan &newPlan);
 
+    bool hasBegun() const;
+
+    //! Returns whether a request that may take until \p deadline may be sent now, if nearly every call ends within \p expectedMaxCallTime.
+    bool admits(Time deadline, Duration expectedMaxCallTime, Time now) const;
+
     //! Returns whether \p request may be sent now. Always true while the instance does not shut down.
     bool admits(const RelayRequest &request, Time now) const;
 
--- /dev/null
+++ b/src/runtime/beastexchange.h
@@ -0,0 +1,69 @@
+#ifndef OLEANDERGATE_RUNTIME_BEASTEXCHANGE_H
+#define OLEANDERGATE_RUNTIME_BEASTEXCHANGE_H
+
+#include "runtime/httpexchange.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+
+namespace oleandergate {
+
+//! Detects that the peer closes a connection while a request is handled and nothing is read.
+class DisconnectWatcher : public std::enable_shared_from_this<DisconnectWatcher>
+{
+public:
+    explicit DisconnectWatcher(boost::beast::tcp_stream &stream);
+
+    void setHook(std::function<void()> newHook);
+    void clearHook();
+
+private:
+    void wait();
+    void checkConnection();
+
+    boost::beast::tcp_stream &stream;
+    std::function<void()> hook{};
+    bool waiting = false;
+};
+
+//! Response to one request of a connection.
+class BeastExchange : public HttpExchange
+{
+public:
+    //! \p mayKeepAlive is asked when a response begins: it returns whether the connection may serve another request after it.
+    BeastExchange(boost::beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive);
+    ~BeastExchange() override;
+    BeastExchange(const BeastExchange &) = delete;
+    BeastExchange &operator=(const BeastExchange &) = delete;
+
+    boost::asio::awaitable<bool> respond(HttpResponse response) override;
+    boost::asio::awaitable<bool> startStream(HttpResponse head) override;
+    boost::asio::awaitable<bool> sendChunk(std::string chunk) override;
+    boost::asio::awaitable<bool> endStream() override;
+    void closeAfterResponse() override;
+    void onCallerDisconnected(std::function<void()> onDisconnected) override;
+
+    //! Returns whether the response is complete and the connection serves another request.
+    bool keepsAlive() const;
+
+    //! Returns whether bytes of a response were sent and the connection is not known to be broken.
+    bool hasSentResponse() const;
+
+    bool responseStarted = false;
+    bool responseOptional = false;
+
+private:
+    void decideKeepAlive();
+
+    boost::beast::tcp_stream &stream;
+    std::shared_ptr<DisconnectWatcher> watcher;
+    std::function<bool()> mayKeepAlive;
+    bool keepAlive = true;
+    bool healthy = true;
+    bool responseComplete = false;
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/runtime/entryinstance.cpp
+++ b/src/runtime/entryinstance.cpp
@@ -37,6 +37,9 @@
 //! Minimum time for which a draining instance still accepts requests, because load balancers learn of the drain late.
 constexpr Duration loadBalancerUpdateDelay = std::chrono::milliseconds(500);
 
+//! Time for the answers to requests that are still arriving when the drain limit is over.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(200);
+
 InstanceId uniqueInstanceId(const std::string &name)
 {
     return name + "~" + std::to_string(currentTime().time_since_epoch().count());
@@ -181,7 +184,7 @@
         this->cluster.markLeaving();
         const Time loadBalancerUpdatedAt = currentTime() + loadBalancerUpdateDelay;
         while (currentTime() < giveUpAt) {
-            const bool idle = this->callerServer.activeCount() == 0 && this->peerServer.activeCount() == 0 && this->programs.liveCallCount() == 0;
+            const bool idle = this->callerServer.connections().busy() == 0 && this->peerServer.activeCount() == 0 && this->programs.liveCallCount() == 0;
             const bool handedOver = this->programs.ownedSlots().empty() || this->view.instances().size() <= 1;
             if (idle && handedOver && currentTime() >= loadBalancerUpdatedAt) {
                 break;
@@ -189,7 +192,12 @@
             co_await sleepFor(drainPollInterval);
         }
         this->callerServer.stop();
-        while (currentTime() < giveUpAt && this->callerServer.activeCount() + this->peerServer.activeCount() > 0) {
+        while (currentTime() < giveUpAt && (!this->callerServer.isClosed() || this->peerServer.activeCount() > 0)) {
+            co_await sleepFor(drainPollInterval);
+        }
+        this->callerServer.refuseArriving();
+        const Time answeredBy = currentTime() + lastAnswersTime;
+        while (currentTime() < answeredBy && !this->callerServer.isClosed()) {
             co_await sleepFor(drainPollInterval);
         }
         co_await this->cluster.deregister();
--- a/src/runtime/errorresponse.cpp
+++ b/src/runtime/errorresponse.cpp
@@ -24,6 +24,8 @@
     constexpr int headerTooLarge = 431;
     constexpr int timedOut = 408;
     constexpr int serverError = 500;
+    constexpr int serviceUnavailable = 503;
+    constexpr Duration unavailableRetryAfter = std::chrono::seconds(1);
     ErrorCode code = ErrorCode::BadRequest;
     if (status == tooLarge || status == headerTooLarge) {
         code = ErrorCode::TooLarge;
@@ -31,8 +33,13 @@
         code = ErrorCode::Timeout;
     } else if (status == serverError) {
         code = ErrorCode::Internal;
+    } else if (status == serviceUnavailable) {
+        code = ErrorCode::ServiceUnavailable;
+    }
+    Error error{code, Step::Receive, {}, status == serverError ? Executed::Unknown : Executed::No, std::nullopt, detail};
+    if (status == serviceUnavailable) {
+        error.retryAfter = unavailableRetryAfter;
     }
-    const Error error{code, Step::Receive, {}, status == serverError ? Executed::Unknown : Executed::No, std::nullopt, detail};
     HttpResponse response = errorResponse(error);
     response.status = status;
     return response;
--- /dev/null
+++ b/src/runtime/httpconnection.cpp
@@ -0,0 +1,312 @@
+#include "runtime/httpconnection.h"
+
+#include "runtime/beastexchange.h"
+#include "runtime/clock.h"
+#include "runtime/unparsedbytes.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace oleandergate {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
+
+//! After its last response a connection is read until the caller closes it, is silent for this long, or the limit passes. Closing it with unread
+//! bytes would reset it, and the caller could lose the response.
+constexpr std::chrono::milliseconds lingerSilence{500};
+constexpr std::chrono::milliseconds lingerLimit{5000};
+
+constexpr int serviceUnavailable = 503;
+constexpr const char *shutdownDetail = "the instance shuts down before the request has arrived";
+
+HttpRequest toRequestHead(const http::request<http::string_body> &message, const std::string &peer)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.peer = peer;
+    for (const auto &field : message) {
+        request.headers.push_back(HttpHeader{std::string(field.name_string()), std::string(field.value())});
+    }
+    return request;
+}
+
+HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &peer)
+{
+    HttpRequest request = toRequestHead(message, peer);
+    request.body = std::move(message.body());
+    return request;
+}
+
+int statusOfReadError(const beast::error_code &error)
+{
+    if (error == http::error::body_limit) {
+        return 413;
+    }
+    if (error == http::error::header_limit) {
+        return 431;
+    }
+    if (error == beast::error::timeout) {
+        return 408;
+    }
+    const bool closed = error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::operation_aborted;
+    return closed ? 0 : 400;
+}
+
+//! Returns true when the body length of a request is ambiguous, which allows request smuggling.
+bool hasAmbiguousFraming(const http::request<http::string_body> &message)
+{
+    const auto count = [&message](http::field name) {
+        const auto range = message.equal_range(name);
+        return std::distance(range.first, range.second);
+    };
+    if (count(http::field::host) > 1 || count(http::field::content_length) > 1 || count(http::field::transfer_encoding) > 1) {
+        return true;
+    }
+    const auto coding = message.find(http::field::transfer_encoding);
+    if (coding == message.end()) {
+        return false;
+    }
+    return !beast::iequals(coding->value(), "chunked") || count(http::field::content_length) > 0 || message.version() < 11;
+}
+
+} // namespace
+
+HttpLimits HttpServer::Core::currentLimits()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->limits;
+}
+
+ConnectionCounts HttpServer::Core::counts() const
+{
+    ConnectionCounts found;
+    for (std::size_t index = 0; index < found.byPhase.size(); ++index) {
+        found.byPhase[index] = this->phaseCounts[index];
+    }
+    return found;
+}
+
+void HttpServer::Core::forEachConnection(const std::function<void(HttpConnection &)> &action)
+{
+    std::vector<std::shared_ptr<HttpConnection>> found;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &[key, entry] : this->connections) {
+            if (std::shared_ptr<HttpConnection> connection = entry.lock()) {
+                found.push_back(std::move(connection));
+            }
+        }
+    }
+    for (const std::shared_ptr<HttpConnection> &connection : found) {
+        action(*connection);
+    }
+}
+
+HttpConnection::HttpConnection(std::shared_ptr<HttpServer::Core> givenCore, tcp::socket socket)
+    : core(std::move(givenCore))
+    , stream(std::move(socket))
+    , watcher(std::make_shared<DisconnectWatcher>(stream))
+{
+    this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) += 1;
+}
+
+HttpConnection::~HttpConnection()
+{
+    this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
+    const std::lock_guard lock(this->core->mutex);
+    this->core->connections.erase(this);
+}
+
+void HttpConnection::enter(ConnectionPhase next)
+{
+    // In this order, as the counts are read on other threads: a connection is never missing from them.
+    this->core->phaseCounts.at(static_cast<std::size_t>(next)) += 1;
+    this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
+    this->phase = next;
+}
+
+bool HttpConnection::hasInput()
+{
+    beast::error_code ignored;
+    return this->buffer.size() > 0 || this->stream.socket().available(ignored) > 0;
+}
+
+bool HttpConnection::mayKeepAlive()
+{
+    if (this->core->refusing) {
+        return false;
+    }
+    // A request that has already arrived behind this one is served too.
+    return (!this->core->keepAliveDisabled && !this->core->stopping) || this->hasInput();
+}
+
+void HttpConnection::closeIfIdle()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        if (self->phase == ConnectionPhase::Idle && !self->hasInput()) {
+            beast::error_code ignored;
+            self->stream.socket().cancel(ignored);
+        }
+    });
+}
+
+void HttpConnection::refuseIfReceiving()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        if (self->phase == ConnectionPhase::Receiving && !self->refusal) {
+            self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
+            self->stream.cancel();
+        }
+    });
+}
+
+asio::awaitable<void> HttpConnection::serve()
+{
+    beast::error_code ignored;
+    this->stream.socket().set_option(tcp::no_delay(true), ignored);
+    const tcp::endpoint remote = this->stream.socket().remote_endpoint(ignored);
+    this->peer = remote.address().to_string() + ":" + std::to_string(remote.port());
+    {
+        const std::lock_guard lock(this->core->mutex);
+        this->core->connections.emplace(this, this->weak_from_this());
+    }
+    bool open = true;
+    while (open) {
+        const HttpLimits limits = this->core->currentLimits();
+        this->enter(ConnectionPhase::Idle);
+        if (!this->hasInput() && (this->core->stopping || !co_await this->waitForRequest(limits.idleTimeout))) {
+            break;
+        }
+        this->enter(ConnectionPhase::Receiving);
+        open = co_await this->serveRequest(limits);
+    }
+    co_await this->close();
+}
+
+asio::awaitable<void> HttpConnection::reject(std::string detail)
+{
+    HttpResponse response = this->core->formatError(serviceUnavailable, detail);
+    co_await this->sendLast(std::move(response));
+    co_await this->close();
+}
+
+asio::awaitable<bool> HttpConnection::waitForRequest(Duration timeout)
+{
+    char probe = 0;
+    this->stream.expires_after(timeout);
+    const auto [error, size] = co_await this->stream.socket().async_receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, useResult);
+    co_return !error && size > 0;
+}
+
+asio::awaitable<beast::error_code> HttpConnection::readRequest(Parser &parser, Duration timeout)
+{
+    this->stream.expires_after(timeout);
+    const auto [headError, headSize] = co_await http::async_read_header(this->stream, this->buffer, parser, useResult);
+    if (headError || parser.is_done() || this->refusal) {
+        co_return headError;
+    }
+    if (this->core->refusing) {
+        this->refusal = this->core->formatError(serviceUnavailable, shutdownDetail);
+    } else if (this->core->admission) {
+        this->refusal = this->core->admission(toRequestHead(parser.get(), this->peer), currentTime());
+    }
+    if (this->refusal) {
+        co_return beast::error_code();
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(this->stream, asio::buffer(continueResponse), useResult);
+        if (this->refusal) {
+            co_return beast::error_code();
+        }
+    }
+    this->stream.expires_after(timeout);
+    const auto [error, size] = co_await http::async_read(this->stream, this->buffer, parser, useResult);
+    co_return error;
+}
+
+asio::awaitable<bool> HttpConnection::serveRequest(HttpLimits limits)
+{
+    this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
+    Parser parser;
+    parser.body_limit(limits.maxBodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    const beast::error_code error = co_await this->readRequest(parser, limits.receiveTimeout);
+    const bool isRefused = this->refusal && !parser.is_done() && (!error || error == asio::error::operation_aborted);
+    if (error || isRefused) {
+        const int status = isRefused ? 0 : statusOfReadError(error);
+        if (isRefused || status != 0) {
+            HttpResponse response = isRefused ? std::move(*this->refusal) : this->core->formatError(status, error.message());
+            co_await this->sendLast(std::move(response));
+        }
+        co_return false;
+    }
+    this->refusal.reset();
+    if (hasAmbiguousFraming(parser.get())) {
+        HttpResponse response
+            = this->core->formatError(400, "ambiguous request framing: repeated or contradictory Host, Content-Length or Transfer-Encoding header fields");
+        co_await this->sendLast(std::move(response));
+        co_return false;
+    }
+    this->enter(ConnectionPhase::Handling);
+    this->stream.expires_never();
+    const bool callerKeepsAlive = parser.get().keep_alive();
+    BeastExchange exchange(this->stream, this->watcher, [this, callerKeepsAlive]() {
+        return callerKeepsAlive && this->mayKeepAlive();
+    });
+    HttpRequest request = toRequest(parser.release(), this->peer);
+    co_await this->handle(exchange, std::move(request));
+    this->responseSent = exchange.hasSentResponse();
+    co_return exchange.keepsAlive();
+}
+
+asio::awaitable<void> HttpConnection::handle(BeastExchange &exchange, HttpRequest request)
+{
+    std::string failure;
+    try {
+        co_await this->core->handler(std::move(request), exchange);
+    } catch (const std::exception &error) {
+        failure = error.what();
+        exchange.closeAfterResponse();
+    }
+    if (!exchange.responseStarted && (!exchange.responseOptional || !failure.empty())) {
+        HttpResponse response = this->core->formatError(500, failure.empty() ? "the handler sent no response" : failure);
+        co_await exchange.respond(std::move(response));
+    }
+}
+
+asio::awaitable<void> HttpConnection::sendLast(HttpResponse response)
+{
+    this->enter(ConnectionPhase::Handling);
+    BeastExchange exchange(this->stream, this->watcher, []() {
+        return false;
+    });
+    co_await exchange.respond(std::move(response));
+    this->responseSent = exchange.hasSentResponse();
+}
+
+asio::awaitable<void> HttpConnection::close()
+{
+    this->enter(ConnectionPhase::Closing);
+    beast::error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    const Time until = currentTime() + lingerLimit;
+    std::array<char, 4096> scratch{};
+    while (this->responseSent && currentTime() < until) {
+        this->stream.expires_after(lingerSilence);
+        const auto [error, size] = co_await this->stream.async_read_some(asio::buffer(scratch), useResult);
+        this->responseSent = !error;
+    }
+    this->stream.close();
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/runtime/httpconnection.h
@@ -0,0 +1,106 @@
+#ifndef OLEANDERGATE_RUNTIME_HTTPCONNECTION_H
+#define OLEANDERGATE_RUNTIME_HTTPCONNECTION_H
+
+#include "runtime/connectionphase.h"
+#include "runtime/httpserver.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace oleandergate {
+
+class BeastExchange;
+class DisconnectWatcher;
+class HttpConnection;
+
+//! State that a server shares with its connections.
+struct HttpServer::Core
+{
+    boost::asio::io_context &context;
+    HttpLimits limits; //!< Guarded by the mutex.
+    HttpHandler handler;
+    HttpErrorFormatter formatError;
+    HttpAdmission admission;
+    std::mutex mutex{};
+    std::optional<boost::asio::ip::tcp::acceptor> acceptor{};
+    std::atomic<bool> accepting{false}; //!< New connections are taken, or those that wait to be accepted are not all taken yet.
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> keepAliveDisabled{false};
+    std::atomic<bool> refusing{false};
+    std::array<std::atomic<std::size_t>, connectionPhaseNames.size()> phaseCounts{};
+    std::atomic<std::size_t> rejectedConnections{0}; //!< Connections beyond the limit that are being answered.
+    std::map<HttpConnection *, std::weak_ptr<HttpConnection>> connections{}; //!< Guarded by the mutex.
+
+    HttpLimits currentLimits();
+    ConnectionCounts counts() const;
+
+    //! Calls \p action with each connection.
+    void forEachConnection(const std::function<void(HttpConnection &)> &action);
+};
+
+//! One connection of a caller. Used on the executor of its socket, except where noted.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    HttpConnection(std::shared_ptr<HttpServer::Core> core, boost::asio::ip::tcp::socket socket);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    //! Serves requests until the connection is closed.
+    boost::asio::awaitable<void> serve();
+
+    //! Refuses whatever arrives, as not run, and closes the connection.
+    boost::asio::awaitable<void> reject(std::string detail);
+
+    //! Closes the connection if nothing of a next request has arrived. Thread-safe.
+    void closeIfIdle();
+
+    //! Refuses the request that is arriving, if any. Thread-safe.
+    void refuseIfReceiving();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void enter(ConnectionPhase next);
+
+    //! Returns whether bytes of a next request have arrived.
+    bool hasInput();
+    bool mayKeepAlive();
+
+    //! Waits until the next request begins to arrive. Returns false when the connection was closed or stayed idle for \p timeout.
+    boost::asio::awaitable<bool> waitForRequest(Duration timeout);
+
+    //! Reads a request and answers it. Returns whether the connection serves another one.
+    boost::asio::awaitable<bool> serveRequest(HttpLimits limits);
+    boost::asio::awaitable<boost::beast::error_code> readRequest(Parser &parser, Duration timeout);
+    boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
+
+    //! Sends \p response, after which the connection closes.
+    boost::asio::awaitable<void> sendLast(HttpResponse response);
+
+    //! Closes the connection. The caller of a response that was just sent gets it even if it sends on.
+    boost::asio::awaitable<void> close();
+
+    std::shared_ptr<HttpServer::Core> core;
+    boost::beast::tcp_stream stream;
+    std::shared_ptr<DisconnectWatcher> watcher;
+    boost::beast::flat_buffer buffer{};
+    std::string peer;
+    ConnectionPhase phase = ConnectionPhase::Idle;
+    std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
+    bool responseSent = false; //!< The caller may still have to receive the end of a response.
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -2,10 +2,13 @@
 #define OLEANDERGATE_RUNTIME_HTTPSERVER_H
 
 #include "decision/error.h"
+#include "decision/time.h"
+#include "runtime/connectionphase.h"
 #include "runtime/httpexchange.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -26,14 +29,21 @@
 //! Handles one request. If it throws, the caller gets a response with status 500.
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest request, HttpExchange &exchange)>;
 
-//! Returns the response to a request that could not be read or whose handler failed.
+//! Decides on a request of which only \p head has arrived. Returns the response that refuses it, or nothing to read it on.
+using HttpAdmission = std::function<std::optional<HttpResponse>(HttpRequest head, Time now)>;
+
+//! Returns the response to a request that could not be read or whose handler failed; status 503 to one that is refused unread, for lack of room or of time.
 using HttpErrorFormatter = std::function<HttpResponse(int status, const std::string &detail)>;
 
 //! HTTP/1.1 server with persistent connections and graceful shutdown.
 class HttpServer
 {
 public:
-    HttpServer(boost::asio::io_context &context, const HttpLimits &limits, HttpHandler handler, HttpErrorFormatter formatError);
+    HttpServer(boost::asio::io_context &context,
+               const HttpLimits &limits,
+               HttpHandler handler,
+               HttpErrorFormatter formatError,
+               HttpAdmission admission = HttpAdmission());
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -41,22 +51,28 @@
     //! Changes the limits from the next request on.
     void setLimits(const HttpLimits &limits);
 
-    //! Continues to accept requests, but closes each connection after its next response.
+    //! Continues to accept requests, but closes each connection after its next response, unless another request has arrived behind that one.
     void disableKeepAlive();
 
-    //! Closes connections on which no request is being handled.
-    void closeIdleConnections();
-
     //! Binds \p address, an IP address and a port, and starts accepting connections.
     Result<void> start(const std::string &address);
 
-    //! Stops accepting connections, closes idle ones and closes the others after their current response.
+    //! Stops accepting connections, after those that callers have opened already, and closes idle ones. Requests that have arrived or are arriving are
+    //! still handled; each connection closes after them.
     void stop();
 
+    //! Refuses requests that are still arriving, with the response that the error formatter returns for status 503.
+    void refuseArriving();
+
     //! Returns the number of requests being handled.
     std::size_t activeCount() const;
 
-    //! State shared with running connections.
+    ConnectionCounts connections() const;
+
+    //! Returns true after stop() once no connection is left.
+    bool isClosed() const;
+
+    //! State shared with the connections.
     struct Core;
 
 private:
--- /dev/null
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -0,0 +1,210 @@
+//! Requests that arrive, and answers that leave, while a gateway process stops.
+
+#include "gatewaycluster.h"
+#include "support/callerconnection.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int timeoutMs = 20000;
+constexpr const char *firstPart = "first part, ";
+constexpr const char *secondPart = "second part";
+
+//! The load balancer knows of a stop by then.
+constexpr std::chrono::milliseconds balancerLag{3000};
+
+struct StoppingGateway : GatewayCluster
+{
+    StoppingGateway()
+        : GatewayCluster(1, 1)
+    {
+        REQUIRE(this->startServing());
+        REQUIRE(this->call(0, "GET", "/reads/1")->status == 200);
+    }
+
+    std::string head(const std::string &method, const std::string &target, const std::string &fields)
+    {
+        return method + " " + target + " HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: a" + std::to_string(++this->requests) + "\r\n" + fields
+            + "\r\n";
+    }
+
+    std::string read()
+    {
+        return this->head("GET", "/reads/1", "Oleandergate-Deadline-Ms: 1000\r\n");
+    }
+
+    //! Returns the head of an order whose body follows in chunks.
+    std::string orderHead(int limitMs)
+    {
+        return this->head("POST", "/orders/1", "Transfer-Encoding: chunked\r\nOleandergate-Deadline-Ms: " + std::to_string(limitMs) + "\r\n");
+    }
+
+    int requests = 0;
+};
+
+bool isRefusal(const HttpResponse &response)
+{
+    return response.status == 503 && !response.header("Retry-After").empty() && response.header("Connection") == "close";
+}
+
+} // namespace
+
+// Guards against a process that ends while the body of a request arrives: the caller's connection was reset without an answer.
+TEST_CASE("Arriving: a request whose body arrives while the balancer learns of a stop is read to its end and answered")
+{
+    StoppingGateway cluster;
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(500));
+    const std::size_t received = cluster.receivedCount();
+    REQUIRE(caller.send(cluster.orderHead(2000) + bodyChunk(firstPart)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    CHECK(caller.send(bodyChunk(secondPart) + bodyChunk("")));
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(caller.responses().front().status == 200);
+    CHECK(caller.end() == ConnectionEnd::Closed);
+    REQUIRE(cluster.receivedCount() == received + 1);
+    CHECK(cluster.endpoints[0]->received().back().request.body == std::string(firstPart) + secondPart);
+    CHECK(cluster.gateways[0].wait() == 0);
+    CHECK(cluster.log(0).find("\"receiving\":\"1\"") != std::string::npos);
+}
+
+// Guards against callers that are left without an answer, as their request had not arrived completely when the time for the stop was over.
+TEST_CASE("Arriving: a request that has not arrived when the time for a stop is over is refused as not run")
+{
+    StoppingGateway cluster;
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    CallerConnection caller(cluster.callerAddress(0));
+    const std::size_t received = cluster.receivedCount();
+    cluster.gateways[0].signal(SIGTERM);
+    REQUIRE(caller.send(cluster.orderHead(500) + bodyChunk(firstPart)));
+    constexpr int chunks = 8;
+    for (int sent = 0; sent < chunks; ++sent) {
+        caller.receive(1, 200);
+        caller.send(bodyChunk(firstPart));
+    }
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(isRefusal(caller.responses().front()));
+    CHECK(cluster.receivedCount() == received);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
+// Guards against callers that send a whole body only to learn that it was known from the head that the request could not be served.
+TEST_CASE("Arriving: a request that could not complete before the end of a stop is refused before its body has arrived")
+{
+    StoppingGateway cluster;
+    CallerConnection keepsBusy(cluster.callerAddress(0));
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(300));
+    REQUIRE(keepsBusy.send(cluster.orderHead(1000) + bodyChunk(firstPart)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    REQUIRE(caller.send(cluster.orderHead(6000) + bodyChunk(firstPart)));
+    caller.receive(1, 1000);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(isRefusal(caller.responses().front()));
+    keepsBusy.send(bodyChunk(""));
+    keepsBusy.receiveToEnd(timeoutMs);
+    REQUIRE(keepsBusy.responses().size() == 1);
+    CHECK(keepsBusy.responses().front().status == 200);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
+// Guards against the second of two requests that were sent at once being dropped, as the answer to the first one closed the connection.
+TEST_CASE("Arriving: requests that were sent at once on a connection are all answered during a stop")
+{
+    StoppingGateway cluster;
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    REQUIRE(cluster.logHas(0, "\"message\":\"draining\""));
+    REQUIRE(caller.send(cluster.read() + cluster.read() + cluster.read()));
+    caller.receiveToEnd(timeoutMs);
+    const std::vector<HttpResponse> answers = caller.responses();
+    REQUIRE(answers.size() == 3);
+    for (const HttpResponse &answer : answers) {
+        CHECK(answer.status == 200);
+    }
+    CHECK(answers.back().header("Connection") == "close");
+    CHECK(caller.end() == ConnectionEnd::Closed);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
+// Guards against requests that have arrived and were not read yet being reset when idle connections are closed.
+TEST_CASE("Arriving: requests that wait unread when a stopping process closes idle connections are answered")
+{
+    StoppingGateway cluster;
+    constexpr std::size_t callerCount = 48;
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (std::size_t number = 0; number < callerCount; ++number) {
+        callers.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
+        REQUIRE(callers.back()->send(cluster.read()));
+        callers.back()->receive(1, timeoutMs);
+        REQUIRE(callers.back()->responses().size() == 1);
+    }
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(200));
+    cluster.gateways[0].suspend();
+    for (const std::unique_ptr<CallerConnection> &caller : callers) {
+        REQUIRE(caller->send(cluster.read()));
+    }
+    // These wait to be accepted.
+    for (std::size_t number = 0; number < callerCount; ++number) {
+        callers.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
+        REQUIRE(callers.back()->send(cluster.read()));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    cluster.gateways[0].signal(SIGCONT);
+    std::size_t answered = 0;
+    for (const std::unique_ptr<CallerConnection> &caller : callers) {
+        caller->receiveToEnd(timeoutMs);
+        const std::vector<HttpResponse> answers = caller->responses();
+        answered += !answers.empty() && answers.back().header("Connection") == "close" ? 1 : 0;
+    }
+    CHECK(answered == callers.size());
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
+// Guards against an answer that is lost because the caller had sent more than was read: the connection was reset behind the answer.
+TEST_CASE("Arriving: an answer arrives whole although more than its request was sent on the connection")
+{
+    StoppingGateway cluster;
+    CallerConnection caller(cluster.callerAddress(0));
+    constexpr std::size_t unreadBytes = 256UL * 1024;
+    REQUIRE(caller.send(cluster.head("GET", "/reads/1", "Connection: close\r\n") + std::string(unreadBytes, 'x')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(caller.responses().front().status == 200);
+    CHECK(caller.end() == ConnectionEnd::Closed);
+}
+
+// Guards against a reload or a change of the limits during a stop that ends requests or the process early.
+TEST_CASE("Arriving: a stop goes on unchanged beside a reload of the settings and a change of the configuration")
+{
+    StoppingGateway cluster;
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(500));
+    REQUIRE(caller.send(cluster.orderHead(2000) + bodyChunk(firstPart)));
+    constexpr int shorterGraceSeconds = 2;
+    cluster.setGrace(0, shorterGraceSeconds);
+    cluster.configure(2);
+    REQUIRE(cluster.logHas(0, "\"version\":\"2\""));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    CHECK(caller.send(bodyChunk(secondPart) + bodyChunk("")));
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(caller.responses().front().status == 200);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
--- /dev/null
+++ b/tests/support/callerconnection.h
@@ -0,0 +1,56 @@
+#ifndef OLEANDERGATE_SUPPORT_CALLERCONNECTION_H
+#define OLEANDERGATE_SUPPORT_CALLERCONNECTION_H
+
+#include "runtime/httpmessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace oleandergate::support {
+
+//! State of a connection as its caller sees it.
+enum class ConnectionEnd : std::uint8_t {
+    Open,
+    Closed, //!< In order.
+    Reset, //!< What was sent last may be lost.
+};
+
+//! A caller's connection, whose bytes a test sends and receives itself.
+class CallerConnection
+{
+public:
+    explicit CallerConnection(const std::string &address);
+
+    //! Sends \p bytes. Returns false when the connection is broken.
+    bool send(const std::string &bytes);
+
+    //! Receives until the connection ends, \p responseCount complete responses have arrived, or nothing arrives for \p timeoutMs.
+    void receive(std::size_t responseCount, int timeoutMs);
+
+    //! Receives until the connection ends or nothing arrives for \p timeoutMs.
+    void receiveToEnd(int timeoutMs);
+
+    //! Returns the complete responses among the received bytes.
+    std::vector<HttpResponse> responses() const;
+    ConnectionEnd end() const;
+
+private:
+    //! Receives what arrives within \p timeoutMs. Returns false when nothing did.
+    bool receiveSome(int timeoutMs);
+
+    boost::asio::io_context context{};
+    boost::asio::ip::tcp::socket socket;
+    std::string received{};
+    ConnectionEnd ended = ConnectionEnd::Open;
+};
+
+//! Returns a chunk of a request's body; an empty one ends the body.
+std::string bodyChunk(const std::string &text);
+
+} // namespace oleandergate::support
+
+#endif
