A process that is held up at the end of its stop still sends its last answers

Callers saw: nothing yet; found by looking for the same cause. Requests that are under way when the time for a stop is over lose their connections without an answer if the process is held up at that moment, as by a busy core.

Cause: the time for the last answers ended at a fixed moment, 0.2 s before the drain limit, even if they had only just been asked for.

Change: requests end a tenth of the drain limit before it (0.4 to 1 s); the process waits for the last answers until 0.1 s before the limit, and for 0.2 s at least.

Measured: "Arriving: a process that is held up ..." stops the process from 1.55 to 1.9 s of a grace of 2 s.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,11 +41,15 @@
 
 constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
 
-//! Requests end this much before the drain limit, so that the process has exited by then.
-constexpr Duration stopMargin = std::chrono::milliseconds(400);
+//! Requests end a tenth of the drain limit before it, within these bounds. The rest of the time is for the last answers.
+constexpr Duration minStopMargin = std::chrono::milliseconds(400);
+constexpr Duration maxStopMargin = std::chrono::seconds(1);
 
-//! Part of the margin in which the last answers are sent.
-constexpr Duration lastAnswersTime = std::chrono::milliseconds(200);
+//! The process exits this much before the drain limit.
+constexpr Duration exitMargin = std::chrono::milliseconds(100);
+
+//! Shortest time for the last answers, also when the process was held up before them.
+constexpr Duration minLastAnswersTime = std::chrono::milliseconds(200);
 
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 
@@ -416,6 +420,7 @@
     {
         const Time began = currentTime();
         const Duration drainLimit = this->settings.drainLimit;
+        const Duration stopMargin = std::clamp<Duration>(drainLimit / 10, minStopMargin, maxStopMargin);
         const Time endsAt = began + std::max(Duration::zero(), drainLimit - stopMargin);
         const Time balancerKnowsAt = std::min(began + this->settings.balancerLag, endsAt);
         this->logShutdown("draining", endsAt - began);
@@ -439,7 +444,7 @@
             this->drain.cutOff();
             this->callerServer.refuseArriving();
         });
-        co_await this->awaitClosed(endsAt + lastAnswersTime);
+        co_await this->awaitClosed(std::max(began + drainLimit - exitMargin, currentTime() + minLastAnswersTime));
         this->logShutdown("stopped", began + drainLimit - currentTime());
         this->requests.stop();
         this->control.stop();
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -175,6 +175,39 @@
     CHECK(cluster.gateways[0].wait() == 0);
 }
 
+// Guards against a process that was held up near the end of its stop and then exits without the last answers, although it has time for them.
+TEST_CASE("Arriving: a process that is held up at the end of its stop still sends its last answers")
+{
+    StoppingGateway cluster;
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    constexpr std::size_t callerCount = 8;
+    cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(callerCount, Behaviour::Slow));
+    const std::size_t received = cluster.receivedCount();
+    std::vector<std::unique_ptr<CallerConnection>> callers;
+    for (std::size_t number = 0; number < callerCount; ++number) {
+        callers.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
+        REQUIRE(callers.back()->send(cluster.orderHead(8000) + bodyChunk("")));
+    }
+    REQUIRE(waitFor(
+        [&]() {
+            return cluster.receivedCount() == received + callerCount;
+        },
+        timeoutMs));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1550));
+    cluster.gateways[0].suspend();
+    std::this_thread::sleep_for(std::chrono::milliseconds(350));
+    cluster.gateways[0].signal(SIGCONT);
+    for (const std::unique_ptr<CallerConnection> &caller : callers) {
+        caller->receiveToEnd(timeoutMs);
+        const std::vector<HttpResponse> answers = caller->responses();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers.front().status == 502);
+    }
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
 // Guards against an answer that is lost because the caller had sent more than was read: the connection was reset behind the answer.
 TEST_CASE("Arriving: an answer arrives whole although more than its request was sent on the connection")
 {
