A request is not sent once its caller has left, also if it runs at most once

Requests that may be repeated were cancelled, unless their callers had sent further bytes behind them.

Cause: a request had one rule for its whole life, by its kind. Those that run at most once were not cancelled, as they take effect whether or not the caller waits; that holds from the moment at which they are written to a connection, and there was no hook before that moment either. The watch over a caller's connection ended when bytes lay unread in it, as they hide a close from a read.

Ruled out: tunnels. A peer that carries a connection has opened it before the request is written, so it holds nothing that could be dropped.

Change: the hook is set for all requests when they arrive. A request that runs at most once is committed just before it is written to a connection: from then on a caller that leaves does not cancel it; if the endpoint provably did not run it, the commitment is taken back, and what happened meanwhile counts. At that moment the connection is looked at as well, for requests whose callers left before they were read. SendSteps checks after each step, so that no step can forget to. A caller that closed only its sending side is told that its order was not sent. The watch looks at the connection's state every 100 ms while bytes lie unread.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -49,6 +49,16 @@
     return call.program ? call.program->branch : call.requestId;
 }
 
+//! Decides, just before \p request is written to a connection, whether it is sent. From then on one that runs at most once takes effect whether or not its
+//! caller waits for the answer; one that nobody waits for is not sent.
+bool beginRun(RelayRequest &request)
+{
+    if (request.exchange.isCallerDisconnected()) {
+        request.cancellation->cancel(CancelReason::CallerLeft);
+    }
+    return request.route->kind == RouteKind::Once ? request.cancellation->commit() : !request.cancellation->isCancelled();
+}
+
 //! Returns how long \p call may take on \p route.
 Duration timeLimitOf(const RelayCall &call, const Route &route)
 {
@@ -75,6 +85,9 @@
 {
     RelayRequest context(exchange, currentTime());
     const RequestDrain::Registration registration(this->parts.drain, context);
+    exchange.onCallerDisconnected([cancellation = context.cancellation]() {
+        cancellation->cancel(CancelReason::CallerLeft);
+    });
     context.active = this->parts.configurationHolder.current();
     Result<RelayCall> decoded = this->parts.headerCodec.decode(std::move(request));
     if (!decoded) {
@@ -165,12 +178,6 @@
         co_return;
     }
     context.retries.emplace(context.route->kind, context.route->resumable, context.route->maxAttempts);
-    if (context.route->kind != RouteKind::Once) {
-        // Requests that run at most once are not cancelled: they take effect whether or not the caller waits for the answer.
-        context.exchange.onCallerDisconnected([cancellation = context.cancellation]() {
-            cancellation->cancel();
-        });
-    }
     if (!co_await this->findStreamVersion(context)) {
         co_return;
     }
@@ -275,7 +282,7 @@
     };
     // Much may have changed since the endpoint was chosen: the wait for a permit, a record or a connection takes its time.
     const auto maySend = [this, &context, &endpoint]() {
-        return context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime());
+        return context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime()) && beginRun(context);
     };
     EndpointSend send(
         EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection, maySend},
@@ -287,6 +294,9 @@
     context.atEndpoint = true;
     SendResult result = co_await send.run(endpoint, endpointPriority, this->parts.drain.limit(context.deadline), currentTime());
     context.atEndpoint = false;
+    if (result.report.outcome == SendOutcome::NotSent || result.report.outcome == SendOutcome::Refused) {
+        context.cancellation->revokeCommit();
+    }
     // A broken connection alone does not tell whether its endpoint has ended.
     result.listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
     if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone && !result.connectionLost) {
@@ -367,8 +377,13 @@
         co_await this->refuse(context, relayError(ErrorCode::Timeout, Step::Stream, Executed::Unknown, "the endpoint did not answer before the deadline"));
         co_return;
     case NextStep::Stop:
-        context.outcome = callerLeftOutcome;
         context.exchange.closeAfterResponse();
+        if (context.route->kind == RouteKind::Once) {
+            // It was not sent. A caller that closed only its sending side learns so.
+            co_await this->refuse(
+                context, relayError(ErrorCode::ServiceUnavailable, Step::Send, Executed::No, "the caller closed its connection before the request was sent"));
+        }
+        context.outcome = callerLeftOutcome;
         co_return;
     case NextStep::FailUnknown:
     case NextStep::TryElsewhere:
--- a/src/gateway/sendsteps.cpp
+++ b/src/gateway/sendsteps.cpp
@@ -229,13 +229,12 @@
         const Time requestedAt = currentTime();
         const PermitDecision permit = co_await this->limiter.requestPermit(attempt.endpoint);
         request.permitWait += currentTime() - requestedAt;
-        const bool cancelled = request.cancellation->isCancelled();
-        if (permit.granted && !cancelled) {
+        if (permit.granted) {
             co_return SendDecision::Proceed;
         }
         request.declined += 1;
         attempt.placementDeclinedUntil = currentTime() + permit.retryAfter;
-        co_return cancelled ? decideOnCancelled(request) : SendDecision::Again;
+        co_return SendDecision::Again;
     }
 
     void undo(const RelayRequest & /*request*/, const SendAttempt & /*attempt*/, Time /*now*/) override
@@ -335,7 +334,12 @@
 asio::awaitable<SendDecision> SendSteps::prepare(RelayRequest &request, SendAttempt &attempt) const
 {
     for (std::size_t taken = 0; taken < this->steps.size(); ++taken) {
-        const SendDecision decision = co_await this->steps[taken]->prepare(request, attempt);
+        SendDecision decision = co_await this->steps[taken]->prepare(request, attempt);
+        if (decision == SendDecision::Proceed && request.cancellation->isCancelled()) {
+            decision = decideOnCancelled(request);
+            attempt.placementDeclinedUntil = attempt.placementDeclinedUntil.value_or(currentTime());
+            taken += 1; // This step has to be undone as well.
+        }
         if (decision == SendDecision::Proceed) {
             continue;
         }
--- a/src/gateway/sendsteps.h
+++ b/src/gateway/sendsteps.h
@@ -29,7 +29,8 @@
 
     explicit SendSteps(const Parts &parts);
 
-    //! Takes all steps. Unless it returns SendDecision::Proceed, what they acquired has been given back.
+    //! Takes all steps; a request that is cancelled meanwhile takes no further one. Unless it returns SendDecision::Proceed, what they acquired has been
+    //! given back.
     boost::asio::awaitable<SendDecision> prepare(RelayRequest &request, SendAttempt &attempt) const;
 
 private:
--- a/src/runtime/beastexchange.cpp
+++ b/src/runtime/beastexchange.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <poll.h>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -16,6 +18,9 @@
 constexpr auto useResult = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::seconds writeTimeout{30};
 
+//! How often a connection with unread bytes is checked. Those who wait for its end have half a second.
+constexpr std::chrono::milliseconds checkInterval{100};
+
 void copyHeaders(const std::vector<HttpHeader> &headers, http::fields &fields)
 {
     for (const HttpHeader &header : headers) {
@@ -27,7 +32,14 @@
 
 DisconnectWatcher::DisconnectWatcher(beast::tcp_stream &stream)
     : stream(stream)
+    , timer(stream.get_executor())
+{
+}
+
+bool DisconnectWatcher::isDisconnected() const
 {
+    pollfd connection{this->stream.socket().native_handle(), POLLRDHUP, 0};
+    return ::poll(&connection, 1, 0) > 0;
 }
 
 void DisconnectWatcher::setHook(std::function<void()> newHook)
@@ -54,20 +66,31 @@
     });
 }
 
+void DisconnectWatcher::waitBehindInput()
+{
+    // The bytes of a pipelined request keep the socket readable, so it cannot be waited for.
+    this->waiting = true;
+    this->timer.expires_after(checkInterval);
+    this->timer.async_wait([self = this->shared_from_this()](const beast::error_code &error) {
+        self->waiting = false;
+        if (!error && self->hook) {
+            self->checkConnection();
+        }
+    });
+}
+
 void DisconnectWatcher::checkConnection()
 {
-    char probe = 0;
-    beast::error_code error;
-    this->stream.socket().non_blocking(true, error);
-    const std::size_t size = this->stream.socket().receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
-    if (error == asio::error::would_block) {
-        this->wait();
-    } else if (error || size == 0) {
+    beast::error_code ignored;
+    if (this->isDisconnected()) {
         const std::function<void()> onDisconnected = std::move(this->hook);
         this->hook = {};
         onDisconnected();
+    } else if (this->stream.socket().available(ignored) > 0) {
+        this->waitBehindInput();
+    } else {
+        this->wait();
     }
-    // Otherwise the caller has pipelined another request. Its unread bytes would hide a close, so the watch ends here.
 }
 
 BeastExchange::BeastExchange(beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive)
@@ -93,6 +116,11 @@
     this->watcher->setHook(std::move(onDisconnected));
 }
 
+bool BeastExchange::isCallerDisconnected() const
+{
+    return this->watcher->isDisconnected();
+}
+
 bool BeastExchange::keepsAlive() const
 {
     return this->keepAlive && this->healthy && this->responseComplete;
--- a/src/runtime/beastexchange.h
+++ b/src/runtime/beastexchange.h
@@ -3,13 +3,14 @@
 
 #include "runtime/httpexchange.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <memory>
 
 namespace oleandergate {
 
-//! Detects that the peer closes a connection while a request is handled and nothing is read.
+//! Detects that the peer closes a connection while a request is handled and nothing is read. Unread bytes do not hide it.
 class DisconnectWatcher : public std::enable_shared_from_this<DisconnectWatcher>
 {
 public:
@@ -18,11 +19,16 @@
     void setHook(std::function<void()> newHook);
     void clearHook();
 
+    //! Returns whether the peer has closed the connection or its sending side.
+    bool isDisconnected() const;
+
 private:
     void wait();
+    void waitBehindInput();
     void checkConnection();
 
     boost::beast::tcp_stream &stream;
+    boost::asio::steady_timer timer;
     std::function<void()> hook{};
     bool waiting = false;
 };
@@ -43,6 +49,7 @@
     boost::asio::awaitable<bool> endStream() override;
     void closeAfterResponse() override;
     void onCallerDisconnected(std::function<void()> onDisconnected) override;
+    bool isCallerDisconnected() const override;
 
     //! Returns whether the response is complete and the connection serves another request.
     bool keepsAlive() const;
--- a/src/runtime/httpexchange.h
+++ b/src/runtime/httpexchange.h
@@ -34,6 +34,9 @@
 
     //! Calls \p onDisconnected once if the caller closes the connection before the response has ended.
     virtual void onCallerDisconnected(std::function<void()> onDisconnected) = 0;
+
+    //! Returns whether the caller has closed the connection by now. onCallerDisconnected() may call a little later.
+    virtual bool isCallerDisconnected() const = 0;
 };
 
 } // namespace oleandergate
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -279,7 +279,7 @@
     return false;
 }
 
-bool StandinEndpoint::answerSlowly(tcp::socket &socket, const HttpRequest &request)
+bool StandinEndpoint::answerSlowly(tcp::socket &socket, const std::string &text)
 {
     while (!this->released && !this->stopping) {
         boost::system::error_code error;
@@ -293,7 +293,7 @@
         }
         std::this_thread::sleep_for(pollInterval);
     }
-    return send(socket, this->head(request, "Content-Length: 4") + "late");
+    return send(socket, text);
 }
 
 std::size_t StandinEndpoint::closedFloodCount() const
@@ -365,7 +365,9 @@
     case Behaviour::Trickle:
         return this->trickle(socket, request);
     case Behaviour::Slow:
-        return this->answerSlowly(socket, request);
+        return this->answerSlowly(socket, this->head(request, "Content-Length: 4") + "late");
+    case Behaviour::SlowRefusal:
+        return this->answerSlowly(socket, this->refusal(request));
     case Behaviour::EndBeforeFirstEvent:
         send(socket, this->head(request, "Content-Type: text/event-stream\r\nConnection: close"));
         return false;
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -46,6 +46,7 @@
     SlowBreakMidEvent, //!< The same, and ends the stream inside its third event.
     Trickle, //!< The head of a stream, then a byte of its first event now and then, until the connection is closed.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
+    SlowRefusal, //!< The same, with the statement that the request did not run.
 };
 
 //! A request that an endpoint received.
@@ -85,14 +86,14 @@
     std::vector<ReceivedRequest> received() const;
     std::size_t receivedCount() const;
 
-    //! Returns how many requests with Behaviour::Slow or Behaviour::Trickle ended because their connection was closed.
+    //! Returns how many requests with Behaviour::Slow, Behaviour::SlowRefusal or Behaviour::Trickle ended because their connection was closed.
     std::size_t abandonedCount() const;
 
     //! Returns how many endless answers ended because their connection was closed, and the size of the largest one in bytes.
     std::size_t closedFloodCount() const;
     std::size_t largestFlood() const;
 
-    //! Answers all requests with Behaviour::Slow, pending and future.
+    //! Answers all requests with Behaviour::Slow or Behaviour::SlowRefusal, pending and future.
     void release();
 
     static constexpr int eventCount = 6; //!< Events in each stream.
@@ -105,7 +106,7 @@
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
-    bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+    bool answerSlowly(boost::asio::ip::tcp::socket &socket, const std::string &text);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     std::string refusal(const HttpRequest &request) const;
 
--- a/tests/support/callerconnection.cpp
+++ b/tests/support/callerconnection.cpp
@@ -32,6 +32,12 @@
     return !error;
 }
 
+void CallerConnection::endSending()
+{
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 bool CallerConnection::receiveSome(int timeoutMs)
 {
     pollfd ready{this->socket.native_handle(), POLLIN, 0};
--- a/tests/support/callerconnection.h
+++ b/tests/support/callerconnection.h
@@ -28,6 +28,9 @@
     //! Sends \p bytes. Returns false when the connection is broken.
     bool send(const std::string &bytes);
 
+    //! Closes the sending side of the connection.
+    void endSending();
+
     //! Receives until the connection ends, \p responseCount complete responses have arrived, or nothing arrives for \p timeoutMs.
     void receive(std::size_t responseCount, int timeoutMs);
 
