Members are passed on when they change, and sums of loads are kept up to date by each report

Cause: 20 times a second each instance copied the records of all others, collected the owners of all budget slots, added up the loads of all peers and rebuilt the members of budget slots, rate limits and ways to endpoints. Nearly always nothing had changed. Decoding is not the cause: a report is decoded in 1.7 us.

PeerTable keeps the totals up to date by each report, by the expiry of old loads and by losses, and counts the changes of the members. PeerGossip calls onMembers at the start and upon a change. PermitMembers relied on the repetition: it took an instance that was lost for one not seen since the latest call. It now notes when an instance was lost and is told the present time.

Tests: the members' share of rate limits is asked with the time of the update before; a case for a loss long after the latest change is new. The totals are compared with a plain sum over 5,000 random reports.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -68,20 +68,89 @@
     if (report.instance.peerAddress == this->ownAddress) {
         return false;
     }
-    Peer &peer = this->peers[report.instance.id];
-    if (peer.receivedAt != Time{} && report.number <= peer.report.number) {
+    const auto [entry, added] = this->peers.try_emplace(report.instance.id);
+    Peer &peer = entry->second;
+    if (!added && report.number <= peer.report.number) {
         return false;
     }
+    const InstanceRecord &known = peer.report.instance;
+    if (added || known.leaving != report.instance.leaving || known.peerAddress != report.instance.peerAddress || known.domain != report.instance.domain
+        || peer.report.ownedBudgetSlots != report.ownedBudgetSlots) {
+        this->revision += 1;
+    }
+    this->countLoads(peer, report.loads);
     peer.report = report;
     peer.receivedAt = now;
     // A new instance at an address means that the previous one there has ended.
-    std::erase_if(this->peers, [&report](const auto &entry) {
-        return entry.first != report.instance.id && entry.second.report.instance.peerAddress == report.instance.peerAddress;
-    });
+    std::vector<InstanceId> ended;
+    for (const auto &[id, other] : this->peers) {
+        if (id != report.instance.id && other.report.instance.peerAddress == report.instance.peerAddress) {
+            ended.push_back(id);
+        }
+    }
+    for (const InstanceId &id : ended) {
+        this->remove(id);
+    }
     this->addCandidate(report.instance.peerAddress, now);
     return true;
 }
 
+void PeerTable::updateTotals(const std::map<std::uint32_t, std::uint32_t> &before, const std::map<std::uint32_t, std::uint32_t> &after)
+{
+    const auto change = [this](std::uint32_t endpoint, std::uint32_t from, std::uint32_t to) {
+        if (from == to) {
+            return;
+        }
+        const auto total = this->totals.try_emplace(endpoint).first;
+        total->second += to - from;
+        if (total->second == 0) {
+            this->totals.erase(total);
+        }
+    };
+    auto next = after.begin();
+    for (const auto &[endpoint, calls] : before) {
+        for (; next != after.end() && next->first < endpoint; ++next) {
+            change(next->first, 0, next->second);
+        }
+        const bool isKept = next != after.end() && next->first == endpoint;
+        change(endpoint, calls, isKept ? next->second : 0);
+        next = isKept ? std::next(next) : next;
+    }
+    for (; next != after.end(); ++next) {
+        change(next->first, 0, next->second);
+    }
+}
+
+void PeerTable::countLoads(Peer &peer, const std::map<std::uint32_t, std::uint32_t> &loads)
+{
+    if (peer.counted) {
+        this->updateTotals(peer.report.loads, loads);
+        this->countedPeers.splice(this->countedPeers.end(), this->countedPeers, *peer.counted);
+    } else {
+        this->updateTotals({}, loads);
+        peer.counted = this->countedPeers.insert(this->countedPeers.end(), &peer);
+    }
+}
+
+void PeerTable::dropLoads(Peer &peer)
+{
+    if (peer.counted) {
+        this->updateTotals(peer.report.loads, {});
+        this->countedPeers.erase(*peer.counted);
+        peer.counted.reset();
+    }
+}
+
+void PeerTable::remove(const InstanceId &id)
+{
+    const auto peer = this->peers.find(id);
+    if (peer != this->peers.end()) {
+        this->dropLoads(peer->second);
+        this->peers.erase(peer);
+        this->revision += 1;
+    }
+}
+
 std::optional<Duration> PeerTable::reportAge(const InstanceId &instance, Time now) const
 {
     const auto found = this->peers.find(instance);
@@ -104,7 +173,7 @@
         }
     }
     for (const InstanceId &id : gone) {
-        this->peers.erase(id);
+        this->remove(id);
     }
     return gone;
 }
@@ -156,18 +225,18 @@
     return targets;
 }
 
-std::map<std::uint32_t, std::uint32_t> PeerTable::loads(Time now) const
+const std::map<std::uint32_t, std::uint32_t> &PeerTable::loads(Time now)
 {
-    std::map<std::uint32_t, std::uint32_t> total;
-    for (const auto &[id, peer] : this->peers) {
-        if (now - peer.receivedAt > timeoutFor(minLoadTimeout, this->reportPeriod, loadTimeoutPeriods)) {
-            continue;
-        }
-        for (const auto &[endpoint, calls] : peer.report.loads) {
-            total[endpoint] += calls;
-        }
+    const Duration timeout = timeoutFor(minLoadTimeout, this->reportPeriod, loadTimeoutPeriods);
+    while (!this->countedPeers.empty() && now - this->countedPeers.front()->receivedAt > timeout) {
+        this->dropLoads(*this->countedPeers.front());
     }
-    return total;
+    return this->totals;
+}
+
+std::uint64_t PeerTable::membersRevision() const
+{
+    return this->revision;
 }
 
 std::vector<InstanceRecord> PeerTable::liveInstances() const
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -5,6 +5,7 @@
 #include "decision/slottable.h"
 
 #include <functional>
+#include <list>
 #include <map>
 #include <optional>
 #include <random>
@@ -33,6 +34,11 @@
 public:
     //! \p ownDomain is this instance's failure domain.
     PeerTable(std::string ownAddress, std::string ownDomain, std::vector<std::string> seeds);
+    PeerTable(const PeerTable &) = delete;
+    PeerTable &operator=(const PeerTable &) = delete;
+    PeerTable(PeerTable &&) = default;
+    PeerTable &operator=(PeerTable &&) = default;
+    ~PeerTable() = default;
 
     //! Updates the time within which every live peer sends a report, for reports that are sent every \p interval.
     void updateReportPeriod(Duration interval);
@@ -59,7 +65,11 @@
     std::vector<std::string> nextTargets(bool changed, Time now);
 
     //! Returns the total number of the live peers' calls at each endpoint, by the hash of its identifier.
-    std::map<std::uint32_t, std::uint32_t> loads(Time now) const;
+    //! Endpoints without calls are left out. The totals are kept up to date by each report, so this costs little.
+    const std::map<std::uint32_t, std::uint32_t> &loads(Time now);
+
+    //! Returns a number that grows whenever liveInstances() or budgetSlotOwners() change.
+    std::uint64_t membersRevision() const;
 
     std::vector<InstanceRecord> liveInstances() const;
     std::vector<PeerReport> liveReports() const;
@@ -87,8 +97,21 @@
     {
         PeerReport report{};
         Time receivedAt{};
+        std::optional<std::list<Peer *>::iterator> counted{}; //!< Position in countedPeers; nothing while its calls are not in the totals.
     };
 
+    //! Replaces the calls \p before by \p after in the totals.
+    void updateTotals(const std::map<std::uint32_t, std::uint32_t> &before, const std::map<std::uint32_t, std::uint32_t> &after);
+
+    //! Replaces the calls of the previous report of \p peer by \p loads in the totals.
+    void countLoads(Peer &peer, const std::map<std::uint32_t, std::uint32_t> &loads);
+
+    //! Takes the calls of \p peer out of the totals.
+    void dropLoads(Peer &peer);
+
+    //! Forgets an instance.
+    void remove(const InstanceId &id);
+
     std::vector<PeerOffer> offersWhere(const std::function<bool(const PeerReport &report)> &isNewer) const;
 
     //! Returns true when there are so few peers that each report goes to all of them.
@@ -100,6 +123,9 @@
     std::string ownAddress;
     std::string ownDomain;
     std::map<InstanceId, Peer> peers;
+    std::uint64_t revision = 0; //!< See membersRevision().
+    std::map<std::uint32_t, std::uint32_t> totals; //!< See loads().
+    std::list<Peer *> countedPeers; //!< Those whose calls are in the totals, the one with the oldest report first.
     std::map<std::string, Time> candidates; //!< Addresses to try, with the time of the last try.
     Duration reportPeriod{};
     std::size_t nextPeer = 0;
--- a/src/decision/permitmembers.cpp
+++ b/src/decision/permitmembers.cpp
@@ -2,6 +2,8 @@
 
 #include "decision/hash.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 namespace {
@@ -19,12 +21,15 @@
 
 void PermitMembers::update(const std::vector<InstanceRecord> &live, Time now)
 {
+    for (const InstanceRecord &member : this->members) {
+        this->leftAt.try_emplace(member.peerAddress, now);
+    }
     this->members = live;
     this->members.push_back(this->self);
     for (const InstanceRecord &member : this->members) {
-        this->lastSeen[member.peerAddress] = now;
+        this->leftAt.erase(member.peerAddress);
     }
-    std::erase_if(this->lastSeen, [now](const auto &entry) {
+    std::erase_if(this->leftAt, [now](const auto &entry) {
         return now - entry.second > memberMemory;
     });
 }
@@ -44,14 +49,17 @@
     return *best;
 }
 
-std::size_t PermitMembers::knownCount() const
+std::size_t PermitMembers::knownCount(Time now) const
 {
-    return std::max(this->lastSeen.size(), this->members.size());
+    const auto lost = std::count_if(this->leftAt.begin(), this->leftAt.end(), [now](const auto &entry) {
+        return now - entry.second <= memberMemory;
+    });
+    return this->members.size() + static_cast<std::size_t>(lost);
 }
 
-double PermitMembers::liveShare() const
+double PermitMembers::liveShare(Time now) const
 {
-    return static_cast<double>(this->members.size()) / static_cast<double>(this->knownCount());
+    return static_cast<double>(this->members.size()) / static_cast<double>(this->knownCount(now));
 }
 
 } // namespace oleandergate
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -159,7 +159,7 @@
                                    [this](const std::map<std::uint32_t, std::uint32_t> &loads, Time now) {
                                        const std::vector<EndpointId> endpoints = this->pools.endpointIds();
                                        this->pools.setPeerCalls(callsByEndpoint(loads, endpoints), now);
-                                       this->pools.setRateLimits(this->limiter.limitsOf(endpoints), this->limiter.sharerCount(), now);
+                                       this->pools.setRateLimits(this->limiter.limitsOf(endpoints), this->limiter.sharerCount(now), now);
                                    },
                                    [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
                                        this->budget.onMembers(live, budgetSlotOwners, now);
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -73,6 +73,7 @@
     PeerTable table; //!< Guarded by the mutex.
     OwnState lastReported{}; //!< State in the latest report.
     Time lastReportedAt{};
+    std::optional<std::uint64_t> passedRevision{}; //!< Revision of the members that were passed on last.
     std::atomic<Time> lastReceivedAt{Time{}}; //!< Latest report of another instance.
 };
 
@@ -176,6 +177,7 @@
     std::map<std::uint32_t, std::uint32_t> loads;
     std::vector<InstanceRecord> live;
     std::map<SlotId, std::string> budgetSlotOwners;
+    bool membersChanged = false;
     {
         const std::lock_guard lock(this->core->mutex);
         if (now - before > pauseThreshold) {
@@ -183,8 +185,13 @@
         }
         expired = this->core->table.expire(now);
         loads = this->core->table.loads(now);
-        live = this->core->table.liveInstances();
-        budgetSlotOwners = this->core->table.budgetSlotOwners();
+        const std::uint64_t revision = this->core->table.membersRevision();
+        membersChanged = this->core->passedRevision != revision;
+        if (membersChanged) {
+            this->core->passedRevision = revision;
+            live = this->core->table.liveInstances();
+            budgetSlotOwners = this->core->table.budgetSlotOwners();
+        }
     }
     if (now - before > pauseThreshold) {
         logRecord(LogLevel::Warning, "peers", "this process was paused", {{"ms", std::to_string((now - before).count() / microsecondsPerMillisecond)}});
@@ -193,7 +200,9 @@
         logRecord(LogLevel::Warning, "peers", "lost a peer", {{"peer", id}});
     }
     this->core->hooks.onLoads(loads, now);
-    this->core->hooks.onMembers(live, budgetSlotOwners, now);
+    if (membersChanged) {
+        this->core->hooks.onMembers(live, budgetSlotOwners, now);
+    }
 }
 
 asio::awaitable<void> PeerGossip::sendLoop()
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -41,7 +41,7 @@
         std::function<OwnState()> ownState{};
         std::function<void(const std::map<std::uint32_t, std::uint32_t> &loads, Time now)> onLoads{}; //!< Calls of the other instances by endpoint hash.
         std::function<void(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now)>
-            onMembers{}; //!< Called in each report interval.
+            onMembers{}; //!< Called at the start and whenever one of both has changed.
         std::function<void(std::uint64_t version)> onNewerConfiguration{}; //!< A peer has a newer configuration than this instance.
         std::vector<NewsChannel> channels{}; //!< What else is exchanged beside the reports.
         std::function<void(bool sameDomain, Duration age)> onReportReplaced{}; //!< Called with the age that a peer's previous report had reached.
--- a/src/gateway/ratelimiter.cpp
+++ b/src/gateway/ratelimiter.cpp
@@ -99,13 +99,13 @@
 PermitDecision RateLimiter::issue(std::uint32_t endpoint, double callsPerSecond, Duration limitAge, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    return this->issuer.decide(endpoint, callsPerSecond * this->members.liveShare(), limitAge, now);
+    return this->issuer.decide(endpoint, callsPerSecond * this->members.liveShare(now), limitAge, now);
 }
 
 PermitDecision RateLimiter::decideAlone(std::uint32_t endpoint, const RateLimit &limit, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    const double share = limit.callsPerSecond * loneShare / static_cast<double>(this->members.knownCount());
+    const double share = limit.callsPerSecond * loneShare / static_cast<double>(this->members.knownCount(now));
     return this->loneIssuer.decide(endpoint, share, Duration::zero(), now);
 }
 
@@ -186,10 +186,10 @@
     return limits;
 }
 
-std::size_t RateLimiter::sharerCount() const
+std::size_t RateLimiter::sharerCount(Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->members.knownCount();
+    return this->members.knownCount(now);
 }
 
 NewsChannel RateLimiter::channel()
--- a/src/gateway/ratelimiter.h
+++ b/src/gateway/ratelimiter.h
@@ -47,7 +47,7 @@
     std::map<EndpointId, double> limitsOf(const std::vector<EndpointId> &endpoints) const;
 
     //! Returns the number of instances that share the limits.
-    std::size_t sharerCount() const;
+    std::size_t sharerCount(Time now) const;
 
     //! Exchanges statements with the other instances. The channel refers to this object.
     NewsChannel channel();
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 using namespace oleandergate;
 
@@ -33,6 +35,76 @@
     CHECK(table.loads(start + std::chrono::milliseconds(900)).at(7) == 3);
 }
 
+// Guards against totals that drift: they are kept up to date by each report instead of being added up anew.
+TEST_CASE("The total of calls is the sum of the latest reports, whatever reports, losses and restarts came before")
+{
+    std::minstd_rand random(7);
+    PeerTable table("10.0.0.200:90", "a", {});
+    std::map<std::string, PeerReport> latest;
+    std::map<std::string, Time> receivedAt;
+    Time now = start;
+    for (std::uint64_t number = 1; number <= 5000; ++number) {
+        now += std::chrono::milliseconds(random() % 40);
+        const std::string address = std::to_string(random() % 11);
+        PeerReport report = makeReport(address, number);
+        report.instance.id += "~" + std::to_string(number / 700);
+        for (std::uint32_t endpoint = 0; endpoint < 6; ++endpoint) {
+            if (random() % 2 == 0) {
+                report.loads[endpoint] = random() % 4;
+            }
+        }
+        table.onReport(report, now);
+        latest[address] = report;
+        receivedAt[address] = now;
+        if (random() % 50 == 0) {
+            now += std::chrono::milliseconds(random() % 3000);
+            table.expire(now);
+        }
+        std::map<std::uint32_t, std::uint32_t> expected;
+        for (const auto &[sender, sent] : latest) {
+            for (const auto &[endpoint, calls] : sent.loads) {
+                if (calls > 0 && now - receivedAt[sender] <= std::chrono::milliseconds(700)) {
+                    expected[endpoint] += calls;
+                }
+            }
+        }
+        REQUIRE(table.loads(now) == expected);
+    }
+}
+
+// Guards against consumers that miss a change: they are called only when this number grows.
+TEST_CASE("The revision of the members grows when one comes, leaves, is lost or owns other slots, and not with its loads")
+{
+    PeerTable table("10.0.0.200:90", "a", {});
+    std::uint64_t known = table.membersRevision();
+    const auto changed = [&table, &known]() {
+        return std::exchange(known, table.membersRevision()) != table.membersRevision();
+    };
+    PeerReport report = makeReport("1", 1);
+    table.onReport(report, start);
+    CHECK(changed());
+    report.number = 2;
+    report.loads[7] = 2;
+    table.onReport(report, start);
+    CHECK_FALSE(changed());
+    report.number = 3;
+    report.ownedBudgetSlots = {4};
+    table.onReport(report, start);
+    CHECK(changed());
+    report.number = 4;
+    report.instance.leaving = true;
+    table.onReport(report, start);
+    CHECK(changed());
+    PeerReport restarted = makeReport("1", 5);
+    restarted.instance.id = "1~2";
+    table.onReport(restarted, start);
+    CHECK(changed());
+    table.expire(start + std::chrono::seconds(1));
+    CHECK_FALSE(changed());
+    table.expire(start + std::chrono::seconds(5));
+    CHECK(changed());
+}
+
 TEST_CASE("A late or repeated report is ignored")
 {
     PeerTable table("10.0.0.9:90", "a", {});
--- a/tests/unit/ratesharingtests.cpp
+++ b/tests/unit/ratesharingtests.cpp
@@ -123,10 +123,10 @@
         for (const auto &other : this->instances) {
             if (other->record.id == issuing.id && other->up) {
                 this->updateMembers(*other, now);
-                return other->issuer.decide(endpoint, limit->callsPerSecond * other->members.liveShare(), now - limit->since, now).granted;
+                return other->issuer.decide(endpoint, limit->callsPerSecond * other->members.liveShare(now), now - limit->since, now).granted;
             }
         }
-        const double share = limit->callsPerSecond / 2.0 / static_cast<double>(instance.members.knownCount());
+        const double share = limit->callsPerSecond / 2.0 / static_cast<double>(instance.members.knownCount(now));
         return instance.lone.decide(endpoint, share, Duration::zero(), now).granted;
     }
 
@@ -302,12 +302,23 @@
     PermitMembers members(InstanceRecord{"self", "10.0.0.9:90", "a", false});
     const std::vector<InstanceRecord> others{{"i1", "10.0.0.1:90", "a", false}, {"i2", "10.0.0.2:90", "a", false}, {"i3", "10.0.0.3:90", "a", false}};
     members.update(others, start);
-    CHECK(members.liveShare() == 1.0);
+    CHECK(members.liveShare(start) == 1.0);
     members.update({others[0]}, start + std::chrono::seconds(1));
-    CHECK(members.liveShare() == 0.5);
+    CHECK(members.liveShare(start + std::chrono::seconds(1)) == 0.5);
     members.update({others[0]}, start + std::chrono::seconds(12));
-    CHECK(members.liveShare() == 1.0);
+    CHECK(members.liveShare(start + std::chrono::seconds(12)) == 1.0);
     // An instance that restarts has a new identifier at its address.
     members.update({others[0], {"i1~2", "10.0.0.1:90", "a", false}}, start + std::chrono::seconds(13));
-    CHECK(members.knownCount() == 3);
+    CHECK(members.knownCount(start + std::chrono::seconds(13)) == 3);
+}
+
+// Guards against a whole limit issued by an instance that was cut off: members are passed on only when they change.
+TEST_CASE("Instances that are lost long after the members last changed still count for some seconds")
+{
+    PermitMembers members(InstanceRecord{"self", "10.0.0.9:90", "a", false});
+    members.update({{"i1", "10.0.0.1:90", "a", false}}, start);
+    const Time lost = start + std::chrono::minutes(5);
+    members.update({}, lost);
+    CHECK(members.liveShare(lost + std::chrono::seconds(9)) == 0.5);
+    CHECK(members.liveShare(lost + std::chrono::seconds(11)) == 1.0);
 }
