--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -114,12 +114,13 @@
     return this->waitUntilReady();
 }
 
-void GatewayCluster::configure(int version, const std::string &routes)
+void GatewayCluster::configure(int version, const std::string &routes, const std::string &limits)
 {
     this->store.put("op/config",
                     "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + defaultRoutes + routes
                         + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180,\"Engine\":{\"TokensPerEvent\":10}}],"
-                          "\"Limits\":{\"HeaderBytes\":16384,\"BodyBytes\":4096,\"HeaderMs\":3000,\"IdleMs\":15000}}");
+                          "\"Limits\":"
+                        + limits + "}");
 }
 
 void GatewayCluster::registerEndpoint(std::size_t endpoint, const std::string &state)
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -39,7 +39,7 @@
     bool startServing();
 
     //! Stores a configuration with \p version; \p routes are added to the default ones.
-    void configure(int version, const std::string &routes = "");
+    void configure(int version, const std::string &routes = "", const std::string &limits = defaultLimits);
 
     //! Stores the registration of \p endpoint.
     void registerEndpoint(std::size_t endpoint, const std::string &state = "ready");
@@ -71,6 +71,7 @@
     bool logHas(std::size_t gateway, const std::string &text, int limitMs = logTimeoutMs) const;
 
     static constexpr int logTimeoutMs = 20000;
+    static constexpr const char *defaultLimits = R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":15000})";
 
     StandinStore store{};
     std::vector<std::unique_ptr<StandinEndpoint>> endpoints{};
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -1,6 +1,7 @@
 #include "standinendpoint.h"
 
 #include "runtime/address.h"
+#include "runtime/clock.h"
 #include "support/testcluster.h"
 
 #include <boost/asio.hpp>
@@ -25,6 +26,7 @@
 constexpr std::chrono::milliseconds slowEventGap{400};
 constexpr int refusedStatus = 503;
 constexpr std::chrono::milliseconds trickleGap{50};
+constexpr std::chrono::milliseconds workPollInterval{5};
 constexpr std::size_t floodBlockBytes = 64UL * 1024;
 constexpr std::size_t maxFloodBytes = 256UL * 1024 * 1024; //!< Ends an endless answer whose connection is never closed.
 
@@ -45,6 +47,11 @@
     return "id: " + std::to_string(number) + "\ndata: token " + std::to_string(number) + "\n\n";
 }
 
+std::string plannedEvent(const std::string &requestId, std::uint64_t number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + requestId + " " + std::to_string(number) + "\n\n";
+}
+
 bool send(tcp::socket &socket, const std::string &text)
 {
     boost::system::error_code error;
@@ -218,15 +225,19 @@
             return;
         }
         const Behaviour behaviour = this->nextBehaviour();
+        std::size_t index = 0;
         {
             const std::lock_guard lock(this->mutex);
-            this->receivedRequests.push_back(ReceivedRequest{request, behaviour});
+            index = this->receivedRequests.size();
+            this->receivedRequests.push_back(ReceivedRequest{request, behaviour, currentTime(), Time{}});
         }
         if (!lateCopy.empty()) {
             send(socket, lateCopy);
         }
         lateCopy = this->lateCopyOf(request, behaviour);
         open = this->answer(socket, request, behaviour);
+        const std::lock_guard lock(this->mutex);
+        this->receivedRequests[index].endedAt = currentTime();
     }
 }
 
@@ -381,6 +392,9 @@
     case Behaviour::Unframed:
         break;
     }
+    if (!request.query("work_ms").empty()) {
+        return this->answerPlanned(socket, request);
+    }
     const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed;
     if (request.header("Oleandergate-Token-Counts").empty()) {
         return send(socket, this->head(request, framed ? "Content-Length: 5" : "Connection: close") + "right") && framed;
@@ -388,6 +402,60 @@
     return this->stream(socket, request, behaviour, framed);
 }
 
+bool StandinEndpoint::work(tcp::socket &socket, Duration duration)
+{
+    const Time until = currentTime() + duration;
+    while (currentTime() < until && !this->stopping) {
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        char probe = 0;
+        const std::size_t size = socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, error);
+        socket.non_blocking(false);
+        if (size == 0 && error != asio::error::would_block) {
+            this->abandoned += 1;
+            return false;
+        }
+        std::this_thread::sleep_for(workPollInterval);
+    }
+    return !this->stopping;
+}
+
+std::string StandinEndpoint::plannedAnswer(const std::string &requestId, const HttpRequest &request)
+{
+    std::string text;
+    if (!request.query("gap_ms").empty()) {
+        for (std::uint64_t number = 1; number <= eventCount; ++number) {
+            text += plannedEvent(requestId, number);
+        }
+        return text;
+    }
+    text = requestId + "|" + request.body + "|";
+    const std::size_t fillerBytes = std::stoul("0" + request.query("bytes"));
+    for (std::size_t position = 0; position < fillerBytes; ++position) {
+        text += static_cast<char>('a' + (position + requestId.size() * requestId.back()) % 26);
+    }
+    return text;
+}
+
+bool StandinEndpoint::answerPlanned(tcp::socket &socket, const HttpRequest &request)
+{
+    const std::string requestId = request.header("Oleandergate-Request-Id");
+    if (!this->work(socket, std::chrono::milliseconds(std::stoi(request.query("work_ms"))))) {
+        return false;
+    }
+    if (request.query("gap_ms").empty()) {
+        const std::string text = plannedAnswer(requestId, request);
+        return send(socket, this->head(request, "Content-Length: " + std::to_string(text.size())) + text);
+    }
+    const std::chrono::milliseconds gap(std::stoi(request.query("gap_ms")));
+    const std::string last = request.header("Last-Event-Id");
+    bool open = send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+    for (std::uint64_t number = last.empty() ? 1 : std::stoull(last) + 1; open && number <= eventCount; ++number) {
+        open = send(socket, chunk(plannedEvent(requestId, number))) && this->work(socket, gap);
+    }
+    return open && send(socket, "0\r\n\r\n");
+}
+
 bool StandinEndpoint::stream(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed)
 {
     const std::string last = request.header("Last-Event-Id");
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
 #define OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
 
+#include "decision/time.h"
 #include "runtime/httpmessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -53,9 +54,14 @@
 {
     HttpRequest request{};
     Behaviour behaviour = Behaviour::Normal;
+    Time receivedAt{};
+    Time endedAt{}; //!< When the endpoint had sent its answer or given up; Time{} while it is at work.
 };
 
 //! An endpoint of the platform, in this process. Each connection has a thread.
+//!
+//! A request whose target has the query parameter work_ms is answered after that time, with plannedAnswer(): in one piece, or, with gap_ms, as a stream with
+//! pauses of that length between its events. bytes is the number of filler bytes.
 class StandinEndpoint
 {
 public:
@@ -95,6 +101,9 @@
     //! Answers all requests with Behaviour::Slow, pending and future.
     void release();
 
+    //! Returns the body of the answer to a request with work_ms; it names the request and repeats its body.
+    static std::string plannedAnswer(const std::string &requestId, const HttpRequest &request);
+
     static constexpr int eventCount = 6; //!< Events in each stream.
 
 private:
@@ -105,6 +114,10 @@
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+    bool answerPlanned(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+
+    //! Waits. Returns false when \p socket is closed by the other side before.
+    bool work(boost::asio::ip::tcp::socket &socket, Duration duration);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     std::string refusal(const HttpRequest &request) const;
--- a/tests/support/callerconnection.cpp
+++ b/tests/support/callerconnection.cpp
@@ -58,18 +58,38 @@
     this->receive(std::numeric_limits<std::size_t>::max(), timeoutMs);
 }
 
+void CallerConnection::limitUnreceived(int bytes)
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
 std::vector<HttpResponse> CallerConnection::responses() const
 {
     std::vector<HttpResponse> found;
+    this->parse(found);
+    return found;
+}
+
+std::size_t CallerConnection::incompleteBytes() const
+{
+    std::vector<HttpResponse> found;
+    return this->received.size() - this->parse(found);
+}
+
+std::size_t CallerConnection::parse(std::vector<HttpResponse> &found) const
+{
     std::size_t position = 0;
     while (position < this->received.size()) {
         http::response_parser<http::string_body> parser;
         parser.eager(true);
         boost::system::error_code error;
-        position += parser.put(asio::buffer(this->received.data() + position, this->received.size() - position), error);
+        parser.body_limit(boost::none);
+        const std::size_t size = parser.put(asio::buffer(this->received.data() + position, this->received.size() - position), error);
         if (error || !parser.is_done()) {
             break;
         }
+        position += size;
         HttpResponse response;
         response.status = parser.get().result_int();
         response.body = parser.get().body();
@@ -78,7 +98,7 @@
         }
         found.push_back(std::move(response));
     }
-    return found;
+    return position;
 }
 
 ConnectionEnd CallerConnection::end() const
--- a/tests/support/callerconnection.h
+++ b/tests/support/callerconnection.h
@@ -31,16 +31,25 @@
     //! Receives until the connection ends, \p responseCount complete responses have arrived, or nothing arrives for \p timeoutMs.
     void receive(std::size_t responseCount, int timeoutMs);
 
+    //! Receives what arrives within \p timeoutMs, in one step. Returns false when nothing did.
+    bool receiveSome(int timeoutMs);
+
+    //! Sets the size of the buffer for bytes that were not received yet.
+    void limitUnreceived(int bytes);
+
     //! Receives until the connection ends or nothing arrives for \p timeoutMs.
     void receiveToEnd(int timeoutMs);
 
     //! Returns the complete responses among the received bytes.
     std::vector<HttpResponse> responses() const;
+
+    //! Returns the number of received bytes that follow the complete responses.
+    std::size_t incompleteBytes() const;
     ConnectionEnd end() const;
 
 private:
-    //! Receives what arrives within \p timeoutMs. Returns false when nothing did.
-    bool receiveSome(int timeoutMs);
+    //! Returns the number of bytes of the complete responses, which are added to \p found.
+    std::size_t parse(std::vector<HttpResponse> &found) const;
 
     boost::asio::io_context context{};
     boost::asio::ip::tcp::socket socket;
