Requests behind one that is refused early on the same connection are answered

Callers saw: of two or three requests that were sent at once on a connection during a stop, those behind one that got 503 were never answered, and the connection was closed up to 1.3 s after they had been sent. They had not been passed on.

Cause: a request that could not complete before the end of the stop is refused as soon as its head has been read, and the connection is closed, as its body is not read. That was done for bodies too that had arrived already, wholly or beyond the first 512 bytes that a read returns.

Ruled out: answers that are broken off at a time limit, which only the end of the connection can show; requests behind a 413.

Change: before a request is refused by its head, what has arrived of its body is read. If that is all, its handler refuses it and the connection serves what lies behind it.

The new case of "Arriving:" failed with the programs before (one answer of two) and passes now, as do the other eight.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -217,6 +217,11 @@
     if (this->core->refusing) {
         this->refusal = this->core->formatError(serviceUnavailable, shutdownDetail);
     } else if (this->core->admission) {
+        // A request of which all has arrived is refused by its handler: refusing it here would end the connection under requests that lie behind it.
+        const beast::error_code bodyError = co_await this->readArrived(parser);
+        if (bodyError || parser.is_done() || this->refusal) {
+            co_return bodyError;
+        }
         this->refusal = this->core->admission(toRequestHead(parser.get(), this->peer), currentTime());
     }
     if (this->refusal) {
@@ -234,6 +239,28 @@
     co_return error;
 }
 
+asio::awaitable<beast::error_code> HttpConnection::readArrived(Parser &parser)
+{
+    parser.eager(true);
+    while (true) {
+        beast::error_code error;
+        this->buffer.consume(parser.put(this->buffer.data(), error));
+        if (parser.is_done() || (error && error != http::error::need_more)) {
+            co_return parser.is_done() ? beast::error_code() : error;
+        }
+        beast::error_code ignored;
+        const std::size_t arrived = std::min(this->stream.socket().available(ignored), this->buffer.max_size() - this->buffer.size());
+        if (arrived == 0) {
+            co_return beast::error_code();
+        }
+        const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(arrived), useResult);
+        this->buffer.commit(size);
+        if (readError) {
+            co_return readError;
+        }
+    }
+}
+
 asio::awaitable<bool> HttpConnection::serveRequest(HttpLimits limits)
 {
     this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -83,6 +83,9 @@
     //! Reads a request and answers it. Returns whether the connection serves another one.
     boost::asio::awaitable<bool> serveRequest(HttpLimits limits);
     boost::asio::awaitable<boost::beast::error_code> readRequest(Parser &parser, Duration timeout);
+
+    //! Reads as much of the request's body as has arrived.
+    boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser);
     boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
 
     //! Sends \p response, after which the connection closes.
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -140,6 +140,30 @@
     CHECK(cluster.gateways[0].wait() == 0);
 }
 
+// Guards against a request that is dropped without an answer, as the one before it was refused by its head although all of it had arrived.
+TEST_CASE("Arriving: requests that were sent at once behind one that could not complete before the end of a stop are answered")
+{
+    StoppingGateway cluster;
+    CallerConnection keepsBusy(cluster.callerAddress(0));
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(300));
+    REQUIRE(keepsBusy.send(cluster.orderHead(1000) + bodyChunk(firstPart)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    // More than a first read from the connection returns.
+    constexpr std::size_t bodyBytes = 3000;
+    REQUIRE(caller.send(cluster.orderHead(6000) + bodyChunk(std::string(bodyBytes, 'x')) + bodyChunk("") + cluster.read()));
+    caller.receiveToEnd(timeoutMs);
+    const std::vector<HttpResponse> answers = caller.responses();
+    REQUIRE(answers.size() == 2);
+    CHECK(answers.front().status == 503);
+    CHECK(answers.back().status == 200);
+    CHECK(answers.back().header("Connection") == "close");
+    keepsBusy.send(bodyChunk(""));
+    keepsBusy.receiveToEnd(timeoutMs);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
 // Guards against requests that have arrived and were not read yet being reset when idle connections are closed.
 TEST_CASE("Arriving: requests that wait unread when a stopping process closes idle connections are answered")
 {
