--- a/tests/soak/stopjudge.h
+++ b/tests/soak/stopjudge.h
@@ -36,6 +36,7 @@
 {
     std::string text{};
     const Exchange *exchange = nullptr; //!< The request that it is about; none for a breach by a process.
+    bool isLoss = false; //!< Of a request that an endpoint received.
 };
 
 //! Counts requests to gateways that stop.
--- a/tests/soak/stopplan.h
+++ b/tests/soak/stopplan.h
@@ -99,6 +99,7 @@
     std::chrono::seconds grace{0};
     std::optional<support::Link> cutLink{}; //!< State of the links of the first gateway to the endpoints.
     Milliseconds quietAfter{0}; //!< From this time after its gateway's SIGTERM on, a caller begins no request.
+    int longPercent = 0; //!< Share of the requests that take seconds at their endpoints.
     std::vector<PlannedStop> stops{};
     std::vector<PlannedCaller> callers{};
 };
