--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -91,8 +91,8 @@
         std::cout << ", " << status << ": " << count;
     }
     std::cout << ", lost at an endpoint " << counts.lostAtEndpoint << " (under way " << counts.lostUnderWay << ", chunked orders " << counts.lostChunkedOrders
-              << "), excused " << counts.excused << ", cut unread " << counts.cutUnread << ", cut while arriving " << counts.cutArriving << ", crossed "
-              << counts.crossed << ", ended after";
+              << "), excused " << counts.excused << " (streams " << counts.excusedStreams << "), cut unread " << counts.cutUnread << ", cut while arriving "
+              << counts.cutArriving << ", crossed " << counts.crossed << ", ended after";
     for (const SeenStop &stop : seen.stops) {
         std::cout << " " << after(stop.endedAt, stop.termAt);
     }
--- a/tests/soak/stopjudge.cpp
+++ b/tests/soak/stopjudge.cpp
@@ -123,6 +123,7 @@
     if (!received.empty()) {
         if (this->isExcused(exchange, received.back())) {
             this->counts.excused += 1;
+            this->counts.excusedStreams += exchange.request->kind == Kind::Turn ? 1 : 0;
             return;
         }
         this->counts.lostAtEndpoint += 1;
--- a/tests/soak/stopjudge.h
+++ b/tests/soak/stopjudge.h
@@ -49,6 +49,7 @@
     std::size_t lostChunkedOrders = 0; //!< Those of them that are unsafe and had a chunked body.
     std::size_t lostUnderWay = 0; //!< Those of them that were under way at SIGTERM.
     std::size_t excused = 0; //!< The same as lostAtEndpoint, where the rules allow it.
+    std::size_t excusedStreams = 0; //!< Those of them that are streams: only the end of the connection can show that one is broken off.
     std::size_t cutUnread = 0; //!< Sent whole, not passed on, and without an answer.
     std::size_t cutArriving = 0; //!< The connection ended before it was sent whole.
     std::size_t crossed = 0; //!< Sent just before the end of its connection, or behind a request whose answer was broken off, and not passed on.
