--- a/tests/soak/stopjudge.cpp
+++ b/tests/soak/stopjudge.cpp
@@ -44,7 +44,9 @@
     if (seen.strayAnswers > 0) {
         this->add(std::to_string(seen.strayAnswers) + " answers or parts of some without a request");
     }
-    std::ranges::stable_partition(this->breaches, &Breach::isLoss);
+    std::stable_partition(this->breaches.begin(), this->breaches.end(), [](const Breach &breach) {
+        return breach.isLoss;
+    });
 }
 
 void StopJudge::judgeProcess(const SeenStop &stop)
--- a/tests/soak/stopplan.cpp
+++ b/tests/soak/stopplan.cpp
@@ -89,7 +89,8 @@
 {
     PlannedCaller caller;
     // Most callers use gateways that stop.
-    caller.gateway = dice.percent(85) ? plan.stops[number % plan.stops.size()].gateway : static_cast<std::size_t>(dice.between(0, plan.gateways - 1));
+    caller.gateway = dice.percent(85) ? plan.stops[number % plan.stops.size()].gateway
+                                      : static_cast<std::size_t>(dice.between(0, static_cast<std::int64_t>(plan.gateways) - 1));
     const std::int64_t graceMs = Milliseconds(plan.grace).count();
     caller.start = dice.percent(60) ? dice.time(-1200, 0) : dice.time(0, std::min<std::int64_t>(graceMs, 5000));
     const auto mainStyle
