--- a/src/decision/budgetslots.cpp
+++ b/src/decision/budgetslots.cpp
@@ -139,6 +139,11 @@
     return this->owned.contains(slot);
 }
 
+const SlotRecord &BudgetSlots::recordOf(SlotId slot) const
+{
+    return this->table.recordOf(slot);
+}
+
 Time BudgetSlots::unrecordedShareFrom(SlotId slot) const
 {
     const auto found = this->owned.find(slot);
--- a/src/decision/budgetslots.h
+++ b/src/decision/budgetslots.h
@@ -56,6 +56,9 @@
 
     bool ownsSlot(SlotId slot) const;
 
+    //! Returns the newest known record of \p slot.
+    const SlotRecord &recordOf(SlotId slot) const;
+
     //! Returns the time from which this instance may grant unrecorded shares to programs of \p slot without a ledger entry;
     //! Time::max() when it does not own the slot.
     Time unrecordedShareFrom(SlotId slot) const;
--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -75,6 +75,16 @@
     return found != this->programs.end() && found->second.left >= tokens;
 }
 
+std::optional<LedgerEntry> TokenLedger::entryOf(const ProgramId &program) const
+{
+    const auto found = this->programs.find(program);
+    if (found == this->programs.end()) {
+        return std::nullopt;
+    }
+    const Allowance &allowance = found->second;
+    return LedgerEntry{program, allowance.left, allowance.recorded, allowance.revision, allowance.sawAllTurns};
+}
+
 std::vector<LedgerEntry> TokenLedger::take(const std::function<bool(const ProgramId &)> &selected)
 {
     std::vector<LedgerEntry> extracted;
--- a/src/decision/tokenledger.h
+++ b/src/decision/tokenledger.h
@@ -74,6 +74,9 @@
     //! Returns true when the program's allowance here covers \p tokens.
     bool covers(const ProgramId &program, Tokens tokens) const;
 
+    //! Returns the entry of \p program; nothing when this ledger has none.
+    std::optional<LedgerEntry> entryOf(const ProgramId &program) const;
+
     //! Removes and returns the entries of the programs for which \p selected returns true.
     std::vector<LedgerEntry> take(const std::function<bool(const ProgramId &)> &selected);
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -175,6 +175,31 @@
     });
 }
 
+void BudgetCoordinator::logLedger(const std::string &what, const BudgetRequest &ask, Time now) const
+{
+    const SlotId slot = this->slots.slotOf(ask.request.program);
+    const SlotRecord &record = this->slots.recordOf(slot);
+    const LedgerEntry entry = this->ledger.entryOf(ask.request.program).value_or(LedgerEntry());
+    const auto known = this->slotOwners.find(slot);
+    logRecord(LogLevel::Info,
+              "budget",
+              what,
+              {{"request", ask.id},
+               {"program", ask.request.program},
+               {"slot", std::to_string(slot)},
+               {"owns", this->slots.ownsSlot(slot) ? "true" : "false"},
+               {"epoch", std::to_string(record.epoch)},
+               {"record_owner", record.owner},
+               {"told_owner", known == this->slotOwners.end() ? std::string() : known->second},
+               {"members", std::to_string(this->members.size())},
+               {"budget", std::to_string(ask.request.budget)},
+               {"turn_tokens", std::to_string(ask.request.turnTokens)},
+               {"left", std::to_string(entry.left)},
+               {"recorded", std::to_string(entry.recorded)},
+               {"saw_all_turns", entry.sawAllTurns ? "true" : "false"},
+               {"records_read_ms_ago", std::to_string((now - this->slots.recordsReadAt()).count() / microsecondsPerMillisecond)}});
+}
+
 LedgerAnswer BudgetCoordinator::tryGrant(const BudgetRequest &ask, Time now)
 {
     if (this->grants.contains(ask.id)) {
@@ -182,7 +207,14 @@
     }
     const SlotId slot = this->slots.slotOf(ask.request.program);
     const bool mayGrantUnrecordedShare = this->slots.mayGrantUnrecordedShare(slot, this->parts.hasPeerServiceContactAfter(this->slots.recordsReadAt()), now);
+    const bool startsWithoutShare = !mayGrantUnrecordedShare && !this->ledger.entryOf(ask.request.program);
     const LedgerAnswer answer = this->ledger.reserve(ask.request, mayGrantUnrecordedShare, now);
+    if (startsWithoutShare) {
+        this->logLedger("a program starts without its unrecorded share", ask, now);
+    }
+    if (answer == LedgerAnswer::Exhausted) {
+        this->logLedger("the budget does not cover a turn", ask, now);
+    }
     if (answer == LedgerAnswer::Granted) {
         this->grants[ask.id] = UnsettledGrant{OpenGrant{ask.id, ask.request.program, ask.request.turnTokens}, now};
     }
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -98,6 +98,9 @@
     boost::asio::awaitable<BudgetDecision> askOwner(std::string address, BudgetRequest ask);
     LedgerAnswer tryGrant(const BudgetRequest &ask, Time now);
     void credit(const std::string &id, Tokens used);
+
+    //! Logs why a turn is not granted, or why a program starts without its unrecorded share, with what the answer rests on.
+    void logLedger(const std::string &what, const BudgetRequest &ask, Time now) const;
     bool ownsSlotOf(const ProgramId &program) const;
     void applySlotRecord(const KvPair &pair, Time now);
     void applySlotRecords(const std::vector<KvPair> &pairs, Time now);
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -38,6 +38,16 @@
     return slotsPrefix + std::to_string(slot);
 }
 
+//! Returns the slots of \p moves with the epochs that they have once the moves are made.
+std::string formatMoves(const std::vector<SlotMove> &moves)
+{
+    std::string text;
+    for (const SlotMove &move : moves) {
+        text += (text.empty() ? "" : " ") + std::to_string(move.slot) + ":" + std::to_string(move.expected.epoch + 1);
+    }
+    return text;
+}
+
 std::string formatSlotRecord(const InstanceRecord &owner, std::uint64_t epoch)
 {
     return json::serialize(json::object{{"owner", owner.id}, {"epoch", epoch}});
@@ -156,7 +166,7 @@
     logRecord(LogLevel::Info,
               "budget",
               reply.value().succeeded ? "claimed slots" : "other instances claimed slots first",
-              {{"count", std::to_string(moves.size())}, {"first", std::to_string(moves.front().slot)}, {"revision", std::to_string(reply.value().revision)}});
+              {{"count", std::to_string(moves.size())}, {"slots", formatMoves(moves)}, {"revision", std::to_string(reply.value().revision)}});
     co_return true;
 }
 
@@ -232,7 +242,7 @@
     logRecord(LogLevel::Info,
               "budget",
               taken ? "handed over slots" : "failed to hand over slots",
-              {{"peer", successor.id}, {"slots", std::to_string(moves.size())}, {"programs", std::to_string(programs)}});
+              {{"peer", successor.id}, {"slots", formatMoves(moves)}, {"programs", std::to_string(programs)}});
     if (!taken) {
         co_await this->release(moves);
     }
