Budgets: a slot's record says whether anything was granted in it, so that later owners of unused slots keep whole budgets

Seen: on the large installation sound programs are told 402 from 2 s of traffic on. In a play of 5 s with the logs of 55 instances, all owners that refused had the slot's record on their side, with epochs of 2 to 11, and started programs without the unrecorded share (half of a budget or more): more than 90 such starts at owners, none at epoch 1. Of 76 slots that were seen claimed before the first program, 59 had been claimed more than once, up to ten times, while views of the members were incomplete.

Cause: that a slot had an owner before was taken for the fact that something was granted in it. Class: an estimate used as a fact. Ruled out: owners that are not known, as all ten programs in the logs were told by the recorded owner itself; records read too long ago (at most 12 s, the limit is 20 s). Six of the ten have a budget of two turns, all of it reserved: their 402 is right.

Change: a record is unused until an owner writes, by compare-and-swap, that it is used, before its first unrecorded grant there; it grants once that is confirmed. A claim of an unused slot keeps whole budgets. A record without the mark (older builds) counts as used. Slots that were kept for one interval of rereads are marked ahead, so that programs can begin in them in an outage. A hand-over waits for marks under way.

--- a/src/decision/budgetslots.cpp
+++ b/src/decision/budgetslots.cpp
@@ -46,7 +46,7 @@
         return;
     }
     const auto handedOver = this->received.find(slot);
-    if (record.epoch == 1) {
+    if (record.epoch == 1 || record.unused) {
         this->owned[slot] = now;
     } else if (handedOver != this->received.end()) {
         this->owned[slot] = handedOver->second;
@@ -151,6 +151,28 @@
 }
 
 bool BudgetSlots::mayGrantUnrecordedShare(SlotId slot, bool peerReachedLater, Time now) const
+{
+    return this->sharesAreDue(slot, peerReachedLater, now) && !this->table.recordOf(slot).unused;
+}
+
+bool BudgetSlots::mustMarkUsed(SlotId slot, bool peerReachedLater, Time now) const
+{
+    return this->sharesAreDue(slot, peerReachedLater, now) && this->table.recordOf(slot).unused;
+}
+
+std::map<SlotId, SlotRecord> BudgetSlots::unusedSlots() const
+{
+    std::map<SlotId, SlotRecord> found;
+    for (const auto &[slot, from] : this->owned) {
+        const SlotRecord &record = this->table.recordOf(slot);
+        if (record.unused) {
+            found[slot] = record;
+        }
+    }
+    return found;
+}
+
+bool BudgetSlots::sharesAreDue(SlotId slot, bool peerReachedLater, Time now) const
 {
     const bool recordsOutdated = now - this->lastRecordsRead > this->limits.recordReadTimeout && peerReachedLater;
     return !recordsOutdated && this->unrecordedShareFrom(slot) <= now;
--- a/src/decision/budgetslots.h
+++ b/src/decision/budgetslots.h
@@ -12,9 +12,13 @@
 //! tokens that are granted without a record in the key-value service (see TokenLedger).
 //!
 //! Slot records in the key-value service are written by compare-and-swap and are never deleted. An owner without a ledger entry
-//! for a program grants the program's unrecorded share only if it is the first owner of the slot, if it
+//! for a program grants the program's unrecorded share only if no earlier owner granted any in the slot, if it
 //! received the slot together with the previous owner's ledger entries, or if it has owned the slot for so long that every
 //! program of an earlier owner has ended.
+//!
+//! Whether an earlier owner granted any stands in the slot's record: it is unused until an owner has written, by compare-and-swap, that
+//! it is used. An owner does so before its first grant and grants only after the write is confirmed, so that a claim which finds the
+//! record unused has a slot in which nothing was granted nor will be by others. Records of builds without the mark count as used.
 class BudgetSlots
 {
 public:
@@ -63,6 +67,12 @@
     //! Time::max() when it does not own the slot.
     Time unrecordedShareFrom(SlotId slot) const;
 
+    //! Returns true when this instance may grant unrecorded shares in \p slot as soon as the slot's record says that it is used.
+    bool mustMarkUsed(SlotId slot, bool peerReachedLater, Time now) const;
+
+    //! Returns the records of the owned slots that are unused.
+    std::map<SlotId, SlotRecord> unusedSlots() const;
+
     //! Returns true when this instance may grant unrecorded shares in \p slot at \p now. \p peerReachedLater tells whether
     //! another instance reached the key-value service after recordsReadAt().
     bool mayGrantUnrecordedShare(SlotId slot, bool peerReachedLater, Time now) const;
@@ -73,6 +83,7 @@
     std::set<SlotId> ownedSlots() const;
 
 private:
+    bool sharesAreDue(SlotId slot, bool peerReachedLater, Time now) const;
     bool mayClaim(const SlotMove &move, Time now) const;
 
     InstanceId self;
--- a/src/decision/slottable.h
+++ b/src/decision/slottable.h
@@ -17,6 +17,7 @@
     InstanceId owner{}; //!< Empty when the slot was released and not yet claimed.
     std::uint64_t epoch = 0; //!< Increases with every new owner; the fencing number of the slot's calls.
     std::uint64_t revision = 0; //!< Revision of the record in the key-value service; 0 when it does not exist.
+    bool unused = false; //!< No owner has granted an unrecorded share in the slot, nor may until this is false.
 };
 
 //! Record of a live instance in the key-value service, bound to the instance's lease.
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -266,11 +266,27 @@
 
 asio::awaitable<BudgetDecision> BudgetCoordinator::drawAndGrant(BudgetRequest ask)
 {
+    const SlotId slot = this->slots.slotOf(ask.request.program);
+    bool mark = false;
+    {
+        const Time now = currentTime();
+        const std::lock_guard lock(this->mutex);
+        mark = this->mustMarkUsed(ask, now);
+        if (mark && (this->leaving || now < this->serviceRetryAt)) {
+            co_return BudgetDecision::Unavailable;
+        }
+    }
+    if (mark && !co_await this->markSlotsUsed(slot)) {
+        co_return BudgetDecision::Unavailable;
+    }
     for (int draws = 0; draws <= maxDrawsPerTurn; ++draws) {
         std::optional<BlockDraw> draw;
         {
             const Time now = currentTime();
             const std::lock_guard lock(this->mutex);
+            if (this->mustMarkUsed(ask, now)) {
+                co_return BudgetDecision::Unavailable;
+            }
             const LedgerAnswer answer = this->tryGrant(ask, now);
             if (answer != LedgerAnswer::NeedsBlock) {
                 co_return answer == LedgerAnswer::Granted ? BudgetDecision::Granted : BudgetDecision::Exhausted;
@@ -361,7 +377,7 @@
         const std::lock_guard lock(this->mutex);
         const SlotId slot = this->slots.slotOf(program.program);
         const bool decidesLocally = this->slots.ownsSlot(slot) || this->ledger.covers(program.program, tokens);
-        const LedgerAnswer answer = decidesLocally ? this->tryGrant(ask, now) : LedgerAnswer::NeedsBlock;
+        const LedgerAnswer answer = decidesLocally && !this->mustMarkUsed(ask, now) ? this->tryGrant(ask, now) : LedgerAnswer::NeedsBlock;
         if (answer == LedgerAnswer::Granted) {
             co_return boost::outcome_v2::success();
         }
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -75,6 +75,13 @@
     //! Writes claims of slots. Returns false when the key-value service did not answer.
     boost::asio::awaitable<bool> claim(std::vector<SlotMove> moves);
     std::vector<SlotMove> planClaims(Time now) const;
+
+    //! Writes that unused slots of this instance are used, as many as fit in a transaction, from \p first on in the order of their numbers
+    //! and from the lowest on after the highest. Returns false when the key-value service did not answer.
+    boost::asio::awaitable<bool> markSlotsUsed(SlotId first);
+
+    //! Returns true when the slot of \p ask has to be marked as used before the unrecorded share of the program is granted.
+    bool mustMarkUsed(const BudgetRequest &ask, Time now) const;
     boost::asio::awaitable<void> awaitOwner(SlotId slot);
 
     //! Returns the tokens that this instance drew and did not use to the owners of the programs' slots.
@@ -120,6 +127,7 @@
     std::uint64_t returnCount = 0;
     std::map<std::string, std::string> grantedBy; //!< Peer address of the owner that granted a reservation, by the reservation's identifier.
     std::map<std::string, Time> unresponsiveOwners; //!< Peer addresses of owners that did not answer in time, with the time to ask them again.
+    std::atomic<int> marksUnderWay{0}; //!< Calls of markSlotsUsed() that wait for the key-value service.
     std::uint64_t lease = 0; //!< Of the programs' records. Used only on the context's thread, as is leaseRenewAt.
     Time leaseRenewAt{};
     Time serviceRetryAt{}; //!< Draws fail and slots are not maintained until then, so that nothing waits for a failing service.
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -33,6 +33,9 @@
 
 constexpr Duration maintenanceInterval = std::chrono::milliseconds(200);
 
+//! How often a hand-over looks whether the marks under way have ended.
+constexpr Duration markPollInterval = std::chrono::milliseconds(5);
+
 std::string slotKeyOf(SlotId slot)
 {
     return slotsPrefix + std::to_string(slot);
@@ -48,9 +51,14 @@
     return text;
 }
 
-std::string formatSlotRecord(const InstanceRecord &owner, std::uint64_t epoch)
+std::string formatSlotRecord(const InstanceId &owner, std::uint64_t epoch, bool unused)
 {
-    return json::serialize(json::object{{"owner", owner.id}, {"epoch", epoch}});
+    json::object record{{"owner", owner}, {"epoch", epoch}};
+    // Written only while it holds: a record without it, such as one of a build that does not know it, counts as used.
+    if (unused) {
+        record["unused"] = true;
+    }
+    return json::serialize(record);
 }
 
 } // namespace
@@ -62,7 +70,7 @@
         return;
     }
     const json::object object = parseJsonObject(pair.value);
-    const SlotRecord record{jsonText(object, "owner"), static_cast<std::uint64_t>(jsonNumber(object, "epoch")), pair.revision};
+    const SlotRecord record{jsonText(object, "owner"), static_cast<std::uint64_t>(jsonNumber(object, "epoch")), pair.revision, jsonFlag(object, "unused")};
     this->slots.onRecord(static_cast<SlotId>(std::stoul(number)), record, now);
 }
 
@@ -91,6 +99,9 @@
         }
         if (readDue) {
             co_await this->readSlotRecords();
+            // Slots that were kept for an interval are marked before their first turn, so that programs can begin in them
+            // while the service fails.
+            co_await this->markSlotsUsed(0);
         }
         co_await this->claimDueSlots();
         co_await this->returnUnusedTokens();
@@ -147,7 +158,8 @@
     for (const SlotMove &move : moves) {
         const std::string key = slotKeyOf(move.slot);
         write.compares.push_back(KvCompare{key, move.expected.revision});
-        write.puts.push_back(KvPut{key, formatSlotRecord(this->self, move.expected.epoch + 1)});
+        const bool unused = move.expected.revision == 0 || move.expected.unused;
+        write.puts.push_back(KvPut{key, formatSlotRecord(this->self.id, move.expected.epoch + 1, unused)});
         write.elseKeys.push_back(key);
     }
     const std::vector<KvPut> puts = write.puts;
@@ -170,6 +182,54 @@
     co_return true;
 }
 
+bool BudgetCoordinator::mustMarkUsed(const BudgetRequest &ask, Time now) const
+{
+    const SlotId slot = this->slots.slotOf(ask.request.program);
+    return !this->ledger.entryOf(ask.request.program)
+        && this->slots.mustMarkUsed(slot, this->parts.hasPeerServiceContactAfter(this->slots.recordsReadAt()), now);
+}
+
+asio::awaitable<bool> BudgetCoordinator::markSlotsUsed(SlotId first)
+{
+    std::map<SlotId, SlotRecord> unused;
+    {
+        const std::lock_guard lock(this->mutex);
+        unused = this->slots.unusedSlots();
+    }
+    if (unused.empty()) {
+        co_return true;
+    }
+    const auto firstUnused = unused.lower_bound(first);
+    KvTransaction write;
+    for (auto next = firstUnused == unused.end() ? unused.begin() : firstUnused; write.puts.size() < std::min(unused.size(), maxSlotsPerTransaction);) {
+        const auto &[slot, record] = *next;
+        write.compares.push_back(KvCompare{slotKeyOf(slot), record.revision});
+        write.puts.push_back(KvPut{slotKeyOf(slot), formatSlotRecord(this->self.id, record.epoch, false)});
+        write.elseKeys.push_back(slotKeyOf(slot));
+        next = std::next(next) == unused.end() ? unused.begin() : std::next(next);
+    }
+    const std::vector<KvPut> puts = write.puts;
+    ++this->marksUnderWay;
+    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    --this->marksUnderWay;
+    if (!reply) {
+        this->onServiceFailed(reply.error());
+        co_return false;
+    }
+    std::vector<KvPair> records = reply.value().found;
+    if (reply.value().succeeded) {
+        for (const KvPut &put : puts) {
+            records.push_back(KvPair{put.key, put.value, reply.value().revision});
+        }
+    }
+    this->applySlotRecords(records, currentTime());
+    logRecord(LogLevel::Info,
+              "budget",
+              reply.value().succeeded ? "marked slots as used" : "failed to mark slots as used, as a record changed",
+              {{"slots", std::to_string(puts.size())}, {"first", std::to_string(first)}, {"revision", std::to_string(reply.value().revision)}});
+    co_return true;
+}
+
 std::map<InstanceId, std::vector<SlotMove>> BudgetCoordinator::planHandovers(Time now) const
 {
     const std::lock_guard lock(this->mutex);
@@ -186,6 +246,10 @@
 asio::awaitable<void> BudgetCoordinator::handOverAll(Time limit)
 {
     this->leaving = true;
+    // A mark that is confirmed during the hand-over would change the records that the hand-over expects.
+    while (this->marksUnderWay > 0 && currentTime() < limit) {
+        co_await sleepFor(markPollInterval);
+    }
     while (currentTime() < limit) {
         {
             const std::lock_guard lock(this->mutex);
@@ -255,7 +319,7 @@
     KvTransaction write;
     for (const SlotMove &move : moves) {
         write.compares.push_back(KvCompare{slotKeyOf(move.slot), move.expected.revision});
-        write.puts.push_back(KvPut{slotKeyOf(move.slot), formatSlotRecord(InstanceRecord(), move.expected.epoch + 1)});
+        write.puts.push_back(KvPut{slotKeyOf(move.slot), formatSlotRecord(InstanceId(), move.expected.epoch + 1, move.expected.unused)});
     }
     const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
     if (!reply) {
@@ -284,7 +348,7 @@
     KvTransaction write;
     for (const HandoverSlot &handed : handover.slots) {
         write.compares.push_back(KvCompare{slotKeyOf(handed.slot), handed.revision});
-        write.puts.push_back(KvPut{slotKeyOf(handed.slot), formatSlotRecord(this->self, handed.epoch + 1)});
+        write.puts.push_back(KvPut{slotKeyOf(handed.slot), formatSlotRecord(this->self.id, handed.epoch + 1, false)});
     }
     const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
     if (!reply) {
--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
+
 using namespace oleandergate;
 using namespace oleandergate::support;
 
@@ -104,3 +107,31 @@
         CHECK(tokens >= budget / 2);
     }
 }
+
+// Guards against presuming half of a budget spent because its slot changed owners before any program had begun in it.
+TEST_CASE("A program that begins after all gateways were killed and restarted gets its whole budget")
+{
+    ClusterWithOwnedSlots cluster;
+    const auto slotRecords = [&cluster]() {
+        std::vector<std::string> values;
+        for (int slot = 0; slot < slotCount; ++slot) {
+            values.push_back(cluster.store.value("oleandergate/budget/slots/" + std::to_string(slot)));
+        }
+        return values;
+    };
+    const std::vector<std::string> former = slotRecords();
+    for (std::size_t gateway = 0; gateway < 2; ++gateway) {
+        cluster.gateways[gateway].kill();
+        cluster.startGateway(gateway);
+    }
+    REQUIRE(cluster.waitUntilReady());
+    REQUIRE(waitFor(
+        [&slotRecords, &former]() {
+            const std::vector<std::string> current = slotRecords();
+            return std::equal(former.begin(), former.end(), current.begin(), std::not_equal_to<>());
+        },
+        timeoutMs));
+    const int tokens = runTurnsUntilExhausted(cluster, "late");
+    CHECK(tokens <= budget);
+    CHECK(tokens > budget - maxTokensPerTurn - tokensPerTurn);
+}
--- a/tests/unit/budgetslotstests.cpp
+++ b/tests/unit/budgetslotstests.cpp
@@ -86,3 +86,30 @@
     slots.onRecord(1, SlotRecord{"a~1", 3, 7}, start);
     CHECK(slots.ownsSlot(1));
 }
+
+// Guards against presuming half of each budget spent because a slot changed owners before its first program.
+TEST_CASE("An owner of an unused slot grants unrecorded shares at once, as soon as the slot is marked as used, whatever its epoch")
+{
+    BudgetSlots slots("a~1", limits);
+    slots.onRecordsRead(start);
+    slots.onRecord(1, SlotRecord{"a~1", 3, 5, true}, start);
+    CHECK(slots.mustMarkUsed(1, true, start));
+    CHECK_FALSE(slots.mayGrantUnrecordedShare(1, true, start));
+    REQUIRE(slots.unusedSlots().size() == 1);
+    slots.onRecord(1, SlotRecord{"a~1", 3, 6, false}, start);
+    CHECK_FALSE(slots.mustMarkUsed(1, true, start));
+    CHECK(slots.mayGrantUnrecordedShare(1, true, start));
+    CHECK(slots.unusedSlots().empty());
+}
+
+// Guards against granting in a slot whose mark failed because another instance claimed the slot.
+TEST_CASE("An instance whose slot was claimed by another before it was marked neither marks nor grants")
+{
+    BudgetSlots slots("a~1", limits);
+    slots.onRecordsRead(start);
+    slots.onRecord(1, SlotRecord{"a~1", 1, 5, true}, start);
+    slots.onRecord(1, SlotRecord{"b~1", 2, 6, true}, start);
+    CHECK_FALSE(slots.mustMarkUsed(1, true, start));
+    CHECK_FALSE(slots.mayGrantUnrecordedShare(1, true, start));
+    CHECK(slots.unusedSlots().empty());
+}
