--- a/tests/soak/stopjudge.cpp
+++ b/tests/soak/stopjudge.cpp
@@ -57,7 +57,7 @@
         return;
     }
     if (stop.status != 0) {
-        this->add(name + "ended with status " + std::to_string(stop.status));
+        this->add(name + "ended with status " + std::to_string(stop.status) + " by signal " + std::to_string(stop.signal));
     }
     if (stop.lastLine.find(R"("message":"stopped")") == std::string::npos) {
         this->add(name + "has this last log line: " + stop.lastLine);
--- a/tests/soak/stopjudge.h
+++ b/tests/soak/stopjudge.h
@@ -20,6 +20,7 @@
     Time endedAt{};
     bool killed = false; //!< By SIGKILL, when its time was over.
     int status = 0;
+    int signal = 0; //!< That ended it by itself; 0 for none.
     std::string lastLine{}; //!< Of its log.
 };
 
--- a/tests/soak/stoprun.cpp
+++ b/tests/soak/stoprun.cpp
@@ -22,10 +22,13 @@
 constexpr int slowReadDivisor = 20;
 constexpr int slowReadSteps = 30; //!< Receptions of one large answer.
 
-bool hasEnded(pid_t process)
+//! Returns whether \p process has ended; \p signal is then set to the signal that ended it, or 0.
+bool hasEnded(pid_t process, int &signal)
 {
     siginfo_t info{};
-    return ::waitid(P_PID, static_cast<id_t>(process), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == process;
+    const bool ended = ::waitid(P_PID, static_cast<id_t>(process), &info, WEXITED | WNOHANG | WNOWAIT) == 0 && info.si_pid == process;
+    signal = ended && info.si_code != CLD_EXITED ? info.si_status : 0;
+    return ended;
 }
 
 std::string lastLineOf(const std::string &text)
@@ -120,7 +123,7 @@
     seenStop.gateway = planned.gateway;
     seenStop.termAt = currentTime();
     process.signal(SIGTERM);
-    while (!hasEnded(process.id())) {
+    while (!hasEnded(process.id(), seenStop.signal)) {
         const auto passed = std::chrono::duration_cast<Milliseconds>(currentTime() - seenStop.termAt);
         if (passed >= this->plan.grace) {
             seenStop.killed = true;
