--- a/tests/support/callerconnection.cpp
+++ b/tests/support/callerconnection.cpp
@@ -77,7 +77,7 @@
             break;
         }
         HttpResponse response;
-        response.status = parser.get().result_int();
+        response.status = static_cast<int>(parser.get().result_int());
         response.body = parser.get().body();
         for (const auto &field : parser.get()) {
             response.headers.push_back(HttpHeader{std::string(field.name_string()), std::string(field.value())});
