A stopped process ends in order, and what lies behind a request that is cut off is refused

Callers and operators saw: a process that had logged "stopped" ended by a signal; requests that were sent at once behind one that is cut off at the end of the grace were never answered.

Cause: requests whose callers do not receive their answers were still suspended when the contexts were destroyed, after the parts that they use. And no connection was kept once arriving requests are refused, also if a further request had already arrived on it.

Change: when the time for the last answers is over, the connections are dropped inside the running context, so that their requests end before the object does; the list of requests outlives the contexts. A complete request that arrives after the end of the time is refused by the server itself as not run, and the connection goes on as long as more has arrived.

Both have a case now ("Arriving: ...").

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,6 +51,9 @@
 //! Shortest time for the last answers, also when the process was held up before them.
 constexpr Duration minLastAnswersTime = std::chrono::milliseconds(200);
 
+//! Time for requests to notice that their callers' connections were dropped.
+constexpr Duration dropTime = std::chrono::milliseconds(50);
+
 constexpr Duration housekeepingInterval = std::chrono::milliseconds(250);
 
 //! Connections to one endpoint that an instance may open in a cluster of any size.
@@ -382,7 +385,7 @@
     asio::awaitable<void> awaitClosed(Time limit)
     {
         while (currentTime() < limit && (!this->callerServer.isClosed() || this->tunnels.activeCount() > 0)) {
-            co_await sleepFor(drainPollInterval);
+            co_await sleepFor(std::min(drainPollInterval, limit - currentTime()));
         }
     }
 
@@ -446,6 +449,9 @@
         });
         co_await this->awaitClosed(std::max(began + drainLimit - exitMargin, currentTime() + minLastAnswersTime));
         this->logShutdown("stopped", began + drainLimit - currentTime());
+        // Requests use parts of this object, so they have to end before it does.
+        this->callerServer.dropConnections();
+        co_await this->awaitClosed(currentTime() + dropTime);
         this->requests.stop();
         this->control.stop();
     }
@@ -485,6 +491,7 @@
     }
 
     GatewaySettings settings;
+    RequestDrain drain{}; //!< Before the contexts, as a request that a context still holds when it is destroyed deregisters itself.
     asio::io_context control{1};
     asio::io_context requests{1};
     Metrics metrics{};
@@ -508,7 +515,6 @@
     BudgetCoordinator budget;
     PeerServer peerServer;
     StreamVersions versions;
-    RequestDrain drain{};
     Relay relay;
     HttpServer callerServer;
     HttpServer readyServer;
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -142,11 +142,8 @@
 
 bool HttpConnection::mayKeepAlive()
 {
-    if (this->core->refusing) {
-        return false;
-    }
-    // A request that has already arrived behind this one is served too.
-    return (!this->core->keepAliveDisabled && !this->core->stopping) || this->hasInput();
+    // A request that has already arrived behind this one is answered too.
+    return (!this->core->keepAliveDisabled && !this->core->stopping && !this->core->refusing) || this->hasInput();
 }
 
 void HttpConnection::closeIfIdle()
@@ -169,6 +166,13 @@
     });
 }
 
+void HttpConnection::drop()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        self->stream.close();
+    });
+}
+
 asio::awaitable<void> HttpConnection::serve()
 {
     beast::error_code ignored;
@@ -290,8 +294,13 @@
     BeastExchange exchange(this->stream, this->watcher, [this, callerKeepsAlive]() {
         return callerKeepsAlive && this->mayKeepAlive();
     });
-    HttpRequest request = toRequest(parser.release(), this->peer);
-    co_await this->handle(exchange, std::move(request));
+    if (this->core->refusing) {
+        HttpResponse response = this->core->formatError(serviceUnavailable, shutdownDetail);
+        co_await exchange.respond(std::move(response));
+    } else {
+        HttpRequest request = toRequest(parser.release(), this->peer);
+        co_await this->handle(exchange, std::move(request));
+    }
     this->responseSent = exchange.hasSentResponse();
     co_return exchange.keepsAlive();
 }
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -68,6 +68,9 @@
     //! Refuses the request that is arriving, if any. Thread-safe.
     void refuseIfReceiving();
 
+    //! Closes the connection, whatever is under way on it. Thread-safe.
+    void drop();
+
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -148,6 +148,13 @@
     });
 }
 
+void HttpServer::dropConnections()
+{
+    this->core->forEachConnection([](HttpConnection &connection) {
+        connection.drop();
+    });
+}
+
 std::size_t HttpServer::activeCount() const
 {
     return this->core->counts().in(ConnectionPhase::Handling);
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -61,9 +61,12 @@
     //! still handled; each connection closes after them.
     void stop();
 
-    //! Refuses requests that are still arriving, with the response that the error formatter returns for status 503.
+    //! Refuses requests that are still arriving or come later, with the response that the error formatter returns for status 503.
     void refuseArriving();
 
+    //! Closes all connections, whatever is under way on them.
+    void dropConnections();
+
     //! Returns the number of requests being handled.
     std::size_t activeCount() const;
 
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -246,6 +246,59 @@
     CHECK(caller.end() == ConnectionEnd::Closed);
 }
 
+// Guards against a process that is ended by a signal after its stop, as requests that are still under way outlive what they use.
+TEST_CASE("Arriving: a process whose callers do not receive their answers ends its stop in order")
+{
+    constexpr int stops = 4;
+    for (int stop = 0; stop < stops; ++stop) {
+        StoppingGateway cluster;
+        constexpr int graceSeconds = 2;
+        cluster.setGrace(0, graceSeconds);
+        constexpr std::size_t callerCount = 6;
+        const std::size_t received = cluster.receivedCount();
+        std::vector<std::unique_ptr<CallerConnection>> callers;
+        for (std::size_t number = 0; number < callerCount; ++number) {
+            callers.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
+            callers.back()->limitUnreceived(4096);
+            REQUIRE(callers.back()->send(cluster.head("GET", "/reads/1?work_ms=10&bytes=6000000", "")));
+        }
+        REQUIRE(waitFor(
+            [&]() {
+                return cluster.receivedCount() == received + callerCount;
+            },
+            timeoutMs));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        cluster.gateways[0].signal(SIGTERM);
+        CHECK(cluster.gateways[0].wait() == 0);
+    }
+}
+
+// Guards against requests that are dropped without an answer behind one that is cut off when the time for the stop is over.
+TEST_CASE("Arriving: a request that lies behind one that is cut off at the end of a stop is refused as not run")
+{
+    StoppingGateway cluster;
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    CallerConnection caller(cluster.callerAddress(0));
+    const std::size_t received = cluster.receivedCount();
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Slow});
+    REQUIRE(caller.send(cluster.orderHead(8000) + bodyChunk("") + cluster.read() + cluster.read()));
+    REQUIRE(waitFor(
+        [&]() {
+            return cluster.receivedCount() == received + 1;
+        },
+        timeoutMs));
+    cluster.gateways[0].signal(SIGTERM);
+    caller.receiveToEnd(timeoutMs);
+    const std::vector<HttpResponse> answers = caller.responses();
+    REQUIRE(answers.size() == 3);
+    CHECK(answers[0].status == 502);
+    CHECK(answers[1].status == 503);
+    CHECK(isRefusal(answers[2]));
+    CHECK(cluster.receivedCount() == received + 1);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
 // Guards against a reload or a change of the limits during a stop that ends requests or the process early.
 TEST_CASE("Arriving: a stop goes on unchanged beside a reload of the settings and a change of the configuration")
 {
