Members are told by others, so that all instances know each other on large installations

Cause: an instance keeps at most 64 addresses of possible peers, those that are live stay among them, and a peer beyond that is known only if it reports by itself; the time-out follows from the receiver's number of peers, the interval of reports from the sender's.

Beyond 12 peers, instances tell each other which members are new or have changed (address, leaving, owned slots) and when each gave its latest sign of life. A peer is lost when nobody heard of it for ten times the median silence, at least 4 s and 2 ms a peer. Up to 12 peers nothing changes.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -3,7 +3,9 @@
 #include "decision/hash.h"
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
+#include <utility>
 
 namespace oleandergate {
 
@@ -40,13 +42,76 @@
 //! Largest number of candidate addresses.
 constexpr std::size_t maxCandidates = 64;
 
+//! With news of others, a peer counts as lost after this multiple of the median silence of all peers, but not before the minimum.
+constexpr int silenceFactor = 10;
+constexpr Duration minToldTimeout = std::chrono::milliseconds(4000);
+
+//! Added to that minimum for each peer: with more peers each is told of less often.
+constexpr Duration toldTimeoutPerPeer = std::chrono::milliseconds(2);
+
+//! How often many peers are checked for silence.
+constexpr Duration expiryInterval = std::chrono::milliseconds(200);
+
+//! Bounds of what is told in a datagram: receivers drop longer ones than 1,400 bytes, 32 of which are the authentication code.
+constexpr std::size_t maxNewsBytes = 1300;
+constexpr std::size_t bytesOfAge = 6;
+constexpr std::size_t maxAges = 180;
+
+//! Bytes of an entry beside its names and slots.
+constexpr std::size_t bytesBesideNames = 17;
+
+//! Each instance that learns of a change tells it twice, to this many random peers each time. One copy from each would leave out a share of 1 in e.
+constexpr std::uint32_t tellingsOfChange = 2;
+constexpr std::size_t changeTargetCount = 10;
+
+//! Random peers that get a datagram of ages.
+constexpr std::size_t ageTargetCount = 3;
+
+//! An instance that was not known counts as a newcomer for this time. All others together send each newcomer about this many datagrams of
+//! entries each time that ages are told, so that it soon knows all members.
+constexpr Duration newcomerTime = std::chrono::seconds(3);
+constexpr std::size_t welcomesOfNewcomer = 24;
+
+//! Entries beside the ages.
+constexpr std::size_t repairEntries = 4;
+
+//! What others tell of a removed peer counts if it is younger than the last known sign of life by more than this, the time that messages take.
+constexpr Duration toldTolerance = std::chrono::milliseconds(200);
+
+//! How long the last sign of life of a removed peer is remembered.
+constexpr Duration expiredRetention = std::chrono::seconds(60);
+
+//! Returns an upper bound of the bytes that the entry of an instance takes in a datagram.
+std::size_t bytesOf(const PeerReport &report)
+{
+    constexpr SlotId bitsPerByte = 8;
+    const std::size_t slotBytes = report.ownedBudgetSlots.empty() ? 0 : *report.ownedBudgetSlots.rbegin() / bitsPerByte + 1;
+    const InstanceRecord &instance = report.instance;
+    return instance.id.size() + instance.peerAddress.size() + instance.domain.size() + slotBytes + bytesBesideNames;
+}
+
+//! Returns when the process with the identifier \p id started, as its suffix says; 0 if it says nothing.
+std::int64_t startOf(const InstanceId &id)
+{
+    const std::size_t mark = id.find('~');
+    std::int64_t start = 0;
+    if (mark != std::string::npos) {
+        std::from_chars(id.data() + mark + 1, id.data() + id.size(), start);
+    }
+    return start;
+}
+
 } // namespace
 
 PeerTable::PeerTable(std::string ownAddress, std::string ownDomain, std::vector<std::string> seeds)
     : ownAddress(std::move(ownAddress))
     , ownDomain(std::move(ownDomain))
+    , silenceLimit(minPeerTimeout)
     , random(static_cast<std::minstd_rand::result_type>(hashOf(this->ownAddress)))
 {
+    // Else instances that start together would all tell of the same peers at the same time.
+    this->nextEntry = this->random();
+    this->nextAge = this->random();
     for (const std::string &seed : seeds) {
         this->candidates[seed] = Time{};
     }
@@ -63,34 +128,58 @@
     return this->peers.size() <= maxPeersForBroadcast;
 }
 
-bool PeerTable::onReport(const PeerReport &report, Time now)
+std::uint32_t memberHash(const InstanceId &instance)
+{
+    return static_cast<std::uint32_t>(hashOf(instance));
+}
+
+PeerTable::Peer &PeerTable::update(const PeerReport &report, Time now)
 {
-    if (report.instance.peerAddress == this->ownAddress) {
-        return false;
-    }
     const auto [entry, added] = this->peers.try_emplace(report.instance.id);
     Peer &peer = entry->second;
-    if (!added && report.number <= peer.report.number) {
-        return false;
-    }
     const InstanceRecord &known = peer.report.instance;
-    if (added || known.leaving != report.instance.leaving || known.peerAddress != report.instance.peerAddress || known.domain != report.instance.domain
-        || peer.report.ownedBudgetSlots != report.ownedBudgetSlots) {
-        this->revision += 1;
+    const bool changed = added || known.leaving != report.instance.leaving || peer.report.ownedBudgetSlots != report.ownedBudgetSlots;
+    if (peer.counted) {
+        this->updateTotals(peer.report.loads, report.loads);
     }
-    this->countLoads(peer, report.loads);
     peer.report = report;
-    peer.receivedAt = now;
-    // A new instance at an address means that the previous one there has ended.
-    std::vector<InstanceId> ended;
-    for (const auto &[id, other] : this->peers) {
-        if (id != report.instance.id && other.report.instance.peerAddress == report.instance.peerAddress) {
-            ended.push_back(id);
+    if (changed) {
+        this->revision += 1;
+        this->changedCount += peer.tellings == 0 ? 1 : 0;
+        peer.tellings = tellingsOfChange;
+    }
+    if (added) {
+        this->addressesOutdated = true;
+        peer.addedAt = now;
+        peer.hash = memberHash(report.instance.id);
+        this->byHash[peer.hash] = &peer;
+        const InstanceId before = std::exchange(this->byAddress[report.instance.peerAddress], report.instance.id);
+        if (!before.empty() && before != report.instance.id) {
+            // A new instance at an address means that the previous one there has ended.
+            this->remove(before);
         }
     }
-    for (const InstanceId &id : ended) {
-        this->remove(id);
+    return peer;
+}
+
+bool PeerTable::onReport(const PeerReport &report, Time now)
+{
+    if (report.instance.peerAddress == this->ownAddress || this->hasSuccessor(report.instance)) {
+        return false;
+    }
+    const auto known = this->peers.find(report.instance.id);
+    if (known != this->peers.end()) {
+        const Peer &peer = known->second;
+        const bool isToldOnly = peer.receivedAt == Time{};
+        if (report.number < peer.report.number || (report.number == peer.report.number && !isToldOnly)) {
+            return false;
+        }
     }
+    Peer &peer = this->update(report, now);
+    peer.receivedAt = now;
+    peer.heardAt = now;
+    this->countLoads(peer);
+    this->expired.erase(report.instance.id);
     this->addCandidate(report.instance.peerAddress, now);
     return true;
 }
@@ -121,13 +210,12 @@
     }
 }
 
-void PeerTable::countLoads(Peer &peer, const std::map<std::uint32_t, std::uint32_t> &loads)
+void PeerTable::countLoads(Peer &peer)
 {
     if (peer.counted) {
-        this->updateTotals(peer.report.loads, loads);
         this->countedPeers.splice(this->countedPeers.end(), this->countedPeers, *peer.counted);
     } else {
-        this->updateTotals({}, loads);
+        this->updateTotals({}, peer.report.loads);
         peer.counted = this->countedPeers.insert(this->countedPeers.end(), &peer);
     }
 }
@@ -141,20 +229,177 @@
     }
 }
 
+bool PeerTable::hasSuccessor(const InstanceRecord &instance) const
+{
+    const auto known = this->byAddress.find(instance.peerAddress);
+    return known != this->byAddress.end() && startOf(known->second) > startOf(instance.id);
+}
+
 void PeerTable::remove(const InstanceId &id)
 {
     const auto peer = this->peers.find(id);
-    if (peer != this->peers.end()) {
-        this->dropLoads(peer->second);
-        this->peers.erase(peer);
-        this->revision += 1;
+    if (peer == this->peers.end()) {
+        return;
+    }
+    const auto address = this->byAddress.find(peer->second.report.instance.peerAddress);
+    if (address != this->byAddress.end() && address->second == id) {
+        this->byAddress.erase(address);
+    }
+    this->changedCount -= peer->second.tellings > 0 ? 1 : 0;
+    const auto hash = this->byHash.find(peer->second.hash);
+    if (hash != this->byHash.end() && hash->second == &peer->second) {
+        this->byHash.erase(hash);
+    }
+    this->dropLoads(peer->second);
+    this->peers.erase(peer);
+    this->revision += 1;
+    this->addressesOutdated = true;
+}
+
+bool PeerTable::isCredible(const MemberEntry &entry, Time now) const
+{
+    if (entry.instance.peerAddress == this->ownAddress || entry.age > this->silenceLimit / 2) {
+        return false;
+    }
+    const auto removed = this->expired.find(entry.instance.id);
+    return (removed == this->expired.end() || now - entry.age > removed->second + toldTolerance) && !this->hasSuccessor(entry.instance);
+}
+
+void PeerTable::onNews(const MemberNews &news, Time now)
+{
+    for (const MemberEntry &entry : news.entries) {
+        const auto known = this->peers.find(entry.instance.id);
+        const Time heardAt = now - entry.age;
+        if (known != this->peers.end() && entry.number <= known->second.report.number) {
+            known->second.heardAt = std::max(known->second.heardAt, heardAt);
+        } else if (this->isCredible(entry, now)) {
+            PeerReport report = known == this->peers.end() ? PeerReport{} : known->second.report;
+            report.instance = entry.instance;
+            report.number = entry.number;
+            report.ownedBudgetSlots = entry.ownedBudgetSlots;
+            Peer &peer = this->update(report, now);
+            peer.heardAt = std::max(peer.heardAt, heardAt);
+            this->expired.erase(entry.instance.id);
+        }
+    }
+    for (const MemberAge &age : news.ages) {
+        const auto known = this->byHash.find(age.member);
+        if (known != this->byHash.end()) {
+            known->second->heardAt = std::max(known->second->heardAt, now - age.age);
+        }
+    }
+}
+
+MemberEntry PeerTable::entryOf(const Peer &peer, Time now)
+{
+    return MemberEntry{peer.report.instance, peer.report.number, now - peer.heardAt, peer.report.ownedBudgetSlots};
+}
+
+MemberNews PeerTable::nextChanges(Time now)
+{
+    MemberNews news;
+    if (!this->hasNews()) {
+        return news;
+    }
+    std::vector<Peer *> changed;
+    for (auto &[id, peer] : this->peers) {
+        if (peer.tellings > 0) {
+            changed.push_back(&peer);
+        }
+    }
+    // Random ones, or all instances would tell the same changes first.
+    std::shuffle(changed.begin(), changed.end(), this->random);
+    std::size_t bytes = 0;
+    for (Peer *peer : changed) {
+        bytes += bytesOf(peer->report);
+        if (bytes > maxNewsBytes && !news.entries.empty()) {
+            break;
+        }
+        peer->tellings -= 1;
+        this->changedCount -= peer->tellings == 0 ? 1 : 0;
+        news.entries.push_back(entryOf(*peer, now));
+    }
+    return news;
+}
+
+MemberNews PeerTable::nextAges(Time now)
+{
+    MemberNews news;
+    if (this->reportsToAll()) {
+        return news;
+    }
+    const auto positionOf = [this](std::size_t number) {
+        return std::next(this->peers.begin(), static_cast<std::ptrdiff_t>(number % this->peers.size()));
+    };
+    std::size_t bytes = 0;
+    for (std::size_t added = 0; added < repairEntries; ++added) {
+        const Peer &peer = positionOf(this->nextEntry++)->second;
+        bytes += bytesOf(peer.report);
+        news.entries.push_back(entryOf(peer, now));
+    }
+    const std::size_t room = (maxNewsBytes - std::min(bytes, maxNewsBytes)) / bytesOfAge;
+    const std::size_t count = std::min({maxAges, room, this->peers.size()});
+    news.ages.reserve(count);
+    auto next = positionOf(this->nextAge);
+    for (std::size_t told = 0; told < count; ++told) {
+        news.ages.push_back(MemberAge{next->second.hash, now - next->second.heardAt});
+        next = std::next(next) == this->peers.end() ? this->peers.begin() : std::next(next);
+    }
+    this->nextAge += count;
+    return news;
+}
+
+MemberNews PeerTable::nextWelcome(Time now)
+{
+    MemberNews news;
+    if (this->peers.empty()) {
+        return news;
+    }
+    // From a random position: each sender tells another part.
+    auto next = std::next(this->peers.begin(), static_cast<std::ptrdiff_t>(this->random() % this->peers.size()));
+    std::size_t bytes = bytesOf(next->second.report);
+    while (bytes <= maxNewsBytes && news.entries.size() < this->peers.size()) {
+        news.entries.push_back(entryOf(next->second, now));
+        next = std::next(next) == this->peers.end() ? this->peers.begin() : std::next(next);
+        bytes += bytesOf(next->second.report);
+    }
+    return news;
+}
+
+std::vector<std::string> PeerTable::newcomers(Time now)
+{
+    std::vector<std::string> addresses;
+    if (this->reportsToAll()) {
+        return addresses;
     }
+    for (const auto &[id, peer] : this->peers) {
+        if (now - peer.addedAt < newcomerTime && this->random() % this->peers.size() < welcomesOfNewcomer) {
+            addresses.push_back(peer.report.instance.peerAddress);
+        }
+    }
+    return addresses;
+}
+
+bool PeerTable::hasNews() const
+{
+    return !this->reportsToAll() && this->changedCount > 0;
+}
+
+std::vector<std::string> PeerTable::changeTargets()
+{
+    return this->sampleAddresses(changeTargetCount);
+}
+
+std::vector<std::string> PeerTable::ageTargets()
+{
+    return this->sampleAddresses(ageTargetCount);
 }
 
 std::optional<Duration> PeerTable::reportAge(const InstanceId &instance, Time now) const
 {
     const auto found = this->peers.find(instance);
-    return found == this->peers.end() ? std::nullopt : std::optional<Duration>(now - found->second.receivedAt);
+    const bool isKnown = found != this->peers.end() && found->second.receivedAt != Time{};
+    return isKnown ? std::optional<Duration>(now - found->second.receivedAt) : std::nullopt;
 }
 
 void PeerTable::addCandidate(const std::string &address, Time /*now*/)
@@ -164,25 +409,51 @@
     }
 }
 
+void PeerTable::updateSilenceLimit(Time now)
+{
+    // Without news of others each peer has to be heard itself.
+    const Duration unaided = timeoutFor(minPeerTimeout, this->reportPeriod, peerTimeoutPeriods);
+    this->silenceLimit = unaided;
+    if (this->reportsToAll()) {
+        return;
+    }
+    std::vector<Duration> silences;
+    silences.reserve(this->peers.size());
+    for (const auto &[id, peer] : this->peers) {
+        silences.push_back(now - peer.heardAt);
+    }
+    const auto median = silences.begin() + static_cast<std::ptrdiff_t>(silences.size() / 2);
+    std::nth_element(silences.begin(), median, silences.end());
+    const Duration minimum = minToldTimeout + toldTimeoutPerPeer * static_cast<Duration::rep>(this->peers.size());
+    this->silenceLimit = std::clamp(silenceFactor * *median, std::min(minimum, unaided), unaided);
+}
+
 std::vector<InstanceId> PeerTable::expire(Time now)
 {
+    if (!this->reportsToAll() && now - this->expiryCheckedAt < expiryInterval) {
+        return {};
+    }
+    this->expiryCheckedAt = now;
+    this->updateSilenceLimit(now);
     std::vector<InstanceId> gone;
     for (const auto &[id, peer] : this->peers) {
-        if (now - peer.receivedAt > timeoutFor(minPeerTimeout, this->reportPeriod, peerTimeoutPeriods)) {
+        if (now - std::max(peer.heardAt, this->countedFrom) > this->silenceLimit) {
             gone.push_back(id);
         }
     }
     for (const InstanceId &id : gone) {
+        this->expired[id] = this->peers.at(id).heardAt;
         this->remove(id);
     }
+    std::erase_if(this->expired, [now](const auto &entry) {
+        return now - entry.second > expiredRetention;
+    });
     return gone;
 }
 
 void PeerTable::resetTimeouts(Time now)
 {
-    for (auto &[id, peer] : this->peers) {
-        peer.receivedAt = now;
-    }
+    this->countedFrom = now;
 }
 
 void PeerTable::addInRotation(const std::vector<std::string> &addresses, std::size_t count, std::size_t &position, std::vector<std::string> &targets)
@@ -195,28 +466,37 @@
     }
 }
 
-std::vector<std::string> PeerTable::nextTargets(bool changed, Time now)
+void PeerTable::updateAddresses()
 {
-    if (!changed && this->reportsToAll()) {
-        return {};
+    if (!this->addressesOutdated) {
+        return;
     }
-    const std::size_t count = this->reportsToAll() ? maxPeersForBroadcast : rotationTargets;
-    std::vector<std::string> targets;
-    std::vector<std::string> liveAddresses;
-    std::vector<std::string> domainAddresses;
+    this->addressesOutdated = false;
+    this->liveAddresses.clear();
+    this->domainAddresses.clear();
     for (const auto &[id, peer] : this->peers) {
         const InstanceRecord &instance = peer.report.instance;
-        liveAddresses.push_back(instance.peerAddress);
+        this->liveAddresses.push_back(instance.peerAddress);
         if (instance.domain == this->ownDomain) {
-            domainAddresses.push_back(instance.peerAddress);
+            this->domainAddresses.push_back(instance.peerAddress);
         }
     }
-    addInRotation(liveAddresses, count, this->nextPeer, targets);
+}
+
+std::vector<std::string> PeerTable::nextTargets(bool changed, Time now)
+{
+    if (!changed && this->reportsToAll()) {
+        return {};
+    }
+    this->updateAddresses();
+    const std::size_t count = this->reportsToAll() ? maxPeersForBroadcast : rotationTargets;
+    std::vector<std::string> targets;
+    addInRotation(this->liveAddresses, count, this->nextPeer, targets);
     if (changed) {
-        addInRotation(domainAddresses, domainTargets, this->nextDomainPeer, targets);
+        addInRotation(this->domainAddresses, domainTargets, this->nextDomainPeer, targets);
     }
     for (auto &[address, triedAt] : this->candidates) {
-        const bool isLive = std::find(liveAddresses.begin(), liveAddresses.end(), address) != liveAddresses.end();
+        const bool isLive = this->byAddress.contains(address);
         if (!isLive && now - triedAt >= candidateRetryInterval && address != this->ownAddress) {
             triedAt = now;
             targets.push_back(address);
@@ -228,7 +508,7 @@
 const std::map<std::uint32_t, std::uint32_t> &PeerTable::loads(Time now)
 {
     const Duration timeout = timeoutFor(minLoadTimeout, this->reportPeriod, loadTimeoutPeriods);
-    while (!this->countedPeers.empty() && now - this->countedPeers.front()->receivedAt > timeout) {
+    while (!this->countedPeers.empty() && now - std::max(this->countedPeers.front()->receivedAt, this->countedFrom) > timeout) {
         this->dropLoads(*this->countedPeers.front());
     }
     return this->totals;
@@ -311,13 +591,10 @@
 
 std::vector<std::string> PeerTable::sampleAddresses(std::size_t count)
 {
-    std::vector<std::string> liveAddresses;
-    for (const auto &[id, peer] : this->peers) {
-        liveAddresses.push_back(peer.report.instance.peerAddress);
-    }
+    this->updateAddresses();
     // Random, because a rotation like that of the targets would send the same addresses to the same targets each time.
     std::vector<std::string> addresses;
-    std::sample(liveAddresses.begin(), liveAddresses.end(), std::back_inserter(addresses), count, this->random);
+    std::sample(this->liveAddresses.begin(), this->liveAddresses.end(), std::back_inserter(addresses), count, this->random);
     return addresses;
 }
 
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_DECISION_PEERTABLE_H
 #define OLEANDERGATE_DECISION_PEERTABLE_H
 
+#include "decision/membernews.h"
 #include "decision/peeroffer.h"
 #include "decision/slottable.h"
 
@@ -11,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace oleandergate {
@@ -29,6 +31,9 @@
 };
 
 //! The live peers and their latest reports; also selects the peers to which this instance reports.
+//!
+//! With many peers a given one is heard rarely. So instances also tell each other which members they know and when each gave its latest sign of life:
+//! a peer is live as long as anybody heard from it not long ago.
 class PeerTable
 {
 public:
@@ -52,7 +57,27 @@
     //! Adds an address that another instance named, as a candidate to report to.
     void addCandidate(const std::string &address, Time now);
 
-    //! Removes peers whose reports have timed out, and returns them.
+    //! Processes what a peer tells about others.
+    void onNews(const MemberNews &news, Time now);
+
+    //! Returns the changes to tell next. Empty while there are few peers, which all hear each other.
+    MemberNews nextChanges(Time now);
+
+    //! Returns the signs of life to tell next, with a few entries that repair what was lost. Empty while there are few peers.
+    MemberNews nextAges(Time now);
+
+    //! Returns entries of some members for newcomers, and the addresses of those that get it. Few, because all others send some as well.
+    MemberNews nextWelcome(Time now);
+    std::vector<std::string> newcomers(Time now);
+
+    //! Returns whether there are changes that have not been told often enough.
+    bool hasNews() const;
+
+    //! Returns the random addresses that get the next changes or ages.
+    std::vector<std::string> changeTargets();
+    std::vector<std::string> ageTargets();
+
+    //! Removes peers without a sign of life for too long, and returns them.
     std::vector<InstanceId> expire(Time now);
 
     //! Restarts the timeouts of all peers. To be called after this process was paused, when missing reports say nothing about the peers.
@@ -96,22 +121,41 @@
     struct Peer
     {
         PeerReport report{};
-        Time receivedAt{};
+        Time receivedAt{}; //!< When its latest own report arrived; the epoch if others told of it only.
+        Time addedAt{};
+        Time heardAt{}; //!< Its latest sign of life, own or told.
+        std::uint32_t hash = 0; //!< See memberHash().
+        std::uint32_t tellings = 0; //!< How often its entry is still told as a change.
         std::optional<std::list<Peer *>::iterator> counted{}; //!< Position in countedPeers; nothing while its calls are not in the totals.
     };
 
     //! Replaces the calls \p before by \p after in the totals.
     void updateTotals(const std::map<std::uint32_t, std::uint32_t> &before, const std::map<std::uint32_t, std::uint32_t> &after);
 
-    //! Replaces the calls of the previous report of \p peer by \p loads in the totals.
-    void countLoads(Peer &peer, const std::map<std::uint32_t, std::uint32_t> &loads);
+    //! Adds the calls of \p peer to the totals unless they are in them, and notes that its report is the latest one.
+    void countLoads(Peer &peer);
 
     //! Takes the calls of \p peer out of the totals.
     void dropLoads(Peer &peer);
 
+    //! Adds or replaces what is known of an instance, and drops an earlier process at its address.
+    Peer &update(const PeerReport &report, Time now);
+
+    //! Returns whether a later process runs at the address of \p instance.
+    bool hasSuccessor(const InstanceRecord &instance) const;
+
+    //! Returns whether \p entry may add an instance or change what is known of it.
+    bool isCredible(const MemberEntry &entry, Time now) const;
+
     //! Forgets an instance.
     void remove(const InstanceId &id);
 
+    //! Collects the addresses of the live peers again after some have come or gone.
+    void updateAddresses();
+
+    //! Computes how long a peer may go without a sign of life.
+    void updateSilenceLimit(Time now);
+    static MemberEntry entryOf(const Peer &peer, Time now);
     std::vector<PeerOffer> offersWhere(const std::function<bool(const PeerReport &report)> &isNewer) const;
 
     //! Returns true when there are so few peers that each report goes to all of them.
@@ -126,8 +170,20 @@
     std::uint64_t revision = 0; //!< See membersRevision().
     std::map<std::uint32_t, std::uint32_t> totals; //!< See loads().
     std::list<Peer *> countedPeers; //!< Those whose calls are in the totals, the one with the oldest report first.
+    std::unordered_map<std::uint32_t, Peer *> byHash; //!< The peers by memberHash().
+    std::unordered_map<std::string, InstanceId> byAddress; //!< Their identifiers by peer address.
+    std::size_t changedCount = 0; //!< Peers whose entries are still told as changes.
+    std::map<InstanceId, Time> expired; //!< Latest signs of life of peers that were removed: others may still tell of them.
+    Time expiryCheckedAt{};
+    Time countedFrom{}; //!< Silence before this time does not count.
+    std::size_t nextEntry = 0; //!< Position of the rotation over the entries.
+    std::size_t nextAge = 0; //!< The same over the ages.
+    std::vector<std::string> liveAddresses; //!< Of the peers, as of the latest updateAddresses().
+    std::vector<std::string> domainAddresses; //!< Those of the own failure domain.
+    bool addressesOutdated = false;
     std::map<std::string, Time> candidates; //!< Addresses to try, with the time of the last try.
     Duration reportPeriod{};
+    Duration silenceLimit; //!< A peer without a sign of life for longer is lost.
     std::size_t nextPeer = 0;
     std::size_t nextDomainPeer = 0;
     std::minstd_rand random;
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 
 namespace oleandergate {
 
@@ -32,6 +33,15 @@
 //! A longer time between two steps means that the process was paused.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(600);
 
+//! How often the ages of members are told.
+constexpr Duration ageInterval = std::chrono::milliseconds(200);
+
+//! Datagrams of changes in one step.
+constexpr std::size_t maxChangeReports = 2;
+
+//! Unit of ReportedAge::age.
+constexpr Duration ageUnit = std::chrono::milliseconds(10);
+
 //! Number of peer addresses in a report.
 constexpr std::size_t advertisedPeers = 3;
 
@@ -60,6 +70,41 @@
     return slots;
 }
 
+MemberReport reportOf(const MemberNews &news)
+{
+    MemberReport report;
+    for (const MemberEntry &entry : news.entries) {
+        const InstanceRecord &instance = entry.instance;
+        report.members.push_back(ReportedMember{instance.id,
+                                                instance.peerAddress,
+                                                instance.domain,
+                                                instance.leaving,
+                                                entry.number,
+                                                static_cast<std::uint32_t>(entry.age.count() / microsecondsPerMillisecond),
+                                                bitsOfSlots(entry.ownedBudgetSlots)});
+    }
+    for (const MemberAge &age : news.ages) {
+        const auto units = std::clamp<std::int64_t>(age.age / ageUnit, 0, std::numeric_limits<std::uint16_t>::max());
+        report.ages.push_back(ReportedAge{age.member, static_cast<std::uint16_t>(units)});
+    }
+    return report;
+}
+
+MemberNews newsOf(const MemberReport &report)
+{
+    MemberNews news;
+    for (const ReportedMember &member : report.members) {
+        news.entries.push_back(MemberEntry{InstanceRecord{member.instance, member.address, member.domain, member.leaving},
+                                           member.number,
+                                           std::chrono::milliseconds(member.age),
+                                           slotsOfBits(member.ownedBudgetSlots)});
+    }
+    for (const ReportedAge &age : report.ages) {
+        news.ages.push_back(MemberAge{age.member, ageUnit * age.age});
+    }
+    return news;
+}
+
 } // namespace
 
 struct PeerGossip::Core
@@ -74,6 +119,7 @@
     OwnState lastReported{}; //!< State in the latest report.
     Time lastReportedAt{};
     std::optional<std::uint64_t> passedRevision{}; //!< Revision of the members that were passed on last.
+    Time agesToldAt{};
     std::atomic<Time> lastReceivedAt{Time{}}; //!< Latest report of another instance.
 };
 
@@ -205,6 +251,37 @@
     }
 }
 
+asio::awaitable<void> PeerGossip::sendMemberNews(Time now)
+{
+    std::vector<std::pair<MemberNews, std::vector<std::string>>> changes;
+    MemberNews ages;
+    MemberNews welcome;
+    std::vector<std::string> ageTargets;
+    std::vector<std::string> newcomers;
+    {
+        const std::lock_guard lock(this->core->mutex);
+        while (changes.size() < maxChangeReports && this->core->table.hasNews()) {
+            changes.emplace_back(this->core->table.nextChanges(now), this->core->table.changeTargets());
+        }
+        if (now - this->core->agesToldAt >= ageInterval) {
+            this->core->agesToldAt = now;
+            ages = this->core->table.nextAges(now);
+            ageTargets = this->core->table.ageTargets();
+            welcome = this->core->table.nextWelcome(now);
+            newcomers = this->core->table.newcomers(now);
+        }
+    }
+    for (auto &[news, targets] : changes) {
+        co_await this->core->datagrams.send(encodeMemberReport(reportOf(news)), std::move(targets));
+    }
+    if (!ages.ages.empty()) {
+        co_await this->core->datagrams.send(encodeMemberReport(reportOf(ages)), std::move(ageTargets));
+    }
+    if (!newcomers.empty()) {
+        co_await this->core->datagrams.send(encodeMemberReport(reportOf(welcome)), std::move(newcomers));
+    }
+}
+
 asio::awaitable<void> PeerGossip::sendLoop()
 {
     Time before = currentTime();
@@ -213,6 +290,7 @@
         const Time now = currentTime();
         this->step(now, before);
         before = now;
+        co_await this->sendMemberNews(now);
         std::vector<std::string> targets;
         std::vector<std::string> advertised;
         {
@@ -283,6 +361,13 @@
     if (isTaken) {
         return;
     }
+    const Result<MemberReport> members = decodeMemberReport(payload);
+    if (members) {
+        const MemberNews news = newsOf(members.value());
+        const std::lock_guard lock(this->core->mutex);
+        this->core->table.onNews(news, now);
+        return;
+    }
     const Result<LoadReport> report = decodeLoadReport(payload);
     if (!report) {
         return;
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -78,6 +78,9 @@
     struct Core;
     boost::asio::awaitable<void> sendLoop();
     boost::asio::awaitable<void> newsLoop();
+
+    //! Tells some peers what this instance knows of others.
+    boost::asio::awaitable<void> sendMemberNews(Time now);
     bool hasNews() const;
 
     //! Sends the next reports of the channels to \p targets.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -12,6 +12,8 @@
 #include <cereal/types/vector.hpp>
 #include <zstd.h>
 
+#include <algorithm>
+#include <limits>
 #include <sstream>
 
 namespace oleandergate {
@@ -387,6 +389,55 @@
     archive(value.endpoint, value.startedAt);
 }
 
+//! Writes a list of at most 255 bytes with a size of one byte: a datagram has room for few members with cereal's eight.
+template <class Archive, class Bytes>
+void saveShort(Archive &archive, const Bytes &value)
+{
+    const auto size = static_cast<std::uint8_t>(std::min<std::size_t>(value.size(), std::numeric_limits<std::uint8_t>::max()));
+    archive(size, cereal::binary_data(value.data(), size));
+}
+
+template <class Archive, class Bytes>
+void loadShort(Archive &archive, Bytes &value)
+{
+    std::uint8_t size = 0;
+    archive(size);
+    value.resize(size);
+    archive(cereal::binary_data(value.data(), size));
+}
+
+template <class Archive>
+void save(Archive &archive, const ReportedMember &value)
+{
+    saveShort(archive, value.instance);
+    saveShort(archive, value.address);
+    saveShort(archive, value.domain);
+    saveShort(archive, value.ownedBudgetSlots);
+    archive(value.leaving, value.number, value.age);
+}
+
+template <class Archive>
+void load(Archive &archive, ReportedMember &value)
+{
+    loadShort(archive, value.instance);
+    loadShort(archive, value.address);
+    loadShort(archive, value.domain);
+    loadShort(archive, value.ownedBudgetSlots);
+    archive(value.leaving, value.number, value.age);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ReportedAge &value)
+{
+    archive(value.member, value.age);
+}
+
+template <class Archive>
+void serialize(Archive &archive, MemberReport &value)
+{
+    archive(value.members, value.ages);
+}
+
 template <class Archive>
 void serialize(Archive &archive, LeavingReport &value)
 {
@@ -402,6 +453,7 @@
 constexpr char rateLimitReportMark = '\x7e';
 constexpr char reachReportMark = '\x7d';
 constexpr char leavingReportMark = '\x7c';
+constexpr char memberReportMark = '\x7b';
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -542,6 +594,19 @@
     return decode<LeavingReport>(bytes.substr(1));
 }
 
+std::string encodeMemberReport(const MemberReport &report)
+{
+    return memberReportMark + encode(report);
+}
+
+Result<MemberReport> decodeMemberReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(memberReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of members"};
+    }
+    return decode<MemberReport>(bytes.substr(1));
+}
+
 std::string encodeLogRecord(const LogRecord &record)
 {
     return compress(encode(record));
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -7,6 +7,7 @@
 #include "wire/crashreport.h"
 #include "wire/leavingreport.h"
 #include "wire/loadreport.h"
+#include "wire/memberreport.h"
 #include "wire/peermessage.h"
 #include "wire/ratelimitreport.h"
 #include "wire/reachreport.h"
@@ -44,6 +45,8 @@
 std::string encodeReachReport(const ReachReport &report);
 Result<ReachReport> decodeReachReport(const std::string &bytes);
 
+std::string encodeMemberReport(const MemberReport &report);
+Result<MemberReport> decodeMemberReport(const std::string &bytes);
 std::string encodeLeavingReport(const LeavingReport &report);
 Result<LeavingReport> decodeLeavingReport(const std::string &bytes);
 
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -1,4 +1,5 @@
 #include "backing/base64.h"
+#include "decision/peertable.h"
 #include "runtime/chatdocument.h"
 #include "runtime/enginestream.h"
 #include "wire/codec.h"
@@ -272,3 +273,65 @@
     REQUIRE(std::get<EndpointsReply>(earlier.value()).entries.size() == 1);
     CHECK(std::get<EndpointsReply>(earlier.value()).entries.front().spec.id == "a");
 }
+
+TEST_CASE("Reports of members keep their content, and no other report is taken for one")
+{
+    MemberReport report;
+    report.members = {ReportedMember{"front-1~5", "10.0.0.1:90", "a", true, 77, 250, {5, 1}}, ReportedMember{"front-2~6", "10.0.0.2:90", "b"}};
+    report.ages = {ReportedAge{7, 300}, ReportedAge{9, 2}};
+    const std::string bytes = encodeMemberReport(report);
+    const Result<MemberReport> decoded = decodeMemberReport(bytes);
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().members.size() == 2);
+    const ReportedMember &member = decoded.value().members.front();
+    CHECK(member.instance == "front-1~5");
+    CHECK(member.address == "10.0.0.1:90");
+    CHECK(member.domain == "a");
+    CHECK(member.leaving);
+    CHECK(member.number == 77);
+    CHECK(member.age == 250);
+    CHECK(member.ownedBudgetSlots == std::vector<std::uint8_t>{5, 1});
+    CHECK(decoded.value().members.back().instance == "front-2~6");
+    REQUIRE(decoded.value().ages.size() == 2);
+    CHECK(decoded.value().ages.front().member == 7);
+    CHECK(decoded.value().ages.front().age == 300);
+    CHECK_FALSE(decodeLoadReport(bytes));
+    CHECK_FALSE(decodeCrashReport(bytes));
+    CHECK_FALSE(decodeMemberReport(encodeLoadReport(LoadReport{"front-1~5", "10.0.0.1:90", "a"})));
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        CHECK_FALSE(decodeMemberReport(bytes.substr(0, size)));
+    }
+}
+
+// Guards against news that never arrive: receivers drop datagrams that are longer.
+TEST_CASE("What is told of members with long names and many slots fits into a datagram")
+{
+    constexpr std::size_t maxDatagramBytes = 1400;
+    constexpr std::size_t authenticationBytes = 32;
+    constexpr Time now{std::chrono::hours(1)};
+    for (const std::size_t nameLength : {std::size_t{5}, std::size_t{30}, std::size_t{90}}) {
+        CAPTURE(nameLength);
+        PeerTable table("10.0.0.0:90", "a", {});
+        for (int index = 1; index <= 259; ++index) {
+            PeerReport peer;
+            peer.instance = InstanceRecord{std::string(nameLength, 'n') + std::to_string(index) + "~1764938000000000",
+                                           "192.168.200." + std::to_string(index) + ":29090",
+                                           std::string(nameLength, 'd')};
+            peer.number = 1;
+            peer.ownedBudgetSlots = {3, 127};
+            table.onReport(peer, now);
+        }
+        for (const MemberNews &news : {table.nextChanges(now), table.nextAges(now), table.nextWelcome(now)}) {
+            MemberReport report;
+            for (const MemberEntry &entry : news.entries) {
+                report.members.push_back(ReportedMember{
+                    entry.instance.id, entry.instance.peerAddress, entry.instance.domain, false, entry.number, 0, std::vector<std::uint8_t>(16)});
+            }
+            for (const MemberAge &age : news.ages) {
+                report.ages.push_back(ReportedAge{age.member, 1});
+            }
+            CHECK(report.members.size() >= 4);
+            CHECK(encodeMemberReport(report).size() + authenticationBytes <= maxDatagramBytes);
+        }
+    }
+}
