A stop goes on beside a hand-over of budgets that hangs, and its refusals are not missed

Change: the hand-over runs beside the drain, which waits for it until the time is over. Corrections of what this landing changed before: the refusal of arriving requests is repeated, as a read that has just completed goes on; whether a server is closed is told by one count, as the counts by phase are not read at one moment; budget slots are not marked any more once the hand-over has begun, and it waits for marks under way for 0.3 s at most; the process exits 0.2 s before the limit.

No test of their own: the repeated refusal and the count, whose windows are too short to hit.

--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -36,6 +36,9 @@
 //! How often a hand-over looks whether the marks under way have ended.
 constexpr Duration markPollInterval = std::chrono::milliseconds(5);
 
+//! Longest time that a hand-over waits for marks: a service that hangs must not use up the time for the hand-over.
+constexpr Duration maxMarkWait = std::chrono::milliseconds(300);
+
 std::string slotKeyOf(SlotId slot)
 {
     return slotsPrefix + std::to_string(slot);
@@ -194,6 +197,9 @@
     std::map<SlotId, SlotRecord> unused;
     {
         const std::lock_guard lock(this->mutex);
+        if (this->leaving) {
+            co_return false;
+        }
         unused = this->slots.unusedSlots();
     }
     if (unused.empty()) {
@@ -247,7 +253,8 @@
 {
     this->leaving = true;
     // A mark that is confirmed during the hand-over would change the records that the hand-over expects.
-    while (this->marksUnderWay > 0 && currentTime() < limit) {
+    const Time marksLimit = std::min(limit, currentTime() + maxMarkWait);
+    while (this->marksUnderWay > 0 && currentTime() < marksLimit) {
         co_await sleepFor(markPollInterval);
     }
     while (currentTime() < limit) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
 constexpr Duration maxStopMargin = std::chrono::seconds(1);
 
 //! The process exits this much before the drain limit.
-constexpr Duration exitMargin = std::chrono::milliseconds(100);
+constexpr Duration exitMargin = std::chrono::milliseconds(200);
 
 //! Shortest time for the last answers, also when the process was held up before them.
 constexpr Duration minLastAnswersTime = std::chrono::milliseconds(200);
@@ -373,10 +373,16 @@
         }
     }
 
-    //! Waits until no request is arriving, handled or being answered, here or for a peer.
+    asio::awaitable<void> handOverBudgets(Time limit)
+    {
+        co_await this->budget.handOverAll(limit);
+        this->handingOver = false;
+    }
+
+    //! Waits until no request is arriving, handled or being answered, here or for a peer, and the hand-over of budgets has ended.
     asio::awaitable<void> awaitQuiet(Time limit)
     {
-        while (currentTime() < limit && this->callerServer.connections().busy() + this->tunnels.activeCount() > 0) {
+        while (currentTime() < limit && (this->handingOver || this->callerServer.connections().busy() + this->tunnels.activeCount() > 0)) {
             co_await sleepFor(drainPollInterval);
         }
     }
@@ -419,6 +425,15 @@
         }
     }
 
+    //! Runs on the context of the requests until the process ends.
+    asio::awaitable<void> refuseLoop()
+    {
+        while (true) {
+            this->callerServer.refuseArriving();
+            co_await sleepFor(drainPollInterval);
+        }
+    }
+
     asio::awaitable<void> drainAndStop()
     {
         const Time began = currentTime();
@@ -432,7 +447,9 @@
         this->callerServer.disableKeepAlive();
         this->planShutdown(ShutdownPlan(balancerKnowsAt, endsAt));
         asio::co_spawn(this->requests, this->withdrawLoop(), asio::detached);
-        co_await this->budget.handOverAll(balancerKnowsAt);
+        // Beside the drain: a successor or a service that hangs must not hold it up.
+        this->handingOver = true;
+        asio::co_spawn(this->control, this->handOverBudgets(balancerKnowsAt), asio::detached);
         while (currentTime() < balancerKnowsAt) {
             co_await sleepFor(drainPollInterval);
         }
@@ -445,8 +462,8 @@
         co_await this->awaitClosed(endsAt);
         asio::post(this->requests, [this]() {
             this->drain.cutOff();
-            this->callerServer.refuseArriving();
         });
+        asio::co_spawn(this->requests, this->refuseLoop(), asio::detached);
         co_await this->awaitClosed(std::max(began + drainLimit - exitMargin, currentTime() + minLastAnswersTime));
         this->logShutdown("stopped", began + drainLimit - currentTime());
         // Requests use parts of this object, so they have to end before it does.
@@ -523,6 +540,7 @@
     asio::signal_set signals;
     asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
+    std::atomic<bool> handingOver{false}; //!< Budgets are being handed over.
 };
 
 Gateway::Gateway(const GatewaySettings &settings, const HeaderCodec &headerCodec, const RecordFormat &format, const KeyValueFactory &keyValue)
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -116,19 +116,20 @@
     , stream(std::move(socket))
     , watcher(std::make_shared<DisconnectWatcher>(stream))
 {
+    this->core->openConnections += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) += 1;
 }
 
 HttpConnection::~HttpConnection()
 {
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
+    this->core->openConnections -= 1;
     const std::lock_guard lock(this->core->mutex);
     this->core->connections.erase(this);
 }
 
 void HttpConnection::enter(ConnectionPhase next)
 {
-    // In this order, as the counts are read on other threads: a connection is never missing from them.
     this->core->phaseCounts.at(static_cast<std::size_t>(next)) += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
     this->phase = next;
@@ -159,8 +160,10 @@
 void HttpConnection::refuseIfReceiving()
 {
     asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
-        if (self->phase == ConnectionPhase::Receiving && !self->refusal) {
-            self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
+        if (self->phase == ConnectionPhase::Receiving) {
+            if (!self->refusal) {
+                self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
+            }
             self->stream.cancel();
         }
     });
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -37,6 +37,7 @@
     std::atomic<bool> keepAliveDisabled{false};
     std::atomic<bool> refusing{false};
     std::array<std::atomic<std::size_t>, connectionPhaseNames.size()> phaseCounts{};
+    std::atomic<std::size_t> openConnections{0};
     std::atomic<std::size_t> rejectedConnections{0}; //!< Connections beyond the limit that are being answered.
     std::map<HttpConnection *, std::weak_ptr<HttpConnection>> connections{}; //!< Guarded by the mutex.
 
@@ -65,7 +66,7 @@
     //! Closes the connection if nothing of a next request has arrived. Thread-safe.
     void closeIfIdle();
 
-    //! Refuses the request that is arriving, if any. Thread-safe.
+    //! Refuses the request that is arriving, if any. A read that has just completed goes on, so this may have to be repeated. Thread-safe.
     void refuseIfReceiving();
 
     //! Closes the connection, whatever is under way on it. Thread-safe.
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -33,7 +33,7 @@
 void startConnection(const std::shared_ptr<HttpServer::Core> &core, tcp::socket socket)
 {
     const auto executor = socket.get_executor();
-    const bool hasRoom = core->counts().total() - core->rejectedConnections < core->currentLimits().maxConnections;
+    const bool hasRoom = core->openConnections - core->rejectedConnections < core->currentLimits().maxConnections;
     if (!hasRoom && core->rejectedConnections >= maxRejectedConnections) {
         return;
     }
@@ -167,7 +167,7 @@
 
 bool HttpServer::isClosed() const
 {
-    return !this->core->accepting && this->core->counts().total() == 0;
+    return !this->core->accepting && this->core->openConnections == 0;
 }
 
 } // namespace oleandergate
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -61,7 +61,8 @@
     //! still handled; each connection closes after them.
     void stop();
 
-    //! Refuses requests that are still arriving or come later, with the response that the error formatter returns for status 503.
+    //! Refuses requests that are still arriving or come later, with the response that the error formatter returns for status 503. To be repeated until
+    //! the server is closed.
     void refuseArriving();
 
     //! Closes all connections, whatever is under way on them.
@@ -70,6 +71,7 @@
     //! Returns the number of requests being handled.
     std::size_t activeCount() const;
 
+    //! Returns the connections by phase. One that changes its phase meanwhile may be missing.
     ConnectionCounts connections() const;
 
     //! Returns true after stop() once no connection is left.
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -246,6 +246,33 @@
     CHECK(caller.end() == ConnectionEnd::Closed);
 }
 
+// Guards against a stop that waits for another instance which hangs: requests that arrive are cut when the process is killed.
+TEST_CASE("Arriving: a stop beside an instance that stands still answers what arrives and ends in time")
+{
+    GatewayCluster cluster(2, 1);
+    REQUIRE(cluster.startServing());
+    constexpr int programCount = 40;
+    for (int number = 0; number < programCount; ++number) {
+        // Budgets that the stopping instance has to hand over.
+        cluster.turn(0, "p" + std::to_string(number), 1000);
+    }
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[1].suspend();
+    cluster.gateways[0].signal(SIGTERM);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    REQUIRE(
+        caller.send("POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n" + bodyChunk(firstPart)));
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(isRefusal(caller.responses().front()));
+    CHECK(cluster.gateways[0].wait() == 0);
+    // The platform kills the process then.
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(graceSeconds));
+    cluster.gateways[1].signal(SIGCONT);
+}
+
 // Guards against a process that is ended by a signal after its stop, as requests that are still under way outlive what they use.
 TEST_CASE("Arriving: a process whose callers do not receive their answers ends its stop in order")
 {
