--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -22,7 +22,20 @@
         allowance.left -= request.turnTokens;
         return LedgerAnswer::Granted;
     }
-    return this->planDraw(request) ? LedgerAnswer::NeedsBlock : LedgerAnswer::Exhausted;
+    return this->planDraw(request) ? LedgerAnswer::NeedsBlock : refuse(request, allowance, now);
+}
+
+LedgerAnswer TokenLedger::refuse(const TurnRequest &request, Allowance &allowance, Time now)
+{
+    const bool neverFits = request.turnTokens > request.budget;
+    const bool recordedExceedsBudget = allowance.recorded - allowance.left > request.budget;
+    if (allowance.sawAllTurns || neverFits || recordedExceedsBudget) {
+        return LedgerAnswer::Exhausted;
+    }
+    if (!allowance.notKnownSince) {
+        allowance.notKnownSince = now;
+    }
+    return now - *allowance.notKnownSince > tokensReturnWithin ? LedgerAnswer::Exhausted : LedgerAnswer::NotKnown;
 }
 
 std::optional<BlockDraw> TokenLedger::planDraw(const TurnRequest &request) const
@@ -75,6 +88,16 @@
     return found != this->programs.end() && found->second.left >= tokens;
 }
 
+std::optional<LedgerEntry> TokenLedger::entryOf(const ProgramId &program) const
+{
+    const auto found = this->programs.find(program);
+    if (found == this->programs.end()) {
+        return std::nullopt;
+    }
+    const Allowance &allowance = found->second;
+    return LedgerEntry{program, allowance.left, allowance.recorded, allowance.revision, allowance.sawAllTurns};
+}
+
 std::vector<LedgerEntry> TokenLedger::take(const std::function<bool(const ProgramId &)> &selected)
 {
     std::vector<LedgerEntry> extracted;
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -44,7 +44,7 @@
 constexpr Duration ownerRetryDelay = std::chrono::milliseconds(1000);
 constexpr Duration serviceRetryDelay = std::chrono::milliseconds(300);
 
-//! Retry-After while neither the slot's owner nor the key-value service answers.
+//! Retry-After while neither the slot's owner nor the key-value service answers, or the owner doesn't know what is left.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(400);
 
 //! The records of programs expire with a lease of this length, much longer than a program may be idle.
@@ -52,12 +52,23 @@
 constexpr Duration recordLeaseRenewalInterval = std::chrono::minutes(4);
 
 //! A grant whose turn is not settled within this time is forgotten; its tokens stay spent.
-constexpr Duration grantLifetime = std::chrono::minutes(2);
+constexpr Duration grantLifetime = TokenLedger::tokensReturnWithin;
 
 constexpr int maxDrawsPerTurn = 3;
 
 constexpr int microsecondsPerMillisecond = 1000;
 
+constexpr const char *notKnownDetail = "part of the program's token budget is presumed spent, and the rest does not cover this turn";
+
+//! Returns the decision for an answer other than NeedsBlock.
+BudgetDecision decisionFor(LedgerAnswer answer)
+{
+    if (answer == LedgerAnswer::Granted) {
+        return BudgetDecision::Granted;
+    }
+    return answer == LedgerAnswer::Exhausted ? BudgetDecision::Exhausted : BudgetDecision::Unavailable;
+}
+
 Error refusal(ErrorCode code, const std::string &detail)
 {
     Error error{code, Step::Reserve, {}, Executed::No, std::nullopt, detail};
@@ -175,6 +186,31 @@
     });
 }
 
+void BudgetCoordinator::logLedger(const std::string &what, const BudgetRequest &ask, Time now) const
+{
+    const SlotId slot = this->slots.slotOf(ask.request.program);
+    const SlotRecord &record = this->slots.recordOf(slot);
+    const LedgerEntry entry = this->ledger.entryOf(ask.request.program).value_or(LedgerEntry());
+    const auto known = this->slotOwners.find(slot);
+    logRecord(LogLevel::Info,
+              "budget",
+              what,
+              {{"request", ask.id},
+               {"program", ask.request.program},
+               {"slot", std::to_string(slot)},
+               {"owns", this->slots.ownsSlot(slot) ? "true" : "false"},
+               {"epoch", std::to_string(record.epoch)},
+               {"record_owner", record.owner},
+               {"told_owner", known == this->slotOwners.end() ? std::string() : known->second},
+               {"members", std::to_string(this->members.size())},
+               {"budget", std::to_string(ask.request.budget)},
+               {"turn_tokens", std::to_string(ask.request.turnTokens)},
+               {"left", std::to_string(entry.left)},
+               {"recorded", std::to_string(entry.recorded)},
+               {"saw_all_turns", entry.sawAllTurns ? "true" : "false"},
+               {"records_read_ms_ago", std::to_string((now - this->slots.recordsReadAt()).count() / microsecondsPerMillisecond)}});
+}
+
 LedgerAnswer BudgetCoordinator::tryGrant(const BudgetRequest &ask, Time now)
 {
     if (this->grants.contains(ask.id)) {
@@ -182,7 +218,17 @@
     }
     const SlotId slot = this->slots.slotOf(ask.request.program);
     const bool mayGrantUnrecordedShare = this->slots.mayGrantUnrecordedShare(slot, this->parts.hasPeerServiceContactAfter(this->slots.recordsReadAt()), now);
+    const bool startsWithoutShare = !mayGrantUnrecordedShare && !this->ledger.entryOf(ask.request.program);
     const LedgerAnswer answer = this->ledger.reserve(ask.request, mayGrantUnrecordedShare, now);
+    if (startsWithoutShare) {
+        this->logLedger("a program starts without its unrecorded share", ask, now);
+    }
+    if (answer == LedgerAnswer::Exhausted) {
+        this->logLedger("the budget does not cover a turn", ask, now);
+    }
+    if (answer == LedgerAnswer::NotKnown) {
+        this->logLedger("the budget is not known to cover a turn", ask, now);
+    }
     if (answer == LedgerAnswer::Granted) {
         this->grants[ask.id] = UnsettledGrant{OpenGrant{ask.id, ask.request.program, ask.request.turnTokens}, now};
     }
@@ -234,14 +280,30 @@
 
 asio::awaitable<BudgetDecision> BudgetCoordinator::drawAndGrant(BudgetRequest ask)
 {
+    const SlotId slot = this->slots.slotOf(ask.request.program);
+    bool mark = false;
+    {
+        const Time now = currentTime();
+        const std::lock_guard lock(this->mutex);
+        mark = this->mustMarkUsed(ask, now);
+        if (mark && (this->leaving || now < this->serviceRetryAt)) {
+            co_return BudgetDecision::Unavailable;
+        }
+    }
+    if (mark && !co_await this->markSlotsUsed(slot)) {
+        co_return BudgetDecision::Unavailable;
+    }
     for (int draws = 0; draws <= maxDrawsPerTurn; ++draws) {
         std::optional<BlockDraw> draw;
         {
             const Time now = currentTime();
             const std::lock_guard lock(this->mutex);
+            if (this->mustMarkUsed(ask, now)) {
+                co_return BudgetDecision::Unavailable;
+            }
             const LedgerAnswer answer = this->tryGrant(ask, now);
             if (answer != LedgerAnswer::NeedsBlock) {
-                co_return answer == LedgerAnswer::Granted ? BudgetDecision::Granted : BudgetDecision::Exhausted;
+                co_return decisionFor(answer);
             }
             draw = this->ledger.planDraw(ask.request);
             if (!draw || now < this->serviceRetryAt) {
@@ -329,13 +391,16 @@
         const std::lock_guard lock(this->mutex);
         const SlotId slot = this->slots.slotOf(program.program);
         const bool decidesLocally = this->slots.ownsSlot(slot) || this->ledger.covers(program.program, tokens);
-        const LedgerAnswer answer = decidesLocally ? this->tryGrant(ask, now) : LedgerAnswer::NeedsBlock;
+        const LedgerAnswer answer = decidesLocally && !this->mustMarkUsed(ask, now) ? this->tryGrant(ask, now) : LedgerAnswer::NeedsBlock;
         if (answer == LedgerAnswer::Granted) {
             co_return boost::outcome_v2::success();
         }
         if (answer == LedgerAnswer::Exhausted) {
             co_return refusal(ErrorCode::BudgetExhausted, "what is left of the program's token budget does not cover this turn");
         }
+        if (answer == LedgerAnswer::NotKnown) {
+            co_return refusal(ErrorCode::ServiceUnavailable, notKnownDetail);
+        }
         const auto known = this->slotOwners.find(slot);
         owner = known == this->slotOwners.end() ? std::string() : known->second;
         const auto unresponsive = this->unresponsiveOwners.find(owner);
@@ -375,7 +440,7 @@
     if (verdict == BudgetDecision::Exhausted) {
         co_return refusal(ErrorCode::BudgetExhausted, "what is left of the program's token budget does not cover this turn");
     }
-    co_return refusal(ErrorCode::ServiceUnavailable, "neither the owner of the program's budget slot nor the key-value service answered");
+    co_return refusal(ErrorCode::ServiceUnavailable, "no instance that could be reached knows whether the program's token budget covers this turn");
 }
 
 bool BudgetCoordinator::ownsSlotOf(const ProgramId &program) const
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -116,19 +116,20 @@
     , stream(std::move(socket))
     , watcher(std::make_shared<DisconnectWatcher>(stream))
 {
+    this->core->openConnections += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) += 1;
 }
 
 HttpConnection::~HttpConnection()
 {
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
+    this->core->openConnections -= 1;
     const std::lock_guard lock(this->core->mutex);
     this->core->connections.erase(this);
 }
 
 void HttpConnection::enter(ConnectionPhase next)
 {
-    // In this order, as the counts are read on other threads: a connection is never missing from them.
     this->core->phaseCounts.at(static_cast<std::size_t>(next)) += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
     this->phase = next;
@@ -142,11 +143,8 @@
 
 bool HttpConnection::mayKeepAlive()
 {
-    if (this->core->refusing) {
-        return false;
-    }
-    // A request that has already arrived behind this one is served too.
-    return (!this->core->keepAliveDisabled && !this->core->stopping) || this->hasInput();
+    // A request that has already arrived behind this one is answered too.
+    return (!this->core->keepAliveDisabled && !this->core->stopping && !this->core->refusing) || this->hasInput();
 }
 
 void HttpConnection::closeIfIdle()
@@ -162,13 +160,22 @@
 void HttpConnection::refuseIfReceiving()
 {
     asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
-        if (self->phase == ConnectionPhase::Receiving && !self->refusal) {
-            self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
+        if (self->phase == ConnectionPhase::Receiving) {
+            if (!self->refusal) {
+                self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
+            }
             self->stream.cancel();
         }
     });
 }
 
+void HttpConnection::drop()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        self->stream.close();
+    });
+}
+
 asio::awaitable<void> HttpConnection::serve()
 {
     beast::error_code ignored;
@@ -217,6 +224,11 @@
     if (this->core->refusing) {
         this->refusal = this->core->formatError(serviceUnavailable, shutdownDetail);
     } else if (this->core->admission) {
+        // A request of which all has arrived is refused by its handler: refusing it here would end the connection under requests that lie behind it.
+        const beast::error_code bodyError = co_await this->readArrived(parser);
+        if (bodyError || parser.is_done() || this->refusal) {
+            co_return bodyError;
+        }
         this->refusal = this->core->admission(toRequestHead(parser.get(), this->peer), currentTime());
     }
     if (this->refusal) {
@@ -234,6 +246,28 @@
     co_return error;
 }
 
+asio::awaitable<beast::error_code> HttpConnection::readArrived(Parser &parser)
+{
+    parser.eager(true);
+    while (true) {
+        beast::error_code error;
+        this->buffer.consume(parser.put(this->buffer.data(), error));
+        if (parser.is_done() || (error && error != http::error::need_more)) {
+            co_return parser.is_done() ? beast::error_code() : error;
+        }
+        beast::error_code ignored;
+        const std::size_t arrived = std::min(this->stream.socket().available(ignored), this->buffer.max_size() - this->buffer.size());
+        if (arrived == 0) {
+            co_return beast::error_code();
+        }
+        const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(arrived), useResult);
+        this->buffer.commit(size);
+        if (readError) {
+            co_return readError;
+        }
+    }
+}
+
 asio::awaitable<bool> HttpConnection::serveRequest(HttpLimits limits)
 {
     this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
@@ -263,8 +297,13 @@
     BeastExchange exchange(this->stream, this->watcher, [this, callerKeepsAlive]() {
         return callerKeepsAlive && this->mayKeepAlive();
     });
-    HttpRequest request = toRequest(parser.release(), this->peer);
-    co_await this->handle(exchange, std::move(request));
+    if (this->core->refusing) {
+        HttpResponse response = this->core->formatError(serviceUnavailable, shutdownDetail);
+        co_await exchange.respond(std::move(response));
+    } else {
+        HttpRequest request = toRequest(parser.release(), this->peer);
+        co_await this->handle(exchange, std::move(request));
+    }
     this->responseSent = exchange.hasSentResponse();
     co_return exchange.keepsAlive();
 }
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -37,6 +37,7 @@
     std::atomic<bool> keepAliveDisabled{false};
     std::atomic<bool> refusing{false};
     std::array<std::atomic<std::size_t>, connectionPhaseNames.size()> phaseCounts{};
+    std::atomic<std::size_t> openConnections{0};
     std::atomic<std::size_t> rejectedConnections{0}; //!< Connections beyond the limit that are being answered.
     std::map<HttpConnection *, std::weak_ptr<HttpConnection>> connections{}; //!< Guarded by the mutex.
 
@@ -65,9 +66,12 @@
     //! Closes the connection if nothing of a next request has arrived. Thread-safe.
     void closeIfIdle();
 
-    //! Refuses the request that is arriving, if any. Thread-safe.
+    //! Refuses the request that is arriving, if any. A read that has just completed goes on, so this may have to be repeated. Thread-safe.
     void refuseIfReceiving();
 
+    //! Closes the connection, whatever is under way on it. Thread-safe.
+    void drop();
+
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -83,6 +87,9 @@
     //! Reads a request and answers it. Returns whether the connection serves another one.
     boost::asio::awaitable<bool> serveRequest(HttpLimits limits);
     boost::asio::awaitable<boost::beast::error_code> readRequest(Parser &parser, Duration timeout);
+
+    //! Reads as much of the request's body as has arrived.
+    boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser);
     boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
 
     //! Sends \p response, after which the connection closes.
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -140,6 +140,30 @@
     CHECK(cluster.gateways[0].wait() == 0);
 }
 
+// Guards against a request that is dropped without an answer, as the one before it was refused by its head although all of it had arrived.
+TEST_CASE("Arriving: requests that were sent at once behind one that could not complete before the end of a stop are answered")
+{
+    StoppingGateway cluster;
+    CallerConnection keepsBusy(cluster.callerAddress(0));
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[0].signal(SIGTERM);
+    std::this_thread::sleep_for(balancerLag - std::chrono::milliseconds(300));
+    REQUIRE(keepsBusy.send(cluster.orderHead(1000) + bodyChunk(firstPart)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    // More than a first read from the connection returns.
+    constexpr std::size_t bodyBytes = 3000;
+    REQUIRE(caller.send(cluster.orderHead(6000) + bodyChunk(std::string(bodyBytes, 'x')) + bodyChunk("") + cluster.read()));
+    caller.receiveToEnd(timeoutMs);
+    const std::vector<HttpResponse> answers = caller.responses();
+    REQUIRE(answers.size() == 2);
+    CHECK(answers.front().status == 503);
+    CHECK(answers.back().status == 200);
+    CHECK(answers.back().header("Connection") == "close");
+    keepsBusy.send(bodyChunk(""));
+    keepsBusy.receiveToEnd(timeoutMs);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
 // Guards against requests that have arrived and were not read yet being reset when idle connections are closed.
 TEST_CASE("Arriving: requests that wait unread when a stopping process closes idle connections are answered")
 {
@@ -222,6 +246,86 @@
     CHECK(caller.end() == ConnectionEnd::Closed);
 }
 
+// Guards against a stop that waits for another instance which hangs: requests that arrive are cut when the process is killed.
+TEST_CASE("Arriving: a stop beside an instance that stands still answers what arrives and ends in time")
+{
+    GatewayCluster cluster(2, 1);
+    REQUIRE(cluster.startServing());
+    constexpr int programCount = 40;
+    for (int number = 0; number < programCount; ++number) {
+        // Budgets that the stopping instance has to hand over.
+        cluster.turn(0, "p" + std::to_string(number), 1000);
+    }
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    CallerConnection caller(cluster.callerAddress(0));
+    cluster.gateways[1].suspend();
+    cluster.gateways[0].signal(SIGTERM);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    REQUIRE(
+        caller.send("POST /orders/1 HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n" + bodyChunk(firstPart)));
+    caller.receiveToEnd(timeoutMs);
+    REQUIRE(caller.responses().size() == 1);
+    CHECK(isRefusal(caller.responses().front()));
+    CHECK(cluster.gateways[0].wait() == 0);
+    // The platform kills the process then.
+    CHECK(std::chrono::steady_clock::now() - stoppedAt < std::chrono::seconds(graceSeconds));
+    cluster.gateways[1].signal(SIGCONT);
+}
+
+// Guards against a process that is ended by a signal after its stop, as requests that are still under way outlive what they use.
+TEST_CASE("Arriving: a process whose callers do not receive their answers ends its stop in order")
+{
+    constexpr int stops = 4;
+    for (int stop = 0; stop < stops; ++stop) {
+        StoppingGateway cluster;
+        constexpr int graceSeconds = 2;
+        cluster.setGrace(0, graceSeconds);
+        constexpr std::size_t callerCount = 6;
+        const std::size_t received = cluster.receivedCount();
+        std::vector<std::unique_ptr<CallerConnection>> callers;
+        for (std::size_t number = 0; number < callerCount; ++number) {
+            callers.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
+            callers.back()->limitUnreceived(4096);
+            REQUIRE(callers.back()->send(cluster.head("GET", "/reads/1?work_ms=10&bytes=6000000", "")));
+        }
+        REQUIRE(waitFor(
+            [&]() {
+                return cluster.receivedCount() == received + callerCount;
+            },
+            timeoutMs));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        cluster.gateways[0].signal(SIGTERM);
+        CHECK(cluster.gateways[0].wait() == 0);
+    }
+}
+
+// Guards against requests that are dropped without an answer behind one that is cut off when the time for the stop is over.
+TEST_CASE("Arriving: a request that lies behind one that is cut off at the end of a stop is refused as not run")
+{
+    StoppingGateway cluster;
+    constexpr int graceSeconds = 2;
+    cluster.setGrace(0, graceSeconds);
+    CallerConnection caller(cluster.callerAddress(0));
+    const std::size_t received = cluster.receivedCount();
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Slow});
+    REQUIRE(caller.send(cluster.orderHead(8000) + bodyChunk("") + cluster.read() + cluster.read()));
+    REQUIRE(waitFor(
+        [&]() {
+            return cluster.receivedCount() == received + 1;
+        },
+        timeoutMs));
+    cluster.gateways[0].signal(SIGTERM);
+    caller.receiveToEnd(timeoutMs);
+    const std::vector<HttpResponse> answers = caller.responses();
+    REQUIRE(answers.size() == 3);
+    CHECK(answers[0].status == 502);
+    CHECK(answers[1].status == 503);
+    CHECK(isRefusal(answers[2]));
+    CHECK(cluster.receivedCount() == received + 1);
+    CHECK(cluster.gateways[0].wait() == 0);
+}
+
 // Guards against a reload or a change of the limits during a stop that ends requests or the process early.
 TEST_CASE("Arriving: a stop goes on unchanged beside a reload of the settings and a change of the configuration")
 {
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
 #define OLEANDERGATE_TESTS_GATEWAY_STANDINENDPOINT_H
 
+#include "decision/time.h"
 #include "runtime/httpmessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,7 @@
     SlowBreakMidEvent, //!< The same, and ends the stream inside its third event.
     Trickle, //!< The head of a stream, then a byte of its first event now and then, until the connection is closed.
     Slow, //!< Answers after StandinEndpoint::release() was called, unless the connection is closed before.
+    SlowRefusal, //!< The same, with the statement that the request did not run.
 };
 
 //! A request that an endpoint received.
@@ -53,9 +55,14 @@
 {
     HttpRequest request{};
     Behaviour behaviour = Behaviour::Normal;
+    Time receivedAt{};
+    Time endedAt{}; //!< When the endpoint had sent its answer or given up; Time{} while it is at work.
 };
 
 //! An endpoint of the platform, in this process. Each connection has a thread.
+//!
+//! A request whose target has the query parameter work_ms is answered after that time, with plannedAnswer(): in one piece, or, with gap_ms, as a stream with
+//! pauses of that length between its events. bytes is the number of filler bytes.
 class StandinEndpoint
 {
 public:
@@ -85,16 +92,19 @@
     std::vector<ReceivedRequest> received() const;
     std::size_t receivedCount() const;
 
-    //! Returns how many requests with Behaviour::Slow or Behaviour::Trickle ended because their connection was closed.
+    //! Returns how many requests with Behaviour::Slow, Behaviour::SlowRefusal or Behaviour::Trickle ended because their connection was closed.
     std::size_t abandonedCount() const;
 
     //! Returns how many endless answers ended because their connection was closed, and the size of the largest one in bytes.
     std::size_t closedFloodCount() const;
     std::size_t largestFlood() const;
 
-    //! Answers all requests with Behaviour::Slow, pending and future.
+    //! Answers all requests with Behaviour::Slow or Behaviour::SlowRefusal, pending and future.
     void release();
 
+    //! Returns the body of the answer to a request with work_ms; it names the request and repeats its body.
+    static std::string plannedAnswer(const std::string &requestId, const HttpRequest &request);
+
     static constexpr int eventCount = 6; //!< Events in each stream.
 
 private:
@@ -105,7 +115,11 @@
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
-    bool answerSlowly(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+    bool answerPlanned(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+
+    //! Waits. Returns false when \p socket is closed by the other side before.
+    bool work(boost::asio::ip::tcp::socket &socket, Duration duration);
+    bool answerSlowly(boost::asio::ip::tcp::socket &socket, const std::string &text);
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     std::string refusal(const HttpRequest &request) const;
 
