Complete requests behind one that is refused at the end of a stop are answered, with bodies too

Cause: once all arriving requests are refused, a request with a body was refused as soon as its head had been read, although its body had arrived too, and its connection closed. The same was mended for refusals by the head before the end, not for this one.

Change: what has arrived of a body is read before either refusal, and an arriving request is interrupted only if nothing more of it waits in the socket.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -164,7 +164,11 @@
             if (!self->refusal) {
                 self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
             }
-            self->stream.cancel();
+            beast::error_code ignored;
+            // The rest of the request may have arrived, and others behind it.
+            if (self->stream.socket().available(ignored) == 0) {
+                self->stream.cancel();
+            }
         }
     });
 }
@@ -221,14 +225,15 @@
     if (headError || parser.is_done() || this->refusal) {
         co_return headError;
     }
+    // A request of which all has arrived is refused later, when it is to be handled: refusing it here would end the connection under requests that lie behind
+    // it.
+    const beast::error_code bodyError = co_await this->readArrived(parser);
+    if (bodyError || parser.is_done() || this->refusal) {
+        co_return bodyError;
+    }
     if (this->core->refusing) {
         this->refusal = this->core->formatError(serviceUnavailable, shutdownDetail);
     } else if (this->core->admission) {
-        // A request of which all has arrived is refused by its handler: refusing it here would end the connection under requests that lie behind it.
-        const beast::error_code bodyError = co_await this->readArrived(parser);
-        if (bodyError || parser.is_done() || this->refusal) {
-            co_return bodyError;
-        }
         this->refusal = this->core->admission(toRequestHead(parser.get(), this->peer), currentTime());
     }
     if (this->refusal) {
--- a/tests/gateway/arrivingrequesttests.cpp
+++ b/tests/gateway/arrivingrequesttests.cpp
@@ -309,7 +309,8 @@
     CallerConnection caller(cluster.callerAddress(0));
     const std::size_t received = cluster.receivedCount();
     cluster.endpoints[0]->setNextBehaviours({Behaviour::Slow});
-    REQUIRE(caller.send(cluster.orderHead(8000) + bodyChunk("") + cluster.read() + cluster.read()));
+    const std::string withBody = cluster.orderHead(8000) + bodyChunk(firstPart) + bodyChunk("");
+    REQUIRE(caller.send(cluster.orderHead(8000) + bodyChunk("") + withBody + withBody + cluster.read()));
     REQUIRE(waitFor(
         [&]() {
             return cluster.receivedCount() == received + 1;
@@ -318,10 +319,11 @@
     cluster.gateways[0].signal(SIGTERM);
     caller.receiveToEnd(timeoutMs);
     const std::vector<HttpResponse> answers = caller.responses();
-    REQUIRE(answers.size() == 3);
+    REQUIRE(answers.size() == 4);
     CHECK(answers[0].status == 502);
     CHECK(answers[1].status == 503);
-    CHECK(isRefusal(answers[2]));
+    CHECK(answers[2].status == 503);
+    CHECK(isRefusal(answers[3]));
     CHECK(cluster.receivedCount() == received + 1);
     CHECK(cluster.gateways[0].wait() == 0);
 }
