--- a/tests/soak/stopjudge.h
+++ b/tests/soak/stopjudge.h
@@ -24,10 +24,19 @@
     std::string lastLine{}; //!< Of its log.
 };
 
+//! A time in which a gateway that does not stop stood still.
+struct Freeze
+{
+    std::size_t gateway = 0;
+    Time beganAt{};
+    Time endedAt{};
+};
+
 //! All that was seen in a run.
 struct Seen
 {
     std::vector<SeenStop> stops{};
+    std::vector<Freeze> freezes{};
     std::vector<Exchange> exchanges{};
     std::size_t strayAnswers = 0;
     std::map<std::string, std::vector<support::ReceivedRequest>> received{}; //!< By the identifier of the request.
@@ -75,6 +84,9 @@
 
     //! Returns whether an endpoint's request may be left without an answer.
     bool isExcused(const Exchange &exchange, const support::ReceivedRequest &received) const;
+
+    //! Returns whether another gateway, which may have carried the request to its endpoint, stood still while the request was under way.
+    bool hadFrozenCarrier(const Exchange &exchange) const;
     void add(const std::string &text, const Exchange *exchange = nullptr);
     const SeenStop *stopOf(const Exchange &exchange) const;
 
--- a/tests/soak/stoprun.cpp
+++ b/tests/soak/stoprun.cpp
@@ -181,6 +181,8 @@
         for (std::size_t index = 0; index < this->plan.gateways; ++index) {
             if (std::ranges::find(this->plan.stops, index, &PlannedStop::gateway) == this->plan.stops.end()) {
                 this->cluster.gateways[index].signal(SIGSTOP);
+                const std::lock_guard lock(this->frozenMutex);
+                this->seen.freezes.push_back(Freeze{index, currentTime(), currentTime() + left.neighbourFreezeTime});
                 this->frozen.emplace_back([this, index, time = left.neighbourFreezeTime]() {
                     std::this_thread::sleep_for(time);
                     this->cluster.gateways[index].signal(SIGCONT);
--- a/tests/soak/stoprun.h
+++ b/tests/soak/stoprun.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <deque>
+#include <mutex>
 #include <thread>
 
 namespace oleandergate::soak {
@@ -35,6 +36,7 @@
     const StopPlan &plan;
     support::GatewayCluster cluster;
     std::deque<GatewayState> states{};
+    std::mutex frozenMutex{};
     std::vector<std::jthread> frozen{}; //!< Each wakes a frozen neighbour.
     std::atomic<int> configurationVersion{1};
     Seen seen{};
