--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -22,20 +22,7 @@
         allowance.left -= request.turnTokens;
         return LedgerAnswer::Granted;
     }
-    return this->planDraw(request) ? LedgerAnswer::NeedsBlock : refuse(request, allowance, now);
-}
-
-LedgerAnswer TokenLedger::refuse(const TurnRequest &request, Allowance &allowance, Time now)
-{
-    const bool neverFits = request.turnTokens > request.budget;
-    const bool recordedExceedsBudget = allowance.recorded - allowance.left > request.budget;
-    if (allowance.sawAllTurns || neverFits || recordedExceedsBudget) {
-        return LedgerAnswer::Exhausted;
-    }
-    if (!allowance.notKnownSince) {
-        allowance.notKnownSince = now;
-    }
-    return now - *allowance.notKnownSince > tokensReturnWithin ? LedgerAnswer::Exhausted : LedgerAnswer::NotKnown;
+    return this->planDraw(request) ? LedgerAnswer::NeedsBlock : LedgerAnswer::Exhausted;
 }
 
 std::optional<BlockDraw> TokenLedger::planDraw(const TurnRequest &request) const
--- a/src/decision/tokenledger.h
+++ b/src/decision/tokenledger.h
@@ -24,8 +24,7 @@
 enum class LedgerAnswer : std::uint8_t {
     Granted, //!< The tokens are reserved.
     NeedsBlock, //!< The block that planDraw() returns has to be recorded first.
-    Exhausted, //!< The remaining budget does not cover the turn.
-    NotKnown //!< What may be granted here does not cover the turn, but part of the budget is only presumed spent.
+    Exhausted //!< The remaining budget does not cover the turn.
 };
 
 //! A block to record in the key-value service before any of it is spent.
@@ -53,15 +52,9 @@
 //! ledger counted all turns of a program draws no more than the budget. An owner that took over without the previous owner's
 //! ledger entries counts the unrecorded share as spent and may draw one turn more, so that short programs can still finish.
 //! The total never exceeds the budget by more than one turn, even when instances disagree about the owner.
-//!
-//! A ledger that did not count all turns of a program grants no more than that, but it doesn't know that the budget is spent. It answers
-//! so only when that holds whatever was granted elsewhere, or once it has answered NotKnown for longer than tokensReturnWithin.
 class TokenLedger
 {
 public:
-    //! Tokens that a turn reserved and did not use are given back within this time, so that a later try has no better answer.
-    static constexpr Duration tokensReturnWithin = std::chrono::minutes(2);
-
     //! Reserves the tokens of a turn. \p mayGrantUnrecordedShare tells whether this instance may grant the unrecorded share of a
     //! program without an entry in this ledger.
     LedgerAnswer reserve(const TurnRequest &request, bool mayGrantUnrecordedShare, Time now);
@@ -103,12 +96,8 @@
         std::uint64_t revision = 0; //!< Of the program's record when it was last read or written.
         bool sawAllTurns = false; //!< This ledger and its predecessors counted all turns of the program.
         Time usedAt{};
-        std::optional<Time> notKnownSince{}; //!< Time of the first answer NotKnown.
     };
 
-    //! Returns the answer to a turn that neither the allowance nor a further block covers.
-    static LedgerAnswer refuse(const TurnRequest &request, Allowance &allowance, Time now);
-
     std::map<ProgramId, Allowance> programs;
 };
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -44,7 +44,7 @@
 constexpr Duration ownerRetryDelay = std::chrono::milliseconds(1000);
 constexpr Duration serviceRetryDelay = std::chrono::milliseconds(300);
 
-//! Retry-After while neither the slot's owner nor the key-value service answers, or the owner doesn't know what is left.
+//! Retry-After while neither the slot's owner nor the key-value service answers.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(400);
 
 //! The records of programs expire with a lease of this length, much longer than a program may be idle.
@@ -52,23 +52,12 @@
 constexpr Duration recordLeaseRenewalInterval = std::chrono::minutes(4);
 
 //! A grant whose turn is not settled within this time is forgotten; its tokens stay spent.
-constexpr Duration grantLifetime = TokenLedger::tokensReturnWithin;
+constexpr Duration grantLifetime = std::chrono::minutes(2);
 
 constexpr int maxDrawsPerTurn = 3;
 
 constexpr int microsecondsPerMillisecond = 1000;
 
-constexpr const char *notKnownDetail = "part of the program's token budget is presumed spent, and the rest does not cover this turn";
-
-//! Returns the decision for an answer other than NeedsBlock.
-BudgetDecision decisionFor(LedgerAnswer answer)
-{
-    if (answer == LedgerAnswer::Granted) {
-        return BudgetDecision::Granted;
-    }
-    return answer == LedgerAnswer::Exhausted ? BudgetDecision::Exhausted : BudgetDecision::Unavailable;
-}
-
 Error refusal(ErrorCode code, const std::string &detail)
 {
     Error error{code, Step::Reserve, {}, Executed::No, std::nullopt, detail};
@@ -226,9 +215,6 @@
     if (answer == LedgerAnswer::Exhausted) {
         this->logLedger("the budget does not cover a turn", ask, now);
     }
-    if (answer == LedgerAnswer::NotKnown) {
-        this->logLedger("the budget is not known to cover a turn", ask, now);
-    }
     if (answer == LedgerAnswer::Granted) {
         this->grants[ask.id] = UnsettledGrant{OpenGrant{ask.id, ask.request.program, ask.request.turnTokens}, now};
     }
@@ -303,7 +289,7 @@
             }
             const LedgerAnswer answer = this->tryGrant(ask, now);
             if (answer != LedgerAnswer::NeedsBlock) {
-                co_return decisionFor(answer);
+                co_return answer == LedgerAnswer::Granted ? BudgetDecision::Granted : BudgetDecision::Exhausted;
             }
             draw = this->ledger.planDraw(ask.request);
             if (!draw || now < this->serviceRetryAt) {
@@ -398,9 +384,6 @@
         if (answer == LedgerAnswer::Exhausted) {
             co_return refusal(ErrorCode::BudgetExhausted, "what is left of the program's token budget does not cover this turn");
         }
-        if (answer == LedgerAnswer::NotKnown) {
-            co_return refusal(ErrorCode::ServiceUnavailable, notKnownDetail);
-        }
         const auto known = this->slotOwners.find(slot);
         owner = known == this->slotOwners.end() ? std::string() : known->second;
         const auto unresponsive = this->unresponsiveOwners.find(owner);
@@ -440,7 +423,7 @@
     if (verdict == BudgetDecision::Exhausted) {
         co_return refusal(ErrorCode::BudgetExhausted, "what is left of the program's token budget does not cover this turn");
     }
-    co_return refusal(ErrorCode::ServiceUnavailable, "no instance that could be reached knows whether the program's token budget covers this turn");
+    co_return refusal(ErrorCode::ServiceUnavailable, "neither the owner of the program's budget slot nor the key-value service answered");
 }
 
 bool BudgetCoordinator::ownsSlotOf(const ProgramId &program) const
--- a/src/wire/budgetmessages.h
+++ b/src/wire/budgetmessages.h
@@ -19,7 +19,7 @@
 enum class BudgetDecision : std::uint8_t {
     Granted, //!< The tokens are reserved, or the message is processed.
     Exhausted, //!< The rest of the program's budget does not cover the turn.
-    Unavailable, //!< No decision: the key-value service or the slot owner cannot be reached, or the owner doesn't know what is left.
+    Unavailable, //!< No decision, because the key-value service or the slot owner cannot be reached.
     NotOwner //!< The instance does not own the slot.
 };
 
