--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,14 +42,14 @@
 constexpr Duration drainPollInterval = std::chrono::milliseconds(50);
 
 //! Requests end a tenth of the drain limit before it, within these bounds. The rest of the time is for the last answers.
-constexpr Duration minStopMargin = std::chrono::milliseconds(400);
+constexpr Duration minStopMargin = std::chrono::milliseconds(250);
 constexpr Duration maxStopMargin = std::chrono::seconds(1);
 
 //! The process exits this much before the drain limit.
 constexpr Duration exitMargin = std::chrono::milliseconds(200);
 
 //! Shortest time for the last answers, also when the process was held up before them.
-constexpr Duration minLastAnswersTime = std::chrono::milliseconds(200);
+constexpr Duration minLastAnswersTime = std::chrono::milliseconds(100);
 
 //! Time for requests to notice that their callers' connections were dropped.
 constexpr Duration dropTime = std::chrono::milliseconds(50);
