--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -114,6 +114,7 @@
     ClusterWithOwnedSlots cluster;
     const auto slotRecords = [&cluster]() {
         std::vector<std::string> values;
+        values.reserve(slotCount);
         for (int slot = 0; slot < slotCount; ++slot) {
             values.push_back(cluster.store.value("oleandergate/budget/slots/" + std::to_string(slot)));
         }
