One function writes budget slot records and applies what the key-value service has afterwards

Clean-up after a read of the whole change: marks of used slots had repeated the claim's transaction, with the handling of its failure and of the records that come back. Both call BudgetCoordinator::writeSlotRecords now. Behaviour stays; a mark counts as under way until its records are applied, without a suspension between.

--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -72,6 +72,9 @@
     boost::asio::awaitable<void> maintainSlots();
     boost::asio::awaitable<void> claimDueSlots();
 
+    //! Writes slot records and applies those that the key-value service has afterwards. Fails when it did not answer.
+    boost::asio::awaitable<Result<KvTransactionReply>> writeSlotRecords(KvTransaction write);
+
     //! Writes claims of slots. Returns false when the key-value service did not answer.
     boost::asio::awaitable<bool> claim(std::vector<SlotMove> moves);
     std::vector<SlotMove> planClaims(Time now) const;
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -154,6 +154,24 @@
     this->slots.onRecordsRead(askedAt);
 }
 
+asio::awaitable<Result<KvTransactionReply>> BudgetCoordinator::writeSlotRecords(KvTransaction write)
+{
+    const std::vector<KvPut> puts = write.puts;
+    Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    if (!reply) {
+        this->onServiceFailed(reply.error());
+        co_return reply;
+    }
+    std::vector<KvPair> records = reply.value().found;
+    if (reply.value().succeeded) {
+        for (const KvPut &put : puts) {
+            records.push_back(KvPair{put.key, put.value, reply.value().revision});
+        }
+    }
+    this->applySlotRecords(records, currentTime());
+    co_return reply;
+}
+
 asio::awaitable<bool> BudgetCoordinator::claim(std::vector<SlotMove> moves)
 {
     moves.resize(std::min(moves.size(), maxSlotsPerTransaction));
@@ -165,19 +183,10 @@
         write.puts.push_back(KvPut{key, formatSlotRecord(this->self.id, move.expected.epoch + 1, unused)});
         write.elseKeys.push_back(key);
     }
-    const std::vector<KvPut> puts = write.puts;
-    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    const Result<KvTransactionReply> reply = co_await this->writeSlotRecords(std::move(write));
     if (!reply) {
-        this->onServiceFailed(reply.error());
         co_return false;
     }
-    std::vector<KvPair> records = reply.value().found;
-    if (reply.value().succeeded) {
-        for (const KvPut &put : puts) {
-            records.push_back(KvPair{put.key, put.value, reply.value().revision});
-        }
-    }
-    this->applySlotRecords(records, currentTime());
     logRecord(LogLevel::Info,
               "budget",
               reply.value().succeeded ? "claimed slots" : "other instances claimed slots first",
@@ -214,25 +223,17 @@
         write.elseKeys.push_back(slotKeyOf(slot));
         next = std::next(next) == unused.end() ? unused.begin() : std::next(next);
     }
-    const std::vector<KvPut> puts = write.puts;
+    const std::size_t count = write.puts.size();
     ++this->marksUnderWay;
-    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    const Result<KvTransactionReply> reply = co_await this->writeSlotRecords(std::move(write));
     --this->marksUnderWay;
     if (!reply) {
-        this->onServiceFailed(reply.error());
         co_return false;
     }
-    std::vector<KvPair> records = reply.value().found;
-    if (reply.value().succeeded) {
-        for (const KvPut &put : puts) {
-            records.push_back(KvPair{put.key, put.value, reply.value().revision});
-        }
-    }
-    this->applySlotRecords(records, currentTime());
     logRecord(LogLevel::Info,
               "budget",
               reply.value().succeeded ? "marked slots as used" : "failed to mark slots as used, as a record changed",
-              {{"slots", std::to_string(puts.size())}, {"first", std::to_string(first)}, {"revision", std::to_string(reply.value().revision)}});
+              {{"slots", std::to_string(count)}, {"first", std::to_string(first)}, {"revision", std::to_string(reply.value().revision)}});
     co_return true;
 }
 
