A stream has to name its request before its events are passed on

What callers saw: the former stream of an endpoint, whole, as the answer to their request, when the endpoint wrote it once more on a kept connection without naming a request. Cause: a refusal and a plain answer had to name their request, a stream only had to be signed; its events were passed on first. Change: the head of a stream is classified like that of any other answer. Evidence: "Streams: a stream that an endpoint writes once more ..." is red on (the copy arrives with 200) and green with this change (502 where nothing names the request; a copy that names the former request was skipped before, too).

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -115,8 +115,8 @@
 
 bool EndpointSend::isForwardableStream(const HttpResponse &head) const
 {
-    const bool isUnchanged = this->parts.headerCodec.readAnswerMetadata(head).signedByEndpoint && head.header("Content-Encoding").empty();
-    return isEventStream(head) && this->kind == RouteKind::Stream && isUnchanged;
+    std::string ignored;
+    return isEventStream(head) && this->kind == RouteKind::Stream && this->classifyAnswer(head, ignored) == SendOutcome::Answered;
 }
 
 asio::awaitable<bool> EndpointSend::forwardChunk(const HttpResponse &head, std::string chunk)
