Events go on behind the last one that was passed on, or not at all

What callers saw: events twice, a missing one, or the start of another run in the middle of their stream, ended as complete. Cause: the position to go on at was a guess. Events without a number were passed on but not remembered, so that a broken stream began again; the numbers of what came next were never compared with the last one passed on. Change: StreamContinuity (src/decision, no I/O) decides for each event of each run whether it is the next one. A run that repeats events, goes back or begins anew is given up and the stream goes on elsewhere behind its last event; a gap counts where the numbers rose by one until then and no second run shows it too; behind events without numbers nothing can go on, and the stream is broken off visibly. Log lines of a send and of a request have the numbers of the run's first and last event, where it was to go on, what proved its end, and whether its connection had been used.

--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -82,7 +82,7 @@
 NextStep RetryPlan::afterBroken(const SendReport &report)
 {
     this->possiblyExecuted = true;
-    if (!this->repeatable() || this->repeats >= maxRepeats) {
+    if (!this->repeatable() || !report.canContinue || this->repeats >= maxRepeats) {
         return NextStep::FailUnknown;
     }
     this->repeats += 1;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -57,6 +57,7 @@
     SendOutcome outcome = SendOutcome::Broken;
     bool endpointGone = false; //!< The endpoint does not accept connections any more.
     bool endpointFailed = false; //!< The answer reports a failure of the endpoint itself.
+    bool canContinue = true; //!< Another run can go on behind what the caller has; false where its position is not known.
 };
 
 //! Decides whether and where a request is sent again after a failed send.
--- /dev/null
+++ b/src/decision/streamcontinuity.cpp
@@ -0,0 +1,101 @@
+#include "decision/streamcontinuity.h"
+
+namespace oleandergate {
+
+namespace {
+
+//! Pairs of events after which the numbers of a stream count as rising by one.
+constexpr std::uint64_t minUnitSteps = 2;
+
+} // namespace
+
+StreamContinuity::StreamContinuity(std::optional<std::uint64_t> resumeAfter, std::uint64_t maxEvents)
+    : last(resumeAfter)
+    , maxEvents(maxEvents)
+{
+}
+
+void StreamContinuity::beginRun()
+{
+    this->runTotal = 0;
+    this->goesOn = this->last.has_value() || this->total > 0;
+}
+
+bool StreamContinuity::isBehindGap(std::uint64_t number) const
+{
+    return this->risesByOne && this->unnumbered == 0 && this->unitSteps >= minUnitSteps && number != *this->last + 1;
+}
+
+EventPosition StreamContinuity::add(std::optional<std::uint64_t> number)
+{
+    if (!number) {
+        if (this->goesOn && this->runTotal == 0) {
+            return EventPosition::Unplaced;
+        }
+        this->unnumbered += 1;
+    } else {
+        if (this->last && *number <= *this->last) {
+            return EventPosition::Repeated;
+        }
+        if (this->last && this->isBehindGap(*number)) {
+            if (this->afterGap != number) {
+                this->afterGap = number;
+                return EventPosition::BehindGap;
+            }
+            this->risesByOne = false;
+        }
+        if (this->last && this->unnumbered == 0) {
+            const bool isUnitStep = *number == *this->last + 1;
+            this->unitSteps += isUnitStep ? 1 : 0;
+            this->risesByOne = this->risesByOne && isUnitStep;
+        }
+        this->last = number;
+        this->unnumbered = 0;
+    }
+    this->total += 1;
+    this->runTotal += 1;
+    this->unprovenEnd = false;
+    return EventPosition::Next;
+}
+
+Evidence StreamContinuity::isComplete(const StreamEnd &end)
+{
+    if (!end.betweenEvents) {
+        return Evidence::Disproved;
+    }
+    const bool isExhausted = this->maxEvents > 0 && this->total >= this->maxEvents;
+    if (end.framed || isExhausted) {
+        return Evidence::Proved;
+    }
+    if (end.endpointEnded) {
+        return Evidence::Disproved;
+    }
+    if (this->runTotal == 0) {
+        // The answer may have been cut behind its head. It only agrees with a run that ended here in order.
+        return this->unprovenEnd ? Evidence::Proved : Evidence::Disproved;
+    }
+    this->unprovenEnd = true;
+    return Evidence::Unknown;
+}
+
+bool StreamContinuity::canContinue() const
+{
+    return this->unnumbered == 0;
+}
+
+std::optional<std::uint64_t> StreamContinuity::lastNumber() const
+{
+    return this->last;
+}
+
+std::uint64_t StreamContinuity::passedOn() const
+{
+    return this->total;
+}
+
+std::uint64_t StreamContinuity::passedOnInRun() const
+{
+    return this->runTotal;
+}
+
+} // namespace oleandergate
--- /dev/null
+++ b/src/decision/streamcontinuity.h
@@ -0,0 +1,96 @@
+#ifndef OLEANDERGATE_DECISION_STREAMCONTINUITY_H
+#define OLEANDERGATE_DECISION_STREAMCONTINUITY_H
+
+#include "decision/nametable.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+namespace oleandergate {
+
+//! What is known of a claim, such as that a stream is complete.
+enum class Evidence : std::uint8_t {
+    Proved,
+    Disproved,
+    Unknown,
+};
+
+inline constexpr std::array<NamedValue<Evidence>, 3> evidenceNames{{
+    {Evidence::Proved, "proved"},
+    {Evidence::Disproved, "disproved"},
+    {Evidence::Unknown, "unknown"},
+}};
+
+//! Where an event of a run stands in its stream.
+enum class EventPosition : std::uint8_t {
+    Next, //!< Behind the last event that was passed on.
+    Repeated, //!< Its number is not above that of the last event: it comes twice, or belongs to a run that did not go on where it was asked to.
+    BehindGap, //!< Numbers are missing in front of it, though the stream's numbers rose by one until then.
+    Unplaced, //!< It has no number, in a run that has to go on behind another one.
+};
+
+inline constexpr std::array<NamedValue<EventPosition>, 4> eventPositionNames{{
+    {EventPosition::Next, "next"},
+    {EventPosition::Repeated, "repeated"},
+    {EventPosition::BehindGap, "behind-gap"},
+    {EventPosition::Unplaced, "unplaced"},
+}};
+
+//! How the bytes of a run ended.
+struct StreamEnd
+{
+    bool betweenEvents = false; //!< No part of an unfinished event is left.
+    bool framed = false; //!< The answer's length or its last chunk ended it; otherwise the end of its connection, in order.
+    bool endpointEnded = false; //!< The endpoint accepts no connections any more.
+};
+
+//! Decides which events belong to a caller's stream, over all runs that contribute to it, and whether it is complete.
+//!
+//! The numbers of events rise. That they rise by one is not promised, so a gap counts only in a stream whose numbers did until then, and not any more once a
+//! second run has shown the same gap.
+class StreamContinuity
+{
+public:
+    StreamContinuity() = default;
+
+    //! The caller has the events up to number \p resumeAfter of an interrupted stream. A stream of \p maxEvents events is complete; 0 when not known.
+    StreamContinuity(std::optional<std::uint64_t> resumeAfter, std::uint64_t maxEvents);
+
+    //! A run begins, which was asked to go on behind lastNumber().
+    void beginRun();
+
+    //! Decides about the next event with data of the run. Any but EventPosition::Next is not to be passed on, nor anything behind it.
+    EventPosition add(std::optional<std::uint64_t> number);
+
+    //! Returns whether the stream is complete when the run ends like this.
+    Evidence isComplete(const StreamEnd &end);
+
+    //! Returns whether another run can go on with the stream: the position of the last event that was passed on is known.
+    bool canContinue() const;
+
+    //! Returns the number of the last event that the caller has.
+    std::optional<std::uint64_t> lastNumber() const;
+
+    //! Returns the number of events that were passed on, and of those of the run.
+    std::uint64_t passedOn() const;
+    std::uint64_t passedOnInRun() const;
+
+private:
+    bool isBehindGap(std::uint64_t number) const;
+
+    std::optional<std::uint64_t> last; //!< Number of the last event that has one.
+    std::uint64_t maxEvents = 0;
+    std::uint64_t total = 0;
+    std::uint64_t runTotal = 0;
+    std::uint64_t unitSteps = 0; //!< Pairs of events in a row whose numbers differ by one.
+    std::uint64_t unnumbered = 0; //!< Events since the last numbered one.
+    bool risesByOne = true;
+    bool goesOn = false; //!< The run has to go on behind events that the caller has.
+    bool unprovenEnd = false; //!< The run that brought the last event ended in order behind it, which does not prove that the stream is complete.
+    std::optional<std::uint64_t> afterGap; //!< Number behind a gap that a run has shown.
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -59,7 +59,7 @@
     options.expectedEndpoint = endpoint.id;
     options.timeLeft = deadline - now;
     options.priority = priority;
-    options.resumeAfter = this->parts.progress.lastEvent ? this->parts.progress.lastEvent : this->call.resumeAfter;
+    options.resumeAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out;
     out.address = endpoint.address;
     out.method = this->call.method;
@@ -124,29 +124,64 @@
     if (!this->isForwardableStream(head)) {
         co_return this->collect(head, chunk);
     }
-    StreamProgress &progress = this->parts.progress;
-    const std::uint64_t before = this->splitter.eventCount();
-    std::string events = this->splitter.feed(chunk);
-    this->streaming = true;
-    if (this->splitter.pendingSize() > maxEventBytes) {
+    co_return co_await this->forwardEvents(head, chunk);
+}
+
+asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
+{
+    StreamContinuity &continuity = this->parts.progress.continuity;
+    const std::uint64_t before = continuity.passedOnInRun();
+    std::string accepted;
+    for (const StreamEvent &event : this->splitter.feed(chunk)) {
+        const std::optional<std::uint64_t> last = continuity.lastNumber();
+        const EventPosition position = event.hasData ? continuity.add(event.number) : EventPosition::Next;
+        if (position != EventPosition::Next) {
+            this->rejection = "event " + (event.number ? std::to_string(*event.number) : std::string("without a number")) + " behind event "
+                + (last ? std::to_string(*last) : std::string("without a number")) + ": " + std::string(nameIn(eventPositionNames, position));
+            break;
+        }
+        if (event.number) {
+            this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event.number;
+            this->streamRun.lastEvent = event.number;
+        }
+        accepted += event.text;
+    }
+    if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
         this->rejection = "an event is longer than " + std::to_string(maxEventBytes) + " bytes";
-        co_return false;
     }
-    if (events.empty()) {
-        co_return true;
+    this->streamRun.events = continuity.passedOnInRun();
+    if (accepted.empty()) {
+        co_return this->rejection.empty();
+    }
+    this->parts.onEvents(this->streamRun.events - before);
+    const bool delivered = co_await this->deliver(head, std::move(accepted));
+    co_return delivered &&this->rejection.empty();
+}
+
+asio::awaitable<void> EndpointSend::endStream(const HttpResponse &answer, SendResult &result)
+{
+    StreamEnd end;
+    end.betweenEvents = this->splitter.isBetweenEvents();
+    end.framed = !answer.endsWithConnection;
+    result.run.complete = this->parts.progress.continuity.isComplete(end);
+    if (result.run.complete == Evidence::Disproved) {
+        result.report.outcome = SendOutcome::Broken;
+        result.detail = "the stream ended inside an event or before its first one";
+        co_return;
     }
-    const std::uint64_t count = this->splitter.eventCount() - before;
-    progress.events += count;
-    progress.lastEvent = this->splitter.lastId() ? this->splitter.lastId() : progress.lastEvent;
-    this->parts.onEvents(count);
-    co_return co_await this->deliver(head, std::move(events));
+    result.report.outcome = SendOutcome::Answered;
+    // Bytes after the last event, such as a comment, are part of the answer.
+    std::string rest = this->splitter.takeRest();
+    const bool delivered = co_await this->deliver(answer, std::move(rest));
+    result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
+    result.streamed = result.report.outcome != SendOutcome::CallerLeft;
 }
 
 SendOutcome EndpointSend::classifyAnswer(const HttpResponse &answer, std::string &detail) const
 {
     const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(answer);
     const bool saysNotRun = metadata.notRun || answer.status == statusMisdirected;
-    if (saysNotRun && metadata.requestId.empty() && this->onUsedConnection) {
+    if (saysNotRun && metadata.requestId.empty() && this->streamRun.onUsedConnection) {
         detail = "a refusal that names no request, on a connection of earlier requests: it may be a copy of one of theirs";
         return SendOutcome::Broken;
     }
@@ -198,6 +233,8 @@
 
 asio::awaitable<SendResult> EndpointSend::run(EndpointSpec endpoint, int priority, Time deadline, Time now)
 {
+    this->parts.progress.continuity.beginRun();
+    this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
     out.accepts = [this](const HttpResponse &head) {
         const AnswerMetadata metadata = this->parts.headerCodec.readAnswerMetadata(head);
@@ -209,7 +246,7 @@
         return isOwn;
     };
     out.onConnection = [this](const ConnectionPath &path, bool wasUsed) {
-        this->onUsedConnection = wasUsed;
+        this->streamRun.onUsedConnection = wasUsed;
         this->parts.onConnection(path);
     };
     out.forwardChunk = [this](const HttpResponse &head, std::string chunk) {
@@ -217,22 +254,17 @@
     };
     HttpOutcome outcome = co_await this->parts.client.send(std::move(out), Step::Send);
     if (!outcome) {
-        co_return this->resultOfFailure(endpoint, outcome.error(), deadline, currentTime());
+        SendResult failed = this->resultOfFailure(endpoint, outcome.error(), deadline, currentTime());
+        failed.run = this->streamRun;
+        co_return failed;
     }
     SendResult result;
     result.report.endpoint = endpoint.id;
+    result.run = this->streamRun;
     result.endedWithConnection = outcome.value().endsWithConnection;
     result.unfinishedBytes = this->splitter.pendingSize();
-    if (this->isForwardableStream(outcome.value()) && !this->splitter.isWhole(result.endedWithConnection)) {
-        result.report.outcome = SendOutcome::Broken;
-        result.detail = "the stream ended inside an event or before its first one";
-        co_return result;
-    }
-    if (this->streaming) {
-        // Bytes after the last event, such as a comment, are part of the answer.
-        const bool delivered = co_await this->deliver(outcome.value(), this->splitter.takeRest());
-        result.report.outcome = delivered ? SendOutcome::Answered : SendOutcome::CallerLeft;
-        result.streamed = delivered;
+    if (this->isForwardableStream(outcome.value())) {
+        co_await this->endStream(outcome.value(), result);
         co_return result;
     }
     result.report.outcome = this->classifyAnswer(outcome.value(), result.detail);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -3,6 +3,7 @@
 
 #include "decision/endpointspec.h"
 #include "decision/retryplan.h"
+#include "decision/streamcontinuity.h"
 #include "gateway/eventsplitter.h"
 #include "gateway/interfaces/headercodec.h"
 #include "runtime/httpclient.h"
@@ -22,8 +23,18 @@
 {
     bool headSent = false;
     bool callerDisconnected = false;
-    std::uint64_t events = 0; //!< Whole events delivered to the caller.
-    std::optional<std::uint64_t> lastEvent{}; //!< Number of the last delivered event that carried one.
+    StreamContinuity continuity{};
+};
+
+//! What one run contributed to a stream.
+struct StreamRun
+{
+    std::optional<std::uint64_t> resumedAfter{}; //!< Number behind which it was asked to go on.
+    std::optional<std::uint64_t> firstEvent{}; //!< Number of the first event that was passed on.
+    std::optional<std::uint64_t> lastEvent{};
+    std::uint64_t events = 0; //!< Those that were passed on.
+    Evidence complete = Evidence::Unknown; //!< Whether the stream was complete at the end of the run.
+    bool onUsedConnection = false; //!< Its connection had carried other requests before.
 };
 
 //! Outcome of one send, with the answer if there is one.
@@ -34,9 +45,10 @@
     bool streamed = false; //!< The stream was forwarded to its end.
     bool endedWithConnection = false; //!< The answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes of a stream behind its last whole event.
+    StreamRun run{};
     bool connectionLost = false; //!< The way to the endpoint was cut off; says nothing about the endpoint.
     std::string detail{};
-    Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a broken send.
+    Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a send that broke or may have.
 };
 
 //! Sends one request to one endpoint and forwards the events of a stream as they arrive.
@@ -67,6 +79,12 @@
     //! Returns whether the answer is a stream whose events are forwarded as they arrive.
     bool isForwardableStream(const HttpResponse &head) const;
 
+    //! Forwards the events of \p chunk that go on with the stream. Returns false when the rest of the answer is of no use.
+    boost::asio::awaitable<bool> forwardEvents(const HttpResponse &head, const std::string &chunk);
+
+    //! Decides about a stream whose answer has ended in order.
+    boost::asio::awaitable<void> endStream(const HttpResponse &answer, SendResult &result);
+
     //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
 
@@ -86,8 +104,7 @@
     EventSplitter splitter;
     std::string collected;
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
-    bool streaming = false;
-    bool onUsedConnection = false; //!< The latest connection carried other requests before.
+    StreamRun streamRun;
 };
 
 } // namespace oleandergate
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -36,18 +36,49 @@
     return true;
 }
 
+//! Returns the number in the value of an id field; nothing if it is none.
+std::optional<std::uint64_t> numberOf(std::string_view value)
+{
+    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+    if (value.ends_with('\r')) {
+        value.remove_suffix(1);
+    }
+    std::uint64_t number = 0;
+    const char *end = value.data() + value.size();
+    const auto [position, error] = std::from_chars(value.data(), end, number);
+    return error == std::errc() && position == end ? std::optional(number) : std::nullopt;
+}
+
+StreamEvent parseEvent(std::string bytes)
+{
+    StreamEvent event;
+    event.text = std::move(bytes);
+    std::string_view text(event.text);
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+        event.hasData = event.hasData || line.starts_with("data");
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            event.number = numberOf(line);
+        }
+    }
+    return event;
+}
+
 } // namespace
 
-std::string EventSplitter::feed(const std::string &bytes)
+std::vector<StreamEvent> EventSplitter::feed(const std::string &bytes)
 {
     this->pendingBytes += bytes;
+    std::vector<StreamEvent> events;
     std::size_t consumed = 0;
     for (std::size_t size = endOfEvent(this->pendingBytes); size != std::string::npos;
          size = endOfEvent(std::string_view(this->pendingBytes).substr(consumed))) {
-        this->parseEvent(this->pendingBytes.substr(consumed, size));
+        events.push_back(parseEvent(this->pendingBytes.substr(consumed, size)));
         consumed += size;
     }
-    std::string events = this->pendingBytes.substr(0, consumed);
     this->pendingBytes.erase(0, consumed);
     return events;
 }
@@ -59,11 +90,9 @@
     return rest;
 }
 
-bool EventSplitter::isWhole(bool endsWithConnection) const
+bool EventSplitter::isBetweenEvents() const
 {
-    // An answer that only the end of its connection ends may have been cut behind its head.
-    const bool mayBeEmpty = !endsWithConnection;
-    return endsBetweenEvents(this->pendingBytes) && (mayBeEmpty || this->events > 0);
+    return endsBetweenEvents(this->pendingBytes);
 }
 
 std::size_t EventSplitter::pendingSize() const
@@ -71,36 +100,4 @@
     return this->pendingBytes.size();
 }
 
-std::optional<std::uint64_t> EventSplitter::lastId() const
-{
-    return this->lastEventId;
-}
-
-std::uint64_t EventSplitter::eventCount() const
-{
-    return this->events;
-}
-
-void EventSplitter::parseEvent(const std::string &event)
-{
-    std::string_view text(event);
-    bool hasData = false;
-    while (!text.empty()) {
-        const std::size_t end = text.find('\n');
-        std::string_view line = text.substr(0, end);
-        text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
-        hasData = hasData || line.starts_with("data");
-        if (!line.starts_with("id:")) {
-            continue;
-        }
-        line.remove_prefix(3);
-        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-        std::uint64_t number = 0;
-        if (std::from_chars(line.data(), line.data() + line.size(), number).ec == std::errc()) {
-            this->lastEventId = number;
-        }
-    }
-    this->events += hasData ? 1 : 0;
-}
-
 } // namespace oleandergate
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -65,6 +65,18 @@
     return std::min(call.timeLeft.value_or(route.timeout), route.timeout);
 }
 
+//! Returns the number of events with which a stream has all tokens that it may have; 0 when not known.
+std::uint64_t mostEvents(const RelayCall &call, const GatewayService &service)
+{
+    const auto perEvent = static_cast<Tokens>(service.tokensPerEvent);
+    return perEvent <= 0 || call.maxTokens <= 0 ? 0 : static_cast<std::uint64_t>((call.maxTokens + perEvent - 1) / perEvent);
+}
+
+std::string textOf(const std::optional<std::uint64_t> &number)
+{
+    return number ? std::to_string(*number) : std::string();
+}
+
 } // namespace
 
 Relay::Relay(const Parts &parts)
@@ -177,6 +189,7 @@
         co_await this->refuse(context, shutdownError());
         co_return;
     }
+    context.progress.continuity = StreamContinuity(context.call.resumeAfter, mostEvents(context.call, *context.service));
     context.retries.emplace(context.route->kind, context.route->resumable, context.route->maxAttempts);
     if (!co_await this->findStreamVersion(context)) {
         co_return;
@@ -191,7 +204,7 @@
     }
     co_await this->serveAdmitted(context);
     if (budgeted) {
-        const auto used = static_cast<Tokens>(context.progress.events) * context.service->tokensPerEvent;
+        const auto used = static_cast<Tokens>(context.progress.continuity.passedOn()) * context.service->tokensPerEvent;
         this->parts.budget.settle(*context.call.program, context.call.requestId, used);
     }
     if (context.stream) {
@@ -298,11 +311,14 @@
         context.cancellation->revokeCommit();
     }
     // A broken connection alone does not tell whether its endpoint has ended.
-    result.listening = result.report.endpointGone ? Listening::No : Listening::Unknown;
-    if (result.report.outcome == SendOutcome::Broken && !result.report.endpointGone && !result.connectionLost) {
+    if (result.report.endpointGone) {
+        result.listening = Listening::No;
+    }
+    if (result.report.outcome == SendOutcome::Broken && result.listening == Listening::Unknown && !result.connectionLost) {
         result.listening = co_await this->parts.client.probe(endpoint.address, probeTimeout);
         result.report.endpointGone = result.listening == Listening::No;
     }
+    result.report.canContinue = context.progress.continuity.canContinue();
     co_return result;
 }
 
@@ -310,7 +326,7 @@
 {
     const EndpointSpec &endpoint = attempt.endpoint;
     this->recordRunEnd(context, result, attempt.startedAt, currentTime());
-    if (context.stream && context.progress.events > 0 && !context.streamVersion) {
+    if (context.stream && context.progress.continuity.passedOn() > 0 && !context.streamVersion) {
         context.streamVersion = endpoint.version;
     }
     const SendOutcome outcome = result.report.outcome;
@@ -334,14 +350,20 @@
                    {"end", std::string(nameIn(sendOutcomeNames, result.report.outcome))},
                    {"endpoint_listens", std::string(nameIn(listeningNames, result.listening))},
                    {"next", std::string(nameIn(nextStepNames, next))},
-                   {"events", std::to_string(context.progress.events)},
+                   {"events", std::to_string(context.progress.continuity.passedOn())},
+                   {"run_events", std::to_string(result.run.events)},
+                   {"run_resumed_after", textOf(result.run.resumedAfter)},
+                   {"run_first_event", textOf(result.run.firstEvent)},
+                   {"run_last_event", textOf(result.run.lastEvent)},
+                   {"used_connection", result.run.onUsedConnection ? "yes" : "no"},
                    {"left_ms", milliseconds(context.deadline - currentTime())},
                    {"detail", result.detail}});
         // The caller gets this error only with NextStep::RefuseNotRun, that is when the request did not run at any endpoint.
         context.lastError = relayError(ErrorCode::NoEndpoint, Step::Send, Executed::No, result.detail);
     }
     context.answer = std::move(result.answer);
-    context.streamed = result.streamed;
+    context.streamed = result.streamed && next == NextStep::Deliver;
+    context.run = result.run;
     context.endedWithConnection = result.endedWithConnection;
     context.unfinishedBytes = result.unfinishedBytes;
     return next;
@@ -429,7 +451,7 @@
                {"tunnel", std::to_string(context.path.tunnel)},
                {"stream_version", context.streamVersion.value_or(std::string())},
                {"resumes", context.call.resumedRequest},
-               {"resumes_after", context.call.resumeAfter ? std::to_string(*context.call.resumeAfter) : std::string()},
+               {"resumes_after", textOf(context.call.resumeAfter)},
                {"own_calls", std::to_string(placement.ownCalls)},
                {"peer_calls", std::to_string(placement.peerCalls)},
                {"cached_tokens", std::to_string(placement.cachedTokens)},
@@ -438,7 +460,12 @@
                {"outcome", context.outcome},
                {"status", std::to_string(context.status)},
                {"sends", std::to_string(context.sends)},
-               {"events", std::to_string(context.progress.events)},
+               {"events", std::to_string(context.progress.continuity.passedOn())},
+               {"run_events", std::to_string(context.run.events)},
+               {"run_first_event", textOf(context.run.firstEvent)},
+               {"run_last_event", textOf(context.run.lastEvent)},
+               {"complete", std::string(nameIn(evidenceNames, context.run.complete))},
+               {"used_connection", context.run.onUsedConnection ? "yes" : "no"},
                {"ended_by", context.endedWithConnection ? std::string("connection") : std::string("framing")},
                {"unfinished_bytes", std::to_string(context.unfinishedBytes)},
                {"waited_ms", milliseconds(context.waited)},
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -43,6 +43,7 @@
     bool streamed = false;
     bool endedWithConnection = false; //!< The latest answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
+    StreamRun run{}; //!< The latest one.
     std::optional<Error> lastError{};
     std::optional<Placement> placement{}; //!< The latest one.
     ConnectionPath path{}; //!< Way of the latest send to its endpoint.
--- a/src/gateway/requestdrain.cpp
+++ b/src/gateway/requestdrain.cpp
@@ -66,7 +66,7 @@
                   "the shutdown cuts off a request",
                   {{"request", request->call.requestId},
                    {"at_endpoint", request->atEndpoint ? "true" : "false"},
-                   {"events", std::to_string(request->progress.events)}});
+                   {"events", std::to_string(request->progress.continuity.passedOn())}});
         request->cancellation->cancel(CancelReason::Shutdown);
     }
 }
--- a/tests/gateway/eventsplittertests.cpp
+++ b/tests/gateway/eventsplittertests.cpp
@@ -1,37 +1,77 @@
+#include "decision/streamcontinuity.h"
 #include "gateway/eventsplitter.h"
 
 #include <doctest/doctest.h>
 
 using namespace oleandergate;
 
+namespace {
+
+std::string textOf(const std::vector<StreamEvent> &events)
+{
+    std::string text;
+    for (const StreamEvent &event : events) {
+        text += event.text;
+    }
+    return text;
+}
+
+//! Returns whether a stream of \p events, the first of which begins the stream, is complete when its answer ends behind them.
+Evidence completeness(const EventSplitter &splitter, const std::vector<StreamEvent> &events, bool framed)
+{
+    StreamContinuity continuity;
+    continuity.beginRun();
+    for (const StreamEvent &event : events) {
+        if (event.hasData) {
+            continuity.add(event.number);
+        }
+    }
+    return continuity.isComplete(StreamEnd{splitter.isBetweenEvents(), framed, false});
+}
+
+} // namespace
+
 TEST_CASE("Only whole events are returned, wherever the bytes are split")
 {
     const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
     for (std::size_t cut = 1; cut < stream.size(); ++cut) {
         EventSplitter splitter;
-        const std::string first = splitter.feed(stream.substr(0, cut));
-        CHECK((first.empty() || first.ends_with("\n\n")));
-        CHECK(first + splitter.feed(stream.substr(cut)) == stream);
-        CHECK(splitter.eventCount() == 3);
-        CHECK(splitter.lastId() == 3);
+        std::vector<StreamEvent> events = splitter.feed(stream.substr(0, cut));
+        CHECK((events.empty() || textOf(events).ends_with("\n\n")));
+        for (StreamEvent &event : splitter.feed(stream.substr(cut))) {
+            events.push_back(std::move(event));
+        }
+        CHECK(textOf(events) == stream);
+        REQUIRE(events.size() == 3);
+        for (std::size_t index = 0; index < events.size(); ++index) {
+            CHECK(events[index].hasData);
+            CHECK(events[index].number == index + 1);
+        }
     }
 }
 
 TEST_CASE("The number of an incomplete event does not count")
 {
     EventSplitter splitter;
-    CHECK(splitter.feed("id:7\r\ndata: a\r\n\r\nid:8\r\ndata: b\r\n") == "id:7\r\ndata: a\r\n\r\n");
-    CHECK(splitter.lastId() == 7);
+    const std::vector<StreamEvent> events = splitter.feed("id:7\r\ndata: a\r\n\r\nid:8\r\ndata: b\r\n");
+    CHECK(textOf(events) == "id:7\r\ndata: a\r\n\r\n");
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].number == 7);
     CHECK(splitter.takeRest() == "id:8\r\ndata: b\r\n");
     CHECK(splitter.takeRest().empty());
 }
 
-TEST_CASE("Events without data are returned but not counted, and those without a number set no last number")
+TEST_CASE("Events without data are returned without it, and those without a number have none")
 {
     EventSplitter splitter;
-    CHECK(splitter.feed(": comment\n\ndata: x\n\n") == ": comment\n\ndata: x\n\n");
-    CHECK(splitter.eventCount() == 1);
-    CHECK_FALSE(splitter.lastId());
+    const std::vector<StreamEvent> events = splitter.feed(": comment\n\ndata: x\n\nid: x7\ndata: y\n\nid: 7x\ndata: z\n\n");
+    CHECK(textOf(events) == ": comment\n\ndata: x\n\nid: x7\ndata: y\n\nid: 7x\ndata: z\n\n");
+    REQUIRE(events.size() == 4);
+    CHECK_FALSE(events[0].hasData);
+    CHECK(events[1].hasData);
+    for (const StreamEvent &event : events) {
+        CHECK_FALSE(event.number);
+    }
 }
 
 // Guards against short streams that reach their caller framed as complete: without length and chunks, a crash of the endpoint looks like the
@@ -39,15 +79,16 @@
 TEST_CASE("A stream that ends inside an event is not whole, however its answer is framed")
 {
     const std::string stream = ": comment\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
-    for (const bool endsWithConnection : {true, false}) {
+    for (const bool framed : {false, true}) {
         for (std::size_t size = 1; size <= stream.size(); ++size) {
             EventSplitter splitter;
-            splitter.feed(stream.substr(0, size));
+            const std::vector<StreamEvent> events = splitter.feed(stream.substr(0, size));
             const std::string rest = stream.substr(size - splitter.pendingSize(), splitter.pendingSize());
             const bool betweenEvents = rest.empty() || rest == ": comment\n";
-            const bool hasEvent = splitter.eventCount() > 0;
-            INFO("ends with connection: ", endsWithConnection, ", bytes: ", size);
-            CHECK(splitter.isWhole(endsWithConnection) == (betweenEvents && (hasEvent || !endsWithConnection)));
+            const bool hasEvent = std::ranges::any_of(events, &StreamEvent::hasData);
+            INFO("framed: ", framed, ", bytes: ", size);
+            const bool isDisproved = completeness(splitter, events, framed) == Evidence::Disproved;
+            CHECK(isDisproved == !(betweenEvents && (hasEvent || framed)));
         }
     }
 }
@@ -56,17 +97,18 @@
 TEST_CASE("A stream that ends with its connection before the first event is not whole")
 {
     EventSplitter splitter;
-    CHECK_FALSE(splitter.isWhole(true));
-    CHECK(splitter.isWhole(false));
-    splitter.feed("id: 1\ndata: a\n\n");
-    CHECK(splitter.isWhole(true));
+    CHECK(completeness(splitter, {}, false) == Evidence::Disproved);
+    CHECK(completeness(splitter, {}, true) == Evidence::Proved);
+    const std::vector<StreamEvent> events = splitter.feed("id: 1\ndata: a\n\n");
+    CHECK(completeness(splitter, events, true) == Evidence::Proved);
+    CHECK(completeness(splitter, events, false) == Evidence::Unknown);
 }
 
 TEST_CASE("Comments and blank lines behind the last event belong to a whole stream")
 {
     EventSplitter splitter;
     splitter.feed("id: 1\ndata: a\n\n: end\n\n\n:\n");
-    CHECK(splitter.isWhole(true));
+    CHECK(splitter.isBetweenEvents());
     splitter.feed(": cut");
-    CHECK_FALSE(splitter.isWhole(true));
+    CHECK_FALSE(splitter.isBetweenEvents());
 }
--- a/tests/unit/retryplantests.cpp
+++ b/tests/unit/retryplantests.cpp
@@ -122,3 +122,12 @@
     CHECK(ended.after(report("a", SendOutcome::Broken)) == NextStep::TrySame);
     CHECK(ended.after(SendReport{"a", SendOutcome::NotSent, true, false}) == NextStep::TryElsewhere);
 }
+
+// Guards against events that come twice: another run would begin at the last number that is known.
+TEST_CASE("A stream that broke off behind events without numbers is not sent again")
+{
+    RetryPlan plan(RouteKind::Stream, true, 3);
+    SendReport broken = report("a", SendOutcome::Broken);
+    broken.canContinue = false;
+    CHECK(plan.after(broken) == NextStep::FailUnknown);
+}
--- /dev/null
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -0,0 +1,151 @@
+#include "decision/streamcontinuity.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace oleandergate;
+
+namespace {
+
+constexpr StreamEnd endInOrder{true, false, false};
+constexpr StreamEnd framedEnd{true, true, false};
+
+//! Adds events with \p numbers; 0 for one without a number. Returns the position of the last one.
+EventPosition addAll(StreamContinuity &stream, const std::vector<std::uint64_t> &numbers)
+{
+    EventPosition position = EventPosition::Next;
+    for (const std::uint64_t number : numbers) {
+        position = stream.add(number == 0 ? std::nullopt : std::optional(number));
+    }
+    return position;
+}
+
+} // namespace
+
+TEST_CASE("A run goes on behind the last event that was passed on")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    CHECK(addAll(stream, {1, 2, 3}) == EventPosition::Next);
+    stream.beginRun();
+    CHECK(stream.lastNumber() == 3);
+    CHECK(stream.canContinue());
+    CHECK(addAll(stream, {4, 5}) == EventPosition::Next);
+    CHECK(stream.passedOn() == 5);
+    CHECK(stream.passedOnInRun() == 2);
+}
+
+// Guards against pieces that come twice: a run that begins anew, or an event that is written twice.
+TEST_CASE("An event whose number does not rise is not passed on")
+{
+    for (const std::uint64_t number : {1, 2, 3}) {
+        StreamContinuity stream;
+        stream.beginRun();
+        addAll(stream, {1, 2, 3});
+        CHECK(stream.add(number) == EventPosition::Repeated);
+        stream.beginRun();
+        CHECK(stream.add(number) == EventPosition::Repeated);
+        CHECK(stream.lastNumber() == 3);
+        CHECK(stream.add(4) == EventPosition::Next);
+    }
+}
+
+TEST_CASE("A stream that a caller takes up goes on behind the caller's last event")
+{
+    StreamContinuity stream(7, 0);
+    stream.beginRun();
+    CHECK(stream.lastNumber() == 7);
+    CHECK(stream.add(7) == EventPosition::Repeated);
+    CHECK(stream.add(std::nullopt) == EventPosition::Unplaced);
+    CHECK(stream.add(8) == EventPosition::Next);
+}
+
+// Guards against a missing piece, and against refusing streams whose numbers rise by more than one.
+TEST_CASE("A gap counts only where the numbers rose by one until then, and until a second run shows it too")
+{
+    StreamContinuity uneven;
+    uneven.beginRun();
+    CHECK(addAll(uneven, {10, 20, 25, 100}) == EventPosition::Next);
+    StreamContinuity stream;
+    stream.beginRun();
+    CHECK(addAll(stream, {1, 2, 3}) == EventPosition::Next);
+    CHECK(stream.add(5) == EventPosition::BehindGap);
+    stream.beginRun();
+    CHECK(stream.add(6) == EventPosition::BehindGap);
+    stream.beginRun();
+    CHECK(stream.add(6) == EventPosition::Next);
+    CHECK(stream.add(8) == EventPosition::Next);
+}
+
+// Guards against a stream that begins again because the position of its events without numbers is not known.
+TEST_CASE("Behind an event without a number no other run can go on")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    CHECK(addAll(stream, {0, 0}) == EventPosition::Next);
+    CHECK_FALSE(stream.canContinue());
+    CHECK(stream.isComplete(framedEnd) == Evidence::Proved);
+    StreamContinuity mixed;
+    mixed.beginRun();
+    CHECK(addAll(mixed, {1, 2, 0}) == EventPosition::Next);
+    CHECK_FALSE(mixed.canContinue());
+    CHECK(addAll(mixed, {4}) == EventPosition::Next);
+    CHECK(mixed.canContinue());
+}
+
+TEST_CASE("The end of a connection does not prove that a stream is complete, and an ended endpoint disproves it")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    CHECK(stream.isComplete(endInOrder) == Evidence::Disproved);
+    addAll(stream, {1, 2});
+    CHECK(stream.isComplete(StreamEnd{false, true, false}) == Evidence::Disproved);
+    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Disproved);
+    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    CHECK(stream.isComplete(framedEnd) == Evidence::Proved);
+}
+
+// Guards against refusing the whole streams of endpoints that never frame them.
+TEST_CASE("Two runs that end in order at the same event prove that the stream is complete")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    addAll(stream, {1, 2});
+    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    stream.beginRun();
+    addAll(stream, {3});
+    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    stream.beginRun();
+    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Disproved);
+    stream.beginRun();
+    CHECK(stream.isComplete(endInOrder) == Evidence::Proved);
+}
+
+// Guards against a stream that reaches its caller as complete because endpoints ended behind the heads of their answers.
+TEST_CASE("Runs without events prove nothing about a stream that broke off")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    addAll(stream, {1, 2});
+    CHECK(stream.isComplete(StreamEnd{false, false, false}) == Evidence::Disproved);
+    for (int run = 0; run < 3; ++run) {
+        stream.beginRun();
+        CHECK(stream.isComplete(endInOrder) == Evidence::Disproved);
+    }
+    StreamContinuity takenUp(2, 0);
+    takenUp.beginRun();
+    CHECK(takenUp.isComplete(endInOrder) == Evidence::Disproved);
+}
+
+TEST_CASE("A stream with all the tokens that it may have is complete however it ends between events")
+{
+    StreamContinuity stream(std::nullopt, 3);
+    stream.beginRun();
+    addAll(stream, {1, 2});
+    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    stream.beginRun();
+    addAll(stream, {3});
+    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Proved);
+    CHECK(stream.isComplete(StreamEnd{false, false, true}) == Evidence::Disproved);
+}
