The end of a connection does not prove that a stream is complete

What callers saw: the first events of their stream, ended as complete. Cause: an answer with neither length nor chunks ends with its connection, and the kernel closes the connections of an ended process in order; a stream whose connection ended behind an event was always delivered as whole. Change: behind such an end the gateway looks whether the endpoint still listens. If not, the stream was cut: it goes on elsewhere or is broken off. If it does, and all tokens that the request may have did not come, nothing is proved: a resumable stream is asked for once more behind its last event, and is complete when that run ends with a length or chunks, or adds nothing and ends in order too. Runs without events prove nothing about a stream that broke off. A stream that may not be resumed, or whose events have no numbers, is delivered as before: callers of endpoints that never frame theirs have to be served.

"Answers with neither length nor chunks are forwarded whole" counted 2 received requests; it is 3 now, and the added one is checked to ask for what follows the last event: the count was right for a gateway that believed the end of a connection.

--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -57,6 +57,8 @@
             return NextStep::TryElsewhere;
         }
         return NextStep::Deliver;
+    case SendOutcome::Unconfirmed:
+        return this->afterUnconfirmed(report);
     case SendOutcome::Broken:
         break;
     }
@@ -98,4 +100,19 @@
     return NextStep::TrySame;
 }
 
+NextStep RetryPlan::afterUnconfirmed(const SendReport &report)
+{
+    this->possiblyExecuted = true;
+    if (!this->repeatable() || !report.canContinue) {
+        // Nothing can tell, and callers of endpoints that never frame their streams have to be served.
+        return NextStep::Deliver;
+    }
+    if (this->repeats >= maxRepeats) {
+        return NextStep::FailUnknown;
+    }
+    this->repeats += 1;
+    this->possiblyExecutedAt.insert(report.endpoint);
+    return this->possiblyExecutedAt.size() < this->maxAttempts ? NextStep::TryElsewhere : NextStep::TrySame;
+}
+
 } // namespace oleandergate
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -13,16 +13,18 @@
     NotSent, //!< No byte reached the endpoint.
     Refused, //!< The endpoint stated that it did not run the request.
     Answered, //!< A complete answer arrived.
+    Unconfirmed, //!< A stream ended in order behind an event, which does not prove that it is complete.
     Broken, //!< The request was sent, but no complete answer arrived.
     TimedOut, //!< The request's deadline passed.
     CallerLeft, //!< The caller closed the connection.
     CutOff //!< This instance ended the send because it shuts down.
 };
 
-inline constexpr std::array<NamedValue<SendOutcome>, 7> sendOutcomeNames{{
+inline constexpr std::array<NamedValue<SendOutcome>, 8> sendOutcomeNames{{
     {SendOutcome::NotSent, "not-sent"},
     {SendOutcome::Refused, "refused"},
     {SendOutcome::Answered, "answered"},
+    {SendOutcome::Unconfirmed, "unconfirmed"},
     {SendOutcome::Broken, "broken"},
     {SendOutcome::TimedOut, "timed-out"},
     {SendOutcome::CallerLeft, "caller-left"},
@@ -83,6 +85,7 @@
 
 private:
     NextStep afterBroken(const SendReport &report);
+    NextStep afterUnconfirmed(const SendReport &report);
     NextStep afterNotRun(const SendReport &report);
 
     RouteKind kind;
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -18,6 +18,9 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
+//! Longest time that a stream waits at its end to learn whether the endpoint still listens.
+constexpr Duration probeTimeout = std::chrono::milliseconds(100);
+
 //! Limits of what is held of an answer that is no stream, and of one event of a stream: endpoints in trouble send bytes without end,
 //! and the smallest instances have 88 MB.
 constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
@@ -158,22 +161,35 @@
     co_return delivered &&this->rejection.empty();
 }
 
-asio::awaitable<void> EndpointSend::endStream(const HttpResponse &answer, SendResult &result)
+asio::awaitable<void> EndpointSend::endStream(const HttpResponse &answer, const std::string &address, SendResult &result)
 {
     StreamEnd end;
     end.betweenEvents = this->splitter.isBetweenEvents();
     end.framed = !answer.endsWithConnection;
+    if (end.betweenEvents && !end.framed) {
+        // The connections of a process that ends are closed in order.
+        result.listening = co_await this->parts.client.probe(address, probeTimeout);
+        result.report.endpointGone = result.listening == Listening::No;
+        end.endpointEnded = result.report.endpointGone;
+    }
     result.run.complete = this->parts.progress.continuity.isComplete(end);
     if (result.run.complete == Evidence::Disproved) {
         result.report.outcome = SendOutcome::Broken;
-        result.detail = "the stream ended inside an event or before its first one";
+        result.detail
+            = end.endpointEnded ? "the connection ended behind an event, and so did the endpoint" : "the stream ended inside an event or before its first one";
         co_return;
     }
     result.report.outcome = SendOutcome::Answered;
+    if (result.run.complete == Evidence::Unknown) {
+        result.report.outcome = SendOutcome::Unconfirmed;
+        result.detail = "the connection ended behind an event, which does not prove that the stream is complete";
+    }
     // Bytes after the last event, such as a comment, are part of the answer.
     std::string rest = this->splitter.takeRest();
-    const bool delivered = co_await this->deliver(answer, std::move(rest));
-    result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
+    if (result.run.complete == Evidence::Proved || !rest.empty()) {
+        const bool delivered = co_await this->deliver(answer, std::move(rest));
+        result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
+    }
     result.streamed = result.report.outcome != SendOutcome::CallerLeft;
 }
 
@@ -264,7 +280,7 @@
     result.endedWithConnection = outcome.value().endsWithConnection;
     result.unfinishedBytes = this->splitter.pendingSize();
     if (this->isForwardableStream(outcome.value())) {
-        co_await this->endStream(outcome.value(), result);
+        co_await this->endStream(outcome.value(), endpoint.address, result);
         co_return result;
     }
     result.report.outcome = this->classifyAnswer(outcome.value(), result.detail);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -83,7 +83,7 @@
     boost::asio::awaitable<bool> forwardEvents(const HttpResponse &head, const std::string &chunk);
 
     //! Decides about a stream whose answer has ended in order.
-    boost::asio::awaitable<void> endStream(const HttpResponse &answer, SendResult &result);
+    boost::asio::awaitable<void> endStream(const HttpResponse &answer, const std::string &address, SendResult &result);
 
     //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -330,8 +330,8 @@
         context.streamVersion = endpoint.version;
     }
     const SendOutcome outcome = result.report.outcome;
-    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft
-        || outcome == SendOutcome::CutOff || result.connectionLost;
+    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Unconfirmed || outcome == SendOutcome::Refused
+        || outcome == SendOutcome::CallerLeft || outcome == SendOutcome::CutOff || result.connectionLost;
     context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -143,14 +143,17 @@
 TEST_CASE("Answers with neither length nor chunks are forwarded whole")
 {
     ServingCluster cluster(1);
-    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed, Behaviour::Unframed});
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed, Behaviour::Unframed, Behaviour::Unframed});
     const std::optional<HttpResponse> stream = cluster.turn(0, "p", 1000);
     REQUIRE(stream);
     CHECK(stream->body == wholeStream());
     const std::optional<HttpResponse> answer = cluster.call(0, "GET", "/reads/x");
     REQUIRE(answer);
     CHECK(answer->body == "right");
-    CHECK(cluster.endpoints[0]->receivedCount() == 2);
+    // The end of a connection does not prove that a stream is complete: the endpoint is asked for what follows the last event, once.
+    const std::vector<ReceivedRequest> received = cluster.endpoints[0]->received();
+    REQUIRE(received.size() == 3);
+    CHECK(received[1].request.header("Last-Event-Id") == std::to_string(StandinEndpoint::eventCount));
 }
 
 // Guards against chunks that precede the head of their response.
--- a/tests/unit/retryplantests.cpp
+++ b/tests/unit/retryplantests.cpp
@@ -123,6 +123,23 @@
     CHECK(ended.after(SendReport{"a", SendOutcome::NotSent, true, false}) == NextStep::TryElsewhere);
 }
 
+// Guards against delivering a cut stream as complete where another run can tell, and against refusing one where none can.
+TEST_CASE("A stream whose end proves nothing is asked for again if it may be, and delivered otherwise")
+{
+    RetryPlan resumable(RouteKind::Stream, true, 2);
+    CHECK(resumable.after(report("a", SendOutcome::Unconfirmed)) == NextStep::TryElsewhere);
+    CHECK(resumable.avoided().empty());
+    CHECK(resumable.after(report("b", SendOutcome::Unconfirmed)) == NextStep::TrySame);
+    CHECK(resumable.after(report("b", SendOutcome::Unconfirmed)) == NextStep::TrySame);
+    CHECK(resumable.after(report("b", SendOutcome::Unconfirmed)) == NextStep::FailUnknown);
+    RetryPlan single(RouteKind::Stream, false, 2);
+    CHECK(single.after(report("a", SendOutcome::Unconfirmed)) == NextStep::Deliver);
+    RetryPlan unplaced(RouteKind::Stream, true, 2);
+    SendReport behindUnnumbered = report("a", SendOutcome::Unconfirmed);
+    behindUnnumbered.canContinue = false;
+    CHECK(unplaced.after(behindUnnumbered) == NextStep::Deliver);
+}
+
 // Guards against events that come twice: another run would begin at the last number that is known.
 TEST_CASE("A stream that broke off behind events without numbers is not sent again")
 {
