What a process holds for others is bounded, all together

What callers saw, as other operators reported it: a faulty endpoint sent bytes without end, the instance that had called it ran out of memory and ended, and the requests of all its callers with it. Each answer was bounded (8 MB, an event 1 MB, a body as the configuration says), all together were not. Requests that arrive are refused as not run, with a time to come back; an endpoint's answer counts as broken; a request that is being served is never ended; an answer that its caller does not read is given up when others need the room. Metrics oleandergate_held_bytes, _peak, _limit and oleandergate_ended_for_memory_total; a log line of "memory" for each end.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -68,7 +68,7 @@
     out.method = this->call.method;
     out.target = this->call.target;
     out.headers = this->parts.headerCodec.encode(this->call, options);
-    out.body = this->call.body;
+    out.bodyInPlace = this->call.body;
     out.connectTimeout = connectTimeout;
     out.idleTimeout = deadline - now;
     out.deadline = deadline;
@@ -247,6 +247,15 @@
     return result;
 }
 
+asio::awaitable<bool> EndpointSend::holdAnswer(std::size_t bytes, Time deadline)
+{
+    const bool granted = co_await this->parts.held.hold(bytes + this->collected.capacity() + this->splitter.pendingSize(), deadline);
+    if (!granted && this->rejection.empty()) {
+        this->rejection = "the instance has no room for the rest of the answer";
+    }
+    co_return granted;
+}
+
 asio::awaitable<SendResult> EndpointSend::run(EndpointSpec endpoint, int priority, Time deadline, Time now)
 {
     this->parts.progress.continuity.beginRun();
@@ -259,8 +268,19 @@
         if (isOwn && head.status != statusMisdirected) {
             this->parts.onAnswerHead(metadata);
         }
+        this->hasLength = !head.header("Content-Length").empty();
+        this->parts.held.describe(HeldFor::Answer, this->hasLength);
         return isOwn;
     };
+    this->parts.held.release();
+    this->parts.held.describe(HeldFor::Answer, false);
+    out.abort = std::make_shared<Cancellation>();
+    this->parts.held.setEnding([abort = out.abort]() {
+        abort->cancel();
+    });
+    out.mayHold = [this, deadline](std::size_t bytes) {
+        return this->holdAnswer(bytes, deadline);
+    };
     out.onConnection = [this](const ConnectionPath &path, bool wasUsed) {
         this->streamRun.onUsedConnection = wasUsed;
         this->parts.onConnection(path);
@@ -272,6 +292,8 @@
     if (!outcome) {
         SendResult failed = this->resultOfFailure(endpoint, outcome.error(), deadline, currentTime());
         failed.run = this->streamRun;
+        failed.endedForMemory = this->hasLength && this->parts.held.wasEnded();
+        this->parts.held.release();
         co_return failed;
     }
     SendResult result;
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -8,6 +8,7 @@
 #include "gateway/interfaces/headercodec.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
+#include "runtime/memorybudget.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -46,6 +47,7 @@
     bool endedWithConnection = false; //!< The answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes of a stream behind its last whole event.
     StreamRun run{};
+    bool endedForMemory = false; //!< An answer of a stated length found no room in this instance; says nothing about the endpoint.
     bool connectionLost = false; //!< The way to the endpoint was cut off; says nothing about the endpoint.
     std::string detail{};
     Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a send that broke or may have.
@@ -61,6 +63,7 @@
         const HeaderCodec &headerCodec;
         HttpExchange &exchange;
         StreamProgress &progress;
+        HeldMemory &held; //!< Counts what is held of the answer; goes on counting it when run() has returned.
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
         std::function<void(const ConnectionPath &path)> onConnection{}; //!< Called with the way of the connection that the request is sent on.
@@ -93,6 +96,9 @@
 
     //! Sends the caller \p events, behind the head of the response if that has not been sent yet. Returns false when the caller has disconnected.
     boost::asio::awaitable<bool> deliver(const HttpResponse &head, std::string events);
+
+    //! Waits until there is room for what is held of the answer. Returns false when it is to be given up.
+    boost::asio::awaitable<bool> holdAnswer(std::size_t bytes, Time deadline);
     SendOutcome classifyAnswer(const HttpResponse &answer, std::string &detail) const;
     SendResult resultOfFailure(const EndpointSpec &endpoint, const HttpFailure &failure, Time deadline, Time now) const;
 
@@ -105,6 +111,7 @@
     std::string collected;
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     StreamRun streamRun;
+    bool hasLength = false; //!< The head of the answer states its length.
 };
 
 } // namespace oleandergate
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,7 @@
 #include "runtime/httpclient.h"
 #include "runtime/httpserver.h"
 #include "runtime/log.h"
+#include "runtime/memorybudget.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/peerserver.h"
@@ -115,6 +116,7 @@
         : settings(given)
         , self(makeSelfRecord(settings))
         , auth(settings.peerKey)
+        , memory(settings.memoryBytes, metrics)
         , paths(auth,
                 metrics,
                 self,
@@ -200,7 +202,7 @@
               },
               &tunnels)
         , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, metrics}, self.id)
-        , relay(Relay::Parts{configurationHolder, drain, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, versions, metrics})
+        , relay(Relay::Parts{configurationHolder, drain, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, versions, memory, metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -219,6 +221,7 @@
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
     {
+        this->callerServer.boundMemory(this->memory);
     }
 
     PeerGossip::OwnState ownState() const
@@ -276,6 +279,7 @@
             this->metrics.setGauge("oleandergate_running", static_cast<double>(this->pools.runningCount()));
             this->metrics.setGauge("oleandergate_connections_opened_total", static_cast<double>(this->endpointClient.openedCount()));
             this->metrics.setGauge("oleandergate_log_records_dropped_total", static_cast<double>(droppedLogRecords()));
+            this->memory.exportGauges();
             HttpResponse response = makeResponse(200, "text/plain", this->metrics.render());
             co_await exchange.respond(std::move(response));
             co_return;
@@ -517,6 +521,7 @@
     LatencyHistogram &otherDomainReportAge = metrics.histogram("oleandergate_other_domain_report_age_seconds");
     InstanceRecord self;
     MessageAuth auth;
+    MemoryBudget memory;
     EndpointPaths paths;
     TunnelServer tunnels;
     HttpClient controlClient;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -23,6 +23,7 @@
     Duration drainLimit = std::chrono::seconds(8); //!< Longest duration of a graceful shutdown.
     Duration balancerLag = std::chrono::seconds(3); //!< How long the load balancer still opens connections after a shutdown begins.
     Duration reregistrationTimeout = std::chrono::milliseconds(2500); //!< Longest time that live endpoints need to register again after an outage.
+    std::size_t memoryBytes = 256UL * 1024 * 1024; //!< That the process may use.
     Duration programRetention = std::chrono::seconds(60); //!< How long a program may be idle before it is forgotten.
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -95,7 +95,7 @@
 
 asio::awaitable<void> Relay::handle(HttpRequest request, HttpExchange &exchange)
 {
-    RelayRequest context(exchange, currentTime());
+    RelayRequest context(exchange, this->parts.memory, currentTime());
     const RequestDrain::Registration registration(this->parts.drain, context);
     exchange.onCallerDisconnected([cancellation = context.cancellation]() {
         cancellation->cancel(CancelReason::CallerLeft);
@@ -298,7 +298,8 @@
         return context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime()) && beginRun(context);
     };
     EndpointSend send(
-        EndpointSend::Parts{this->parts.client, this->parts.headerCodec, context.exchange, context.progress, onAnswerHead, onEvents, onConnection, maySend},
+        EndpointSend::Parts{
+            this->parts.client, this->parts.headerCodec, context.exchange, context.progress, context.held, onAnswerHead, onEvents, onConnection, maySend},
         context.call,
         context.route->kind,
         context.retries->repeatable(),
@@ -331,7 +332,7 @@
     }
     const SendOutcome outcome = result.report.outcome;
     const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Unconfirmed || outcome == SendOutcome::Refused
-        || outcome == SendOutcome::CallerLeft || outcome == SendOutcome::CutOff || result.connectionLost;
+        || outcome == SendOutcome::CallerLeft || outcome == SendOutcome::CutOff || result.connectionLost || result.endedForMemory;
     context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
@@ -389,6 +390,10 @@
         context.answer->contentType.clear();
         context.status = context.answer->status;
         context.outcome = answeredOutcome;
+        context.held.describe(HeldFor::UnsentAnswer, true);
+        context.held.setEnding([&exchange = context.exchange]() {
+            exchange.abandon();
+        });
         co_await context.exchange.respond(std::move(*context.answer));
         co_return;
     case NextStep::RefuseNotRun:
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -21,6 +21,8 @@
 
 namespace oleandergate {
 
+class MemoryBudget;
+
 class Counter;
 class LatencyHistogram;
 class Metrics;
@@ -41,6 +43,7 @@
         RateLimiter &limiter;
         LeavingEndpoints &leaving;
         StreamVersions &versions;
+        MemoryBudget &memory;
         Metrics &metrics;
     };
 
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -19,13 +19,15 @@
 //! State of one caller's request while the relay handles it.
 struct RelayRequest
 {
-    RelayRequest(HttpExchange &given, Time now)
+    RelayRequest(HttpExchange &given, MemoryBudget &memory, Time now)
         : exchange(given)
+        , held(&memory, HeldFor::Answer)
         , arrived(now)
     {
     }
 
     HttpExchange &exchange;
+    HeldMemory held; //!< What is held of the latest answer.
     Time arrived;
     Time deadline{};
     RelayCall call{};
--- a/src/runtime/beastexchange.cpp
+++ b/src/runtime/beastexchange.cpp
@@ -111,6 +111,11 @@
     this->responseOptional = true;
 }
 
+void BeastExchange::abandon()
+{
+    this->stream.close();
+}
+
 void BeastExchange::onCallerDisconnected(std::function<void()> onDisconnected)
 {
     this->watcher->setHook(std::move(onDisconnected));
--- a/src/runtime/beastexchange.h
+++ b/src/runtime/beastexchange.h
@@ -48,6 +48,7 @@
     boost::asio::awaitable<bool> sendChunk(std::string chunk) override;
     boost::asio::awaitable<bool> endStream() override;
     void closeAfterResponse() override;
+    void abandon() override;
     void onCallerDisconnected(std::function<void()> onDisconnected) override;
     bool isCallerDisconnected() const override;
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -201,9 +201,10 @@
     return response;
 }
 
-http::request<http::string_body> toMessage(const HttpCall &call)
+//! Returns the request of \p call, whose body it refers to.
+http::request<http::span_body<const char>> toMessage(const HttpCall &call)
 {
-    http::request<http::string_body> message;
+    http::request<http::span_body<const char>> message;
     message.version(11);
     message.method_string(call.method);
     message.target(call.target);
@@ -216,7 +217,8 @@
         }
     }
     message.keep_alive(true);
-    message.body() = call.body;
+    const std::string_view body = call.body.empty() ? call.bodyInPlace : std::string_view(call.body);
+    message.body() = beast::span<const char>(body.data(), body.size());
     message.prepare_payload();
     return message;
 }
@@ -353,6 +355,8 @@
                 stopped.responseStarted = true;
                 co_return stopped;
             }
+        } else if (headReceived) {
+            parser.get().body().clear();
         }
         if (error && error != http::error::need_buffer) {
             const ErrorCode code = error == http::error::body_limit ? ErrorCode::EndpointGarbled : codeOf(error);
@@ -363,6 +367,14 @@
             }
             co_return result;
         }
+        if (call.mayHold && !parser.is_done()) {
+            const bool granted = co_await call.mayHold(connection->buffer.capacity() + parser.get().body().capacity());
+            if (!granted) {
+                HttpFailure ended = failure(ErrorCode::EndpointGarbled, step, call, false, "there is no room for the rest of the response");
+                ended.responseStarted = headReceived && accepted;
+                co_return ended;
+            }
+        }
     }
     co_return toResponse(parser.get());
 }
@@ -413,7 +425,7 @@
     if (call.cancellation && call.cancellation->isCancelled()) {
         co_return failure(ErrorCode::Cancelled, step, call, true, "the request was cancelled before it was sent");
     }
-    const http::request<http::string_body> message = toMessage(call);
+    const http::request<http::span_body<const char>> message = toMessage(call);
     if (call.maySend && !call.maySend()) {
         co_return failure(ErrorCode::Cancelled, step, call, true, "the request was withdrawn before it was sent");
     }
@@ -439,14 +451,19 @@
 asio::awaitable<std::optional<HttpOutcome>>
 exchangeCancellable(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    if (call.cancellation) {
-        call.cancellation->setHook([connection]() {
-            asio::post(connection->executor, [connection]() {
-                connection->close();
+    for (const std::shared_ptr<Cancellation> &cancellation : {call.cancellation, call.abort}) {
+        if (cancellation) {
+            cancellation->setHook([connection]() {
+                asio::post(connection->executor, [connection]() {
+                    connection->close();
+                });
             });
-        });
+        }
     }
     HttpOutcome outcome = co_await exchange(core, connection, call, step);
+    if (call.abort) {
+        call.abort->setHook({});
+    }
     if (call.cancellation) {
         call.cancellation->setHook({});
         if (!outcome && call.cancellation->isCancelled()) {
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -29,6 +29,7 @@
     std::string target = "/";
     std::vector<HttpHeader> headers{};
     std::string body{};
+    std::string_view bodyInPlace{}; //!< Sent instead of the body if that is empty; has to stay valid until the call has ended.
     Duration connectTimeout = std::chrono::seconds(1);
     Duration idleTimeout = std::chrono::seconds(10); //!< Longest time to send the request, and longest silence while the response arrives.
     std::size_t maxBodyBytes = 64 * 1024 * 1024; //!< Largest response body, in bytes.
@@ -46,7 +47,10 @@
         forwardChunk{}; //!< Consumes the body chunk by chunk instead of collecting it; returning false stops the call.
     std::function<void(const ConnectionPath &path, bool wasUsed)>
         onConnection{}; //!< Called with the way of the connection that the request is sent on, and whether that carried requests before.
+    std::function<boost::asio::awaitable<bool>(std::size_t bytes)>
+        mayHold{}; //!< Called with the number of bytes that the connection and the response hold, before more is read. Returning false stops the call.
     std::shared_ptr<Cancellation> cancellation{};
+    std::shared_ptr<Cancellation> abort{}; //!< Breaks this call's connection, as its peer might.
 };
 
 //! Why there is no complete response.
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/beastexchange.h"
 #include "runtime/clock.h"
+#include "runtime/memorybudget.h"
 #include "runtime/unparsedbytes.h"
 
 #include <boost/asio.hpp>
@@ -24,7 +25,10 @@
 constexpr std::chrono::milliseconds lingerSilence{500};
 constexpr std::chrono::milliseconds lingerLimit{5000};
 
+constexpr std::size_t minReadBytes = 512;
+
 constexpr int serviceUnavailable = 503;
+constexpr const char *memoryDetail = "the instance holds too much for other requests";
 constexpr const char *shutdownDetail = "the instance shuts down before the request has arrived";
 
 HttpRequest toRequestHead(const http::request<http::string_body> &message, const std::string &peer)
@@ -218,16 +222,85 @@
     co_return !error && size > 0;
 }
 
-asio::awaitable<beast::error_code> HttpConnection::readRequest(Parser &parser, Duration timeout)
+asio::awaitable<void> HttpConnection::holdRequest(const Parser &parser, HeldMemory &held, Time giveUpAt)
+{
+    if (parser.is_done()) {
+        co_return;
+    }
+    if (parser.is_header_done()) {
+        held.describe(HeldFor::Arriving, !parser.chunked());
+    }
+    const bool granted = co_await held.hold(this->buffer.capacity() + parser.get().body().size(), giveUpAt);
+    if (!granted && !this->refusal) {
+        this->refusal = this->core->formatError(serviceUnavailable, memoryDetail);
+    }
+}
+
+void HttpConnection::endForMemory()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        if (self->phase == ConnectionPhase::Receiving) {
+            if (!self->refusal) {
+                self->refusal = self->core->formatError(serviceUnavailable, memoryDetail);
+            }
+            self->stream.cancel();
+        }
+    });
+}
+
+asio::awaitable<beast::error_code> HttpConnection::readHead(Parser &parser, HeldMemory &held, Duration timeout)
+{
+    const Time giveUpAt = currentTime() + timeout;
+    while (true) {
+        beast::error_code error;
+        this->buffer.consume(parser.put(this->buffer.data(), error));
+        if (parser.is_header_done()) {
+            co_return beast::error_code();
+        }
+        if (error && error != http::error::need_more) {
+            co_return error;
+        }
+        co_await this->holdRequest(parser, held, giveUpAt);
+        if (this->refusal) {
+            co_return beast::error_code();
+        }
+        const std::size_t wanted = std::max(minReadBytes, this->buffer.capacity() - this->buffer.size());
+        const std::size_t room = std::min(wanted, this->buffer.max_size() - this->buffer.size());
+        const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
+        this->buffer.commit(size);
+        if (readError == asio::error::eof) {
+            co_return parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+        }
+        if (readError) {
+            co_return readError;
+        }
+    }
+}
+
+asio::awaitable<beast::error_code> HttpConnection::readBody(Parser &parser, HeldMemory &held, Duration timeout)
 {
+    const Time giveUpAt = currentTime() + timeout;
     this->stream.expires_after(timeout);
-    const auto [headError, headSize] = co_await http::async_read_header(this->stream, this->buffer, parser, useResult);
+    while (!parser.is_done() && !this->refusal) {
+        const auto [error, size] = co_await http::async_read_some(this->stream, this->buffer, parser, useResult);
+        if (error) {
+            co_return error;
+        }
+        co_await this->holdRequest(parser, held, giveUpAt);
+    }
+    co_return beast::error_code();
+}
+
+asio::awaitable<beast::error_code> HttpConnection::readRequest(Parser &parser, HeldMemory &held, Duration timeout)
+{
+    this->stream.expires_after(timeout);
+    const beast::error_code headError = co_await this->readHead(parser, held, timeout);
     if (headError || parser.is_done() || this->refusal) {
         co_return headError;
     }
     // A request of which all has arrived is refused later, when it is to be handled: refusing it here would end the connection under requests that lie behind
     // it.
-    const beast::error_code bodyError = co_await this->readArrived(parser);
+    const beast::error_code bodyError = co_await this->readArrived(parser, held, currentTime() + timeout);
     if (bodyError || parser.is_done() || this->refusal) {
         co_return bodyError;
     }
@@ -246,12 +319,10 @@
             co_return beast::error_code();
         }
     }
-    this->stream.expires_after(timeout);
-    const auto [error, size] = co_await http::async_read(this->stream, this->buffer, parser, useResult);
-    co_return error;
+    co_return co_await this->readBody(parser, held, timeout);
 }
 
-asio::awaitable<beast::error_code> HttpConnection::readArrived(Parser &parser)
+asio::awaitable<beast::error_code> HttpConnection::readArrived(Parser &parser, HeldMemory &held, Time giveUpAt)
 {
     parser.eager(true);
     while (true) {
@@ -260,6 +331,10 @@
         if (parser.is_done() || (error && error != http::error::need_more)) {
             co_return parser.is_done() ? beast::error_code() : error;
         }
+        co_await this->holdRequest(parser, held, giveUpAt);
+        if (this->refusal) {
+            co_return beast::error_code();
+        }
         beast::error_code ignored;
         const std::size_t arrived = std::min(this->stream.socket().available(ignored), this->buffer.max_size() - this->buffer.size());
         if (arrived == 0) {
@@ -279,7 +354,13 @@
     Parser parser;
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-    const beast::error_code error = co_await this->readRequest(parser, limits.receiveTimeout);
+    HeldMemory held(this->core->memory, HeldFor::Arriving);
+    held.setEnding([connection = this->weak_from_this()]() {
+        if (const std::shared_ptr<HttpConnection> self = connection.lock()) {
+            self->endForMemory();
+        }
+    });
+    const beast::error_code error = co_await this->readRequest(parser, held, limits.receiveTimeout);
     const bool isRefused = this->refusal && !parser.is_done() && (!error || error == asio::error::operation_aborted);
     if (error || isRefused) {
         const int status = isRefused ? 0 : statusOfReadError(error);
@@ -290,6 +371,7 @@
         co_return false;
     }
     this->refusal.reset();
+    held.describe(HeldFor::Request, true);
     if (hasAmbiguousFraming(parser.get())) {
         HttpResponse response
             = this->core->formatError(400, "ambiguous request framing: repeated or contradictory Host, Content-Length or Transfer-Encoding header fields");
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -20,7 +20,9 @@
 
 class BeastExchange;
 class DisconnectWatcher;
+class HeldMemory;
 class HttpConnection;
+class MemoryBudget;
 
 //! State that a server shares with its connections.
 struct HttpServer::Core
@@ -30,6 +32,7 @@
     HttpHandler handler;
     HttpErrorFormatter formatError;
     HttpAdmission admission;
+    MemoryBudget *memory = nullptr;
     std::mutex mutex{};
     std::optional<boost::asio::ip::tcp::acceptor> acceptor{};
     std::atomic<bool> accepting{false}; //!< New connections are taken, or those that wait to be accepted are not all taken yet.
@@ -86,10 +89,18 @@
 
     //! Reads a request and answers it. Returns whether the connection serves another one.
     boost::asio::awaitable<bool> serveRequest(HttpLimits limits);
-    boost::asio::awaitable<boost::beast::error_code> readRequest(Parser &parser, Duration timeout);
+    boost::asio::awaitable<boost::beast::error_code> readRequest(Parser &parser, HeldMemory &held, Duration timeout);
+    boost::asio::awaitable<boost::beast::error_code> readHead(Parser &parser, HeldMemory &held, Duration timeout);
 
     //! Reads as much of the request's body as has arrived.
-    boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser);
+    boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser, HeldMemory &held, Time giveUpAt);
+    boost::asio::awaitable<boost::beast::error_code> readBody(Parser &parser, HeldMemory &held, Duration timeout);
+
+    //! Counts what the request holds, and refuses it when there is no room for it until \p giveUpAt.
+    boost::asio::awaitable<void> holdRequest(const Parser &parser, HeldMemory &held, Time giveUpAt);
+
+    //! Refuses the request that is arriving, whatever else of it arrives.
+    void endForMemory();
     boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
 
     //! Sends \p response, after which the connection closes.
--- a/src/runtime/httpexchange.h
+++ b/src/runtime/httpexchange.h
@@ -32,6 +32,9 @@
     //! request without a response gets none.
     virtual void closeAfterResponse() = 0;
 
+    //! Closes the connection now, whatever is being sent. To be called on the thread that serves the connection.
+    virtual void abandon() = 0;
+
     //! Calls \p onDisconnected once if the caller closes the connection before the response has ended.
     virtual void onCallerDisconnected(std::function<void()> onDisconnected) = 0;
 
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -89,6 +89,11 @@
     this->stop();
 }
 
+void HttpServer::boundMemory(MemoryBudget &memory)
+{
+    this->core->memory = &memory;
+}
+
 Result<void> HttpServer::start(const std::string &address)
 {
     const auto failed = [&address](const std::string &detail) {
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -16,6 +16,8 @@
 
 namespace oleandergate {
 
+class MemoryBudget;
+
 //! Limits on requests and connections.
 struct HttpLimits
 {
@@ -54,6 +56,9 @@
     //! Continues to accept requests, but closes each connection after its next response, unless another request has arrived behind that one.
     void disableKeepAlive();
 
+    //! Counts what requests hold in \p memory, which has to outlive this object. To be called before start().
+    void boundMemory(MemoryBudget &memory);
+
     //! Binds \p address, an IP address and a port, and starts accepting connections.
     Result<void> start(const std::string &address);
 
--- a/src/runtime/metrics.cpp
+++ b/src/runtime/metrics.cpp
@@ -31,12 +31,12 @@
     this->counter(name, labels).add();
 }
 
-void Metrics::setGauge(const std::string &name, double value)
+void Metrics::setGauge(const std::string &name, double value, const std::string &labels)
 {
     const std::lock_guard lock(this->mutex);
     Series &entry = this->series[name];
     entry.type = "gauge";
-    entry.values[""].set(value);
+    entry.values[labels].set(value);
 }
 
 std::string Metrics::render() const
--- a/src/runtime/metrics.h
+++ b/src/runtime/metrics.h
@@ -27,7 +27,8 @@
     //! Looks a counter up and adds one to it.
     void count(const std::string &name, const std::string &labels = "");
 
-    void setGauge(const std::string &name, double value);
+    //! \p labels is as in counter().
+    void setGauge(const std::string &name, double value, const std::string &labels = "");
 
     //! Returns all values in the Prometheus text format.
     std::string render() const;
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -72,7 +72,8 @@
     std::ofstream out(this->file(index, ".toml"));
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
-        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Platform]\nAddress = \"" << own.store << "\"\n";
+        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Limits]\nMemoryMb = " << memoryMegabytes << "\n[Platform]\nAddress = \"" << own.store
+        << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -71,6 +71,7 @@
     bool logHas(std::size_t gateway, const std::string &text, int limitMs = logTimeoutMs) const;
 
     static constexpr int logTimeoutMs = 20000;
+    static constexpr int memoryMegabytes = 110; //!< That each gateway's process may use.
     static constexpr const char *defaultLimits = R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":15000})";
 
     StandinStore store{};
