--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -23,7 +23,8 @@
 
 bool StreamContinuity::isBehindGap(std::uint64_t number) const
 {
-    return this->risesByOne && this->unnumbered == 0 && this->unitSteps >= minUnitSteps && number != *this->last + 1;
+    const bool isJoin = this->goesOn && this->runTotal == 0;
+    return this->risesByOne && this->unnumbered == 0 && (isJoin || this->unitSteps >= minUnitSteps) && number != *this->last + 1;
 }
 
 EventPosition StreamContinuity::add(std::optional<std::uint64_t> number)
@@ -54,11 +55,12 @@
     }
     this->total += 1;
     this->runTotal += 1;
+    this->afterGap.reset();
     this->unprovenEnd = false;
     return EventPosition::Next;
 }
 
-Evidence StreamContinuity::isComplete(const StreamEnd &end)
+Evidence StreamContinuity::endRun(const StreamEnd &end)
 {
     if (!end.betweenEvents) {
         return Evidence::Disproved;
@@ -78,6 +80,11 @@
     return Evidence::Unknown;
 }
 
+bool StreamContinuity::endsUnproven() const
+{
+    return this->unprovenEnd;
+}
+
 bool StreamContinuity::canContinue() const
 {
     return this->unnumbered == 0;
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -47,8 +47,8 @@
 
 //! Decides which events belong to a caller's stream, over all runs that contribute to it, and whether it is complete.
 //!
-//! The numbers of events rise. That they rise by one is not promised, so a gap counts only in a stream whose numbers did until then, and not any more once a
-//! second run has shown the same gap.
+//! The numbers of events rise. That they rise by one is not promised, so a gap counts only where a run goes on behind another one, or behind numbers that did,
+//! and not any more once a second run has shown the same gap.
 class StreamContinuity
 {
 public:
@@ -63,8 +63,11 @@
     //! Decides about the next event with data of the run. Any but EventPosition::Next is not to be passed on, nor anything behind it.
     EventPosition add(std::optional<std::uint64_t> number);
 
-    //! Returns whether the stream is complete when the run ends like this.
-    Evidence isComplete(const StreamEnd &end);
+    //! Ends the run. Returns whether the stream is complete.
+    Evidence endRun(const StreamEnd &end);
+
+    //! Returns whether the run that brought the last event ended in order behind it, which neither proves nor disproves that the stream is complete.
+    bool endsUnproven() const;
 
     //! Returns whether another run can go on with the stream: the position of the last event that was passed on is known.
     bool canContinue() const;
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -18,6 +18,9 @@
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(500);
 
+//! A process that ends closes its listening socket after its connections, with many of them some milliseconds later.
+constexpr Duration probeSettleTime = std::chrono::milliseconds(20);
+
 //! Longest time that a stream waits at its end to learn whether the endpoint still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
@@ -136,6 +139,10 @@
     const std::uint64_t before = continuity.passedOnInRun();
     std::string accepted;
     for (const StreamEvent &event : this->splitter.feed(chunk)) {
+        if (event.isForeign) {
+            this->rejection = "the head of another answer behind an event";
+            break;
+        }
         const std::optional<std::uint64_t> last = continuity.lastNumber();
         const EventPosition position = event.hasData ? continuity.add(event.number) : EventPosition::Next;
         if (position != EventPosition::Next) {
@@ -161,6 +168,12 @@
     co_return delivered &&this->rejection.empty();
 }
 
+asio::awaitable<void> EndpointSend::findWhetherEnded(const std::string &address, SendResult &result)
+{
+    result.listening = co_await this->parts.client.probe(address, probeTimeout, probeSettleTime);
+    result.report.endpointGone = result.listening == Listening::No;
+}
+
 asio::awaitable<void> EndpointSend::endStream(const HttpResponse &answer, const std::string &address, SendResult &result)
 {
     StreamEnd end;
@@ -168,11 +181,10 @@
     end.framed = !answer.endsWithConnection;
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
-        result.listening = co_await this->parts.client.probe(address, probeTimeout);
-        result.report.endpointGone = result.listening == Listening::No;
+        co_await this->findWhetherEnded(address, result);
         end.endpointEnded = result.report.endpointGone;
     }
-    result.run.complete = this->parts.progress.continuity.isComplete(end);
+    result.run.complete = this->parts.progress.continuity.endRun(end);
     if (result.run.complete == Evidence::Disproved) {
         result.report.outcome = SendOutcome::Broken;
         result.detail
@@ -306,6 +318,14 @@
         co_return result;
     }
     result.report.outcome = this->classifyAnswer(outcome.value(), result.detail);
+    if (result.report.outcome == SendOutcome::Answered && result.endedWithConnection) {
+        co_await this->findWhetherEnded(endpoint.address, result);
+        if (result.report.endpointGone) {
+            result.report.outcome = SendOutcome::Broken;
+            result.detail = "the connection ended the answer, and the endpoint ended with it";
+            co_return result;
+        }
+    }
     result.report.endpointFailed = outcome.value().status >= firstServerError;
     result.answer = std::move(outcome.value());
     result.answer->body = std::move(this->collected);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -85,6 +85,9 @@
     //! Forwards the events of \p chunk that go on with the stream. Returns false when the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardEvents(const HttpResponse &head, const std::string &chunk);
 
+    //! Finds out whether the endpoint has ended, as the connections of an ended process are closed in order.
+    boost::asio::awaitable<void> findWhetherEnded(const std::string &address, SendResult &result);
+
     //! Decides about a stream whose answer has ended in order.
     boost::asio::awaitable<void> endStream(const HttpResponse &answer, const std::string &address, SendResult &result);
 
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -1,5 +1,6 @@
 #include "gateway/eventsplitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -40,7 +41,7 @@
 std::optional<std::uint64_t> numberOf(std::string_view value)
 {
     value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-    if (value.ends_with('\r')) {
+    while (value.ends_with('\r') || value.ends_with(' ')) {
         value.remove_suffix(1);
     }
     std::uint64_t number = 0;
@@ -59,6 +60,7 @@
         std::string_view line = text.substr(0, end);
         text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
         event.hasData = event.hasData || line.starts_with("data");
+        event.isForeign = event.isForeign || line.starts_with("HTTP/1.");
         if (line.starts_with("id:")) {
             line.remove_prefix(3);
             event.number = numberOf(line);
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -14,6 +14,7 @@
     std::string text{}; //!< Its bytes, unchanged.
     std::optional<std::uint64_t> number{};
     bool hasData = false;
+    bool isForeign = false; //!< Holds the head of another answer.
 };
 
 //! Splits the bytes of an event stream into whole events, so that a stream that breaks inside an event can be resumed at
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "runtime/httpclient.h"
 
+#include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
 #include "runtime/connectionpool.h"
@@ -473,12 +474,19 @@
     co_return outcome;
 }
 
-asio::awaitable<Listening> probeConnection(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, HttpCall call)
+asio::awaitable<Listening> probeConnection(std::shared_ptr<HttpClient::Core> core, ConnectionPointer connection, HttpCall call, Duration settleTime)
 {
     const std::optional<HttpFailure> failed = co_await connect(*core, connection, call, Step::Send);
     if (failed) {
         co_return failed->connectionRefused ? Listening::No : Listening::Unknown;
     }
+    if (settleTime > Duration::zero()) {
+        co_await sleepFor(settleTime);
+        if (!connection->isReusable()) {
+            const ConnectionPointer again = core->create(call.address);
+            co_return again ? co_await probeConnection(core, again, std::move(call), Duration::zero()) : Listening::Unknown;
+        }
+    }
     core->keepIdle(call.address, connection, currentTime());
     co_return Listening::Yes;
 }
@@ -538,7 +546,7 @@
     co_return std::move(*second);
 }
 
-asio::awaitable<Listening> HttpClient::probe(std::string address, Duration timeout)
+asio::awaitable<Listening> HttpClient::probe(std::string address, Duration timeout, Duration settleTime)
 {
     const std::shared_ptr<Core> shared = this->core;
     const ConnectionPointer connection = shared->create(address);
@@ -548,7 +556,7 @@
     HttpCall call;
     call.address = std::move(address);
     call.connectTimeout = timeout;
-    co_return co_await asio::co_spawn(connection->executor, probeConnection(shared, connection, std::move(call)), asio::use_awaitable);
+    co_return co_await asio::co_spawn(connection->executor, probeConnection(shared, connection, std::move(call), settleTime), asio::use_awaitable);
 }
 
 void HttpClient::dropLostIdle(Time now)
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -88,8 +88,9 @@
     //! Sends \p call and waits for the response. \p step is the step that errors report.
     boost::asio::awaitable<HttpOutcome> send(HttpCall call, Step step);
 
-    //! Opens a connection to \p address within \p timeout and keeps it for the next call. Returns whether a process listens there.
-    boost::asio::awaitable<Listening> probe(std::string address, Duration timeout);
+    //! Opens a connection to \p address within \p timeout and keeps it for the next call. Returns whether a process listens there. A connection that does not
+    //! last for \p settleTime is opened once more.
+    boost::asio::awaitable<Listening> probe(std::string address, Duration timeout, Duration settleTime = Duration::zero());
 
     //! Gives up the calls that may be repeated, have received nothing for \p silence, and use connections that the dialer would not reuse. They fail
     //! with HttpFailure::connectionLost. Returns the addresses of direct connections with calls that have received nothing for so long.
--- a/tests/gateway/eventsplittertests.cpp
+++ b/tests/gateway/eventsplittertests.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace oleandergate;
 
 namespace {
@@ -26,7 +28,7 @@
             continuity.add(event.number);
         }
     }
-    return continuity.isComplete(StreamEnd{splitter.isBetweenEvents(), framed, false});
+    return continuity.endRun(StreamEnd{splitter.isBetweenEvents(), framed, false});
 }
 
 } // namespace
@@ -87,8 +89,8 @@
             const bool betweenEvents = rest.empty() || rest == ": comment\n";
             const bool hasEvent = std::ranges::any_of(events, &StreamEvent::hasData);
             INFO("framed: ", framed, ", bytes: ", size);
-            const bool isDisproved = completeness(splitter, events, framed) == Evidence::Disproved;
-            CHECK(isDisproved == !(betweenEvents && (hasEvent || framed)));
+            const bool mayBeWhole = betweenEvents && (hasEvent || framed);
+            CHECK(completeness(splitter, events, framed) == (!mayBeWhole ? Evidence::Disproved : framed ? Evidence::Proved : Evidence::Unknown));
         }
     }
 }
@@ -107,8 +109,22 @@
 TEST_CASE("Comments and blank lines behind the last event belong to a whole stream")
 {
     EventSplitter splitter;
-    splitter.feed("id: 1\ndata: a\n\n: end\n\n\n:\n");
+    const std::vector<StreamEvent> events = splitter.feed("id: 1\ndata: a\n\n: end\n\n\n:\n");
     CHECK(splitter.isBetweenEvents());
+    CHECK(completeness(splitter, events, true) == Evidence::Proved);
     splitter.feed(": cut");
     CHECK_FALSE(splitter.isBetweenEvents());
+    CHECK(completeness(splitter, events, true) == Evidence::Disproved);
+}
+
+// Guards against the head of a second answer in the middle of a stream that only its connection ends.
+TEST_CASE("The head of another answer behind an event is told from an event")
+{
+    EventSplitter splitter;
+    const std::vector<StreamEvent> events = splitter.feed("id: 1 \ndata: a\n\nHTTP/1.1 200 OK\r\nX: y\r\n\r\nid: 1\ndata: a\n\n");
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].number == 1);
+    CHECK_FALSE(events[0].isForeign);
+    CHECK(events[1].isForeign);
+    CHECK_FALSE(events[2].isForeign);
 }
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -64,7 +64,7 @@
 StreamPlan planStream(Behaviour behaviour, std::uint64_t first)
 {
     StreamPlan plan;
-    if (behaviour == Behaviour::FromStart) {
+    if (behaviour == Behaviour::FromStart || behaviour == Behaviour::BreakFromStart) {
         first = 1;
     }
     const bool isUnnumbered = behaviour == Behaviour::Unnumbered || behaviour == Behaviour::BreakUnnumbered;
@@ -90,6 +90,7 @@
         cutBehind(brokenEvent + 1);
         break;
     case Behaviour::BreakBehindThird:
+    case Behaviour::BreakFromStart:
         cutBehind(brokenEvent + 1);
         plan.rest.clear();
         break;
@@ -455,6 +456,10 @@
     case Behaviour::Crash:
         this->crash();
         return false;
+    case Behaviour::CrashInAnswer:
+        send(socket, this->head(request, "Connection: close") + "ri");
+        this->crash();
+        return false;
     case Behaviour::Trickle:
         return this->trickle(socket, request);
     case Behaviour::Slow:
@@ -473,7 +478,7 @@
         return this->answerPlanned(socket, request);
     }
     const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed && behaviour != Behaviour::EndBetweenEvents
-        && behaviour != Behaviour::CrashBetweenEvents;
+        && behaviour != Behaviour::CrashBetweenEvents && behaviour != Behaviour::UnframedTwice;
     if (request.header("Oleandergate-Token-Counts").empty()) {
         return send(socket, this->head(request, framed ? "Content-Length: 5" : "Connection: close") + "right") && framed;
     }
@@ -550,6 +555,9 @@
     if (!plan.rest.empty()) {
         send(socket, encode(plan.rest));
     }
+    if (behaviour == Behaviour::UnframedTwice) {
+        send(socket, wholeStream(this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")));
+    }
     if (behaviour == Behaviour::CrashMidEvent || behaviour == Behaviour::CrashBetweenEvents) {
         this->crash();
     }
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -40,6 +40,9 @@
     BreakBehindUnnumbered, //!< Ends a stream inside its fourth event; the events before it have no number, except for the first.
     Unnumbered, //!< A whole stream whose events have no number.
     FromStart, //!< A whole stream from its first event on, whatever the request asks for.
+    BreakFromStart, //!< The same, and ends behind its third event.
+    UnframedTwice, //!< A whole stream with neither length nor chunks, and the whole answer once more behind it.
+    CrashInAnswer, //!< Sends a part of an answer with neither length nor chunks, then stops listening and closes all connections in order.
     LeaveOut, //!< Leaves the first event out.
     Repeat, //!< Writes the second event twice.
     GoBack, //!< Goes back to the first event behind the third one.
--- a/tests/gateway/streamtests.cpp
+++ b/tests/gateway/streamtests.cpp
@@ -19,6 +19,7 @@
     std::string status{};
     std::vector<int> pieces{}; //!< Numbers of the events, in the order of their arrival.
     bool complete = false; //!< Ends with the last chunk.
+    std::size_t heads = 0; //!< Of answers.
 
     //! Returns whether no piece is missing in front of another one, and none comes twice.
     bool isInOrder() const
@@ -57,6 +58,7 @@
         ReceivedStream stream;
         stream.status = bytes.substr(0, bytes.find("\r\n"));
         stream.complete = bytes.ends_with("0\r\n\r\n");
+        stream.heads = countOf(bytes, "HTTP/1.1");
         const std::string marker = "data: token ";
         for (std::size_t at = bytes.find(marker); at != std::string::npos; at = bytes.find(marker, at + 1)) {
             stream.pieces.push_back(std::stoi(bytes.substr(at + marker.size())));
@@ -121,6 +123,16 @@
     }
 }
 
+// The same where few events precede the join.
+TEST_CASE("Streams: a run that leaves out the event behind the second one is not joined to it")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBetweenEvents, Behaviour::LeaveOut});
+    const ReceivedStream stream = cluster.receive();
+    CHECK(stream.isWhole());
+    CHECK(stream.isInOrder());
+}
+
 // The same where every endpoint does it.
 TEST_CASE("Streams: a stream is broken off when no run goes on behind its last event")
 {
@@ -128,12 +140,12 @@
     for (const char *target : {"/spread/1", "/single/1"}) {
         CAPTURE(target);
         for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
-            endpoint->setNextBehaviours({Behaviour::BreakBehindThird, Behaviour::FromStart, Behaviour::FromStart, Behaviour::FromStart});
+            endpoint->setNextBehaviours(std::vector<Behaviour>(4, Behaviour::BreakFromStart));
         }
         const ReceivedStream stream = cluster.receive(target);
         CHECK(stream.isInOrder());
         CHECK_FALSE(stream.complete);
-        CHECK(stream.pieces.size() >= 3);
+        CHECK(stream.pieces.size() == 3);
     }
 }
 
@@ -203,5 +215,39 @@
     }
     CHECK(cluster.receive().isWhole());
     CHECK(cluster.receive("/spread/1").isWhole());
+    CHECK(cluster.receivedCount() == 4);
     CHECK(cluster.receive("/single/1").isWhole());
+    CHECK(cluster.receivedCount() == 5);
+}
+
+// Guards against breaking off whole streams because nobody could be asked whether they are: their endpoint is full or leaves.
+TEST_CASE("Streams: a stream whose end could not be confirmed is delivered as complete")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse});
+    CHECK(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed});
+    cluster.endpoints[0]->setStatesLeaving(true);
+    CHECK(cluster.receive().isWhole());
+}
+
+// Guards against the head and the events of a second answer in the stream of a caller.
+TEST_CASE("Streams: a second answer behind a stream without a length is not passed on")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::UnframedTwice});
+    const ReceivedStream stream = cluster.receive();
+    CHECK(stream.isWhole());
+    CHECK(stream.heads == 1);
+}
+
+// Guards against the cut answer of an ended process, delivered as whole with a length.
+TEST_CASE("Streams: a plain answer that its connection ends is not delivered when its endpoint has ended")
+{
+    StreamCluster cluster(2);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::CrashInAnswer});
+    cluster.endpoints[1]->setNextBehaviours({Behaviour::CrashInAnswer});
+    const std::optional<HttpResponse> order = cluster.call(0, "POST", "/orders/1");
+    REQUIRE(order);
+    CHECK(order->status == 502);
 }
--- a/tests/unit/streamcontinuitytests.cpp
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -78,6 +78,34 @@
     CHECK(stream.add(8) == EventPosition::Next);
 }
 
+// Guards against a missing piece where a run goes on behind few events, or behind those that its caller has.
+TEST_CASE("A run that goes on behind another one has to begin with the next number")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    addAll(stream, {1, 2});
+    stream.beginRun();
+    CHECK(stream.add(4) == EventPosition::BehindGap);
+    StreamContinuity takenUp(12, 0);
+    takenUp.beginRun();
+    CHECK(takenUp.add(14) == EventPosition::BehindGap);
+    takenUp.beginRun();
+    CHECK(takenUp.add(13) == EventPosition::Next);
+}
+
+// Guards against a gap that one run has disproved counting as shown twice.
+TEST_CASE("A gap counts as shown again only at the same event")
+{
+    StreamContinuity stream;
+    stream.beginRun();
+    addAll(stream, {1, 2, 3});
+    stream.beginRun();
+    CHECK(stream.add(6) == EventPosition::BehindGap);
+    stream.beginRun();
+    CHECK(stream.add(4) == EventPosition::Next);
+    CHECK(stream.add(6) == EventPosition::BehindGap);
+}
+
 // Guards against a stream that begins again because the position of its events without numbers is not known.
 TEST_CASE("Behind an event without a number no other run can go on")
 {
@@ -85,7 +113,7 @@
     stream.beginRun();
     CHECK(addAll(stream, {0, 0}) == EventPosition::Next);
     CHECK_FALSE(stream.canContinue());
-    CHECK(stream.isComplete(framedEnd) == Evidence::Proved);
+    CHECK(stream.endRun(framedEnd) == Evidence::Proved);
     StreamContinuity mixed;
     mixed.beginRun();
     CHECK(addAll(mixed, {1, 2, 0}) == EventPosition::Next);
@@ -98,12 +126,12 @@
 {
     StreamContinuity stream;
     stream.beginRun();
-    CHECK(stream.isComplete(endInOrder) == Evidence::Disproved);
+    CHECK(stream.endRun(endInOrder) == Evidence::Disproved);
     addAll(stream, {1, 2});
-    CHECK(stream.isComplete(StreamEnd{false, true, false}) == Evidence::Disproved);
-    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Disproved);
-    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
-    CHECK(stream.isComplete(framedEnd) == Evidence::Proved);
+    CHECK(stream.endRun(StreamEnd{false, true, false}) == Evidence::Disproved);
+    CHECK(stream.endRun(StreamEnd{true, false, true}) == Evidence::Disproved);
+    CHECK(stream.endRun(endInOrder) == Evidence::Unknown);
+    CHECK(stream.endRun(framedEnd) == Evidence::Proved);
 }
 
 // Guards against refusing the whole streams of endpoints that never frame them.
@@ -112,14 +140,14 @@
     StreamContinuity stream;
     stream.beginRun();
     addAll(stream, {1, 2});
-    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    CHECK(stream.endRun(endInOrder) == Evidence::Unknown);
     stream.beginRun();
     addAll(stream, {3});
-    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    CHECK(stream.endRun(endInOrder) == Evidence::Unknown);
     stream.beginRun();
-    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Disproved);
+    CHECK(stream.endRun(StreamEnd{true, false, true}) == Evidence::Disproved);
     stream.beginRun();
-    CHECK(stream.isComplete(endInOrder) == Evidence::Proved);
+    CHECK(stream.endRun(endInOrder) == Evidence::Proved);
 }
 
 // Guards against a stream that reaches its caller as complete because endpoints ended behind the heads of their answers.
@@ -128,14 +156,14 @@
     StreamContinuity stream;
     stream.beginRun();
     addAll(stream, {1, 2});
-    CHECK(stream.isComplete(StreamEnd{false, false, false}) == Evidence::Disproved);
+    CHECK(stream.endRun(StreamEnd{false, false, false}) == Evidence::Disproved);
     for (int run = 0; run < 3; ++run) {
         stream.beginRun();
-        CHECK(stream.isComplete(endInOrder) == Evidence::Disproved);
+        CHECK(stream.endRun(endInOrder) == Evidence::Disproved);
     }
     StreamContinuity takenUp(2, 0);
     takenUp.beginRun();
-    CHECK(takenUp.isComplete(endInOrder) == Evidence::Disproved);
+    CHECK(takenUp.endRun(endInOrder) == Evidence::Disproved);
 }
 
 TEST_CASE("A stream with all the tokens that it may have is complete however it ends between events")
@@ -143,9 +171,9 @@
     StreamContinuity stream(std::nullopt, 3);
     stream.beginRun();
     addAll(stream, {1, 2});
-    CHECK(stream.isComplete(endInOrder) == Evidence::Unknown);
+    CHECK(stream.endRun(endInOrder) == Evidence::Unknown);
     stream.beginRun();
     addAll(stream, {3});
-    CHECK(stream.isComplete(StreamEnd{true, false, true}) == Evidence::Proved);
-    CHECK(stream.isComplete(StreamEnd{false, false, true}) == Evidence::Disproved);
+    CHECK(stream.endRun(StreamEnd{true, false, true}) == Evidence::Proved);
+    CHECK(stream.endRun(StreamEnd{false, false, true}) == Evidence::Disproved);
 }
