The stop soak gives a share of its streams faulty endpoints

Cause: the endpoints of the stop soak were sound, so no seed could show streams that are cut, joined or copied. Change: by seed, 5, 20 or 40% of the streams get one of 15 faults (fault= on the target, which the stand-in endpoint applies to runs that begin a stream): ends in order, breaks off or is reset between or inside events, with and without framing; no numbers; begins again whatever Last-Event-Id says; leaves out, repeats, goes back; late second copies with and without a name; a whole answer with neither length nor chunks. The other choices of a seed stay as they were. The judge compares the pieces that a caller got, also of a stream that did not arrive whole, with the planned ones; one that ended as complete has to be whole. A visible break is excused only behind bytes of the answer, and only where an endpoint spoiled that very stream; streams that are whole at their endpoint are not excused. All other judgements are unchanged.

--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -42,14 +42,20 @@
     return text;
 }
 
-std::string event(std::uint64_t number)
+std::string event(const std::string &name, std::uint64_t number)
 {
-    return "id: " + std::to_string(number) + "\ndata: token " + std::to_string(number) + "\n\n";
+    return "id: " + std::to_string(number) + "\ndata: " + name + " " + std::to_string(number) + "\n\n";
 }
 
-std::string unnumberedEvent(std::uint64_t number)
+std::string unnumberedEvent(const std::string &name, std::uint64_t number)
 {
-    return "data: token " + std::to_string(number) + "\n\n";
+    return "data: " + name + " " + std::to_string(number) + "\n\n";
+}
+
+//! Returns the text of each event in the stream for \p request: its identifier, if a planned answer is asked for.
+std::string eventName(const HttpRequest &request)
+{
+    return request.query("gap_ms").empty() ? "token" : request.header("Oleandergate-Request-Id");
 }
 
 //! What a stream consists of.
@@ -60,8 +66,8 @@
     bool ends = true; //!< The stream ends as complete, if its framing can tell.
 };
 
-//! Returns the events from number \p first on, as \p behaviour has them.
-StreamPlan planStream(Behaviour behaviour, std::uint64_t first)
+//! Returns the events with the text \p name from number \p first on, as \p behaviour has them.
+StreamPlan planStream(Behaviour behaviour, const std::string &name, std::uint64_t first)
 {
     StreamPlan plan;
     if (behaviour == Behaviour::FromStart) {
@@ -70,7 +76,7 @@
     const bool isUnnumbered = behaviour == Behaviour::Unnumbered || behaviour == Behaviour::BreakUnnumbered;
     for (std::uint64_t number = first; number <= StandinEndpoint::eventCount; ++number) {
         const bool hasNumber = !isUnnumbered && (behaviour != Behaviour::BreakBehindUnnumbered || number == first);
-        plan.events.push_back(hasNumber ? event(number) : unnumberedEvent(number));
+        plan.events.push_back(hasNumber ? event(name, number) : unnumberedEvent(name, number));
     }
     const auto cutBehind = [&plan](std::size_t size) {
         plan.ends = false;
@@ -97,12 +103,16 @@
     case Behaviour::BreakUnnumbered:
     case Behaviour::EndBetweenEvents:
     case Behaviour::CrashBetweenEvents:
+    case Behaviour::ResetBetweenEvents:
         cutBehind(brokenEvent);
         plan.rest.clear();
         break;
     case Behaviour::LeaveOut:
         plan.events.erase(plan.events.begin());
         break;
+    case Behaviour::LeaveOutFourth:
+        plan.events.erase(plan.events.begin() + 3);
+        break;
     case Behaviour::Repeat:
         plan.events.insert(plan.events.begin() + 1, plan.events.at(1));
         break;
@@ -115,11 +125,6 @@
     return plan;
 }
 
-std::string plannedEvent(const std::string &requestId, std::uint64_t number)
-{
-    return "id: " + std::to_string(number) + "\ndata: " + requestId + " " + std::to_string(number) + "\n\n";
-}
-
 bool send(tcp::socket &socket, const std::string &text)
 {
     boost::system::error_code error;
@@ -238,6 +243,28 @@
     return next;
 }
 
+Behaviour StandinEndpoint::behaviourFor(const HttpRequest &request)
+{
+    const std::string fault = request.query("fault");
+    if (fault.empty()) {
+        return this->nextBehaviour();
+    }
+    const auto planned = static_cast<Behaviour>(std::stoi(fault));
+    const bool goesOn = !request.header("Last-Event-Id").empty();
+    if (planned != Behaviour::FromStart) {
+        return goesOn ? Behaviour::Normal : planned;
+    }
+    if (!goesOn) {
+        return Behaviour::BreakBehindThird;
+    }
+    const std::string requestId = request.header("Oleandergate-Request-Id");
+    const std::lock_guard lock(this->mutex);
+    const bool wasFaulty = std::ranges::any_of(this->receivedRequests, [&requestId](const ReceivedRequest &received) {
+        return received.behaviour == Behaviour::FromStart && received.request.header("Oleandergate-Request-Id") == requestId;
+    });
+    return wasFaulty ? Behaviour::Normal : planned;
+}
+
 void StandinEndpoint::accept()
 {
     while (!this->stopping) {
@@ -292,7 +319,7 @@
         if (error) {
             return;
         }
-        const Behaviour behaviour = this->nextBehaviour();
+        const Behaviour behaviour = this->behaviourFor(request);
         std::size_t index = 0;
         {
             const std::lock_guard lock(this->mutex);
@@ -330,10 +357,11 @@
     case Behaviour::LateRefusal:
         return this->refusal(request);
     case Behaviour::LateStream:
-        return wholeStream(this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+        return wholeStream(this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"), request);
     case Behaviour::LateUnnamedStream:
         return wholeStream("HTTP/1.1 200 OK\r\nOleandergate-Server-Stamp: stamp-" + this->id
-                           + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                               + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                           request);
     case Behaviour::LateUnnamedRefusal:
         return "HTTP/1.1 503 Status\r\nOleandergate-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     default:
@@ -341,11 +369,11 @@
     }
 }
 
-std::string StandinEndpoint::wholeStream(const std::string &head)
+std::string StandinEndpoint::wholeStream(const std::string &head, const HttpRequest &request)
 {
     std::string text = head;
     for (std::uint64_t number = 1; number <= eventCount; ++number) {
-        text += chunk(event(number));
+        text += chunk(event(eventName(request), number));
     }
     return text + "0\r\n\r\n";
 }
@@ -469,11 +497,11 @@
     default:
         break;
     }
+    const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed && behaviour != Behaviour::EndBetweenEvents
+        && behaviour != Behaviour::CrashBetweenEvents && behaviour != Behaviour::ResetBetweenEvents;
     if (!request.query("work_ms").empty()) {
-        return this->answerPlanned(socket, request);
+        return this->answerPlanned(socket, request, behaviour, framed);
     }
-    const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed && behaviour != Behaviour::EndBetweenEvents
-        && behaviour != Behaviour::CrashBetweenEvents;
     if (request.header("Oleandergate-Token-Counts").empty()) {
         return send(socket, this->head(request, framed ? "Content-Length: 5" : "Connection: close") + "right") && framed;
     }
@@ -503,7 +531,7 @@
     std::string text;
     if (!request.query("gap_ms").empty()) {
         for (std::uint64_t number = 1; number <= eventCount; ++number) {
-            text += plannedEvent(requestId, number);
+            text += event(requestId, number);
         }
         return text;
     }
@@ -515,7 +543,7 @@
     return text;
 }
 
-bool StandinEndpoint::answerPlanned(tcp::socket &socket, const HttpRequest &request)
+bool StandinEndpoint::answerPlanned(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed)
 {
     const std::string requestId = request.header("Oleandergate-Request-Id");
     if (!this->work(socket, std::chrono::milliseconds(std::stoi(request.query("work_ms"))))) {
@@ -525,13 +553,7 @@
         const std::string text = plannedAnswer(requestId, request);
         return send(socket, this->head(request, "Content-Length: " + std::to_string(text.size())) + text);
     }
-    const std::chrono::milliseconds gap(std::stoi(request.query("gap_ms")));
-    const std::string last = request.header("Last-Event-Id");
-    bool open = send(socket, this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
-    for (std::uint64_t number = last.empty() ? 1 : std::stoull(last) + 1; open && number <= eventCount; ++number) {
-        open = send(socket, chunk(plannedEvent(requestId, number))) && this->work(socket, gap);
-    }
-    return open && send(socket, "0\r\n\r\n");
+    return this->stream(socket, request, behaviour, framed);
 }
 
 bool StandinEndpoint::stream(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed)
@@ -540,10 +562,15 @@
     const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
     send(socket, this->head(request, std::string("Content-Type: text/event-stream\r\n") + (framed ? "Transfer-Encoding: chunked" : "Connection: close")));
     const auto encode = framed ? chunk : unchanged;
-    const StreamPlan plan = planStream(behaviour, first);
+    const StreamPlan plan = planStream(behaviour, eventName(request), first);
+    const std::string gap = request.query("gap_ms");
     for (const std::string &event : plan.events) {
-        send(socket, encode(event));
-        if (behaviour == Behaviour::SlowStream || behaviour == Behaviour::SlowBreakMidEvent) {
+        const bool open = send(socket, encode(event));
+        if (!gap.empty()) {
+            if (!open || !this->work(socket, std::chrono::milliseconds(std::stoi(gap)))) {
+                return false;
+            }
+        } else if (behaviour == Behaviour::SlowStream || behaviour == Behaviour::SlowBreakMidEvent) {
             std::this_thread::sleep_for(slowEventGap);
         }
     }
@@ -553,6 +580,10 @@
     if (behaviour == Behaviour::CrashMidEvent || behaviour == Behaviour::CrashBetweenEvents) {
         this->crash();
     }
+    if (behaviour == Behaviour::ResetBetweenEvents) {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     return plan.ends && framed && send(socket, "0\r\n\r\n");
 }
 
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -41,10 +41,12 @@
     Unnumbered, //!< A whole stream whose events have no number.
     FromStart, //!< A whole stream from its first event on, whatever the request asks for.
     LeaveOut, //!< Leaves the first event out.
+    LeaveOutFourth, //!< Leaves the fourth event out.
     Repeat, //!< Writes the second event twice.
     GoBack, //!< Goes back to the first event behind the third one.
     EndBetweenEvents, //!< Ends behind the second event of an answer with neither length nor chunks, whose connection ends in order.
     CrashBetweenEvents, //!< The same, then stops listening and closes all connections.
+    ResetBetweenEvents, //!< The same as EndBetweenEvents, but the connection is reset.
     EndMidEvent, //!< The same as BreakMidEvent in an answer with neither length nor chunks, whose connection ends in order.
     EndBeforeFirstEvent, //!< The head of a stream with neither length nor chunks, then the connection ends in order.
     OnlyComment, //!< A stream of one comment and no event.
@@ -75,7 +77,8 @@
 //! An endpoint of the platform, in this process. Each connection has a thread.
 //!
 //! A request whose target has the query parameter work_ms is answered after that time, with plannedAnswer(): in one piece, or, with gap_ms, as a stream with
-//! pauses of that length between its events. bytes is the number of filler bytes.
+//! pauses of that length between its events. bytes is the number of filler bytes. fault is the number of the Behaviour of such a stream; its runs that go on
+//! behind an event are sound. With Behaviour::FromStart a first run breaks off, and the first run at each endpoint that has to go on begins again.
 class StandinEndpoint
 {
 public:
@@ -127,11 +130,11 @@
     void crash();
     bool stream(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
 
-    //! Returns a whole stream, with the head \p head.
-    static std::string wholeStream(const std::string &head);
+    //! Returns the whole stream for \p request, with the head \p head.
+    static std::string wholeStream(const std::string &head, const HttpRequest &request);
     bool flood(boost::asio::ip::tcp::socket &socket, const std::string &start, const std::string &filler);
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
-    bool answerPlanned(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
+    bool answerPlanned(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
 
     //! Waits. Returns false when \p socket is closed by the other side before.
     bool work(boost::asio::ip::tcp::socket &socket, Duration duration);
@@ -143,6 +146,9 @@
     std::string lateCopyOf(const HttpRequest &request, Behaviour behaviour) const;
     Behaviour nextBehaviour();
 
+    //! Returns the fault that \p request asks for, or else the next behaviour.
+    Behaviour behaviourFor(const HttpRequest &request);
+
     std::string id;
     std::string listenAddress;
     std::string version = "v1";
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -46,9 +46,10 @@
     const Time origin = own == seen.stops.end() ? seen.stops.front().termAt : own->termAt;
     const PlannedRequest &request = *exchange.request;
     std::ostringstream out;
-    out << request.id << " " << nameIn(kindNames, request.kind) << " " << nameIn(styleNames, request.style) << " at " << exchange.gateway
-        << (own == seen.stops.end() ? " (not stopped)" : "") << ", limit " << request.limit.count() << " ms, work " << request.work.count() << " ms, answer "
-        << request.answerBytes << " bytes; after SIGTERM: begun " << after(exchange.beganAt, origin);
+    out << request.id << " " << (request.fault == support::Behaviour::Normal ? "" : nameIn(faultNames, request.fault)) << " " << nameIn(kindNames, request.kind)
+        << " " << nameIn(styleNames, request.style) << " at " << exchange.gateway << (own == seen.stops.end() ? " (not stopped)" : "") << ", limit "
+        << request.limit.count() << " ms, work " << request.work.count() << " ms, answer " << request.answerBytes << " bytes; after SIGTERM: begun "
+        << after(exchange.beganAt, origin);
     if (exchange.sentAt) {
         out << ", sent " << after(*exchange.sentAt, origin);
     }
@@ -91,8 +92,9 @@
         std::cout << ", " << status << ": " << count;
     }
     std::cout << ", lost at an endpoint " << counts.lostAtEndpoint << " (under way " << counts.lostUnderWay << ", chunked orders " << counts.lostChunkedOrders
-              << "), excused " << counts.excused << " (streams " << counts.excusedStreams << "), cut unread " << counts.cutUnread << ", cut while arriving "
-              << counts.cutArriving << ", crossed " << counts.crossed << ", ended after";
+              << "), excused " << counts.excused << " (streams " << counts.excusedStreams << "), faulty streams " << counts.faultyStreams << " ("
+              << plan.faultPercent << "% planned, whole " << counts.faultyWhole << ", broken off " << counts.faultyBroken << "), cut unread "
+              << counts.cutUnread << ", cut while arriving " << counts.cutArriving << ", crossed " << counts.crossed << ", ended after";
     for (const SeenStop &stop : seen.stops) {
         std::cout << " " << after(stop.endedAt, stop.termAt);
     }
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -192,6 +192,9 @@
             = this->answeredOnConnection > 0 ? this->exchanges[this->firstOnConnection + this->answeredOnConnection - 1].answer.status : 0;
         const std::size_t incompleteBytes = this->connection->incompleteBytes();
         this->exchanges[position].incompleteBytes = isFirst ? incompleteBytes : 0;
+        if (isFirst && this->exchanges[position].request->kind == Kind::Turn) {
+            this->exchanges[position].incompleteBody = this->connection->incompleteBody();
+        }
         this->exchanges[position].isBehindBroken = !isFirst && incompleteBytes > 0;
         isFirst = false;
     }
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -23,6 +23,7 @@
     std::optional<Time> answeredAt{};
     HttpResponse answer{};
     std::size_t incompleteBytes = 0; //!< Received of an answer that did not arrive whole.
+    std::string incompleteBody{}; //!< Of a stream that did not arrive whole.
     std::optional<Time> endedAt{}; //!< When its connection ended without a whole answer.
     support::ConnectionEnd end = support::ConnectionEnd::Open;
     bool isBehindBroken = false; //!< An answer to an earlier request was broken off, which only the end of the connection can show.
--- a/tests/soak/stopjudge.cpp
+++ b/tests/soak/stopjudge.cpp
@@ -29,6 +29,35 @@
     return support::StandinEndpoint::plannedAnswer(request.id, sent);
 }
 
+//! Returns the complete events in \p text.
+std::vector<std::string> piecesOf(const std::string &text)
+{
+    std::vector<std::string> pieces;
+    std::size_t begin = 0;
+    for (std::size_t end = text.find("\n\n"); end != std::string::npos; end = text.find("\n\n", begin)) {
+        pieces.push_back(text.substr(begin, end - begin));
+        begin = end + 2;
+    }
+    return pieces;
+}
+
+//! Returns the events \p pieces without their numbers.
+std::vector<std::string> dataOf(std::vector<std::string> pieces)
+{
+    for (std::string &piece : pieces) {
+        piece.erase(0, piece.starts_with("id: ") ? piece.find('\n') + 1 : 0);
+    }
+    return pieces;
+}
+
+//! Endpoints leave the numbers of events out with these faults.
+constexpr std::array unnumberedFaults{support::Behaviour::Unnumbered, support::Behaviour::BreakUnnumbered, support::Behaviour::BreakBehindUnnumbered};
+
+bool isFaulty(const support::ReceivedRequest &received)
+{
+    return received.behaviour != support::Behaviour::Normal;
+}
+
 } // namespace
 
 StopJudge::StopJudge(const StopPlan &plan, const Seen &seen)
@@ -76,9 +105,11 @@
     if (exchange.request->kind == Kind::Order && received.size() > 1) {
         this->add("an unsafe request was received " + std::to_string(received.size()) + " times", &exchange);
     }
+    this->counts.faultyStreams += std::ranges::any_of(received, isFaulty) ? 1 : 0;
     if (exchange.answeredAt) {
         this->judgeAnswer(exchange, received);
     } else {
+        this->judgePieces(exchange, exchange.incompleteBody, false);
         this->judgeEnd(exchange, received);
     }
 }
@@ -89,11 +120,44 @@
     if (promisesNotRun(exchange.answer.status) && !received.empty()) {
         this->add("answered " + std::to_string(exchange.answer.status) + " and received by an endpoint", &exchange);
     }
-    if (exchange.answer.status == 200 && exchange.answer.body != expectedAnswer(*exchange.request)) {
+    if (exchange.answer.status == 200 && exchange.request->fault != support::Behaviour::Normal) {
+        this->judgePieces(exchange, exchange.answer.body, true);
+    } else if (exchange.answer.status == 200 && exchange.answer.body != expectedAnswer(*exchange.request)) {
         this->add("the answer is not its own or not whole", &exchange);
     }
 }
 
+void StopJudge::judgePieces(const Exchange &exchange, const std::string &body, bool isComplete)
+{
+    if (exchange.request->kind != Kind::Turn) {
+        return;
+    }
+    std::vector<std::string> expected = piecesOf(expectedAnswer(*exchange.request));
+    std::vector<std::string> pieces = piecesOf(body);
+    const std::vector<std::string> data = dataOf(pieces);
+    if (std::ranges::find(unnumberedFaults, exchange.request->fault) != unnumberedFaults.end()) {
+        pieces = data;
+        expected = dataOf(expected);
+    }
+    const bool hasTail = isComplete && !body.empty() && !body.ends_with("\n\n");
+    const bool isPrefix = !hasTail && pieces.size() <= expected.size() && std::equal(pieces.begin(), pieces.end(), expected.begin());
+    if (isPrefix && (!isComplete || pieces.size() == expected.size())) {
+        this->counts.faultyWhole += isComplete ? 1 : 0;
+        return;
+    }
+    std::string text = isPrefix ? "a stream ended as complete before its last piece:" : "the pieces of a stream are not its own, or not in order:";
+    for (const std::string &each : data) {
+        text += " [" + each + "]";
+    }
+    this->add(text, &exchange);
+}
+
+bool StopJudge::isBrokenByEndpoint(const Exchange &exchange, const std::vector<support::ReceivedRequest> &received)
+{
+    const bool isBroken = exchange.incompleteBytes > 0 && exchange.end != support::ConnectionEnd::Open;
+    return isBroken && exchange.request->isSpoiled() && std::ranges::any_of(received, isFaulty);
+}
+
 bool StopJudge::isUnderWay(const Exchange &exchange) const
 {
     const SeenStop *stop = this->stopOf(exchange);
@@ -123,6 +187,10 @@
         : isReset                                                        ? "its connection was reset"
                                                                          : "its connection was closed";
     if (!received.empty()) {
+        if (isBrokenByEndpoint(exchange, received)) {
+            this->counts.faultyBroken += 1;
+            return;
+        }
         if (this->isExcused(exchange, received.back())) {
             this->counts.excused += 1;
             this->counts.excusedStreams += exchange.request->kind == Kind::Turn ? 1 : 0;
--- a/tests/soak/stopjudge.h
+++ b/tests/soak/stopjudge.h
@@ -60,6 +60,9 @@
     std::size_t lostUnderWay = 0; //!< Those of them that were under way at SIGTERM.
     std::size_t excused = 0; //!< The same as lostAtEndpoint, where the rules allow it.
     std::size_t excusedStreams = 0; //!< Those of them that are streams: only the end of the connection can show that one is broken off.
+    std::size_t faultyStreams = 0; //!< An endpoint received the request and had a fault in its stream.
+    std::size_t faultyWhole = 0; //!< Streams that arrived whole though a fault was planned.
+    std::size_t faultyBroken = 0; //!< Those of them that were broken off, where the fault allows it.
     std::size_t cutUnread = 0; //!< Sent whole, not passed on, and without an answer.
     std::size_t cutArriving = 0; //!< The connection ended before it was sent whole.
     std::size_t crossed = 0; //!< Sent just before the end of its connection, or behind a request whose answer was broken off, and not passed on.
@@ -78,6 +81,9 @@
     void judgeProcess(const SeenStop &stop);
     void judge(const Exchange &exchange);
     void judgeAnswer(const Exchange &exchange, const std::vector<support::ReceivedRequest> &received);
+
+    //! Judges the pieces of a stream that its caller got in \p body.
+    void judgePieces(const Exchange &exchange, const std::string &body, bool isComplete);
     void judgeEnd(const Exchange &exchange, const std::vector<support::ReceivedRequest> &received);
 
     bool isUnderWay(const Exchange &exchange) const;
@@ -85,6 +91,9 @@
     //! Returns whether an endpoint's request may be left without an answer.
     bool isExcused(const Exchange &exchange, const support::ReceivedRequest &received) const;
 
+    //! Returns whether a stream was broken off for its caller to see, and an endpoint had spoiled it.
+    static bool isBrokenByEndpoint(const Exchange &exchange, const std::vector<support::ReceivedRequest> &received);
+
     //! Returns whether another gateway, which may have carried the request to its endpoint, stood still while the request was under way.
     bool hadFrozenCarrier(const Exchange &exchange) const;
     void add(const std::string &text, const Exchange *exchange = nullptr);
--- a/tests/soak/stopplan.cpp
+++ b/tests/soak/stopplan.cpp
@@ -14,6 +14,16 @@
 constexpr Milliseconds firstStopAt{1500};
 constexpr std::size_t slowAnswerBytes = 400'000;
 
+//! The choice of faults leaves the other choices of a seed as they are without any.
+constexpr std::uint64_t faultSeed = 0x9e3779b97f4a7c15U;
+
+//! With these the stream itself is whole.
+constexpr std::array soundFaults{support::Behaviour::Normal,
+                                 support::Behaviour::Unnumbered,
+                                 support::Behaviour::LateStream,
+                                 support::Behaviour::LateUnnamedStream,
+                                 support::Behaviour::Unframed};
+
 class Dice
 {
 public:
@@ -120,6 +130,21 @@
     return stop;
 }
 
+//! Gives a share of the streams a fault of their endpoint.
+void addFaults(StopPlan &plan)
+{
+    Dice dice(plan.seed ^ faultSeed);
+    plan.faultPercent = dice.oneOf({5, 20, 40});
+    for (PlannedCaller &caller : plan.callers) {
+        for (PlannedRequest &request : caller.requests) {
+            const auto chosen = static_cast<std::size_t>(dice.between(0, faultNames.size() - 1));
+            if (request.kind == Kind::Turn && dice.percent(plan.faultPercent)) {
+                request.fault = faultNames[chosen].value;
+            }
+        }
+    }
+}
+
 //! Returns \p text in \p count parts.
 std::vector<std::string> split(const std::string &text, std::size_t count)
 {
@@ -140,11 +165,17 @@
     return this->kind != Kind::Read;
 }
 
+bool PlannedRequest::isSpoiled() const
+{
+    return std::ranges::find(soundFaults, this->fault) == soundFaults.end();
+}
+
 std::string PlannedRequest::target() const
 {
     const std::string path = this->kind == Kind::Read ? "/reads/" : this->kind == Kind::Order ? "/orders/" : "/turns/";
     return path + this->id + "?work_ms=" + std::to_string(this->work.count())
-        + (this->kind == Kind::Turn ? "&gap_ms=" + std::to_string(this->gap.count()) : "&bytes=" + std::to_string(this->answerBytes));
+        + (this->kind == Kind::Turn ? "&gap_ms=" + std::to_string(this->gap.count()) : "&bytes=" + std::to_string(this->answerBytes))
+        + (this->fault == support::Behaviour::Normal ? "" : "&fault=" + std::to_string(static_cast<int>(this->fault)));
 }
 
 std::string PlannedRequest::body() const
@@ -212,6 +243,7 @@
     for (std::size_t number = 0; number < callerCount; ++number) {
         plan.callers.push_back(makeCaller(dice, number, plan));
     }
+    addFaults(plan);
     return plan;
 }
 
--- a/tests/soak/stopplan.h
+++ b/tests/soak/stopplan.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_TESTS_SOAK_STOPPLAN_H
 
 #include "decision/nametable.h"
+#include "standinendpoint.h"
 #include "support/loopbackproxy.h"
 
 #include <chrono>
@@ -45,6 +46,25 @@
     NamedValue<Kind>{Kind::Turn, "turn"},
 };
 
+//! What endpoints do with some streams.
+inline constexpr std::array faultNames{
+    NamedValue<support::Behaviour>{support::Behaviour::EndBetweenEvents, "end-between-events"},
+    NamedValue<support::Behaviour>{support::Behaviour::ResetBetweenEvents, "reset-between-events"},
+    NamedValue<support::Behaviour>{support::Behaviour::EndMidEvent, "end-mid-event"},
+    NamedValue<support::Behaviour>{support::Behaviour::BreakMidEvent, "break-mid-event"},
+    NamedValue<support::Behaviour>{support::Behaviour::BreakBetweenEvents, "break-between-events"},
+    NamedValue<support::Behaviour>{support::Behaviour::BreakUnnumbered, "break-unnumbered"},
+    NamedValue<support::Behaviour>{support::Behaviour::BreakBehindUnnumbered, "break-behind-unnumbered"},
+    NamedValue<support::Behaviour>{support::Behaviour::FromStart, "from-start"},
+    NamedValue<support::Behaviour>{support::Behaviour::LeaveOutFourth, "leave-out"},
+    NamedValue<support::Behaviour>{support::Behaviour::Repeat, "repeat"},
+    NamedValue<support::Behaviour>{support::Behaviour::GoBack, "go-back"},
+    NamedValue<support::Behaviour>{support::Behaviour::Unnumbered, "unnumbered"},
+    NamedValue<support::Behaviour>{support::Behaviour::LateStream, "late-stream"},
+    NamedValue<support::Behaviour>{support::Behaviour::LateUnnamedStream, "late-unnamed-stream"},
+    NamedValue<support::Behaviour>{support::Behaviour::Unframed, "unframed"},
+};
+
 struct PlannedRequest
 {
     std::string id{};
@@ -53,6 +73,7 @@
     Milliseconds limit{0}; //!< In its time limit header; zero for none.
     Milliseconds work{0}; //!< At the endpoint.
     Milliseconds gap{0}; //!< Between the events of a stream.
+    support::Behaviour fault = support::Behaviour::Normal; //!< Of the endpoint of a stream.
     std::size_t answerBytes = 0;
     std::size_t bodyBytes = 0;
     std::size_t parts = 1;
@@ -61,6 +82,9 @@
     bool newConnection = false;
 
     bool hasBody() const;
+
+    //! Returns whether its endpoint spoils the stream itself, so that it may be broken off.
+    bool isSpoiled() const;
     std::string target() const;
     std::string body() const;
 
@@ -100,6 +124,7 @@
     std::optional<support::Link> cutLink{}; //!< State of the links of the first gateway to the endpoints.
     Milliseconds quietAfter{0}; //!< From this time after its gateway's SIGTERM on, a caller begins no request.
     int longPercent = 0; //!< Share of the requests that take seconds at their endpoints.
+    int faultPercent = 0; //!< Share of the streams with a fault of their endpoint.
     std::vector<PlannedStop> stops{};
     std::vector<PlannedCaller> callers{};
 };
--- a/tests/support/callerconnection.cpp
+++ b/tests/support/callerconnection.cpp
@@ -83,6 +83,18 @@
     return this->received.size() - this->parse(found);
 }
 
+std::string CallerConnection::incompleteBody() const
+{
+    std::vector<HttpResponse> found;
+    const std::size_t position = this->parse(found);
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    boost::system::error_code ignored;
+    parser.put(asio::buffer(this->received.data() + position, this->received.size() - position), ignored);
+    return parser.get().body();
+}
+
 std::size_t CallerConnection::parse(std::vector<HttpResponse> &found) const
 {
     std::size_t position = 0;
--- a/tests/support/callerconnection.h
+++ b/tests/support/callerconnection.h
@@ -48,6 +48,9 @@
 
     //! Returns the number of received bytes that follow the complete responses.
     std::size_t incompleteBytes() const;
+
+    //! Returns what was received of the body of the response that follows the complete ones.
+    std::string incompleteBody() const;
     ConnectionEnd end() const;
 
 private:
