--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -583,7 +583,7 @@
         send(socket, encode(plan.rest));
     }
     if (behaviour == Behaviour::UnframedTwice) {
-        send(socket, wholeStream(this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")));
+        send(socket, wholeStream(this->head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"), request));
     }
     if (behaviour == Behaviour::CrashMidEvent || behaviour == Behaviour::CrashBetweenEvents) {
         this->crash();
