The unused tokens of a turn are back before its caller can ask for the next one

What callers saw: 402 for a turn that the budget covers, and 200 for the one after it. Cause: the relay settled a turn after the end of its answer had been sent, and where another instance owns the ledger it sent the settlement without waiting; the next turn could be judged before. Change: a turn is settled before the end of its answer goes out, events are not delayed; where the owner is another instance the end waits up to 5 ms for its confirmation. At the owner a turn that only tokens of unsettled turns could cover waits for them, up to 60 ms. A turn is settled by what was passed on, as before, so the bound of budget and one turn stays.

--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -9,6 +9,11 @@
     return std::max(request.turnTokens, request.budget / 2);
 }
 
+Tokens TokenLedger::boundOfDraws(const TurnRequest &request, const Allowance &allowance)
+{
+    return request.budget - unrecordedShareOf(request) + (allowance.sawAllTurns ? 0 : request.turnTokens);
+}
+
 LedgerAnswer TokenLedger::reserve(const TurnRequest &request, bool mayGrantUnrecordedShare, Time now)
 {
     const auto [entry, added] = this->programs.try_emplace(request.program);
@@ -25,11 +30,22 @@
     return this->planDraw(request) ? LedgerAnswer::NeedsBlock : LedgerAnswer::Exhausted;
 }
 
+bool TokenLedger::waitsForSettlement(const TurnRequest &request, Tokens unsettled) const
+{
+    const auto found = this->programs.find(request.program);
+    if (found == this->programs.end()) {
+        return false;
+    }
+    const Allowance &allowance = found->second;
+    const Tokens coverable = allowance.left + std::max<Tokens>(0, boundOfDraws(request, allowance) - allowance.recorded);
+    return coverable < request.turnTokens && coverable + unsettled >= request.turnTokens;
+}
+
 std::optional<BlockDraw> TokenLedger::planDraw(const TurnRequest &request) const
 {
     const auto found = this->programs.find(request.program);
     const Allowance allowance = found == this->programs.end() ? Allowance() : found->second;
-    const Tokens bound = request.budget - unrecordedShareOf(request) + (allowance.sawAllTurns ? 0 : request.turnTokens);
+    const Tokens bound = boundOfDraws(request, allowance);
     const Tokens missing = request.turnTokens - allowance.left;
     const Tokens available = bound - allowance.recorded;
     if (available < missing) {
--- a/src/decision/tokenledger.h
+++ b/src/decision/tokenledger.h
@@ -59,6 +59,9 @@
     //! program without an entry in this ledger.
     LedgerAnswer reserve(const TurnRequest &request, bool mayGrantUnrecordedShare, Time now);
 
+    //! Returns true when \p request is not covered now, but would be if all of the \p unsettled tokens, which turns of the program have reserved, came back.
+    bool waitsForSettlement(const TurnRequest &request, Tokens unsettled) const;
+
     //! Returns the block to record for \p request; nothing when the recorded share does not cover it.
     std::optional<BlockDraw> planDraw(const TurnRequest &request) const;
 
@@ -98,6 +101,9 @@
         Time usedAt{};
     };
 
+    //! Returns the most tokens that all blocks of a program may have together.
+    static Tokens boundOfDraws(const TurnRequest &request, const Allowance &allowance);
+
     std::map<ProgramId, Allowance> programs;
 };
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -44,6 +44,13 @@
 constexpr Duration ownerRetryDelay = std::chrono::milliseconds(1000);
 constexpr Duration serviceRetryDelay = std::chrono::milliseconds(300);
 
+//! How long a turn that the budget does not cover waits for settlements of turns that may have ended. Leaves an owner time to answer within ownerReplyTimeout.
+constexpr Duration settlementWaitTimeout = std::chrono::milliseconds(60);
+constexpr Duration settlementPollInterval = std::chrono::milliseconds(5);
+
+//! How long the end of an answer waits until the owner has confirmed the turn's settlement.
+constexpr Duration settlementConfirmTimeout = std::chrono::milliseconds(5);
+
 //! Retry-After while neither the slot's owner nor the key-value service answers.
 constexpr Duration unavailableRetryAfter = std::chrono::milliseconds(400);
 
@@ -279,7 +286,9 @@
     if (mark && !co_await this->markSlotsUsed(slot)) {
         co_return BudgetDecision::Unavailable;
     }
+    const Time settlementLimit = currentTime() + settlementWaitTimeout;
     for (int draws = 0; draws <= maxDrawsPerTurn; ++draws) {
+        co_await this->awaitSettlements(ask, settlementLimit);
         std::optional<BlockDraw> draw;
         {
             const Time now = currentTime();
@@ -365,11 +374,32 @@
     }
 }
 
+bool BudgetCoordinator::waitsForSettlement(const BudgetRequest &ask) const
+{
+    const std::lock_guard lock(this->mutex);
+    if (!this->slots.ownsSlot(this->slots.slotOf(ask.request.program)) || this->grants.contains(ask.id)) {
+        return false;
+    }
+    Tokens unsettled = 0;
+    for (const auto &[id, open] : this->grants) {
+        unsettled += open.grant.program == ask.request.program ? open.grant.tokens : 0;
+    }
+    return this->ledger.waitsForSettlement(ask.request, unsettled);
+}
+
+asio::awaitable<void> BudgetCoordinator::awaitSettlements(BudgetRequest ask, Time limit)
+{
+    while (currentTime() < limit && this->waitsForSettlement(ask)) {
+        co_await sleepFor(settlementPollInterval);
+    }
+}
+
 asio::awaitable<Result<void>> BudgetCoordinator::reserve(ProgramContext program, Tokens tokens, std::string id)
 {
     // A slot without an owner gets one within moments. A draw in the meantime would reduce what the new owner can grant.
     co_await this->awaitOwner(this->slots.slotOf(program.program));
     const BudgetRequest ask{std::move(id), TurnRequest{program.program, program.tokenBudget.value_or(0), tokens}};
+    co_await this->awaitSettlements(ask, currentTime() + settlementWaitTimeout);
     std::string owner;
     bool asksOwner = false;
     {
@@ -444,7 +474,7 @@
     this->grants.erase(found);
 }
 
-void BudgetCoordinator::settle(const ProgramContext &program, std::string id, Tokens used)
+asio::awaitable<void> BudgetCoordinator::settle(ProgramContext program, std::string id, Tokens used)
 {
     std::string owner;
     {
@@ -458,19 +488,22 @@
     }
     if (owner.empty() || owner == this->self.peerAddress) {
         this->credit(id, used);
-        return;
+        co_return;
     }
+    const auto confirmed = std::make_shared<PendingResult<bool>>();
     BudgetSettlement settle{std::move(id), program.program, used};
     asio::co_spawn(
         this->parts.context,
-        [this, owner, settle = std::move(settle)]() -> asio::awaitable<void> {
+        [this, owner, confirmed, settle = std::move(settle)]() -> asio::awaitable<void> {
             const Result<PeerMessage> reply = co_await this->parts.peers.send(owner, settle);
             if (!reply) {
                 // The tokens that the turn did not use stay spent, so that the budget is not exceeded.
                 logError("budget", "failed to settle a turn at " + owner, reply.error());
             }
+            confirmed->set(reply.has_value());
         },
         asio::detached);
+    co_await confirmed->wait(settlementConfirmTimeout);
 }
 
 Time BudgetCoordinator::recordsReadAt() const
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -45,7 +45,7 @@
     void start();
 
     boost::asio::awaitable<Result<void>> reserve(ProgramContext program, Tokens tokens, std::string id) override;
-    void settle(const ProgramContext &program, std::string id, Tokens used) override;
+    boost::asio::awaitable<void> settle(ProgramContext program, std::string id, Tokens used) override;
 
     //! Answers a peer's BudgetRequest, BudgetSettlement, BudgetReturn or BudgetHandover; returns nothing for other messages.
     boost::asio::awaitable<std::optional<PeerMessage>> serve(const PeerMessage &message);
@@ -106,6 +106,10 @@
     boost::asio::awaitable<BudgetDecision> drawAndGrant(BudgetRequest ask);
     boost::asio::awaitable<bool> recordDraw(TurnRequest request, BlockDraw draw);
     boost::asio::awaitable<BudgetDecision> askOwner(std::string address, BudgetRequest ask);
+
+    //! Waits, no longer than until \p limit, while this instance owns the slot of \p ask and only tokens of unsettled turns could cover it.
+    boost::asio::awaitable<void> awaitSettlements(BudgetRequest ask, Time limit);
+    bool waitsForSettlement(const BudgetRequest &ask) const;
     LedgerAnswer tryGrant(const BudgetRequest &ask, Time now);
     void credit(const std::string &id, Tokens used);
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -201,12 +201,9 @@
             co_await this->refuse(context, reserved.error());
             co_return;
         }
+        context.reserved = true;
     }
     co_await this->serveAdmitted(context);
-    if (budgeted) {
-        const auto used = static_cast<Tokens>(context.progress.continuity.passedOn()) * context.service->tokensPerEvent;
-        this->parts.budget.settle(*context.call.program, context.call.requestId, used);
-    }
     if (context.stream) {
         this->parts.versions.onEnded(*context.stream, currentTime());
     }
@@ -244,9 +241,21 @@
         }
         nextStep = co_await this->sendOnce(context, std::move(requiredEndpoint));
     }
+    // A caller may send its next turn as soon as the answer ends.
+    co_await this->settle(context);
     co_await this->sendFinalAnswer(context, nextStep);
 }
 
+asio::awaitable<void> Relay::settle(RelayRequest &context)
+{
+    if (!context.reserved) {
+        co_return;
+    }
+    context.reserved = false;
+    const auto used = static_cast<Tokens>(context.progress.continuity.passedOn()) * context.service->tokensPerEvent;
+    co_await this->parts.budget.settle(*context.call.program, context.call.requestId, used);
+}
+
 void Relay::recordRunEnd(const RelayRequest &context, const SendResult &result, Time startedAt, Time now)
 {
     const EndpointId &endpoint = result.report.endpoint;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -71,6 +71,9 @@
 
     //! Records the result of a send and decides what follows.
     NextStep judge(RelayRequest &context, const SendAttempt &attempt, SendResult result);
+
+    //! Gives back the reserved tokens that were not passed on.
+    boost::asio::awaitable<void> settle(RelayRequest &context);
     boost::asio::awaitable<void> sendFinalAnswer(RelayRequest &context, NextStep nextStep);
     boost::asio::awaitable<void> refuse(RelayRequest &context, const Error &error);
     void recordOutcome(const RelayRequest &context) const;
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -40,6 +40,7 @@
     std::optional<std::string> streamVersion{}; //!< The only software version at which the stream may go on; any as long as it has not begun.
     std::optional<RetryPlan> retries{};
     std::optional<HttpResponse> answer{};
+    bool reserved = false; //!< Tokens of the program's budget are reserved and not settled.
     bool streamed = false;
     bool endedWithConnection = false; //!< The latest answer had neither a length nor chunks.
     std::size_t unfinishedBytes = 0; //!< Bytes behind the last whole event of the latest answer.
--- a/tests/unit/tokenledgertests.cpp
+++ b/tests/unit/tokenledgertests.cpp
@@ -124,3 +124,21 @@
     ledger.forgetIdle(start + Duration(1));
     CHECK(ledger.size() == 0);
 }
+
+// Guards against a refusal while reserved tokens may still come back, and against a wait for tokens that could not cover the turn.
+TEST_CASE("A turn waits for the settlement of others only if their tokens could cover it")
+{
+    TokenLedger ledger;
+    std::uint64_t revision = 0;
+    CHECK_FALSE(ledger.waitsForSettlement(turn, turn.turnTokens));
+    while (reserveWithDraws(ledger, turn, true, revision)) {
+        REQUIRE(revision <= 1);
+    }
+    CHECK_FALSE(ledger.waitsForSettlement(turn, 0));
+    CHECK_FALSE(ledger.waitsForSettlement(turn, turn.turnTokens - 1));
+    CHECK(ledger.waitsForSettlement(turn, turn.turnTokens));
+    ledger.credit("p", 1);
+    CHECK(ledger.waitsForSettlement(turn, turn.turnTokens - 1));
+    ledger.credit("p", turn.turnTokens - 1);
+    CHECK_FALSE(ledger.waitsForSettlement(turn, turn.turnTokens));
+}
