An answer of the store on a kept connection has to show whose it is

Seen by callers: a former answer that the store wrote once more was taken for the next one's: a write told as done that was refused (a budget spent twice), a conflict of a write that applied, "not run" of one that ran, other keys' lists, a watch that went past a change. Cause: answers name no request, and nothing of their content was compared with the question. The whole gateway-tests were not run.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -367,13 +367,21 @@
     co_return toResponse(parser.get());
 }
 
-asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
+asio::awaitable<HttpOutcome>
+receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step, bool wasUsed)
 {
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
         HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
-        if (outcome && accepted) {
+        const bool isOwnerAsked = outcome && accepted && wasUsed && call.ownerOf;
+        const ResponseOwner owner = isOwnerAsked ? call.ownerOf(outcome.value()) : ResponseOwner::ThisRequest;
+        if (owner == ResponseOwner::OtherRequest) {
+            HttpFailure foreign = failure(ErrorCode::EndpointGarbled, step, call, false, "the response answers another request");
+            foreign.responseStarted = true;
+            co_return foreign;
+        }
+        if (outcome && accepted && owner == ResponseOwner::ThisRequest) {
             keepConnection(core, connection, call, parser.get());
         }
         if (!outcome || accepted) {
@@ -427,7 +435,7 @@
     const auto [error, size] = co_await http::async_write(connection->stream(), message, useResult);
     HttpOutcome outcome = failure(codeOf(error), step, call, false, "write: " + error.message());
     if (!error) {
-        outcome = co_await receiveAcceptedResponse(*core, underWay, connection, call, step);
+        outcome = co_await receiveAcceptedResponse(*core, underWay, connection, call, step, wasUsed);
     }
     if (!outcome && underWay.isLost()) {
         outcome.error().connectionLost = true;
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
+#include <optional>
 #include <stdexcept>
 
 namespace oleandergate::support {
@@ -22,6 +23,9 @@
 
 constexpr Duration watchPollInterval = std::chrono::milliseconds(5);
 
+//! How long after the copy of a former answer the answer itself follows: its caller has read the copy by then.
+constexpr Duration delayBehindCopy = std::chrono::milliseconds(100);
+
 json::object itemOf(const std::string &key, std::string value, std::uint64_t revision, const std::map<std::string, std::string> &replaced)
 {
     for (const auto &[text, shown] : replaced) {
@@ -118,6 +122,29 @@
     this->watchesSilent = newWatchesSilent;
 }
 
+void StandinStore::setRepeating(bool newRepeating, bool newLosing)
+{
+    this->losing = newLosing;
+    this->repeating = newRepeating;
+}
+
+asio::awaitable<bool> StandinStore::repeatFormer(const std::string &peer, HttpExchange &exchange)
+{
+    std::optional<HttpResponse> former;
+    {
+        const std::lock_guard lock(this->mutex);
+        if (const auto found = this->formerAnswers.find(peer); found != this->formerAnswers.end()) {
+            former = found->second;
+        }
+    }
+    if (former && this->repeating) {
+        co_await exchange.respond(std::move(*former));
+        co_await sleepFor(delayBehindCopy);
+        co_return true;
+    }
+    co_return false;
+}
+
 HttpResponse StandinStore::range(const HttpRequest &request, const View &view) const
 {
     const std::lock_guard lock(this->mutex);
@@ -189,6 +216,11 @@
 {
     HttpResponse response = jsonResponse("{}", 404);
     const std::string path = request.path();
+    const bool isRepeated = co_await this->repeatFormer(request.peer, exchange);
+    if (isRepeated && this->losing) {
+        exchange.closeAfterResponse();
+        co_return;
+    }
     if (this->refusing) {
         response = jsonResponse("{}", 503);
     } else if (path == "/kv-range") {
@@ -200,6 +232,10 @@
     } else if (path == "/kv-lease") {
         response = jsonResponse(R"({"Lease":77,"TtlMs":600000})");
     }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->formerAnswers[request.peer] = response;
+    }
     co_await exchange.respond(std::move(response));
 }
 
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -44,6 +44,10 @@
     //! While watches are silent, changes are stored but not reported to any watch.
     void setWatchesSilent(bool watchesSilent);
 
+    //! While repeating, the store writes the former answer of a connection once more before each next one, which follows a little later.
+    //! While \p losing too, the next one is lost: the connection is closed behind the copy.
+    void setRepeating(bool repeating, bool losing = false);
+
 private:
     struct Item
     {
@@ -75,6 +79,9 @@
     std::unique_ptr<HttpServer> serve(const std::string &servedAddress, const View &view);
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange, const View &view);
     boost::asio::awaitable<HttpResponse> watch(const HttpRequest &request, const View &view);
+
+    //! Writes the former answer to \p peer once more if there is one and the store is repeating. Returns whether it did.
+    boost::asio::awaitable<bool> repeatFormer(const std::string &peer, HttpExchange &exchange);
     HttpResponse range(const HttpRequest &request, const View &view) const;
     HttpResponse transact(const boost::json::object &body, const View &view);
     void write(const std::string &key, const std::string &value, bool removed);
@@ -90,6 +97,9 @@
     std::uint64_t revision = 1;
     std::atomic<bool> refusing{false};
     std::atomic<bool> watchesSilent{false};
+    std::atomic<bool> repeating{false};
+    std::atomic<bool> losing{false};
+    std::map<std::string, HttpResponse> formerAnswers; //!< By the caller's address and port. Guarded by the mutex.
     std::thread thread;
 };
 
