Callers with HTTP/1.0 get streams without chunks, and a reset when one is broken off

Seen by callers: chunks that HTTP/1.0 can't read. Cause: the exchange didn't know the caller's version. Change: such a stream ends with its connection; the socket resets on close (also when the process is killed) until the stream is whole.

--- a/src/runtime/beastexchange.cpp
+++ b/src/runtime/beastexchange.cpp
@@ -93,10 +93,11 @@
     }
 }
 
-BeastExchange::BeastExchange(beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive)
+BeastExchange::BeastExchange(beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive, bool callerReadsChunks)
     : stream(stream)
     , watcher(std::move(watcher))
     , mayKeepAlive(std::move(mayKeepAlive))
+    , callerReadsChunks(callerReadsChunks)
 {
 }
 
@@ -131,6 +132,17 @@
     return this->responseStarted && this->healthy;
 }
 
+bool BeastExchange::needsReset() const
+{
+    return this->endsWithConnection && !this->responseComplete;
+}
+
+void BeastExchange::resetOnClose(bool reset)
+{
+    beast::error_code ignored;
+    this->stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void BeastExchange::decideKeepAlive()
 {
     this->keepAlive = this->keepAlive && this->mayKeepAlive();
@@ -163,8 +175,13 @@
     }
     copyHeaders(head.headers, message);
     this->decideKeepAlive();
+    if (!this->callerReadsChunks) {
+        this->keepAlive = false;
+        this->endsWithConnection = true;
+        this->resetOnClose(true);
+    }
     message.keep_alive(this->keepAlive);
-    message.chunked(true);
+    message.chunked(this->callerReadsChunks);
     http::response_serializer<http::empty_body> serializer(message);
     this->responseStarted = true;
     this->stream.expires_after(writeTimeout);
@@ -179,8 +196,13 @@
         co_return false;
     }
     this->stream.expires_after(writeTimeout);
-    const auto [error, size] = co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(chunk)), useResult);
-    this->healthy = !error;
+    if (this->endsWithConnection) {
+        const auto [error, size] = co_await asio::async_write(this->stream, asio::buffer(chunk), useResult);
+        this->healthy = !error;
+    } else {
+        const auto [error, size] = co_await asio::async_write(this->stream, http::make_chunk(asio::buffer(chunk)), useResult);
+        this->healthy = !error;
+    }
     co_return this->healthy;
 }
 
@@ -189,6 +211,11 @@
     if (!this->healthy) {
         co_return false;
     }
+    if (this->endsWithConnection) {
+        this->resetOnClose(false);
+        this->responseComplete = true;
+        co_return true;
+    }
     this->stream.expires_after(writeTimeout);
     const auto [error, size] = co_await asio::async_write(this->stream, http::make_chunk_last(), useResult);
     this->healthy = !error;
--- a/src/runtime/beastexchange.h
+++ b/src/runtime/beastexchange.h
@@ -37,8 +37,9 @@
 class BeastExchange : public HttpExchange
 {
 public:
-    //! \p mayKeepAlive is asked when a response begins: it returns whether the connection may serve another request after it.
-    BeastExchange(boost::beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive);
+    //! \p mayKeepAlive is asked when a response begins: it returns whether the connection may serve another request after it. \p callerReadsChunks is
+    //! false for callers with HTTP/1.0.
+    BeastExchange(boost::beast::tcp_stream &stream, std::shared_ptr<DisconnectWatcher> watcher, std::function<bool()> mayKeepAlive, bool callerReadsChunks);
     ~BeastExchange() override;
     BeastExchange(const BeastExchange &) = delete;
     BeastExchange &operator=(const BeastExchange &) = delete;
@@ -57,15 +58,23 @@
     //! Returns whether bytes of a response were sent and the connection is not known to be broken.
     bool hasSentResponse() const;
 
+    //! Returns whether the end of the connection would be taken for the end of a body that has not ended, so that the connection has to be reset.
+    bool needsReset() const;
+
     bool responseStarted = false;
     bool responseOptional = false;
 
 private:
     void decideKeepAlive();
 
+    //! Sets whether the connection is reset when it closes, also when it closes because this process ends.
+    void resetOnClose(bool reset);
+
     boost::beast::tcp_stream &stream;
     std::shared_ptr<DisconnectWatcher> watcher;
     std::function<bool()> mayKeepAlive;
+    bool callerReadsChunks = true;
+    bool endsWithConnection = false; //!< The response is a stream whose end is that of the connection.
     bool keepAlive = true;
     bool healthy = true;
     bool responseComplete = false;
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -299,9 +299,14 @@
     this->enter(ConnectionPhase::Handling);
     this->stream.expires_never();
     const bool callerKeepsAlive = parser.get().keep_alive();
-    BeastExchange exchange(this->stream, this->watcher, [this, callerKeepsAlive]() {
-        return callerKeepsAlive && this->mayKeepAlive();
-    });
+    const bool callerReadsChunks = parser.get().version() >= 11;
+    BeastExchange exchange(
+        this->stream,
+        this->watcher,
+        [this, callerKeepsAlive]() {
+            return callerKeepsAlive && this->mayKeepAlive();
+        },
+        callerReadsChunks);
     if (this->core->refusing) {
         HttpResponse response = this->core->formatError(serviceUnavailable, shutdownDetail);
         co_await exchange.respond(std::move(response));
@@ -310,6 +315,7 @@
         co_await this->handle(exchange, std::move(request));
     }
     this->responseSent = exchange.hasSentResponse();
+    this->mustReset = exchange.needsReset();
     co_return exchange.keepsAlive();
 }
 
@@ -331,9 +337,13 @@
 asio::awaitable<void> HttpConnection::sendLast(HttpResponse response)
 {
     this->enter(ConnectionPhase::Handling);
-    BeastExchange exchange(this->stream, this->watcher, []() {
-        return false;
-    });
+    BeastExchange exchange(
+        this->stream,
+        this->watcher,
+        []() {
+            return false;
+        },
+        true);
     co_await exchange.respond(std::move(response));
     this->responseSent = exchange.hasSentResponse();
 }
@@ -341,6 +351,10 @@
 asio::awaitable<void> HttpConnection::close()
 {
     this->enter(ConnectionPhase::Closing);
+    if (this->mustReset) {
+        this->stream.close();
+        co_return;
+    }
     beast::error_code ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     const Time until = currentTime() + lingerLimit;
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -105,6 +105,7 @@
     std::string peer;
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
+    bool mustReset = false; //!< An end in order would be taken for the end of a response that has not ended.
     bool responseSent = false; //!< The caller may still have to receive the end of a response.
 };
 
--- a/src/runtime/httpexchange.h
+++ b/src/runtime/httpexchange.h
@@ -19,7 +19,8 @@
     //! Sends a complete response. Returns false when the connection is broken.
     virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
 
-    //! Sends the head of a response whose body follows in chunks. Returns false when the connection is broken.
+    //! Sends the head of a response whose body follows in chunks. A caller that reads no chunks (HTTP/1.0) gets their content as it is, and the
+    //! connection ends with the body: in order if the body was ended, by a reset if not. Returns false when the connection is broken.
     virtual boost::asio::awaitable<bool> startStream(HttpResponse head) = 0;
 
     //! Sends one chunk of the body. Returns false when the connection is broken.
--- a/tests/gateway/streamtests.cpp
+++ b/tests/gateway/streamtests.cpp
@@ -1,6 +1,7 @@
 //! Streams of endpoints that end early, repeat themselves, or answer for another request.
 
 #include "gatewaycluster.h"
+#include "support/callerconnection.h"
 
 #include <doctest/doctest.h>
 
@@ -205,3 +206,34 @@
     CHECK(cluster.receive("/spread/1").isWhole());
     CHECK(cluster.receive("/single/1").isWhole());
 }
+
+// Guards against chunks in front of a caller that reads none, and against a broken stream that such a caller takes for a whole one.
+TEST_CASE("Streams: a caller with HTTP/1.0 gets the events without chunks, and a reset when the stream is broken off")
+{
+    for (const Behaviour behaviour : {Behaviour::Normal, Behaviour::BreakUnnumbered, Behaviour::SlowStream}) {
+        CAPTURE(static_cast<int>(behaviour));
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setNextBehaviours({behaviour});
+        CallerConnection caller(cluster.callerAddress(0));
+        REQUIRE(caller.send("POST /turns/1 HTTP/1.0\r\nHost: h.example\r\nOleandergate-Request-Id: old-1\r\nOleandergate-Token-Counts: 100,100\r\n"
+                            "Oleandergate-Prompt-Prefix: a1:100\r\nOleandergate-Deadline-Ms: 4000\r\nConnection: keep-alive\r\nContent-Length: 4\r\n\r\nbody"));
+        const bool isKilled = behaviour == Behaviour::SlowStream;
+        if (isKilled) {
+            while (caller.bytes().find("data: token 1") == std::string::npos && caller.receiveSome(8000)) { }
+            cluster.gateways[0].kill();
+        }
+        caller.receiveToEnd(8000);
+        const std::string &bytes = caller.bytes();
+        CAPTURE(bytes);
+        const std::size_t bodyAt = bytes.find("\r\n\r\n");
+        REQUIRE(bodyAt != std::string::npos);
+        CHECK(bytes.find("chunked") > bodyAt);
+        CHECK(countOf(bytes.substr(0, bodyAt), "Connection: close") == 1);
+        const std::string body = bytes.substr(bodyAt + 4);
+        const bool startsWithEvent = body.starts_with("id: ") || body.starts_with("data: ");
+        CHECK(startsWithEvent);
+        const bool isWhole = behaviour == Behaviour::Normal;
+        CHECK((countOf(body, "data: token ") == StandinEndpoint::eventCount) == isWhole);
+        CHECK(caller.end() == (isWhole ? ConnectionEnd::Closed : ConnectionEnd::Reset));
+    }
+}
--- a/tests/support/callerconnection.cpp
+++ b/tests/support/callerconnection.cpp
@@ -112,6 +112,11 @@
     return this->ended;
 }
 
+const std::string &CallerConnection::bytes() const
+{
+    return this->received;
+}
+
 std::string bodyChunk(const std::string &text)
 {
     std::ostringstream out;
--- a/tests/support/callerconnection.h
+++ b/tests/support/callerconnection.h
@@ -50,6 +50,9 @@
     std::size_t incompleteBytes() const;
     ConnectionEnd end() const;
 
+    //! Returns all received bytes.
+    const std::string &bytes() const;
+
 private:
     //! Returns the number of bytes of the complete responses, which are added to \p found.
     std::size_t parse(std::vector<HttpResponse> &found) const;
