An engine's stream passes on nothing behind [DONE] or a malformed event

Seen by callers: text behind a missing event, or of a second answer. Cause: each event was handled whatever came before it. Change: nothing is handled behind either. Measured: the new unit case red on (10 checks), green after; unit-tests 213 of 213. Integration tests not run.

--- a/src/runtime/enginestream.cpp
+++ b/src/runtime/enginestream.cpp
@@ -51,6 +51,10 @@
 
 void EngineStream::handleEvent(const std::string &data)
 {
+    // What follows [DONE] belongs to another answer, and what follows a malformed event has a gap in front of it.
+    if (this->done || this->malformed) {
+        return;
+    }
     if (data == "[DONE]") {
         this->done = true;
         return;
--- a/src/runtime/enginestream.h
+++ b/src/runtime/enginestream.h
@@ -9,7 +9,7 @@
 
 namespace oleandergate {
 
-//! Parses the server-sent events of an OpenAI-compatible engine.
+//! Parses the server-sent events of an OpenAI-compatible engine. Nothing is passed on behind [DONE] or behind a malformed event.
 class EngineStream
 {
 public:
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -120,6 +120,35 @@
     CHECK(endless.isMalformed());
 }
 
+// Guards against text that is passed on, and continued from, behind an event that is missing, and against the text of a second answer behind the first.
+TEST_CASE("An engine's stream passes on nothing behind a malformed event, nor behind its end")
+{
+    const std::string first = R"(data: {"choices":[{"delta":{"content":"a"}}]})";
+    const std::string second = R"(data: {"choices":[{"delta":{"content":"b"}}],"usage":{"prompt_tokens":7,"completion_tokens":9}})";
+    for (const std::string between : {"data: [DONE]", "data: {\"choices\": [nonsense", "data: {\"usage\":{}}"}) {
+        CAPTURE(between);
+        std::string text;
+        EngineStream stream([&text](const std::string &chunk, Tokens) {
+            text += chunk;
+        });
+        stream.feed(first + "\n\n" + between + "\n\n" + second + "\n\n");
+        CHECK(text == "a");
+        CHECK(stream.promptTokens() == 0);
+        CHECK(stream.completionTokens() == 1);
+        CHECK(stream.isMalformed() == (between != "data: [DONE]"));
+    }
+    // An event without end counts as malformed too.
+    std::string text;
+    EngineStream stream([&text](const std::string &chunk, Tokens) {
+        text += chunk;
+    });
+    stream.feed(first + "\n\n");
+    stream.feed(std::string(2000000, 'x'));
+    stream.feed("\n\n" + second + "\n\n");
+    CHECK(text == "a");
+    CHECK(stream.isMalformed());
+}
+
 TEST_CASE("Random chat bodies are parsed or rejected without a crash")
 {
     const std::string good = R"({"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":9,"stream":true})";
