--- a/tests/support/callerconnection.h
+++ b/tests/support/callerconnection.h
@@ -53,6 +53,9 @@
     std::string incompleteBody() const;
     ConnectionEnd end() const;
 
+    //! Returns all received bytes.
+    const std::string &bytes() const;
+
 private:
     //! Returns the number of bytes of the complete responses, which are added to \p found.
     std::size_t parse(std::vector<HttpResponse> &found) const;
