--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -5,6 +5,7 @@
 #include "gateway/relay.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
+#include "runtime/memorybudget.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/peerserver.h"
@@ -23,6 +24,7 @@
 constexpr Tokens turnTokens = 100;
 constexpr Tokens budget = 2 * turnTokens;
 constexpr SlotId slotCount = 128;
+constexpr std::size_t memoryBytes = 64UL * 1024 * 1024;
 
 //! Accepts all writes and has no records.
 class AcceptingStore : public KeyValueService
@@ -234,6 +236,10 @@
     {
     }
 
+    void abandon() override
+    {
+    }
+
     void onCallerDisconnected(std::function<void()> /*onDisconnected*/) override
     {
     }
@@ -321,7 +327,8 @@
     LeavingEndpoints leaving{pools, metrics, self.id, onNews};
     PeerGossip gossip{context, auth, self, {}, PeerGossip::Hooks{}};
     StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, metrics}, self.id};
-    Relay relay{Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, leaving, versions, metrics}};
+    MemoryBudget memory{memoryBytes, metrics};
+    Relay relay{Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, leaving, versions, memory, metrics}};
 };
 
 } // namespace
