--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -131,7 +131,10 @@
         EngineStream stream([&text](const std::string &chunk, Tokens) {
             text += chunk;
         });
-        stream.feed(first + "\n\n" + between + "\n\n" + second + "\n\n");
+        for (const std::string &event : {first, between, second}) {
+            stream.feed(event);
+            stream.feed("\n\n");
+        }
         CHECK(text == "a");
         CHECK(stream.promptTokens() == 0);
         CHECK(stream.completionTokens() == 1);
