--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -380,21 +380,13 @@
     co_return toResponse(parser.get());
 }
 
-asio::awaitable<HttpOutcome>
-receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step, bool wasUsed)
+asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
 {
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
         HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
-        const bool isOwnerAsked = outcome && accepted && wasUsed && call.ownerOf;
-        const ResponseOwner owner = isOwnerAsked ? call.ownerOf(outcome.value()) : ResponseOwner::ThisRequest;
-        if (owner == ResponseOwner::OtherRequest) {
-            HttpFailure foreign = failure(ErrorCode::EndpointGarbled, step, call, false, "the response answers another request");
-            foreign.responseStarted = true;
-            co_return foreign;
-        }
-        if (outcome && accepted && owner == ResponseOwner::ThisRequest) {
+        if (outcome && accepted) {
             keepConnection(core, connection, call, parser.get());
         }
         if (!outcome || accepted) {
@@ -448,7 +440,7 @@
     const auto [error, size] = co_await http::async_write(connection->stream(), message, useResult);
     HttpOutcome outcome = failure(codeOf(error), step, call, false, "write: " + error.message());
     if (!error) {
-        outcome = co_await receiveAcceptedResponse(*core, underWay, connection, call, step, wasUsed);
+        outcome = co_await receiveAcceptedResponse(*core, underWay, connection, call, step);
     }
     if (!outcome && underWay.isLost()) {
         outcome.error().connectionLost = true;
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -5,7 +5,6 @@
 #include "runtime/httpmessage.h"
 #include "runtime/interfaces/dialer.h"
 #include "runtime/listening.h"
-#include "runtime/responseowner.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -44,9 +43,6 @@
     std::function<void(int status, std::string_view chunk)> onBodyChunk{}; //!< Called with each part of the body as it arrives.
     std::function<bool()> maySend{}; //!< Called just before the request is written; if it returns false, the request is not sent.
     std::function<bool(const HttpResponse &head)> accepts{}; //!< Returns false for the head of a response to another request, which is then skipped.
-    std::function<ResponseOwner(const HttpResponse &response)>
-        ownerOf{}; //!< Asked about each complete response on a connection that carried requests before. Only one of this request leaves the connection in use;
-                   //!< one of another request is a failure.
     std::function<boost::asio::awaitable<bool>(const HttpResponse &head, std::string chunk)>
         forwardChunk{}; //!< Consumes the body chunk by chunk instead of collecting it; returning false stops the call.
     std::function<void(const ConnectionPath &path, bool wasUsed)>
