A stream whose end could not be confirmed is broken off, and a stopping instance still asks

Cause: delivered a stream whose end nobody could confirm, to keep whole ones during a stop; most of those cases were cut ones whose confirmation waited for a place or ran out of time.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -72,12 +72,6 @@
     return perEvent <= 0 || call.maxTokens <= 0 ? 0 : static_cast<std::uint64_t>((call.maxTokens + perEvent - 1) / perEvent);
 }
 
-//! Returns whether a send that ended like this tells nothing about the stream that it was to confirm.
-bool saysNothing(SendOutcome outcome)
-{
-    return outcome == SendOutcome::NotSent || outcome == SendOutcome::Refused || outcome == SendOutcome::TimedOut || outcome == SendOutcome::CutOff;
-}
-
 std::string textOf(const std::optional<std::uint64_t> &number)
 {
     return number ? std::to_string(*number) : std::string();
@@ -285,10 +279,6 @@
     case SendDecision::Again:
         co_return attempt.requiredEndpoint.empty() ? NextStep::TryElsewhere : NextStep::TrySame;
     case SendDecision::Refuse:
-        if (context.progress.continuity.endsUnproven()) {
-            context.streamed = true;
-            co_return NextStep::Deliver;
-        }
         co_return context.retries->mayHaveRun() ? NextStep::FailUnknown : NextStep::RefuseNotRun;
     case SendDecision::CallerLeft:
         co_return NextStep::Stop;
@@ -353,11 +343,7 @@
     const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Unconfirmed || outcome == SendOutcome::Refused
         || outcome == SendOutcome::CallerLeft || outcome == SendOutcome::CutOff || result.connectionLost || result.endedForMemory;
     context.pool->finish(attempt.call, healthy, currentTime());
-    NextStep next = context.retries->after(result.report);
-    if (context.progress.continuity.endsUnproven() && !result.streamed && saysNothing(outcome) && next != NextStep::TryElsewhere && next != NextStep::TrySame) {
-        result.streamed = true;
-        next = NextStep::Deliver;
-    }
+    const NextStep next = context.retries->after(result.report);
     if (result.report.outcome != SendOutcome::Answered) {
         this->parts.metrics.count("oleandergate_sends_failed_total", "end=\"" + std::string(nameIn(sendOutcomeNames, result.report.outcome)) + "\"");
         logRecord(LogLevel::Info,
--- a/src/gateway/requestdrain.cpp
+++ b/src/gateway/requestdrain.cpp
@@ -35,7 +35,9 @@
 
 bool RequestDrain::admits(const RelayRequest &request, Time now) const
 {
-    return !this->plan || this->admits(request.deadline, request.pool->expectedMaxCallTime(), now);
+    // The run that is to confirm the end of a stream is short, and without it the stream would be broken off.
+    const bool isConfirmed = this->plan && request.progress.continuity.endsUnproven() && now < this->plan->limit(request.deadline);
+    return !this->plan || isConfirmed || this->admits(request.deadline, request.pool->expectedMaxCallTime(), now);
 }
 
 Time RequestDrain::limit(Time deadline) const
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -503,7 +503,8 @@
         break;
     }
     const bool framed = behaviour != Behaviour::EndMidEvent && behaviour != Behaviour::Unframed && behaviour != Behaviour::EndBetweenEvents
-        && behaviour != Behaviour::CrashBetweenEvents && behaviour != Behaviour::ResetBetweenEvents && behaviour != Behaviour::UnframedTwice;
+        && behaviour != Behaviour::CrashBetweenEvents && behaviour != Behaviour::ResetBetweenEvents && behaviour != Behaviour::UnframedTwice
+        && behaviour != Behaviour::SlowUnframed;
     if (!request.query("work_ms").empty()) {
         return this->answerPlanned(socket, request, behaviour, framed);
     }
@@ -575,7 +576,7 @@
             if (!open || !this->work(socket, std::chrono::milliseconds(std::stoi(gap)))) {
                 return false;
             }
-        } else if (behaviour == Behaviour::SlowStream || behaviour == Behaviour::SlowBreakMidEvent) {
+        } else if (behaviour == Behaviour::SlowStream || behaviour == Behaviour::SlowBreakMidEvent || behaviour == Behaviour::SlowUnframed) {
             std::this_thread::sleep_for(slowEventGap);
         }
     }
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -42,6 +42,7 @@
     FromStart, //!< A whole stream from its first event on, whatever the request asks for.
     BreakFromStart, //!< The same, and ends behind its third event.
     UnframedTwice, //!< A whole stream with neither length nor chunks, and the whole answer once more behind it.
+    SlowUnframed, //!< A whole stream with neither length nor chunks, with pauses between its events.
     CrashInAnswer, //!< Sends a part of an answer with neither length nor chunks, then stops listening and closes all connections in order.
     LeaveOut, //!< Leaves the first event out.
     LeaveOutFourth, //!< Leaves the fourth event out.
--- a/tests/gateway/streamtests.cpp
+++ b/tests/gateway/streamtests.cpp
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
+#include <thread>
+
 using namespace oleandergate;
 using namespace oleandergate::support;
 
@@ -49,13 +52,14 @@
         REQUIRE(this->logHas(0, "\"version\":\"2\""));
     }
 
-    ReceivedStream receive(const std::string &target = "/turns/1")
+    ReceivedStream receive(const std::string &target = "/turns/1", int deadlineMs = 4000)
     {
         const std::string id = "stream-" + std::to_string(++this->streams);
         const std::string bytes = this->sendRaw(0,
                                                 "POST " + target + " HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: " + id
                                                     + "\r\nOleandergate-Token-Counts: 100,100\r\nOleandergate-Prompt-Prefix: a1:100\r\n"
-                                                      "Oleandergate-Deadline-Ms: 4000\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+                                                      "Oleandergate-Deadline-Ms: "
+                                                    + std::to_string(deadlineMs) + "\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
         ReceivedStream stream;
         stream.status = bytes.substr(0, bytes.find("\r\n"));
         stream.complete = bytes.ends_with("0\r\n\r\n");
@@ -221,15 +225,36 @@
     CHECK(cluster.receivedCount() == 5);
 }
 
-// Guards against breaking off whole streams because nobody could be asked whether they are: their endpoint is full or leaves.
-TEST_CASE("Streams: a stream whose end could not be confirmed is delivered as complete")
+// Guards against a cut stream that reaches its caller as complete because nobody could be asked whether it is: its endpoint is full.
+TEST_CASE("Streams: a stream whose end could not be confirmed is broken off")
 {
     StreamCluster cluster(1);
-    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse});
-    CHECK(cluster.receive().isWhole());
-    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed});
-    cluster.endpoints[0]->setStatesLeaving(true);
-    CHECK(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::EndBetweenEvents, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse, Behaviour::Refuse});
+    const ReceivedStream stream = cluster.receive();
+    CHECK(stream.isInOrder());
+    CHECK(stream.pieces.size() == 2);
+    CHECK_FALSE(stream.complete);
+}
+
+// Guards against a whole stream that is broken off because the instance shuts down before its end is confirmed.
+TEST_CASE("Streams: the end of a stream is confirmed while the instance shuts down")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::SlowUnframed});
+    ReceivedStream stream;
+    std::thread caller([&]() {
+        stream = cluster.receive("/turns/1", 8000);
+    });
+    CHECK(waitFor(
+        [&]() {
+            return cluster.receivedCount() == 1;
+        },
+        GatewayCluster::logTimeoutMs));
+    cluster.setGrace(0, 4);
+    cluster.gateways[0].signal(SIGTERM);
+    caller.join();
+    CHECK(stream.isWhole());
+    CHECK(cluster.receivedCount() == 2);
 }
 
 // Guards against the head and the events of a second answer in the stream of a caller.
