A stream that is taken up without its first attempt is known by its request

Callers saw: a stream whose caller takes it up with Last-Event-Id alone, without Resumes and without a program, went on at another software version, or at the other service of a split route. The wire's examples show such take-ups; all our tests and the soak named the first attempt. A take-up that names a wrong attempt, one of another stream or one that never was, went on at the version of that one, or of a bucket by chance.

Cause: where no first attempt is named, the new attempt's own identifier took its place. It chose the bucket, the record and the target of the route; none of these has anything to do with the stream. Class: a key that is not shared by the attempts of what it stands for.

Change: the bucket of a stream without a program and the target of a split route follow from a fingerprint that all attempts of the request share. Records have it in their keys, and there is one by fingerprint beside the one by attempt, in the same call. A named attempt counts only with the stream's fingerprint. Without it, the records of the request and the bucket have to agree on one version, else the take-up is refused as not run. A broken stream that its caller may take up is recorded when its bucket moves, as one under way is.

--- a/src/decision/versiontable.cpp
+++ b/src/decision/versiontable.cpp
@@ -73,6 +73,18 @@
     return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
 }
 
+std::optional<std::string> VersionTable::resolveUnnamed(const std::string &service, std::size_t bucket, const std::set<std::string> &recorded) const
+{
+    std::set<std::string> possible = this->candidates(service, bucket);
+    if (possible.size() > 1 && !recorded.empty()) {
+        // While a bucket moves, all its streams are recorded.
+        possible = recorded;
+    } else {
+        possible.insert(recorded.begin(), recorded.end());
+    }
+    return possible.size() == 1 ? std::optional(*possible.begin()) : std::nullopt;
+}
+
 VersionBuckets VersionTable::bucketsOf(const std::string &service) const
 {
     const auto found = this->assignments.find(service);
--- a/src/decision/versiontable.h
+++ b/src/decision/versiontable.h
@@ -41,6 +41,10 @@
     //! are diverted, unless the stream is known to have no record.
     std::optional<std::string> resolve(const std::string &service, std::size_t bucket, const StreamRecord &record) const;
 
+    //! Returns the version that began a stream in \p bucket, if there is no doubt and it is not known which attempt began it. \p recorded are the versions
+    //! that the records of all attempts of its request name.
+    std::optional<std::string> resolveUnnamed(const std::string &service, std::size_t bucket, const std::set<std::string> &recorded) const;
+
     //! Returns whether some streams in \p bucket may have begun at another version than their assigned one.
     bool mayBeDiverted(const std::string &service, std::size_t bucket) const;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -43,16 +43,32 @@
     return std::string_view(call.target).substr(0, call.target.find('?'));
 }
 
-//! Returns the attempt that began the stream, which is this one unless the caller takes up an interrupted stream.
-const RequestId &firstAttemptOf(const RelayCall &call)
+bool isResumable(const Route &route)
 {
-    return call.resumeAfter && !call.resumedRequest.empty() ? call.resumedRequest : call.requestId;
+    return route.kind == RouteKind::Stream && route.resumable;
 }
 
-//! Returns the key that selects one of a route's targets; the same for all attempts of a stream.
-const std::string &routingKeyOf(const RelayCall &call)
+//! Returns the stream of \p call at \p service. What its key depends on is the same for all attempts of the stream, whether or not a caller that takes it up
+//! names the attempt that began it.
+StreamIdentity streamOf(const RelayCall &call, const std::string &service)
 {
-    return call.program ? call.program->branch : firstAttemptOf(call);
+    const bool isNamed = call.resumeAfter && !call.resumedRequest.empty();
+    StreamIdentity stream;
+    stream.attempt = isNamed ? call.resumedRequest : call.requestId;
+    stream.service = service;
+    stream.request = streamFingerprintOf(call);
+    stream.bucket = versionBucketOf(call.program ? call.program->program : hashText(stream.request));
+    stream.isAttemptKnown = isNamed || !call.resumeAfter;
+    return stream;
+}
+
+//! Returns the key that selects one of a route's targets; the same for all attempts of a stream that may be resumed.
+std::string routingKeyOf(const RelayCall &call, const Route &route)
+{
+    if (call.program) {
+        return call.program->branch;
+    }
+    return isResumable(route) ? hashText(streamFingerprintOf(call)) : call.requestId;
 }
 
 //! Decides, just before \p request is written to a connection, whether it is sent. From then on one that runs at most once takes effect whether or not its
@@ -131,7 +147,7 @@
     const RelayCall &call = decoded.value();
     const Route *route = active->routes.find(call.host, pathOf(call));
     const std::shared_ptr<ServicePool> pool
-        = route == nullptr || route->targets.empty() ? nullptr : this->parts.pools.find(targetFor(*route, routingKeyOf(call)).service);
+        = route == nullptr || route->targets.empty() ? nullptr : this->parts.pools.find(targetFor(*route, routingKeyOf(call, *route)).service);
     if (!pool || this->parts.drain.admits(now + timeLimitOf(call, *route), pool->expectedMaxCallTime(), now)) {
         return std::nullopt;
     }
@@ -182,7 +198,7 @@
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
-    const std::string &service = targetFor(*context.route, routingKeyOf(context.call)).service;
+    const std::string &service = targetFor(*context.route, routingKeyOf(context.call, *context.route)).service;
     const auto foundService = context.active->services.find(service);
     context.deadline = context.arrived + timeLimitOf(context.call, *context.route);
     context.pool = this->parts.pools.find(service);
@@ -211,21 +227,19 @@
     }
     co_await this->serveAdmitted(context);
     if (context.stream) {
-        this->parts.versions.onEnded(*context.stream, currentTime());
+        const bool isBroken = context.progress.headSent && !context.streamed;
+        this->parts.versions.onEnded(*context.stream, isBroken, currentTime());
     }
 }
 
 asio::awaitable<bool> Relay::findStreamVersion(RelayRequest &context)
 {
-    if (context.route->kind != RouteKind::Stream || !context.route->resumable) {
+    if (!isResumable(*context.route)) {
         co_return true;
     }
     const RelayCall &call = context.call;
-    const bool takenUp = call.resumeAfter.has_value();
-    const RequestId &attempt = firstAttemptOf(call);
-    const std::string &key = call.program ? call.program->program : attempt;
-    context.stream = StreamIdentity{attempt, context.service->name, versionBucketOf(key)};
-    if (!takenUp) {
+    context.stream = streamOf(call, context.service->name);
+    if (!call.resumeAfter) {
         co_return true;
     }
     const Result<std::string> version = co_await this->parts.versions.find(*context.stream, call.requestId);
@@ -484,6 +498,7 @@
                {"stream_version", context.streamVersion.value_or(std::string())},
                {"resumes", context.call.resumedRequest},
                {"resumes_after", textOf(context.call.resumeAfter)},
+               {"stream_fingerprint", context.stream ? hashText(context.stream->request) : std::string()},
                {"own_calls", std::to_string(placement.ownCalls)},
                {"peer_calls", std::to_string(placement.peerCalls)},
                {"cached_tokens", std::to_string(placement.cachedTokens)},
--- a/src/gateway/relaycall.cpp
+++ b/src/gateway/relaycall.cpp
@@ -18,4 +18,13 @@
     return RequestIdentity{hashOf(call.body, seed), hashOf(std::string_view(call.body).substr(0, identifyingBytes), seed)};
 }
 
+RequestFingerprint streamFingerprintOf(const RelayCall &call)
+{
+    RequestFingerprint fingerprint = identityOf(call).exact;
+    for (const PromptPart &part : call.promptParts) {
+        fingerprint = hashOf(part.id, fingerprint);
+    }
+    return call.program ? hashOf(call.program->branch, hashOf(call.program->program, fingerprint)) : fingerprint;
+}
+
 } // namespace oleandergate
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -58,6 +58,7 @@
 
 constexpr const char *memorySource = "memory";
 constexpr const char *recordSource = "record";
+constexpr const char *requestRecordSource = "record-of-request";
 constexpr const char *assignmentSource = "assignment";
 
 std::string joined(const std::set<std::string> &versions)
@@ -190,11 +191,12 @@
 
 StreamVersions::KnownStream &StreamVersions::remember(const StreamIdentity &stream, const std::string &version)
 {
-    KnownStream &known = this->streams[stream.attempt];
+    KnownStream &known = this->streams[keyOf(stream)];
     known.recordedVersion = known.recordedVersion && known.version == version;
     known.identity = stream;
     known.version = version;
     known.endedAt = std::nullopt;
+    known.isBroken = false;
     return known;
 }
 
@@ -209,20 +211,26 @@
     const std::set<std::string> candidates = this->table.candidates(stream.identity.service, stream.identity.bucket);
     // Streams of an instance that learned of a change too late may not be among the candidates at all.
     const bool open = candidates.size() > 1 || (candidates.size() == 1 && !candidates.contains(stream.version));
-    if (open && !stream.endedAt && !stream.recordedVersion) {
+    if (open && (!stream.endedAt || stream.isBroken) && !stream.recordedVersion) {
         this->enqueueRecord(stream, std::nullopt, nullptr);
     }
 }
 
-void StreamVersions::onEnded(const StreamIdentity &stream, Time now)
+void StreamVersions::onEnded(const StreamIdentity &stream, bool isBroken, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->streams.find(stream.attempt);
+    const auto found = this->streams.find(keyOf(stream));
     if (found != this->streams.end()) {
         found->second.endedAt = now;
+        found->second.isBroken = isBroken;
     }
 }
 
+StreamVersions::StreamKey StreamVersions::keyOf(const StreamIdentity &stream)
+{
+    return {stream.attempt, stream.request};
+}
+
 void StreamVersions::expire(Time now)
 {
     const std::lock_guard lock(this->mutex);
@@ -260,8 +268,9 @@
     stream.records += 1;
     stream.recordedVersion = true;
     // A later record has a key of its own: an earlier write may still take effect after its answer was lost.
-    this->queue.push_back(QueuedRecord{stream.identity.attempt,
-                                       streamRecordPrefix(stream.identity.attempt) + std::to_string(stream.records),
+    this->queue.push_back(QueuedRecord{keyOf(stream.identity),
+                                       streamRecordKey(stream.identity.attempt, stream.records, stream.identity.request),
+                                       requestRecordKey(stream.identity.request, stream.identity.attempt, stream.records),
                                        stream.version,
                                        std::move(mark),
                                        std::move(pending)});
@@ -310,6 +319,7 @@
     KvTransaction write;
     for (const QueuedRecord &record : batch) {
         write.puts.push_back(KvPut{record.key, record.version, batchLease});
+        write.puts.push_back(KvPut{record.requestKey, record.version, batchLease});
         if (record.mark) {
             write.puts.push_back(KvPut{record.mark->key, record.mark->value, batchLease});
         }
@@ -324,7 +334,7 @@
 
 std::size_t StreamVersions::entriesOf(const QueuedRecord &record)
 {
-    return record.mark ? 2 : 1;
+    return record.mark ? 3 : 2;
 }
 
 std::vector<StreamVersions::QueuedRecord> StreamVersions::onWritten(std::vector<QueuedRecord> batch, bool stored, Time now)
@@ -349,7 +359,7 @@
     co_await sleepFor(recordRetryDelay);
     const std::lock_guard lock(this->mutex);
     for (QueuedRecord &record : records) {
-        const auto stream = this->streams.find(record.attempt);
+        const auto stream = this->streams.find(record.stream);
         // A stream that ended long ago is not taken up any more; one that went on at another version has a later record.
         if (stream != this->streams.end() && stream->second.version == record.version) {
             this->queue.push_back(std::move(record));
@@ -408,30 +418,57 @@
 std::optional<std::string> StreamVersions::knownVersion(const StreamIdentity &stream) const
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->streams.find(stream.attempt);
+    const auto found = this->streams.find(keyOf(stream));
     return found == this->streams.end() ? std::nullopt : std::optional(found->second.version);
 }
 
-asio::awaitable<StreamRecord> StreamVersions::readRecord(RequestId attempt)
+asio::awaitable<std::optional<KvRange>> StreamVersions::readRange(std::string prefix)
 {
-    const auto pending = std::make_shared<PendingResult<StreamRecord>>();
+    const auto pending = std::make_shared<PendingResult<std::optional<KvRange>>>();
     asio::co_spawn(
         this->parts.context,
-        [this, pending, prefix = streamRecordPrefix(attempt)]() -> asio::awaitable<void> {
+        [this, pending, prefix = std::move(prefix)]() -> asio::awaitable<void> {
             const Result<KvRange> range = co_await this->parts.service.range(prefix);
-            StreamRecord record;
             if (!range) {
-                logError("versions", "cannot read the record of a stream", range.error());
-            } else if (range.value().pairs.empty()) {
-                record.state = RecordState::Absent;
-            } else {
-                record = StreamRecord{RecordState::Found, range.value().pairs.back().value};
+                logError("versions", "cannot read the records of a stream", range.error());
             }
-            pending->set(std::move(record));
+            pending->set(range ? std::optional(range.value()) : std::nullopt);
         },
         asio::detached);
-    const std::optional<StreamRecord> read = co_await pending->wait(serviceTimeout);
-    co_return read.value_or(StreamRecord{});
+    std::optional<std::optional<KvRange>> read = co_await pending->wait(serviceTimeout);
+    std::optional<KvRange> range = read ? std::move(*read) : std::nullopt;
+    co_return range;
+}
+
+asio::awaitable<StreamRecord> StreamVersions::readRecord(StreamIdentity stream)
+{
+    const std::optional<KvRange> range = co_await this->readRange(streamRecordPrefix(stream.attempt));
+    StreamRecord record;
+    if (!range) {
+        co_return record;
+    }
+    record.state = RecordState::Absent;
+    for (const KvPair &pair : range->pairs) {
+        // A caller may name an attempt of another stream.
+        if (isRecordOf(pair.key, stream.request)) {
+            record.state = RecordState::Found;
+            record.version = pair.value;
+        }
+    }
+    co_return record;
+}
+
+asio::awaitable<std::optional<std::set<std::string>>> StreamVersions::readRequestRecords(RequestFingerprint request)
+{
+    const std::optional<KvRange> range = co_await this->readRange(requestRecordPrefix(request));
+    std::optional<std::set<std::string>> versions;
+    if (range) {
+        versions.emplace();
+        for (const KvPair &pair : range->pairs) {
+            versions->insert(pair.value);
+        }
+    }
+    co_return versions;
 }
 
 asio::awaitable<void> StreamVersions::awaitAssignments()
@@ -506,7 +543,8 @@
               "versions",
               "a stream goes on at its software version",
               {{"request", request},
-               {"resumes", stream.attempt},
+               {"resumes", stream.isAttemptKnown ? stream.attempt : std::string()},
+               {"stream_fingerprint", hashText(stream.request)},
                {"service", stream.service},
                {"bucket", std::to_string(stream.bucket)},
                {"version", version},
@@ -540,17 +578,44 @@
     } else {
         co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), assignmentSource);
     }
-    const StreamRecord recorded = co_await this->readRecord(stream.attempt);
+    co_return co_await this->findByRecords(std::move(stream), std::move(request));
+}
+
+asio::awaitable<Result<std::string>> StreamVersions::findByRecords(StreamIdentity stream, RequestId request)
+{
+    StreamRecord recorded;
+    recorded.state = RecordState::Absent;
+    if (stream.isAttemptKnown) {
+        recorded = co_await this->readRecord(stream);
+    }
     std::optional<std::string> version;
+    std::size_t candidates = 0;
+    bool mayBeDiverted = false;
     {
         const std::lock_guard lock(this->mutex);
         version = this->table.resolve(stream.service, stream.bucket, recorded);
+        candidates = this->table.candidates(stream.service, stream.bucket).size();
+        mayBeDiverted = this->table.mayBeDiverted(stream.service, stream.bucket);
     }
-    if (version) {
+    // The attempt that the caller names may not be the one that began the stream. That matters only where the streams of its bucket differ.
+    const bool isByAttempt = stream.isAttemptKnown && !(recorded.state == RecordState::Absent && candidates == 1 && mayBeDiverted);
+    if (isByAttempt && version) {
         co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? recordSource : assignmentSource);
     }
-    const bool isUnknown = recorded.state == RecordState::Unknown;
-    co_return this->refuse(stream, request, isUnknown ? "the record of the stream could not be read" : "the stream has no record");
+    if (isByAttempt) {
+        const bool isUnknown = recorded.state == RecordState::Unknown;
+        co_return this->refuse(stream, request, isUnknown ? "the record of the stream could not be read" : "the stream has no record");
+    }
+    const std::optional<std::set<std::string>> ofRequest = co_await this->readRequestRecords(stream.request);
+    {
+        const std::lock_guard lock(this->mutex);
+        version = ofRequest ? this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest)
+                            : this->table.resolve(stream.service, stream.bucket, StreamRecord{});
+    }
+    if (version) {
+        co_return this->onFound(stream, request, *version, ofRequest && !ofRequest->empty() ? requestRecordSource : assignmentSource);
+    }
+    co_return this->refuse(stream, request, ofRequest ? "several versions may have begun the stream" : "the records of the request could not be read");
 }
 
 Error StreamVersions::refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason)
@@ -568,7 +633,8 @@
               "versions",
               "the software version of a stream is not known",
               {{"request", request},
-               {"resumes", stream.attempt},
+               {"resumes", stream.isAttemptKnown ? stream.attempt : std::string()},
+               {"stream_fingerprint", hashText(stream.request)},
                {"service", stream.service},
                {"bucket", std::to_string(stream.bucket)},
                {"candidates", joined(candidates)},
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -31,9 +31,11 @@
 //! A stream, as far as its software version depends on it.
 struct StreamIdentity
 {
-    RequestId attempt{}; //!< The attempt that brought, or is to bring, its first event.
+    RequestId attempt{}; //!< The attempt that brought, or is to bring, its first event; of a take-up that names none, the take-up itself.
     std::string service{};
     std::size_t bucket = 0;
+    RequestFingerprint request = 0; //!< All attempts of the stream share it.
+    bool isAttemptKnown = true; //!< No for a take-up that does not name the attempt that began the stream.
 };
 
 //! Knows the software version at which a stream has to go on, whichever instance began it. Thread-safe.
@@ -70,8 +72,8 @@
     //! Records that a stream is sent to an endpoint of \p version, to begin or to go on there.
     void onSend(const StreamIdentity &stream, const std::string &version);
 
-    //! Records the end of the answer to \p stream.
-    void onEnded(const StreamIdentity &stream, Time now);
+    //! Records the end of the answer to \p stream. With \p isBroken the caller has a part of it and may take it up.
+    void onEnded(const StreamIdentity &stream, bool isBroken, Time now);
 
     //! Returns the version that began a stream. Fails with VersionUnknown when that cannot be told. \p request is for the log.
     boost::asio::awaitable<Result<std::string>> find(StreamIdentity stream, RequestId request);
@@ -80,6 +82,9 @@
     void expire(Time now);
 
 private:
+    //! An attempt, which callers may name wrongly, and the fingerprint of its request.
+    using StreamKey = std::pair<RequestId, RequestFingerprint>;
+
     struct KnownStream
     {
         StreamIdentity identity{};
@@ -87,12 +92,14 @@
         std::uint32_t records = 0; //!< Stored so far.
         bool recordedVersion = false; //!< A record of \ref version is stored or queued.
         std::optional<Time> endedAt{};
+        bool isBroken = false; //!< It ended, and its caller may take it up.
     };
 
     struct QueuedRecord
     {
-        RequestId attempt{}; //!< That began the stream.
+        StreamKey stream{};
         std::string key{};
+        std::string requestKey{}; //!< For the same record by the fingerprint of the request.
         std::string version{};
         std::optional<KvPut> mark{}; //!< Stored together with the record: the bucket has diverted streams. Its lease is not set yet.
         std::shared_ptr<PendingResult<bool>> pending{}; //!< Whether it was stored, for a stream that waits for it.
@@ -123,6 +130,7 @@
 
     //! Returns the number of entries that \p record adds to a transaction.
     static std::size_t entriesOf(const QueuedRecord &record);
+    static StreamKey keyOf(const StreamIdentity &stream);
 
     //! Notes whether \p batch was stored, and tells the streams that wait for it. Returns the records that have to be written again: those that no
     //! stream waits for.
@@ -132,8 +140,17 @@
     boost::asio::awaitable<void> repeatLater(std::vector<QueuedRecord> records);
     boost::asio::awaitable<std::uint64_t> leaseForRecords();
 
-    //! Reads the record of a stream. It stays unknown when the key-value service does not answer in time.
-    boost::asio::awaitable<StreamRecord> readRecord(RequestId attempt);
+    //! Reads the pairs with \p prefix. Returns nothing when the key-value service does not answer in time.
+    boost::asio::awaitable<std::optional<KvRange>> readRange(std::string prefix);
+
+    //! Reads the record of a stream by the attempt that began it. It stays unknown when the key-value service does not answer in time.
+    boost::asio::awaitable<StreamRecord> readRecord(StreamIdentity stream);
+
+    //! Reads which versions the records of all attempts of a request name. Returns nothing when the key-value service does not answer in time.
+    boost::asio::awaitable<std::optional<std::set<std::string>>> readRequestRecords(RequestFingerprint request);
+
+    //! Finds the version of a stream by what is recorded. The assignments are current.
+    boost::asio::awaitable<Result<std::string>> findByRecords(StreamIdentity stream, RequestId request);
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
     boost::asio::awaitable<void> awaitAssignments();
 
@@ -180,7 +197,7 @@
     Duration retention; //!< Longer than any stream lasts over all attempts.
     std::map<std::string, Time> movedAt; //!< By service: when the assignment was seen to change.
     std::map<std::string, Time> markedAt; //!< By key: when the mark of diverted streams was last written, by any instance.
-    std::map<RequestId, KnownStream> streams; //!< Sent by this instance, by the attempt that began them.
+    std::map<StreamKey, KnownStream> streams; //!< Sent by this instance, by the attempt that began them.
     std::deque<QueuedRecord> queue;
     bool writing = false;
 };
--- a/src/gateway/versionrecords.cpp
+++ b/src/gateway/versionrecords.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char *streamRecordsPrefix = "oleandergate/streams/";
+constexpr const char *requestRecordsPrefix = "oleandergate/requests/";
 
 //! Keys have a limited length, and names may hold any character.
 std::string keyText(const std::string &name)
@@ -41,6 +42,27 @@
     return streamRecordsPrefix + keyText(stream) + "/";
 }
 
+std::string streamRecordKey(const std::string &stream, std::uint32_t number, RequestFingerprint request)
+{
+    return streamRecordPrefix(stream) + std::to_string(number) + "-" + hashText(request);
+}
+
+bool isRecordOf(const std::string &key, RequestFingerprint request)
+{
+    const std::size_t dash = key.rfind('-');
+    return dash == std::string::npos || key.substr(dash + 1) == hashText(request);
+}
+
+std::string requestRecordPrefix(RequestFingerprint request)
+{
+    return requestRecordsPrefix + hashText(request) + "/";
+}
+
+std::string requestRecordKey(RequestFingerprint request, const std::string &stream, std::uint32_t number)
+{
+    return requestRecordPrefix(request) + keyText(stream) + "-" + std::to_string(number);
+}
+
 std::string encodeVersionRecord(const VersionRecord &record)
 {
     std::map<std::string, json::array> bucketsByVersion;
--- a/src/gateway/versionrecords.h
+++ b/src/gateway/versionrecords.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_VERSIONRECORDS_H
 
 #include "backing/interfaces/keyvalueservice.h"
+#include "decision/ids.h"
 #include "decision/versiontable.h"
 
 #include <optional>
@@ -34,6 +35,17 @@
 //! Returns the prefix of the keys that hold the software version of the stream that the attempt \p stream began.
 std::string streamRecordPrefix(const std::string &stream);
 
+//! Returns the key of the record number \p number of the stream that \p stream began. \p request is the fingerprint that all attempts of it share.
+std::string streamRecordKey(const std::string &stream, std::uint32_t number, RequestFingerprint request);
+
+//! Returns whether the record with the key \p key, which begins with streamRecordPrefix(), may be of a stream with the fingerprint \p request. Builds that
+//! do not know the fingerprint leave it out.
+bool isRecordOf(const std::string &key, RequestFingerprint request);
+
+//! The same records by fingerprint, for take-ups that do not tell which attempt began the stream.
+std::string requestRecordPrefix(RequestFingerprint request);
+std::string requestRecordKey(RequestFingerprint request, const std::string &stream, std::uint32_t number);
+
 //! Texts are JSON documents. Decoding returns nothing when a field is missing or invalid.
 std::string encodeVersionRecord(const VersionRecord &record);
 std::optional<VersionRecord> decodeVersionRecord(const std::string &text);
--- a/tests/unit/versiontabletests.cpp
+++ b/tests/unit/versiontabletests.cpp
@@ -254,3 +254,19 @@
     table.expireEarlier(added + Duration(1));
     CHECK(table.resolve(service, 3, unknownRecord) == std::optional<std::string>("v2"));
 }
+
+// Guards against streams joined from two software versions where the caller does not tell which attempt began its stream.
+TEST_CASE("Without the attempt that began a stream, the records of its request and its bucket have to agree on one version")
+{
+    VersionTable table;
+    CHECK_FALSE(table.resolveUnnamed(service, 3, {}));
+    table.assign(service, 1, VersionBuckets(versionBucketCount, "v2"));
+    CHECK(table.resolveUnnamed(service, 3, {}) == std::optional<std::string>("v2"));
+    CHECK(table.resolveUnnamed(service, 3, {"v2"}) == std::optional<std::string>("v2"));
+    // Another attempt of the request began elsewhere than assigned; one at the assigned version has no record.
+    CHECK_FALSE(table.resolveUnnamed(service, 3, {"v1"}));
+    table.addEarlier("k", service, {{3, {"v1"}}}, Time(std::chrono::seconds(5)));
+    CHECK_FALSE(table.resolveUnnamed(service, 3, {}));
+    CHECK(table.resolveUnnamed(service, 3, {"v1"}) == std::optional<std::string>("v1"));
+    CHECK_FALSE(table.resolveUnnamed(service, 3, {"v1", "v2"}));
+}
