A stream does not go on at another service after the targets of its route have changed

Callers saw: after the shares of a split route changed, a stream that was taken up went on at the service that the new shares name.

Cause: the target is computed from the shares in force now, the stream began by those before. Nothing remembers that they differ.

Change: RouteTargetHistory keeps the former targets of routes that may be resumed, for the route's timeout and five seconds in which a change reaches all instances. A take-up whose service differs between them is refused as not run, unless this instance began the stream at the present service. Going on at the former one is no choice: the configuration in force does not allow it any more. Ruled out: keeping whole former configurations, some 0.5 MB each, in storms of changes.

--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -136,7 +136,7 @@
     const std::uint64_t version = read.value().version;
     const std::size_t routes = read.value().routes.size();
     const std::uint64_t before = this->parts.configurationHolder.version();
-    if (!this->parts.configurationHolder.activateIfNewer(std::move(read.value()))) {
+    if (!this->parts.configurationHolder.activateIfNewer(std::move(read.value()), currentTime())) {
         return;
     }
     logRecord(LogLevel::Info,
--- a/src/gateway/gatewayconfigurationholder.cpp
+++ b/src/gateway/gatewayconfigurationholder.cpp
@@ -10,7 +10,7 @@
     this->listener = std::move(newListener);
 }
 
-bool GatewayConfigurationHolder::activateIfNewer(GatewayConfiguration configuration)
+bool GatewayConfigurationHolder::activateIfNewer(GatewayConfiguration configuration, Time now)
 {
     if (configuration.version <= this->version()) {
         return false;
@@ -22,6 +22,9 @@
         if (this->active && next->configuration.version <= this->active->configuration.version) {
             return false;
         }
+        if (this->active) {
+            this->formerTargets.onReplaced(this->active->configuration.routes, next->configuration.routes, now);
+        }
         this->active = next;
         call = this->listener;
     }
@@ -37,6 +40,12 @@
     return this->active;
 }
 
+std::set<std::string> GatewayConfigurationHolder::servicesOf(const Route &route, std::string_view key, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->formerTargets.servicesOf(route, key, now);
+}
+
 std::uint64_t GatewayConfigurationHolder::version() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/gatewayconfigurationholder.h
+++ b/src/gateway/gatewayconfigurationholder.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_GATEWAYCONFIGURATIONHOLDER_H
 #define OLEANDERGATE_GATEWAY_GATEWAYCONFIGURATIONHOLDER_H
 
+#include "decision/routetargethistory.h"
 #include "gateway/activegatewayconfiguration.h"
 
 #include <atomic>
@@ -20,11 +21,14 @@
     void setListener(Listener newListener);
 
     //! Activates \p configuration. Returns false when it is not newer than the active one.
-    bool activateIfNewer(GatewayConfiguration configuration);
+    bool activateIfNewer(GatewayConfiguration configuration, Time now);
 
     //! Returns the active configuration, or nullptr if there is none.
     std::shared_ptr<const ActiveGatewayConfiguration> current() const;
 
+    //! As in RouteTargetHistory, for the configurations that were active here.
+    std::set<std::string> servicesOf(const Route &route, std::string_view key, Time now) const;
+
     //! Returns the version of the active configuration, or 0.
     std::uint64_t version() const;
 
@@ -37,6 +41,7 @@
 private:
     mutable std::mutex mutex;
     std::shared_ptr<const ActiveGatewayConfiguration> active;
+    RouteTargetHistory formerTargets;
     Listener listener;
     std::atomic<std::uint64_t> announcedVersion{0}; //!< Newest version that another instance is known to have.
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -242,6 +242,16 @@
     if (!call.resumeAfter) {
         co_return true;
     }
+    if (!this->isServiceCertain(context, currentTime())) {
+        const Error error
+            = relayError(ErrorCode::VersionUnknown,
+                         Step::Admit,
+                         Executed::No,
+                         "the targets of the route have changed, and the service that began the stream is not known; the request may be sent again "
+                         "from its start");
+        co_await this->refuse(context, error);
+        co_return false;
+    }
     const Result<std::string> version = co_await this->parts.versions.find(*context.stream, call.requestId);
     if (!version) {
         co_await this->refuse(context, version.error());
@@ -251,6 +261,15 @@
     co_return true;
 }
 
+bool Relay::isServiceCertain(const RelayRequest &context, Time now) const
+{
+    const std::string key = routingKeyOf(context.call, *context.route);
+    if (this->parts.configurationHolder.servicesOf(*context.route, key, now).size() == 1) {
+        return true;
+    }
+    return this->parts.versions.knownService(*context.stream) == context.service->name;
+}
+
 asio::awaitable<void> Relay::serveAdmitted(RelayRequest &context)
 {
     NextStep nextStep = NextStep::TryElsewhere;
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -226,6 +226,13 @@
     }
 }
 
+std::optional<std::string> StreamVersions::knownService(const StreamIdentity &stream) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->streams.find(keyOf(stream));
+    return found == this->streams.end() ? std::nullopt : std::optional(found->second.identity.service);
+}
+
 StreamVersions::StreamKey StreamVersions::keyOf(const StreamIdentity &stream)
 {
     return {stream.attempt, stream.request};
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -75,6 +75,9 @@
     //! Records the end of the answer to \p stream. With \p isBroken the caller has a part of it and may take it up.
     void onEnded(const StreamIdentity &stream, bool isBroken, Time now);
 
+    //! Returns the service at which this instance sent the stream; nothing when it did not.
+    std::optional<std::string> knownService(const StreamIdentity &stream) const;
+
     //! Returns the version that began a stream. Fails with VersionUnknown when that cannot be told. \p request is for the log.
     boost::asio::awaitable<Result<std::string>> find(StreamIdentity stream, RequestId request);
 
--- a/tests/gateway/gatewayconfigurationholdertests.cpp
+++ b/tests/gateway/gatewayconfigurationholdertests.cpp
@@ -23,10 +23,10 @@
         versions.push_back(active->configuration.version);
     });
     CHECK(holder.current() == nullptr);
-    CHECK(holder.activateIfNewer(version(4)));
-    CHECK(holder.activateIfNewer(version(9)));
-    CHECK_FALSE(holder.activateIfNewer(version(9)));
-    CHECK_FALSE(holder.activateIfNewer(version(7)));
+    CHECK(holder.activateIfNewer(version(4), Time{}));
+    CHECK(holder.activateIfNewer(version(9), Time{}));
+    CHECK_FALSE(holder.activateIfNewer(version(9), Time{}));
+    CHECK_FALSE(holder.activateIfNewer(version(7), Time{}));
     CHECK(holder.version() == 9);
     CHECK(versions == std::vector<std::uint64_t>{4, 9});
 }
@@ -36,12 +36,12 @@
 {
     GatewayConfigurationHolder holder;
     CHECK_FALSE(holder.isOutdated());
-    holder.activateIfNewer(version(4));
+    holder.activateIfNewer(version(4), Time{});
     holder.announce(9);
     holder.announce(7);
     CHECK(holder.isOutdated());
-    holder.activateIfNewer(version(7));
+    holder.activateIfNewer(version(7), Time{});
     CHECK(holder.isOutdated());
-    holder.activateIfNewer(version(9));
+    holder.activateIfNewer(version(9), Time{});
     CHECK_FALSE(holder.isOutdated());
 }
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -310,7 +310,7 @@
 {
     RelayUnderTest()
     {
-        this->holder.activateIfNewer(configurationWithTurns());
+        this->holder.activateIfNewer(configurationWithTurns(), Time{});
         this->pools.configure(*this->holder.current(), currentTime());
     }
 
--- a/tests/gateway/takeuptests.cpp
+++ b/tests/gateway/takeuptests.cpp
@@ -208,3 +208,22 @@
         CHECK(atOther < streamCount);
     }
 }
+
+// Guards against a stream that goes on at another service because the shares of its route have changed since it began.
+TEST_CASE("Taken up: a stream goes on at the service that began it, or is refused, after the shares of its route have changed")
+{
+    TakeUpCluster cluster;
+    const std::vector<TakenUpAttempt> begun = cluster.beginAll("/split/", false);
+    cluster.configure(2, splitRoute(20));
+    for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+        REQUIRE(cluster.logHas(gateway, R"("version":"2")"));
+    }
+    int served = 0;
+    for (const TakenUpAttempt &attempt : begun) {
+        if (cluster.takeUp(1, attempt, attempt.id)) {
+            served += 1;
+            CHECK(cluster.firstEndpointOf(cluster.lastTakeUp).starts_with("other") == cluster.firstEndpointOf(attempt.id).starts_with("other"));
+        }
+    }
+    CHECK(served > 0);
+}
