Streams spread over idle equal endpoints

Callers saw: an instance sent all its streams to one of six idle equal endpoints and stayed there. Where that one cut its streams, all of the instance's callers got halves, and the instance saw no other endpoint to compare it with.

Cause: slowness is relative to an assumed mean. The first endpoint that was tried turned out to be faster than assumed, the others kept the assumed value, so it was the least loaded one for ever. Two endpoints of nearly the same pace never tied either. Ruled out: the tie-break, which changes with each call.

Change: an endpoint that no stream has measured counts as slow as the measured ones are on average, and endpoints are ranked by slowness in steps of a quarter. Estimates of a call's cost use the exact values as before.

Evidence: "Streams in series spread over idle equal endpoints", 48 streams, six endpoints: all 48 at one before, all six used and at most half at one now.

--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -15,6 +15,12 @@
 //! Odd multiplier that shuffles equally loaded endpoints, so that instances with the same view of the loads choose different ones.
 constexpr std::uint64_t tieBreakFactor = 0x9E3779B97F4A7C15ULL;
 
+//! Endpoints whose slowness differs by less are ranked by their calls alone: the fastest of many idle ones does not get all streams.
+constexpr double slownessStep = 0.25;
+
+//! Change of the mean slowness of the measured endpoints, as a share of it, at which the unmeasured ones are ranked anew.
+constexpr double minSlownessChange = 0.05;
+
 //! Returns true unless the endpoint is excluded from new calls for a time.
 bool isOpen(const EndpointState &state, Time now)
 {
@@ -61,6 +67,8 @@
         const auto [entry, added] = this->indices.emplace(spec.id, this->states.size());
         if (added) {
             this->states.emplace_back().hash = endpointHash(spec.id);
+            this->states.back().slowness = this->appliedSlowness;
+            this->unmeasured.insert(entry->second);
             this->ranks.emplace_back();
             this->ranked.push_back(false);
         }
@@ -170,9 +178,28 @@
 
 void EndpointTable::setSlowness(std::size_t index, double slowness)
 {
+    EndpointState &state = this->states[index];
     this->unrank(index);
-    this->states[index].slowness = slowness;
+    this->measuredSlowness += slowness - (state.isMeasured ? state.slowness : 0.0);
+    state.slowness = slowness;
+    state.isMeasured = true;
     this->rank(index);
+    this->unmeasured.erase(index);
+    this->updateUnmeasured();
+}
+
+void EndpointTable::updateUnmeasured()
+{
+    const double mean = this->measuredSlowness / static_cast<double>(this->states.size() - this->unmeasured.size());
+    if (this->unmeasured.empty() || std::abs(mean - this->appliedSlowness) < minSlownessChange * this->appliedSlowness) {
+        return;
+    }
+    this->appliedSlowness = mean;
+    for (const std::size_t index : this->unmeasured) {
+        this->unrank(index);
+        this->states[index].slowness = this->appliedSlowness;
+        this->rank(index);
+    }
 }
 
 void EndpointTable::avoid(std::size_t index, Duration length, Time now)
@@ -238,7 +265,8 @@
 {
     const double calls = static_cast<double>(state.inFlight) + static_cast<double>(state.peerCalls) + 1.0;
     const double penalty = !this->localDomain.empty() && state.spec.domain != this->localDomain ? this->remoteLoadPenalty : 0.0;
-    return calls / static_cast<double>(std::max(1U, state.spec.slots)) * state.slowness + penalty;
+    const double slowness = std::max(1.0, std::round(state.slowness / slownessStep)) * slownessStep;
+    return calls / static_cast<double>(std::max(1U, state.spec.slots)) * slowness + penalty;
 }
 
 std::uint32_t EndpointTable::limitOf(const EndpointState &state) const
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -19,7 +19,8 @@
     bool listed = true; //!< Part of the latest endpoint list.
     std::uint32_t inFlight = 0; //!< Calls of this instance at the endpoint.
     std::uint32_t peerCalls = 0; //!< Calls of other instances, from the latest load report.
-    double slowness = 1.0; //!< Time its streams take relative to the pool's mean; 1 is average, larger is slower.
+    double slowness = 1.0; //!< Time its streams take relative to the pool's mean; 1 is average, larger is slower. Until one was seen, that of the others.
+    bool isMeasured = false; //!< Its slowness is its own.
     Time avoidUntil{}; //!< The endpoint gets no new call before this time.
     double callsPerSecond = 0.0; //!< Rate limit of this instance's and all others' calls; 0 for none.
     Time blockedUntil{}; //!< With a rate limit: the endpoint gets no new call of this instance before this time.
@@ -104,6 +105,9 @@
     void unrank(std::size_t index);
     void rank(std::size_t index);
 
+    //! Lets endpoints without a measurement count as slow as the measured ones are on average: an endpoint is not preferred for having been tried first.
+    void updateUnmeasured();
+
     bool limited;
     double overcommit;
     std::string localDomain;
@@ -118,6 +122,9 @@
     std::size_t usable = 0;
     std::uint64_t rankCount = 0;
     std::set<std::size_t> rateLimited; //!< Endpoints with a rate limit.
+    std::set<std::size_t> unmeasured; //!< Endpoints that no stream has measured.
+    double measuredSlowness = 0.0; //!< Sum over the measured endpoints.
+    double appliedSlowness = 1.0; //!< What the unmeasured endpoints have.
 };
 
 } // namespace oleandergate
--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -388,3 +388,36 @@
     REQUIRE(moved);
     CHECK(moved->endpoint.id == "old-too");
 }
+
+// Guards against an instance that sends all its streams to one of many idle endpoints, since it was the first that turned out to be faster than assumed.
+TEST_CASE("Streams in series spread over idle equal endpoints")
+{
+    constexpr std::size_t endpointCount = 6;
+    constexpr CallId streams = 48;
+    Dispatcher dispatcher(policyFor(PolicyGoal::Programs), 1);
+    std::vector<EndpointSpec> specs;
+    for (std::size_t index = 0; index < endpointCount; ++index) {
+        specs.push_back(EndpointSpec{"e" + std::to_string(index), {}, {}, 8});
+    }
+    dispatcher.setEndpoints(specs);
+    std::map<EndpointId, int> counts;
+    Time now = start;
+    for (CallId id = 1; id <= streams; ++id) {
+        QueuedCall queued = call(id, "p" + std::to_string(id));
+        queued.branch = "b" + std::to_string(id);
+        REQUIRE(dispatcher.enqueue(queued, now));
+        const auto placed = dispatcher.next(now);
+        REQUIRE(placed);
+        counts[placed->endpoint.id] += 1;
+        for (int event = 0; event < 6; ++event) {
+            now += std::chrono::milliseconds(1);
+            dispatcher.onProgress(id, 10, now);
+        }
+        dispatcher.onFinished(id, true, now);
+    }
+    CHECK(counts.size() == endpointCount);
+    for (const auto &[endpoint, count] : counts) {
+        CAPTURE(endpoint);
+        CHECK(count <= static_cast<int>(streams) / 2);
+    }
+}
