What is usual of a version's streams is not learnt from the endpoint in question

Callers saw: halves of streams as complete, on a route that may not be resumed: 8 of 24 where one of six endpoints ended each stream in order, unframed, behind half of it. All 8 were those of one gateway, which had sent all its streams to that endpoint, had seen none framed and took the cut for the version's habit.

Cause: a habit was what this instance saw, whoever it saw it of. Class: a suspect is judged by its own word.

Change: an unframed end that nobody may be asked about is delivered only where another endpoint of the version, which has cut none, ends its streams so, or where the version has no other endpoint. Until then it is unknown, and the stream is broken off. A stream that is broken off for its end counts against its endpoint like other broken ones: the next streams go elsewhere for a while, so a version that frames nothing is learnt with its second stream.

Evidence: "Stream ends: an endpoint that cuts every stream does not make unframed ends usual", the first stream was delivered as half on; now no half in 12 streams, and the others are served whole. Unit tests of the habits.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -204,6 +204,17 @@
     return false;
 }
 
+bool Dispatcher::hasOther(const std::string &version, const EndpointId &endpoint) const
+{
+    for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+        const EndpointState &state = this->endpoints.at(index);
+        if (state.listed && state.spec.version == version && state.spec.id != endpoint) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool Dispatcher::hasRoom(const std::string &version, const std::set<EndpointId> &avoid, Time now) const
 {
     for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -44,6 +44,9 @@
     //! Returns whether the endpoint is listed and not leaving. It may be full.
     bool takesCalls(const EndpointId &endpoint) const;
 
+    //! Returns whether the pool has endpoints of the software version \p version beside \p endpoint, whether or not they take calls.
+    bool hasOther(const std::string &version, const EndpointId &endpoint) const;
+
     //! Returns whether an endpoint of the software version \p version takes calls, other than those in \p avoid. It may be full.
     bool takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
 
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -61,7 +61,8 @@
     bool endpointFailed = false; //!< The answer reports a failure of the endpoint itself.
     bool canContinue = true; //!< Another run can go on behind what the caller has; false where its position is not known.
     bool broughtEvents = false; //!< The run went on with the stream.
-    bool isDoubtfulEnd = false; //!< With SendOutcome::Unconfirmed: streams of the endpoint's version usually end otherwise, or the endpoint has cut some.
+    bool isDoubtfulEnd
+        = false; //!< With SendOutcome::Unconfirmed: it is not known that streams of the endpoint's version usually end so, or the endpoint has cut some.
 };
 
 //! Decides whether and where a request is sent again after a failed send.
--- a/src/decision/runobservation.h
+++ b/src/decision/runobservation.h
@@ -11,7 +11,9 @@
 //! What a run that ended in order between two events shows of its endpoint's streams.
 struct RunObservation
 {
+    EndpointId endpoint{};
     std::uint64_t events = 0; //!< Those that it brought.
+    bool proved = false; //!< Its end was the end of the stream.
     bool framed = false; //!< The answer's length or its last chunk ended it.
     EndpointId provedEndAt{}; //!< Endpoint whose unframed end, in this run or the one before it, was the end of the stream; empty for none.
     std::optional<bool> risesByOne{}; //!< Whether the numbers of the stream's events rise by one, where it tells.
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -1,5 +1,7 @@
 #include "decision/streamhabits.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 namespace {
@@ -35,6 +37,16 @@
     if (run.events > 0) {
         habit.framed.add(run.framed);
     }
+    if (run.framed && run.events > 0) {
+        habit.framedAt[run.endpoint] = now;
+    } else if (!run.framed && (run.events > 0 || run.proved)) {
+        habit.unframedAt[run.endpoint] = now;
+    }
+    for (std::map<EndpointId, Time> *seen : {&habit.framedAt, &habit.unframedAt}) {
+        std::erase_if(*seen, [now](const auto &entry) {
+            return now - entry.second > habitTimeout;
+        });
+    }
     if (!run.provedEndAt.empty()) {
         habit.wholeUnframedAt = now;
         this->cutAt.erase(run.provedEndAt);
@@ -54,8 +66,7 @@
 
 bool StreamHabits::isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
-    const auto cut = this->cutAt.find(endpoint);
-    if (cut != this->cutAt.end() && now - cut->second <= occurrenceTimeout) {
+    if (this->hasCut(endpoint, now)) {
         return true;
     }
     const Habit *habit = this->find(group, now);
@@ -63,6 +74,28 @@
     return habit != nullptr && habit->framed.hasAny() && !isKnownWhole;
 }
 
+bool StreamHabits::isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const
+{
+    if (this->isUnframedDoubtful(group, endpoint, now)) {
+        return false;
+    }
+    const Habit *habit = this->find(group, now);
+    return isOnlyEndpoint || (habit != nullptr && this->hasOther(habit->unframedAt, endpoint, now));
+}
+
+bool StreamHabits::hasCut(const EndpointId &endpoint, Time now) const
+{
+    const auto cut = this->cutAt.find(endpoint);
+    return cut != this->cutAt.end() && now - cut->second <= occurrenceTimeout;
+}
+
+bool StreamHabits::hasOther(const std::map<EndpointId, Time> &seen, const EndpointId &endpoint, Time now) const
+{
+    return std::ranges::any_of(seen, [this, &endpoint, now](const auto &entry) {
+        return entry.first != endpoint && now - entry.second <= habitTimeout && !this->hasCut(entry.first, now);
+    });
+}
+
 bool StreamHabits::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const Habit *habit = this->find(group, now);
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -210,8 +210,10 @@
     const Evidence complete = progress.continuity.endRun(end);
     if (complete != Evidence::Disproved) {
         RunObservation run;
+        run.endpoint = endpoint.id;
         run.events = progress.continuity.passedOnInRun();
         run.framed = end.framed;
+        run.proved = complete == Evidence::Proved;
         if (complete == Evidence::Proved && end.framed && run.events == 0) {
             run.provedEndAt = progress.openEndAt;
         } else if (complete == Evidence::Proved && !end.framed && run.events > 0) {
@@ -256,9 +258,11 @@
     result.report.outcome = SendOutcome::Answered;
     if (result.run.complete == Evidence::Unknown) {
         result.report.outcome = SendOutcome::Unconfirmed;
-        result.report.isDoubtfulEnd = end.isDoubtful;
-        result.detail = end.isDoubtful ? "the connection ended behind an event, though this version frames its streams or the endpoint has cut some"
-                                       : "the connection ended behind an event, which does not prove that the stream is complete";
+        const ServiceVersion group{this->parts.service, endpoint.version};
+        result.report.isDoubtfulEnd = !this->parts.habits.isUnframedUsual(group, endpoint.id, this->parts.isOnlyEndpoint, currentTime());
+        result.detail = end.isDoubtful    ? "the connection ended behind an event, though this version frames its streams or the endpoint has cut some"
+            : result.report.isDoubtfulEnd ? "the connection ended behind an event, and it is not known that this version's streams usually end so"
+                                          : "the connection ended behind an event, which does not prove that the stream is complete";
     }
     // Bytes after the last event, such as a comment, are part of the answer.
     std::string rest = this->splitter.takeRest();
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -69,6 +69,7 @@
         StreamProgress &progress;
         StreamHabitRegistry &habits;
         const std::string &service; //!< Name of the endpoint's service.
+        bool isOnlyEndpoint = false; //!< The service has no other endpoint of its software version.
         HeldMemory &held; //!< Counts what is held of the answer; goes on counting it when run() has returned.
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -351,6 +351,7 @@
                                           context.progress,
                                           this->parts.habits,
                                           context.service->name,
+                                          !context.pool->hasOther(endpoint.version, endpoint.id),
                                           context.held,
                                           onAnswerHead,
                                           onEvents,
@@ -391,10 +392,12 @@
         context.misdirectedAt.insert(endpoint.id);
     }
     const SendOutcome outcome = result.report.outcome;
-    const bool healthy = outcome == SendOutcome::Answered || outcome == SendOutcome::Unconfirmed || outcome == SendOutcome::Refused
-        || outcome == SendOutcome::CallerLeft || outcome == SendOutcome::CutOff || result.connectionLost || result.endedForMemory;
-    context.pool->finish(attempt.call, healthy, currentTime());
     const NextStep next = context.retries->after(result.report);
+    // An end that is not believed is a broken stream like others: the next ones go elsewhere for a while, which also shows how other endpoints end theirs.
+    const bool isBelieved = outcome == SendOutcome::Unconfirmed && next != NextStep::FailUnknown;
+    const bool healthy = outcome == SendOutcome::Answered || isBelieved || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft
+        || outcome == SendOutcome::CutOff || result.connectionLost || result.endedForMemory;
+    context.pool->finish(attempt.call, healthy, currentTime());
     if (result.report.outcome != SendOutcome::Answered) {
         this->parts.metrics.count("oleandergate_sends_failed_total", "end=\"" + std::string(nameIn(sendOutcomeNames, result.report.outcome)) + "\"");
         logRecord(LogLevel::Info,
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -91,6 +91,12 @@
     return this->dispatcher.hasRoom(version, avoid, now);
 }
 
+bool ServicePool::hasOther(const std::string &version, const EndpointId &endpoint) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.hasOther(version, endpoint);
+}
+
 bool ServicePool::takesCalls(const EndpointId &endpoint) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -35,6 +35,7 @@
     bool takesCalls(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
     bool hasRoom(const std::string &version, const std::set<EndpointId> &avoid, Time now) const;
     bool takesCalls(const EndpointId &endpoint) const;
+    bool hasOther(const std::string &version, const EndpointId &endpoint) const;
 
     //! Records that \p tokens more of the answer arrived.
     void progress(CallId call, Tokens tokens, Time now);
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -16,6 +16,12 @@
     return this->habits.isUnframedDoubtful(group, endpoint, now);
 }
 
+bool StreamHabitRegistry::isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.isUnframedUsual(group, endpoint, isOnlyEndpoint, now);
+}
+
 bool StreamHabitRegistry::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -194,3 +194,33 @@
         CHECK(cluster.firstEndpointOf(first) == cluster.firstEndpointOf(second));
     }
 }
+
+// Guards against halves of streams that are delivered as complete: what is usual was learnt from the endpoint that cuts, where an instance sent it all its
+// streams.
+TEST_CASE("Stream ends: an endpoint that cuts every stream does not make unframed ends usual")
+{
+    constexpr std::size_t endpointCount = 4;
+    constexpr int streams = 12;
+    StreamCluster cluster(endpointCount);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours(std::vector<Behaviour>(streams, Behaviour::EndBehindHalf));
+    }
+    REQUIRE_FALSE(cluster.receive("/single/1").complete);
+    const std::string cutter = cluster.firstEndpointOf("stream-1");
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        if (endpoint->identifier() != cutter) {
+            endpoint->setNextBehaviours({});
+        }
+    }
+    int halves = 0;
+    int whole = 0;
+    for (int stream = 1; stream < streams; ++stream) {
+        const ReceivedStream received = cluster.receive("/single/1");
+        CHECK(received.isInOrder());
+        halves += received.complete && !received.isWhole() ? 1 : 0;
+        whole += received.isWhole() ? 1 : 0;
+    }
+    CHECK(halves == 0);
+    // The other endpoints get streams, too.
+    CHECK(whole > streams / 2);
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -18,6 +18,13 @@
     return run;
 }
 
+RunObservation endedRunAt(const EndpointId &endpoint, bool framed)
+{
+    RunObservation run = endedRun(framed);
+    run.endpoint = endpoint;
+    return run;
+}
+
 RunObservation numberedRun(bool risesByOne)
 {
     RunObservation run = endedRun(true);
@@ -85,6 +92,26 @@
     CHECK(habits.isUnframedDoubtful(group, "b", start));
 }
 
+// Guards against half a stream that is delivered as complete: an instance that sends all streams to the endpoint that cuts them sees no framed one.
+TEST_CASE("An unframed end is usual only where another endpoint of the version ends its streams so")
+{
+    StreamHabits habits;
+    CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
+    for (std::uint32_t stream = 0; stream < RecentAnswers::capacity; ++stream) {
+        habits.add(group, endedRunAt("a", false), start);
+    }
+    CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
+    CHECK(habits.isUnframedUsual(group, "a", true, start));
+    CHECK(habits.isUnframedUsual(group, "b", false, start));
+    habits.add(otherGroup, endedRunAt("b", false), start);
+    CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
+    habits.add(group, endedRunAt("b", false), start);
+    CHECK(habits.isUnframedUsual(group, "a", false, start));
+    CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start + std::chrono::seconds(601)));
+    habits.addCut("b", start);
+    CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
+}
+
 // Guards against a version whose numbers have gaps now and then, judged by its first stream.
 TEST_CASE("Numbers rise by one where those of all latest streams did, and nothing is said behind few")
 {
