An endpoint does not confirm its own cut with a framed empty answer

Callers saw: half a stream as complete, of an endpoint that ended it in order, unframed, and answered the request for the rest with a framed answer without an event. For a minute unframed ends counted as usual then, at all endpoints of the version.

Cause: an empty framed answer proved the earlier end, though it shows that its endpoint frames its answers, which makes the unframed end more suspect.

Change: where other endpoints of the version frame their streams, and none but this one leaves some unframed, its own framed empty answer confirms nothing. Such a stream is asked for on, and broken off if nobody else may be asked. Where several endpoints leave streams unframed now and then, or the version has one endpoint, nothing changes: a whole stream and half a one look the same there (docs/LIMITATIONS.md).

Evidence: "Stream ends: an endpoint that cuts a stream does not confirm that with a framed empty answer ...": two events as complete on, broken off now.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -75,6 +75,9 @@
     if (!end.betweenEvents || end.isContinued) {
         return Evidence::Disproved;
     }
+    if (end.isSelfConfirmed && this->runTotal == 0 && this->unprovenEnd) {
+        return Evidence::Unknown;
+    }
     const bool isExhausted = this->maxEvents > 0 && this->total >= this->maxEvents;
     if (end.framed || isExhausted) {
         return Evidence::Proved;
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -45,6 +45,8 @@
     bool endpointEnded = false; //!< The endpoint accepts no connections any more.
     bool isContinued = false; //!< The next event follows behind the end that its framing states.
     bool isDoubtful = false; //!< Not framed, though its version frames its streams or its endpoint has cut some. It confirms no earlier end.
+    bool isSelfConfirmed = false; //!< Framed, of the endpoint that left the stream open unframed, as no other endpoint of its version does. Without an event it
+                                  //!< confirms nothing.
 };
 
 //! Decides which events belong to a caller's stream, over all runs that contribute to it, and whether it is complete.
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -83,6 +83,12 @@
     return isOnlyEndpoint || (habit != nullptr && this->hasOther(habit->unframedAt, endpoint, now));
 }
 
+bool StreamHabits::isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
+{
+    const Habit *habit = this->find(group, now);
+    return habit != nullptr && this->hasOther(habit->framedAt, endpoint, now) && !this->hasOther(habit->unframedAt, endpoint, now);
+}
+
 bool StreamHabits::hasCut(const EndpointId &endpoint, Time now) const
 {
     const auto cut = this->cutAt.find(endpoint);
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -33,6 +33,10 @@
     //! \p isOnlyEndpoint the version has no others.
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
 
+    //! Returns whether other endpoints of the version frame their streams, and none but \p endpoint leaves some unframed. Then its framed answer without an
+    //! event does not confirm an unframed end of its own.
+    bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
+
     //! Returns whether the numbers of events of the latest streams all rose by one; no as long as too few were seen.
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
 
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -22,6 +22,12 @@
     return this->habits.isUnframedUsual(group, endpoint, isOnlyEndpoint, now);
 }
 
+bool StreamHabitRegistry::isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.isOnlyUnframed(group, endpoint, now);
+}
+
 bool StreamHabitRegistry::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -72,6 +72,7 @@
     ShortLength, //!< A whole stream whose stated length ends behind its fourth event.
     LateShortLength, //!< The same, with a pause behind that event.
     EndBehindHalf, //!< Ends behind half of the events that it would send, in an answer with neither length nor chunks, whose connection ends in order.
+    FramedEmpty, //!< The head of a stream and its last chunk, without an event.
 };
 
 //! A request that an endpoint received.
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -224,3 +224,30 @@
     // The other endpoints get streams, too.
     CHECK(whole > streams / 2);
 }
+
+// Guards against half a stream that is confirmed by the endpoint that cut it, with a framed answer without an event.
+TEST_CASE("Stream ends: an endpoint that cuts a stream does not confirm that with a framed empty answer where the others frame theirs")
+{
+    StreamCluster cluster(3);
+    constexpr int framed = 24;
+    for (int stream = 0; stream < framed; ++stream) {
+        // Other prompts have other preferred endpoints.
+        const std::string part = "b" + std::to_string(stream);
+        const std::optional<HttpResponse> whole
+            = cluster.call(0, "POST", "/turns/1", {{"Oleandergate-Token-Counts", "100,100"}, {"Oleandergate-Prompt-Prefix", part + ":100"}});
+        REQUIRE(whole);
+        REQUIRE(whole->status == 200);
+    }
+    const auto framing = std::ranges::count_if(cluster.endpoints, [](const std::unique_ptr<StandinEndpoint> &endpoint) {
+        return endpoint->receivedCount() > 0;
+    });
+    REQUIRE(framing > 1);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        std::vector<Behaviour> behaviours(furtherRuns, Behaviour::FramedEmpty);
+        behaviours.front() = Behaviour::EndBetweenEvents;
+        endpoint->setNextBehaviours(behaviours);
+    }
+    const ReceivedStream stream = cluster.receive();
+    CHECK(stream.isInOrder());
+    CHECK_FALSE(stream.complete);
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -112,6 +112,20 @@
     CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
 }
 
+// Guards against an endpoint that cuts a stream, unframed, and then frames its empty answer to the request for the rest.
+TEST_CASE("An endpoint is the only unframed one where others frame their streams and none of them leaves some unframed")
+{
+    StreamHabits habits;
+    habits.add(group, endedRunAt("a", true), start);
+    CHECK_FALSE(habits.isOnlyUnframed(group, "a", start));
+    habits.add(group, endedRunAt("b", true), start);
+    CHECK(habits.isOnlyUnframed(group, "a", start));
+    habits.add(group, endedRunAt("c", false), start);
+    CHECK_FALSE(habits.isOnlyUnframed(group, "a", start));
+    habits.addCut("c", start);
+    CHECK(habits.isOnlyUnframed(group, "a", start));
+}
+
 // Guards against a version whose numbers have gaps now and then, judged by its first stream.
 TEST_CASE("Numbers rise by one where those of all latest streams did, and nothing is said behind few")
 {
