--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -207,11 +207,14 @@
     StreamProgress &progress = this->parts.progress;
     const ServiceVersion group{this->parts.service, endpoint.version};
     end.isDoubtful = !end.framed && this->parts.habits.isUnframedDoubtful(group, endpoint.id, now);
+    end.isSelfConfirmed = end.framed && progress.openEndAt == endpoint.id && this->parts.habits.isOnlyUnframed(group, endpoint.id, now);
     const Evidence complete = progress.continuity.endRun(end);
     if (complete != Evidence::Disproved) {
         RunObservation run;
+        run.endpoint = endpoint.id;
         run.events = progress.continuity.passedOnInRun();
         run.framed = end.framed;
+        run.proved = complete == Evidence::Proved;
         if (complete == Evidence::Proved && end.framed && run.events == 0) {
             run.provedEndAt = progress.openEndAt;
         } else if (complete == Evidence::Proved && !end.framed && run.events > 0) {
@@ -256,9 +259,12 @@
     result.report.outcome = SendOutcome::Answered;
     if (result.run.complete == Evidence::Unknown) {
         result.report.outcome = SendOutcome::Unconfirmed;
-        result.report.isDoubtfulEnd = end.isDoubtful;
-        result.detail = end.isDoubtful ? "the connection ended behind an event, though this version frames its streams or the endpoint has cut some"
-                                       : "the connection ended behind an event, which does not prove that the stream is complete";
+        const ServiceVersion group{this->parts.service, endpoint.version};
+        result.report.isDoubtfulEnd = !this->parts.habits.isUnframedUsual(group, endpoint.id, this->parts.isOnlyEndpoint, currentTime());
+        result.detail = end.isDoubtful    ? "the connection ended behind an event, though this version frames its streams or the endpoint has cut some"
+            : end.isSelfConfirmed         ? "the endpoint framed its empty answer, and left the stream open unframed, as no other endpoint of its version does"
+            : result.report.isDoubtfulEnd ? "the connection ended behind an event, and it is not known that this version's streams usually end so"
+                                          : "the connection ended behind an event, which does not prove that the stream is complete";
     }
     // Bytes after the last event, such as a comment, are part of the answer.
     std::string rest = this->splitter.takeRest();
