Only idle endpoints are ranked by their slowness in steps

Ruled out: steps of an eighth and a sixteenth everywhere (with the latter two of six idle endpoints get 46 of 48 streams).

"Streams in series spread over idle equal endpoints" holds.

--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -15,7 +15,7 @@
 //! Odd multiplier that shuffles equally loaded endpoints, so that instances with the same view of the loads choose different ones.
 constexpr std::uint64_t tieBreakFactor = 0x9E3779B97F4A7C15ULL;
 
-//! Endpoints whose slowness differs by less are ranked by their calls alone: the fastest of many idle ones does not get all streams.
+//! Idle endpoints whose slowness differs by less are ranked alike: the fastest of them does not get all streams.
 constexpr double slownessStep = 0.25;
 
 //! Change of the mean slowness of the measured endpoints, as a share of it, at which the unmeasured ones are ranked anew.
@@ -263,10 +263,10 @@
 
 double EndpointTable::loadOf(const EndpointState &state) const
 {
-    const double calls = static_cast<double>(state.inFlight) + static_cast<double>(state.peerCalls) + 1.0;
+    const std::uint32_t running = state.inFlight + state.peerCalls;
     const double penalty = !this->localDomain.empty() && state.spec.domain != this->localDomain ? this->remoteLoadPenalty : 0.0;
-    const double slowness = std::max(1.0, std::round(state.slowness / slownessStep)) * slownessStep;
-    return calls / static_cast<double>(std::max(1U, state.spec.slots)) * slowness + penalty;
+    const double slowness = running > 0 ? state.slowness : std::max(1.0, std::round(state.slowness / slownessStep)) * slownessStep;
+    return (static_cast<double>(running) + 1.0) / static_cast<double>(std::max(1U, state.spec.slots)) * slowness + penalty;
 }
 
 std::uint32_t EndpointTable::limitOf(const EndpointState &state) const
