The stream soak plays two installations with settings of their own

The two mixes of callers stay as installations: what their seeds play is unchanged, so that seeds that failed can be played again. Times between streams come from a second row of choices.

--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-GatewayCluster::GatewayCluster(std::size_t gatewayCount, std::size_t endpointCount, std::size_t linkedGateways)
+GatewayCluster::GatewayCluster(std::size_t gatewayCount, std::size_t endpointCount, std::size_t linkedGateways, int gatewayMegabytes)
     : root((std::filesystem::temp_directory_path() / ("oleander-gateway-" + std::to_string(::getpid()) + "-" + unusedAddress().substr(portPosition))).string())
+    , gatewayMegabytes(gatewayMegabytes)
 {
     std::filesystem::create_directories(this->root);
     for (std::size_t index = 0; index < endpointCount; ++index) {
@@ -72,8 +73,8 @@
     std::ofstream out(this->file(index, ".toml"));
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
-        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Limits]\nMemoryMb = " << memoryMegabytes << "\n[Platform]\nAddress = \"" << own.store
-        << "\"\n";
+        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n[Platform]\nAddress = \""
+        << own.store << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -24,8 +24,9 @@
 class GatewayCluster
 {
 public:
-    //! The first \p linkedGateways gateways reach the endpoints over links of their own, which setLink() changes.
-    GatewayCluster(std::size_t gateways, std::size_t endpoints, std::size_t linkedGateways = 0);
+    //! The first \p linkedGateways gateways reach the endpoints over links of their own, which setLink() changes. Each gateway's
+    //! process may use \p gatewayMegabytes of memory.
+    GatewayCluster(std::size_t gateways, std::size_t endpoints, std::size_t linkedGateways = 0, int gatewayMegabytes = memoryMegabytes);
     ~GatewayCluster();
     GatewayCluster(const GatewayCluster &) = delete;
     GatewayCluster &operator=(const GatewayCluster &) = delete;
@@ -82,7 +83,7 @@
     bool logHas(std::size_t gateway, const std::string &text, int limitMs = logTimeoutMs) const;
 
     static constexpr int logTimeoutMs = 20000;
-    static constexpr int memoryMegabytes = 110; //!< That each gateway's process may use.
+    static constexpr int memoryMegabytes = 110; //!< That each gateway's process may use, unless stated.
     static constexpr const char *defaultLimits = R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":15000})";
 
     StandinStore store{};
@@ -102,6 +103,7 @@
     void writeSettings(std::size_t index) const;
 
     std::string root;
+    int gatewayMegabytes;
     std::string otherServices; //!< Their entries in configurations.
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
--- a/tests/soak/dice.h
+++ b/tests/soak/dice.h
@@ -6,6 +6,7 @@
 #include <initializer_list>
 #include <optional>
 #include <random>
+#include <span>
 
 namespace oleandergate::soak {
 
@@ -47,6 +48,12 @@
         return values.begin()[this->between(0, static_cast<std::int64_t>(values.size()) - 1)];
     }
 
+    template <typename T>
+    T oneOf(std::span<const T> values)
+    {
+        return values[static_cast<std::size_t>(this->between(0, static_cast<std::int64_t>(values.size()) - 1))];
+    }
+
 private:
     std::mt19937_64 generator;
 };
--- /dev/null
+++ b/tests/streamsoak/installation.cpp
@@ -0,0 +1,116 @@
+#include "installation.h"
+
+namespace oleandergate::streamsoak {
+
+namespace {
+
+using support::Behaviour;
+
+constexpr std::array mixedRoutes{Route::Turns, Route::Turns, Route::Turns, Route::Spread, Route::Split, Route::Split, Route::Single};
+
+constexpr std::array mixedTroubles{Trouble::Kill,
+                                   Trouble::Kill,
+                                   Trouble::Stop,
+                                   Trouble::Freeze,
+                                   Trouble::Freeze,
+                                   Trouble::StoreRefusal,
+                                   Trouble::StoreSilence,
+                                   Trouble::LinkSilence,
+                                   Trouble::LinkReset,
+                                   Trouble::LinkRefusal,
+                                   Trouble::Reload,
+                                   Trouble::Configuration,
+                                   Trouble::EndpointCrash,
+                                   Trouble::EndpointCrash,
+                                   Trouble::EndpointRestart};
+
+constexpr auto mixedFaults = []() {
+    std::array<Behaviour, soak::faultNames.size()> faults{};
+    for (std::size_t index = 0; index < faults.size(); ++index) {
+        faults[index] = soak::faultNames[index].value;
+    }
+    return faults;
+}();
+
+// Both also release new software versions; see StreamPlan.
+constexpr std::array fleetTroubles{Trouble::Kill,
+                                   Trouble::Kill,
+                                   Trouble::Stop,
+                                   Trouble::Freeze,
+                                   Trouble::StoreSilence,
+                                   Trouble::LinkSilence,
+                                   Trouble::LinkRefusal,
+                                   Trouble::Configuration,
+                                   Trouble::EndpointRestart};
+
+constexpr std::array banderaTroubles{Trouble::Kill,
+                                     Trouble::Kill,
+                                     Trouble::Stop,
+                                     Trouble::StoreRefusal,
+                                     Trouble::LinkSilence,
+                                     Trouble::LinkRefusal,
+                                     Trouble::Reload,
+                                     Trouble::Configuration,
+                                     Trouble::EndpointRestart};
+
+// Three streams of Route::Query to one of Route::Plan, four to one; the others are played beside them.
+constexpr std::array fleetRoutes{Route::Query, Route::Query, Route::Query, Route::Plan, Route::Turns, Route::Spread, Route::Split, Route::Single};
+constexpr std::array banderaRoutes{
+    Route::Query, Route::Query, Route::Query, Route::Query, Route::Plan, Route::Turns, Route::Spread, Route::Split, Route::Single};
+
+constexpr const char *fleetOwnRoutes = R"(,
+    {"Name":"query","Host":"h.example","PathPrefix":"/query/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200},
+    {"Name":"plan","Host":"h.example","PathPrefix":"/plan/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":250,"Priority":0,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
+
+constexpr const char *banderaOwnRoutes = R"(,
+    {"Name":"query","Host":"h.example","PathPrefix":"/query/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":200,"Priority":1,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200},
+    {"Name":"plan","Host":"h.example","PathPrefix":"/plan/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":200,"Priority":0,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
+
+InstallationSettings mixed(int programs, int slowReaders, int leave)
+{
+    InstallationSettings settings;
+    settings.memoryMegabytes = 110;
+    settings.callers = 40;
+    settings.programs = programs;
+    settings.slowReaders = slowReaders;
+    settings.leave = leave;
+    settings.fewestTroubles = 4;
+    settings.mostTroubles = 10;
+    settings.routes = mixedRoutes;
+    settings.troubles = mixedTroubles;
+    settings.faults = mixedFaults;
+    return settings;
+}
+
+InstallationSettings nakhlaFleet()
+{
+    InstallationSettings settings = mixed(80, 10, 4);
+    settings.streamsPerSecond = 28.6;
+    settings.callers = 36;
+    settings.routes = fleetRoutes;
+    settings.troubles = fleetTroubles;
+    settings.ownRoutes = fleetOwnRoutes;
+    return settings;
+}
+
+InstallationSettings talleresBandera()
+{
+    InstallationSettings settings = mixed(80, 10, 4);
+    settings.memoryMegabytes = 260;
+    settings.streamsPerSecond = 19.2;
+    settings.callers = 35;
+    settings.routes = banderaRoutes;
+    settings.troubles = banderaTroubles;
+    settings.ownRoutes = banderaOwnRoutes;
+    return settings;
+}
+
+} // namespace
+
+const InstallationSettings &settingsOf(Installation installation)
+{
+    static const std::array<InstallationSettings, installationNames.size()> settings{mixed(80, 10, 4), mixed(30, 25, 8), nakhlaFleet(), talleresBandera()};
+    return settings[static_cast<std::size_t>(installation)];
+}
+
+} // namespace oleandergate::streamsoak
--- /dev/null
+++ b/tests/streamsoak/installation.h
@@ -0,0 +1,100 @@
+#ifndef OLEANDERGATE_TESTS_STREAMSOAK_INSTALLATION_H
+#define OLEANDERGATE_TESTS_STREAMSOAK_INSTALLATION_H
+
+#include "decision/nametable.h"
+#include "soak/stopplan.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace oleandergate::streamsoak {
+
+//! The installations whose seeds are played. What a seed of the first two plays stays as it was, for the seeds that ever failed.
+enum class Installation : std::uint8_t {
+    Nakhla, //!< Most callers have programs.
+    Talleres, //!< Few callers have programs; more of them read slowly or leave.
+    NakhlaFleet, //!< With its own memory, streams a second, routes and troubles, like the next one.
+    TalleresBandera,
+};
+
+inline constexpr std::array installationNames{
+    NamedValue<Installation>{Installation::Nakhla, "nakhla"},
+    NamedValue<Installation>{Installation::Talleres, "talleres"},
+    NamedValue<Installation>{Installation::NakhlaFleet, "nakhla-fleet"},
+    NamedValue<Installation>{Installation::TalleresBandera, "talleres-bandera"},
+};
+
+enum class Route : std::uint8_t {
+    Turns, //!< May be resumed, one attempt.
+    Spread, //!< May be resumed, three attempts.
+    Split, //!< May be resumed, one attempt, at one of two services.
+    Single, //!< May not be resumed.
+    Query, //!< May be resumed, one attempt, the installation's own limits; like the next one, which has a higher priority.
+    Plan,
+};
+
+inline constexpr std::array routeNames{
+    NamedValue<Route>{Route::Turns, "turns"},
+    NamedValue<Route>{Route::Spread, "spread"},
+    NamedValue<Route>{Route::Split, "split"},
+    NamedValue<Route>{Route::Single, "single"},
+    NamedValue<Route>{Route::Query, "query"},
+    NamedValue<Route>{Route::Plan, "plan"},
+};
+
+enum class Trouble : std::uint8_t {
+    Kill,
+    Stop, //!< SIGTERM, and SIGKILL when the time for it is over.
+    Freeze, //!< For its duration, like the ones below.
+    StoreRefusal,
+    StoreSilence, //!< Watches report nothing.
+    LinkSilence,
+    LinkReset,
+    LinkRefusal,
+    Reload,
+    Configuration,
+    EndpointCrash, //!< Comes back under a new identifier.
+    EndpointRestart, //!< Comes back under its identifier.
+    Replacement, //!< Of an endpoint, by one of the next software version.
+};
+
+inline constexpr std::array troubleNames{
+    NamedValue<Trouble>{Trouble::Kill, "kill"},
+    NamedValue<Trouble>{Trouble::Stop, "stop"},
+    NamedValue<Trouble>{Trouble::Freeze, "freeze"},
+    NamedValue<Trouble>{Trouble::StoreRefusal, "store-refusal"},
+    NamedValue<Trouble>{Trouble::StoreSilence, "store-silence"},
+    NamedValue<Trouble>{Trouble::LinkSilence, "link-silence"},
+    NamedValue<Trouble>{Trouble::LinkReset, "link-reset"},
+    NamedValue<Trouble>{Trouble::LinkRefusal, "link-refusal"},
+    NamedValue<Trouble>{Trouble::Reload, "reload"},
+    NamedValue<Trouble>{Trouble::Configuration, "configuration"},
+    NamedValue<Trouble>{Trouble::EndpointCrash, "endpoint-crash"},
+    NamedValue<Trouble>{Trouble::EndpointRestart, "endpoint-restart"},
+    NamedValue<Trouble>{Trouble::Replacement, "replacement"},
+};
+
+//! Settings, callers and troubles of an installation. Shares are in percent.
+struct InstallationSettings
+{
+    int memoryMegabytes = 0; //!< Of each gateway.
+    double streamsPerSecond = 0.0; //!< Of all callers; with zero each begins its next stream when the last one is over.
+    std::size_t callers = 0;
+    int programs = 0; //!< Callers with one.
+    int slowReaders = 0; //!< Streams that their callers read slowly.
+    int leave = 0; //!< Streams that their callers leave.
+    std::int64_t fewestTroubles = 0;
+    std::int64_t mostTroubles = 0;
+    std::span<const Route> routes{}; //!< Chosen evenly, like the ones below; a row may occur more than once.
+    std::span<const Trouble> troubles{};
+    std::span<const support::Behaviour> faults{}; //!< Of the endpoint of a stream.
+    const char *ownRoutes = ""; //!< In configurations, beside those of a cluster for streams and Route::Split.
+};
+
+const InstallationSettings &settingsOf(Installation installation);
+
+} // namespace oleandergate::streamsoak
+
+#endif
--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -25,7 +25,7 @@
 Options:
   --seeds=N            Number of seeds [default: 1].
   --first-seed=N       The first seed [default: 1].
-  --installation=NAME  Habits of the callers: nakhla or talleres [default: nakhla].
+  --installation=NAME  nakhla-fleet or talleres-bandera, or one of two mixes of callers, nakhla and talleres [default: nakhla].
   --keep-logs=DIR      Keep the gateways' logs of seeds with breaches in this folder.
 )";
 
--- a/tests/streamsoak/streamcaller.cpp
+++ b/tests/streamsoak/streamcaller.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/system/system_error.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <thread>
 
@@ -59,10 +60,11 @@
 {
 }
 
-void StreamCaller::run(Time endAt)
+void StreamCaller::run(Time beginAt, Time endAt)
 {
     for (const PlannedStream &planned : this->plan) {
-        std::this_thread::sleep_for(planned.pauseBefore);
+        const Duration untilPlanned = std::min(beginAt + planned.at, endAt) - currentTime();
+        std::this_thread::sleep_for(std::max<Duration>(planned.pauseBefore, untilPlanned));
         if (currentTime() >= endAt) {
             return;
         }
--- a/tests/streamsoak/streamcaller.h
+++ b/tests/streamsoak/streamcaller.h
@@ -47,8 +47,8 @@
 public:
     StreamCaller(const std::vector<PlannedStream> &plan, const std::deque<GatewayState> &gateways);
 
-    //! Returns when the streams that began before \p endAt are over.
-    void run(Time endAt);
+    //! Returns when the streams that began before \p endAt are over. The times of the plan are relative to \p beginAt.
+    void run(Time beginAt, Time endAt);
 
     std::vector<SeenStream> streams{};
 
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -6,34 +6,41 @@
 
 namespace {
 
-constexpr std::size_t callerCount = 40;
 constexpr std::size_t streamsPerCaller = 60; //!< More than a caller has time for.
 constexpr std::uint64_t installationSeed = 0x9e3779b97f4a7c15U;
 
-//! How the callers of an installation behave, in percent of them or of their streams.
-struct Habits
+//! Further choices leave those of the seeds that were played before them as they are.
+constexpr std::uint64_t furtherSeed = 0xc2b2ae3d27d4eb4fU;
+
+//! Returns the seed of the choices. The installations with settings of their own share theirs.
+std::uint64_t choicesOf(std::uint64_t seed, Installation installation)
 {
-    int programs = 0;
-    int slowReaders = 0;
-    int leave = 0;
-};
+    return installation == Installation::Talleres ? seed ^ installationSeed : seed;
+}
 
-constexpr std::array habits{
-    Habits{80, 10, 4}, // nakhla
-    Habits{30, 25, 8}, // talleres
-};
+//! Returns the time between the starts of two streams of one caller.
+Milliseconds pauseBetweenStreams(soak::Dice &dice, const InstallationSettings &settings)
+{
+    if (settings.streamsPerSecond <= 0.0) {
+        return Milliseconds(0);
+    }
+    constexpr double msPerSecond = 1000.0;
+    const double meanMs = static_cast<double>(settings.callers) * msPerSecond / settings.streamsPerSecond;
+    return dice.time(0, static_cast<std::int64_t>(2.0 * meanMs));
+}
 
-PlannedStream makeStream(soak::Dice &dice, const StreamPlan &plan, std::size_t caller, std::size_t number, const Habits &habit)
+PlannedStream makeStream(soak::Dice &dice, const StreamPlan &plan, std::size_t caller, std::size_t number)
 {
+    const InstallationSettings &settings = settingsOf(plan.installation);
     PlannedStream stream;
     stream.id = "s" + std::to_string(plan.seed) + "-c" + std::to_string(caller) + "-" + std::to_string(number);
-    stream.route = dice.oneOf({Route::Turns, Route::Turns, Route::Turns, Route::Spread, Route::Split, Route::Split, Route::Single});
-    const auto fault = static_cast<std::size_t>(dice.between(0, soak::faultNames.size() - 1));
-    stream.fault = dice.percent(plan.faultPercent) ? soak::faultNames[fault].value : support::Behaviour::Normal;
+    stream.route = dice.oneOf(settings.routes);
+    const support::Behaviour fault = dice.oneOf(settings.faults);
+    stream.fault = dice.percent(plan.faultPercent) ? fault : support::Behaviour::Normal;
     stream.work = dice.time(0, 150);
     stream.gap = dice.percent(15) ? dice.time(150, 350) : dice.time(5, 120);
-    stream.readPause = dice.percent(habit.slowReaders) ? dice.time(50, 400) : Milliseconds(0);
-    stream.leaveAfter = dice.percent(habit.leave) ? dice.time(50, 800) : Milliseconds(0);
+    stream.readPause = dice.percent(settings.slowReaders) ? dice.time(50, 400) : Milliseconds(0);
+    stream.leaveAfter = dice.percent(settings.leave) ? dice.time(50, 800) : Milliseconds(0);
     stream.pauseBefore = dice.time(0, 150);
     stream.gateway = static_cast<std::size_t>(dice.between(0, gatewayCount - 1));
     return stream;
@@ -53,24 +60,11 @@
 
 void addTroubles(soak::Dice &dice, StreamPlan &plan)
 {
-    const auto count = dice.between(4, 10);
+    const InstallationSettings &settings = settingsOf(plan.installation);
+    const auto count = dice.between(settings.fewestTroubles, settings.mostTroubles);
     for (std::int64_t index = 0; index < count; ++index) {
         PlannedTrouble planned;
-        planned.trouble = dice.oneOf({Trouble::Kill,
-                                      Trouble::Kill,
-                                      Trouble::Stop,
-                                      Trouble::Freeze,
-                                      Trouble::Freeze,
-                                      Trouble::StoreRefusal,
-                                      Trouble::StoreSilence,
-                                      Trouble::LinkSilence,
-                                      Trouble::LinkReset,
-                                      Trouble::LinkRefusal,
-                                      Trouble::Reload,
-                                      Trouble::Configuration,
-                                      Trouble::EndpointCrash,
-                                      Trouble::EndpointCrash,
-                                      Trouble::EndpointRestart});
+        planned.trouble = dice.oneOf(settings.troubles);
         planned.at = dice.time(500, plan.length.count() - 2000);
         planned.duration = dice.time(300, 4000);
         const bool isOfEndpoint = planned.trouble == Trouble::EndpointCrash || planned.trouble == Trouble::EndpointRestart;
@@ -104,10 +98,12 @@
 
 StreamPlan makeStreamPlan(std::uint64_t seed, Installation installation)
 {
-    soak::Dice dice(installation == Installation::Nakhla ? seed : seed ^ installationSeed);
-    const Habits &habit = habits[static_cast<std::size_t>(installation)];
+    const InstallationSettings &settings = settingsOf(installation);
+    soak::Dice dice(choicesOf(seed, installation));
+    soak::Dice further(choicesOf(seed, installation) ^ furtherSeed);
     StreamPlan plan;
     plan.seed = seed;
+    plan.installation = installation;
     plan.hasLinks = dice.percent(35);
     plan.hasCutters = dice.percent(50);
     plan.faultPercent = dice.oneOf({0, 10, 30});
@@ -117,11 +113,14 @@
         addReplacements(dice, plan);
     }
     std::ranges::stable_sort(plan.troubles, {}, &PlannedTrouble::at);
-    for (std::size_t caller = 0; caller < callerCount; ++caller) {
-        const bool hasProgram = dice.percent(habit.programs);
+    for (std::size_t caller = 0; caller < settings.callers; ++caller) {
+        const bool hasProgram = dice.percent(settings.programs);
         std::vector<PlannedStream> &streams = plan.callers.emplace_back();
+        Milliseconds at{0};
         for (std::size_t number = 0; number < streamsPerCaller; ++number) {
-            streams.push_back(makeStream(dice, plan, caller, number, habit));
+            streams.push_back(makeStream(dice, plan, caller, number));
+            at += pauseBetweenStreams(further, settings);
+            streams.back().at = at;
             streams.back().program = hasProgram ? "p-" + std::to_string(seed) + "-" + std::to_string(caller) : std::string();
         }
     }
--- a/tests/streamsoak/streamplan.h
+++ b/tests/streamsoak/streamplan.h
@@ -1,11 +1,9 @@
 #ifndef OLEANDERGATE_TESTS_STREAMSOAK_STREAMPLAN_H
 #define OLEANDERGATE_TESTS_STREAMSOAK_STREAMPLAN_H
 
-#include "decision/nametable.h"
+#include "installation.h"
 #include "soak/dice.h"
-#include "soak/stopplan.h"
 
-#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,30 +12,6 @@
 
 using soak::Milliseconds;
 
-enum class Installation : std::uint8_t {
-    Nakhla, //!< Most callers have programs.
-    Talleres, //!< Few callers have programs; more of them read slowly or leave.
-};
-
-inline constexpr std::array installationNames{
-    NamedValue<Installation>{Installation::Nakhla, "nakhla"},
-    NamedValue<Installation>{Installation::Talleres, "talleres"},
-};
-
-enum class Route : std::uint8_t {
-    Turns, //!< May be resumed, one attempt.
-    Spread, //!< May be resumed, three attempts.
-    Split, //!< May be resumed, one attempt, at one of two services.
-    Single, //!< May not be resumed.
-};
-
-inline constexpr std::array routeNames{
-    NamedValue<Route>{Route::Turns, "turns"},
-    NamedValue<Route>{Route::Spread, "spread"},
-    NamedValue<Route>{Route::Split, "split"},
-    NamedValue<Route>{Route::Single, "single"},
-};
-
 //! The route of Route::Split, beside those of a cluster for streams.
 inline constexpr const char *splitRoute = R"(,
     {"Name":"split","Host":"h.example","PathPrefix":"/split/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"TrafficSplit":[{"Service":"engine","Weight":90},{"Service":"other","Weight":10}],"MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
@@ -52,6 +26,7 @@
     Milliseconds readPause{0}; //!< Of a caller that reads slowly.
     Milliseconds leaveAfter{0}; //!< The caller leaves then; zero for never.
     Milliseconds pauseBefore{0};
+    Milliseconds at{0}; //!< Not before this time of the run, unless the installation has no streams a second.
     std::size_t gateway = 0; //!< Of its first attempt.
     std::string program{}; //!< Empty for none.
 
@@ -59,38 +34,6 @@
     std::string bytes(const std::string &attempt, const std::string &lastEvent, const std::string &firstAttempt) const;
 };
 
-enum class Trouble : std::uint8_t {
-    Kill,
-    Stop, //!< SIGTERM, and SIGKILL when the time for it is over.
-    Freeze, //!< For its duration, like the ones below.
-    StoreRefusal,
-    StoreSilence, //!< Watches report nothing.
-    LinkSilence,
-    LinkReset,
-    LinkRefusal,
-    Reload,
-    Configuration,
-    EndpointCrash, //!< Comes back under a new identifier.
-    EndpointRestart, //!< Comes back under its identifier.
-    Replacement, //!< Of an endpoint, by one of the next software version.
-};
-
-inline constexpr std::array troubleNames{
-    NamedValue<Trouble>{Trouble::Kill, "kill"},
-    NamedValue<Trouble>{Trouble::Stop, "stop"},
-    NamedValue<Trouble>{Trouble::Freeze, "freeze"},
-    NamedValue<Trouble>{Trouble::StoreRefusal, "store-refusal"},
-    NamedValue<Trouble>{Trouble::StoreSilence, "store-silence"},
-    NamedValue<Trouble>{Trouble::LinkSilence, "link-silence"},
-    NamedValue<Trouble>{Trouble::LinkReset, "link-reset"},
-    NamedValue<Trouble>{Trouble::LinkRefusal, "link-refusal"},
-    NamedValue<Trouble>{Trouble::Reload, "reload"},
-    NamedValue<Trouble>{Trouble::Configuration, "configuration"},
-    NamedValue<Trouble>{Trouble::EndpointCrash, "endpoint-crash"},
-    NamedValue<Trouble>{Trouble::EndpointRestart, "endpoint-restart"},
-    NamedValue<Trouble>{Trouble::Replacement, "replacement"},
-};
-
 struct PlannedTrouble
 {
     Trouble trouble = Trouble::Kill;
@@ -104,6 +47,7 @@
 struct StreamPlan
 {
     std::uint64_t seed = 0;
+    Installation installation = Installation::Nakhla;
     bool hasLinks = false; //!< The first gateway reaches the endpoints over links.
     bool hasCutters = false; //!< Two endpoints cut every stream.
     int faultPercent = 0; //!< Share of the streams with a fault of their endpoint.
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -26,9 +26,9 @@
 
 constexpr std::array limits{support::GatewayCluster::defaultLimits, R"({"HeaderBytes":8192,"BodyBytes":2048,"HeaderMs":2500,"IdleMs":9000})"};
 
-std::string routes()
+std::string routesOf(const StreamPlan &plan)
 {
-    return std::string(support::streamRoutes) + splitRoute;
+    return std::string(support::streamRoutes) + splitRoute + settingsOf(plan.installation).ownRoutes;
 }
 
 support::Link linkIn(Trouble trouble)
@@ -40,7 +40,7 @@
 
 StreamRun::StreamRun(const StreamPlan &plan)
     : plan(plan)
-    , cluster(gatewayCount, endpointCount, plan.hasLinks ? 1 : 0)
+    , cluster(gatewayCount, endpointCount, plan.hasLinks ? 1 : 0, settingsOf(plan.installation).memoryMegabytes)
     , killAt(gatewayCount)
 {
     for (std::size_t index = 0; index < gatewayCount; ++index) {
@@ -79,7 +79,7 @@
         return std::nullopt;
     }
     this->cluster.addService(otherService, otherEndpointCount);
-    this->cluster.configure(this->configurationVersion, routes());
+    this->cluster.configure(this->configurationVersion, routesOf(this->plan));
     for (std::size_t index = 0; index < gatewayCount; ++index) {
         this->cluster.logHas(index, R"("version":"2")", configurationLogMs);
     }
@@ -99,8 +99,8 @@
     std::vector<std::jthread> threads;
     std::atomic<std::size_t> atWork = this->plan.callers.size();
     for (const std::vector<PlannedStream> &planned : this->plan.callers) {
-        threads.emplace_back([&caller = callers.emplace_back(planned, this->states), &atWork, endAt]() {
-            caller.run(endAt);
+        threads.emplace_back([&caller = callers.emplace_back(planned, this->states), &atWork, beginAt = this->seen.beganAt, endAt]() {
+            caller.run(beginAt, endAt);
             atWork -= 1;
         });
     }
@@ -234,7 +234,7 @@
 void StreamRun::changeConfiguration(const PlannedTrouble & /*planned*/)
 {
     this->configurationVersion += 1;
-    this->cluster.configure(this->configurationVersion, routes(), limits[static_cast<std::size_t>(this->configurationVersion) % limits.size()]);
+    this->cluster.configure(this->configurationVersion, routesOf(this->plan), limits[static_cast<std::size_t>(this->configurationVersion) % limits.size()]);
 }
 
 void StreamRun::crashEndpoint(const PlannedTrouble &planned)
