The stream soak's callers name no attempt, another one, or another stream's

Every caller of the soak named the first attempt of its stream in Resumes. The examples of the wire show streams that are taken up with Last-Event-Id alone, and a caller may name what it likes. A caller's naming is printed with each case.

--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -66,6 +66,9 @@
     {"Name":"query","Host":"h.example","PathPrefix":"/query/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":200,"Priority":1,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200},
     {"Name":"plan","Host":"h.example","PathPrefix":"/plan/","Kind":"streaming","TimeoutMs":4000,"TargetLatencyMs":200,"Priority":0,"Service":"engine","MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
 
+//! The examples of the wire take a stream up without naming an attempt; which share of the callers does so is not known.
+constexpr int otherNaming = 40;
+
 InstallationSettings mixed(int programs, int slowReaders, int leave)
 {
     InstallationSettings settings;
@@ -85,6 +88,7 @@
 InstallationSettings nakhlaFleet()
 {
     InstallationSettings settings = mixed(80, 10, 4);
+    settings.otherNaming = otherNaming;
     settings.streamsPerSecond = 28.6;
     settings.callers = 36;
     settings.routes = fleetRoutes;
@@ -97,6 +101,7 @@
 {
     InstallationSettings settings = mixed(80, 10, 4);
     settings.memoryMegabytes = 260;
+    settings.otherNaming = otherNaming;
     settings.streamsPerSecond = 19.2;
     settings.callers = 35;
     settings.routes = banderaRoutes;
--- a/tests/streamsoak/installation.h
+++ b/tests/streamsoak/installation.h
@@ -85,6 +85,7 @@
     int programs = 0; //!< Callers with one.
     int slowReaders = 0; //!< Streams that their callers read slowly.
     int leave = 0; //!< Streams that their callers leave.
+    int otherNaming = 0; //!< Streams whose callers name another attempt than the first one when they take them up, or none.
     std::int64_t fewestTroubles = 0;
     std::int64_t mostTroubles = 0;
     std::span<const Route> routes{}; //!< Chosen evenly, like the ones below; a row may occur more than once.
--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -56,8 +56,9 @@
 
 void printAttempt(const Attempt &attempt, const Seen &seen, const StreamRun &run)
 {
-    std::cout << "      " << attempt.id << " at " << attempt.gateway << ", behind [" << attempt.lastEvent << "], " << after(attempt.beganAt, seen.beganAt)
-              << " to " << after(attempt.endedAt, seen.beganAt) << ", status " << attempt.status << " for " << attempt.answeredId
+    std::cout << "      " << attempt.id << " at " << attempt.gateway << ", behind [" << attempt.lastEvent << "] of [" << attempt.resumes << "], "
+              << after(attempt.beganAt, seen.beganAt) << " to " << after(attempt.endedAt, seen.beganAt) << ", status " << attempt.status << " for "
+              << attempt.answeredId
               << (attempt.complete   ? ", complete"
                       : attempt.left ? ", left"
                                      : ", broken off")
@@ -83,7 +84,8 @@
 {
     const SeenStream &stream = *each.stream;
     std::cout << "  breach " << nameIn(breachNames, each.breach) << " " << nameIn(routeNames, stream.plan->route) << " " << causeOf(stream, seen) << " "
-              << (stream.plan->program.empty() ? "without" : "with") << "-program attempts=" << stream.attempts.size() << " " << stream.plan->id << " beside:";
+              << (stream.plan->program.empty() ? "without" : "with") << "-program naming=" << nameIn(namingNames, stream.plan->naming)
+              << " attempts=" << stream.attempts.size() << " " << stream.plan->id << " beside:";
     for (const SeenTrouble &trouble : seen.troubles) {
         if (trouble.at <= stream.attempts.back().endedAt && trouble.at + trouble.planned.duration >= stream.attempts.front().beganAt) {
             std::cout << " " << nameIn(troubleNames, trouble.planned.trouble) << "(" << trouble.planned.target << ")";
--- a/tests/streamsoak/streamcaller.cpp
+++ b/tests/streamsoak/streamcaller.cpp
@@ -83,7 +83,8 @@
         next.id = planned.id + "-a" + std::to_string(seen.attempts.size());
         next.gateway = gateway;
         next.lastEvent = lastEvent;
-        const std::optional<Attempt> made = this->attempt(planned, next, firstAttempt, leaveAt);
+        next.resumes = lastEvent.empty() ? std::string() : planned.namedAttempt(firstAttempt, seen.attempts.back().id);
+        const std::optional<Attempt> made = this->attempt(planned, next, leaveAt);
         if (!made) {
             return;
         }
@@ -104,7 +105,7 @@
     }
 }
 
-std::optional<Attempt> StreamCaller::attempt(const PlannedStream &planned, Attempt next, const std::string &firstAttempt, Time leaveAt) const
+std::optional<Attempt> StreamCaller::attempt(const PlannedStream &planned, Attempt next, Time leaveAt) const
 {
     std::unique_ptr<support::CallerConnection> connection;
     for (int count = 0; count < maxConnects && !connection; ++count) {
@@ -119,7 +120,7 @@
         return std::nullopt;
     }
     next.beganAt = currentTime();
-    connection->send(planned.bytes(next.id, next.lastEvent, firstAttempt));
+    connection->send(planned.bytes(next.id, next.lastEvent, next.resumes));
     Time heardAt = next.beganAt;
     while (connection->end() == support::ConnectionEnd::Open && currentTime() < heardAt + patience && !next.left) {
         if (connection->receiveSome(static_cast<int>(pollInterval.count()))) {
--- a/tests/streamsoak/streamcaller.h
+++ b/tests/streamsoak/streamcaller.h
@@ -19,6 +19,7 @@
     std::string id{};
     std::size_t gateway = 0;
     std::string lastEvent{}; //!< It was to go on behind this one.
+    std::string resumes{}; //!< The attempt that it named; empty for none.
     Time beganAt{};
     Time endedAt{};
     int status = 0; //!< 0 when no whole head arrived.
@@ -56,7 +57,7 @@
     void receive(const PlannedStream &planned, SeenStream &seen) const;
 
     //! Sends an attempt to \p gateway or, while that one takes no connection, to the next one that does. Returns nothing if none does.
-    std::optional<Attempt> attempt(const PlannedStream &planned, Attempt next, const std::string &firstAttempt, Time leaveAt) const;
+    std::optional<Attempt> attempt(const PlannedStream &planned, Attempt next, Time leaveAt) const;
 
     const std::vector<PlannedStream> &plan;
     const std::deque<GatewayState> &gateways;
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t streamsPerCaller = 60; //!< More than a caller has time for.
+constexpr std::int64_t likelyStreams = 5; //!< That a caller has begun by the middle of a run.
 constexpr std::uint64_t installationSeed = 0x9e3779b97f4a7c15U;
 
 //! Further choices leave those of the seeds that were played before them as they are.
@@ -18,6 +19,27 @@
     return installation == Installation::Talleres ? seed ^ installationSeed : seed;
 }
 
+//! The attempts of streams are numbered behind this.
+constexpr const char *attemptMark = "-a";
+
+std::string streamId(std::uint64_t seed, std::size_t caller, std::size_t number)
+{
+    return "s" + std::to_string(seed) + "-c" + std::to_string(caller) + "-" + std::to_string(number);
+}
+
+//! Chooses which attempt is named where \p stream is taken up.
+void chooseNaming(soak::Dice &dice, const InstallationSettings &settings, std::uint64_t seed, PlannedStream &stream)
+{
+    if (settings.otherNaming == 0) {
+        return;
+    }
+    const Naming other = dice.oneOf({Naming::None, Naming::None, Naming::None, Naming::Latest, Naming::Latest, Naming::Unknown, Naming::OtherStream});
+    const auto caller = static_cast<std::size_t>(dice.between(0, static_cast<std::int64_t>(settings.callers) - 1));
+    const auto number = static_cast<std::size_t>(dice.between(0, likelyStreams - 1));
+    stream.naming = dice.percent(settings.otherNaming) ? other : Naming::First;
+    stream.otherAttempt = streamId(seed, caller, number) + attemptMark + "0";
+}
+
 //! Returns the time between the starts of two streams of one caller.
 Milliseconds pauseBetweenStreams(soak::Dice &dice, const InstallationSettings &settings)
 {
@@ -33,7 +55,7 @@
 {
     const InstallationSettings &settings = settingsOf(plan.installation);
     PlannedStream stream;
-    stream.id = "s" + std::to_string(plan.seed) + "-c" + std::to_string(caller) + "-" + std::to_string(number);
+    stream.id = streamId(plan.seed, caller, number);
     stream.route = dice.oneOf(settings.routes);
     const support::Behaviour fault = dice.oneOf(settings.faults);
     stream.fault = dice.percent(plan.faultPercent) ? fault : support::Behaviour::Normal;
@@ -79,7 +101,24 @@
 
 } // namespace
 
-std::string PlannedStream::bytes(const std::string &attempt, const std::string &lastEvent, const std::string &firstAttempt) const
+std::string PlannedStream::namedAttempt(const std::string &firstAttempt, const std::string &latestAttempt) const
+{
+    switch (this->naming) {
+    case Naming::First:
+        return firstAttempt;
+    case Naming::Latest:
+        return latestAttempt;
+    case Naming::None:
+        return {};
+    case Naming::Unknown:
+        return this->id + "-never";
+    case Naming::OtherStream:
+        return this->otherAttempt;
+    }
+    return firstAttempt;
+}
+
+std::string PlannedStream::bytes(const std::string &attempt, const std::string &lastEvent, const std::string &resumes) const
 {
     std::string text = "POST /" + std::string(nameIn(routeNames, this->route)) + "/" + this->id + "?stream=" + this->id
         + "&work_ms=" + std::to_string(this->work.count()) + "&gap_ms=" + std::to_string(this->gap.count())
@@ -91,7 +130,7 @@
         text += "Oleandergate-Program-Id: " + this->program + "\r\nOleandergate-Session-Id: " + this->program + "-main\r\n";
     }
     if (!lastEvent.empty()) {
-        text += "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstAttempt + "\r\n";
+        text += "Last-Event-Id: " + lastEvent + "\r\n" + (resumes.empty() ? "" : "Resumes: " + resumes + "\r\n");
     }
     return text + "\r\nbody";
 }
@@ -121,6 +160,7 @@
             streams.push_back(makeStream(dice, plan, caller, number));
             at += pauseBetweenStreams(further, settings);
             streams.back().at = at;
+            chooseNaming(further, settings, seed, streams.back());
             streams.back().program = hasProgram ? "p-" + std::to_string(seed) + "-" + std::to_string(caller) : std::string();
         }
     }
--- a/tests/streamsoak/streamplan.h
+++ b/tests/streamsoak/streamplan.h
@@ -16,6 +16,23 @@
 inline constexpr const char *splitRoute = R"(,
     {"Name":"split","Host":"h.example","PathPrefix":"/split/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"TrafficSplit":[{"Service":"engine","Weight":90},{"Service":"other","Weight":10}],"MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
 
+//! Which attempt a caller names in Resumes when it takes a stream up.
+enum class Naming : std::uint8_t {
+    First, //!< The first one that got an event.
+    Latest, //!< The one before, also one that was refused.
+    None,
+    Unknown, //!< One that never was.
+    OtherStream, //!< One of another stream.
+};
+
+inline constexpr std::array namingNames{
+    NamedValue<Naming>{Naming::First, "first"},
+    NamedValue<Naming>{Naming::Latest, "latest"},
+    NamedValue<Naming>{Naming::None, "none"},
+    NamedValue<Naming>{Naming::Unknown, "unknown"},
+    NamedValue<Naming>{Naming::OtherStream, "other-stream"},
+};
+
 struct PlannedStream
 {
     std::string id{};
@@ -29,9 +46,14 @@
     Milliseconds at{0}; //!< Not before this time of the run, unless the installation has no streams a second.
     std::size_t gateway = 0; //!< Of its first attempt.
     std::string program{}; //!< Empty for none.
+    Naming naming = Naming::First;
+    std::string otherAttempt{}; //!< Of another stream, for Naming::OtherStream.
+
+    //! Returns the attempt to name where \p firstAttempt got the first event and \p latestAttempt was the one before; empty for none.
+    std::string namedAttempt(const std::string &firstAttempt, const std::string &latestAttempt) const;
 
-    //! Returns the bytes of an attempt. It goes on behind \p lastEvent of \p firstAttempt, unless those are empty.
-    std::string bytes(const std::string &attempt, const std::string &lastEvent, const std::string &firstAttempt) const;
+    //! Returns the bytes of an attempt. It goes on behind \p lastEvent and names \p resumes, unless those are empty.
+    std::string bytes(const std::string &attempt, const std::string &lastEvent, const std::string &resumes) const;
 };
 
 struct PlannedTrouble
