--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -313,7 +313,7 @@
     beast::flat_buffer buffer;
     bool open = true;
     std::string lateCopy;
-    while (open && !this->stopping) {
+    while (open && this->waitWhileStandingStill()) {
         // Polls, so that the endpoint can end while connections are idle.
         if (buffer.size() == 0) {
             boost::system::error_code error;
@@ -402,6 +402,19 @@
     return text + "0\r\n\r\n";
 }
 
+void StandinEndpoint::setStandingStill(bool newStandsStill)
+{
+    this->standsStill = newStandsStill;
+}
+
+bool StandinEndpoint::waitWhileStandingStill() const
+{
+    while (this->standsStill && !this->stopping) {
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return !this->stopping;
+}
+
 void StandinEndpoint::setStatesLeaving(bool newStatesLeaving)
 {
     this->statesLeaving = newStatesLeaving;
@@ -558,7 +571,7 @@
 bool StandinEndpoint::work(tcp::socket &socket, Duration duration)
 {
     const Time until = currentTime() + duration;
-    while (currentTime() < until && !this->stopping) {
+    while (this->waitWhileStandingStill() && currentTime() < until) {
         boost::system::error_code error;
         socket.non_blocking(true, error);
         char probe = 0;
@@ -653,7 +666,12 @@
         boost::system::error_code ignored;
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
-    return plan.ends && framed && send(socket, "0\r\n\r\n");
+    if (!plan.ends || !framed || !send(socket, "0\r\n\r\n")) {
+        return false;
+    }
+    const Behaviour copied = behaviour == Behaviour::ExtraStream ? Behaviour::LateStream : Behaviour::LateUnnamedStream;
+    const bool hasCopy = behaviour == Behaviour::ExtraStream || behaviour == Behaviour::ExtraUnnamedStream;
+    return !hasCopy || send(socket, this->lateCopyOf(request, copied));
 }
 
 } // namespace oleandergate::support
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -73,6 +73,8 @@
     LateShortLength, //!< The same, with a pause behind that event.
     EndBehindHalf, //!< Ends behind half of the events that it would send, in an answer with neither length nor chunks, whose connection ends in order.
     FramedEmpty, //!< The head of a stream and its last chunk, without an event.
+    ExtraStream, //!< A whole stream, and the whole answer once more right behind it.
+    ExtraUnnamedStream, //!< The same, but the second answer does not say which request it answers.
 };
 
 //! A request that an endpoint received.
@@ -122,6 +124,9 @@
     //! Sets the value of the rate limit field in its answers; none when empty.
     void setRateLimit(const std::string &limit);
 
+    //! While it stands still, it reads and writes nothing, and its connections stay open.
+    void setStandingStill(bool standsStill);
+
     std::vector<ReceivedRequest> received() const;
     std::size_t receivedCount() const;
 
@@ -159,6 +164,9 @@
     bool trickle(boost::asio::ip::tcp::socket &socket, const HttpRequest &request);
     bool answerPlanned(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed);
 
+    //! Returns when it no longer stands still. Returns false when it ends.
+    bool waitWhileStandingStill() const;
+
     //! Waits. Returns false when \p socket is closed by the other side before.
     bool work(boost::asio::ip::tcp::socket &socket, Duration duration);
     bool answerSlowly(boost::asio::ip::tcp::socket &socket, const std::string &text);
@@ -187,6 +195,7 @@
     std::vector<ReceivedRequest> receivedRequests;
     std::list<std::thread> workers;
     std::atomic<bool> statesLeaving{false};
+    std::atomic<bool> standsStill{false};
     std::atomic<bool> stopping{false};
     std::atomic<bool> listening{true};
     std::atomic<bool> released{false};
--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -1,5 +1,7 @@
 #include "installation.h"
 
+#include <algorithm>
+
 namespace oleandergate::streamsoak {
 
 namespace {
@@ -32,6 +34,16 @@
     return faults;
 }();
 
+// With these second answers come at once; those of soak::faultNames come late.
+constexpr auto fleetFaults = []() {
+    std::array<Behaviour, mixedFaults.size() + 2 * furtherFaultNames.size()> faults{};
+    std::ranges::copy(mixedFaults, faults.begin());
+    for (std::size_t index = mixedFaults.size(); index < faults.size(); ++index) {
+        faults[index] = furtherFaultNames[index % furtherFaultNames.size()].value;
+    }
+    return faults;
+}();
+
 // Both also release new software versions; see StreamPlan.
 constexpr std::array fleetTroubles{Trouble::Kill,
                                    Trouble::Kill,
@@ -41,7 +53,15 @@
                                    Trouble::LinkSilence,
                                    Trouble::LinkRefusal,
                                    Trouble::Configuration,
-                                   Trouble::EndpointRestart};
+                                   Trouble::EndpointRestart,
+                                   Trouble::EndpointFreeze,
+                                   Trouble::EndpointFreeze,
+                                   Trouble::EndpointSilence,
+                                   Trouble::EndpointAddition,
+                                   Trouble::GatewaySlowness,
+                                   Trouble::GatewaySlowness,
+                                   Trouble::ConfigurationStorm,
+                                   Trouble::ConfigurationStorm};
 
 constexpr std::array banderaTroubles{Trouble::Kill,
                                      Trouble::Kill,
@@ -93,6 +113,8 @@
     settings.callers = 36;
     settings.routes = fleetRoutes;
     settings.troubles = fleetTroubles;
+    settings.faults = fleetFaults;
+    settings.mostTroubles = 14;
     settings.ownRoutes = fleetOwnRoutes;
     return settings;
 }
--- a/tests/streamsoak/installation.h
+++ b/tests/streamsoak/installation.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 namespace oleandergate::streamsoak {
 
@@ -58,6 +59,11 @@
     EndpointCrash, //!< Comes back under a new identifier.
     EndpointRestart, //!< Comes back under its identifier.
     Replacement, //!< Of an endpoint, by one of the next software version.
+    EndpointFreeze, //!< It stands still in the middle of its streams and goes on.
+    EndpointSilence, //!< It stands still for ever, its registration expires, and another one comes in its place.
+    EndpointAddition,
+    GatewaySlowness, //!< It runs for a fifth of the time.
+    ConfigurationStorm, //!< One after the other, with other time limits of idle connections and other shares of Route::Split.
 };
 
 inline constexpr std::array troubleNames{
@@ -74,8 +80,29 @@
     NamedValue<Trouble>{Trouble::EndpointCrash, "endpoint-crash"},
     NamedValue<Trouble>{Trouble::EndpointRestart, "endpoint-restart"},
     NamedValue<Trouble>{Trouble::Replacement, "replacement"},
+    NamedValue<Trouble>{Trouble::EndpointFreeze, "endpoint-freeze"},
+    NamedValue<Trouble>{Trouble::EndpointSilence, "endpoint-silence"},
+    NamedValue<Trouble>{Trouble::EndpointAddition, "endpoint-addition"},
+    NamedValue<Trouble>{Trouble::GatewaySlowness, "gateway-slowness"},
+    NamedValue<Trouble>{Trouble::ConfigurationStorm, "configuration-storm"},
 };
 
+//! Names of what endpoints do with streams, beside soak::faultNames.
+inline constexpr std::array furtherFaultNames{
+    NamedValue<support::Behaviour>{support::Behaviour::ExtraStream, "extra-stream"},
+    NamedValue<support::Behaviour>{support::Behaviour::ExtraUnnamedStream, "extra-unnamed-stream"},
+};
+
+constexpr std::string_view faultName(support::Behaviour fault)
+{
+    for (const NamedValue<support::Behaviour> &row : furtherFaultNames) {
+        if (row.value == fault) {
+            return row.name;
+        }
+    }
+    return nameIn(soak::faultNames, fault);
+}
+
 //! Settings, callers and troubles of an installation. Shares are in percent.
 struct InstallationSettings
 {
--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -41,7 +41,7 @@
 std::string causeOf(const SeenStream &stream, const Seen &seen)
 {
     if (stream.plan->fault != support::Behaviour::Normal) {
-        return std::string(nameIn(soak::faultNames, stream.plan->fault));
+        return std::string(faultName(stream.plan->fault));
     }
     for (const Attempt &attempt : stream.attempts) {
         const auto runs = seen.runs.find(attempt.id);
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -68,6 +68,8 @@
     return stream;
 }
 
+constexpr std::array endpointTroubles{Trouble::EndpointCrash, Trouble::EndpointRestart, Trouble::EndpointFreeze, Trouble::EndpointSilence};
+
 //! Endpoints of one software version give way to those of the next one, one after the other, twice.
 void addReplacements(soak::Dice &dice, StreamPlan &plan)
 {
@@ -89,10 +91,13 @@
         planned.trouble = dice.oneOf(settings.troubles);
         planned.at = dice.time(500, plan.length.count() - 2000);
         planned.duration = dice.time(300, 4000);
-        const bool isOfEndpoint = planned.trouble == Trouble::EndpointCrash || planned.trouble == Trouble::EndpointRestart;
+        const bool isOfEndpoint = std::ranges::find(endpointTroubles, planned.trouble) != endpointTroubles.end();
         const bool isOfLink = planned.trouble == Trouble::LinkSilence || planned.trouble == Trouble::LinkReset || planned.trouble == Trouble::LinkRefusal;
         const std::size_t chosen = static_cast<std::size_t>(dice.between(0, isOfEndpoint ? endpointCount - 1 : gatewayCount - 1));
         planned.target = isOfLink ? 0 : chosen;
+        if (planned.trouble == Trouble::EndpointAddition) {
+            planned.version = dice.oneOf({"", "v2"});
+        }
         if (!isOfLink || plan.hasLinks) {
             plan.troubles.push_back(planned);
         }
--- a/tests/streamsoak/streamplan.h
+++ b/tests/streamsoak/streamplan.h
@@ -12,10 +12,6 @@
 
 using soak::Milliseconds;
 
-//! The route of Route::Split, beside those of a cluster for streams.
-inline constexpr const char *splitRoute = R"(,
-    {"Name":"split","Host":"h.example","PathPrefix":"/split/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"TrafficSplit":[{"Service":"engine","Weight":90},{"Service":"other","Weight":10}],"MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
-
 //! Which attempt a caller names in Resumes when it takes a stream up.
 enum class Naming : std::uint8_t {
     First, //!< The first one that got an event.
@@ -62,7 +58,7 @@
     Milliseconds at{0}; //!< Relative to the start of the run.
     Milliseconds duration{0};
     std::size_t target = 0; //!< Gateway or endpoint.
-    std::string version{}; //!< Of an endpoint that comes.
+    std::string version{}; //!< Of an endpoint that comes; empty for that of the first one.
 };
 
 //! All that happens in the run of one seed.
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -24,11 +24,26 @@
 constexpr std::size_t cutStreams = 4000; //!< More than an endpoint gets.
 constexpr int restartDivisor = 4; //!< Of a trouble's duration.
 
+constexpr Milliseconds stormInterval{330};
+constexpr Milliseconds slowRun{5}; //!< A slow gateway runs for this time,
+constexpr Milliseconds slowPause{20}; //!< and then stands still for this one.
+constexpr int defaultOtherShare = 10;
+
+//! Shares of the other service, in percent, and time limits of idle connections in the configurations of a storm.
+constexpr std::array stormShares{50, 90, 10, 25};
+constexpr std::array stormIdleMs{2000, 15000, 4000};
+
 constexpr std::array limits{support::GatewayCluster::defaultLimits, R"({"HeaderBytes":8192,"BodyBytes":2048,"HeaderMs":2500,"IdleMs":9000})"};
 
-std::string routesOf(const StreamPlan &plan)
+//! Returns the routes beside those of a cluster. The other service gets \p otherShare percent of Route::Split.
+std::string routesOf(const StreamPlan &plan, int otherShare = defaultOtherShare)
 {
-    return std::string(support::streamRoutes) + splitRoute + settingsOf(plan.installation).ownRoutes;
+    constexpr int all = 100;
+    return std::string(support::streamRoutes)
+        + R"(,{"Name":"split","Host":"h.example","PathPrefix":"/split/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,)"
+          R"("TrafficSplit":[{"Service":"engine","Weight":)"
+        + std::to_string(all - otherShare) + R"(},{"Service":"other","Weight":)" + std::to_string(otherShare)
+        + R"(}],"MaxAttempts":1,"Resumable":true,"GapAimMs":200})" + settingsOf(plan.installation).ownRoutes;
 }
 
 support::Link linkIn(Trouble trouble)
@@ -69,6 +84,11 @@
         {Trouble::EndpointCrash, &StreamRun::crashEndpoint},
         {Trouble::EndpointRestart, &StreamRun::restartEndpoint},
         {Trouble::Replacement, &StreamRun::replaceEndpoint},
+        {Trouble::EndpointFreeze, &StreamRun::freezeEndpoint},
+        {Trouble::EndpointSilence, &StreamRun::silenceEndpoint},
+        {Trouble::EndpointAddition, &StreamRun::addEndpoint},
+        {Trouble::GatewaySlowness, &StreamRun::slowGateway},
+        {Trouble::ConfigurationStorm, &StreamRun::stormConfiguration},
     };
     return plays.at(trouble);
 }
@@ -113,7 +133,7 @@
     for (const StreamCaller &caller : callers) {
         this->seen.streams.insert(this->seen.streams.end(), caller.streams.begin(), caller.streams.end());
     }
-    for (const auto *endpoints : {&this->cluster.endpoints, &this->retired}) {
+    for (const auto *endpoints : {&this->cluster.endpoints, &this->retired, &this->added}) {
         for (const std::unique_ptr<support::StandinEndpoint> &endpoint : *endpoints) {
             this->collect(*endpoint);
         }
@@ -239,12 +259,23 @@
 
 void StreamRun::crashEndpoint(const PlannedTrouble &planned)
 {
-    std::unique_ptr<support::StandinEndpoint> &endpoint = this->cluster.endpoints[planned.target];
-    endpoint->end();
-    this->later(expiryTime, [this, key = "servers/" + endpoint->identifier()]() {
+    this->cluster.endpoints[planned.target]->end();
+    this->expireEndpoint(planned.target, planned.duration);
+}
+
+void StreamRun::silenceEndpoint(const PlannedTrouble &planned)
+{
+    this->cluster.endpoints[planned.target]->setStandingStill(true);
+    this->expireEndpoint(planned.target, planned.duration);
+}
+
+void StreamRun::expireEndpoint(std::size_t slot, Milliseconds duration)
+{
+    const std::string id = this->cluster.endpoints[slot]->identifier();
+    this->later(expiryTime, [this, key = "servers/" + id]() {
         this->cluster.store.remove(key);
     });
-    this->later(planned.duration, [this, slot = planned.target, id = endpoint->identifier()]() {
+    this->later(duration, [this, slot, id]() {
         // Unless another one took its place meanwhile.
         if (this->cluster.endpoints[slot]->identifier() == id) {
             const std::string version = this->cluster.endpoints[slot]->softwareVersion();
@@ -254,6 +285,60 @@
     });
 }
 
+void StreamRun::freezeEndpoint(const PlannedTrouble &planned)
+{
+    // The endpoint lives on where another one takes its place; see retired.
+    support::StandinEndpoint &endpoint = *this->cluster.endpoints[planned.target];
+    endpoint.setStandingStill(true);
+    this->later(planned.duration, [&endpoint]() {
+        endpoint.setStandingStill(false);
+    });
+}
+
+void StreamRun::addEndpoint(const PlannedTrouble &planned)
+{
+    support::StandinEndpoint &endpoint
+        = *this->added.emplace_back(std::make_unique<support::StandinEndpoint>("added-" + std::to_string(++this->endpointsStarted)));
+    endpoint.setVersion(planned.version.empty() ? this->cluster.endpoints.front()->softwareVersion() : planned.version);
+    this->registerNew(endpoint);
+}
+
+void StreamRun::slowGateway(const PlannedTrouble &planned)
+{
+    this->slowUntil(planned.target, currentTime() + planned.duration);
+}
+
+void StreamRun::slowUntil(std::size_t gateway, Time until)
+{
+    const auto send = [this, gateway](int signal) {
+        if (this->cluster.gateways[gateway].isRunning()) {
+            this->cluster.gateways[gateway].signal(signal);
+        }
+    };
+    send(SIGSTOP);
+    this->later(slowPause, [send]() {
+        send(SIGCONT);
+    });
+    if (currentTime() < until) {
+        this->later(slowPause + slowRun, [this, gateway, until]() {
+            this->slowUntil(gateway, until);
+        });
+    }
+}
+
+void StreamRun::stormConfiguration(const PlannedTrouble &planned)
+{
+    for (Milliseconds after{0}; after < planned.duration; after += stormInterval) {
+        this->later(after, [this]() {
+            const auto version = static_cast<std::size_t>(++this->configurationVersion);
+            const std::string idleMs = std::to_string(stormIdleMs[version % stormIdleMs.size()]);
+            this->cluster.configure(this->configurationVersion,
+                                    routesOf(this->plan, stormShares[version % stormShares.size()]),
+                                    R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":)" + idleMs + "}");
+        });
+    }
+}
+
 void StreamRun::restartEndpoint(const PlannedTrouble &planned)
 {
     std::unique_ptr<support::StandinEndpoint> &endpoint = this->cluster.endpoints[planned.target];
@@ -282,10 +367,15 @@
     support::StandinEndpoint &endpoint = *this->cluster.endpoints[slot];
     endpoint.setVersion(version);
     this->makeCutter(slot);
+    this->registerNew(endpoint);
+}
+
+void StreamRun::registerNew(const support::StandinEndpoint &endpoint)
+{
     std::string registration = endpoint.registration("engine");
     const std::string born = R"("born":1)";
     registration.replace(registration.find(born), born.size(), R"("born":)" + std::to_string(++this->endpointsStarted + 1));
-    this->cluster.store.put("servers/" + id, registration);
+    this->cluster.store.put("servers/" + endpoint.identifier(), registration);
 }
 
 void StreamRun::retire(std::unique_ptr<support::StandinEndpoint> endpoint)
--- a/tests/streamsoak/streamrun.h
+++ b/tests/streamsoak/streamrun.h
@@ -37,6 +37,11 @@
     void crashEndpoint(const PlannedTrouble &planned);
     void restartEndpoint(const PlannedTrouble &planned);
     void replaceEndpoint(const PlannedTrouble &planned);
+    void freezeEndpoint(const PlannedTrouble &planned);
+    void silenceEndpoint(const PlannedTrouble &planned);
+    void addEndpoint(const PlannedTrouble &planned);
+    void slowGateway(const PlannedTrouble &planned);
+    void stormConfiguration(const PlannedTrouble &planned);
 
     //! Has \p action happen on the thread of play(), which starts all processes: a process ends with the thread that started it.
     void later(Milliseconds delay, std::function<void()> action);
@@ -46,6 +51,14 @@
     void watchProcesses();
     void startLater(std::size_t gateway, Milliseconds delay);
 
+    //! Has the gateway run for a part of the time until \p until.
+    void slowUntil(std::size_t gateway, Time until);
+
+    //! Removes the registration of the endpoint in the place \p slot as one that expired, and after \p duration puts another one in its place.
+    void expireEndpoint(std::size_t slot, Milliseconds duration);
+
+    void registerNew(const support::StandinEndpoint &endpoint);
+
     //! Puts a new endpoint in the place \p slot and registers it.
     void startEndpoint(std::size_t slot, const std::string &id, const std::string &version);
 
@@ -60,6 +73,7 @@
     std::multimap<Time, std::function<void()>> actions{};
     std::vector<std::optional<Time>> killAt; //!< Of gateways that stop.
     std::vector<std::unique_ptr<support::StandinEndpoint>> retired{};
+    std::vector<std::unique_ptr<support::StandinEndpoint>> added{};
     std::size_t endpointsStarted = 0;
     int configurationVersion = 2;
     Seen seen{};
