--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -1,5 +1,6 @@
 //! The stream soak: seeded faults of gateways, endpoints and the store under callers that take up their streams elsewhere, judged by what these got.
 
+#include "regressionseeds.h"
 #include "runtime/commandline.h"
 #include "soak/soaklog.h"
 #include "streamjudge.h"
@@ -20,12 +21,14 @@
 
 Usage:
   stream-soak [--seeds=N] [--first-seed=N] [--installation=NAME] [--keep-logs=DIR]
+  stream-soak --regressions [--keep-logs=DIR]
   stream-soak (-h | --help)
 
 Options:
   --seeds=N            Number of seeds [default: 1].
   --first-seed=N       The first seed [default: 1].
   --installation=NAME  nakhla-fleet or talleres-bandera, or one of two mixes of callers, nakhla and talleres [default: nakhla].
+  --regressions        Play all seeds that ever failed, each with its installation.
   --keep-logs=DIR      Keep the gateways' logs of seeds with breaches in this folder.
 )";
 
@@ -132,6 +135,18 @@
     return !judge.hasFailed();
 }
 
+//! Plays all seeds that ever failed. Returns the exit status.
+int playRegressions(const std::string &logFolder)
+{
+    std::size_t failed = 0;
+    for (const RegressionSeed &each : regressionSeeds) {
+        std::cout << nameIn(installationNames, each.installation) << " " << each.seed << ": " << each.cause << std::endl;
+        failed += playSeed(makeStreamPlan(each.seed, each.installation), logFolder) ? 0 : 1;
+    }
+    std::cout << regressionSeeds.size() << " seeds, " << failed << " with breaches" << std::endl;
+    return failed == 0 ? 0 : 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -145,6 +160,9 @@
         std::cerr << "stream-soak: no such installation" << std::endl;
         return 2;
     }
+    if (arguments.at("--regressions").asBool()) {
+        return playRegressions(logFolder);
+    }
     std::uint64_t failed = 0;
     for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
         failed += playSeed(makeStreamPlan(seed, *installation), logFolder) ? 0 : 1;
