Copies of the store's earlier answers are recognised by what their connection answered before

Seen by callers: a former answer that the store wrote once more on a kept connection was taken for the next one's: a write told as done that was refused (a budget spent twice), a conflict of a write that applied, "not run" of one that ran, other keys' lists, a watch that went past a change. Cause: the store's answers name no request, and nothing told them apart from earlier ones. Change: each connection to the store remembers its answers. No call to the store is added as long as nothing is suspected. Why it works: no two own answers of the calls that share connections are equal, so an equal one is a copy; whatever arrives behind it goes with its connection.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -5,19 +5,23 @@
 #include "runtime/clock.h"
 #include "runtime/connectionpool.h"
 #include "runtime/directdialer.h"
+#include "runtime/log.h"
 #include "runtime/unparsedbytes.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <cstring>
+#include <functional>
 #include <limits>
 #include <list>
 #include <map>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace oleandergate {
 
@@ -42,6 +46,9 @@
 //! Largest number of responses to other requests that a call skips.
 constexpr int maxSkippedResponses = 4;
 
+//! A connection whose responses name no request is given up behind this many: all of them are remembered, at 8 bytes each.
+constexpr std::size_t maxRememberedResponses = 1024;
+
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
@@ -80,6 +87,17 @@
         return error == asio::error::would_block;
     }
 
+    //! Remembers what \p response says. Returns false if an earlier response on this connection said the same.
+    bool remember(const HttpResponse &response)
+    {
+        const std::size_t said = std::hash<std::string_view>()(response.body) ^ static_cast<std::size_t>(response.status);
+        if (std::ranges::find(this->responses, said) != this->responses.end()) {
+            return false;
+        }
+        this->responses.push_back(said);
+        return true;
+    }
+
     //! Ends all operations. To be called on the strand.
     void close()
     {
@@ -93,6 +111,7 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     Time idleSince{};
     Time usableUntil = Time::max(); //!< The peer may close the connection after this time.
+    std::vector<std::size_t> responses{}; //!< Hashes of the responses that name no request.
     std::shared_ptr<std::atomic<std::size_t>> openCount{}; //!< Number of open connections to the same address.
 };
 
@@ -398,16 +417,29 @@
     co_return beast::buffers_to_string(connection->buffer.data());
 }
 
+//! Returns whether other calls may use the connection, as far as \p response tells.
+bool mayKeep(const Connection &connection, const HttpCall &call, const HttpResponse &response)
+{
+    return !call.isUnique || (connection.responses.size() < maxRememberedResponses && call.isUnique(response));
+}
+
 asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
 {
     for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
         HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
+        if (outcome && accepted && call.isUnique && !connection->remember(outcome.value())) {
+            logRecord(LogLevel::Warning,
+                      "http",
+                      "a response equals an earlier one of its connection, which was closed",
+                      {{"step", std::string(stepName(step))}, {"peer", call.address}, {"target", call.target}});
+            co_return failure(ErrorCode::EndpointGarbled, step, call, false, "the response equals an earlier one of its connection");
+        }
         if (outcome && accepted && call.lookBehind) {
             outcome.value().bytesBehind = co_await receiveBehind(connection, call, call.lookBehind(outcome.value()));
         }
-        if (outcome && accepted) {
+        if (outcome && accepted && mayKeep(*connection, call, outcome.value())) {
             keepConnection(core, connection, call, parser.get());
         }
         if (!outcome || accepted) {
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -43,6 +43,9 @@
     std::function<void(int status, std::string_view chunk)> onBodyChunk{}; //!< Called with each part of the body as it arrives.
     std::function<bool()> maySend{}; //!< Called just before the request is written; if it returns false, the request is not sent.
     std::function<bool(const HttpResponse &head)> accepts{}; //!< Returns false for the head of a response to another request, which is then skipped.
+    std::function<bool(const HttpResponse &response)>
+        isUnique{}; //!< Set where responses name no request. Returns whether no other response equals the given one; only behind such a one does the connection
+                    //!< stay in use, and a response that equals an earlier one on its connection is a failure.
     std::function<Duration(const HttpResponse &response)>
         lookBehind{}; //!< Returns how long to wait for bytes behind a complete response, which belong to no request, before it is returned.
     std::function<boost::asio::awaitable<bool>(const HttpResponse &head, std::string chunk)>
