Calls of the entry instance to engines and services have connections of their own

Seen by callers: where an engine or a service wrote an earlier answer once more on a kept connection, it was told as the answer to the next call: another call's text, another call's result, and a booking told with the outcome of another one. Cause: such answers name no request, and calls of engines, repeatable calls of services and questions for an outcome were sent on connections that had carried others. Ruled out: a memory of earlier answers, as for the store: equal answers of engines and services are usual and would run twice. Identifiers in the chat protocol's chunks: not all engines send them, and some send the same each time. Looking for bytes before the request is written: a copy that begins behind it passes. Change: each such call opens its connection and leaves it to no other, as bookings did. Why it works: the first answer on a connection that carried no other request is that of its request.

--- a/src/runtime/callsender.cpp
+++ b/src/runtime/callsender.cpp
@@ -33,6 +33,15 @@
     return (tokens * pricePerThousand + tokensPerPriceUnit - 1) / tokensPerPriceUnit;
 }
 
+//! Answers of engines and services name no request: only on a connection without other calls is an answer certainly this call's.
+void useOwnConnection(HttpCall &call)
+{
+    call.reuse = false;
+    call.isUnique = [](const HttpResponse & /*response*/) {
+        return false;
+    };
+}
+
 AttemptFailure failureOf(const HttpFailure &failure, const EndpointId &endpoint)
 {
     AttemptFailure attempt;
@@ -102,6 +111,7 @@
     call.method = "POST";
     call.target = dispatched.request.path;
     call.mayEndWithConnection = true;
+    useOwnConnection(call);
     call.cancellation = dispatched.cancellation;
     call.maySend = [this, id = dispatched.call]() {
         return this->programs.mayStillSend(id);
@@ -200,7 +210,6 @@
     HttpCall call = this->makeCall(*dispatched, placement);
     call.body = dispatched->request.body;
     call.idleTimeout = config.timeout;
-    call.reuse = dispatched->request.repeatable;
     const HttpOutcome outcome = co_await this->client.send(std::move(call), Step::Stream);
     std::optional<HttpResponse> response;
     if (outcome) {
@@ -233,6 +242,7 @@
         call.address = placement.endpoint.address;
         call.target = config.outcomePath + dispatched->request.requestId;
         call.mayEndWithConnection = true;
+        useOwnConnection(call);
         call.idleTimeout = config.timeout;
         const HttpOutcome outcome = co_await this->client.send(std::move(call), Step::Stream);
         if (outcome && outcome.value().status == statusOk) {
--- a/src/runtime/dispatchservicemaintenance.cpp
+++ b/src/runtime/dispatchservicemaintenance.cpp
@@ -127,7 +127,10 @@
                 path = matches ? pool->serviceConfig->outcomePath : path;
             }
             for (const EndpointSpec &endpoint : endpoints) {
-                const HttpOutcome outcome = co_await this->dependencies.client.send(maintenanceCall(endpoint.address, path + requestId), Step::SlotRecover);
+                HttpCall call = maintenanceCall(endpoint.address, path + requestId);
+                // The answer names no request: on a connection that was used before it may be the copy of another outcome.
+                call.reuse = false;
+                const HttpOutcome outcome = co_await this->dependencies.client.send(std::move(call), Step::SlotRecover);
                 if (outcome && outcome.value().status == statusOk) {
                     CallAnswer answer{statusOk, outcome.value().contentType, outcome.value().body, endpoint.id};
                     this->dependencies.programs.onOutcomeFound(program, requestId, std::move(answer));
--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -63,6 +63,7 @@
     std::deque<std::string> cacheUseOrder{}; //!< Cache salts, least recently used first.
     std::map<std::string, std::int64_t> latestEpoch{}; //!< Highest fencing number by program.
     std::deque<std::pair<Time, std::int64_t>> loadHistory{}; //!< Running calls after each change.
+    std::map<std::string, std::string> formerAnswers{}; //!< The last whole stream on each connection, by the caller's address and port.
 
     std::int64_t cachedTokens(const std::string &salt, std::int64_t promptTokens)
     {
@@ -220,13 +221,25 @@
     return json::object{{"server_load", engine.reportedLoad()}};
 }
 
-asio::awaitable<bool> generate(Engine &engine, const Prompt &prompt, const std::string &salt, HttpExchange &exchange)
+//! Returns the stream that was sent last on the connection of \p peer, where the engine is to send it once more; empty otherwise.
+std::string answerToRepeat(Engine &engine, const std::string &peer)
 {
+    const std::lock_guard lock(engine.mutex);
+    return engine.fault == "repeat" ? engine.formerAnswers[peer] : std::string();
+}
+
+asio::awaitable<bool> generate(Engine &engine, const Prompt &prompt, const std::string &salt, const std::string &peer, HttpExchange &exchange)
+{
+    std::string answer = answerToRepeat(engine, peer);
+    if (!answer.empty()) {
+        co_return co_await exchange.sendChunk(std::move(answer));
+    }
     const std::int64_t uncachedTokens = prompt.tokens - engine.cachedTokens(salt, prompt.tokens);
     co_await sleepFor(engine.prefillTime * uncachedTokens * engine.faultFactor);
     for (std::int64_t index = prompt.alreadyGenerated; index < prompt.answerTokens; ++index) {
         co_await sleepFor(engine.tokenTime * engine.faultFactor);
         const std::string token = "w" + std::to_string(prompt.hash % 1000) + "-" + std::to_string(index) + " ";
+        answer += tokenEvent(token);
         const bool sent = co_await exchange.sendChunk(tokenEvent(token));
         if (!sent) {
             co_return false;
@@ -242,7 +255,10 @@
             co_await exchange.sendChunk("data: {\"choices\": [nonsense\n\n");
         }
     }
+    answer += finalEvents(prompt, uncachedTokens);
     co_await exchange.sendChunk(finalEvents(prompt, uncachedTokens));
+    const std::lock_guard lock(engine.mutex);
+    engine.formerAnswers[peer] = std::move(answer);
     co_return true;
 }
 
@@ -272,7 +288,7 @@
     HttpResponse head;
     head.contentType = "text/event-stream";
     co_await exchange.startStream(std::move(head));
-    const bool finished = co_await generate(engine, prompt, salt, exchange);
+    const bool finished = co_await generate(engine, prompt, salt, request.peer, exchange);
     engine.addLoad(-1);
     engine.cachePrefix(salt, prompt.tokens + prompt.answerTokens);
     record["kind"] = "end";
--- a/standins/tool/main.cpp
+++ b/standins/tool/main.cpp
@@ -37,9 +37,25 @@
     std::mutex mutex{};
     std::string fault = "none";
     std::map<std::string, std::string> outcomes{};
+    std::map<std::string, std::string> formerAnswers{}; //!< The last result on each connection, by the caller's address and port.
     std::uint64_t executions = 0;
 };
 
+//! Sends \p result, or where a fault says so the result that was sent last on the connection of \p peer.
+asio::awaitable<void> sendResult(Tool &tool, std::string result, const std::string &peer, HttpExchange &exchange)
+{
+    {
+        const std::lock_guard lock(tool.mutex);
+        const bool repeats = tool.fault == "repeat" || tool.fault == "cut-and-repeat";
+        std::string &former = tool.formerAnswers[peer];
+        if (repeats && !former.empty()) {
+            result = former;
+        }
+        former = result;
+    }
+    co_await exchange.respond(makeResponse(200, "application/json", std::move(result)));
+}
+
 asio::awaitable<void> execute(Tool &tool, HttpRequest request, HttpExchange &exchange)
 {
     const std::string key = request.header("Idempotency-Key");
@@ -70,12 +86,12 @@
     if (fault == "hang") {
         co_await sleepFor(std::chrono::hours(1));
     }
-    if (fault == "cut") {
+    if (fault == "cut" || fault == "cut-and-repeat") {
         HttpResponse head;
         co_await exchange.startStream(std::move(head));
         throw std::runtime_error("simulated break of the answer");
     }
-    co_await exchange.respond(makeResponse(200, "application/json", result));
+    co_await sendResult(tool, std::move(result), request.peer, exchange);
 }
 
 asio::awaitable<void> handle(Tool &tool, HttpRequest request, HttpExchange &exchange)
@@ -89,15 +105,18 @@
         }
         co_await exchange.respond(standin::jsonResponse(json::object()));
     } else if (path.starts_with(outcomesPath)) {
-        HttpResponse response = standin::jsonResponse(json::object{{"error", "no outcome under this key"}}, 404);
+        std::string outcome;
         {
             const std::lock_guard lock(tool.mutex);
             const auto found = tool.outcomes.find(path.substr(outcomesPath.size()));
-            if (found != tool.outcomes.end()) {
-                response = HttpResponse{200, "application/json", found->second};
-            }
+            outcome = found == tool.outcomes.end() ? std::string() : found->second;
+        }
+        if (outcome.empty()) {
+            HttpResponse unknown = standin::jsonResponse(json::object{{"error", "no outcome under this key"}}, 404);
+            co_await exchange.respond(std::move(unknown));
+        } else {
+            co_await sendResult(tool, std::move(outcome), request.peer, exchange);
         }
-        co_await exchange.respond(std::move(response));
     } else {
         co_await execute(tool, std::move(request), exchange);
     }
--- a/tests/integration/endpointtests.cpp
+++ b/tests/integration/endpointtests.cpp
@@ -54,6 +54,65 @@
     }
 }
 
+// Guards against an engine's earlier answer, written once more on a kept connection, that is told as the answer to the next call: another caller's text.
+TEST_CASE("A copy of an engine's earlier answer isn't the answer to the next call")
+{
+    ClusterOptions options;
+    options.engines = 1;
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    std::set<std::string> texts;
+    constexpr int turns = 6;
+    for (int turn = 1; turn <= turns; ++turn) {
+        const auto response = chat(cluster, *owner, "p1", "r" + std::to_string(turn), turn, "question " + std::to_string(turn) + " [[tokens=8]]");
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(texts.insert(textOf(response)).second);
+        cluster.setFault(cluster.engineAddresses.front(), "repeat");
+    }
+}
+
+// Guards against a service's earlier result, written once more on a kept connection, that is told as the result of the next repeatable call.
+TEST_CASE("A copy of a service's earlier result isn't the result of the next call")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    std::set<std::string> results;
+    constexpr int calls = 6;
+    for (int call = 1; call <= calls; ++call) {
+        const std::string request = "q" + std::to_string(call);
+        const auto response = cluster.call(*owner, TestRequest{"POST", "/v1/services/dispatch-app/positions", "{}", callHeaders("p1", request, call)});
+        REQUIRE(response);
+        CHECK(response->status == 200);
+        CHECK(results.insert(response->body).second);
+        cluster.setFault(cluster.toolAddresses.front(), "repeat");
+    }
+}
+
+// Guards against a booking that is told with another one's outcome, because the service wrote an earlier answer once more when it was asked.
+TEST_CASE("A copy of a service's earlier answer isn't the outcome of a booking")
+{
+    TestCluster cluster{ClusterOptions{}};
+    REQUIRE(cluster.waitReady());
+    REQUIRE(createProgram(cluster, 0, "p1") == 201);
+    const auto owner = cluster.ownerOf("p1");
+    REQUIRE(owner);
+    const auto first = book(cluster, *owner, "p1", "b1", 1);
+    REQUIRE(first);
+    REQUIRE(first->status == 200);
+    cluster.setFault(cluster.toolAddresses.front(), "cut-and-repeat");
+    const auto second = book(cluster, *owner, "p1", "b2", 2);
+    REQUIRE(second);
+    CHECK(second->status == 200);
+    CHECK(second->body.find("\"execution\":2") != std::string::npos);
+}
+
 TEST_CASE("A leaving engine gets no new calls although the instance list is updated late")
 {
     ClusterOptions options;
