Interim answers in front of an answer are read over

Callers saw: 502 for streams whose endpoint writes an interim answer (103) before its head, on routes with several attempts and those that may not be resumed; with one attempt each such stream was sent twice.

Cause: the client took the first message on the connection for the answer. An interim one carries neither an identifier nor a signature, so it was a broken answer. Ruled out: the parser, which ends a message with a status of 100 to 199 behind its head, as it has to.

Change: the HTTP client reads over up to eight answers with such a status before the final one, except for 101, which nothing asks for (RFC 9110, 15.2). They are not offered to the callbacks of a call, so nothing is learnt from their fields. More of them break the answer, as other answers without end do.

It works because a final answer always follows an interim one on the same connection, and the limit bounds what a faulty endpoint may send.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -42,6 +42,13 @@
 //! Largest number of responses to other requests that a call skips.
 constexpr int maxSkippedResponses = 4;
 
+//! Largest number of interim responses (RFC 9110, 15.2) that a call reads over.
+constexpr int maxInterimResponses = 8;
+
+constexpr int firstInterimStatus = 100;
+constexpr int firstFinalStatus = 200;
+constexpr int statusSwitchingProtocols = 101;
+
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
@@ -192,6 +199,12 @@
     return error == beast::error::timeout || error == asio::error::timed_out ? ErrorCode::Timeout : ErrorCode::EndpointFailed;
 }
 
+//! Returns whether a final response follows the one with \p status. Nothing asks a peer to switch protocols, so no HTTP response follows that.
+bool isInterim(int status)
+{
+    return status >= firstInterimStatus && status < firstFinalStatus && status != statusSwitchingProtocols;
+}
+
 HttpResponse toResponse(const http::response<http::string_body> &message)
 {
     HttpResponse response;
@@ -345,7 +358,7 @@
             headReceived = true;
             head = toResponse(parser.get());
             head.body.clear();
-            accepted = !call.accepts || call.accepts(head);
+            accepted = !isInterim(head.status) && (!call.accepts || call.accepts(head));
             if (head.endsWithConnection && !call.mayEndWithConnection) {
                 HttpFailure unframed = failure(ErrorCode::EndpointGarbled, step, call, false, "the response has neither a length nor chunks");
                 unframed.responseStarted = accepted;
@@ -400,7 +413,9 @@
 
 asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
+    int skipped = 0;
+    int interim = 0;
+    while (skipped <= maxSkippedResponses) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
         HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
@@ -413,9 +428,17 @@
         if (!outcome || accepted) {
             co_return outcome;
         }
+        if (isInterim(outcome.value().status)) {
+            interim += 1;
+            if (interim > maxInterimResponses) {
+                co_return failure(ErrorCode::EndpointGarbled, step, call, false, "more than " + std::to_string(maxInterimResponses) + " interim responses");
+            }
+            continue;
+        }
         if (!parser.get().keep_alive() || parser.get().need_eof()) {
             break;
         }
+        skipped += 1;
     }
     co_return failure(ErrorCode::EndpointGarbled, step, call, false, "only responses to other requests were received");
 }
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -68,7 +68,7 @@
 
 using HttpOutcome = boost::outcome_v2::checked<HttpResponse, HttpFailure>;
 
-//! HTTP/1.1 client with persistent connections. Thread-safe.
+//! HTTP/1.1 client with persistent connections, which reads over interim responses. Thread-safe.
 class HttpClient
 {
 public:
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -23,6 +23,10 @@
 constexpr std::chrono::milliseconds pollInterval{2};
 constexpr std::size_t shortLengthEvents = 4;
 constexpr std::chrono::milliseconds shortLengthPause{5};
+constexpr std::chrono::milliseconds longShortLengthPause{30};
+constexpr std::uint64_t weightsChangeEvent = 4; //!< Number of the event of Behaviour::WeightsChange that states other weights.
+constexpr const char *interimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+constexpr const char *doneEvent = "data: [DONE]\n\n";
 constexpr int misdirectedStatus = 421;
 constexpr std::uint64_t brokenEvent = 2; //!< Position of the incomplete event of Behaviour::BreakMidEvent.
 constexpr std::size_t brokenEventBytes = 8;
@@ -110,6 +114,30 @@
         cutBehind(plan.events.size() / 2);
         plan.rest.clear();
         break;
+    case Behaviour::EndsWithoutBlankLine:
+    case Behaviour::LengthWithoutBlankLine:
+        if (!plan.events.empty()) {
+            plan.events.back().pop_back();
+        }
+        break;
+    case Behaviour::EndsInLine:
+        cutBehind(brokenEvent);
+        plan.ends = true;
+        break;
+    case Behaviour::Done:
+        plan.events.emplace_back(doneEvent);
+        break;
+    case Behaviour::BreakBeforeDone:
+        plan.ends = false;
+        break;
+    case Behaviour::BreakBehindDone:
+        plan.events.emplace_back(doneEvent);
+        plan.ends = false;
+        break;
+    case Behaviour::WeightsChange:
+        cutBehind(weightsChangeEvent);
+        plan.rest.clear();
+        break;
     case Behaviour::LeaveOut:
         plan.events.erase(plan.events.begin());
         break;
@@ -512,6 +540,8 @@
     }
     case Behaviour::EndlessHead:
         return this->flood(socket, "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n");
+    case Behaviour::EndlessInterim:
+        return this->flood(socket, interimAnswer, interimAnswer);
     case Behaviour::EndlessUnsignedBody:
         return this->flood(socket, "HTTP/1.1 200 OK\r\n\r\n", "filler");
     case Behaviour::EndlessBody:
@@ -603,19 +633,27 @@
     return this->stream(socket, request, behaviour, framed);
 }
 
-bool StandinEndpoint::sendShortLength(tcp::socket &socket, const HttpRequest &request, const std::vector<std::string> &events, bool pauses)
+bool StandinEndpoint::sendShortLength(tcp::socket &socket, const HttpRequest &request, const std::vector<std::string> &events, Behaviour behaviour)
 {
     std::string stated;
     std::string rest;
     for (std::size_t index = 0; index < events.size(); ++index) {
         (index < shortLengthEvents ? stated : rest) += events[index];
     }
+    if (behaviour == Behaviour::LengthWithoutBlankLine) {
+        stated += rest;
+        rest.clear();
+    } else if (behaviour == Behaviour::LengthBeforeBlankLine) {
+        stated.pop_back();
+        rest = "\n" + rest;
+    }
     const std::string start = this->head(request, "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(stated.size())) + stated;
-    if (!pauses) {
+    const bool isLate = behaviour == Behaviour::LateShortLength || behaviour == Behaviour::VeryLateShortLength;
+    if (!isLate) {
         return send(socket, start + rest);
     }
     const bool open = send(socket, start);
-    std::this_thread::sleep_for(shortLengthPause);
+    std::this_thread::sleep_for(behaviour == Behaviour::LateShortLength ? shortLengthPause : longShortLengthPause);
     return open && send(socket, rest);
 }
 
@@ -623,12 +661,21 @@
 {
     const std::string last = request.header("Last-Event-Id");
     const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
-    if (behaviour == Behaviour::ShortLength || behaviour == Behaviour::LateShortLength) {
-        return this->sendShortLength(socket, request, planStream(behaviour, this->eventName(request), first).events, behaviour == Behaviour::LateShortLength);
+    if (behaviour == Behaviour::ShortLength || behaviour == Behaviour::LateShortLength || behaviour == Behaviour::VeryLateShortLength
+        || behaviour == Behaviour::LengthWithoutBlankLine || behaviour == Behaviour::LengthBeforeBlankLine) {
+        return this->sendShortLength(socket, request, planStream(behaviour, this->eventName(request), first).events, behaviour);
+    }
+    if (behaviour == Behaviour::Interim) {
+        send(socket, std::string(interimAnswer) + interimAnswer);
     }
     send(socket, this->head(request, std::string("Content-Type: text/event-stream\r\n") + (framed ? "Transfer-Encoding: chunked" : "Connection: close")));
     const auto encode = framed ? chunk : unchanged;
-    const StreamPlan plan = planStream(behaviour, this->eventName(request), first);
+    StreamPlan plan = planStream(behaviour, this->eventName(request), first);
+    if (behaviour == Behaviour::WeightsChange) {
+        const std::lock_guard lock(this->mutex);
+        this->weightsVersion = this->weightsVersion.value_or(0) + 1;
+        plan.events.back().insert(0, "oleandergate-weight-versions: " + std::to_string(*this->weightsVersion) + "\n");
+    }
     const std::string gap = request.query("gap_ms");
     for (const std::string &event : plan.events) {
         const bool open = send(socket, encode(event));
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -73,6 +73,17 @@
     LateShortLength, //!< The same, with a pause behind that event.
     EndBehindHalf, //!< Ends behind half of the events that it would send, in an answer with neither length nor chunks, whose connection ends in order.
     FramedEmpty, //!< The head of a stream and its last chunk, without an event.
+    Interim, //!< Two interim answers, then a whole stream.
+    EndlessInterim, //!< Interim answers without end, until the connection is closed.
+    EndsWithoutBlankLine, //!< A whole stream whose last event lacks its empty line.
+    LengthWithoutBlankLine, //!< The same with a stated length.
+    EndsInLine, //!< A framed stream that ends inside the last line of its third event.
+    LengthBeforeBlankLine, //!< A stated length that ends before the empty line of the fourth event; the rest follows.
+    Done, //!< A whole stream with an event without a number at its end.
+    BreakBeforeDone, //!< Ends a stream in front of that event.
+    BreakBehindDone, //!< Ends a stream behind that event, without its last chunk.
+    WeightsChange, //!< The fourth event states the next version of the weights, which the endpoint has from then on; ends a stream behind it.
+    VeryLateShortLength, //!< The same as LateShortLength, with a pause of 30 ms.
 };
 
 //! A request that an endpoint received.
@@ -165,8 +176,8 @@
     std::string head(const HttpRequest &request, const std::string &framing, int status = 200) const;
     std::string refusal(const HttpRequest &request) const;
 
-    //! Sends \p events with a stated length that ends behind the fourth one, and a pause there if \p pauses is set.
-    bool sendShortLength(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, const std::vector<std::string> &events, bool pauses);
+    //! Sends \p events with a stated length that ends as \p behaviour has it, mostly behind the fourth one.
+    bool sendShortLength(boost::asio::ip::tcp::socket &socket, const HttpRequest &request, const std::vector<std::string> &events, Behaviour behaviour);
 
     //! Returns the copy of the answer to \p request that is sent before the next answer on its connection; empty for none.
     std::string lateCopyOf(const HttpRequest &request, Behaviour behaviour) const;
--- a/tests/gateway/streamcluster.h
+++ b/tests/gateway/streamcluster.h
@@ -17,6 +17,7 @@
     std::vector<int> pieces{}; //!< Numbers of the events, in the order of their arrival.
     bool complete = false; //!< Ends with the last chunk.
     std::size_t heads = 0; //!< Of answers.
+    std::size_t unnumbered = 0; //!< Events "[DONE]".
 
     //! Returns whether no piece is missing in front of another one, and none comes twice.
     bool isInOrder() const
@@ -57,6 +58,7 @@
         stream.status = bytes.substr(0, bytes.find("\r\n"));
         stream.complete = bytes.ends_with("0\r\n\r\n");
         stream.heads = countOf(bytes, "HTTP/1.1");
+        stream.unnumbered = countOf(bytes, "data: [DONE]");
         const std::string marker = "data: token ";
         for (std::size_t at = bytes.find(marker); at != std::string::npos; at = bytes.find(marker, at + 1)) {
             stream.pieces.push_back(std::stoi(bytes.substr(at + marker.size())));
