A stream in whose place an unnamed answer came is sent again on a new connection

Callers saw: 502 for every second stream where an endpoint writes its former answer once more, without an identifier, at the place of the next one's on a kept connection, though the stream may be resumed and nothing of it had been passed on.

Cause: the answer is broken, as it may belong to another request, and the endpoint counted as the one to avoid: with several attempts the next send goes elsewhere, and where no other endpoint is left it fails. With one attempt it was sent to the same endpoint again already. Ruled out: passing the copy on, which stopped.

Change: a report tells that an answer without an identifier came on a connection of earlier requests. A request that may be repeated is then sent to the same endpoint once more, on a new connection, as others that are kept may bring such copies, too. What may not be repeated keeps its 502.

Unit test of the retry plan.

It works because the copy spoils the connection, not the endpoint, and on a new connection no earlier answer can come.

--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -107,6 +107,10 @@
     } else {
         this->possiblyExecutedAt.insert(report.endpoint);
     }
+    if (report.isUnnamedAnswer && !report.endpointGone) {
+        // The connection is of no more use, the endpoint is.
+        return NextStep::TrySame;
+    }
     if (this->possiblyExecutedAt.size() < this->maxAttempts) {
         this->avoid.insert(report.endpoint);
         return NextStep::TryElsewhere;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -63,6 +63,7 @@
     bool broughtEvents = false; //!< The run went on with the stream.
     bool isDoubtfulEnd
         = false; //!< With SendOutcome::Unconfirmed: it is not known that streams of the endpoint's version usually end so, or the endpoint has cut some.
+    bool isUnnamedAnswer = false; //!< With SendOutcome::Broken: an answer that names no request came on a connection of earlier ones; it may be one of theirs.
 };
 
 //! Decides whether and where a request is sent again after a failed send.
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -79,6 +79,7 @@
     out.connectTimeout = connectTimeout;
     out.idleTimeout = deadline - now;
     out.deadline = deadline;
+    out.reuse = !this->parts.needsNewConnection;
     out.maxIdleAge = this->kind == RouteKind::Idempotent ? out.maxIdleAge : maxIdleForSingleSend;
     out.resendOnStale = this->kind == RouteKind::Idempotent;
     out.isRepeatable = this->isRepeatable;
@@ -372,6 +373,7 @@
         if (isOwn && head.status != statusMisdirected) {
             this->parts.onAnswerHead(metadata);
         }
+        this->isUnnamed = metadata.requestId.empty() && this->streamRun.onUsedConnection;
         this->answerWeights = metadata.weights;
         this->hasLength = !head.header("Content-Length").empty();
         this->parts.held.describe(HeldFor::Answer, this->hasLength);
@@ -400,6 +402,7 @@
     if (!outcome) {
         SendResult failed = this->resultOfFailure(endpoint, outcome.error(), deadline, currentTime());
         failed.run = this->streamRun;
+        failed.report.isUnnamedAnswer = this->isUnnamed && failed.report.outcome == SendOutcome::Broken;
         failed.endedForMemory = this->hasLength && this->parts.held.wasEnded();
         this->parts.held.release();
         co_return failed;
@@ -414,6 +417,7 @@
         co_return result;
     }
     result.report.outcome = this->classifyAnswer(outcome.value(), result.detail);
+    result.report.isUnnamedAnswer = this->isUnnamed && result.report.outcome == SendOutcome::Broken;
     result.refusedAsMisdirected = outcome.value().status == statusMisdirected;
     if (result.report.outcome == SendOutcome::Answered && result.endedWithConnection) {
         co_await this->findWhetherEnded(endpoint.address, result);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -70,6 +70,7 @@
         StreamHabitRegistry &habits;
         const std::string &service; //!< Name of the endpoint's service.
         bool isOnlyEndpoint = false; //!< The service has no other endpoint of its software version.
+        bool needsNewConnection = false; //!< Connections that are kept to the endpoint may bring answers to earlier requests.
         HeldMemory &held; //!< Counts what is held of the answer; goes on counting it when run() has returned.
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
@@ -138,6 +139,7 @@
     StreamRun streamRun;
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names.
     EndpointId endpointId; //!< Where the request is sent.
+    bool isUnnamed = false; //!< The answer names no request, and its connection had carried others.
     bool hasLength = false; //!< The head of the answer states its length.
 };
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -352,6 +352,7 @@
                                           this->parts.habits,
                                           context.service->name,
                                           !context.pool->hasOther(endpoint.version, endpoint.id),
+                                          context.unnamedAnswersAt.contains(endpoint.id),
                                           context.held,
                                           onAnswerHead,
                                           onEvents,
@@ -391,6 +392,9 @@
     if (result.refusedAsMisdirected) {
         context.misdirectedAt.insert(endpoint.id);
     }
+    if (result.report.isUnnamedAnswer) {
+        context.unnamedAnswersAt.insert(endpoint.id);
+    }
     const SendOutcome outcome = result.report.outcome;
     const NextStep next = context.retries->after(result.report);
     // An end that is not believed is a broken stream like others: the next ones go elsewhere for a while, which also shows how other endpoints end theirs.
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -42,6 +42,7 @@
     std::optional<StreamIdentity> stream{}; //!< Set if the answer is a stream that may be resumed.
     std::optional<std::string> streamVersion{}; //!< The only software version at which the stream may go on; any as long as it has not begun.
     std::set<EndpointId> misdirectedAt{}; //!< Endpoints where the stream cannot go on, as they have other weights or are gone.
+    std::set<EndpointId> unnamedAnswersAt{}; //!< Endpoints to which the request is sent on new connections, as others may bring answers to earlier requests.
     std::optional<RetryPlan> retries{};
     std::optional<HttpResponse> answer{};
     bool reserved = false; //!< Tokens of the program's budget are reserved and not settled.
--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -4,9 +4,35 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
+
 using namespace oleandergate;
 using namespace oleandergate::support;
 
+namespace {
+
+//! Streams that may be resumed, at one endpoint and at several.
+constexpr std::array<const char *, 2> resumableTargets{"/turns/1", "/spread/1"};
+
+} // namespace
+
+// Guards against a 502 for a stream at whose place on a kept connection an endpoint wrote an earlier answer once more.
+TEST_CASE("Sound streams: a stream that may be resumed is sent again when an unnamed copy of another one comes in its place")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        constexpr int streams = 12;
+        for (int stream = 0; stream < streams; ++stream) {
+            CAPTURE(stream);
+            cluster.endpoints[0]->setNextBehaviours({Behaviour::LateUnnamedStream});
+            const ReceivedStream received = cluster.receive(target);
+            CHECK(received.isWhole());
+            CHECK(received.isInOrder());
+        }
+    }
+}
+
 // Guards against refusing answers with interim answers in front of them (RFC 9110, 15.2), and against reading such answers without end.
 TEST_CASE("Sound streams: interim answers in front of an answer are read over")
 {
--- a/tests/unit/retryplantests.cpp
+++ b/tests/unit/retryplantests.cpp
@@ -160,3 +160,20 @@
     broken.canContinue = false;
     CHECK(plan.after(broken) == NextStep::FailUnknown);
 }
+
+// Guards against a failure of a request that may be repeated, where an answer to another one came in its place and no other endpoint is there.
+TEST_CASE("A request that may be repeated is sent to the same endpoint again behind an answer that names no request")
+{
+    SendReport unnamed = report("a", SendOutcome::Broken);
+    unnamed.isUnnamedAnswer = true;
+    for (const std::uint32_t maxAttempts : {1U, 3U}) {
+        RetryPlan plan(RouteKind::Stream, true, maxAttempts);
+        CHECK(plan.after(unnamed) == NextStep::TrySame);
+        CHECK(plan.avoided().empty());
+    }
+    RetryPlan single(RouteKind::Stream, false, 3);
+    CHECK(single.after(unnamed) == NextStep::FailUnknown);
+    unnamed.endpointGone = true;
+    RetryPlan gone(RouteKind::Stream, true, 3);
+    CHECK(gone.after(unnamed) == NextStep::TryElsewhere);
+}
