--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -79,6 +79,7 @@
     out.connectTimeout = connectTimeout;
     out.idleTimeout = deadline - now;
     out.deadline = deadline;
+    out.reuse = !this->parts.needsNewConnection;
     out.maxIdleAge = this->kind == RouteKind::Idempotent ? out.maxIdleAge : maxIdleForSingleSend;
     out.resendOnStale = this->kind == RouteKind::Idempotent;
     out.isRepeatable = this->isRepeatable;
@@ -237,11 +238,31 @@
     return !events.empty() && !events.front().isForeign && events.front().number && last && *events.front().number == *last + 1;
 }
 
+bool EndpointSend::takeUnterminatedEvent(const HttpResponse &answer)
+{
+    const std::optional<StreamEvent> event = this->splitter.unterminatedEvent();
+    // Bytes behind a stated length that ends inside an event may be the rest of that.
+    if (answer.endsWithConnection || !answer.bytesBehind.empty() || !event) {
+        return false;
+    }
+    StreamContinuity &continuity = this->parts.progress.continuity;
+    if (continuity.add(event->number) != EventPosition::Next) {
+        return false;
+    }
+    this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event->number;
+    this->streamRun.lastEvent = event->number;
+    this->streamRun.events = continuity.passedOnInRun();
+    this->disproveOpenEnd(currentTime());
+    this->parts.onEvents(1);
+    return true;
+}
+
 asio::awaitable<void> EndpointSend::endStream(const HttpResponse &answer, const EndpointSpec &endpoint, SendResult &result)
 {
     StreamEnd end;
-    end.betweenEvents = this->splitter.isBetweenEvents();
+    end.betweenEvents = this->splitter.isBetweenEvents() || this->takeUnterminatedEvent(answer);
     end.framed = !answer.endsWithConnection;
+    result.run = this->streamRun;
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
@@ -352,6 +373,7 @@
         if (isOwn && head.status != statusMisdirected) {
             this->parts.onAnswerHead(metadata);
         }
+        this->isUnnamed = metadata.requestId.empty() && this->streamRun.onUsedConnection;
         this->answerWeights = metadata.weights;
         this->hasLength = !head.header("Content-Length").empty();
         this->parts.held.describe(HeldFor::Answer, this->hasLength);
@@ -380,6 +402,7 @@
     if (!outcome) {
         SendResult failed = this->resultOfFailure(endpoint, outcome.error(), deadline, currentTime());
         failed.run = this->streamRun;
+        failed.report.isUnnamedAnswer = this->isUnnamed && failed.report.outcome == SendOutcome::Broken;
         failed.endedForMemory = this->hasLength && this->parts.held.wasEnded();
         this->parts.held.release();
         co_return failed;
@@ -394,6 +417,7 @@
         co_return result;
     }
     result.report.outcome = this->classifyAnswer(outcome.value(), result.detail);
+    result.report.isUnnamedAnswer = this->isUnnamed && result.report.outcome == SendOutcome::Broken;
     result.refusedAsMisdirected = outcome.value().status == statusMisdirected;
     if (result.report.outcome == SendOutcome::Answered && result.endedWithConnection) {
         co_await this->findWhetherEnded(endpoint.address, result);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -70,6 +70,7 @@
         StreamHabitRegistry &habits;
         const std::string &service; //!< Name of the endpoint's service.
         bool isOnlyEndpoint = false; //!< The service has no other endpoint of its software version.
+        bool needsNewConnection = false; //!< Connections that are kept to the endpoint may bring answers to earlier requests.
         HeldMemory &held; //!< Counts what is held of the answer; goes on counting it when run() has returned.
         std::function<void(const AnswerMetadata &metadata)> onAnswerHead{}; //!< Called with the head of the endpoint's answer.
         std::function<void(std::uint64_t events)> onEvents{}; //!< Called with the number of events that were just forwarded.
@@ -104,6 +105,9 @@
     //! Decides about a stream whose answer has ended in order.
     boost::asio::awaitable<void> endStream(const HttpResponse &answer, const EndpointSpec &endpoint, SendResult &result);
 
+    //! Takes the last event of an answer that its framing ends, if that is whole but for its empty line. Returns whether the answer ends between events then.
+    bool takeUnterminatedEvent(const HttpResponse &answer);
+
     //! Returns whether \p bytes, which follow behind the stated end of the stream, begin with its next event.
     bool isContinuedBy(const std::string &bytes) const;
 
@@ -135,6 +139,7 @@
     StreamRun streamRun;
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names.
     EndpointId endpointId; //!< Where the request is sent.
+    bool isUnnamed = false; //!< The answer names no request, and its connection had carried others.
     bool hasLength = false; //!< The head of the answer states its length.
 };
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "runtime/httpclient.h"
 
+#include "decision/hash.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
@@ -15,7 +16,6 @@
 #include <algorithm>
 #include <atomic>
 #include <cstring>
-#include <functional>
 #include <limits>
 #include <list>
 #include <map>
@@ -49,6 +49,13 @@
 //! A connection whose responses name no request is given up behind this many: all of them are remembered, at 8 bytes each.
 constexpr std::size_t maxRememberedResponses = 1024;
 
+//! Largest number of interim responses (RFC 9110, 15.2) that a call reads over.
+constexpr int maxInterimResponses = 8;
+
+constexpr int firstInterimStatus = 100;
+constexpr int firstFinalStatus = 200;
+constexpr int statusSwitchingProtocols = 101;
+
 //! A connection with its own strand, on which all its operations run.
 struct Connection
 {
@@ -90,7 +97,7 @@
     //! Remembers what \p response says. Returns false if an earlier response on this connection said the same.
     bool remember(const HttpResponse &response)
     {
-        const std::size_t said = std::hash<std::string_view>()(response.body) ^ static_cast<std::size_t>(response.status);
+        const std::uint64_t said = hashOf(response.body, static_cast<std::uint64_t>(response.status));
         if (std::ranges::find(this->responses, said) != this->responses.end()) {
             return false;
         }
@@ -111,7 +118,7 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     Time idleSince{};
     Time usableUntil = Time::max(); //!< The peer may close the connection after this time.
-    std::vector<std::size_t> responses{}; //!< Hashes of the responses that name no request.
+    std::vector<std::uint64_t> responses{}; //!< Hashes of the responses that name no request.
     std::shared_ptr<std::atomic<std::size_t>> openCount{}; //!< Number of open connections to the same address.
 };
 
@@ -211,6 +218,12 @@
     return error == beast::error::timeout || error == asio::error::timed_out ? ErrorCode::Timeout : ErrorCode::EndpointFailed;
 }
 
+//! Returns whether a final response follows the one with \p status. Nothing asks a peer to switch protocols, so no HTTP response follows that.
+bool isInterim(int status)
+{
+    return status >= firstInterimStatus && status < firstFinalStatus && status != statusSwitchingProtocols;
+}
+
 HttpResponse toResponse(const http::response<http::string_body> &message)
 {
     HttpResponse response;
@@ -364,7 +377,7 @@
             headReceived = true;
             head = toResponse(parser.get());
             head.body.clear();
-            accepted = !call.accepts || call.accepts(head);
+            accepted = !isInterim(head.status) && (!call.accepts || call.accepts(head));
             if (head.endsWithConnection && !call.mayEndWithConnection) {
                 HttpFailure unframed = failure(ErrorCode::EndpointGarbled, step, call, false, "the response has neither a length nor chunks");
                 unframed.responseStarted = accepted;
@@ -425,7 +438,9 @@
 
 asio::awaitable<HttpOutcome> receiveAcceptedResponse(HttpClient::Core &core, UnderWay &underWay, ConnectionPointer connection, const HttpCall &call, Step step)
 {
-    for (int skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
+    int skipped = 0;
+    int interim = 0;
+    while (skipped <= maxSkippedResponses) {
         http::response_parser<http::string_body> parser;
         bool accepted = true;
         HttpOutcome outcome = co_await receiveResponse(underWay, connection, call, step, parser, accepted);
@@ -445,9 +460,17 @@
         if (!outcome || accepted) {
             co_return outcome;
         }
+        if (isInterim(outcome.value().status)) {
+            interim += 1;
+            if (interim > maxInterimResponses) {
+                co_return failure(ErrorCode::EndpointGarbled, step, call, false, "more than " + std::to_string(maxInterimResponses) + " interim responses");
+            }
+            continue;
+        }
         if (!parser.get().keep_alive() || parser.get().need_eof()) {
             break;
         }
+        skipped += 1;
     }
     co_return failure(ErrorCode::EndpointGarbled, step, call, false, "only responses to other requests were received");
 }
--- /dev/null
+++ b/tests/gateway/soundstreamtests.cpp
@@ -0,0 +1,93 @@
+//! Whole streams in forms that endpoints may use, which have to reach their callers.
+
+#include "streamcluster.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+//! Streams that may be resumed, at one endpoint and at several.
+constexpr std::array<const char *, 2> resumableTargets{"/turns/1", "/spread/1"};
+
+} // namespace
+
+// Guards against a 502 for a stream at whose place on a kept connection an endpoint wrote an earlier answer once more.
+TEST_CASE("Sound streams: a stream that may be resumed is sent again when an unnamed copy of another one comes in its place")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        constexpr int streams = 12;
+        for (int stream = 0; stream < streams; ++stream) {
+            CAPTURE(stream);
+            cluster.endpoints[0]->setNextBehaviours({Behaviour::LateUnnamedStream});
+            const ReceivedStream received = cluster.receive(target);
+            CHECK(received.isWhole());
+            CHECK(received.isInOrder());
+        }
+    }
+}
+
+// Guards against refusing answers with interim answers in front of them (RFC 9110, 15.2), and against reading such answers without end.
+TEST_CASE("Sound streams: interim answers in front of an answer are read over")
+{
+    StreamCluster cluster(1);
+    for (const char *target : {"/turns/1", "/spread/1", "/single/1"}) {
+        CAPTURE(target);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::Interim});
+        const ReceivedStream received = cluster.receive(target);
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        CHECK(received.heads == 1);
+    }
+    CHECK(cluster.receivedCount() == 3);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::EndlessInterim});
+    CHECK(cluster.receive("/turns/1").isWhole());
+    CHECK(cluster.endpoints[0]->closedFloodCount() == 1);
+}
+
+// Guards against a last event that never reaches its caller because it lacks its empty line.
+TEST_CASE("Sound streams: a last event of whole lines without its empty line is passed on at a framed end")
+{
+    for (const Behaviour form : {Behaviour::EndsWithoutBlankLine, Behaviour::LengthWithoutBlankLine}) {
+        CAPTURE(static_cast<int>(form));
+        StreamCluster cluster(1);
+        for (const char *target : {"/turns/1", "/spread/1", "/single/1"}) {
+            CAPTURE(target);
+            cluster.endpoints[0]->setNextBehaviours({form});
+            const ReceivedStream received = cluster.receive(target);
+            CHECK(received.isWhole());
+            CHECK(received.isInOrder());
+        }
+        CHECK(cluster.receivedCount() == 3);
+        // Behind a break.
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBehindThird, form});
+        const ReceivedStream resumed = cluster.receive();
+        CHECK(resumed.isWhole());
+        CHECK(resumed.isInOrder());
+        CHECK(cluster.receivedCount() == 5);
+    }
+}
+
+// Guards against a part of an event that reaches its caller as the end of its stream.
+TEST_CASE("Sound streams: a framed end inside a line, or with bytes behind it, is no end")
+{
+    for (const Behaviour form : {Behaviour::EndsInLine, Behaviour::LengthBeforeBlankLine}) {
+        CAPTURE(static_cast<int>(form));
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setNextBehaviours({form});
+        const ReceivedStream received = cluster.receive();
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        CHECK(cluster.receivedCount() == 2);
+        cluster.endpoints[0]->setNextBehaviours({form});
+        const ReceivedStream single = cluster.receive("/single/1");
+        CHECK(single.isInOrder());
+        CHECK_FALSE(single.complete);
+    }
+}
