Copies of the key-value service's earlier answers are recognised, also by etcd's client

Seen by callers: a former answer that the key-value service wrote once more on a kept connection was taken for the next one's: a write told as done that was refused, a list of other keys. Cause: as for the platform's store, answers name no request. An answer's revision is that of the whole service, which equal answers share. Ruled out: the revision alone, as lists, leases and refused transactions show the same one again. Change: the memory of the platform's client. Applied transactions share connections; the copy of an earlier answer closes its connection, and the transaction is sent again on a new one, where its conditions hold or not. Ranges, leases and transactions that store nothing have connections of their own. Why it works: no two applied writes have the same revision, so an equal answer is a copy.

--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -77,6 +77,19 @@
     return {{"request_delete_range", request}};
 }
 
+//! For calls whose answers may say the same each time.
+bool isNeverUnique(const HttpResponse & /*response*/)
+{
+    return false;
+}
+
+//! Returns whether \p response shows the revision of a write that was applied, which no other write has.
+bool showsWrite(const HttpResponse &response)
+{
+    const json::object answer = parseJsonObject(response.body);
+    return response.status == statusOk && jsonFlag(answer, "succeeded") && headerRevision(answer) != 0;
+}
+
 Error malformedReply(const std::string &address)
 {
     return Error{ErrorCode::ServiceUnavailable,
@@ -128,7 +141,7 @@
 {
 }
 
-asio::awaitable<Result<json::object>> EtcdKeyValue::post(std::string path, json::object body)
+asio::awaitable<Result<json::object>> EtcdKeyValue::post(std::string path, json::object body, UniquenessCheck isUnique)
 {
     HttpCall call;
     call.address = this->address;
@@ -138,6 +151,8 @@
     call.headers.push_back(HttpHeader{"Content-Type", "application/json"});
     call.connectTimeout = this->timeout;
     call.idleTimeout = this->timeout;
+    call.reuse = isUnique != isNeverUnique;
+    call.isUnique = isUnique;
     HttpOutcome outcome = co_await this->client.send(std::move(call), Step::JournalIntent);
     if (!outcome) {
         Error error = outcome.error().error;
@@ -176,7 +191,9 @@
         failure.push_back(json::object{{"request_range", json::object{{"key", toBase64(key)}}}});
     }
     const json::object body{{"compare", compares}, {"success", success}, {"failure", failure}};
-    Result<json::object> answer = co_await this->post("/v3/kv/txn", body);
+    // A transaction that stores nothing need not raise the service's revision.
+    const UniquenessCheck isUnique = transaction.puts.empty() ? isNeverUnique : showsWrite;
+    Result<json::object> answer = co_await this->post("/v3/kv/txn", body, isUnique);
     if (!answer) {
         co_return answer.error();
     }
@@ -215,7 +232,7 @@
         if (range.revision != 0) {
             body["revision"] = std::to_string(range.revision);
         }
-        Result<json::object> answer = co_await this->post("/v3/kv/range", body);
+        Result<json::object> answer = co_await this->post("/v3/kv/range", body, isNeverUnique);
         if (!answer) {
             co_return answer.error();
         }
@@ -238,7 +255,7 @@
 {
     const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(length).count());
     const json::object body{{"TTL", std::to_string(seconds)}};
-    Result<json::object> answer = co_await this->post("/v3/lease/grant", body);
+    Result<json::object> answer = co_await this->post("/v3/lease/grant", body, isNeverUnique);
     if (!answer) {
         co_return answer.error();
     }
@@ -252,7 +269,7 @@
 asio::awaitable<Result<void>> EtcdKeyValue::renewLease(std::uint64_t lease)
 {
     const json::object body{{"ID", std::to_string(lease)}};
-    Result<json::object> answer = co_await this->post("/v3/lease/keepalive", body);
+    Result<json::object> answer = co_await this->post("/v3/lease/keepalive", body, isNeverUnique);
     if (!answer) {
         co_return answer.error();
     }
--- a/standins/kv/main.cpp
+++ b/standins/kv/main.cpp
@@ -64,6 +64,7 @@
     std::int64_t watches = 0;
     std::string fault = "none";
     Duration faultDelay{};
+    std::map<std::string, json::object> formerAnswers{}; //!< The last answer on each connection, by the caller's address and port.
 
     void put(const std::string &key, const std::string &value, std::int64_t lease)
     {
@@ -313,6 +314,7 @@
         const std::lock_guard lock(store.mutex);
         const Time now = currentTime();
         store.expireLeases(now);
+        const auto former = store.formerAnswers.find(request.peer);
         if (path == "/v3/kv/range") {
             store.reads += 1;
             answer = range(store, body);
@@ -326,6 +328,10 @@
             answer = serveLease(store, body, path.ends_with("grant"), now);
             status = 200;
         }
+        if (fault == "repeat" && former != store.formerAnswers.end()) {
+            answer = former->second;
+        }
+        store.formerAnswers[request.peer] = answer;
     }
     if (fault == "lose-answers") {
         throw std::runtime_error("simulated loss of the answer");
--- /dev/null
+++ b/tests/integration/keyvaluetests.cpp
@@ -0,0 +1,93 @@
+#include "testprogram.h"
+
+#include "backing/etcdkeyvalue.h"
+#include "runtime/httpclient.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration callTimeout = std::chrono::seconds(2);
+
+template <typename Answer>
+asio::awaitable<void> keepAnswer(asio::awaitable<Answer> asked, std::optional<Answer> &answer)
+{
+    answer.emplace(co_await std::move(asked));
+}
+
+//! A client of a cluster's key-value service, whose calls use one connection as long as that is kept.
+struct KeyValueClient
+{
+    explicit KeyValueClient(const std::string &address)
+        : keyValue(client, address, callTimeout)
+    {
+    }
+
+    template <typename Answer>
+    Answer run(asio::awaitable<Answer> asked)
+    {
+        std::optional<Answer> answer;
+        this->context.restart();
+        asio::co_spawn(this->context, keepAnswer(std::move(asked), answer), asio::detached);
+        this->context.run();
+        return *answer;
+    }
+
+    Result<KvTransactionReply> write(const std::string &key, std::uint64_t revision)
+    {
+        KvTransaction write;
+        write.compares.push_back(KvCompare{key, revision});
+        write.puts.push_back(KvPut{key, "written", 0});
+        write.elseKeys.push_back(key);
+        return this->run(this->keyValue.transact(std::move(write)));
+    }
+
+    asio::io_context context{};
+    HttpClient client{context};
+    EtcdKeyValue keyValue;
+};
+
+} // namespace
+
+// Guards against a write of the journal that is told as done though it was refused, because the service wrote an earlier answer once more.
+TEST_CASE("A copy of an earlier answer of the key-value service doesn't prove a write")
+{
+    ClusterOptions options;
+    options.instances = 1;
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    KeyValueClient caller(cluster.keyValueAddress);
+    REQUIRE(caller.write("test/b", 0).has_value());
+    REQUIRE(caller.write("test/a", 0).has_value());
+    cluster.setFault(cluster.keyValueAddress, "repeat");
+    const Result<KvTransactionReply> refused = caller.write("test/b", 0);
+    const bool toldDone = refused.has_value() && refused.value().succeeded;
+    CHECK_FALSE(toldDone);
+    const Result<KvTransactionReply> next = caller.write("test/c", 0);
+    REQUIRE(next.has_value());
+    CHECK(next.value().succeeded);
+}
+
+// Guards against lists of other keys, because the service wrote an earlier answer once more: slots without owners.
+TEST_CASE("A copy of an earlier answer of the key-value service isn't the answer to the next range")
+{
+    ClusterOptions options;
+    options.instances = 1;
+    TestCluster cluster(options);
+    REQUIRE(cluster.waitReady());
+    KeyValueClient caller(cluster.keyValueAddress);
+    REQUIRE(caller.write("test/a", 0).has_value());
+    REQUIRE(caller.run(caller.keyValue.range("none/")).has_value());
+    cluster.setFault(cluster.keyValueAddress, "repeat");
+    const Result<KvRange> found = caller.run(caller.keyValue.range("test/"));
+    REQUIRE(found.has_value());
+    CHECK(found.value().pairs.size() == 1);
+}
