Events without numbers end a stream where other streams of its version end with them

Callers saw: a stream whose connection broke just before "data: [DONE]", which has no number, was broken off, though the run behind its last numbered event brought "[DONE]" at once.

Cause: an event without a number in a run that goes on behind others has no place, as it may be any event of a run that began anew.

Change: this instance remembers the events without numbers, 256 bytes at most, with which the latest framed stream of each endpoint of a version ended. Where all are the same, such events are kept back when they are all that a further run brings, and passed on once the run has ended framed with just these. Anything else there is without a place, as before. Where the cut came behind one of them the position is not known, and the stream is broken off, as before. An unframed end in front of them counts as a cut of its endpoint.

Ruled out: to take any events without numbers, or as many as usual: the text of an error, alone in a framed answer, would complete a stream.

Unit tests of both decisions.

It works because a framed answer with nothing but the usual end proves no less than a framed answer without an event, which is the end already.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -1,5 +1,7 @@
 #include "decision/streamcontinuity.h"
 
+#include <utility>
+
 namespace oleandergate {
 
 namespace {
@@ -26,6 +28,16 @@
     this->expectsUnitSteps = expected;
 }
 
+void StreamContinuity::expectTail(std::string text)
+{
+    this->expectedTail = std::move(text);
+}
+
+bool StreamContinuity::mayEndWith(std::string_view text) const
+{
+    return this->goesOn && this->runTotal == 0 && std::string_view(this->expectedTail).starts_with(text);
+}
+
 bool StreamContinuity::isBehindGap(std::uint64_t number) const
 {
     const bool isJoin = this->goesOn && this->runTotal == 0;
@@ -75,6 +87,10 @@
     if (!end.betweenEvents || end.isContinued) {
         return Evidence::Disproved;
     }
+    const bool isWholeTail = end.tail.empty() || (this->mayEndWith(end.tail) && end.tail == this->expectedTail);
+    if (!isWholeTail || (!end.tail.empty() && !end.framed)) {
+        return Evidence::Disproved;
+    }
     if (end.isSelfConfirmed && this->runTotal == 0 && this->unprovenEnd) {
         return Evidence::Unknown;
     }
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -6,6 +6,8 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace oleandergate {
 
@@ -43,6 +45,7 @@
     bool betweenEvents = false; //!< No part of an unfinished event is left.
     bool framed = false; //!< The answer's length or its last chunk ended it; otherwise the end of its connection, in order.
     bool endpointEnded = false; //!< The endpoint accepts no connections any more.
+    std::string_view tail{}; //!< Events without numbers, all that a run brought that goes on behind another one.
     bool isContinued = false; //!< The next event follows behind the end that its framing states.
     bool isDoubtful = false; //!< Not framed, though its version frames its streams or its endpoint has cut some. It confirms no earlier end.
     bool isSelfConfirmed = false; //!< Framed, of the endpoint that left the stream open unframed, as no other endpoint of its version does. Without an event it
@@ -68,6 +71,13 @@
     //! however many do.
     void expectUnitSteps(bool expected);
 
+    //! Sets the text of the events without numbers with which whole streams of the run's software version end; empty for none.
+    void expectTail(std::string text);
+
+    //! Returns whether \p text, all that the run has brought so far, may be the end of the stream: the events without numbers that are expected there, or the
+    //! first of them, in a run that goes on behind another one. It is to be passed on only once the run has ended and proved it.
+    bool mayEndWith(std::string_view text) const;
+
     //! Decides about the next event with data of the run. Any but EventPosition::Next is not to be passed on, nor anything behind it.
     EventPosition add(std::optional<std::uint64_t> number);
 
@@ -93,6 +103,7 @@
 private:
     bool isBehindGap(std::uint64_t number) const;
 
+    std::string expectedTail;
     std::optional<std::uint64_t> last; //!< Number of the last event that has one.
     std::uint64_t maxEvents = 0;
     std::uint64_t total = 0;
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -47,6 +47,12 @@
             return now - entry.second > habitTimeout;
         });
     }
+    std::erase_if(habit.tails, [now](const auto &entry) {
+        return now - entry.second.seenAt > habitTimeout;
+    });
+    if (run.tail) {
+        habit.tails[run.endpoint] = Tail{*run.tail, now};
+    }
     if (!run.provedEndAt.empty()) {
         habit.wholeUnframedAt = now;
         this->cutAt.erase(run.provedEndAt);
@@ -102,6 +108,19 @@
     });
 }
 
+std::string StreamHabits::usualTail(const ServiceVersion &group, Time now) const
+{
+    const Habit *habit = this->find(group, now);
+    if (habit == nullptr || habit->tails.empty()) {
+        return {};
+    }
+    const std::string &first = habit->tails.begin()->second.text;
+    const bool isUsual = std::ranges::all_of(habit->tails, [&first, now](const auto &entry) {
+        return entry.second.text == first && now - entry.second.seenAt <= habitTimeout;
+    });
+    return isUsual ? first : std::string();
+}
+
 bool StreamHabits::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const Habit *habit = this->find(group, now);
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 
 namespace oleandergate {
 
@@ -37,10 +38,20 @@
     //! event does not confirm an unframed end of its own.
     bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
 
+    //! Returns the text of the events without numbers with which whole streams of the version end, such as "data: [DONE]", if it is the same for the latest
+    //! one of each endpoint; empty for none.
+    std::string usualTail(const ServiceVersion &group, Time now) const;
+
     //! Returns whether the numbers of events of the latest streams all rose by one; no as long as too few were seen.
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
 
 private:
+    struct Tail
+    {
+        std::string text{};
+        Time seenAt{};
+    };
+
     struct Habit
     {
         RecentAnswers framed{};
@@ -48,6 +59,7 @@
         std::optional<Time> wholeUnframedAt{};
         std::map<EndpointId, Time> framedAt{}; //!< When endpoints last framed a stream.
         std::map<EndpointId, Time> unframedAt{}; //!< When streams of endpoints last ended in order, unframed.
+        std::map<EndpointId, Tail> tails{}; //!< Of the latest whole stream of each endpoint.
         Time seenAt{};
     };
 
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
 
+//! Longest text of the events without numbers at the end of streams that is remembered.
+constexpr std::size_t maxTailBytes = 256;
+
 constexpr int statusOk = 200;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusMisdirected = 421;
@@ -148,6 +151,24 @@
     return true;
 }
 
+bool EndpointSend::keepForEnd(const StreamEvent &event)
+{
+    const bool mayBelong = event.hasData && !event.number && this->parts.progress.continuity.mayEndWith(this->keptEnd + event.text);
+    if (mayBelong) {
+        this->keptEnd += event.text;
+    }
+    return mayBelong;
+}
+
+void EndpointSend::noteTail(const StreamEvent &event)
+{
+    if (event.number) {
+        this->tail.clear();
+    } else if (event.hasData && this->tail.size() <= maxTailBytes) {
+        this->tail += event.text;
+    }
+}
+
 asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
 {
     if (!this->acceptWeights()) {
@@ -163,7 +184,11 @@
             break;
         }
         const std::optional<std::uint64_t> last = continuity.lastNumber();
-        const EventPosition position = event.hasData ? continuity.add(event.number) : EventPosition::Next;
+        if (this->keepForEnd(event)) {
+            continue;
+        }
+        const bool isBehindEnd = !this->keptEnd.empty();
+        const EventPosition position = isBehindEnd ? EventPosition::Unplaced : event.hasData ? continuity.add(event.number) : EventPosition::Next;
         if (position != EventPosition::Next) {
             this->rejection = "event " + (event.number ? std::to_string(*event.number) : std::string("without a number")) + " behind event "
                 + (last ? std::to_string(*last) : std::string("without a number")) + ": " + std::string(nameIn(eventPositionNames, position));
@@ -173,6 +198,7 @@
             this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event.number;
             this->streamRun.lastEvent = event.number;
         }
+        this->noteTail(event);
         accepted += event.text;
     }
     if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
@@ -197,7 +223,7 @@
 void EndpointSend::disproveOpenEnd(Time now)
 {
     EndpointId &openEndAt = this->parts.progress.openEndAt;
-    if (!openEndAt.empty() && this->streamRun.events > 0) {
+    if (!openEndAt.empty() && (this->streamRun.events > 0 || !this->keptEnd.empty())) {
         this->parts.habits.onCut(openEndAt, this->endpointId, this->call.requestId, now);
         openEndAt.clear();
     }
@@ -216,14 +242,20 @@
         run.events = progress.continuity.passedOnInRun();
         run.framed = end.framed;
         run.proved = complete == Evidence::Proved;
-        if (complete == Evidence::Proved && end.framed && run.events == 0) {
+        if (complete == Evidence::Proved && end.framed && run.events == 0 && end.tail.empty()) {
             run.provedEndAt = progress.openEndAt;
         } else if (complete == Evidence::Proved && !end.framed && run.events > 0) {
             run.provedEndAt = endpoint.id;
         }
+        if (complete == Evidence::Proved && end.framed && this->streamRun.lastEvent && this->tail.size() <= maxTailBytes) {
+            run.tail = this->tail;
+        }
         run.risesByOne = complete == Evidence::Proved ? progress.continuity.stepsByOne() : std::nullopt;
         this->parts.habits.onRunEnd(group, run, now);
     }
+    if (complete == Evidence::Proved && !end.tail.empty()) {
+        this->disproveOpenEnd(now);
+    }
     if (complete == Evidence::Unknown && progress.continuity.passedOnInRun() > 0) {
         progress.openEndAt = endpoint.id;
     }
@@ -263,6 +295,7 @@
     end.betweenEvents = this->splitter.isBetweenEvents() || this->takeUnterminatedEvent(answer);
     end.framed = !answer.endsWithConnection;
     result.run = this->streamRun;
+    end.tail = this->keptEnd;
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
@@ -288,7 +321,7 @@
                                           : "the connection ended behind an event, which does not prove that the stream is complete";
     }
     // Bytes after the last event, such as a comment, are part of the answer.
-    std::string rest = this->splitter.takeRest();
+    std::string rest = (result.run.complete == Evidence::Proved ? this->keptEnd : std::string()) + this->splitter.takeRest();
     if (result.run.complete == Evidence::Proved || !rest.empty()) {
         const bool delivered = co_await this->deliver(answer, std::move(rest));
         result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
@@ -363,6 +396,7 @@
 {
     this->endpointId = endpoint.id;
     this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(ServiceVersion{this->parts.service, endpoint.version}, now));
+    this->parts.progress.continuity.expectTail(this->parts.habits.usualTail(ServiceVersion{this->parts.service, endpoint.version}, now));
     this->parts.progress.continuity.beginRun();
     this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -96,6 +96,12 @@
     //! Returns whether the answer's weights, if it names any, are those that began the stream.
     bool acceptWeights();
 
+    //! Keeps \p event, if it may belong to the end of the stream, until the run has proved that. Returns whether it was kept.
+    bool keepForEnd(const StreamEvent &event);
+
+    //! Learns what follows behind the last numbered event of the run.
+    void noteTail(const StreamEvent &event);
+
     //! The run has brought events. Records that an end of an earlier run was none.
     void disproveOpenEnd(Time now);
 
@@ -137,6 +143,8 @@
     std::string collected;
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     StreamRun streamRun;
+    std::string keptEnd; //!< Events without numbers of a run that has brought no others, which are not passed on yet.
+    std::string tail; //!< Events without numbers behind the last numbered one, up to their largest size.
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names.
     EndpointId endpointId; //!< Where the request is sent.
     bool isUnnamed = false; //!< The answer names no request, and its connection had carried others.
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -28,6 +28,12 @@
     return this->habits.isOnlyUnframed(group, endpoint, now);
 }
 
+std::string StreamHabitRegistry::usualTail(const ServiceVersion &group, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.usualTail(group, now);
+}
+
 bool StreamHabitRegistry::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/streamhabitregistry.h
+++ b/src/gateway/streamhabitregistry.h
@@ -21,6 +21,7 @@
     bool isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
     bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
+    std::string usualTail(const ServiceVersion &group, Time now) const;
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
 
     //! A run at \p shownBy brought events behind an unframed end of one at \p endpoint. \p requestId is for the log.
--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -91,3 +91,38 @@
         CHECK_FALSE(single.complete);
     }
 }
+
+// Guards against breaking off streams that are cut in front of an event without a number at their end, such as "[DONE]".
+TEST_CASE("Sound streams: events without numbers are the end of a stream where other streams of its version end with them")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::Done, Behaviour::BreakBeforeDone, Behaviour::Done});
+        REQUIRE(cluster.receive(target).isWhole());
+        const ReceivedStream received = cluster.receive(target);
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        CHECK(received.unnumbered == 1);
+        CHECK(cluster.receivedCount() == 3);
+    }
+}
+
+// Guards against events that come twice, or are not the end, where streams of a version end with events without numbers.
+TEST_CASE("Sound streams: other events without numbers behind a break are not the end of a stream")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Done});
+    REQUIRE(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBehindDone, Behaviour::Done});
+    const ReceivedStream behind = cluster.receive();
+    CHECK(behind.unnumbered == 1);
+    CHECK_FALSE(behind.complete);
+    std::vector<Behaviour> unnumbered(4, Behaviour::Unnumbered);
+    unnumbered.front() = Behaviour::BreakBehindThird;
+    cluster.endpoints[0]->setNextBehaviours(unnumbered);
+    const ReceivedStream other = cluster.receive();
+    CHECK(other.isInOrder());
+    CHECK_FALSE(other.complete);
+    CHECK(other.pieces.size() == 3);
+}
--- a/tests/unit/streamcontinuitytests.cpp
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -206,3 +206,32 @@
     CHECK(stream.endRun(StreamEnd{true, false, true}) == Evidence::Proved);
     CHECK(stream.endRun(StreamEnd{false, false, true}) == Evidence::Disproved);
 }
+
+// Guards against streams that are broken off in front of an event without a number at their end, and against such events in other places.
+TEST_CASE("Events without numbers are the end of a stream only behind a break, whole, framed, and where they are expected")
+{
+    const std::string tail = "data: [DONE]\n\n";
+    StreamEnd end = framedEnd;
+    end.tail = tail;
+    StreamContinuity stream;
+    stream.expectTail(tail);
+    stream.beginRun();
+    CHECK_FALSE(stream.mayEndWith(tail));
+    addAll(stream, {1, 2, 3});
+    stream.beginRun();
+    CHECK(stream.mayEndWith(tail));
+    CHECK_FALSE(stream.mayEndWith("data: [FAILED]\n\n"));
+    CHECK_FALSE(stream.mayEndWith(tail + tail));
+    CHECK(stream.endRun(end) == Evidence::Proved);
+    end.framed = false;
+    CHECK(stream.endRun(end) == Evidence::Disproved);
+    stream.expectTail(tail + tail);
+    end.framed = true;
+    CHECK(stream.endRun(end) == Evidence::Disproved);
+    stream.expectTail({});
+    CHECK_FALSE(stream.mayEndWith(tail));
+    CHECK(stream.endRun(end) == Evidence::Disproved);
+    stream.expectTail(tail);
+    stream.add(4);
+    CHECK_FALSE(stream.mayEndWith(tail));
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -138,3 +138,28 @@
     habits.add(group, numberedRun(false), start);
     CHECK_FALSE(habits.numbersRiseByOne(group, start));
 }
+
+// Guards against the end of one endpoint's faulty streams, such as an error's text, that is taken for the usual one.
+TEST_CASE("Streams of a version usually end with the events without numbers that the latest of each endpoint had")
+{
+    StreamHabits habits;
+    CHECK(habits.usualTail(group, start).empty());
+    RunObservation run = endedRunAt("a", true);
+    habits.add(group, run, start);
+    CHECK(habits.usualTail(group, start).empty());
+    run.tail = "data: [DONE]\n\n";
+    habits.add(group, run, start);
+    CHECK(habits.usualTail(group, start) == run.tail);
+    CHECK(habits.usualTail(otherGroup, start).empty());
+    CHECK(habits.usualTail(group, start + std::chrono::seconds(601)).empty());
+    RunObservation other = endedRunAt("b", true);
+    other.tail = "data: [FAILED]\n\n";
+    habits.add(group, other, start);
+    CHECK(habits.usualTail(group, start).empty());
+    other.tail = run.tail;
+    habits.add(group, other, start);
+    CHECK(habits.usualTail(group, start) == run.tail);
+    other.tail = "";
+    habits.add(group, other, start);
+    CHECK(habits.usualTail(group, start).empty());
+}
