A stream goes on at the weights of its last event

Callers saw: a stream whose weights changed in the middle could not go on behind a break at the endpoint that made it, which refused the former weights, and might have been joined from an endpoint that still had these.

Cause: a further run expected the weights that the head of the first answer named; the first line of an event that states others was not read.

Change: the header codec reads that line, and a further run expects the weights of the last event that was passed on. The answer that states the change goes on as it is.

Evidence: "Sound streams: a stream goes on at the weights of its last event" failed on: broken off behind four events, five requests at the endpoint. Now whole with two, the second of which expects the weights that the fourth event stated. Unit test of the codec.

It works because the weights that made the last event are those at which the endpoint goes on.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -169,10 +169,19 @@
     }
 }
 
+void EndpointSend::noteWeights(const StreamEvent &event)
+{
+    const std::optional<std::int64_t> stated = this->parts.headerCodec.readEventWeights(event.text);
+    if (stated) {
+        this->answerWeights = stated;
+        this->parts.progress.weights = stated;
+    }
+}
+
 asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
 {
     if (!this->acceptWeights()) {
-        this->rejection = "the answer names other weights than those that began the stream";
+        this->rejection = "the answer names other weights than those of the stream's last event";
         co_return false;
     }
     StreamContinuity &continuity = this->parts.progress.continuity;
@@ -199,6 +208,7 @@
             this->streamRun.lastEvent = event.number;
         }
         this->noteTail(event);
+        this->noteWeights(event);
         accepted += event.text;
     }
     if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -26,7 +26,7 @@
     bool headSent = false;
     bool callerDisconnected = false;
     StreamContinuity continuity{};
-    std::optional<std::int64_t> weights{}; //!< Version of the weights that began the stream, where its endpoint named one.
+    std::optional<std::int64_t> weights{}; //!< Version of the weights that made the last event of the stream, where its endpoint named one.
     EndpointId openEndAt{}; //!< Endpoint whose run ended unframed behind the last event, which proves nothing; empty for none.
 };
 
@@ -93,7 +93,7 @@
     //! Forwards the events of \p chunk that go on with the stream. Returns false when the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardEvents(const HttpResponse &head, const std::string &chunk);
 
-    //! Returns whether the answer's weights, if it names any, are those that began the stream.
+    //! Returns whether the answer's weights, if it names any, are those of the stream's last event.
     bool acceptWeights();
 
     //! Keeps \p event, if it may belong to the end of the stream, until the run has proved that. Returns whether it was kept.
@@ -120,6 +120,9 @@
     //! Decides whether the stream is complete, and learns from how it ended.
     Evidence judgeEnd(const EndpointSpec &endpoint, StreamEnd &end, Time now);
 
+    //! Learns the weights that \p event states, which made it and what follows.
+    void noteWeights(const StreamEvent &event);
+
     //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
 
@@ -145,7 +148,7 @@
     StreamRun streamRun;
     std::string keptEnd; //!< Events without numbers of a run that has brought no others, which are not passed on yet.
     std::string tail; //!< Events without numbers behind the last numbered one, up to their largest size.
-    std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names.
+    std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names, or the latest event that states one.
     EndpointId endpointId; //!< Where the request is sent.
     bool isUnnamed = false; //!< The answer names no request, and its connection had carried others.
     bool hasLength = false; //!< The head of the answer states its length.
--- a/src/gateway/interfaces/headercodec.h
+++ b/src/gateway/interfaces/headercodec.h
@@ -4,6 +4,10 @@
 #include "decision/error.h"
 #include "gateway/relaycall.h"
 
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
 namespace oleandergate {
 
 //! Translates between calls and the HTTP header fields of a deployment.
@@ -21,6 +25,9 @@
     //! Returns what the header fields of \p answer state about its origin.
     virtual AnswerMetadata readAnswerMetadata(const HttpResponse &answer) const = 0;
 
+    //! Returns the version of the weights that \p event, the text of an event of a stream, states to begin with it; nothing if it states none.
+    virtual std::optional<std::int64_t> readEventWeights(std::string_view event) const = 0;
+
     //! Returns the header field that tells a caller to retry after \p wait.
     virtual HttpHeader retryAfter(Duration wait) const = 0;
 };
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -117,6 +117,19 @@
     CHECK_FALSE(without.hasUnreadableRateLimit);
 }
 
+// Guards against weights that are read from an event's data, or from its number.
+TEST_CASE("The weights that an event states are read from its first line only")
+{
+    const PlatformHeaderCodec codec;
+    CHECK(codec.readEventWeights("oleandergate-weight-versions: 8\nid: 4\ndata: a\n\n") == 8);
+    CHECK(codec.readEventWeights("oleandergate-weight-versions:8\r\nid: 4\r\n\r\n") == 8);
+    for (const char *other :
+         {"id: 4\noleandergate-weight-versions: 8\n\n", "data: oleandergate-weight-versions: 8\n\n", "oleandergate-weight-versions: x\n\n", ""}) {
+        CAPTURE(other);
+        CHECK_FALSE(codec.readEventWeights(other));
+    }
+}
+
 TEST_CASE("Retry-After has fractions of a second")
 {
     CHECK(PlatformHeaderCodec().retryAfter(std::chrono::milliseconds(250)).value == "0.250");
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -279,6 +279,11 @@
         return AnswerMetadata{};
     }
 
+    std::optional<std::int64_t> readEventWeights(std::string_view /*event*/) const override
+    {
+        return std::nullopt;
+    }
+
     HttpHeader retryAfter(Duration /*wait*/) const override
     {
         return HttpHeader{"Retry-After", "1"};
--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -126,3 +126,19 @@
     CHECK_FALSE(other.complete);
     CHECK(other.pieces.size() == 3);
 }
+
+// Guards against a stream that cannot go on, or goes on at its former weights, because an event in the middle of it stated new ones.
+TEST_CASE("Sound streams: a stream goes on at the weights of its last event")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setWeightsVersion(7);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::WeightsChange});
+        const ReceivedStream received = cluster.receive(target);
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        REQUIRE(cluster.receivedCount() == 2);
+        CHECK(cluster.endpoints[0]->received()[1].request.header("Oleandergate-Expect-Version") == "8");
+    }
+}
