A stated length is waited for longer where the endpoint's events followed behind one

Callers saw: streams without their last two events, as complete, from an endpoint whose stated length ends early and whose rest follows after 30 ms: the look behind the end lasts 20 ms.

Cause: each stream was judged by itself. The connection came back from the pool with the rest, and was closed without a look at what that was.

Change: the HTTP client tells the call that used a connection last which bytes have arrived since, when it finds them as it would use the connection again. If they begin with the stream's next event, the endpoint's lengths are doubtful for a minute, and the look behind them lasts 200 ms. The stream is then disproved and goes on behind its last event, as where the rest comes at once. Log: "an endpoint had stated too small a length for a stream" (component `streams`).

Unit test of the habits.

It works because the bytes that follow a stated end tell an early one, only later; a sound endpoint sends none there and is not waited for.

--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -70,6 +70,20 @@
     this->cutAt[endpoint] = now;
 }
 
+void StreamHabits::addShortLength(const EndpointId &endpoint, Time now)
+{
+    std::erase_if(this->shortLengthAt, [now](const auto &entry) {
+        return now - entry.second > occurrenceTimeout;
+    });
+    this->shortLengthAt[endpoint] = now;
+}
+
+bool StreamHabits::isLengthDoubtful(const EndpointId &endpoint, Time now) const
+{
+    const auto found = this->shortLengthAt.find(endpoint);
+    return found != this->shortLengthAt.end() && now - found->second <= occurrenceTimeout;
+}
+
 bool StreamHabits::isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     if (this->hasCut(endpoint, now)) {
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -26,6 +26,12 @@
     //! Another run brought events behind an unframed end of a run at \p endpoint.
     void addCut(const EndpointId &endpoint, Time now);
 
+    //! The next events of a stream followed behind the length that \p endpoint had stated for it.
+    void addShortLength(const EndpointId &endpoint, Time now);
+
+    //! Returns whether lengths that \p endpoint states are doubtful: it has stated one lately that was too small.
+    bool isLengthDoubtful(const EndpointId &endpoint, Time now) const;
+
     //! Returns whether an unframed end of a stream of \p endpoint is doubtful: more likely a cut, as its version frames its streams or the endpoint has
     //! cut some.
     bool isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
@@ -76,6 +82,7 @@
 
     std::map<ServiceVersion, Habit> habits;
     std::map<EndpointId, Time> cutAt;
+    std::map<EndpointId, Time> shortLengthAt;
 };
 
 } // namespace oleandergate
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -24,6 +24,9 @@
 //! How long a stream with a stated length waits for bytes behind its end: a length that is too small ends it early.
 constexpr Duration lengthSettleTime = std::chrono::milliseconds(20);
 
+//! The same at an endpoint that has stated too small a length lately.
+constexpr Duration doubtfulLengthSettleTime = std::chrono::milliseconds(200);
+
 //! Longest time that a stream waits at its end to learn whether the endpoint still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
@@ -54,6 +57,14 @@
     return head.status == statusOk && boost::algorithm::istarts_with(head.contentType, "text/event-stream");
 }
 
+//! Returns whether \p bytes begin with the event behind the one with the number \p last.
+bool beginsWithNext(const std::string &bytes, const std::optional<std::uint64_t> &last)
+{
+    EventSplitter behind;
+    const std::vector<StreamEvent> events = behind.feed(bytes + "\n\n");
+    return !events.empty() && !events.front().isForeign && events.front().number && last && *events.front().number == *last + 1;
+}
+
 } // namespace
 
 EndpointSend::EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, bool isRepeatable, std::shared_ptr<Cancellation> cancellation)
@@ -274,10 +285,16 @@
 
 bool EndpointSend::isContinuedBy(const std::string &bytes) const
 {
-    EventSplitter behind;
-    const std::vector<StreamEvent> events = behind.feed(bytes + "\n\n");
-    const std::optional<std::uint64_t> last = this->parts.progress.continuity.lastNumber();
-    return !events.empty() && !events.front().isForeign && events.front().number && last && *events.front().number == *last + 1;
+    return beginsWithNext(bytes, this->parts.progress.continuity.lastNumber());
+}
+
+std::function<void(const std::string &bytes)> EndpointSend::lateBytesObserver() const
+{
+    return [&habits = this->parts.habits, endpoint = this->endpointId, requestId = this->call.requestId, last = this->lastEvent](const std::string &bytes) {
+        if (beginsWithNext(bytes, *last)) {
+            habits.onShortLength(endpoint, requestId, currentTime());
+        }
+    };
 }
 
 bool EndpointSend::takeUnterminatedEvent(const HttpResponse &answer)
@@ -305,6 +322,7 @@
     end.betweenEvents = this->splitter.isBetweenEvents() || this->takeUnterminatedEvent(answer);
     end.framed = !answer.endsWithConnection;
     result.run = this->streamRun;
+    *this->lastEvent = this->parts.progress.continuity.lastNumber();
     end.tail = this->keptEnd;
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
@@ -437,8 +455,14 @@
         this->parts.onConnection(path);
     };
     out.lookBehind = [this](const HttpResponse &response) {
-        return this->isForwardableStream(response) && !response.header("Content-Length").empty() ? lengthSettleTime : Duration::zero();
+        if (!this->isForwardableStream(response) || response.header("Content-Length").empty()) {
+            return Duration::zero();
+        }
+        return this->parts.habits.isLengthDoubtful(this->endpointId, currentTime()) ? doubtfulLengthSettleTime : lengthSettleTime;
     };
+    if (this->kind == RouteKind::Stream) {
+        out.onLateBytes = this->lateBytesObserver();
+    }
     out.forwardChunk = [this](const HttpResponse &head, std::string chunk) {
         return this->forwardChunk(head, std::move(chunk));
     };
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -114,6 +114,9 @@
     //! Takes the last event of an answer that its framing ends, if that is whole but for its empty line. Returns whether the answer ends between events then.
     bool takeUnterminatedEvent(const HttpResponse &answer);
 
+    //! Returns what is done with bytes that arrive behind the complete answer, when this object may be gone.
+    std::function<void(const std::string &bytes)> lateBytesObserver() const;
+
     //! Returns whether \p bytes, which follow behind the stated end of the stream, begin with its next event.
     bool isContinuedBy(const std::string &bytes) const;
 
@@ -147,6 +150,7 @@
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     StreamRun streamRun;
     std::string keptEnd; //!< Events without numbers of a run that has brought no others, which are not passed on yet.
+    std::shared_ptr<std::optional<std::uint64_t>> lastEvent = std::make_shared<std::optional<std::uint64_t>>(); //!< Number of the last one of the stream.
     std::string tail; //!< Events without numbers behind the last numbered one, up to their largest size.
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names, or the latest event that states one.
     EndpointId endpointId; //!< Where the request is sent.
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+bool StreamHabitRegistry::isLengthDoubtful(const EndpointId &endpoint, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.isLengthDoubtful(endpoint, now);
+}
+
 bool StreamHabitRegistry::isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     const std::lock_guard lock(this->mutex);
@@ -53,6 +59,15 @@
               {{"request", requestId}, {"endpoint", endpoint}, {"shown_by", shownBy}});
 }
 
+void StreamHabitRegistry::onShortLength(const EndpointId &endpoint, const RequestId &requestId, Time now)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->habits.addShortLength(endpoint, now);
+    }
+    logRecord(LogLevel::Info, "streams", "an endpoint had stated too small a length for a stream", {{"request", requestId}, {"endpoint", endpoint}});
+}
+
 void StreamHabitRegistry::onRunEnd(const ServiceVersion &group, const RunObservation &run, Time now)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/streamhabitregistry.h
+++ b/src/gateway/streamhabitregistry.h
@@ -18,6 +18,7 @@
     explicit StreamHabitRegistry(Metrics &metrics);
 
     //! As in StreamHabits.
+    bool isLengthDoubtful(const EndpointId &endpoint, Time now) const;
     bool isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
     bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
@@ -27,6 +28,9 @@
     //! A run at \p shownBy brought events behind an unframed end of one at \p endpoint. \p requestId is for the log.
     void onCut(const EndpointId &endpoint, const EndpointId &shownBy, const RequestId &requestId, Time now);
 
+    //! The next events of a stream of \p endpoint followed behind its stated length. \p requestId is for the log.
+    void onShortLength(const EndpointId &endpoint, const RequestId &requestId, Time now);
+
     //! Learns from a run that ended in order between two events.
     void onRunEnd(const ServiceVersion &group, const RunObservation &run, Time now);
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -87,6 +87,18 @@
         return error == asio::error::would_block;
     }
 
+    //! Tells the call that used the connection last which bytes have arrived since.
+    void reportLateBytes()
+    {
+        std::string bytes(maxBytesBehind, '\0');
+        beast::error_code error;
+        const std::size_t size = this->stream().tcp().socket().receive(asio::buffer(bytes), asio::socket_base::message_peek, error);
+        bytes.resize(error ? 0 : size);
+        if (this->onLateBytes && !bytes.empty()) {
+            this->onLateBytes(bytes);
+        }
+    }
+
     //! Ends all operations. To be called on the strand.
     void close()
     {
@@ -100,6 +112,7 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     Time idleSince{};
     Time usableUntil = Time::max(); //!< The peer may close the connection after this time.
+    std::function<void(const std::string &bytes)> onLateBytes{}; //!< Of the call that used the connection last.
     std::shared_ptr<std::atomic<std::size_t>> openCount{}; //!< Number of open connections to the same address.
 };
 
@@ -145,9 +158,14 @@
                 break;
             }
             const bool isFresh = now - connection->idleSince <= call.maxIdleAge && now < connection->usableUntil;
-            if (isFresh && this->dialer.mayReuse(call.address, connection->dialed.path, now) && connection->isReusable()) {
+            const bool isWayKept = this->dialer.mayReuse(call.address, connection->dialed.path, now);
+            const bool isQuiet = connection->isReusable();
+            if (isFresh && isWayKept && isQuiet) {
                 return connection;
             }
+            if (!isQuiet) {
+                connection->reportLateBytes();
+            }
         }
         return this->create(call.address);
     }
@@ -275,6 +293,7 @@
     }
     const Time now = currentTime();
     applyKeepAliveTimeout(*connection, message, now);
+    connection->onLateBytes = call.onLateBytes;
     core.keepIdle(call.address, connection, now);
 }
 
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -45,6 +45,8 @@
     std::function<bool(const HttpResponse &head)> accepts{}; //!< Returns false for the head of a response to another request, which is then skipped.
     std::function<Duration(const HttpResponse &response)>
         lookBehind{}; //!< Returns how long to wait for bytes behind a complete response, which belong to no request, before it is returned.
+    std::function<void(const std::string &bytes)> onLateBytes{}; //!< Called with bytes that have arrived behind a complete response when its connection was to
+                                                                 //!< be used again. May be called after the call.
     std::function<boost::asio::awaitable<bool>(const HttpResponse &head, std::string chunk)>
         forwardChunk{}; //!< Consumes the body chunk by chunk instead of collecting it; returning false stops the call.
     std::function<void(const ConnectionPath &path, bool wasUsed)>
--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <chrono>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -142,3 +144,23 @@
         CHECK(cluster.endpoints[0]->received()[1].request.header("Oleandergate-Expect-Version") == "8");
     }
 }
+
+// Guards against delivering each stream of an endpoint without its last events, whose stated lengths end early and whose rest comes later than the look behind.
+TEST_CASE("Sound streams: a stated length of an endpoint whose events followed behind one is waited for longer")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::VeryLateShortLength});
+    cluster.receive();
+    constexpr std::chrono::milliseconds restTime{100};
+    std::this_thread::sleep_for(restTime);
+    // The connection of the first stream comes back from the pool with the rest.
+    CHECK(cluster.receive().isWhole());
+    constexpr int streams = 6;
+    for (int stream = 0; stream < streams; ++stream) {
+        CAPTURE(stream);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::VeryLateShortLength});
+        const ReceivedStream received = cluster.receive();
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+    }
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -163,3 +163,14 @@
     habits.add(group, other, start);
     CHECK(habits.usualTail(group, start).empty());
 }
+
+// Guards against streams without their last events, whose endpoint has shown that its lengths are too small.
+TEST_CASE("The lengths of an endpoint are doubtful for a minute behind one that was too small")
+{
+    StreamHabits habits;
+    CHECK_FALSE(habits.isLengthDoubtful("a", start));
+    habits.addShortLength("a", start);
+    CHECK(habits.isLengthDoubtful("a", start + std::chrono::seconds(60)));
+    CHECK_FALSE(habits.isLengthDoubtful("b", start));
+    CHECK_FALSE(habits.isLengthDoubtful("a", start + std::chrono::seconds(61)));
+}
