--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -47,6 +47,12 @@
             return now - entry.second > habitTimeout;
         });
     }
+    std::erase_if(habit.tails, [now](const auto &entry) {
+        return now - entry.second.seenAt > habitTimeout;
+    });
+    if (run.tail) {
+        habit.tails[run.endpoint] = Tail{*run.tail, now};
+    }
     if (!run.provedEndAt.empty()) {
         habit.wholeUnframedAt = now;
         this->cutAt.erase(run.provedEndAt);
@@ -64,6 +70,20 @@
     this->cutAt[endpoint] = now;
 }
 
+void StreamHabits::addShortLength(const EndpointId &endpoint, Time now)
+{
+    std::erase_if(this->shortLengthAt, [now](const auto &entry) {
+        return now - entry.second > occurrenceTimeout;
+    });
+    this->shortLengthAt[endpoint] = now;
+}
+
+bool StreamHabits::isLengthDoubtful(const EndpointId &endpoint, Time now) const
+{
+    const auto found = this->shortLengthAt.find(endpoint);
+    return found != this->shortLengthAt.end() && now - found->second <= occurrenceTimeout;
+}
+
 bool StreamHabits::isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     if (this->hasCut(endpoint, now)) {
@@ -102,6 +122,19 @@
     });
 }
 
+std::string StreamHabits::usualTail(const ServiceVersion &group, Time now) const
+{
+    const Habit *habit = this->find(group, now);
+    if (habit == nullptr || habit->tails.empty()) {
+        return {};
+    }
+    const std::string &first = habit->tails.begin()->second.text;
+    const bool isUsual = std::ranges::all_of(habit->tails, [&first, now](const auto &entry) {
+        return entry.second.text == first && now - entry.second.seenAt <= habitTimeout;
+    });
+    return isUsual ? first : std::string();
+}
+
 bool StreamHabits::numbersRiseByOne(const ServiceVersion &group, Time now) const
 {
     const Habit *habit = this->find(group, now);
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 
 namespace oleandergate {
 
@@ -25,6 +26,12 @@
     //! Another run brought events behind an unframed end of a run at \p endpoint.
     void addCut(const EndpointId &endpoint, Time now);
 
+    //! The next events of a stream followed behind the length that \p endpoint had stated for it.
+    void addShortLength(const EndpointId &endpoint, Time now);
+
+    //! Returns whether lengths that \p endpoint states are doubtful: it has stated one lately that was too small.
+    bool isLengthDoubtful(const EndpointId &endpoint, Time now) const;
+
     //! Returns whether an unframed end of a stream of \p endpoint is doubtful: more likely a cut, as its version frames its streams or the endpoint has
     //! cut some.
     bool isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
@@ -37,10 +44,20 @@
     //! event does not confirm an unframed end of its own.
     bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
 
+    //! Returns the text of the events without numbers with which whole streams of the version end, such as "data: [DONE]", if it is the same for the latest
+    //! one of each endpoint; empty for none.
+    std::string usualTail(const ServiceVersion &group, Time now) const;
+
     //! Returns whether the numbers of events of the latest streams all rose by one; no as long as too few were seen.
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
 
 private:
+    struct Tail
+    {
+        std::string text{};
+        Time seenAt{};
+    };
+
     struct Habit
     {
         RecentAnswers framed{};
@@ -48,6 +65,7 @@
         std::optional<Time> wholeUnframedAt{};
         std::map<EndpointId, Time> framedAt{}; //!< When endpoints last framed a stream.
         std::map<EndpointId, Time> unframedAt{}; //!< When streams of endpoints last ended in order, unframed.
+        std::map<EndpointId, Tail> tails{}; //!< Of the latest whole stream of each endpoint.
         Time seenAt{};
     };
 
@@ -64,6 +82,7 @@
 
     std::map<ServiceVersion, Habit> habits;
     std::map<EndpointId, Time> cutAt;
+    std::map<EndpointId, Time> shortLengthAt;
 };
 
 } // namespace oleandergate
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -24,6 +24,9 @@
 //! How long a stream with a stated length waits for bytes behind its end: a length that is too small ends it early.
 constexpr Duration lengthSettleTime = std::chrono::milliseconds(20);
 
+//! The same at an endpoint that has stated too small a length lately.
+constexpr Duration doubtfulLengthSettleTime = std::chrono::milliseconds(200);
+
 //! Longest time that a stream waits at its end to learn whether the endpoint still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
@@ -32,6 +35,9 @@
 constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
 constexpr std::size_t maxEventBytes = 1024UL * 1024;
 
+//! Longest text of the events without numbers at the end of streams that is remembered.
+constexpr std::size_t maxTailBytes = 256;
+
 constexpr int statusOk = 200;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusMisdirected = 421;
@@ -51,6 +57,14 @@
     return head.status == statusOk && boost::algorithm::istarts_with(head.contentType, "text/event-stream");
 }
 
+//! Returns whether \p bytes begin with the event behind the one with the number \p last.
+bool beginsWithNext(const std::string &bytes, const std::optional<std::uint64_t> &last)
+{
+    EventSplitter behind;
+    const std::vector<StreamEvent> events = behind.feed(bytes + "\n\n");
+    return !events.empty() && !events.front().isForeign && events.front().number && last && *events.front().number == *last + 1;
+}
+
 } // namespace
 
 EndpointSend::EndpointSend(const Parts &parts, const RelayCall &call, RouteKind kind, bool isRepeatable, std::shared_ptr<Cancellation> cancellation)
@@ -148,10 +162,37 @@
     return true;
 }
 
+bool EndpointSend::keepForEnd(const StreamEvent &event)
+{
+    const bool mayBelong = event.hasData && !event.number && this->parts.progress.continuity.mayEndWith(this->keptEnd + event.text);
+    if (mayBelong) {
+        this->keptEnd += event.text;
+    }
+    return mayBelong;
+}
+
+void EndpointSend::noteTail(const StreamEvent &event)
+{
+    if (event.number) {
+        this->tail.clear();
+    } else if (event.hasData && this->tail.size() <= maxTailBytes) {
+        this->tail += event.text;
+    }
+}
+
+void EndpointSend::noteWeights(const StreamEvent &event)
+{
+    const std::optional<std::int64_t> stated = this->parts.headerCodec.readEventWeights(event.text);
+    if (stated) {
+        this->answerWeights = stated;
+        this->parts.progress.weights = stated;
+    }
+}
+
 asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
 {
     if (!this->acceptWeights()) {
-        this->rejection = "the answer names other weights than those that began the stream";
+        this->rejection = "the answer names other weights than those of the stream's last event";
         co_return false;
     }
     StreamContinuity &continuity = this->parts.progress.continuity;
@@ -163,7 +204,11 @@
             break;
         }
         const std::optional<std::uint64_t> last = continuity.lastNumber();
-        const EventPosition position = event.hasData ? continuity.add(event.number) : EventPosition::Next;
+        if (this->keepForEnd(event)) {
+            continue;
+        }
+        const bool isBehindEnd = !this->keptEnd.empty();
+        const EventPosition position = isBehindEnd ? EventPosition::Unplaced : event.hasData ? continuity.add(event.number) : EventPosition::Next;
         if (position != EventPosition::Next) {
             this->rejection = "event " + (event.number ? std::to_string(*event.number) : std::string("without a number")) + " behind event "
                 + (last ? std::to_string(*last) : std::string("without a number")) + ": " + std::string(nameIn(eventPositionNames, position));
@@ -173,6 +218,8 @@
             this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event.number;
             this->streamRun.lastEvent = event.number;
         }
+        this->noteTail(event);
+        this->noteWeights(event);
         accepted += event.text;
     }
     if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
@@ -197,7 +244,7 @@
 void EndpointSend::disproveOpenEnd(Time now)
 {
     EndpointId &openEndAt = this->parts.progress.openEndAt;
-    if (!openEndAt.empty() && this->streamRun.events > 0) {
+    if (!openEndAt.empty() && (this->streamRun.events > 0 || !this->keptEnd.empty())) {
         this->parts.habits.onCut(openEndAt, this->endpointId, this->call.requestId, now);
         openEndAt.clear();
     }
@@ -216,14 +263,20 @@
         run.events = progress.continuity.passedOnInRun();
         run.framed = end.framed;
         run.proved = complete == Evidence::Proved;
-        if (complete == Evidence::Proved && end.framed && run.events == 0) {
+        if (complete == Evidence::Proved && end.framed && run.events == 0 && end.tail.empty()) {
             run.provedEndAt = progress.openEndAt;
         } else if (complete == Evidence::Proved && !end.framed && run.events > 0) {
             run.provedEndAt = endpoint.id;
         }
+        if (complete == Evidence::Proved && end.framed && this->streamRun.lastEvent && this->tail.size() <= maxTailBytes) {
+            run.tail = this->tail;
+        }
         run.risesByOne = complete == Evidence::Proved ? progress.continuity.stepsByOne() : std::nullopt;
         this->parts.habits.onRunEnd(group, run, now);
     }
+    if (complete == Evidence::Proved && !end.tail.empty()) {
+        this->disproveOpenEnd(now);
+    }
     if (complete == Evidence::Unknown && progress.continuity.passedOnInRun() > 0) {
         progress.openEndAt = endpoint.id;
     }
@@ -232,10 +285,16 @@
 
 bool EndpointSend::isContinuedBy(const std::string &bytes) const
 {
-    EventSplitter behind;
-    const std::vector<StreamEvent> events = behind.feed(bytes + "\n\n");
-    const std::optional<std::uint64_t> last = this->parts.progress.continuity.lastNumber();
-    return !events.empty() && !events.front().isForeign && events.front().number && last && *events.front().number == *last + 1;
+    return beginsWithNext(bytes, this->parts.progress.continuity.lastNumber());
+}
+
+std::function<void(const std::string &bytes)> EndpointSend::lateBytesObserver() const
+{
+    return [&habits = this->parts.habits, endpoint = this->endpointId, requestId = this->call.requestId, last = this->lastEvent](const std::string &bytes) {
+        if (beginsWithNext(bytes, *last)) {
+            habits.onShortLength(endpoint, requestId, currentTime());
+        }
+    };
 }
 
 bool EndpointSend::takeUnterminatedEvent(const HttpResponse &answer)
@@ -263,6 +322,8 @@
     end.betweenEvents = this->splitter.isBetweenEvents() || this->takeUnterminatedEvent(answer);
     end.framed = !answer.endsWithConnection;
     result.run = this->streamRun;
+    *this->lastEvent = this->parts.progress.continuity.lastNumber();
+    end.tail = this->keptEnd;
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
@@ -288,7 +349,7 @@
                                           : "the connection ended behind an event, which does not prove that the stream is complete";
     }
     // Bytes after the last event, such as a comment, are part of the answer.
-    std::string rest = this->splitter.takeRest();
+    std::string rest = (result.run.complete == Evidence::Proved ? this->keptEnd : std::string()) + this->splitter.takeRest();
     if (result.run.complete == Evidence::Proved || !rest.empty()) {
         const bool delivered = co_await this->deliver(answer, std::move(rest));
         result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
@@ -363,6 +424,7 @@
 {
     this->endpointId = endpoint.id;
     this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(ServiceVersion{this->parts.service, endpoint.version}, now));
+    this->parts.progress.continuity.expectTail(this->parts.habits.usualTail(ServiceVersion{this->parts.service, endpoint.version}, now));
     this->parts.progress.continuity.beginRun();
     this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
@@ -393,8 +455,14 @@
         this->parts.onConnection(path);
     };
     out.lookBehind = [this](const HttpResponse &response) {
-        return this->isForwardableStream(response) && !response.header("Content-Length").empty() ? lengthSettleTime : Duration::zero();
+        if (!this->isForwardableStream(response) || response.header("Content-Length").empty()) {
+            return Duration::zero();
+        }
+        return this->parts.habits.isLengthDoubtful(this->endpointId, currentTime()) ? doubtfulLengthSettleTime : lengthSettleTime;
     };
+    if (this->kind == RouteKind::Stream) {
+        out.onLateBytes = this->lateBytesObserver();
+    }
     out.forwardChunk = [this](const HttpResponse &head, std::string chunk) {
         return this->forwardChunk(head, std::move(chunk));
     };
--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <chrono>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -91,3 +93,74 @@
         CHECK_FALSE(single.complete);
     }
 }
+
+// Guards against breaking off streams that are cut in front of an event without a number at their end, such as "[DONE]".
+TEST_CASE("Sound streams: events without numbers are the end of a stream where other streams of its version end with them")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::Done, Behaviour::BreakBeforeDone, Behaviour::Done});
+        REQUIRE(cluster.receive(target).isWhole());
+        const ReceivedStream received = cluster.receive(target);
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        CHECK(received.unnumbered == 1);
+        CHECK(cluster.receivedCount() == 3);
+    }
+}
+
+// Guards against events that come twice, or are not the end, where streams of a version end with events without numbers.
+TEST_CASE("Sound streams: other events without numbers behind a break are not the end of a stream")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Done});
+    REQUIRE(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBehindDone, Behaviour::Done});
+    const ReceivedStream behind = cluster.receive();
+    CHECK(behind.unnumbered == 1);
+    CHECK_FALSE(behind.complete);
+    std::vector<Behaviour> unnumbered(4, Behaviour::Unnumbered);
+    unnumbered.front() = Behaviour::BreakBehindThird;
+    cluster.endpoints[0]->setNextBehaviours(unnumbered);
+    const ReceivedStream other = cluster.receive();
+    CHECK(other.isInOrder());
+    CHECK_FALSE(other.complete);
+    CHECK(other.pieces.size() == 3);
+}
+
+// Guards against a stream that cannot go on, or goes on at its former weights, because an event in the middle of it stated new ones.
+TEST_CASE("Sound streams: a stream goes on at the weights of its last event")
+{
+    for (const char *target : resumableTargets) {
+        CAPTURE(target);
+        StreamCluster cluster(1);
+        cluster.endpoints[0]->setWeightsVersion(7);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::WeightsChange});
+        const ReceivedStream received = cluster.receive(target);
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+        REQUIRE(cluster.receivedCount() == 2);
+        CHECK(cluster.endpoints[0]->received()[1].request.header("Oleandergate-Expect-Version") == "8");
+    }
+}
+
+// Guards against delivering each stream of an endpoint without its last events, whose stated lengths end early and whose rest comes later than the look behind.
+TEST_CASE("Sound streams: a stated length of an endpoint whose events followed behind one is waited for longer")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::VeryLateShortLength});
+    cluster.receive();
+    constexpr std::chrono::milliseconds restTime{100};
+    std::this_thread::sleep_for(restTime);
+    // The connection of the first stream comes back from the pool with the rest.
+    CHECK(cluster.receive().isWhole());
+    constexpr int streams = 6;
+    for (int stream = 0; stream < streams; ++stream) {
+        CAPTURE(stream);
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::VeryLateShortLength});
+        const ReceivedStream received = cluster.receive();
+        CHECK(received.isWhole());
+        CHECK(received.isInOrder());
+    }
+}
