A gap that only runs behind a break show is a missing event

Callers got streams with a missing event as complete: an endpoint breaks a stream off, and each further run leaves the same event out.

Cause: a second run at a break is no independent evidence, as each run behind a break may have the same fault, at one endpoint or at several. The case "a gap that a second run shows too is the endpoint's numbering" demanded that {1,2,3,5,6} is delivered as complete where two further runs begin at 5 and nothing else was known: it demanded the fault. Its subject, numbers that really don't rise by one, is kept and played now, with numbers of that kind.

Change: a gap first shown by a run that goes on behind another one, or behind what the caller has, and shown again, is passed on only where one of the version's latest eight streams had uneven numbers within a run, or where the number of the next event behind it differs by more than one, too. Until that next event the first one is held, within the limits and the memory account of one event. A stream that ends there, or goes on by one or without a number, is given up as behind a gap. A gap that a first run shows and a second one confirms counts as numbering, as before. What only a further run has shown does not teach that the version's numbers are uneven.

Two unit tests of StreamContinuity changed: a further run's gap before numbers that are uneven is held and then passed on instead of passed on at once (the same events reach the caller), and a gap inside a further run no longer counts as numbering where whole streams rise by one; the same check stands for a first run.

Why it works: behind a break only evidence counts that the fault in question can't make up.

--- a/src/decision/recentanswers.cpp
+++ b/src/decision/recentanswers.cpp
@@ -14,6 +14,11 @@
     return this->bits != 0;
 }
 
+bool RecentAnswers::hasNo() const
+{
+    return this->bits != (1U << this->count) - 1;
+}
+
 bool RecentAnswers::areAll() const
 {
     return this->count == capacity && this->bits == (1U << capacity) - 1;
--- a/src/decision/recentanswers.h
+++ b/src/decision/recentanswers.h
@@ -14,6 +14,9 @@
     //! Returns whether any of the remembered answers was yes.
     bool hasAny() const;
 
+    //! Returns whether any of the remembered answers was no.
+    bool hasNo() const;
+
     //! Returns whether there are as many answers as are remembered, and each was yes.
     bool areAll() const;
 
--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -18,6 +18,7 @@
 void StreamContinuity::beginRun()
 {
     this->runTotal = 0;
+    this->held.reset();
     this->goesOn = this->last.has_value() || this->total > 0;
 }
 
@@ -26,39 +27,61 @@
     this->expectsUnitSteps = expected;
 }
 
+void StreamContinuity::expectUnevenSteps(bool expected)
+{
+    this->expectsUnevenSteps = expected;
+}
+
 bool StreamContinuity::isBehindGap(std::uint64_t number) const
 {
     const bool isJoin = this->goesOn && this->runTotal == 0;
     return this->risesByOne && this->unnumbered == 0 && (isJoin || this->expectsUnitSteps || this->unitSteps >= minUnitSteps) && number != *this->last + 1;
 }
 
-EventPosition StreamContinuity::add(std::optional<std::uint64_t> number)
+EventPosition StreamContinuity::placeBehindGap(std::uint64_t number)
+{
+    if (this->afterGap != number) {
+        this->afterGap = number;
+        this->isGapOfFurtherRun = this->goesOn;
+        return EventPosition::BehindGap;
+    }
+    if (!this->isGapOfFurtherRun) {
+        this->isUneven = true;
+        return EventPosition::Next;
+    }
+    // Runs that leave an event out may do so each time.
+    if (this->expectsUnitSteps) {
+        return EventPosition::BehindGap;
+    }
+    return this->expectsUnevenSteps ? EventPosition::Next : EventPosition::Held;
+}
+
+EventPosition StreamContinuity::placeBehindHeld(std::optional<std::uint64_t> number)
+{
+    const std::uint64_t first = *this->held;
+    if (number && *number <= first) {
+        return EventPosition::Repeated;
+    }
+    if (!number || *number == first + 1) {
+        return EventPosition::BehindGap;
+    }
+    this->held.reset();
+    this->pass(first);
+    this->pass(number);
+    return EventPosition::Next;
+}
+
+void StreamContinuity::pass(std::optional<std::uint64_t> number)
 {
     if (!number) {
-        if (this->goesOn && this->runTotal == 0) {
-            return EventPosition::Unplaced;
-        }
         this->unnumbered += 1;
     } else {
-        if (this->last && *number <= *this->last) {
-            return EventPosition::Repeated;
-        }
-        if (this->last && this->isBehindGap(*number)) {
-            const bool isShownAgain = this->afterGap == number;
-            if (!isShownAgain) {
-                this->afterGap = number;
-                this->isGapAtJoin = this->goesOn && this->runTotal == 0;
-            }
-            // A run that leaves its first event out does so each time.
-            if (!isShownAgain || (this->expectsUnitSteps && this->isGapAtJoin)) {
-                return EventPosition::BehindGap;
-            }
-            this->risesByOne = false;
-        }
         if (this->last && this->unnumbered == 0) {
             const bool isUnitStep = *number == *this->last + 1;
+            const bool isJoin = this->goesOn && this->runTotal == 0;
             this->unitSteps += isUnitStep ? 1 : 0;
             this->risesByOne = this->risesByOne && isUnitStep;
+            this->isUneven = this->isUneven || (!isUnitStep && !isJoin);
         }
         this->last = number;
         this->unnumbered = 0;
@@ -67,12 +90,31 @@
     this->runTotal += 1;
     this->afterGap.reset();
     this->unprovenEnd = false;
-    return EventPosition::Next;
+}
+
+EventPosition StreamContinuity::add(std::optional<std::uint64_t> number)
+{
+    if (this->held) {
+        return this->placeBehindHeld(number);
+    }
+    if (!number && this->goesOn && this->runTotal == 0) {
+        return EventPosition::Unplaced;
+    }
+    if (number && this->last && *number <= *this->last) {
+        return EventPosition::Repeated;
+    }
+    const EventPosition position = number && this->last && this->isBehindGap(*number) ? this->placeBehindGap(*number) : EventPosition::Next;
+    if (position == EventPosition::Held) {
+        this->held = number;
+    } else if (position == EventPosition::Next) {
+        this->pass(number);
+    }
+    return position;
 }
 
 Evidence StreamContinuity::endRun(const StreamEnd &end)
 {
-    if (!end.betweenEvents || end.isContinued) {
+    if (!end.betweenEvents || end.isContinued || this->isHolding()) {
         return Evidence::Disproved;
     }
     if (end.isSelfConfirmed && this->runTotal == 0 && this->unprovenEnd) {
@@ -99,13 +141,18 @@
     return this->unprovenEnd;
 }
 
+bool StreamContinuity::isHolding() const
+{
+    return this->held.has_value();
+}
+
 std::optional<bool> StreamContinuity::stepsByOne() const
 {
-    if (!this->risesByOne) {
+    if (this->isUneven) {
         return false;
     }
     const bool isOneRun = !this->goesOn && this->runTotal == this->total;
-    return isOneRun && this->unnumbered == 0 && this->unitSteps >= minUnitSteps ? std::optional(true) : std::nullopt;
+    return isOneRun && this->risesByOne && this->unnumbered == 0 && this->unitSteps >= minUnitSteps ? std::optional(true) : std::nullopt;
 }
 
 bool StreamContinuity::canContinue() const
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -27,13 +27,15 @@
     Next, //!< Behind the last event that was passed on.
     Repeated, //!< Its number is not above that of the last event: it comes twice, or belongs to a run that did not go on where it was asked to.
     BehindGap, //!< Numbers are missing in front of it, though the stream's numbers rose by one until then.
+    Held, //!< Numbers are missing in front of it, as in an earlier run. The next event tells whether both are passed on.
     Unplaced, //!< It has no number, in a run that has to go on behind another one.
 };
 
-inline constexpr std::array<NamedValue<EventPosition>, 4> eventPositionNames{{
+inline constexpr std::array<NamedValue<EventPosition>, 5> eventPositionNames{{
     {EventPosition::Next, "next"},
     {EventPosition::Repeated, "repeated"},
     {EventPosition::BehindGap, "behind-gap"},
+    {EventPosition::Held, "held"},
     {EventPosition::Unplaced, "unplaced"},
 }};
 
@@ -51,8 +53,9 @@
 
 //! Decides which events belong to a caller's stream, over all runs that contribute to it, and whether it is complete.
 //!
-//! The numbers of events rise. That they rise by one is not promised, so a gap counts only where a run goes on behind another one, or behind numbers that did,
-//! and not any more once a second run has shown the same gap, unless other streams tell that it is one.
+//! The numbers of events rise. That they rise by one is not promised, so a gap counts only where a run goes on behind another one, or behind numbers that did.
+//! A second run that shows the same gap disproves it only with evidence that runs behind a break don't give, as each of them may leave the same event out: a
+//! first run that has shown it, whole streams with uneven numbers, or numbers that are uneven behind it, too.
 class StreamContinuity
 {
 public:
@@ -68,7 +71,11 @@
     //! however many do.
     void expectUnitSteps(bool expected);
 
-    //! Decides about the next event with data of the run. Any but EventPosition::Next is not to be passed on, nor anything behind it.
+    //! Sets whether the numbers of whole streams of the run's software version are uneven, now and then at least.
+    void expectUnevenSteps(bool expected);
+
+    //! Decides about the next event with data of the run. An event with EventPosition::Held is passed on together with the next one, if that is
+    //! EventPosition::Next. Any other position is not to be passed on, nor anything behind it.
     EventPosition add(std::optional<std::uint64_t> number);
 
     //! Ends the run. Returns whether the stream is complete.
@@ -77,7 +84,10 @@
     //! Returns whether the run that brought the last event ended in order behind it, which neither proves nor disproves that the stream is complete.
     bool endsUnproven() const;
 
-    //! Returns whether the numbers rise by one: no where they did not, yes for a stream of one run.
+    //! Returns whether the last event of the run is held, so that its end does not tell whether an event is missing.
+    bool isHolding() const;
+
+    //! Returns whether the numbers rise by one: no where those within a run did not, yes for a stream of one run.
     std::optional<bool> stepsByOne() const;
 
     //! Returns whether another run can go on with the stream: the position of the last event that was passed on is known.
@@ -93,6 +103,15 @@
 private:
     bool isBehindGap(std::uint64_t number) const;
 
+    //! Decides about an event whose number is above that of the last one.
+    EventPosition placeBehindGap(std::uint64_t number);
+
+    //! Decides about an event behind the held one.
+    EventPosition placeBehindHeld(std::optional<std::uint64_t> number);
+
+    //! Counts an event that is passed on.
+    void pass(std::optional<std::uint64_t> number);
+
     std::optional<std::uint64_t> last; //!< Number of the last event that has one.
     std::uint64_t maxEvents = 0;
     std::uint64_t total = 0;
@@ -100,11 +119,14 @@
     std::uint64_t unitSteps = 0; //!< Pairs of events in a row whose numbers differ by one.
     std::uint64_t unnumbered = 0; //!< Events since the last numbered one.
     bool risesByOne = true;
+    bool isUneven = false; //!< Numbers in a row of one run differed by more than one.
     bool expectsUnitSteps = false;
+    bool expectsUnevenSteps = false;
     bool goesOn = false; //!< The run has to go on behind events that the caller has.
     bool unprovenEnd = false; //!< The run that brought the last event ended in order behind it, which does not prove that the stream is complete.
     std::optional<std::uint64_t> afterGap; //!< Number behind a gap that a run has shown.
-    bool isGapAtJoin = false; //!< The first run that showed it did so in front of its first event.
+    bool isGapOfFurtherRun = false; //!< The first run that showed it went on behind another one.
+    std::optional<std::uint64_t> held; //!< Number of the event that is held.
 };
 
 } // namespace oleandergate
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -108,4 +108,10 @@
     return habit != nullptr && habit->risesByOne.areAll();
 }
 
+bool StreamHabits::numbersAreUneven(const ServiceVersion &group, Time now) const
+{
+    const Habit *habit = this->find(group, now);
+    return habit != nullptr && habit->risesByOne.hasNo();
+}
+
 } // namespace oleandergate
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -40,6 +40,9 @@
     //! Returns whether the numbers of events of the latest streams all rose by one; no as long as too few were seen.
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
 
+    //! Returns whether the numbers of events of any of the latest streams did not rise by one within a run.
+    bool numbersAreUneven(const ServiceVersion &group, Time now) const;
+
 private:
     struct Habit
     {
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include <utility>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -163,7 +165,7 @@
         }
         const std::optional<std::uint64_t> last = continuity.lastNumber();
         const EventPosition position = event.hasData ? continuity.add(event.number) : EventPosition::Next;
-        if (position != EventPosition::Next) {
+        if (position != EventPosition::Next && position != EventPosition::Held) {
             this->rejection = "event " + (event.number ? std::to_string(*event.number) : std::string("without a number")) + " behind event "
                 + (last ? std::to_string(*last) : std::string("without a number")) + ": " + std::string(nameIn(eventPositionNames, position));
             break;
@@ -172,9 +174,13 @@
             this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event.number;
             this->streamRun.lastEvent = event.number;
         }
-        accepted += event.text;
+        if (continuity.isHolding()) {
+            this->heldEvents += event.text;
+            continue;
+        }
+        accepted += std::exchange(this->heldEvents, {}) + event.text;
     }
-    if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
+    if (this->rejection.empty() && this->splitter.pendingSize() + this->heldEvents.size() > maxEventBytes) {
         this->rejection = "an event is longer than " + std::to_string(maxEventBytes) + " bytes";
     }
     this->streamRun.events = continuity.passedOnInRun();
@@ -248,11 +254,13 @@
         co_await this->findWhetherEnded(endpoint.address, result);
         end.endpointEnded = result.report.endpointGone;
     }
+    const bool isHolding = this->parts.progress.continuity.isHolding();
     result.run.complete = this->judgeEnd(endpoint, end, currentTime());
     if (result.run.complete == Evidence::Disproved) {
         result.report.outcome = SendOutcome::Broken;
         result.detail = end.isContinued ? "the next event follows behind the stated end of the answer"
             : end.endpointEnded         ? "the connection ended behind an event, and so did the endpoint"
+            : isHolding                 ? "the stream ended behind an event with numbers missing in front of it, as in an earlier run"
                                         : "the stream ended inside an event or before its first one";
         co_return;
     }
@@ -331,7 +339,8 @@
 
 asio::awaitable<bool> EndpointSend::holdAnswer(std::size_t bytes, Time deadline)
 {
-    const bool granted = co_await this->parts.held.hold(bytes + this->collected.capacity() + this->splitter.pendingSize(), deadline);
+    const bool granted
+        = co_await this->parts.held.hold(bytes + this->collected.capacity() + this->heldEvents.capacity() + this->splitter.pendingSize(), deadline);
     if (!granted && this->rejection.empty()) {
         this->rejection = "the instance has no room for the rest of the answer";
     }
@@ -341,7 +350,9 @@
 asio::awaitable<SendResult> EndpointSend::run(EndpointSpec endpoint, int priority, Time deadline, Time now)
 {
     this->endpointId = endpoint.id;
-    this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(ServiceVersion{this->parts.service, endpoint.version}, now));
+    const ServiceVersion group{this->parts.service, endpoint.version};
+    this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(group, now));
+    this->parts.progress.continuity.expectUnevenSteps(this->parts.habits.numbersAreUneven(group, now));
     this->parts.progress.continuity.beginRun();
     this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -131,6 +131,7 @@
     std::shared_ptr<Cancellation> cancellation;
     EventSplitter splitter;
     std::string collected;
+    std::string heldEvents; //!< The event that StreamContinuity holds, and what follows it without data.
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     StreamRun streamRun;
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names.
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -34,6 +34,12 @@
     return this->habits.numbersRiseByOne(group, now);
 }
 
+bool StreamHabitRegistry::numbersAreUneven(const ServiceVersion &group, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.numbersAreUneven(group, now);
+}
+
 void StreamHabitRegistry::onCut(const EndpointId &endpoint, const EndpointId &shownBy, const RequestId &requestId, Time now)
 {
     {
--- a/src/gateway/streamhabitregistry.h
+++ b/src/gateway/streamhabitregistry.h
@@ -22,6 +22,7 @@
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
     bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
+    bool numbersAreUneven(const ServiceVersion &group, Time now) const;
 
     //! A run at \p shownBy brought events behind an unframed end of one at \p endpoint. \p requestId is for the log.
     void onCut(const EndpointId &endpoint, const EndpointId &shownBy, const RequestId &requestId, Time now);
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -11,6 +11,8 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace oleandergate::support {
 
 namespace asio = boost::asio;
@@ -55,6 +57,25 @@
     return "data: " + name + " " + std::to_string(number) + "\n\n";
 }
 
+//! Returns the position of the event behind the one with the number \p last, of a stream whose events have \p numbers, or the default ones when that is
+//! empty.
+std::uint64_t positionBehind(const std::string &last, const std::vector<std::uint64_t> &numbers)
+{
+    const std::uint64_t number = last.empty() ? 0 : std::stoull(last);
+    return numbers.empty() ? number + 1 : static_cast<std::uint64_t>(std::ranges::upper_bound(numbers, number) - numbers.begin()) + 1;
+}
+
+//! Returns \p event with its number among \p numbers, if it has one.
+std::string renumbered(const std::string &event, const std::vector<std::uint64_t> &numbers)
+{
+    const std::string field = "id: ";
+    if (numbers.empty() || !event.starts_with(field)) {
+        return event;
+    }
+    const std::size_t position = std::stoull(event.substr(field.size()));
+    return field + std::to_string(numbers.at(position - 1)) + event.substr(event.find('\n'));
+}
+
 //! What a stream consists of.
 struct StreamPlan
 {
@@ -106,12 +127,24 @@
         cutBehind(brokenEvent);
         plan.rest.clear();
         break;
+    case Behaviour::BreakOrLeaveOut:
+        if (first == 1) {
+            cutBehind(brokenEvent + 1);
+            plan.rest.clear();
+        } else {
+            plan.events.erase(plan.events.begin());
+        }
+        break;
+    case Behaviour::BreakBehindFirst:
+        cutBehind(1);
+        plan.rest.clear();
+        break;
     case Behaviour::EndBehindHalf:
         cutBehind(plan.events.size() / 2);
         plan.rest.clear();
         break;
     case Behaviour::LeaveOut:
-        plan.events.erase(plan.events.begin());
+        plan.events.erase(plan.events.begin(), plan.events.begin() + (plan.events.empty() ? 0 : 1));
         break;
     case Behaviour::LeaveOutFourth:
         plan.events.erase(plan.events.begin() + 3);
@@ -413,6 +446,12 @@
     this->weightsVersion = newVersion;
 }
 
+void StandinEndpoint::setEventNumbers(const std::vector<std::uint64_t> &numbers)
+{
+    const std::lock_guard lock(this->mutex);
+    this->eventNumbers = numbers;
+}
+
 void StandinEndpoint::setRateLimit(const std::string &limit)
 {
     const std::lock_guard lock(this->mutex);
@@ -621,8 +660,12 @@
 
 bool StandinEndpoint::stream(tcp::socket &socket, const HttpRequest &request, Behaviour behaviour, bool framed)
 {
-    const std::string last = request.header("Last-Event-Id");
-    const std::uint64_t first = last.empty() ? 1 : std::stoull(last) + 1;
+    std::vector<std::uint64_t> numbers;
+    {
+        const std::lock_guard lock(this->mutex);
+        numbers = this->eventNumbers;
+    }
+    const std::uint64_t first = positionBehind(request.header("Last-Event-Id"), numbers);
     if (behaviour == Behaviour::ShortLength || behaviour == Behaviour::LateShortLength) {
         return this->sendShortLength(socket, request, planStream(behaviour, this->eventName(request), first).events, behaviour == Behaviour::LateShortLength);
     }
@@ -631,7 +674,7 @@
     const StreamPlan plan = planStream(behaviour, this->eventName(request), first);
     const std::string gap = request.query("gap_ms");
     for (const std::string &event : plan.events) {
-        const bool open = send(socket, encode(event));
+        const bool open = send(socket, encode(renumbered(event, numbers)));
         if (!gap.empty()) {
             if (!open || !this->work(socket, std::chrono::milliseconds(std::stoi(gap)))) {
                 return false;
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -72,6 +72,8 @@
     ShortLength, //!< A whole stream whose stated length ends behind its fourth event.
     LateShortLength, //!< The same, with a pause behind that event.
     EndBehindHalf, //!< Ends behind half of the events that it would send, in an answer with neither length nor chunks, whose connection ends in order.
+    BreakOrLeaveOut, //!< The same as BreakBehindThird; a run that goes on behind an event leaves its first one out.
+    BreakBehindFirst, //!< The same as BreakBetweenEvents behind the first event.
     FramedEmpty, //!< The head of a stream and its last chunk, without an event.
 };
 
@@ -119,6 +121,9 @@
     //! Sets the version of the weights that its answers name, or none; it refuses requests that expect another one.
     void setWeightsVersion(std::optional<int> version);
 
+    //! Sets the numbers of the eventCount events of its streams, which rise; 1, 2, 3 and so on until then. Their texts don't change.
+    void setEventNumbers(const std::vector<std::uint64_t> &numbers);
+
     //! Sets the value of the rate limit field in its answers; none when empty.
     void setRateLimit(const std::string &limit);
 
@@ -183,6 +188,7 @@
     mutable std::mutex mutex;
     std::deque<Behaviour> nextBehaviours;
     std::string rateLimit;
+    std::vector<std::uint64_t> eventNumbers;
     std::optional<int> weightsVersion;
     std::vector<ReceivedRequest> receivedRequests;
     std::list<std::thread> workers;
--- a/tests/gateway/streamtests.cpp
+++ b/tests/gateway/streamtests.cpp
@@ -107,14 +107,58 @@
     }
 }
 
+// Guards against a missing event that each further run leaves out, where no whole stream of the version was seen before: it was taken for the endpoint's
+// numbering.
+TEST_CASE("Streams: a gap that only runs behind a break show is a missing event")
+{
+    StreamCluster cluster(3);
+    for (const Behaviour cut : {Behaviour::BreakBehindThird, Behaviour::BreakBetweenEvents, Behaviour::BreakMidEvent, Behaviour::EndBetweenEvents}) {
+        CAPTURE(static_cast<int>(cut));
+        std::vector<Behaviour> behaviours(16, Behaviour::LeaveOut);
+        behaviours.front() = cut;
+        for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+            endpoint->setNextBehaviours(behaviours);
+        }
+        const ReceivedStream stream = cluster.receive();
+        CHECK(stream.isInOrder());
+        CHECK_FALSE(stream.pieces.empty());
+        CHECK_FALSE(stream.complete);
+    }
+    // Two endpoints that leave the same event out prove no more than one.
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours(std::vector<Behaviour>(16, Behaviour::BreakOrLeaveOut));
+    }
+    const ReceivedStream spread = cluster.receive("/spread/1");
+    CHECK(spread.isInOrder());
+    CHECK(spread.pieces.size() == 3);
+    CHECK_FALSE(spread.complete);
+}
+
 // Guards against a gap in a taken-up stream or in one run counting as a fault where the numbers of an endpoint do not rise by one.
-TEST_CASE("Streams: a gap that a second run shows too is the endpoint's numbering")
+TEST_CASE("Streams: a gap that a second run shows too is the endpoint's numbering where other numbers are uneven")
 {
+    const std::vector<std::uint64_t> tens{10, 20, 30, 40, 50, 60};
+    const std::vector<std::uint64_t> uneven{5, 9, 14, 20, 27, 35};
+    for (const std::vector<std::uint64_t> &numbers : {tens, uneven}) {
+        for (const Behaviour cut : {Behaviour::BreakBehindFirst, Behaviour::BreakBetweenEvents, Behaviour::BreakBehindThird, Behaviour::BreakMidEvent}) {
+            CAPTURE(numbers.back());
+            CAPTURE(static_cast<int>(cut));
+            StreamCluster cluster(1);
+            cluster.endpoints[0]->setEventNumbers(numbers);
+            cluster.endpoints[0]->setNextBehaviours({cut});
+            const ReceivedStream stream = cluster.receive();
+            CHECK(stream.isWhole());
+            CHECK(stream.isInOrder());
+        }
+    }
+    // Behind the break the numbers rise by one; a whole stream has shown that they don't always.
     StreamCluster cluster(1);
-    cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBehindThird, Behaviour::LeaveOut, Behaviour::LeaveOut});
+    cluster.endpoints[0]->setEventNumbers({1, 5, 6, 7, 8, 9});
+    REQUIRE(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::BreakBehindFirst});
     const ReceivedStream stream = cluster.receive();
-    CHECK(stream.complete);
-    CHECK(stream.pieces == std::vector<int>{1, 2, 3, 5, 6});
+    CHECK(stream.isWhole());
+    CHECK(stream.isInOrder());
 }
 
 // Guards against a stream that reaches its caller as complete though its endpoint's process ended: the kernel closes the connections of an ended process in
--- a/tests/unit/streamcontinuitytests.cpp
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -62,7 +62,7 @@
 }
 
 // Guards against a missing piece, and against refusing streams whose numbers rise by more than one.
-TEST_CASE("A gap counts only where the numbers rose by one until then, and until a second run shows it too")
+TEST_CASE("A gap counts only where the numbers rose by one until then, and until a second run shows it too and uneven numbers behind it")
 {
     StreamContinuity uneven;
     uneven.beginRun();
@@ -74,8 +74,83 @@
     stream.beginRun();
     CHECK(stream.add(6) == EventPosition::BehindGap);
     stream.beginRun();
-    CHECK(stream.add(6) == EventPosition::Next);
+    CHECK(stream.add(6) == EventPosition::Held);
+    CHECK(stream.passedOn() == 3);
     CHECK(stream.add(8) == EventPosition::Next);
+    CHECK(stream.passedOn() == 5);
+    CHECK(stream.passedOnInRun() == 2);
+    CHECK(stream.stepsByOne() == false);
+    CHECK(stream.endRun(framedEnd) == Evidence::Proved);
+}
+
+// Guards against a missing event that every run behind a break leaves out, where nothing else is known of the version's numbers.
+TEST_CASE("A gap that only runs behind a break show is a missing event where the numbers rise by one behind it")
+{
+    for (const std::vector<std::uint64_t> &begin : {std::vector<std::uint64_t>{1}, std::vector<std::uint64_t>{1, 2, 3}}) {
+        StreamContinuity stream;
+        stream.beginRun();
+        addAll(stream, begin);
+        const std::uint64_t number = begin.back() + 2;
+        stream.beginRun();
+        CHECK(stream.add(number) == EventPosition::BehindGap);
+        for (int run = 0; run < 3; ++run) {
+            stream.beginRun();
+            CHECK(stream.add(number) == EventPosition::Held);
+            CHECK(stream.isHolding());
+            CHECK(stream.add(number + 1) == EventPosition::BehindGap);
+            CHECK(stream.endRun(framedEnd) == Evidence::Disproved);
+        }
+        // The end behind the held event tells nothing, nor does an event without a number.
+        stream.beginRun();
+        CHECK(stream.add(number) == EventPosition::Held);
+        CHECK(stream.endRun(framedEnd) == Evidence::Disproved);
+        stream.beginRun();
+        CHECK(stream.add(number) == EventPosition::Held);
+        CHECK(stream.add(std::nullopt) == EventPosition::BehindGap);
+        stream.beginRun();
+        CHECK(stream.add(number) == EventPosition::Held);
+        CHECK(stream.add(number) == EventPosition::Repeated);
+        CHECK(stream.passedOn() == begin.size());
+        CHECK_FALSE(stream.stepsByOne());
+    }
+    // The same behind the first event of a further run.
+    StreamContinuity inside;
+    inside.beginRun();
+    addAll(inside, {1, 2, 3});
+    inside.beginRun();
+    CHECK(addAll(inside, {4, 6}) == EventPosition::BehindGap);
+    inside.beginRun();
+    CHECK(addAll(inside, {6, 7}) == EventPosition::BehindGap);
+    CHECK(inside.lastNumber() == 4);
+}
+
+// Guards against refusing streams whose numbers do not rise by one.
+TEST_CASE("A gap behind a break that a second run shows too is served where whole streams have uneven numbers")
+{
+    StreamContinuity stream;
+    stream.expectUnevenSteps(true);
+    stream.beginRun();
+    addAll(stream, {1, 2, 3});
+    stream.beginRun();
+    CHECK(stream.add(5) == EventPosition::BehindGap);
+    stream.beginRun();
+    CHECK(addAll(stream, {5, 6}) == EventPosition::Next);
+    // What only runs behind a break have shown teaches nothing.
+    CHECK_FALSE(stream.stepsByOne());
+    StreamContinuity tens;
+    tens.beginRun();
+    addAll(tens, {10});
+    tens.beginRun();
+    CHECK(tens.add(20) == EventPosition::BehindGap);
+    tens.beginRun();
+    CHECK(tens.add(20) == EventPosition::Held);
+    CHECK(addAll(tens, {30, 40}) == EventPosition::Next);
+    CHECK(tens.stepsByOne() == false);
+    StreamContinuity takenUp(20, 0);
+    takenUp.beginRun();
+    CHECK(takenUp.add(30) == EventPosition::BehindGap);
+    takenUp.beginRun();
+    CHECK(addAll(takenUp, {30, 40}) == EventPosition::Next);
 }
 
 // Guards against an event that every run behind a break leaves out.
@@ -92,11 +167,18 @@
     stream.beginRun();
     CHECK(stream.add(2) == EventPosition::Next);
     CHECK_FALSE(stream.stepsByOne());
-    // A gap inside a run that another run shows as well is the endpoint's numbering, though others have none.
-    CHECK(stream.add(4) == EventPosition::BehindGap);
-    stream.beginRun();
-    CHECK(stream.add(4) == EventPosition::Next);
-    CHECK(stream.stepsByOne() == false);
+    for (int run = 0; run < 3; ++run) {
+        CHECK(stream.add(4) == EventPosition::BehindGap);
+        stream.beginRun();
+    }
+    // A gap inside a first run that another run shows as well is the endpoint's numbering, though others have none.
+    StreamContinuity first;
+    first.expectUnitSteps(true);
+    first.beginRun();
+    CHECK(addAll(first, {1, 2, 4}) == EventPosition::BehindGap);
+    first.beginRun();
+    CHECK(first.add(4) == EventPosition::Next);
+    CHECK(first.stepsByOne() == false);
     StreamContinuity whole;
     whole.beginRun();
     addAll(whole, {1, 2, 3});
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -138,3 +138,20 @@
     habits.add(group, numberedRun(false), start);
     CHECK_FALSE(habits.numbersRiseByOne(group, start));
 }
+
+TEST_CASE("Numbers are uneven where those of one of the latest streams were")
+{
+    StreamHabits habits;
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+    habits.add(group, numberedRun(true), start);
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+    habits.add(group, numberedRun(false), start);
+    CHECK(habits.numbersAreUneven(group, start));
+    CHECK_FALSE(habits.numbersAreUneven(otherGroup, start));
+    CHECK_FALSE(habits.numbersAreUneven(group, start + std::chrono::seconds(601)));
+    for (std::uint32_t stream = 0; stream < RecentAnswers::capacity; ++stream) {
+        CHECK(habits.numbersAreUneven(group, start));
+        habits.add(group, numberedRun(true), start);
+    }
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+}
