--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include <utility>
+
 namespace oleandergate {
 
 namespace asio = boost::asio;
@@ -180,9 +182,9 @@
     }
 }
 
-void EndpointSend::noteWeights(const StreamEvent &event)
+void EndpointSend::noteWeights(std::string_view event)
 {
-    const std::optional<std::int64_t> stated = this->parts.headerCodec.readEventWeights(event.text);
+    const std::optional<std::int64_t> stated = this->parts.headerCodec.readEventWeights(event);
     if (stated) {
         this->answerWeights = stated;
         this->parts.progress.weights = stated;
@@ -209,7 +211,7 @@
         }
         const bool isBehindEnd = !this->keptEnd.empty();
         const EventPosition position = isBehindEnd ? EventPosition::Unplaced : event.hasData ? continuity.add(event.number) : EventPosition::Next;
-        if (position != EventPosition::Next) {
+        if (position != EventPosition::Next && position != EventPosition::Held) {
             this->rejection = "event " + (event.number ? std::to_string(*event.number) : std::string("without a number")) + " behind event "
                 + (last ? std::to_string(*last) : std::string("without a number")) + ": " + std::string(nameIn(eventPositionNames, position));
             break;
@@ -219,10 +221,16 @@
             this->streamRun.lastEvent = event.number;
         }
         this->noteTail(event);
-        this->noteWeights(event);
-        accepted += event.text;
+        if (continuity.isHolding()) {
+            this->heldEvents += event.text;
+            continue;
+        }
+        const std::string held = std::exchange(this->heldEvents, {});
+        this->noteWeights(held);
+        this->noteWeights(event.text);
+        accepted += held + event.text;
     }
-    if (this->rejection.empty() && this->splitter.pendingSize() > maxEventBytes) {
+    if (this->rejection.empty() && this->splitter.pendingSize() + this->heldEvents.size() > maxEventBytes) {
         this->rejection = "an event is longer than " + std::to_string(maxEventBytes) + " bytes";
     }
     this->streamRun.events = continuity.passedOnInRun();
@@ -305,6 +313,7 @@
         return false;
     }
     StreamContinuity &continuity = this->parts.progress.continuity;
+    const std::uint64_t before = continuity.passedOnInRun();
     if (continuity.add(event->number) != EventPosition::Next) {
         return false;
     }
@@ -312,7 +321,7 @@
     this->streamRun.lastEvent = event->number;
     this->streamRun.events = continuity.passedOnInRun();
     this->disproveOpenEnd(currentTime());
-    this->parts.onEvents(1);
+    this->parts.onEvents(this->streamRun.events - before);
     return true;
 }
 
@@ -330,11 +339,13 @@
         co_await this->findWhetherEnded(endpoint.address, result);
         end.endpointEnded = result.report.endpointGone;
     }
+    const bool isHolding = this->parts.progress.continuity.isHolding();
     result.run.complete = this->judgeEnd(endpoint, end, currentTime());
     if (result.run.complete == Evidence::Disproved) {
         result.report.outcome = SendOutcome::Broken;
         result.detail = end.isContinued ? "the next event follows behind the stated end of the answer"
             : end.endpointEnded         ? "the connection ended behind an event, and so did the endpoint"
+            : isHolding                 ? "the stream ended behind an event with numbers missing in front of it, as in an earlier run"
                                         : "the stream ended inside an event or before its first one";
         co_return;
     }
@@ -349,7 +360,8 @@
                                           : "the connection ended behind an event, which does not prove that the stream is complete";
     }
     // Bytes after the last event, such as a comment, are part of the answer.
-    std::string rest = (result.run.complete == Evidence::Proved ? this->keptEnd : std::string()) + this->splitter.takeRest();
+    std::string rest
+        = std::exchange(this->heldEvents, {}) + (result.run.complete == Evidence::Proved ? this->keptEnd : std::string()) + this->splitter.takeRest();
     if (result.run.complete == Evidence::Proved || !rest.empty()) {
         const bool delivered = co_await this->deliver(answer, std::move(rest));
         result.report.outcome = delivered ? result.report.outcome : SendOutcome::CallerLeft;
@@ -413,7 +425,8 @@
 
 asio::awaitable<bool> EndpointSend::holdAnswer(std::size_t bytes, Time deadline)
 {
-    const bool granted = co_await this->parts.held.hold(bytes + this->collected.capacity() + this->splitter.pendingSize(), deadline);
+    const bool granted
+        = co_await this->parts.held.hold(bytes + this->collected.capacity() + this->heldEvents.capacity() + this->splitter.pendingSize(), deadline);
     if (!granted && this->rejection.empty()) {
         this->rejection = "the instance has no room for the rest of the answer";
     }
@@ -423,8 +436,10 @@
 asio::awaitable<SendResult> EndpointSend::run(EndpointSpec endpoint, int priority, Time deadline, Time now)
 {
     this->endpointId = endpoint.id;
-    this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(ServiceVersion{this->parts.service, endpoint.version}, now));
-    this->parts.progress.continuity.expectTail(this->parts.habits.usualTail(ServiceVersion{this->parts.service, endpoint.version}, now));
+    const ServiceVersion group{this->parts.service, endpoint.version};
+    this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(group, now));
+    this->parts.progress.continuity.expectUnevenSteps(this->parts.habits.numbersAreUneven(group, now));
+    this->parts.progress.continuity.expectTail(this->parts.habits.usualTail(group, now));
     this->parts.progress.continuity.beginRun();
     this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
     HttpCall out = this->makeCall(endpoint, priority, deadline, now);
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace oleandergate {
 
@@ -123,8 +124,8 @@
     //! Decides whether the stream is complete, and learns from how it ended.
     Evidence judgeEnd(const EndpointSpec &endpoint, StreamEnd &end, Time now);
 
-    //! Learns the weights that \p event states, which made it and what follows.
-    void noteWeights(const StreamEvent &event);
+    //! Learns the weights that the text \p event states, which made it and what follows.
+    void noteWeights(std::string_view event);
 
     //! Takes one chunk of the answer's body. Returns false when the caller has disconnected or the rest of the answer is of no use.
     boost::asio::awaitable<bool> forwardChunk(const HttpResponse &head, std::string chunk);
@@ -147,6 +148,7 @@
     std::shared_ptr<Cancellation> cancellation;
     EventSplitter splitter;
     std::string collected;
+    std::string heldEvents; //!< The event that StreamContinuity holds, and what follows it without data.
     std::string rejection; //!< Why the answer is of no use; empty as long as it may be.
     StreamRun streamRun;
     std::string keptEnd; //!< Events without numbers of a run that has brought no others, which are not passed on yet.
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -174,3 +174,20 @@
     CHECK_FALSE(habits.isLengthDoubtful("b", start));
     CHECK_FALSE(habits.isLengthDoubtful("a", start + std::chrono::seconds(61)));
 }
+
+TEST_CASE("Numbers are uneven where those of one of the latest streams were")
+{
+    StreamHabits habits;
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+    habits.add(group, numberedRun(true), start);
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+    habits.add(group, numberedRun(false), start);
+    CHECK(habits.numbersAreUneven(group, start));
+    CHECK_FALSE(habits.numbersAreUneven(otherGroup, start));
+    CHECK_FALSE(habits.numbersAreUneven(group, start + std::chrono::seconds(601)));
+    for (std::uint32_t stream = 0; stream < RecentAnswers::capacity; ++stream) {
+        CHECK(habits.numbersAreUneven(group, start));
+        habits.add(group, numberedRun(true), start);
+    }
+    CHECK_FALSE(habits.numbersAreUneven(group, start));
+}
