Cut streams of an endpoint do not become usual of its version

By the trace that instance had known no framed stream among the latest eight of the version: another endpoint of it, known there to cut its streams, had filled them with its unframed ends. So the empty answer of a second cutting endpoint counted as usual, and proved its own cut. The unframed ends of an endpoint that has cut a stream within the minute are no longer counted.

The new unit test failed before the change and passes with it; the 242 unit tests pass.

--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -34,7 +34,8 @@
 {
     Habit &habit = this->habitOf(group, now);
     // An answer without an event may be framed though the version's streams are not.
-    if (run.events > 0) {
+    // Nor do the unframed ends of an endpoint that cuts streams show how the version ends its own.
+    if (run.events > 0 && (run.framed || !this->hasCut(run.endpoint, now))) {
         habit.framed.add(run.framed);
     }
     if (run.framed && run.events > 0) {
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -92,6 +92,18 @@
     CHECK(habits.isUnframedDoubtful(group, "b", start));
 }
 
+// Guards against an endpoint that confirms its own cut, because the cut streams of another one had taken the places of all framed ones among the latest.
+TEST_CASE("Unframed ends of an endpoint that has cut a stream do not become usual of its version")
+{
+    StreamHabits habits;
+    habits.add(group, endedRunAt("a", true), start);
+    habits.addCut("b", start);
+    for (std::uint32_t stream = 0; stream < RecentAnswers::capacity; ++stream) {
+        habits.add(group, endedRunAt("b", false), start);
+    }
+    CHECK(habits.isUnframedDoubtful(group, "c", start));
+}
+
 // Guards against half a stream that is delivered as complete: an instance that sends all streams to the endpoint that cuts them sees no framed one.
 TEST_CASE("An unframed end is usual only where another endpoint of the version ends its streams so")
 {
