A proved unframed end of one endpoint does not make those of others usual

Cause: that a whole stream without framing was proved was remembered of the version, not of the endpoint that wrote it.

Change: it is remembered by endpoint. A version that frames none of its latest eight streams is not concerned.

--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -43,7 +43,7 @@
     } else if (!run.framed && (run.events > 0 || run.proved)) {
         habit.unframedAt[run.endpoint] = now;
     }
-    for (std::map<EndpointId, Time> *seen : {&habit.framedAt, &habit.unframedAt}) {
+    for (std::map<EndpointId, Time> *seen : {&habit.framedAt, &habit.unframedAt, &habit.wholeUnframedAt}) {
         std::erase_if(*seen, [now](const auto &entry) {
             return now - entry.second > habitTimeout;
         });
@@ -55,7 +55,7 @@
         habit.tails[run.endpoint] = Tail{*run.tail, now};
     }
     if (!run.provedEndAt.empty()) {
-        habit.wholeUnframedAt = now;
+        habit.wholeUnframedAt[run.provedEndAt] = now;
         this->cutAt.erase(run.provedEndAt);
     }
     if (run.risesByOne) {
@@ -91,8 +91,11 @@
         return true;
     }
     const Habit *habit = this->find(group, now);
-    const bool isKnownWhole = habit != nullptr && habit->wholeUnframedAt && now - *habit->wholeUnframedAt <= occurrenceTimeout;
-    return habit != nullptr && habit->framed.hasAny() && !isKnownWhole;
+    if (habit == nullptr || !habit->framed.hasAny()) {
+        return false;
+    }
+    const auto whole = habit->wholeUnframedAt.find(endpoint);
+    return whole == habit->wholeUnframedAt.end() || now - whole->second > occurrenceTimeout;
 }
 
 bool StreamHabits::isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -65,9 +65,9 @@
     {
         RecentAnswers framed{};
         RecentAnswers risesByOne{};
-        std::optional<Time> wholeUnframedAt{};
         std::map<EndpointId, Time> framedAt{}; //!< When endpoints last framed a stream.
         std::map<EndpointId, Time> unframedAt{}; //!< When streams of endpoints last ended in order, unframed.
+        std::map<EndpointId, Time> wholeUnframedAt{}; //!< When an unframed end of endpoints was last proved to be that of the stream.
         std::map<EndpointId, Tail> tails{}; //!< Of the latest whole stream of each endpoint.
         Time seenAt{};
     };
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -104,6 +104,19 @@
     CHECK(habits.isUnframedDoubtful(group, "c", start));
 }
 
+// Guards against an endpoint that confirms its own cut for a minute behind a whole unframed stream of another one.
+TEST_CASE("A proved unframed end makes unframed ends of its own endpoint usual, not those of others")
+{
+    StreamHabits habits;
+    habits.add(group, endedRunAt("a", true), start);
+    RunObservation proof = endedRunAt("a", true);
+    proof.events = 0;
+    proof.provedEndAt = "b";
+    habits.add(group, proof, start);
+    CHECK_FALSE(habits.isUnframedDoubtful(group, "b", start));
+    CHECK(habits.isUnframedDoubtful(group, "c", start));
+}
+
 // Guards against half a stream that is delivered as complete: an instance that sends all streams to the endpoint that cuts them sees no framed one.
 TEST_CASE("An unframed end is usual only where another endpoint of the version ends its streams so")
 {
