A diverted stream does not go on at its bucket's version once its own has left the list

Callers saw: a stream that had begun at another software version than its bucket's, since no endpoint of that one took it, went on at the bucket's version when the endpoints of its own had gone, though its caller named its first attempt and it was recorded.

Cause: where one version is listed and assigned, neither the stream's record nor the mark of its bucket was looked at: a short cut for deployments with one version. The version that is left is the one that did not begin the stream.

Change: the short cut is not taken while streams of the bucket may be diverted.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -492,12 +492,16 @@
     }
 }
 
-bool StreamVersions::isOutOfStep(Time now) const
+bool StreamVersions::hasStoodStill(Time now) const
 {
     const Time ticked = this->tickedAt;
+    return this->stoodStill || (ticked != Time{} && now - ticked > standstillThreshold);
+}
+
+bool StreamVersions::isOutOfStep(Time now) const
+{
     const Time heard = this->parts.gossip.lastReportAt();
-    const bool standsStill = this->stoodStill || (ticked != Time{} && now - ticked > standstillThreshold);
-    return standsStill || (heard != Time{} && now - heard > peerSilenceThreshold);
+    return this->hasStoodStill(now) || (heard != Time{} && now - heard > peerSilenceThreshold);
 }
 
 asio::awaitable<void> StreamVersions::reload()
@@ -570,12 +574,15 @@
     const bool outOfStep = this->isOutOfStep(now);
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
+    bool diverted = false;
     {
         const std::lock_guard lock(this->mutex);
         candidates = this->table.candidates(stream.service, stream.bucket);
+        diverted = this->table.mayBeDiverted(stream.service, stream.bucket);
     }
     const bool unversioned = candidates.empty() && listed == std::set<std::string>{std::string()};
-    const bool isSingle = unversioned || (candidates.size() == 1 && listed == candidates);
+    // The version of diverted streams may have left the list.
+    const bool isSingle = unversioned || (candidates.size() == 1 && listed == candidates && !diverted);
     // With several versions in use, or if this instance may have missed that, an assignment that is out of date would join two versions.
     if (outOfStep || !isSingle) {
         const bool confirmed = co_await this->confirmAssignments(now);
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -81,6 +81,9 @@
     //! Returns the version that began a stream. Fails with VersionUnknown when that cannot be told. \p request is for the log.
     boost::asio::awaitable<Result<std::string>> find(StreamIdentity stream, RequestId request);
 
+    //! Returns whether the process was paused and has not read the assignments since.
+    bool hasStoodStill(Time now) const;
+
     //! Forgets streams that have ended.
     void expire(Time now);
 
--- a/tests/gateway/softwareversiontests.cpp
+++ b/tests/gateway/softwareversiontests.cpp
@@ -247,6 +247,28 @@
     CHECK(cluster.endpoints[0]->receivedCount() == received);
 }
 
+// Guards against a stream joined to the assigned version once the version that began it, off its assignment, has left the list.
+TEST_CASE("Software versions: a stream that began off its assignment is not joined to the assigned version when its own has gone")
+{
+    constexpr int refusalCount = 200;
+    ReleaseCluster cluster;
+    cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(refusalCount, Behaviour::Refuse));
+    const std::map<std::string, std::string> attempts = cluster.beginAll(0, 2 * programCount);
+    REQUIRE(countOf(cluster.log(0), "a stream begins at another software version than assigned") > 2);
+    cluster.endpoints[0]->setNextBehaviours({});
+    const std::size_t received = cluster.endpoints[0]->receivedCount();
+    cluster.gateways[0].kill();
+    cluster.store.remove("servers/" + cluster.endpoints[1]->identifier());
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    for (const auto &[program, attempt] : attempts) {
+        const std::optional<HttpResponse> answer = cluster.takeUp(1, program, attempt);
+        REQUIRE(answer);
+        CHECK(answer->status == 503);
+    }
+    // All of them began at v2.
+    CHECK(cluster.endpoints[0]->receivedCount() == received);
+}
+
 // Guards against refusing in an outage what is known: a stream in a bucket without diverted streams began at its assigned version.
 TEST_CASE("Software versions: a stream that began at its assigned version is taken up in an outage of the store")
 {
