A take-up waits for a configuration that its instance may have missed

Cause: the former targets were kept only where a route was in both configurations, and an instance that is behind does not know that there was a change. What this instance itself knows of the stream was asked last.

Change: a removed route keeps its former targets; all lapsed ones are dropped at each change. What the instance knows of the stream goes first. An instance that stood still or knows of a newer configuration waits for it for at most 500 ms, and refuses the take-up as not run if it doesn't come, or if it has come meanwhile.

The instance that stood still over a change has no test of its own.

--- a/src/decision/routetargethistory.cpp
+++ b/src/decision/routetargethistory.cpp
@@ -22,20 +22,26 @@
 
 void RouteTargetHistory::onReplaced(const std::vector<Route> &before, const std::vector<Route> &after, Time now)
 {
+    for (auto &[key, entries] : this->formers) {
+        std::erase_if(entries, [now](const Former &former) {
+            return now - former.replacedAt > former.route.timeout + changeDelay;
+        });
+    }
+    std::erase_if(this->formers, [](const auto &entry) {
+        return entry.second.empty();
+    });
     std::map<std::pair<std::string, std::string>, const Route *> present;
     for (const Route &route : after) {
         present[{route.host, route.prefix}] = &route;
     }
     for (const Route &route : before) {
-        const auto found = present.find({route.host, route.prefix});
-        if (!route.resumable || route.targets.empty() || found == present.end() || hasEqualTargets(route, *found->second)) {
-            continue;
+        const std::pair<std::string, std::string> key{route.host, route.prefix};
+        const auto found = present.find(key);
+        const bool isKept = found != present.end() && hasEqualTargets(route, *found->second);
+        // A route that was removed may come back with other targets while its streams may be taken up.
+        if (route.resumable && !route.targets.empty() && !isKept) {
+            this->formers[key].push_back(Former{route, now});
         }
-        std::vector<Former> &entries = this->formers[found->first];
-        std::erase_if(entries, [now](const Former &former) {
-            return now - former.replacedAt > former.route.timeout + changeDelay;
-        });
-        entries.push_back(Former{route, now});
     }
 }
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -242,13 +242,14 @@
     if (!call.resumeAfter) {
         co_return true;
     }
-    if (!this->isServiceCertain(context, currentTime())) {
+    const bool isCertain = co_await this->awaitServiceCertainty(context);
+    if (!isCertain) {
         const Error error
             = relayError(ErrorCode::VersionUnknown,
                          Step::Admit,
                          Executed::No,
-                         "the targets of the route have changed, and the service that began the stream is not known; the request may be sent again "
-                         "from its start");
+                         "the targets of the route have changed or may have, and the service that began the stream is not known; the request may be "
+                         "sent again from its start");
         co_await this->refuse(context, error);
         co_return false;
     }
@@ -261,13 +262,24 @@
     co_return true;
 }
 
-bool Relay::isServiceCertain(const RelayRequest &context, Time now) const
+asio::awaitable<bool> Relay::awaitServiceCertainty(RelayRequest &context)
 {
-    const std::string key = routingKeyOf(context.call, *context.route);
-    if (this->parts.configurationHolder.servicesOf(*context.route, key, now).size() == 1) {
-        return true;
+    const std::optional<std::string> known = this->parts.versions.knownService(*context.stream);
+    if (known) {
+        co_return *known == context.service->name;
+    }
+    const Time giveUpAt = std::min(context.deadline, currentTime() + announcedConfigurationTimeout);
+    const auto mayHaveMissedChange = [this]() {
+        return this->parts.configurationHolder.isOutdated() || this->parts.versions.hasStoodStill(currentTime());
+    };
+    while (mayHaveMissedChange() && currentTime() < giveUpAt) {
+        co_await sleepFor(configurationPollInterval);
     }
-    return this->parts.versions.knownService(*context.stream) == context.service->name;
+    if (mayHaveMissedChange() || this->parts.configurationHolder.current() != context.active) {
+        co_return false;
+    }
+    const std::string key = routingKeyOf(context.call, *context.route);
+    co_return this->parts.configurationHolder.servicesOf(*context.route, key, currentTime()).size() == 1;
 }
 
 asio::awaitable<void> Relay::serveAdmitted(RelayRequest &context)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -66,8 +66,9 @@
     //! Finds the software version of a stream that the caller takes up. Returns false when the request was refused because it cannot be told.
     boost::asio::awaitable<bool> findStreamVersion(RelayRequest &context);
 
-    //! Returns whether the service to which the route leads now is the one that began the stream that the caller takes up.
-    bool isServiceCertain(const RelayRequest &context, Time now) const;
+    //! Returns whether the service to which the route leads is the one that began the stream that the caller takes up. Waits a little for a configuration that
+    //! this instance may have missed.
+    boost::asio::awaitable<bool> awaitServiceCertainty(RelayRequest &context);
 
     //! Records the end of a run, and whether its endpoint ended with it.
     void recordRunEnd(const RelayRequest &context, const SendResult &result, Time startedAt, Time now);
--- a/tests/unit/routetargethistorytests.cpp
+++ b/tests/unit/routetargethistorytests.cpp
@@ -67,3 +67,14 @@
     CHECK(certain > keys / 2);
     CHECK(certain < keys);
 }
+
+// Guards against a stream that goes on at another service: its route was removed and came back with other targets.
+TEST_CASE("Route targets: a route that was removed and added again has its former targets")
+{
+    const Route before = splitRoute(100, 0);
+    const Route after = splitRoute(0, 100);
+    RouteTargetHistory history;
+    history.onReplaced({before}, {}, start);
+    history.onReplaced({}, {after}, start + std::chrono::seconds(1));
+    CHECK(history.servicesOf(after, "key", start + std::chrono::seconds(2)) == std::set<std::string>{"one", "two"});
+}
