An endpoint's framed empty answer confirms its own unframed end only where others leave streams unframed

Callers saw: half a stream as complete, at an instance that had seen no other endpoint of the version: asked for framed streams of others before it doubted.

Cause: that nothing is known of others was taken for agreement.

Change: without another endpoint that leaves streams unframed, and has cut none, the answer confirms nothing, unless the version has no other endpoint. What an endpoint did before it was shown to cut no longer counts for others, also when the cut itself is forgotten.

Evidence: "Stream ends: ... where nothing else is known": two events as complete on, broken off now.

--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -38,12 +38,10 @@
     if (run.events > 0 && (run.framed || !this->hasCut(run.endpoint, now))) {
         habit.framed.add(run.framed);
     }
-    if (run.framed && run.events > 0) {
-        habit.framedAt[run.endpoint] = now;
-    } else if (!run.framed && (run.events > 0 || run.proved)) {
+    if (!run.framed && (run.events > 0 || run.proved)) {
         habit.unframedAt[run.endpoint] = now;
     }
-    for (std::map<EndpointId, Time> *seen : {&habit.framedAt, &habit.unframedAt, &habit.wholeUnframedAt}) {
+    for (std::map<EndpointId, Time> *seen : {&habit.unframedAt, &habit.wholeUnframedAt}) {
         std::erase_if(*seen, [now](const auto &entry) {
             return now - entry.second > habitTimeout;
         });
@@ -69,6 +67,9 @@
         return now - entry.second > occurrenceTimeout;
     });
     this->cutAt[endpoint] = now;
+    for (auto &[group, habit] : this->habits) {
+        habit.unframedAt.erase(endpoint);
+    }
 }
 
 void StreamHabits::addShortLength(const EndpointId &endpoint, Time now)
@@ -103,14 +104,13 @@
     if (this->isUnframedDoubtful(group, endpoint, now)) {
         return false;
     }
-    const Habit *habit = this->find(group, now);
-    return isOnlyEndpoint || (habit != nullptr && this->hasOther(habit->unframedAt, endpoint, now));
+    return isOnlyEndpoint || this->hasOtherUnframed(group, endpoint, now);
 }
 
-bool StreamHabits::isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
+bool StreamHabits::hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     const Habit *habit = this->find(group, now);
-    return habit != nullptr && this->hasOther(habit->framedAt, endpoint, now) && !this->hasOther(habit->unframedAt, endpoint, now);
+    return habit != nullptr && this->hasOther(habit->unframedAt, endpoint, now);
 }
 
 bool StreamHabits::hasCut(const EndpointId &endpoint, Time now) const
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -40,9 +40,9 @@
     //! \p isOnlyEndpoint the version has no others.
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
 
-    //! Returns whether other endpoints of the version frame their streams, and none but \p endpoint leaves some unframed. Then its framed answer without an
-    //! event does not confirm an unframed end of its own.
-    bool isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
+    //! Returns whether an endpoint other than \p endpoint, which has cut no streams lately, leaves some unframed. If none does, a framed answer without an
+    //! event of \p endpoint does not confirm an unframed end of its own.
+    bool hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
 
     //! Returns the text of the events without numbers with which whole streams of the version end, such as "data: [DONE]", if it is the same for the latest
     //! one of each endpoint; empty for none.
@@ -65,7 +65,6 @@
     {
         RecentAnswers framed{};
         RecentAnswers risesByOne{};
-        std::map<EndpointId, Time> framedAt{}; //!< When endpoints last framed a stream.
         std::map<EndpointId, Time> unframedAt{}; //!< When streams of endpoints last ended in order, unframed.
         std::map<EndpointId, Time> wholeUnframedAt{}; //!< When an unframed end of endpoints was last proved to be that of the stream.
         std::map<EndpointId, Tail> tails{}; //!< Of the latest whole stream of each endpoint.
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -263,7 +263,8 @@
     StreamProgress &progress = this->parts.progress;
     const ServiceVersion group{this->parts.service, endpoint.version};
     end.isDoubtful = !end.framed && this->parts.habits.isUnframedDoubtful(group, endpoint.id, now);
-    end.isSelfConfirmed = end.framed && progress.openEndAt == endpoint.id && this->parts.habits.isOnlyUnframed(group, endpoint.id, now);
+    end.isSelfConfirmed
+        = end.framed && progress.openEndAt == endpoint.id && !this->parts.isOnlyEndpoint && !this->parts.habits.hasOtherUnframed(group, endpoint.id, now);
     const Evidence complete = progress.continuity.endRun(end);
     if (complete != Evidence::Disproved) {
         RunObservation run;
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -28,10 +28,10 @@
     return this->habits.isUnframedUsual(group, endpoint, isOnlyEndpoint, now);
 }
 
-bool StreamHabitRegistry::isOnlyUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
+bool StreamHabitRegistry::hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->habits.isOnlyUnframed(group, endpoint, now);
+    return this->habits.hasOtherUnframed(group, endpoint, now);
 }
 
 std::string StreamHabitRegistry::usualTail(const ServiceVersion &group, Time now) const
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -251,3 +251,17 @@
     CHECK(stream.isInOrder());
     CHECK_FALSE(stream.complete);
 }
+
+// The same at an instance that has seen no other endpoint of the version.
+TEST_CASE("Stream ends: an endpoint that cuts a stream does not confirm that with a framed empty answer where nothing else is known")
+{
+    StreamCluster cluster(3);
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        std::vector<Behaviour> behaviours(furtherRuns, Behaviour::FramedEmpty);
+        behaviours.front() = Behaviour::EndBetweenEvents;
+        endpoint->setNextBehaviours(behaviours);
+    }
+    const ReceivedStream stream = cluster.receive();
+    CHECK(stream.isInOrder());
+    CHECK_FALSE(stream.complete);
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -138,17 +138,19 @@
 }
 
 // Guards against an endpoint that cuts a stream, unframed, and then frames its empty answer to the request for the rest.
-TEST_CASE("An endpoint is the only unframed one where others frame their streams and none of them leaves some unframed")
+TEST_CASE("Another endpoint leaves streams unframed if it was seen to, and has cut none lately")
 {
     StreamHabits habits;
-    habits.add(group, endedRunAt("a", true), start);
-    CHECK_FALSE(habits.isOnlyUnframed(group, "a", start));
+    habits.add(group, endedRunAt("a", false), start);
     habits.add(group, endedRunAt("b", true), start);
-    CHECK(habits.isOnlyUnframed(group, "a", start));
+    CHECK_FALSE(habits.hasOtherUnframed(group, "a", start));
+    CHECK(habits.hasOtherUnframed(group, "b", start));
     habits.add(group, endedRunAt("c", false), start);
-    CHECK_FALSE(habits.isOnlyUnframed(group, "a", start));
+    CHECK(habits.hasOtherUnframed(group, "a", start));
     habits.addCut("c", start);
-    CHECK(habits.isOnlyUnframed(group, "a", start));
+    CHECK_FALSE(habits.hasOtherUnframed(group, "a", start));
+    // What it did before its cut tells no more behind the minute than within it.
+    CHECK_FALSE(habits.hasOtherUnframed(group, "a", start + std::chrono::seconds(61)));
 }
 
 // Guards against a version whose numbers have gaps now and then, judged by its first stream.
