Events without numbers do not end a stream that its caller takes up

Change: such an end is expected only behind events of the same answer. Beside it, two cases by reading without a test of their own: a last event without its empty line is not taken behind a kept end, and counts when the usual end of streams is learnt.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -36,7 +36,8 @@
 
 bool StreamContinuity::mayEndWith(std::string_view text) const
 {
-    return this->goesOn && this->runTotal == 0 && std::string_view(this->expectedTail).starts_with(text);
+    // A caller that takes a stream up may have its end already: only its last numbered event is known.
+    return this->total > 0 && this->runTotal == 0 && std::string_view(this->expectedTail).starts_with(text);
 }
 
 void StreamContinuity::expectUnevenSteps(bool expected)
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -78,7 +78,7 @@
     void expectTail(std::string text);
 
     //! Returns whether \p text, all that the run has brought so far, may be the end of the stream: the events without numbers that are expected there, or the
-    //! first of them, in a run that goes on behind another one. It is to be passed on only once the run has ended and proved it.
+    //! first of them, in a run that goes on behind another one of this answer. It is to be passed on only once the run has ended and proved it.
     bool mayEndWith(std::string_view text) const;
 
     //! Sets whether the numbers of whole streams of the run's software version are uneven, now and then at least.
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -310,7 +310,7 @@
 {
     const std::optional<StreamEvent> event = this->splitter.unterminatedEvent();
     // Bytes behind a stated length that ends inside an event may be the rest of that.
-    if (answer.endsWithConnection || !answer.bytesBehind.empty() || !event) {
+    if (answer.endsWithConnection || !answer.bytesBehind.empty() || !event || !this->keptEnd.empty()) {
         return false;
     }
     StreamContinuity &continuity = this->parts.progress.continuity;
@@ -321,6 +321,7 @@
     this->streamRun.firstEvent = this->streamRun.firstEvent ? this->streamRun.firstEvent : event->number;
     this->streamRun.lastEvent = event->number;
     this->streamRun.events = continuity.passedOnInRun();
+    this->noteTail(*event);
     this->disproveOpenEnd(currentTime());
     this->parts.onEvents(this->streamRun.events - before);
     return true;
--- a/tests/unit/streamcontinuitytests.cpp
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -317,3 +317,19 @@
     stream.add(4);
     CHECK_FALSE(stream.mayEndWith(tail));
 }
+
+// Guards against an end that comes twice: the caller had it, and its stream broke off before the last chunk.
+TEST_CASE("A stream that its caller takes up is not ended by events without numbers alone")
+{
+    const std::string tail = "data: [DONE]\n\n";
+    StreamContinuity takenUp(5, 0);
+    takenUp.expectTail(tail);
+    takenUp.beginRun();
+    CHECK_FALSE(takenUp.mayEndWith(tail));
+    StreamContinuity goesOn(std::nullopt, 0);
+    goesOn.expectTail(tail);
+    goesOn.beginRun();
+    REQUIRE(goesOn.add(1) == EventPosition::Next);
+    goesOn.beginRun();
+    CHECK(goesOn.mayEndWith(tail));
+}
