An endpoint's framed empty answer confirms its own unframed end again

Cause: did not believe an endpoint that leaves a stream open, unframed, and answers the request for the rest with a framed answer without an event. A sound endpoint does the same: an answer may have neither a length nor chunks. The framed answer states that nothing is left; an endpoint that says so falsely is not told from one that is right.

That what an endpoint did before it was shown to cut no longer counts for others stays.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -134,9 +134,6 @@
     if (!isWholeTail || (!end.tail.empty() && !end.framed)) {
         return Evidence::Disproved;
     }
-    if (end.isSelfConfirmed && this->runTotal == 0 && this->unprovenEnd) {
-        return Evidence::Unknown;
-    }
     const bool isExhausted = this->maxEvents > 0 && this->total >= this->maxEvents;
     if (end.framed || isExhausted) {
         return Evidence::Proved;
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -50,8 +50,6 @@
     std::string_view tail{}; //!< Events without numbers, all that a run brought that goes on behind another one.
     bool isContinued = false; //!< The next event follows behind the end that its framing states.
     bool isDoubtful = false; //!< Not framed, though its version frames its streams or its endpoint has cut some. It confirms no earlier end.
-    bool isSelfConfirmed = false; //!< Framed, of the endpoint that left the stream open unframed, as no other endpoint of its version does. Without an event it
-                                  //!< confirms nothing.
 };
 
 //! Decides which events belong to a caller's stream, over all runs that contribute to it, and whether it is complete.
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -40,8 +40,7 @@
     //! \p isOnlyEndpoint the version has no others.
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
 
-    //! Returns whether an endpoint other than \p endpoint, which has cut no streams lately, leaves some unframed. If none does, a framed answer without an
-    //! event of \p endpoint does not confirm an unframed end of its own.
+    //! Returns whether an endpoint other than \p endpoint, which has cut no streams lately, leaves some unframed.
     bool hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
 
     //! Returns the text of the events without numbers with which whole streams of the version end, such as "data: [DONE]", if it is the same for the latest
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -263,8 +263,6 @@
     StreamProgress &progress = this->parts.progress;
     const ServiceVersion group{this->parts.service, endpoint.version};
     end.isDoubtful = !end.framed && this->parts.habits.isUnframedDoubtful(group, endpoint.id, now);
-    end.isSelfConfirmed
-        = end.framed && progress.openEndAt == endpoint.id && !this->parts.isOnlyEndpoint && !this->parts.habits.hasOtherUnframed(group, endpoint.id, now);
     const Evidence complete = progress.continuity.endRun(end);
     if (complete != Evidence::Disproved) {
         RunObservation run;
@@ -357,7 +355,6 @@
         const ServiceVersion group{this->parts.service, endpoint.version};
         result.report.isDoubtfulEnd = !this->parts.habits.isUnframedUsual(group, endpoint.id, this->parts.isOnlyEndpoint, currentTime());
         result.detail = end.isDoubtful    ? "the connection ended behind an event, though this version frames its streams or the endpoint has cut some"
-            : end.isSelfConfirmed         ? "the endpoint framed its empty answer, and left the stream open unframed, as no other endpoint of its version does"
             : result.report.isDoubtfulEnd ? "the connection ended behind an event, and it is not known that this version's streams usually end so"
                                           : "the connection ended behind an event, which does not prove that the stream is complete";
     }
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -137,7 +137,7 @@
     CHECK_FALSE(habits.isUnframedUsual(group, "a", false, start));
 }
 
-// Guards against an endpoint that cuts a stream, unframed, and then frames its empty answer to the request for the rest.
+// Guards against an endpoint that vouches for another one's unframed ends though it was shown to cut streams.
 TEST_CASE("Another endpoint leaves streams unframed if it was seen to, and has cut none lately")
 {
     StreamHabits habits;
