--- a/tests/unit/dispatchertests.cpp
+++ b/tests/unit/dispatchertests.cpp
@@ -416,8 +416,8 @@
         dispatcher.onFinished(id, true, now);
     }
     CHECK(counts.size() == endpointCount);
-    for (const auto &[endpoint, count] : counts) {
-        CAPTURE(endpoint);
-        CHECK(count <= static_cast<int>(streams) / 2);
+    for (const auto &entry : counts) {
+        CAPTURE(entry.first);
+        CHECK(entry.second <= static_cast<int>(streams) / 2);
     }
 }
