--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -28,12 +28,6 @@
     return this->habits.isUnframedUsual(group, endpoint, isOnlyEndpoint, now);
 }
 
-bool StreamHabitRegistry::hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
-{
-    const std::lock_guard lock(this->mutex);
-    return this->habits.hasOtherUnframed(group, endpoint, now);
-}
-
 std::string StreamHabitRegistry::usualTail(const ServiceVersion &group, Time now) const
 {
     const std::lock_guard lock(this->mutex);
