A stream's fingerprint is made of the identity that its request already has

streamFingerprintOf() hashed method, host, path and body once more, up to three times for a request of a resumable route, though Relay::handle() has done so. It takes the identity now.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -50,25 +50,25 @@
 
 //! Returns the stream of \p call at \p service. What its key depends on is the same for all attempts of the stream, whether or not a caller that takes it up
 //! names the attempt that began it.
-StreamIdentity streamOf(const RelayCall &call, const std::string &service)
+StreamIdentity streamOf(const RelayCall &call, const RequestIdentity &identity, const std::string &service)
 {
     const bool isNamed = call.resumeAfter && !call.resumedRequest.empty();
     StreamIdentity stream;
     stream.attempt = isNamed ? call.resumedRequest : call.requestId;
     stream.service = service;
-    stream.request = streamFingerprintOf(call);
+    stream.request = streamFingerprintOf(call, identity);
     stream.bucket = versionBucketOf(call.program ? call.program->program : hashText(stream.request));
     stream.isAttemptKnown = isNamed || !call.resumeAfter;
     return stream;
 }
 
 //! Returns the key that selects one of a route's targets; the same for all attempts of a stream that may be resumed.
-std::string routingKeyOf(const RelayCall &call, const Route &route)
+std::string routingKeyOf(const RelayCall &call, const RequestIdentity &identity, const Route &route)
 {
     if (call.program) {
         return call.program->branch;
     }
-    return isResumable(route) ? hashText(streamFingerprintOf(call)) : call.requestId;
+    return isResumable(route) ? hashText(streamFingerprintOf(call, identity)) : call.requestId;
 }
 
 //! Decides, just before \p request is written to a connection, whether it is sent. From then on one that runs at most once takes effect whether or not its
@@ -146,8 +146,9 @@
     }
     const RelayCall &call = decoded.value();
     const Route *route = active->routes.find(call.host, pathOf(call));
-    const std::shared_ptr<ServicePool> pool
-        = route == nullptr || route->targets.empty() ? nullptr : this->parts.pools.find(targetFor(*route, routingKeyOf(call, *route)).service);
+    const std::shared_ptr<ServicePool> pool = route == nullptr || route->targets.empty()
+        ? nullptr
+        : this->parts.pools.find(targetFor(*route, routingKeyOf(call, identityOf(call), *route)).service);
     if (!pool || this->parts.drain.admits(now + timeLimitOf(call, *route), pool->expectedMaxCallTime(), now)) {
         return std::nullopt;
     }
@@ -198,7 +199,7 @@
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
-    const std::string &service = targetFor(*context.route, routingKeyOf(context.call, *context.route)).service;
+    const std::string &service = targetFor(*context.route, routingKeyOf(context.call, context.identity, *context.route)).service;
     const auto foundService = context.active->services.find(service);
     context.deadline = context.arrived + timeLimitOf(context.call, *context.route);
     context.pool = this->parts.pools.find(service);
@@ -238,7 +239,7 @@
         co_return true;
     }
     const RelayCall &call = context.call;
-    context.stream = streamOf(call, context.service->name);
+    context.stream = streamOf(call, context.identity, context.service->name);
     if (!call.resumeAfter) {
         co_return true;
     }
@@ -278,7 +279,7 @@
     if (mayHaveMissedChange() || this->parts.configurationHolder.current() != context.active) {
         co_return false;
     }
-    const std::string key = routingKeyOf(context.call, *context.route);
+    const std::string key = routingKeyOf(context.call, context.identity, *context.route);
     co_return this->parts.configurationHolder.servicesOf(*context.route, key, currentTime()).size() == 1;
 }
 
--- a/src/gateway/relaycall.cpp
+++ b/src/gateway/relaycall.cpp
@@ -18,9 +18,9 @@
     return RequestIdentity{hashOf(call.body, seed), hashOf(std::string_view(call.body).substr(0, identifyingBytes), seed)};
 }
 
-RequestFingerprint streamFingerprintOf(const RelayCall &call)
+RequestFingerprint streamFingerprintOf(const RelayCall &call, const RequestIdentity &identity)
 {
-    RequestFingerprint fingerprint = identityOf(call).exact;
+    RequestFingerprint fingerprint = identity.exact;
     for (const PromptPart &part : call.promptParts) {
         fingerprint = hashOf(part.id, fingerprint);
     }
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -52,8 +52,8 @@
 RequestIdentity identityOf(const RelayCall &call);
 
 //! Returns a hash that all attempts of a stream share and other streams do not: of what \p call asks for, the parts of its prompt, and the branch of its
-//! program. Callers may leave out which attempt began the stream that they take up.
-RequestFingerprint streamFingerprintOf(const RelayCall &call);
+//! program. \p identity is that of \p call. Callers may leave out which attempt began the stream that they take up.
+RequestFingerprint streamFingerprintOf(const RelayCall &call, const RequestIdentity &identity);
 
 //! What the gateway adds to a call for the endpoint.
 struct ForwardingOptions
