Log which fields a new configuration changes

`activated` named the versions only, so a log did not tell whether a stream went on across a change of its route's targets, of whether its streams may be resumed, or of limits alone. It has `changed` now, such as "resumable=1 targets=1".

No change of behaviour.

--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -1,6 +1,7 @@
 #include "gateway/directorysync.h"
 
 #include "decision/hash.h"
+#include "gateway/configurationchange.h"
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
@@ -174,14 +175,16 @@
     }
     PendingConfiguration taken = std::move(*this->pending);
     this->pending.reset();
-    const std::uint64_t before = this->parts.configurationHolder.version();
+    const std::shared_ptr<const ActiveGatewayConfiguration> before = this->parts.configurationHolder.current();
+    const std::string changed = before ? describeChange(before->configuration, taken.configuration) : std::string();
     const std::size_t routes = taken.configuration.routes.size();
     this->parts.configurationHolder.activateIfNewer(std::move(taken.configuration), now);
     logRecord(isRecorded ? LogLevel::Info : LogLevel::Warning,
               "configuration",
               "activated",
               {{"version", std::to_string(taken.targets.version)},
-               {"before", std::to_string(before)},
+               {"before", std::to_string(before ? before->configuration.version : 0)},
+               {"changed", changed},
                {"revision", std::to_string(taken.revision)},
                {"source", taken.source},
                {"behind_ms", milliseconds(this->configurationQueries.behindFor(now).value_or(Duration::zero()))},
