Tests: streams that are taken up across a change of a field of their route

Six cases with real gateways, two software versions of one service and another service; 12 streams begin, a field of their route changes, one or all gateways are killed or none, and the streams are taken up behind their third event.

Take-ups are sent on a route that may not be resumed, also on `safe` and `unsafe` ones; streams that began while the route could not be resumed go on at the other software version, or at the other service.

--- /dev/null
+++ b/tests/gateway/routefieldtests.cpp
@@ -0,0 +1,195 @@
+//! Streams that callers take up after a field of their route, other than its targets, has changed.
+
+#include "restartcluster.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int streamCount = restartStreamCount;
+
+//! The route of the streams in a configuration.
+struct RouteFields
+{
+    std::string host = "h.example";
+    std::string prefix = "/moved/";
+    std::string kind = "streaming";
+    std::string service = "engine";
+    bool isResumable = true;
+    int timeoutMs = 8000;
+    int maxAttempts = 1;
+};
+
+std::string textOf(const RouteFields &route)
+{
+    return R"(,{"Name":"moved","Host":")" + route.host + R"(","PathPrefix":")" + route.prefix + R"(","Kind":")" + route.kind + R"(","TimeoutMs":)"
+        + std::to_string(route.timeoutMs) + R"(,"TargetLatencyMs":250,"Priority":0,"Service":")" + route.service + R"(","MaxAttempts":)"
+        + std::to_string(route.maxAttempts) + R"(,"Resumable":)" + (route.isResumable ? "true" : "false") + R"(,"GapAimMs":200})";
+}
+
+//! Which gateways end, and start again, between a change and the take-ups behind it.
+enum class Restart : std::uint8_t { None, One, All };
+
+//! Gateways before an endpoint of v1 and one of v2 of a service, and two endpoints of another one.
+struct RouteFieldCluster : RestartCluster
+{
+    explicit RouteFieldCluster(const RouteFields &route)
+        : RestartCluster(textOf(route))
+    {
+        this->endpoints[1]->setVersion("v2");
+        this->registerEndpoint(1);
+        for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway) {
+            REQUIRE(this->logHas(gateway, R"("buckets":"v1:64,v2:64")"));
+        }
+    }
+
+    //! Has the configuration \p version with \p route in force at all gateways.
+    void change(int version, const RouteFields &route)
+    {
+        this->configure(version, textOf(route));
+        for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway) {
+            this->awaitVersion(gateway, version);
+        }
+    }
+
+    void restart(Restart restart, int version)
+    {
+        if (restart == Restart::None) {
+            return;
+        }
+        this->RestartCluster::restart(restart == Restart::One ? std::vector<std::size_t>{1} : std::vector<std::size_t>{0, 1, 2});
+        REQUIRE(this->waitUntilReady());
+        for (const std::size_t gateway : restart == Restart::One ? std::vector<std::size_t>{1} : std::vector<std::size_t>{0, 1, 2}) {
+            this->awaitVersion(gateway, version);
+        }
+    }
+
+    //! Takes all streams up at \p gateway. Checks that each goes on where it began, or is refused and not received by any endpoint. Returns how many were
+    //! served.
+    int takeUpWhereBegun(std::size_t gateway)
+    {
+        int served = 0;
+        for (int number = 0; number < streamCount; ++number) {
+            const std::string begun = "begun-" + std::to_string(number);
+            const std::string id = "taken-up-" + std::to_string(++this->takeUps);
+            const std::string answer = this->send(gateway, number, id, begun);
+            CAPTURE(answer);
+            if (answer.starts_with("HTTP/1.1 200")) {
+                served += 1;
+                // The endpoints of the other service are of one version.
+                const std::string endpoint = this->firstEndpointOf(id);
+                const std::string first = this->firstEndpointOf(begun);
+                CHECK((endpoint == first || (endpoint.starts_with("other") && first.starts_with("other"))));
+            } else {
+                CHECK(answer.starts_with("HTTP/1.1 503"));
+                CHECK(this->firstEndpointOf(id).empty());
+            }
+        }
+        return served;
+    }
+};
+
+constexpr std::array<Restart, 3> restarts{Restart::None, Restart::One, Restart::All};
+
+} // namespace
+
+// Guards against joined streams where a request that goes on behind an event is sent on a route that does not allow it, as if it were a first attempt.
+TEST_CASE("Route fields: a take-up on a route whose streams may not be resumed is refused as not run")
+{
+    RestartCluster cluster(textOf(RouteFields{.isResumable = false}));
+    cluster.beginAll(0);
+    for (const std::string path : {"/moved/0/turn", "/reads/1", "/orders/1"}) {
+        CAPTURE(path);
+        const std::size_t before = cluster.receivedCount();
+        const std::string answer = cluster.sendRaw(0,
+                                                   "POST " + path
+                                                       + " HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nConnection: close\r\n"
+                                                         "Oleandergate-Request-Id: again-"
+                                                       + std::to_string(before) + "\r\nLast-Event-Id: 3\r\nResumes: begun-0\r\n\r\nbody");
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(cluster.receivedCount() == before);
+    }
+}
+
+// Guards against joined streams where the flag goes and the route moves before the take-up, or comes back behind it.
+TEST_CASE("Route fields: streams are not taken up elsewhere while their route may not be resumed, nor after it may again")
+{
+    for (const bool isMoved : {false, true}) {
+        for (const Restart restart : restarts) {
+            CAPTURE(isMoved);
+            CAPTURE(static_cast<int>(restart));
+            RouteFieldCluster cluster(RouteFields{});
+            cluster.beginAll(0);
+            cluster.change(2, RouteFields{.service = isMoved ? "other" : "engine", .isResumable = false});
+            cluster.restart(restart, 2);
+            CHECK(cluster.takeUpWhereBegun(1) == 0);
+            cluster.change(3, RouteFields{.service = isMoved ? "other" : "engine"});
+            cluster.takeUpWhereBegun(1);
+            cluster.takeUpWhereBegun(2);
+        }
+    }
+}
+
+// Guards against joined streams of two software versions, or of two services: nothing was known of a stream that began while its route could not be resumed.
+TEST_CASE("Route fields: streams that began while their route could not be resumed are not taken up elsewhere once it may")
+{
+    for (const bool isMoved : {false, true}) {
+        for (const Restart restart : restarts) {
+            CAPTURE(isMoved);
+            CAPTURE(static_cast<int>(restart));
+            RouteFieldCluster cluster(RouteFields{.isResumable = false});
+            cluster.beginAll(0);
+            cluster.change(2, RouteFields{.service = isMoved ? "other" : "engine"});
+            cluster.restart(restart, 2);
+            for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+                cluster.takeUpWhereBegun(gateway);
+            }
+        }
+    }
+}
+
+// The same where all gateways end before the change, so that none of them sees it.
+TEST_CASE("Route fields: streams that began while their route could not be resumed are not taken up after a change that no process saw")
+{
+    RouteFieldCluster cluster(RouteFields{.isResumable = false});
+    cluster.beginAll(0);
+    for (ChildProcess &gateway : cluster.gateways) {
+        gateway.kill();
+    }
+    cluster.configure(2, textOf(RouteFields{.service = "other"}));
+    cluster.RestartCluster::restart({0, 1, 2});
+    REQUIRE(cluster.waitUntilReady());
+    cluster.takeUpWhereBegun(0);
+    cluster.takeUpWhereBegun(1);
+}
+
+// Guards against joined streams where a change is taken back before most processes have seen it.
+TEST_CASE("Route fields: streams of a route that may be resumed again after some milliseconds go on where they began")
+{
+    RouteFieldCluster cluster(RouteFields{});
+    cluster.beginAll(0);
+    cluster.configure(2, textOf(RouteFields{.service = "other", .isResumable = false}));
+    cluster.configure(3, textOf(RouteFields{}));
+    for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+        cluster.awaitVersion(gateway, 3);
+        cluster.takeUpWhereBegun(gateway);
+    }
+    cluster.restart(Restart::All, 3);
+    cluster.takeUpWhereBegun(1);
+}
+
+// Guards against refusing what can go on: a route that has been resumable all the time.
+TEST_CASE("Route fields: a change of limits alone leaves the streams of a route to be taken up")
+{
+    RouteFieldCluster cluster(RouteFields{});
+    cluster.beginAll(0);
+    cluster.change(2, RouteFields{.timeoutMs = 6000, .maxAttempts = 3});
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+    cluster.restart(Restart::All, 2);
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+}
