A request that goes on behind an event is refused where its route does not allow it

What callers saw: a stream that broke off was taken up while its route might not be resumed, and went on at the software version, or the service, to which the request happened to be sent. The log had `resumes_after: 9` with an empty `stream_version` and no line of `versions`.

Cause: `relay.cpp` asked `kind == Stream && resumable` for all that is known of a stream, and passed a take-up on any other route on with its `Last-Event-Id`, like a first attempt.

Change: on any other route, also a `safe` or `unsafe` one, and also where the flag has never changed, it is refused at once as not run: 503, `not_resumable`.

--- a/src/decision/errorcode.h
+++ b/src/decision/errorcode.h
@@ -38,6 +38,7 @@
     Timeout,
     Internal,
     VersionUnknown,
+    NotResumable,
     Count
 };
 
@@ -72,6 +73,7 @@
     {ErrorCode::Timeout, "timeout"},
     {ErrorCode::Internal, "internal"},
     {ErrorCode::VersionUnknown, "version_unknown"},
+    {ErrorCode::NotResumable, "not_resumable"},
 }};
 
 //! Returns the name of \p code.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -202,6 +202,14 @@
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
+    if (context.call.resumeAfter && !isResumable(*context.route)) {
+        co_await this->refuse(context,
+                              relayError(ErrorCode::NotResumable,
+                                         Step::Admit,
+                                         Executed::No,
+                                         "streams of the route " + context.route->name + " may not be resumed; the request may be sent again from its start"));
+        co_return;
+    }
     const std::string &service = targetFor(*context.route, routingKeyOf(context.call, context.identity, *context.route)).service;
     const auto foundService = context.active->services.find(service);
     context.deadline = context.arrived + timeLimitOf(context.call, *context.route);
--- a/src/runtime/programdocument.cpp
+++ b/src/runtime/programdocument.cpp
@@ -30,7 +30,7 @@
     {ErrorCode::ServiceUnavailable, 503}, {ErrorCode::NoEndpoint, 503},           {ErrorCode::CrashesEndpoints, 503}, {ErrorCode::VersionUnknown, 503},
     {ErrorCode::EndpointFailed, 502},     {ErrorCode::EndpointGarbled, 502},      {ErrorCode::OutcomeUnknown, 502},   {ErrorCode::Cancelled, 409},
     {ErrorCode::Conflict, 409},           {ErrorCode::InvalidConfiguration, 400}, {ErrorCode::PeerFailed, 503},       {ErrorCode::Timeout, 504},
-    {ErrorCode::Internal, 500},
+    {ErrorCode::Internal, 500},           {ErrorCode::NotResumable, 503},
 }};
 
 json::object describe(const TurnRecord &turn)
