Streams that may have begun while their route could not be resumed are not taken up

What callers saw: `Resumable` went off and on, and streams that began in between went on at another software version, without a move of the route too, or at another service. The log had `source: assignment` at v1 for a stream that v2 had begun.

Cause: a stream on a route that may not be resumed begins without bucket, record or fingerprint, and the record of targets left such routes out. Once the flag was back, nothing told that a stream could have begun so, and the assignment, which vouches only for streams that began under it, was taken for its version.

Change: the record of targets, and what each process remembers of former ones, hold all routes for streams and whether these may be resumed. A change of that counts like a change of targets; a take-up that may belong to a stream from before is refused as not run, with a reason of its own in the log, for the longest timeout and 5 s. Routes that may not be resumed stand in a field that earlier builds do not read; records of theirs are completed. Beginning all streams by bucket and key was weighed (docs/design/software-versions.md).

--- a/src/decision/routetargethistory.cpp
+++ b/src/decision/routetargethistory.cpp
@@ -1,7 +1,5 @@
 #include "decision/routetargethistory.h"
 
-#include "decision/routetable.h"
-
 #include <algorithm>
 
 namespace oleandergate {
@@ -20,27 +18,28 @@
     std::erase_if(this->formers, [](const auto &entry) {
         return entry.second.empty();
     });
-    for (const auto &[key, routes] : replacedTargets(resumableTargets(before), resumableTargets(after), earlier)) {
+    for (const auto &[key, routes] : replacedTargets(streamTargets(before), streamTargets(after), earlier)) {
         for (const RouteTargets &route : routes) {
             this->formers[key].push_back(Former{route, now + route.timeout + targetChangeDelay});
         }
     }
 }
 
-std::set<std::string> RouteTargetHistory::servicesOf(const Route &route, std::string_view path, std::string_view key, Time now) const
+StreamOrigins RouteTargetHistory::originsOf(const Route &route, std::string_view path, std::string_view key, Time now) const
 {
-    std::set<std::string> services{targetFor(route, key).service};
+    StreamOrigins origins;
+    origins.add(RouteTargets{route.timeout, route.targets, route.resumable}, key);
     for (const auto &[formerKey, entries] : this->formers) {
         if (!concerns(formerKey, route.host, route.prefix, path)) {
             continue;
         }
         for (const Former &former : entries) {
             if (now <= former.lapsesAt) {
-                services.insert(targetFor(former.route.targets, key).service);
+                origins.add(former.route, key);
             }
         }
     }
-    return services;
+    return origins;
 }
 
 } // namespace oleandergate
--- a/src/decision/routetargethistory.h
+++ b/src/decision/routetargethistory.h
@@ -7,7 +7,7 @@
 
 namespace oleandergate {
 
-//! The former targets of routes whose streams may be resumed: a stream that began before a change may be taken up after it. Knows the changes that this
+//! The former targets of routes for streams: a stream that began before a change may be taken up after it. Knows the changes that this
 //! instance itself has made; see RouteTargetLedger for the others. Not thread-safe.
 class RouteTargetHistory
 {
@@ -15,9 +15,9 @@
     //! The routes \p before were replaced by \p after.
     void onReplaced(const std::vector<Route> &before, const std::vector<Route> &after, Time now);
 
-    //! Returns the services at which streams with \p key and the path \p path that are taken up now may have begun: that of the present targets of \p route,
-    //! which \p path matches, and those of its former ones.
-    std::set<std::string> servicesOf(const Route &route, std::string_view path, std::string_view key, Time now) const;
+    //! Returns how streams with \p key and the path \p path that are taken up now may have begun: by the present targets of \p route, which \p path
+    //! matches, or by its former ones.
+    StreamOrigins originsOf(const Route &route, std::string_view path, std::string_view key, Time now) const;
 
 private:
     struct Former
--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -1,7 +1,5 @@
 #include "decision/routetargetledger.h"
 
-#include "decision/routetable.h"
-
 #include <algorithm>
 
 namespace oleandergate {
@@ -61,14 +59,16 @@
 
 bool RouteTargetLedger::holds(const VersionedTargets &targets) const
 {
-    return this->isRead() && hasSameTargets(this->present.routes, targets.routes) && std::ranges::all_of(targets.routes, [this](const auto &entry) {
+    return this->isRead() && this->present.hasUnresumable && hasSameTargets(this->present.routes, targets.routes)
+        && std::ranges::all_of(targets.routes, [this](const auto &entry) {
                return this->present.routes.at(entry.first).timeout >= entry.second.timeout;
            });
 }
 
 bool RouteTargetLedger::isAsNewAs(const VersionedTargets &targets) const
 {
-    return this->isRead() && this->present.version >= targets.version;
+    const bool isSameVersion = this->present.version == targets.version && this->present.hasUnresumable;
+    return this->isRead() && (isSameVersion || this->present.version > targets.version);
 }
 
 std::optional<RouteTargetLedger::Change> RouteTargetLedger::changeTo(const VersionedTargets &targets, const std::vector<VersionedTargets> &unrecorded) const
@@ -93,6 +93,9 @@
         route.timeout = before == this->present.routes.end() ? route.timeout : std::max(route.timeout, before->second.timeout);
     }
     change.former = replacedTargets(this->present.routes, change.present.routes, earlier);
+    if (this->isRead() && !this->present.hasUnresumable) {
+        this->addLeftOut(change, change.former);
+    }
     change.retention = std::max(longestTimeout(this->present.routes), longestTimeout(change.present.routes));
     for (const VersionedTargets &begun : unrecorded) {
         append(change.former, replacedTargets(begun.routes, change.present.routes, earlier));
@@ -102,12 +105,23 @@
     return change;
 }
 
-void RouteTargetLedger::addServices(const Route &route, std::string_view path, std::string_view key, Time now, std::set<std::string> &services) const
+void RouteTargetLedger::addLeftOut(const Change &change, FormerTargets &former) const
+{
+    for (const auto &[key, route] : change.present.routes) {
+        if (route.isResumable && !this->present.routes.contains(key)) {
+            RouteTargets leftOut = route;
+            leftOut.isResumable = false;
+            former[key].push_back(std::move(leftOut));
+        }
+    }
+}
+
+void RouteTargetLedger::addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const
 {
     // Differs from the targets of the route if the record is behind the configuration, or the other way round.
     const RouteTargets *presentTargets = findTargets(this->present.routes, route.host, path);
     if (presentTargets != nullptr) {
-        services.insert(targetFor(presentTargets->targets, key).service);
+        origins.add(*presentTargets, key);
     }
     for (const auto &[recordKey, former] : this->formers) {
         if (now > former.lapsesAt) {
@@ -118,7 +132,7 @@
                 continue;
             }
             for (const RouteTargets &targets : routes) {
-                services.insert(targetFor(targets.targets, key).service);
+                origins.add(targets, key);
             }
         }
     }
--- a/src/decision/routetargetledger.h
+++ b/src/decision/routetargetledger.h
@@ -13,6 +13,7 @@
 {
     std::uint64_t version = 0;
     RouteTargetMap routes{};
+    bool hasUnresumable = true; //!< No for a record of an earlier build, which leaves out routes whose streams may not be resumed.
 };
 
 //! This instance's copy of the record that all instances share of the targets by which streams began: the present ones, and the former ones for as long as
@@ -48,15 +49,15 @@
     //! Returns whether the present targets are \p targets, for streams that last as long. Streams may begin by them.
     bool holds(const VersionedTargets &targets) const;
 
-    //! Returns whether the record is of the version of \p targets or a newer one.
+    //! Returns whether the record is of the version of \p targets, and names all that these do, or of a newer one.
     bool isAsNewAs(const VersionedTargets &targets) const;
 
     //! Returns what to write so that the record holds \p targets, unless it is newer, and that streams may have begun by \p unrecorded, as this instance has
     //! begun some by them. Returns nothing when there is nothing to write, or the record has not been read.
     std::optional<Change> changeTo(const VersionedTargets &targets, const std::vector<VersionedTargets> &unrecorded) const;
 
-    //! Adds to \p services those at which streams with \p key and the path \p path, which matches \p route, may have begun by the record.
-    void addServices(const Route &route, std::string_view path, std::string_view key, Time now, std::set<std::string> &services) const;
+    //! Adds to \p origins how streams with \p key and the path \p path, which matches \p route, may have begun by the record.
+    void addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const;
 
 private:
     struct Former
@@ -65,6 +66,9 @@
         Time lapsesAt{};
     };
 
+    //! Adds to \p former the routes of \p change that may be resumed and may not have been, as the record leaves such routes out.
+    void addLeftOut(const Change &change, FormerTargets &former) const;
+
     bool loaded = false;
     std::uint64_t revision = 0;
     VersionedTargets present;
--- a/src/decision/routetargets.cpp
+++ b/src/decision/routetargets.cpp
@@ -1,35 +1,44 @@
 #include "decision/routetargets.h"
 
+#include "decision/routetable.h"
+
 #include <algorithm>
 
 namespace oleandergate {
 
 namespace {
 
-bool isEqual(const std::vector<RouteTarget> &left, const std::vector<RouteTarget> &right)
+//! Returns whether streams begin alike by both.
+bool isEqual(const RouteTargets &left, const RouteTargets &right)
 {
-    return std::ranges::equal(left, right, [](const RouteTarget &one, const RouteTarget &other) {
-        return one.service == other.service && one.weight == other.weight;
-    });
+    return left.isResumable == right.isResumable && std::ranges::equal(left.targets, right.targets, [](const RouteTarget &one, const RouteTarget &other) {
+               return one.service == other.service && one.weight == other.weight;
+           });
 }
 
 } // namespace
 
-RouteTargetMap resumableTargets(const std::vector<Route> &routes)
+void StreamOrigins::add(const RouteTargets &route, std::string_view key)
+{
+    this->services.insert(targetFor(route.targets, key).service);
+    this->mayBeUnresumable = this->mayBeUnresumable || !route.isResumable;
+}
+
+RouteTargetMap streamTargets(const std::vector<Route> &routes)
 {
-    RouteTargetMap resumable;
+    RouteTargetMap targets;
     for (const Route &route : routes) {
-        if (route.kind == RouteKind::Stream && route.resumable && !route.targets.empty()) {
-            resumable[{route.host, route.prefix}] = RouteTargets{route.timeout, route.targets};
+        if (route.kind == RouteKind::Stream && !route.targets.empty()) {
+            targets[{route.host, route.prefix}] = RouteTargets{route.timeout, route.targets, route.resumable};
         }
     }
-    return resumable;
+    return targets;
 }
 
 bool hasSameTargets(const RouteTargetMap &left, const RouteTargetMap &right)
 {
     return std::ranges::equal(left, right, [](const auto &one, const auto &other) {
-        return one.first == other.first && isEqual(one.second.targets, other.second.targets);
+        return one.first == other.first && isEqual(one.second, other.second);
     });
 }
 
@@ -38,7 +47,7 @@
     FormerTargets replaced;
     for (const auto &[key, route] : before) {
         const auto found = after.find(key);
-        if (found == after.end() || !isEqual(route.targets, found->second.targets)) {
+        if (found == after.end() || !isEqual(route, found->second)) {
             replaced[key].push_back(route);
         }
     }
--- a/src/decision/routetargets.h
+++ b/src/decision/routetargets.h
@@ -18,27 +18,39 @@
 //! The host and the path prefix of a route.
 using RouteKey = std::pair<std::string, std::string>;
 
-//! The targets of a route whose streams may be resumed.
+//! The targets of a route for streams.
 struct RouteTargets
 {
     Duration timeout{}; //!< As in Route.
     std::vector<RouteTarget> targets{};
+    bool isResumable = true; //!< As in Route. Streams that begin while it is not leave nothing by which they could go on later.
 };
 
-//! The targets of all routes whose streams may be resumed, in one version of the configuration.
+//! The targets of all routes for streams, in one version of the configuration.
 using RouteTargetMap = std::map<RouteKey, RouteTargets>;
 
 //! Targets that a change replaced, by the route that the streams concerned match from then on, or matched until then.
 using FormerTargets = std::map<RouteKey, std::vector<RouteTargets>>;
 
-//! Returns the targets of those of \p routes whose streams may be resumed.
-RouteTargetMap resumableTargets(const std::vector<Route> &routes);
+//! How streams that are taken up may have begun.
+struct StreamOrigins
+{
+    std::set<std::string> services{};
+    bool mayBeUnresumable = false; //!< Some may have begun while their route could not be resumed.
+
+    //! Adds how streams with \p key begin by \p route.
+    void add(const RouteTargets &route, std::string_view key);
+};
+
+//! Returns the targets of those of \p routes that are for streams.
+RouteTargetMap streamTargets(const std::vector<Route> &routes);
 
-//! Returns whether the streams of all routes go to the same services by both, in the same shares.
+//! Returns whether the streams of all routes go to the same services by both, in the same shares, and may be resumed by both or by none.
 bool hasSameTargets(const RouteTargetMap &left, const RouteTargetMap &right);
 
-//! Returns the targets that streams had by \p before and do not have by \p after. A route that was added takes over streams of the route with the longest
-//! prefix of its own, and those that had other targets by \p earlier, the former targets of the routes in \p before.
+//! Returns the targets that streams had by \p before and do not have by \p after, also those that may be resumed by one of the two only. A route that was added
+//! takes over streams of the route with the longest prefix of its own, and those that had other targets by \p earlier, the former targets of the routes in \p
+//! before.
 FormerTargets replacedTargets(const RouteTargetMap &before, const RouteTargetMap &after, const FormerTargets &earlier);
 
 //! Returns the targets of the route that matches \p path at \p host; nullptr when none does.
--- a/src/gateway/activegatewayconfiguration.h
+++ b/src/gateway/activegatewayconfiguration.h
@@ -15,7 +15,7 @@
     explicit ActiveGatewayConfiguration(GatewayConfiguration given)
         : configuration(std::move(given))
         , routes(configuration.routes)
-        , targets{configuration.version, resumableTargets(configuration.routes)}
+        , targets{configuration.version, streamTargets(configuration.routes)}
     {
         for (const GatewayService &service : this->configuration.services) {
             this->services[service.name] = service;
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -147,7 +147,7 @@
     const Time now = currentTime();
     read.value().receivedAt = now;
     PendingConfiguration taken;
-    taken.targets = VersionedTargets{read.value().version, resumableTargets(read.value().routes)};
+    taken.targets = VersionedTargets{read.value().version, streamTargets(read.value().routes)};
     taken.configuration = std::move(read.value());
     // One that is replaced again and again must not wait for ever.
     taken.since = this->pending ? this->pending->since : now;
--- a/src/gateway/gatewayconfigurationholder.cpp
+++ b/src/gateway/gatewayconfigurationholder.cpp
@@ -40,10 +40,10 @@
     return this->active;
 }
 
-std::set<std::string> GatewayConfigurationHolder::servicesOf(const Route &route, std::string_view path, std::string_view key, Time now) const
+StreamOrigins GatewayConfigurationHolder::originsOf(const Route &route, std::string_view path, std::string_view key, Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->formerTargets.servicesOf(route, path, key, now);
+    return this->formerTargets.originsOf(route, path, key, now);
 }
 
 std::uint64_t GatewayConfigurationHolder::version() const
--- a/src/gateway/gatewayconfigurationholder.h
+++ b/src/gateway/gatewayconfigurationholder.h
@@ -27,7 +27,7 @@
     std::shared_ptr<const ActiveGatewayConfiguration> current() const;
 
     //! As in RouteTargetHistory, for the configurations that were active here.
-    std::set<std::string> servicesOf(const Route &route, std::string_view path, std::string_view key, Time now) const;
+    StreamOrigins originsOf(const Route &route, std::string_view path, std::string_view key, Time now) const;
 
     //! Returns the version of the active configuration, or 0.
     std::uint64_t version() const;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -295,9 +295,12 @@
     }
     const std::string_view path = pathOf(context.call);
     const std::string key = routingKeyOf(context.call, context.identity, *context.route);
-    std::set<std::string> services = this->parts.configurationHolder.servicesOf(*context.route, path, key, currentTime());
-    this->parts.targets.addServices(*context.route, path, key, currentTime(), services);
-    co_return services.size() == 1 ? ServiceDoubt::None : ServiceDoubt::SeveralServices;
+    StreamOrigins origins = this->parts.configurationHolder.originsOf(*context.route, path, key, currentTime());
+    this->parts.targets.addOrigins(*context.route, path, key, currentTime(), origins);
+    if (origins.mayBeUnresumable) {
+        co_return ServiceDoubt::Unresumable;
+    }
+    co_return origins.services.size() == 1 ? ServiceDoubt::None : ServiceDoubt::SeveralServices;
 }
 
 asio::awaitable<bool> Relay::confirmTargetRecord(RelayRequest &context)
--- a/src/gateway/routetargetrecords.cpp
+++ b/src/gateway/routetargetrecords.cpp
@@ -22,6 +22,10 @@
 constexpr const char *presentKey = "oleandergate/versions/routes";
 constexpr const char *formerPrefix = "oleandergate/versions/routes/before/";
 
+//! Fields of a record with its routes. Earlier builds know the first one only.
+constexpr const char *resumableField = "routes";
+constexpr const char *unresumableField = "unresumable";
+
 //! Instances that write changes take turns, as all would write the same one: the first ones have time for a whole write each.
 constexpr std::size_t firstProposers = 3;
 constexpr Duration firstProposerDelay = std::chrono::milliseconds(150);
@@ -57,24 +61,29 @@
     std::uint64_t version = 0;
     FormerTargets routes{};
     Duration retention{}; //!< Of former targets.
+    bool hasUnresumable = true; //!< As in VersionedTargets.
 };
 
 std::string encode(const TargetRecord &record)
 {
-    json::array rows;
+    json::object object{{"version", record.version}, {"retention_ms", std::chrono::duration_cast<std::chrono::milliseconds>(record.retention).count()}};
+    object[resumableField] = json::array();
+    if (record.hasUnresumable) {
+        object[unresumableField] = json::array();
+    }
     for (const auto &[key, entries] : record.routes) {
         for (const RouteTargets &route : entries) {
-            rows.push_back(routeToJson(key, route));
+            object[route.isResumable ? resumableField : unresumableField].as_array().push_back(routeToJson(key, route));
         }
     }
-    const auto retentionMs = std::chrono::duration_cast<std::chrono::milliseconds>(record.retention).count();
-    return json::serialize(json::object{{"version", record.version}, {"retention_ms", retentionMs}, {"routes", std::move(rows)}});
+    return json::serialize(object);
 }
 
 std::string encode(const VersionedTargets &targets)
 {
     TargetRecord record;
     record.version = targets.version;
+    record.hasUnresumable = targets.hasUnresumable;
     for (const auto &[key, route] : targets.routes) {
         record.routes[key].push_back(route);
     }
@@ -91,35 +100,46 @@
     return RouteTarget{std::string(fields->at(0).get_string()), static_cast<std::uint32_t>(fields->at(1).get_int64())};
 }
 
-//! Returns nothing when a field is missing or invalid.
-std::optional<TargetRecord> decode(const std::string &text)
+//! Adds the routes in the field \p name of a record to \p routes. Returns false when one of them is invalid.
+bool readRoutes(const json::object &object, const char *name, FormerTargets &routes)
 {
-    const json::object object = parseJsonObject(text);
-    const std::int64_t version = jsonNumber(object, "version", -1);
-    if (version < 0 || !object.contains("routes")) {
-        return std::nullopt;
-    }
-    TargetRecord decoded;
-    decoded.version = static_cast<std::uint64_t>(version);
-    decoded.retention = std::chrono::milliseconds(jsonNumber(object, "retention_ms"));
-    for (const json::object &row : jsonObjects(object, "routes")) {
+    for (const json::object &row : jsonObjects(object, name)) {
         RouteTargets route;
+        route.isResumable = name == std::string_view(resumableField);
         route.timeout = std::chrono::milliseconds(jsonNumber(row, "timeout_ms"));
         const json::value *targets = row.if_contains("targets");
         if (targets == nullptr || !targets->is_array()) {
-            return std::nullopt;
+            return false;
         }
         for (const json::value &target : targets->get_array()) {
             std::optional<RouteTarget> read = targetFromJson(target);
             if (!read) {
-                return std::nullopt;
+                return false;
             }
             route.targets.push_back(std::move(*read));
         }
         if (route.targets.empty()) {
-            return std::nullopt;
+            return false;
         }
-        decoded.routes[{jsonText(row, "host"), jsonText(row, "prefix")}].push_back(std::move(route));
+        routes[{jsonText(row, "host"), jsonText(row, "prefix")}].push_back(std::move(route));
+    }
+    return true;
+}
+
+//! Returns nothing when a field is missing or invalid.
+std::optional<TargetRecord> decode(const std::string &text)
+{
+    const json::object object = parseJsonObject(text);
+    const std::int64_t version = jsonNumber(object, "version", -1);
+    if (version < 0 || !object.contains(resumableField)) {
+        return std::nullopt;
+    }
+    TargetRecord decoded;
+    decoded.version = static_cast<std::uint64_t>(version);
+    decoded.retention = std::chrono::milliseconds(jsonNumber(object, "retention_ms"));
+    decoded.hasUnresumable = object.contains(unresumableField);
+    if (!readRoutes(object, resumableField, decoded.routes) || !readRoutes(object, unresumableField, decoded.routes)) {
+        return std::nullopt;
     }
     return decoded;
 }
@@ -159,6 +179,7 @@
     }
     VersionedTargets targets;
     targets.version = record->version;
+    targets.hasUnresumable = record->hasUnresumable;
     for (auto &[key, routes] : record->routes) {
         targets.routes[key] = std::move(routes.front());
     }
@@ -226,10 +247,10 @@
     return this->ledger.isRead();
 }
 
-void RouteTargetRecords::addServices(const Route &route, std::string_view path, std::string_view key, Time now, std::set<std::string> &services) const
+void RouteTargetRecords::addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const
 {
     const std::lock_guard lock(this->mutex);
-    this->ledger.addServices(route, path, key, now, services);
+    this->ledger.addOrigins(route, path, key, now, origins);
 }
 
 bool RouteTargetRecords::isProposer(Duration waited, Time now) const
--- a/src/gateway/routetargetrecords.h
+++ b/src/gateway/routetargetrecords.h
@@ -24,7 +24,7 @@
 
 //! Keeps the record of the targets by which streams began in the key-value service. Thread-safe, up to step().
 //!
-//! A change of the targets of routes whose streams may be resumed is written once, by one of the instances, before the others use it. Its cost is one lease
+//! A change of the targets of routes for streams is written once, by one of the instances, before the others use it. Its cost is one lease
 //! and one transaction; changes of anything else cost nothing.
 class RouteTargetRecords
 {
@@ -65,7 +65,7 @@
     bool isAsNewAs(const VersionedTargets &targets) const;
     bool isLoaded() const;
     bool isRead() const;
-    void addServices(const Route &route, std::string_view path, std::string_view key, Time now, std::set<std::string> &services) const;
+    void addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const;
 
     //! Writes or reads the record if that is due. To be called often, on the context's thread.
     void step(Time now);
--- a/src/gateway/servicedoubt.h
+++ b/src/gateway/servicedoubt.h
@@ -14,14 +14,16 @@
     OutdatedConfiguration, //!< This instance may have missed a change.
     RecordUnread, //!< The record of targets has not been read since the configuration arrived.
     SeveralServices, //!< Streams of the route went to another service not long ago.
+    Unresumable, //!< Streams of the route could not be resumed not long ago.
 };
 
-inline constexpr std::array<NamedValue<ServiceDoubt>, 5> serviceDoubtNames{{
+inline constexpr std::array<NamedValue<ServiceDoubt>, 6> serviceDoubtNames{{
     {ServiceDoubt::None, "none"},
     {ServiceDoubt::OtherService, "begun at another service"},
     {ServiceDoubt::OutdatedConfiguration, "the configuration may be outdated"},
     {ServiceDoubt::RecordUnread, "the record of targets could not be read"},
     {ServiceDoubt::SeveralServices, "several services may have begun the stream"},
+    {ServiceDoubt::Unresumable, "the stream may have begun while its route could not be resumed"},
 }};
 
 } // namespace oleandergate
--- a/tests/unit/routetargethistorytests.cpp
+++ b/tests/unit/routetargethistorytests.cpp
@@ -31,11 +31,11 @@
     const Route before = splitRoute(100, 0);
     const Route after = splitRoute(0, 100);
     RouteTargetHistory history;
-    CHECK(history.servicesOf(before, "/split/1", "key", start) == std::set<std::string>{"one"});
+    CHECK(history.originsOf(before, "/split/1", "key", start).services == std::set<std::string>{"one"});
     history.onReplaced({before}, {after}, start);
-    CHECK(history.servicesOf(after, "/split/1", "key", start) == std::set<std::string>{"one", "two"});
-    CHECK(history.servicesOf(after, "/split/1", "key", start + timeout) == std::set<std::string>{"one", "two"});
-    CHECK(history.servicesOf(after, "/split/1", "key", start + 3 * timeout) == std::set<std::string>{"two"});
+    CHECK(history.originsOf(after, "/split/1", "key", start).services == std::set<std::string>{"one", "two"});
+    CHECK(history.originsOf(after, "/split/1", "key", start + timeout).services == std::set<std::string>{"one", "two"});
+    CHECK(history.originsOf(after, "/split/1", "key", start + 3 * timeout).services == std::set<std::string>{"two"});
 }
 
 TEST_CASE("Route targets: a change that leaves the targets as they are tells nothing")
@@ -46,7 +46,7 @@
     RouteTargetHistory history;
     history.onReplaced({before}, {after}, start);
     for (const std::string key : {"a", "b", "c", "d"}) {
-        CHECK(history.servicesOf(after, "/split/1", key, start) == std::set<std::string>{targetFor(after, key).service});
+        CHECK(history.originsOf(after, "/split/1", key, start).services == std::set<std::string>{targetFor(after, key).service});
     }
 }
 
@@ -61,7 +61,7 @@
     for (int number = 0; number < keys; ++number) {
         const std::string key = "key-" + std::to_string(number);
         const bool isSame = targetFor(before, key).service == targetFor(after, key).service;
-        CHECK((history.servicesOf(after, "/split/1", key, start).size() == 1) == isSame);
+        CHECK((history.originsOf(after, "/split/1", key, start).services.size() == 1) == isSame);
         certain += isSame ? 1 : 0;
     }
     CHECK(certain > keys / 2);
@@ -76,7 +76,7 @@
     RouteTargetHistory history;
     history.onReplaced({before}, {}, start);
     history.onReplaced({}, {after}, start + std::chrono::seconds(1));
-    CHECK(history.servicesOf(after, "/split/1", "key", start + std::chrono::seconds(2)) == std::set<std::string>{"one", "two"});
+    CHECK(history.originsOf(after, "/split/1", "key", start + std::chrono::seconds(2)).services == std::set<std::string>{"one", "two"});
 }
 
 // Guards against a stream that goes on at another service: its route was removed, and one with a longer prefix came behind that.
@@ -88,5 +88,5 @@
     RouteTargetHistory history;
     history.onReplaced({shorter}, {}, start);
     history.onReplaced({}, {longer}, start + std::chrono::seconds(1));
-    CHECK(history.servicesOf(longer, "/split/1/turn", "key", start + std::chrono::seconds(2)) == std::set<std::string>{"one", "two"});
+    CHECK(history.originsOf(longer, "/split/1/turn", "key", start + std::chrono::seconds(2)).services == std::set<std::string>{"one", "two"});
 }
--- a/tests/unit/routetargetledgertests.cpp
+++ b/tests/unit/routetargetledgertests.cpp
@@ -24,7 +24,7 @@
 
 VersionedTargets version(std::uint64_t number, const std::vector<Route> &routes)
 {
-    return VersionedTargets{number, resumableTargets(routes)};
+    return VersionedTargets{number, streamTargets(routes)};
 }
 
 //! A record that holds \p targets, as an instance that has just started reads it.
@@ -38,9 +38,23 @@
 
 std::set<std::string> servicesBy(const RouteTargetLedger &ledger, const Route &matched, Time now = start)
 {
-    std::set<std::string> services{matched.targets.front().service};
-    ledger.addServices(matched, path, "key", now, services);
-    return services;
+    StreamOrigins origins;
+    origins.services = {matched.targets.front().service};
+    ledger.addOrigins(matched, path, "key", now, origins);
+    return origins.services;
+}
+
+bool mayBeUnresumable(const RouteTargetLedger &ledger, const Route &matched, Time now = start)
+{
+    StreamOrigins origins;
+    ledger.addOrigins(matched, path, "key", now, origins);
+    return origins.mayBeUnresumable;
+}
+
+Route unresumable(Route route)
+{
+    route.resumable = false;
+    return route;
 }
 
 } // namespace
@@ -201,3 +215,57 @@
     reader.addFormer("former", change->former, change->retention, start);
     CHECK(servicesBy(reader, routeTo("/a/b/", "two")) == std::set<std::string>{"two"});
 }
+
+// Guards against streams joined from two software versions: one that began while its route could not be resumed left no trace, and that was taken for none.
+TEST_CASE("Target record: a change of whether streams may be resumed is a change of the route")
+{
+    const RouteTargetLedger before = ledgerWith(version(1, {unresumable(routeTo("/a/", "one"))}));
+    const VersionedTargets after = version(2, {routeTo("/a/", "one")});
+    CHECK_FALSE(before.holds(after));
+    CHECK(mayBeUnresumable(before, routeTo("/a/", "one")));
+    const std::optional<RouteTargetLedger::Change> change = before.changeTo(after, {});
+    REQUIRE(change);
+    RouteTargetLedger reader = ledgerWith(change->present);
+    reader.addFormer("former", change->former, change->retention, start);
+    CHECK(mayBeUnresumable(reader, routeTo("/a/", "one")));
+    CHECK_FALSE(mayBeUnresumable(reader, routeTo("/a/", "one"), start + change->retention + timeout));
+    // Streams of a longer prefix are as they were.
+    const RouteTargetLedger longer = ledgerWith(version(1, {unresumable(routeTo("/a/", "one")), routeTo("/a/b/", "one")}));
+    const std::optional<RouteTargetLedger::Change> shorterChange = longer.changeTo(version(2, {routeTo("/a/", "one"), routeTo("/a/b/", "one")}), {});
+    REQUIRE(shorterChange);
+    RouteTargetLedger longerReader = ledgerWith(shorterChange->present);
+    longerReader.addFormer("former", shorterChange->former, shorterChange->retention, start);
+    CHECK_FALSE(mayBeUnresumable(longerReader, routeTo("/a/b/", "one")));
+}
+
+// The same where the route is another one: it takes streams over from one that may not be resumed.
+TEST_CASE("Target record: a route that may be resumed takes streams over that began on one that may not")
+{
+    const RouteTargetLedger writer = ledgerWith(version(1, {unresumable(routeTo("/a/", "one"))}));
+    const VersionedTargets after = version(2, {unresumable(routeTo("/a/", "one")), routeTo("/a/b/", "one")});
+    const std::optional<RouteTargetLedger::Change> change = writer.changeTo(after, {});
+    REQUIRE(change);
+    RouteTargetLedger reader = ledgerWith(change->present);
+    reader.addFormer("former", change->former, change->retention, start);
+    CHECK(mayBeUnresumable(reader, routeTo("/a/b/", "one")));
+}
+
+// Guards against the same beside an instance of an earlier build, whose records leave such routes out.
+TEST_CASE("Target record: one that leaves routes out which may not be resumed is completed, and a route that it lacks may have been one of them")
+{
+    VersionedTargets partial = version(1, {routeTo("/b/", "one")});
+    partial.hasUnresumable = false;
+    const RouteTargetLedger ledger = ledgerWith(partial);
+    const VersionedTargets sameVersion = version(1, {routeTo("/b/", "one"), unresumable(routeTo("/a/", "one"))});
+    CHECK_FALSE(ledger.holds(sameVersion));
+    CHECK_FALSE(ledger.isAsNewAs(sameVersion));
+    const std::optional<RouteTargetLedger::Change> completed = ledger.changeTo(sameVersion, {});
+    REQUIRE(completed);
+    CHECK(completed->present.hasUnresumable);
+    CHECK(completed->former.empty());
+    const std::optional<RouteTargetLedger::Change> later = ledger.changeTo(version(2, {routeTo("/b/", "one"), routeTo("/a/", "one")}), {});
+    REQUIRE(later);
+    RouteTargetLedger reader = ledgerWith(later->present);
+    reader.addFormer("former", later->former, later->retention, start);
+    CHECK(mayBeUnresumable(reader, routeTo("/a/", "one")));
+}
