The stand-in store ends leases, renews them, and deletes keys in transactions

Every lease of the stand-in lasted for ever, and the keys that a transaction deletes stayed, so no test and no soak has shown what a gateway does once something that it wrote has lapsed: what a release replaced, former targets of routes, records of streams. A transaction with an unknown lease has status 404 now, as the platform's page says.

--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -22,6 +22,9 @@
 namespace {
 
 constexpr Duration watchPollInterval = std::chrono::milliseconds(5);
+constexpr Duration leasePollInterval = std::chrono::milliseconds(20);
+constexpr std::string_view renewalPath = "/kv-keep/";
+constexpr Duration longestLease = std::chrono::minutes(10);
 
 //! How long after the copy of a former answer the answer itself follows: its caller has read the copy by then.
 constexpr Duration delayBehindCopy = std::chrono::milliseconds(100);
@@ -40,6 +43,7 @@
     : listenAddress(unusedAddress())
     , server(this->serve(listenAddress, unchanged))
 {
+    asio::co_spawn(this->context, this->expireLoop(), asio::detached);
     this->thread = std::thread([this]() {
         const auto work = asio::make_work_guard(this->context);
         this->context.run();
@@ -81,12 +85,61 @@
     return this->listenAddress;
 }
 
-void StandinStore::write(const std::string &key, const std::string &value, bool removed)
+asio::awaitable<void> StandinStore::expireLoop()
+{
+    while (true) {
+        co_await sleepFor(leasePollInterval);
+        this->expireLeases(currentTime());
+    }
+}
+
+void StandinStore::expireLeases(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::size_t ended = std::erase_if(this->leases, [now](const auto &entry) {
+        return now >= entry.second.endsAt;
+    });
+    if (ended == 0) {
+        return;
+    }
+    std::vector<std::string> lapsed;
+    for (const auto &[key, item] : this->items) {
+        if (item.lease != 0 && !this->leases.contains(item.lease)) {
+            lapsed.push_back(key);
+        }
+    }
+    this->revision += lapsed.empty() ? 0 : 1;
+    for (const std::string &key : lapsed) {
+        this->write(key, {}, true);
+    }
+}
+
+HttpResponse StandinStore::grantLease(const json::object &body, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const Duration lifetime = std::min<Duration>(std::chrono::milliseconds(jsonNumber(body, "TtlMs")), longestLease);
+    const std::uint64_t id = ++this->leasesGranted;
+    this->leases[id] = Lease{lifetime, now + lifetime};
+    return jsonResponse(json::serialize(json::object{{"Lease", id}, {"TtlMs", std::chrono::duration_cast<std::chrono::milliseconds>(lifetime).count()}}));
+}
+
+HttpResponse StandinStore::renewLease(const std::string &id, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->leases.find(std::stoull(id));
+    if (found == this->leases.end()) {
+        return jsonResponse("{}", 404);
+    }
+    found->second.endsAt = now + found->second.lifetime;
+    return jsonResponse("{}");
+}
+
+void StandinStore::write(const std::string &key, const std::string &value, bool removed, std::uint64_t lease)
 {
     if (removed) {
         this->items.erase(key);
     } else {
-        this->items[key] = Item{value, this->revision};
+        this->items[key] = Item{value, this->revision, lease};
     }
     this->changes.push_back(Change{key, value, this->revision, removed});
 }
@@ -225,9 +278,19 @@
     if (!holds) {
         return jsonResponse(json::serialize(json::object{{"items", current}}), 412);
     }
+    for (const json::value &row : body.at("SetKeys").as_array()) {
+        const auto lease = static_cast<std::uint64_t>(jsonNumber(row.as_object(), "Lease"));
+        if (lease != 0 && !this->leases.contains(lease)) {
+            return jsonResponse("{}", 404);
+        }
+    }
     this->revision += 1;
     for (const json::value &row : body.at("SetKeys").as_array()) {
-        this->write(std::string(row.at("Key").as_string()), fromBase64(std::string(row.at("Value").as_string())), false);
+        const auto lease = static_cast<std::uint64_t>(jsonNumber(row.as_object(), "Lease"));
+        this->write(std::string(row.at("Key").as_string()), fromBase64(std::string(row.at("Value").as_string())), false, lease);
+    }
+    for (const json::value &key : body.at("DeleteKeys").as_array()) {
+        this->write(std::string(key.as_string()), {}, true);
     }
     return jsonResponse(json::serialize(json::object{{"Revision", this->revision}}));
 }
@@ -251,7 +314,9 @@
     } else if (path == "/kv-txn") {
         response = this->transact(parseJsonObject(request.body), view);
     } else if (path == "/kv-lease") {
-        response = jsonResponse(R"({"Lease":77,"TtlMs":600000})");
+        response = this->grantLease(parseJsonObject(request.body), currentTime());
+    } else if (path.starts_with(renewalPath)) {
+        response = this->renewLease(path.substr(renewalPath.size()), currentTime());
     }
     {
         const std::lock_guard lock(this->mutex);
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_TESTS_GATEWAY_STANDINSTORE_H
 #define OLEANDERGATE_TESTS_GATEWAY_STANDINSTORE_H
 
+#include "decision/time.h"
 #include "runtime/httpserver.h"
 
 #include <boost/asio/io_context.hpp>
@@ -35,7 +36,7 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
-    //! Removes the keys that contain \p part, as the end of their leases does.
+    //! Removes the keys that contain \p part, as the end of their leases does. Leases also end by themselves when their time is over.
     void endLeases(const std::string &part);
 
     //! Returns the value of \p key, or an empty text if there is none.
@@ -59,6 +60,13 @@
     {
         std::string value{};
         std::uint64_t revision = 0;
+        std::uint64_t lease = 0; //!< None if 0.
+    };
+
+    struct Lease
+    {
+        Duration lifetime{};
+        Time endsAt{};
     };
 
     struct Change
@@ -90,7 +98,13 @@
     boost::asio::awaitable<bool> repeatFormer(const std::string &peer, HttpExchange &exchange);
     HttpResponse range(const HttpRequest &request, const View &view) const;
     HttpResponse transact(const boost::json::object &body, const View &view);
-    void write(const std::string &key, const std::string &value, bool removed);
+    HttpResponse grantLease(const boost::json::object &body, Time now);
+    HttpResponse renewLease(const std::string &id, Time now);
+    void write(const std::string &key, const std::string &value, bool removed, std::uint64_t lease = 0);
+
+    //! Removes the keys whose leases have ended.
+    void expireLeases(Time now);
+    boost::asio::awaitable<void> expireLoop();
 
     std::string listenAddress;
     boost::asio::io_context context{1};
@@ -99,6 +113,8 @@
     std::list<ViewServer> views;
     mutable std::mutex mutex;
     std::map<std::string, Item> items;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t leasesGranted = 0;
     std::vector<Change> changes;
     std::uint64_t revision = 1;
     std::atomic<bool> refusing{false};
