What is known of streams is kept until those that began under a longer timeout are over

What callers would see: `TimeoutMs` of a route becomes shorter, a release follows, and streams from before that are still under way are taken up at the new software version.

Cause: the time for which the record of a release is kept follows from the timeouts in force, and became shorter with them at once. Behind it the assignment counts as the only version that may have begun a stream. Class: no record is taken for a record that nothing happened. The record of route targets kept the longest timeout that a route ever had, for good; it now keeps a longer one as a former one, for as long as its streams may last.

Change: StreamRetention follows a shorter timeout only once streams from before it are over; after a restart the record of targets tells the longer one.

--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -71,6 +71,22 @@
     return this->isRead() && (isSameVersion || this->present.version > targets.version);
 }
 
+Duration RouteTargetLedger::longestTimeout(Time now) const
+{
+    Duration longest = oleandergate::longestTimeout(this->present.routes);
+    for (const auto &[key, former] : this->formers) {
+        if (now > former.lapsesAt) {
+            continue;
+        }
+        for (const auto &[routeKey, routes] : former.targets) {
+            for (const RouteTargets &route : routes) {
+                longest = std::max(longest, route.timeout);
+            }
+        }
+    }
+    return longest;
+}
+
 std::optional<RouteTargetLedger::Change> RouteTargetLedger::changeTo(const VersionedTargets &targets, const std::vector<VersionedTargets> &unrecorded) const
 {
     const bool isBehind = targets.version > 0 && !this->holds(targets) && !this->isAsNewAs(targets);
@@ -87,19 +103,14 @@
     Change change;
     change.expectedRevision = this->revision;
     change.present = isBehind ? targets : this->present;
-    for (auto &[key, route] : change.present.routes) {
-        // Streams that began while they might last longer may still be under way.
-        const auto before = this->present.routes.find(key);
-        route.timeout = before == this->present.routes.end() ? route.timeout : std::max(route.timeout, before->second.timeout);
-    }
     change.former = replacedTargets(this->present.routes, change.present.routes, earlier);
     if (this->isRead() && !this->present.hasUnresumable) {
         this->addLeftOut(change, change.former);
     }
-    change.retention = std::max(longestTimeout(this->present.routes), longestTimeout(change.present.routes));
+    change.retention = std::max(oleandergate::longestTimeout(this->present.routes), oleandergate::longestTimeout(change.present.routes));
     for (const VersionedTargets &begun : unrecorded) {
         append(change.former, replacedTargets(begun.routes, change.present.routes, earlier));
-        change.retention = std::max(change.retention, longestTimeout(begun.routes));
+        change.retention = std::max(change.retention, oleandergate::longestTimeout(begun.routes));
     }
     change.retention += targetChangeDelay;
     return change;
--- a/src/decision/routetargetledger.h
+++ b/src/decision/routetargetledger.h
@@ -52,6 +52,9 @@
     //! Returns whether the record is of the version of \p targets, and names all that these do, or of a newer one.
     bool isAsNewAs(const VersionedTargets &targets) const;
 
+    //! Returns the longest time for which streams last that may have begun by the present targets or by former ones.
+    Duration longestTimeout(Time now) const;
+
     //! Returns what to write so that the record holds \p targets, unless it is newer, and that streams may have begun by \p unrecorded, as this instance has
     //! begun some by them. Returns nothing when there is nothing to write, or the record has not been read.
     std::optional<Change> changeTo(const VersionedTargets &targets, const std::vector<VersionedTargets> &unrecorded) const;
--- a/src/decision/routetargets.cpp
+++ b/src/decision/routetargets.cpp
@@ -47,7 +47,8 @@
     FormerTargets replaced;
     for (const auto &[key, route] : before) {
         const auto found = after.find(key);
-        if (found == after.end() || !isEqual(route, found->second)) {
+        // Streams that may last longer than those that begin from now on are to be known for longer.
+        if (found == after.end() || !isEqual(route, found->second) || route.timeout > found->second.timeout) {
             replaced[key].push_back(route);
         }
     }
--- a/src/decision/routetargets.h
+++ b/src/decision/routetargets.h
@@ -48,7 +48,8 @@
 //! Returns whether the streams of all routes go to the same services by both, in the same shares, and may be resumed by both or by none.
 bool hasSameTargets(const RouteTargetMap &left, const RouteTargetMap &right);
 
-//! Returns the targets that streams had by \p before and do not have by \p after, also those that may be resumed by one of the two only. A route that was added
+//! Returns the targets that streams had by \p before and do not have by \p after, also those that may be resumed by one of the two only or might last
+//! longer before. A route that was added
 //! takes over streams of the route with the longest prefix of its own, and those that had other targets by \p earlier, the former targets of the routes in \p
 //! before.
 FormerTargets replacedTargets(const RouteTargetMap &before, const RouteTargetMap &after, const FormerTargets &earlier);
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -818,10 +818,13 @@
                 services.insert(target.service);
             }
         }
+        const Time now = currentTime();
+        longestTimeout = std::max(longestTimeout, this->parts.targets.longestTimeout(now));
         bool ready = false;
         {
             const std::lock_guard lock(this->mutex);
-            this->retention = std::max(minRetention, longestTimeout + changeDelay);
+            this->streamTime.update(longestTimeout + changeDelay, now);
+            this->retention = std::max(minRetention, this->streamTime.current());
             ready = this->loaded;
         }
         for (const std::string &service : services) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -3,6 +3,7 @@
 
 #include "decision/ids.h"
 #include "decision/streamrecord.h"
+#include "decision/streamretention.h"
 #include "decision/versiontable.h"
 #include "gateway/prefixfollower.h"
 #include "gateway/versionrecords.h"
@@ -229,6 +230,7 @@
     bool loaded = false;
     std::optional<std::uint64_t> handedRevision{}; //!< Revision of the assignments that a peer sent, until they are read.
     Time handedAt{}; //!< When a peer last sent some.
+    StreamRetention streamTime;
     Duration retention; //!< Longer than any stream lasts over all attempts.
     std::map<std::string, Time> movedAt; //!< By service: when the assignment was seen to change.
     std::map<std::string, Time> markedAt; //!< By key: when the mark of diverted streams was last written, by any instance.
--- a/tests/gateway/routefieldtests.cpp
+++ b/tests/gateway/routefieldtests.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -193,3 +194,37 @@
     cluster.restart(Restart::All, 2);
     CHECK(cluster.takeUpWhereBegun(1) == streamCount);
 }
+
+// Guards against streams joined from two software versions: what a release replaced was forgotten while streams from before a shorter timeout could go on.
+TEST_CASE("Route fields: streams that began under a longer timeout are not taken up at another version after it has become shorter")
+{
+    constexpr int longTimeoutMs = 40000;
+    // Longer than what is known of a release is kept for the other routes.
+    constexpr std::chrono::milliseconds wait(12000);
+    RestartCluster cluster(textOf(RouteFields{.timeoutMs = longTimeoutMs}));
+    cluster.beginAll(0);
+    cluster.configure(2, textOf(RouteFields{}));
+    for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+        cluster.awaitVersion(gateway, 2);
+    }
+    // The streams began at its former version.
+    cluster.endpoints[1]->setVersion("v2");
+    cluster.registerEndpoint(1);
+    for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+        REQUIRE(cluster.logHas(gateway, R"("buckets":"v1:64,v2:64")"));
+    }
+    std::this_thread::sleep_for(wait);
+    int served = 0;
+    for (int number = 0; number < streamCount; ++number) {
+        const std::string id = "taken-up-" + std::to_string(number);
+        const std::string answer = cluster.send(1, number, id, "begun-" + std::to_string(number));
+        CAPTURE(answer);
+        if (answer.starts_with("HTTP/1.1 200")) {
+            served += 1;
+            CHECK(cluster.firstEndpointOf(id) == cluster.endpoints[0]->identifier());
+        } else {
+            CHECK(answer.starts_with("HTTP/1.1 503"));
+        }
+    }
+    CHECK(served > 0);
+}
