Stream soak: changes of the other fields of a route, and further faults of store, endpoints and callers

The forms `-changing` of both installations play the dense form with: `Resumable` off and on, with and without a move, with an end of all gateways in between; changes that are taken back within 50 ms; a prefix that becomes shorter in place; a timeout that grows and shrinks; a kind that changes; the same gateway ended twice within a second; a start while the store refuses, behind a change; writes whose answers are lost, answers late by up to 0.9 s, watches of one prefix that stay silent; endpoints that start again at once at their address; callers that wait for 0.6 s, and events of 60 KB. Up to a trouble every 0.3 s.

Still lacking: links between gateways cut one way, carriers of tunnels killed, clocks that jump, watches that are silent for one gateway only.

--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -80,6 +80,12 @@
     return field + std::to_string(numbers.at(position - 1)) + event.substr(event.find('\n'));
 }
 
+//! Returns \p event with a further line of \p size bytes.
+std::string enlarged(const std::string &event, std::size_t size)
+{
+    return size == 0 || !event.ends_with("\n\n") ? event : event.substr(0, event.size() - 1) + "data: " + std::string(size, 'x') + "\n\n";
+}
+
 //! What a stream consists of.
 struct StreamPlan
 {
@@ -745,8 +751,9 @@
         plan.events.back().insert(0, "oleandergate-weight-versions: " + std::to_string(*this->weightsVersion) + "\n");
     }
     const std::string gap = request.query("gap_ms");
+    const std::size_t filler = std::stoul("0" + request.query("event_bytes"));
     for (const std::string &event : plan.events) {
-        const bool open = send(socket, encode(renumbered(event, numbers)));
+        const bool open = send(socket, encode(enlarged(renumbered(event, numbers), filler)));
         if (!gap.empty()) {
             if (!open || !this->work(socket, std::chrono::milliseconds(std::stoi(gap)))) {
                 return false;
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -105,6 +105,7 @@
 //! A request whose target has the query parameter work_ms is answered after that time, with plannedAnswer(): in one piece, or, with gap_ms, as a stream with
 //! pauses of that length between its events. bytes is the number of filler bytes. fault is the number of the Behaviour of such a stream; its runs that go on
 //! behind an event are sound. With Behaviour::FromStart a first run breaks off, and the first run at each endpoint that has to go on begins again.
+//! event_bytes is the number of filler bytes in each event of a stream.
 //! The events of a request with the query parameter stream name that stream, the endpoint and its software version.
 class StandinEndpoint
 {
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -195,6 +195,22 @@
     this->watchesSilent = newWatchesSilent;
 }
 
+void StandinStore::setSilentPrefix(const std::string &prefix)
+{
+    const std::lock_guard lock(this->mutex);
+    this->silentPrefix = prefix;
+}
+
+void StandinStore::setLosingWriteAnswers(bool newLosingWriteAnswers)
+{
+    this->losingWriteAnswers = newLosingWriteAnswers;
+}
+
+void StandinStore::setLongestDelay(Duration longest)
+{
+    this->longestDelay = longest;
+}
+
 void StandinStore::setRepeating(bool newRepeating, bool newLosing)
 {
     this->losing = newLosing;
@@ -240,8 +256,9 @@
         {
             const std::lock_guard lock(this->mutex);
             json::array events;
+            const bool isSilent = this->watchesSilent || (!this->silentPrefix.empty() && prefix.starts_with(this->silentPrefix));
             for (const Change &change : this->changes) {
-                if (this->watchesSilent || change.revision <= after || !change.key.starts_with(prefix)) {
+                if (isSilent || change.revision <= after || !change.key.starts_with(prefix)) {
                     continue;
                 }
                 json::object event = itemOf(change.key, change.value, change.revision, view.replaced);
@@ -318,6 +335,15 @@
     } else if (path.starts_with(renewalPath)) {
         response = this->renewLease(path.substr(renewalPath.size()), currentTime());
     }
+    const Duration longest = this->longestDelay;
+    if (longest > Duration::zero()) {
+        std::uniform_int_distribution<Duration::rep> delay(0, longest.count());
+        co_await sleepFor(Duration(delay(this->random)));
+    }
+    if (isWrite && this->losingWriteAnswers) {
+        exchange.abandon();
+        co_return;
+    }
     {
         const std::lock_guard lock(this->mutex);
         this->formerAnswers[request.peer] = response;
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -51,6 +52,15 @@
     //! While watches are silent, changes are stored but not reported to any watch.
     void setWatchesSilent(bool watchesSilent);
 
+    //! While a prefix is silent, changes of its keys are stored but not reported to any watch. None is when \p prefix is empty.
+    void setSilentPrefix(const std::string &prefix);
+
+    //! While it loses the answers of writes, the store makes them and closes their connections without an answer.
+    void setLosingWriteAnswers(bool losingWriteAnswers);
+
+    //! Sets by how much the store is late with its answers at most.
+    void setLongestDelay(Duration longest);
+
     //! While repeating, the store writes the former answer of a connection once more before each next one, which follows a little later.
     //! While \p losing too, the next one is lost: the connection is closed behind the copy.
     void setRepeating(bool repeating, bool losing = false);
@@ -120,9 +130,13 @@
     std::atomic<bool> refusing{false};
     std::atomic<bool> refusingWrites{false};
     std::atomic<bool> watchesSilent{false};
+    std::atomic<bool> losingWriteAnswers{false};
+    std::atomic<Duration> longestDelay{Duration::zero()};
+    std::string silentPrefix; //!< Guarded by the mutex.
     std::atomic<bool> repeating{false};
     std::atomic<bool> losing{false};
     std::map<std::string, HttpResponse> formerAnswers; //!< By the caller's address and port. Guarded by the mutex.
+    std::mt19937 random; //!< Used on the server's thread only.
     std::thread thread;
 };
 
--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -101,8 +101,38 @@
     return all;
 }
 
+// Each of the other fields that decide how a stream begins and goes on, and ends in series.
+constexpr std::array changingTroubles{Trouble::RouteFlag,
+                                      Trouble::RouteFlag,
+                                      Trouble::RouteFlag,
+                                      Trouble::RouteFlagMove,
+                                      Trouble::RouteFlagMove,
+                                      Trouble::RouteFlagMove,
+                                      Trouble::RouteFlagKill,
+                                      Trouble::RouteFlagKill,
+                                      Trouble::RouteFlicker,
+                                      Trouble::RouteWidening,
+                                      Trouble::RouteTimeout,
+                                      Trouble::RouteKind,
+                                      Trouble::KillTwice,
+                                      Trouble::KillBehindRefusal,
+                                      Trouble::StoreLoss,
+                                      Trouble::StoreDelay,
+                                      Trouble::WatchSilence,
+                                      Trouble::EndpointReturn};
+
+template <std::size_t Size>
+constexpr auto withChangingTroubles(const std::array<Trouble, Size> &troubles)
+{
+    std::array<Trouble, Size + changingTroubles.size()> all{};
+    std::ranges::copy(changingTroubles, std::ranges::copy(troubles, all.begin()).out);
+    return all;
+}
+
 constexpr auto denseFleetTroubles = withDenseTroubles(fleetTroubles);
 constexpr auto denseBanderaTroubles = withDenseTroubles(banderaTroubles);
+constexpr auto changingFleetTroubles = withChangingTroubles(denseFleetTroubles);
+constexpr auto changingBanderaTroubles = withChangingTroubles(denseBanderaTroubles);
 
 // Three streams of Route::Query to one of Route::Plan, four to one; the others are played beside them.
 constexpr std::array fleetRoutes{Route::Query, Route::Query, Route::Query, Route::Plan, Route::Turns, Route::Spread, Route::Split, Route::Single};
@@ -166,6 +196,16 @@
     return settings;
 }
 
+//! Up to a trouble every 0.3 s.
+InstallationSettings changing(InstallationSettings settings, std::span<const Trouble> troubles)
+{
+    settings = dense(settings, troubles);
+    settings.mostTroubles = 36;
+    settings.hasty = 5;
+    settings.large = 3;
+    return settings;
+}
+
 } // namespace
 
 const InstallationSettings &settingsOf(Installation installation)
@@ -175,7 +215,9 @@
                                                                                      nakhlaFleet(),
                                                                                      talleresBandera(),
                                                                                      dense(nakhlaFleet(), denseFleetTroubles),
-                                                                                     dense(talleresBandera(), denseBanderaTroubles)};
+                                                                                     dense(talleresBandera(), denseBanderaTroubles),
+                                                                                     changing(nakhlaFleet(), changingFleetTroubles),
+                                                                                     changing(talleresBandera(), changingBanderaTroubles)};
     return settings[static_cast<std::size_t>(installation)];
 }
 
--- a/tests/streamsoak/installation.h
+++ b/tests/streamsoak/installation.h
@@ -20,6 +20,8 @@
     TalleresBandera,
     NakhlaFleetDense, //!< The same with changes of routes and ends of all gateways at once beside them, up to several troubles a second.
     TalleresBanderaDense,
+    NakhlaFleetChanging, //!< The dense form with changes of other fields of the routes beside it, and further faults of store, endpoints and callers.
+    TalleresBanderaChanging,
 };
 
 inline constexpr std::array installationNames{
@@ -29,6 +31,8 @@
     NamedValue<Installation>{Installation::TalleresBandera, "talleres-bandera"},
     NamedValue<Installation>{Installation::NakhlaFleetDense, "nakhla-fleet-dense"},
     NamedValue<Installation>{Installation::TalleresBanderaDense, "talleres-bandera-dense"},
+    NamedValue<Installation>{Installation::NakhlaFleetChanging, "nakhla-fleet-changing"},
+    NamedValue<Installation>{Installation::TalleresBanderaChanging, "talleres-bandera-changing"},
 };
 
 enum class Route : std::uint8_t {
@@ -79,6 +83,19 @@
     GatewayAddition,
     AddressReuse, //!< An endpoint of the other service listens at the address of one that has left.
     GatewayCrawl, //!< A gateway runs for a tenth of the time.
+    RouteFlag, //!< Route::Query may not be resumed for a while.
+    RouteFlagMove, //!< The same, and it goes to the other service, or back, from then on.
+    RouteFlagKill, //!< The same with all gateways ended in between.
+    RouteFlicker, //!< It goes to the other service and may not be resumed, which is taken back within 50 ms.
+    RouteWidening, //!< Its prefix becomes shorter, or what it was, in place.
+    RouteTimeout, //!< Its timeout grows or shrinks.
+    RouteKind, //!< It is no route for streams for a while.
+    KillTwice, //!< The same gateway twice within a second.
+    KillBehindRefusal, //!< Route::Query moves, the store refuses, and all gateways end at once and start again meanwhile.
+    StoreLoss, //!< Writes take effect, and their answers are lost.
+    StoreDelay, //!< Answers are late.
+    WatchSilence, //!< Watches of one prefix report nothing.
+    EndpointReturn, //!< It ends and starts at its address at once, under a new identifier.
 };
 
 inline constexpr std::array troubleNames{
@@ -111,6 +128,19 @@
     NamedValue<Trouble>{Trouble::GatewayAddition, "gateway-addition"},
     NamedValue<Trouble>{Trouble::AddressReuse, "address-reuse"},
     NamedValue<Trouble>{Trouble::GatewayCrawl, "gateway-crawl"},
+    NamedValue<Trouble>{Trouble::RouteFlag, "route-flag"},
+    NamedValue<Trouble>{Trouble::RouteFlagMove, "route-flag-move"},
+    NamedValue<Trouble>{Trouble::RouteFlagKill, "route-flag-kill"},
+    NamedValue<Trouble>{Trouble::RouteFlicker, "route-flicker"},
+    NamedValue<Trouble>{Trouble::RouteWidening, "route-widening"},
+    NamedValue<Trouble>{Trouble::RouteTimeout, "route-timeout"},
+    NamedValue<Trouble>{Trouble::RouteKind, "route-kind"},
+    NamedValue<Trouble>{Trouble::KillTwice, "kill-twice"},
+    NamedValue<Trouble>{Trouble::KillBehindRefusal, "kill-behind-refusal"},
+    NamedValue<Trouble>{Trouble::StoreLoss, "store-loss"},
+    NamedValue<Trouble>{Trouble::StoreDelay, "store-delay"},
+    NamedValue<Trouble>{Trouble::WatchSilence, "watch-silence"},
+    NamedValue<Trouble>{Trouble::EndpointReturn, "endpoint-return"},
 };
 
 //! Names of what endpoints do with streams, beside soak::faultNames.
@@ -146,6 +176,8 @@
     std::span<const support::Behaviour> faults{}; //!< Of the endpoint of a stream.
     bool hasOwnRoutes = false; //!< Configurations have Route::Query and Route::Plan beside those of a cluster for streams and Route::Split.
     int queryObjectiveMs = 0; //!< Of these two.
+    int hasty = 0; //!< Streams whose callers wait for a short time only.
+    int large = 0; //!< Streams with large events.
     bool isDense = false; //!< There is a gateway to add, paths of streams have a folder, and callers try longer.
 };
 
--- a/tests/streamsoak/streamjudge.cpp
+++ b/tests/streamsoak/streamjudge.cpp
@@ -127,14 +127,22 @@
     const bool isAgreed = runs.size() > 1 && std::ranges::all_of(runs, [&runs](const SeenRun &run) {
                               return isUnframed(run) && run.endpoint == runs.front().endpoint;
                           });
-    this->add(!isBare                                   ? Breach::Early
-                  : !hasNumbers                         ? Breach::EarlyUnnumbered
-                  : stream.plan->route == Route::Single ? Breach::EarlySingle
-                  : isAgreed                            ? Breach::EarlyAgreed
-                                                        : Breach::Early,
+    this->add(!isBare                               ? Breach::Early
+                  : !hasNumbers                     ? Breach::EarlyUnnumbered
+                  : this->isSingle(stream, attempt) ? Breach::EarlySingle
+                  : isAgreed                        ? Breach::EarlyAgreed
+                                                    : Breach::Early,
               stream);
 }
 
+bool StreamJudge::isSingle(const SeenStream &stream, const Attempt &attempt) const
+{
+    const bool wasUnresumable = std::ranges::any_of(this->seen.unresumable, [&attempt](const TimeSpan &span) {
+        return attempt.beganAt <= span.to && attempt.endedAt >= span.from;
+    });
+    return stream.plan->route == Route::Single || (stream.plan->route == Route::Query && wasUnresumable);
+}
+
 void StreamJudge::add(Breach breach, const SeenStream &stream)
 {
     this->cases.push_back(Case{breach, &stream});
--- a/tests/streamsoak/streamjudge.h
+++ b/tests/streamsoak/streamjudge.h
@@ -25,6 +25,12 @@
     Time at{};
 };
 
+struct TimeSpan
+{
+    Time from{};
+    Time to{};
+};
+
 //! All that was seen in a run.
 struct Seen
 {
@@ -32,6 +38,7 @@
     std::vector<SeenStream> streams{};
     std::map<std::string, std::vector<SeenRun>> runs{}; //!< By attempt.
     std::vector<SeenTrouble> troubles{};
+    std::vector<TimeSpan> unresumable{}; //!< When Route::Query might not be resumed.
     std::vector<std::string> processFaults{};
 };
 
@@ -95,6 +102,9 @@
     void judge(const SeenStream &stream);
     void judgeEarlyEnd(const SeenStream &stream);
     void add(Breach breach, const SeenStream &stream);
+
+    //! Returns whether the stream of \p attempt might not be resumed: nobody could be asked for the rest of it.
+    bool isSingle(const SeenStream &stream, const Attempt &attempt) const;
     const std::vector<SeenRun> &runsOf(const Attempt &attempt) const;
 
     const Seen &seen;
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -9,6 +9,8 @@
 constexpr std::array<const char *, 3> folderNames{"a/", longerPrefixFolder, "c/"};
 constexpr std::size_t denseAttempts = 8;
 constexpr int denseConnects = 120;
+constexpr Milliseconds hastyLimit{600};
+constexpr std::size_t largeEventBytes = 60000;
 constexpr std::size_t streamsPerCaller = 60; //!< More than a caller has time for.
 constexpr std::int64_t likelyStreams = 5; //!< That a caller has begun by the middle of a run.
 constexpr std::uint64_t installationSeed = 0x9e3779b97f4a7c15U;
@@ -71,7 +73,8 @@
     return stream;
 }
 
-constexpr std::array endpointTroubles{Trouble::EndpointCrash, Trouble::EndpointRestart, Trouble::EndpointFreeze, Trouble::EndpointSilence};
+constexpr std::array endpointTroubles{
+    Trouble::EndpointCrash, Trouble::EndpointRestart, Trouble::EndpointFreeze, Trouble::EndpointSilence, Trouble::EndpointReturn};
 
 //! Endpoints of one software version give way to those of the next one, one after the other, twice.
 void addReplacements(soak::Dice &dice, StreamPlan &plan)
@@ -131,9 +134,10 @@
     std::string text = "POST /" + std::string(nameIn(routeNames, this->route)) + "/" + this->folder + this->id + "?stream=" + this->id
         + "&work_ms=" + std::to_string(this->work.count()) + "&gap_ms=" + std::to_string(this->gap.count())
         + (this->fault == support::Behaviour::Normal ? "" : "&fault=" + std::to_string(static_cast<int>(this->fault)))
+        + (this->eventBytes == 0 ? "" : "&event_bytes=" + std::to_string(this->eventBytes))
         + " HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nOleandergate-Token-Counts: 100,100\r\nOleandergate-Prompt-Prefix: a1:100\r\n"
           "Content-Length: 4\r\nOleandergate-Deadline-Ms: "
-        + std::to_string(streamLimit.count()) + "\r\nOleandergate-Request-Id: " + attempt + "\r\n";
+        + std::to_string(this->limit.count()) + "\r\nOleandergate-Request-Id: " + attempt + "\r\n";
     if (!this->program.empty()) {
         text += "Oleandergate-Program-Id: " + this->program + "\r\nOleandergate-Session-Id: " + this->program + "-main\r\n";
     }
@@ -170,6 +174,12 @@
             at += pauseBetweenStreams(further, settings);
             streams.back().at = at;
             chooseNaming(further, settings, seed, streams.back());
+            if (further.percent(settings.hasty)) {
+                streams.back().limit = hastyLimit;
+            }
+            if (further.percent(settings.large)) {
+                streams.back().eventBytes = largeEventBytes;
+            }
             if (settings.isDense) {
                 streams.back().folder = folderNames[number % folderNames.size()];
                 streams.back().maxAttempts = denseAttempts;
--- a/tests/streamsoak/streamplan.h
+++ b/tests/streamsoak/streamplan.h
@@ -13,6 +13,8 @@
 
 using soak::Milliseconds;
 
+inline constexpr Milliseconds streamLimit{6000}; //!< Time limit of each attempt, unless its caller is in a hurry.
+
 //! Which attempt a caller names in Resumes when it takes a stream up.
 enum class Naming : std::uint8_t {
     First, //!< The first one that got an event.
@@ -40,6 +42,8 @@
     Milliseconds readPause{0}; //!< Of a caller that reads slowly.
     Milliseconds leaveAfter{0}; //!< The caller leaves then; zero for never.
     Milliseconds pauseBefore{0};
+    Milliseconds limit{streamLimit}; //!< Time limit of each attempt.
+    std::size_t eventBytes = 0; //!< In each event, beside its text.
     Milliseconds at{0}; //!< Not before this time of the run, unless the installation has no streams a second.
     std::size_t gateway = 0; //!< Of its first attempt.
     std::string folder{}; //!< In its path, with a slash behind it; empty for none.
@@ -87,7 +91,6 @@
 inline constexpr std::size_t cutterCount = 2;
 inline constexpr const char *otherService = "other";
 inline constexpr const char *longerPrefixFolder = "b/"; //!< Of the streams that Trouble::RoutePrefix concerns.
-inline constexpr Milliseconds streamLimit{6000}; //!< Time limit of each attempt.
 
 } // namespace oleandergate::streamsoak
 
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -34,13 +34,36 @@
 constexpr std::array stormShares{50, 90, 10, 25};
 constexpr std::array stormIdleMs{2000, 15000, 4000};
 
+constexpr std::array timeoutsMs{4000, 12000, 3000};
+
+//! From the time of a configuration until all gateways have it.
+constexpr Milliseconds activationTime{1500};
+constexpr Milliseconds flickerTime{30};
+constexpr Milliseconds secondKillDelay{700};
+constexpr Milliseconds longestStoreDelay{900};
+constexpr Milliseconds registrationLag{400};
+constexpr std::array watchedPrefixes{"op/", "oleandergate/versions/", "servers/"};
+
 constexpr std::array limits{support::GatewayCluster::defaultLimits, R"({"HeaderBytes":8192,"BodyBytes":2048,"HeaderMs":2500,"IdleMs":9000})"};
 
-std::string streamRoute(const std::string &name, const std::string &prefix, int timeoutMs, int objectiveMs, int priority, const std::string &targets)
+//! What may differ between the routes, and change.
+struct RouteFields
 {
-    return R"(,{"Name":")" + name + R"(","Host":"h.example","PathPrefix":")" + prefix + R"(","Kind":"streaming","TimeoutMs":)" + std::to_string(timeoutMs)
-        + R"(,"TargetLatencyMs":)" + std::to_string(objectiveMs) + R"(,"Priority":)" + std::to_string(priority) + "," + targets
-        + R"(,"MaxAttempts":1,"Resumable":true,"GapAimMs":200})";
+    const char *kind = "streaming";
+    bool isResumable = true;
+};
+
+std::string streamRoute(const std::string &name,
+                        const std::string &prefix,
+                        int timeoutMs,
+                        int objectiveMs,
+                        int priority,
+                        const std::string &targets,
+                        const RouteFields &fields = RouteFields())
+{
+    return R"(,{"Name":")" + name + R"(","Host":"h.example","PathPrefix":")" + prefix + R"(","Kind":")" + fields.kind + R"(","TimeoutMs":)"
+        + std::to_string(timeoutMs) + R"(,"TargetLatencyMs":)" + std::to_string(objectiveMs) + R"(,"Priority":)" + std::to_string(priority) + "," + targets
+        + R"(,"MaxAttempts":1,"Resumable":)" + (fields.isResumable ? "true" : "false") + R"(,"GapAimMs":200})";
 }
 
 std::string targetOf(bool isOther)
@@ -62,7 +85,13 @@
     if (!settings.hasOwnRoutes) {
         return routes;
     }
-    routes += streamRoute("query", "/query/", ownTimeoutMs, settings.queryObjectiveMs, 1, targetOf(state.isQueryMoved));
+    routes += streamRoute("query",
+                          state.isQueryWide ? "/" : "/query/",
+                          state.queryTimeoutMs,
+                          settings.queryObjectiveMs,
+                          1,
+                          targetOf(state.isQueryMoved),
+                          RouteFields{state.isQueryStream ? "streaming" : "unsafe", state.isQueryResumable});
     if (state.hasPlan) {
         routes += streamRoute("plan", "/plan/", ownTimeoutMs, settings.queryObjectiveMs, 0, targetOf(state.isPlanMoved));
     }
@@ -126,6 +155,19 @@
         {Trouble::GatewayAddition, &StreamRun::addGateway},
         {Trouble::AddressReuse, &StreamRun::reuseAddress},
         {Trouble::GatewayCrawl, &StreamRun::crawlGateway},
+        {Trouble::RouteFlag, &StreamRun::changeFlag},
+        {Trouble::RouteFlagMove, &StreamRun::changeFlag},
+        {Trouble::RouteFlagKill, &StreamRun::changeFlag},
+        {Trouble::RouteFlicker, &StreamRun::flicker},
+        {Trouble::RouteWidening, &StreamRun::widenRoute},
+        {Trouble::RouteTimeout, &StreamRun::changeTimeout},
+        {Trouble::RouteKind, &StreamRun::changeKind},
+        {Trouble::KillTwice, &StreamRun::killTwice},
+        {Trouble::KillBehindRefusal, &StreamRun::killBehindRefusal},
+        {Trouble::StoreLoss, &StreamRun::loseStoreAnswers},
+        {Trouble::StoreDelay, &StreamRun::delayStore},
+        {Trouble::WatchSilence, &StreamRun::silenceOnePrefix},
+        {Trouble::EndpointReturn, &StreamRun::returnEndpoint},
     };
     return plays.at(trouble);
 }
@@ -207,7 +249,8 @@
         if (soak::hasEnded(process.id(), signal)) {
             const int status = process.wait();
             if (!this->killAt[index] || status != 0) {
-                this->seen.processFaults.push_back("process " + std::to_string(index) + " ended by itself with status " + std::to_string(status));
+                this->seen.processFaults.push_back("process " + std::to_string(index) + " ended by itself with status " + std::to_string(status) + ", signal "
+                                                   + std::to_string(signal));
             }
             this->startLater(index, restartPause);
         } else if (this->killAt[index] && currentTime() >= *this->killAt[index]) {
@@ -394,6 +437,127 @@
     });
 }
 
+void StreamRun::setQueryResumable(bool isResumable)
+{
+    this->routes.isQueryResumable = isResumable;
+    if (!isResumable) {
+        this->seen.unresumable.push_back(TimeSpan{currentTime(), Time::max()});
+    } else {
+        for (TimeSpan &span : this->seen.unresumable) {
+            span.to = std::min(span.to, currentTime() + activationTime);
+        }
+    }
+}
+
+void StreamRun::changeFlag(const PlannedTrouble &planned)
+{
+    this->setQueryResumable(false);
+    this->routes.isQueryMoved = this->routes.isQueryMoved != (planned.trouble == Trouble::RouteFlagMove);
+    this->configureNext();
+    if (planned.trouble == Trouble::RouteFlagKill) {
+        this->later(planned.duration / (2 * restartDivisor), [this, planned]() {
+            this->killAll(planned);
+        });
+    }
+    this->later(planned.duration / restartDivisor, [this]() {
+        this->setQueryResumable(true);
+        this->configureNext();
+    });
+}
+
+void StreamRun::flicker(const PlannedTrouble & /*planned*/)
+{
+    this->setQueryResumable(false);
+    this->routes.isQueryMoved = !this->routes.isQueryMoved;
+    this->configureNext();
+    this->later(flickerTime, [this]() {
+        this->setQueryResumable(true);
+        this->routes.isQueryMoved = !this->routes.isQueryMoved;
+        this->configureNext();
+    });
+}
+
+void StreamRun::widenRoute(const PlannedTrouble & /*planned*/)
+{
+    this->routes.isQueryWide = !this->routes.isQueryWide;
+    this->configureNext();
+}
+
+void StreamRun::changeTimeout(const PlannedTrouble & /*planned*/)
+{
+    this->routes.queryTimeoutMs = timeoutsMs[static_cast<std::size_t>(this->configurationVersion) % timeoutsMs.size()];
+    this->configureNext();
+}
+
+void StreamRun::changeKind(const PlannedTrouble &planned)
+{
+    this->routes.isQueryStream = false;
+    this->configureNext();
+    this->later(planned.duration / restartDivisor, [this]() {
+        this->routes.isQueryStream = true;
+        this->configureNext();
+    });
+}
+
+void StreamRun::killTwice(const PlannedTrouble &planned)
+{
+    PlannedTrouble kill = planned;
+    kill.duration = Milliseconds(0);
+    this->killGateway(kill);
+    this->later(secondKillDelay, [this, kill]() {
+        this->killGateway(kill);
+    });
+}
+
+void StreamRun::killBehindRefusal(const PlannedTrouble &planned)
+{
+    this->moveRoute(planned);
+    this->later(flickerTime, [this, planned]() {
+        this->killAllWithoutStore(planned);
+    });
+}
+
+void StreamRun::loseStoreAnswers(const PlannedTrouble &planned)
+{
+    this->cluster.store.setLosingWriteAnswers(true);
+    this->later(planned.duration, [this]() {
+        this->cluster.store.setLosingWriteAnswers(false);
+    });
+}
+
+void StreamRun::delayStore(const PlannedTrouble &planned)
+{
+    this->cluster.store.setLongestDelay(longestStoreDelay);
+    this->later(planned.duration, [this]() {
+        this->cluster.store.setLongestDelay(Milliseconds(0));
+    });
+}
+
+void StreamRun::silenceOnePrefix(const PlannedTrouble &planned)
+{
+    this->cluster.store.setSilentPrefix(watchedPrefixes[planned.target % watchedPrefixes.size()]);
+    this->later(planned.duration, [this]() {
+        this->cluster.store.setSilentPrefix({});
+    });
+}
+
+void StreamRun::returnEndpoint(const PlannedTrouble &planned)
+{
+    std::unique_ptr<support::StandinEndpoint> &endpoint = this->cluster.endpoints[planned.target];
+    const std::string former = endpoint->identifier();
+    const std::string address = endpoint->address();
+    const std::string version = endpoint->softwareVersion();
+    this->retire(std::move(endpoint));
+    endpoint = std::make_unique<support::StandinEndpoint>("i-" + std::to_string(planned.target) + "-" + std::to_string(++this->endpointsStarted), address);
+    endpoint->setVersion(version);
+    this->later(registrationLag, [this, former, slot = planned.target, id = endpoint->identifier()]() {
+        this->cluster.store.remove("servers/" + former);
+        if (this->cluster.endpoints[slot]->identifier() == id) {
+            this->registerNew(*this->cluster.endpoints[slot]);
+        }
+    });
+}
+
 void StreamRun::crashEndpoint(const PlannedTrouble &planned)
 {
     this->cluster.endpoints[planned.target]->end();
--- a/tests/streamsoak/streamrun.h
+++ b/tests/streamsoak/streamrun.h
@@ -17,6 +17,10 @@
     bool isQueryMoved = false; //!< Route::Query goes to the other service.
     bool hasPlan = true; //!< There is Route::Plan.
     bool isPlanMoved = false; //!< It goes to the other service.
+    bool isQueryResumable = true;
+    bool isQueryWide = false; //!< It has a shorter prefix.
+    bool isQueryStream = true; //!< It is a route for streams.
+    int queryTimeoutMs = 4000;
     bool hasLongerPrefix = false; //!< A part of the streams of Route::Query has a route of its own, to the service to which that does not go.
 };
 
@@ -63,6 +67,20 @@
     void addGateway(const PlannedTrouble &planned);
     void reuseAddress(const PlannedTrouble &planned);
     void crawlGateway(const PlannedTrouble &planned);
+    void changeFlag(const PlannedTrouble &planned);
+    void flicker(const PlannedTrouble &planned);
+    void widenRoute(const PlannedTrouble &planned);
+    void changeTimeout(const PlannedTrouble &planned);
+    void changeKind(const PlannedTrouble &planned);
+    void killTwice(const PlannedTrouble &planned);
+    void killBehindRefusal(const PlannedTrouble &planned);
+    void loseStoreAnswers(const PlannedTrouble &planned);
+    void delayStore(const PlannedTrouble &planned);
+    void silenceOnePrefix(const PlannedTrouble &planned);
+    void returnEndpoint(const PlannedTrouble &planned);
+
+    //! Sets whether Route::Query may be resumed, from the next configuration on.
+    void setQueryResumable(bool isResumable);
 
     //! Stores the next configuration, with the routes as they are now.
     void configureNext(const std::string &callerLimits = support::GatewayCluster::defaultLimits);
