Stream soak: a gateway that is stopped before it has begun to start is no fault

Trace: the gateway was killed twice and started, and got SIGTERM some milliseconds later; its log has no line of that process, and the next one starts 200 ms behind. A stopped process that ends by the signal counts as a fault still if it had logged its start.

--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -112,6 +112,7 @@
     : plan(plan)
     , cluster(gatewayCount + (plan.hasSpare ? 1 : 0), endpointCount, plan.hasLinks ? 1 : 0, settingsOf(plan.installation).memoryMegabytes)
     , killAt(cluster.gateways.size())
+    , earlierStarts(cluster.gateways.size(), 0)
 {
     for (std::size_t index = 0; index < this->cluster.gateways.size(); ++index) {
         this->states.emplace_back().address = this->cluster.callerAddress(index);
@@ -248,7 +249,8 @@
         int signal = 0;
         if (soak::hasEnded(process.id(), signal)) {
             const int status = process.wait();
-            if (!this->killAt[index] || status != 0) {
+            const bool wasStopped = this->killAt[index] && (status == 0 || (signal == SIGTERM && this->isBeforeStart(index)));
+            if (!wasStopped) {
                 this->seen.processFaults.push_back("process " + std::to_string(index) + " ended by itself with status " + std::to_string(status) + ", signal "
                                                    + std::to_string(signal));
             }
@@ -265,6 +267,7 @@
     this->killAt[gateway].reset();
     this->later(delay, [this, gateway]() {
         if (!this->cluster.gateways[gateway].isRunning()) {
+            this->earlierStarts[gateway] = this->loggedStarts(gateway);
             this->cluster.startGateway(gateway);
         }
     });
@@ -273,6 +276,16 @@
     });
 }
 
+std::size_t StreamRun::loggedStarts(std::size_t gateway) const
+{
+    return support::countOf(this->cluster.log(gateway), R"("message":"starting")");
+}
+
+bool StreamRun::isBeforeStart(std::size_t gateway) const
+{
+    return this->loggedStarts(gateway) == this->earlierStarts[gateway];
+}
+
 void StreamRun::killGateway(const PlannedTrouble &planned)
 {
     if (this->cluster.gateways[planned.target].isRunning()) {
--- a/tests/streamsoak/streamrun.h
+++ b/tests/streamsoak/streamrun.h
@@ -93,6 +93,12 @@
     void watchProcesses();
     void startLater(std::size_t gateway, Milliseconds delay);
 
+    //! Returns how many processes of the gateway have logged their start.
+    std::size_t loggedStarts(std::size_t gateway) const;
+
+    //! Returns whether the gateway's latest process has not logged its start: it handles no signals yet.
+    bool isBeforeStart(std::size_t gateway) const;
+
     //! Has the gateway run for \p run at a time, and stand still in between, until \p until.
     void slowUntil(std::size_t gateway, Milliseconds run, Time until);
 
@@ -114,6 +120,7 @@
     std::deque<GatewayState> states{};
     std::multimap<Time, std::function<void()>> actions{};
     std::vector<std::optional<Time>> killAt; //!< Of gateways that stop.
+    std::vector<std::size_t> earlierStarts; //!< Processes of each gateway that had logged their start when its latest one was started.
     std::vector<std::unique_ptr<support::StandinEndpoint>> retired{};
     std::vector<std::unique_ptr<support::StandinEndpoint>> added{};
     std::size_t endpointsStarted = 0;
