Two runs have to agree with an unframed end until such ends have been proved again and again

Cause: one run without an event was enough, and it may be cut itself. Class: the end of a stream is proved by the endpoint in question.

Change: two runs have to agree until eight unframed ends of the version have been proved without a cut; a cut begins the count anew. A process that has just started knows nothing and is cautious, too. Endpoints that agreed count as ones without framing once the end is proved. Cost: one more request a stream until then. Weighed: asking behind the event before the last one; a cut behind one event is hardly less likely than one behind none.

Measured: "Stream ends: two cuts in a row ..." red on (2 checks), green now. A case of "Streams:*" counts what endpoints receive: 6 and 7 requests in place of 4 and 5, as two runs have to agree; a case beside it holds the later cost at one further run.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -30,6 +30,11 @@
     this->expectsUnitSteps = expected;
 }
 
+void StreamContinuity::expectConfirmations(std::uint32_t count)
+{
+    this->confirmationsNeeded = count;
+}
+
 void StreamContinuity::expectTail(std::string text)
 {
     this->expectedTail = std::move(text);
@@ -104,6 +109,7 @@
     this->runTotal += 1;
     this->afterGap.reset();
     this->unprovenEnd = false;
+    this->confirmations = 0;
     const bool isBeforeFurther = this->furtherNumber && (!number || *number < *this->furtherNumber);
     this->hasFurtherEvent = isBeforeFurther;
     if (!isBeforeFurther) {
@@ -167,8 +173,11 @@
     }
     if (this->runTotal == 0) {
         // The answer may have been cut behind its head. It only agrees with a run that ended here in order.
-        const Evidence agreement = end.isDoubtful ? Evidence::Unknown : Evidence::Proved;
-        return this->unprovenEnd ? agreement : Evidence::Disproved;
+        if (!this->unprovenEnd) {
+            return Evidence::Disproved;
+        }
+        this->confirmations += end.isDoubtful ? 0 : 1;
+        return this->confirmations >= this->confirmationsNeeded ? Evidence::Proved : Evidence::Unknown;
     }
     this->unprovenEnd = true;
     return Evidence::Unknown;
--- a/src/decision/streamcontinuity.h
+++ b/src/decision/streamcontinuity.h
@@ -72,6 +72,9 @@
     //! however many do.
     void expectUnitSteps(bool expected);
 
+    //! Sets how many runs without an event and without framing have to agree that the stream has ended; 1 unless stated.
+    void expectConfirmations(std::uint32_t count);
+
     //! Sets the text of the events without numbers with which whole streams of the run's software version end; empty for none.
     void expectTail(std::string text);
 
@@ -138,6 +141,8 @@
     bool expectsUnitSteps = false;
     bool expectsUnevenSteps = false;
     bool goesOn = false; //!< The run has to go on behind events that the caller has.
+    std::uint32_t confirmationsNeeded = 1;
+    std::uint32_t confirmations = 0; //!< Runs without an event that ended in order, unframed, since the last event.
     bool unprovenEnd = false; //!< The run that brought the last event ended in order behind it, which does not prove that the stream is complete.
     std::optional<std::uint64_t> afterGap; //!< Number behind a gap that a run has shown.
     bool isGapOfFurtherRun = false; //!< The first run that showed it went on behind another one.
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -12,6 +12,10 @@
 //! A whole stream without framing shows for this long that its version writes such streams, and a cut that its endpoint cuts streams.
 constexpr Duration occurrenceTimeout = std::chrono::minutes(1);
 
+//! Unframed ends of a version that have to be proved before a single run may confirm one, and the runs that are needed until then.
+constexpr std::uint32_t minProvedEnds = 8;
+constexpr std::uint32_t cautiousConfirmations = 2;
+
 } // namespace
 
 StreamHabits::Habit &StreamHabits::habitOf(const ServiceVersion &group, Time now)
@@ -41,6 +45,9 @@
     if (!run.framed && (run.events > 0 || run.proved)) {
         habit.unframedAt[run.endpoint] = now;
     }
+    for (const EndpointId &endpoint : run.agreedAt) {
+        habit.unframedAt[endpoint] = now;
+    }
     for (std::map<EndpointId, Time> *seen : {&habit.unframedAt, &habit.wholeUnframedAt}) {
         std::erase_if(*seen, [now](const auto &entry) {
             return now - entry.second > habitTimeout;
@@ -52,6 +59,9 @@
     if (run.tail) {
         habit.tails[run.endpoint] = Tail{*run.tail, now};
     }
+    if (run.proved && !run.framed) {
+        habit.provedEnds += 1;
+    }
     if (!run.provedEndAt.empty()) {
         habit.wholeUnframedAt[run.provedEndAt] = now;
         this->cutAt.erase(run.provedEndAt);
@@ -68,7 +78,8 @@
     });
     this->cutAt[endpoint] = now;
     for (auto &[group, habit] : this->habits) {
-        habit.unframedAt.erase(endpoint);
+        const bool isOfGroup = habit.unframedAt.erase(endpoint) > 0 || habit.wholeUnframedAt.contains(endpoint);
+        habit.provedEnds = isOfGroup ? 0 : habit.provedEnds;
     }
 }
 
@@ -107,6 +118,12 @@
     return isOnlyEndpoint || this->hasOtherUnframed(group, endpoint, now);
 }
 
+std::uint32_t StreamHabits::confirmationsNeeded(const ServiceVersion &group, Time now) const
+{
+    const Habit *habit = this->find(group, now);
+    return habit != nullptr && habit->provedEnds >= minProvedEnds ? 1 : cautiousConfirmations;
+}
+
 bool StreamHabits::hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const
 {
     const Habit *habit = this->find(group, now);
--- a/src/decision/streamhabits.h
+++ b/src/decision/streamhabits.h
@@ -40,6 +40,10 @@
     //! \p isOnlyEndpoint the version has no others.
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
 
+    //! Returns how many runs without an event have to agree that a stream of the version has ended, where nothing is framed. One is enough once unframed ends
+    //! have been proved again and again and none was a cut: a cut may be followed by another one, of the run that is to confirm the end.
+    std::uint32_t confirmationsNeeded(const ServiceVersion &group, Time now) const;
+
     //! Returns whether an endpoint other than \p endpoint, which has cut no streams lately, leaves some unframed.
     bool hasOtherUnframed(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
 
@@ -67,6 +71,7 @@
         std::map<EndpointId, Time> unframedAt{}; //!< When streams of endpoints last ended in order, unframed.
         std::map<EndpointId, Time> wholeUnframedAt{}; //!< When an unframed end of endpoints was last proved to be that of the stream.
         std::map<EndpointId, Tail> tails{}; //!< Of the latest whole stream of each endpoint.
+        std::uint32_t provedEnds = 0; //!< Unframed ends that were proved to be those of their streams, since the last cut.
         Time seenAt{};
     };
 
--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -299,6 +299,12 @@
         if (complete == Evidence::Proved && end.framed && this->streamRun.lastEvent && this->tail.size() <= maxTailBytes) {
             run.tail = this->tail;
         }
+        if (progress.continuity.passedOnInRun() > 0) {
+            progress.agreedAt.clear();
+        } else if (!end.framed && !end.isDoubtful) {
+            progress.agreedAt.insert(endpoint.id);
+        }
+        run.agreedAt = run.proved ? progress.agreedAt : std::set<EndpointId>();
         run.risesByOne = complete == Evidence::Proved ? progress.continuity.stepsByOne() : std::nullopt;
         this->parts.habits.onRunEnd(group, run, now);
     }
@@ -460,6 +466,7 @@
     const ServiceVersion group{this->parts.service, endpoint.version};
     this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(group, now));
     this->parts.progress.continuity.expectUnevenSteps(this->parts.habits.numbersAreUneven(group, now));
+    this->parts.progress.continuity.expectConfirmations(this->parts.habits.confirmationsNeeded(group, now));
     this->parts.progress.continuity.expectTail(this->parts.habits.usualTail(group, now));
     this->parts.progress.continuity.beginRun();
     this->streamRun.resumedAfter = this->parts.progress.continuity.lastNumber();
--- a/src/gateway/streamhabitregistry.cpp
+++ b/src/gateway/streamhabitregistry.cpp
@@ -28,6 +28,12 @@
     return this->habits.isUnframedUsual(group, endpoint, isOnlyEndpoint, now);
 }
 
+std::uint32_t StreamHabitRegistry::confirmationsNeeded(const ServiceVersion &group, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->habits.confirmationsNeeded(group, now);
+}
+
 std::string StreamHabitRegistry::usualTail(const ServiceVersion &group, Time now) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/streamhabitregistry.h
+++ b/src/gateway/streamhabitregistry.h
@@ -21,6 +21,7 @@
     bool isLengthDoubtful(const EndpointId &endpoint, Time now) const;
     bool isUnframedDoubtful(const ServiceVersion &group, const EndpointId &endpoint, Time now) const;
     bool isUnframedUsual(const ServiceVersion &group, const EndpointId &endpoint, bool isOnlyEndpoint, Time now) const;
+    std::uint32_t confirmationsNeeded(const ServiceVersion &group, Time now) const;
     std::string usualTail(const ServiceVersion &group, Time now) const;
     bool numbersRiseByOne(const ServiceVersion &group, Time now) const;
     bool numbersAreUneven(const ServiceVersion &group, Time now) const;
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -280,3 +282,20 @@
     }
     CHECK(played > 0);
 }
+
+// Guards against half a stream that reaches its caller as complete because the run that is to confirm its end is cut, too, behind its head.
+TEST_CASE("Stream ends: two cuts in a row do not prove an end where no endpoint frames its streams")
+{
+    for (const std::size_t endpointCount : {1U, 2U}) {
+        CAPTURE(endpointCount);
+        StreamCluster cluster(endpointCount);
+        std::vector<Behaviour> behaviours(furtherRuns, Behaviour::Unframed);
+        behaviours.front() = Behaviour::EndBeforeFirstEvent;
+        for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+            endpoint->setNextBehaviours(behaviours);
+        }
+        cluster.endpoints[0]->setNextBehaviours({Behaviour::EndBetweenEvents, Behaviour::EndBeforeFirstEvent, Behaviour::Unframed, Behaviour::Unframed});
+        const ReceivedStream stream = cluster.receive(endpointCount == 1 ? "/turns/1" : "/spread/1");
+        CHECK(stream.isInOrder());
+    }
+}
--- a/tests/gateway/streamtests.cpp
+++ b/tests/gateway/streamtests.cpp
@@ -197,11 +197,26 @@
     for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
         endpoint->setNextBehaviours(std::vector<Behaviour>(16, Behaviour::Unframed));
     }
+    // Two further runs have to agree with the end of each stream, as one may be cut itself.
     CHECK(cluster.receive().isWhole());
     CHECK(cluster.receive("/spread/1").isWhole());
-    CHECK(cluster.receivedCount() == 4);
+    CHECK(cluster.receivedCount() == 6);
     CHECK(cluster.receive("/single/1").isWhole());
-    CHECK(cluster.receivedCount() == 5);
+    CHECK(cluster.receivedCount() == 7);
+}
+
+// Guards against asking again and again where no end has turned out to be a cut.
+TEST_CASE("Streams: one further run is enough once the ends of a version have been proved again and again")
+{
+    constexpr int provedStreams = 8;
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(64, Behaviour::Unframed));
+    for (int stream = 0; stream < provedStreams; ++stream) {
+        CHECK(cluster.receive().isWhole());
+    }
+    const std::size_t before = cluster.receivedCount();
+    CHECK(cluster.receive().isWhole());
+    CHECK(cluster.receivedCount() == before + 2);
 }
 
 // Guards against a cut stream that reaches its caller as complete because nobody could be asked whether it is: its endpoint is full.
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -41,6 +41,24 @@
     CHECK_FALSE(habits.numbersRiseByOne(group, start));
 }
 
+// Guards against a cut that is confirmed by another one: the run that is to tell may be cut behind its head.
+TEST_CASE("Two runs have to agree with an unframed end until such ends have been proved again and again without a cut")
+{
+    constexpr int provedEnds = 8;
+    StreamHabits habits;
+    CHECK(habits.confirmationsNeeded(group, start) == 2);
+    RunObservation proved = endedRunAt("a", false);
+    proved.proved = true;
+    for (int end = 0; end < provedEnds; ++end) {
+        CHECK(habits.confirmationsNeeded(group, start) == 2);
+        habits.add(group, proved, start);
+    }
+    CHECK(habits.confirmationsNeeded(group, start) == 1);
+    CHECK(habits.confirmationsNeeded(otherGroup, start) == 2);
+    habits.addCut("a", start);
+    CHECK(habits.confirmationsNeeded(group, start) == 2);
+}
+
 // Guards against an endpoint that confirms its own cut, and against judging one version by another.
 TEST_CASE("An unframed end is unusual where streams of the same version were framed")
 {
