An endpoint that was replaced at its address is not taken for one that lives

Cause: all that was asked behind an unframed end is whether a process listens, and the next one does.

Change: the idle connections to an endpoint end with its process. Where none of them is left, and one or more ended since the last event, the endpoint has ended, and the end of the answer proves nothing. On a route where nobody can be asked for the rest, one is opened when an unframed answer begins. It does not count as a crash of the endpoint: its idle connections may have timed out at that moment.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -193,6 +193,9 @@
 
 asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
 {
+    if (!this->isFramed) {
+        co_await this->watchConnections();
+    }
     if (!this->acceptWeights()) {
         this->rejection = "the answer names other weights than those of the stream's last event";
         co_return false;
@@ -243,10 +246,25 @@
     co_return delivered &&this->rejection.empty();
 }
 
-asio::awaitable<void> EndpointSend::findWhetherEnded(const std::string &address, SendResult &result)
+asio::awaitable<void> EndpointSend::watchConnections()
+{
+    const IdleConnections idle = this->parts.client.dropClosedIdle(this->endpointAddress);
+    // Where nobody can be asked for the rest, a connection that ends with the endpoint's process is worth its price.
+    if (idle.open == 0 && !this->isRepeatable && !this->hasWitnessConnection) {
+        this->hasWitnessConnection = true;
+        asio::co_spawn(co_await asio::this_coro::executor, this->parts.client.probe(this->endpointAddress, probeTimeout), asio::detached);
+    }
+}
+
+asio::awaitable<bool> EndpointSend::findWhetherEnded(SendResult &result)
 {
-    result.listening = co_await this->parts.client.probe(address, probeTimeout, probeSettleTime);
+    const IdleConnections before = this->parts.client.dropClosedIdle(this->endpointAddress);
+    result.listening = co_await this->parts.client.probe(this->endpointAddress, probeTimeout, probeSettleTime);
     result.report.endpointGone = result.listening == Listening::No;
+    const IdleConnections after = this->parts.client.dropClosedIdle(this->endpointAddress);
+    // A process that has taken the place of another one listens, but no connection to the former one is left.
+    const bool wasReplaced = before.closed + after.closed > 0 && after.closed >= before.open;
+    co_return result.report.endpointGone || wasReplaced;
 }
 
 void EndpointSend::disproveOpenEnd(Time now)
@@ -363,8 +381,7 @@
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
-        co_await this->findWhetherEnded(endpoint.address, result);
-        end.endpointEnded = result.report.endpointGone;
+        end.endpointEnded = co_await this->findWhetherEnded(result);
     }
     const bool isHolding = this->parts.progress.continuity.isHolding();
     result.run.complete = this->judgeEnd(endpoint, end, currentTime());
@@ -463,6 +480,7 @@
 asio::awaitable<SendResult> EndpointSend::run(EndpointSpec endpoint, int priority, Time deadline, Time now)
 {
     this->endpointId = endpoint.id;
+    this->endpointAddress = endpoint.address;
     const ServiceVersion group{this->parts.service, endpoint.version};
     this->parts.progress.continuity.expectUnitSteps(this->parts.habits.numbersRiseByOne(group, now));
     this->parts.progress.continuity.expectUnevenSteps(this->parts.habits.numbersAreUneven(group, now));
@@ -535,8 +553,8 @@
     result.report.isUnnamedAnswer = this->isUnnamed && result.report.outcome == SendOutcome::Broken;
     result.refusedAsMisdirected = outcome.value().status == statusMisdirected;
     if (result.report.outcome == SendOutcome::Answered && result.endedWithConnection) {
-        co_await this->findWhetherEnded(endpoint.address, result);
-        if (result.report.endpointGone) {
+        const bool hasEnded = co_await this->findWhetherEnded(result);
+        if (hasEnded) {
             result.report.outcome = SendOutcome::Broken;
             result.detail = "the connection ended the answer, and the endpoint ended with it";
             co_return result;
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -299,3 +299,28 @@
         CHECK(stream.isInOrder());
     }
 }
+
+// Guards against half a stream that reaches its caller as complete because its endpoint has ended and another process has its address already.
+TEST_CASE("Stream ends: an endpoint whose process was replaced at its address has not ended its stream")
+{
+    constexpr int eventGapMs = 150;
+    constexpr std::chrono::milliseconds untilReplaced(400);
+    StreamCluster cluster(1);
+    std::string answer;
+    std::thread caller([&cluster, &answer]() {
+        answer = cluster.sendRaw(0,
+                                 "POST /single/1?work_ms=10&gap_ms=" + std::to_string(eventGapMs)
+                                     + "&fault=" + std::to_string(static_cast<int>(Behaviour::Unframed))
+                                     + " HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: replaced\r\nOleandergate-Token-Counts: 100,100\r\n"
+                                       "Oleandergate-Prompt-Prefix: a1:100\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+    });
+    std::this_thread::sleep_for(untilReplaced);
+    const std::string address = cluster.endpoints[0]->address();
+    cluster.endpoints[0]->end();
+    const StandinEndpoint successor("i-successor", address);
+    caller.join();
+    CAPTURE(answer);
+    CHECK(countOf(answer, "data: ") > 0);
+    CHECK(countOf(answer, "data: ") < StandinEndpoint::eventCount);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+}
