The events that hold all tokens of a stream are counted by the smallest events that its service may write

What callers would see: `TokensPerEvent` of a service grows, its endpoints still write smaller events, and a stream that is cut without framing behind as many events as now hold all its tokens is delivered as complete.

Cause: the number of events that proves a stream complete followed from the configuration in force when the request arrived. A request that goes on behind an event counted its own events only, against all tokens of the stream.

Change: the smallest size of the last configurations counts, for as long as streams from before may last; a request that goes on behind an event has no such proof.

--- a/src/gateway/gatewayconfigurationholder.cpp
+++ b/src/gateway/gatewayconfigurationholder.cpp
@@ -23,6 +23,10 @@
             return false;
         }
         if (this->active) {
+            const Duration retention = longestTimeout(this->active->targets.routes) + targetChangeDelay;
+            for (const auto &[name, service] : this->active->services) {
+                this->eventSizes.addFormer(name, service.tokensPerEvent, retention, now);
+            }
             this->formerTargets.onReplaced(this->active->configuration.routes, next->configuration.routes, now);
         }
         this->active = next;
@@ -46,6 +50,12 @@
     return this->formerTargets.originsOf(route, path, key, now);
 }
 
+Tokens GatewayConfigurationHolder::smallestEvent(const GatewayService &service, Time now) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->eventSizes.smallest(service.name, service.tokensPerEvent, now);
+}
+
 std::uint64_t GatewayConfigurationHolder::version() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/gatewayconfigurationholder.h
+++ b/src/gateway/gatewayconfigurationholder.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_GATEWAYCONFIGURATIONHOLDER_H
 #define OLEANDERGATE_GATEWAY_GATEWAYCONFIGURATIONHOLDER_H
 
+#include "decision/eventsizes.h"
 #include "decision/routetargethistory.h"
 #include "gateway/activegatewayconfiguration.h"
 
@@ -29,6 +30,9 @@
     //! As in RouteTargetHistory, for the configurations that were active here.
     StreamOrigins originsOf(const Route &route, std::string_view path, std::string_view key, Time now) const;
 
+    //! As in EventSizes, for the configurations that were active here.
+    Tokens smallestEvent(const GatewayService &service, Time now) const;
+
     //! Returns the version of the active configuration, or 0.
     std::uint64_t version() const;
 
@@ -42,6 +46,7 @@
     mutable std::mutex mutex;
     std::shared_ptr<const ActiveGatewayConfiguration> active;
     RouteTargetHistory formerTargets;
+    EventSizes eventSizes;
     Listener listener;
     std::atomic<std::uint64_t> announcedVersion{0}; //!< Newest version that another instance is known to have.
 };
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -90,11 +90,11 @@
     return std::min(call.timeLeft.value_or(route.timeout), route.timeout);
 }
 
-//! Returns the number of events with which a stream has all tokens that it may have; 0 when not known.
-std::uint64_t mostEvents(const RelayCall &call, const GatewayService &service)
+//! Returns the number of events, of \p perEvent tokens each, with which a stream has all tokens that it may have; 0 when not known, as where its caller has
+//! some of them already.
+std::uint64_t mostEvents(const RelayCall &call, Tokens perEvent)
 {
-    const auto perEvent = static_cast<Tokens>(service.tokensPerEvent);
-    return perEvent <= 0 || call.maxTokens <= 0 ? 0 : static_cast<std::uint64_t>((call.maxTokens + perEvent - 1) / perEvent);
+    return perEvent <= 0 || call.maxTokens <= 0 || call.resumeAfter ? 0 : static_cast<std::uint64_t>((call.maxTokens + perEvent - 1) / perEvent);
 }
 
 std::string textOf(const std::optional<std::uint64_t> &number)
@@ -223,7 +223,8 @@
         co_await this->refuse(context, shutdownError());
         co_return;
     }
-    context.progress.continuity = StreamContinuity(context.call.resumeAfter, mostEvents(context.call, *context.service));
+    const Tokens perEvent = this->parts.configurationHolder.smallestEvent(*context.service, currentTime());
+    context.progress.continuity = StreamContinuity(context.call.resumeAfter, mostEvents(context.call, perEvent));
     context.retries.emplace(context.route->kind, context.route->resumable, context.route->maxAttempts);
     if (!co_await this->findStreamVersion(context)) {
         co_return;
