A stream that broke off may still have its end confirmed; former targets count for the timeout of their own route

What callers would see: a whole unframed stream that had broken off twice was given up, as its breaks had used the repeats that the second confirming run needs; and with one route whose streams last for minutes, take-ups on all others were refused for as long behind a change, as the record keeps all former targets for the longest timeout.

--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -10,6 +10,9 @@
 //! Number of times that a request is sent again after it may have run; limits the work that a failing pool causes.
 constexpr std::uint32_t maxRepeats = 3;
 
+//! Number of times that the end of a stream is asked for again where a run brought nothing that proves it.
+constexpr std::uint32_t maxFurtherConfirmations = 3;
+
 } // namespace
 
 RetryPlan::RetryPlan(RouteKind kind, bool resumable, std::uint32_t maxAttempts)
@@ -125,10 +128,11 @@
         // Nobody can be asked, and callers of endpoints that never frame their streams have to be served.
         return report.isDoubtfulEnd ? NextStep::FailUnknown : NextStep::Deliver;
     }
-    if (this->repeats >= maxRepeats) {
+    std::uint32_t &used = report.broughtEvents ? this->repeats : this->furtherConfirmations;
+    if (used >= (report.broughtEvents ? maxRepeats : maxFurtherConfirmations)) {
         return NextStep::FailUnknown;
     }
-    this->repeats += 1;
+    used += 1;
     this->openEnds.insert(report.endpoint);
     this->possiblyExecutedAt.insert(report.endpoint);
     return this->possiblyExecutedAt.size() < this->maxAttempts ? NextStep::TryElsewhere : NextStep::TrySame;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -102,6 +102,7 @@
     std::uint32_t maxAttempts;
     std::uint32_t refusals = 0;
     std::uint32_t repeats = 0;
+    std::uint32_t furtherConfirmations = 0;
     bool possiblyExecuted = false;
     std::set<EndpointId> possiblyExecutedAt;
     std::set<EndpointId> avoid;
--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -38,7 +38,7 @@
         return now > entry.second;
     });
     const Time lapsesAt = this->lapses.try_emplace(key, now + retention).first->second;
-    this->formers[key] = Former{std::move(targets), lapsesAt};
+    this->formers[key] = Former{std::move(targets), retention, lapsesAt};
 }
 
 void RouteTargetLedger::dropFormer(const std::string &key)
@@ -71,17 +71,21 @@
     return this->isRead() && (isSameVersion || this->present.version > targets.version);
 }
 
-Duration RouteTargetLedger::longestTimeout(Time now) const
+Duration RouteTargetLedger::longestResumableTimeout(Time now) const
 {
-    Duration longest = oleandergate::longestTimeout(this->present.routes);
+    Duration longest{};
+    const auto add = [&longest](const RouteTargets &route) {
+        longest = route.isResumable ? std::max(longest, route.timeout) : longest;
+    };
+    for (const auto &[key, route] : this->present.routes) {
+        add(route);
+    }
     for (const auto &[key, former] : this->formers) {
         if (now > former.lapsesAt) {
             continue;
         }
         for (const auto &[routeKey, routes] : former.targets) {
-            for (const RouteTargets &route : routes) {
-                longest = std::max(longest, route.timeout);
-            }
+            std::ranges::for_each(routes, add);
         }
     }
     return longest;
@@ -107,10 +111,10 @@
     if (this->isRead() && !this->present.hasUnresumable) {
         this->addLeftOut(change, change.former);
     }
-    change.retention = std::max(oleandergate::longestTimeout(this->present.routes), oleandergate::longestTimeout(change.present.routes));
+    change.retention = std::max(longestTimeout(this->present.routes), longestTimeout(change.present.routes));
     for (const VersionedTargets &begun : unrecorded) {
         append(change.former, replacedTargets(begun.routes, change.present.routes, earlier));
-        change.retention = std::max(change.retention, oleandergate::longestTimeout(begun.routes));
+        change.retention = std::max(change.retention, longestTimeout(begun.routes));
     }
     change.retention += targetChangeDelay;
     return change;
@@ -138,11 +142,15 @@
         if (now > former.lapsesAt) {
             continue;
         }
+        const Time addedAt = former.lapsesAt - former.retention;
         for (const auto &[routeKey, routes] : former.targets) {
             if (!concerns(routeKey, route.host, route.prefix, path)) {
                 continue;
             }
             for (const RouteTargets &targets : routes) {
+                if (now > addedAt + targets.timeout + targetChangeDelay) {
+                    continue;
+                }
                 origins.add(targets, key);
             }
         }
--- a/src/decision/routetargetledger.h
+++ b/src/decision/routetargetledger.h
@@ -52,8 +52,8 @@
     //! Returns whether the record is of the version of \p targets, and names all that these do, or of a newer one.
     bool isAsNewAs(const VersionedTargets &targets) const;
 
-    //! Returns the longest time for which streams last that may have begun by the present targets or by former ones.
-    Duration longestTimeout(Time now) const;
+    //! Returns the longest time for which streams last that may be resumed and may have begun by the present targets or by former ones.
+    Duration longestResumableTimeout(Time now) const;
 
     //! Returns what to write so that the record holds \p targets, unless it is newer, and that streams may have begun by \p unrecorded, as this instance has
     //! begun some by them. Returns nothing when there is nothing to write, or the record has not been read.
@@ -66,6 +66,7 @@
     struct Former
     {
         FormerTargets targets{};
+        Duration retention{}; //!< Of the record. Each route counts for its own timeout.
         Time lapsesAt{};
     };
 
--- a/src/gateway/routetargetrecords.cpp
+++ b/src/gateway/routetargetrecords.cpp
@@ -247,10 +247,10 @@
     return this->ledger.isRead();
 }
 
-Duration RouteTargetRecords::longestTimeout(Time now) const
+Duration RouteTargetRecords::longestResumableTimeout(Time now) const
 {
     const std::lock_guard lock(this->mutex);
-    return this->ledger.longestTimeout(now);
+    return this->ledger.longestResumableTimeout(now);
 }
 
 void RouteTargetRecords::addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const
--- a/src/gateway/routetargetrecords.h
+++ b/src/gateway/routetargetrecords.h
@@ -65,7 +65,7 @@
     bool isAsNewAs(const VersionedTargets &targets) const;
     bool isLoaded() const;
     bool isRead() const;
-    Duration longestTimeout(Time now) const;
+    Duration longestResumableTimeout(Time now) const;
     void addOrigins(const Route &route, std::string_view path, std::string_view key, Time now, StreamOrigins &origins) const;
 
     //! Writes or reads the record if that is due. To be called often, on the context's thread.
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -819,7 +819,7 @@
             }
         }
         const Time now = currentTime();
-        longestTimeout = std::max(longestTimeout, this->parts.targets.longestTimeout(now));
+        longestTimeout = std::max(longestTimeout, this->parts.targets.longestResumableTimeout(now));
         bool ready = false;
         {
             const std::lock_guard lock(this->mutex);
--- a/tests/unit/retryplantests.cpp
+++ b/tests/unit/retryplantests.cpp
@@ -92,6 +92,19 @@
     CHECK(step == NextStep::FailUnknown);
 }
 
+// Guards against giving a whole stream up: its breaks had used the repeats that the runs needed which were to confirm its end.
+TEST_CASE("A stream that broke off before may still have its end confirmed by two runs")
+{
+    RetryPlan plan(RouteKind::Stream, true, 1);
+    CHECK(plan.after(report("a", SendOutcome::Broken)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Broken)) == NextStep::TrySame);
+    SendReport end = report("a", SendOutcome::Unconfirmed);
+    end.broughtEvents = true;
+    CHECK(plan.after(end) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Unconfirmed)) == NextStep::TrySame);
+    CHECK(plan.after(report("a", SendOutcome::Answered)) == NextStep::Deliver);
+}
+
 TEST_CASE("A request that failed at an endpoint is repeated only if the route allows another endpoint")
 {
     RetryPlan once(RouteKind::Once, false, 3);
--- a/tests/unit/routetargetledgertests.cpp
+++ b/tests/unit/routetargetledgertests.cpp
@@ -173,6 +173,21 @@
     CHECK(servicesBy(reader, routeTo("/a/", "two"), start + change->retention + timeout) == std::set<std::string>{"two"});
 }
 
+// Guards against refusing what can go on: the streams of one route last much longer than those of the others.
+TEST_CASE("Target record: former targets of a route count for its own timeout")
+{
+    Route slow = unresumable(routeTo("/slow/", "one"));
+    slow.timeout = 100 * timeout;
+    const RouteTargetLedger writer = ledgerWith(version(1, {routeTo("/a/", "one"), slow}));
+    const std::optional<RouteTargetLedger::Change> change = writer.changeTo(version(2, {routeTo("/a/", "two"), slow}), {});
+    REQUIRE(change);
+    RouteTargetLedger reader = ledgerWith(change->present);
+    reader.addFormer("former", change->former, change->retention, start);
+    CHECK(servicesBy(reader, routeTo("/a/", "two"), start + timeout) == std::set<std::string>{"one", "two"});
+    CHECK(servicesBy(reader, routeTo("/a/", "two"), start + 3 * timeout) == std::set<std::string>{"two"});
+    CHECK(reader.longestResumableTimeout(start) == timeout);
+}
+
 // Guards against streams joined from two services by a route with a longer prefix that is added or removed.
 TEST_CASE("Target record: a route with a longer prefix takes over streams of a shorter one, and leaves them to it")
 {
