Each unframed stream that may not be resumed has a witness of its endpoint's process of its own

What callers would see: idle connections that had merely timed out counted as an ended process, so that sound unframed answers were given up, plain ones and those of confirming runs, too; of several streams at a replaced endpoint the first one that looked used the evidence up, and the others were delivered as whole; a connection through a peer said nothing of the endpoint.

Change: a stream without framing on a route that may not be resumed opens a connection on which nothing is sent, straight to its endpoint. If that has ended at the end of the answer, and had not at the last event, the endpoint has ended. Idle connections are left alone.

That the version before fails it was not run; by reading it delivers one of the two.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -29,6 +29,9 @@
 //! The same at an endpoint that has stated too small a length lately.
 constexpr Duration doubtfulLengthSettleTime = std::chrono::milliseconds(200);
 
+//! Connections that are opened as witnesses of the endpoint's process for one stream.
+constexpr int maxWitnesses = 3;
+
 //! Longest time that a stream waits at its end to learn whether the endpoint still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
@@ -193,8 +196,8 @@
 
 asio::awaitable<bool> EndpointSend::forwardEvents(const HttpResponse &head, const std::string &chunk)
 {
-    if (!this->isFramed) {
-        co_await this->watchConnections();
+    if (!this->isFramed && !this->isRepeatable && this->isDirect) {
+        co_await this->watchEndpoint();
     }
     if (!this->acceptWeights()) {
         this->rejection = "the answer names other weights than those of the stream's last event";
@@ -246,25 +249,20 @@
     co_return delivered &&this->rejection.empty();
 }
 
-asio::awaitable<void> EndpointSend::watchConnections()
+asio::awaitable<void> EndpointSend::watchEndpoint()
 {
-    const IdleConnections idle = this->parts.client.dropClosedIdle(this->endpointAddress);
-    // Where nobody can be asked for the rest, a connection that ends with the endpoint's process is worth its price.
-    if (idle.open == 0 && !this->isRepeatable && !this->hasWitnessConnection) {
-        this->hasWitnessConnection = true;
-        asio::co_spawn(co_await asio::this_coro::executor, this->parts.client.probe(this->endpointAddress, probeTimeout), asio::detached);
+    // One that has ended before the stream did may have timed out.
+    const bool isMissing = !this->witness || this->witness->hasEnded();
+    if (isMissing && this->witnessesOpened < maxWitnesses) {
+        this->witnessesOpened += 1;
+        this->witness = std::make_unique<WitnessConnection>(co_await asio::this_coro::executor, this->endpointAddress, connectTimeout);
     }
 }
 
-asio::awaitable<bool> EndpointSend::findWhetherEnded(SendResult &result)
+asio::awaitable<void> EndpointSend::findWhetherEnded(const std::string &address, SendResult &result)
 {
-    const IdleConnections before = this->parts.client.dropClosedIdle(this->endpointAddress);
-    result.listening = co_await this->parts.client.probe(this->endpointAddress, probeTimeout, probeSettleTime);
+    result.listening = co_await this->parts.client.probe(address, probeTimeout, probeSettleTime);
     result.report.endpointGone = result.listening == Listening::No;
-    const IdleConnections after = this->parts.client.dropClosedIdle(this->endpointAddress);
-    // A process that has taken the place of another one listens, but no connection to the former one is left.
-    const bool wasReplaced = before.closed + after.closed > 0 && after.closed >= before.open;
-    co_return result.report.endpointGone || wasReplaced;
 }
 
 void EndpointSend::disproveOpenEnd(Time now)
@@ -381,7 +379,8 @@
     end.isContinued = this->isContinuedBy(answer.bytesBehind);
     if (end.betweenEvents && !end.framed) {
         // The connections of a process that ends are closed in order.
-        end.endpointEnded = co_await this->findWhetherEnded(result);
+        co_await this->findWhetherEnded(endpoint.address, result);
+        end.endpointEnded = result.report.endpointGone || (this->witness && this->witness->hasEnded());
     }
     const bool isHolding = this->parts.progress.continuity.isHolding();
     result.run.complete = this->judgeEnd(endpoint, end, currentTime());
@@ -515,6 +514,7 @@
     };
     out.onConnection = [this](const ConnectionPath &path, bool wasUsed) {
         this->streamRun.onUsedConnection = wasUsed;
+        this->isDirect = path.peer.empty();
         this->parts.onConnection(path);
     };
     out.lookBehind = [this](const HttpResponse &response) {
@@ -553,8 +553,8 @@
     result.report.isUnnamedAnswer = this->isUnnamed && result.report.outcome == SendOutcome::Broken;
     result.refusedAsMisdirected = outcome.value().status == statusMisdirected;
     if (result.report.outcome == SendOutcome::Answered && result.endedWithConnection) {
-        const bool hasEnded = co_await this->findWhetherEnded(result);
-        if (hasEnded) {
+        co_await this->findWhetherEnded(endpoint.address, result);
+        if (result.report.endpointGone) {
             result.report.outcome = SendOutcome::Broken;
             result.detail = "the connection ended the answer, and the endpoint ended with it";
             co_return result;
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -10,6 +10,7 @@
 #include "runtime/httpclient.h"
 #include "runtime/httpexchange.h"
 #include "runtime/memorybudget.h"
+#include "runtime/witnessconnection.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -111,12 +112,11 @@
     //! Notes what a run that was broken off shows for the rest of the request, and of the streams of its endpoint's version.
     void noteBreak(const EndpointSpec &endpoint, const SendResult &result, Time now);
 
-    //! Forgets idle connections to the endpoint that have ended already. Sees to it that there is one where the end of the answer will need a witness.
-    boost::asio::awaitable<void> watchConnections();
+    //! Finds out whether the endpoint has ended, as the connections of an ended process are closed in order.
+    boost::asio::awaitable<void> findWhetherEnded(const std::string &address, SendResult &result);
 
-    //! Finds out whether the process of the endpoint has ended, also where another one has its address already. The connections of an ended process are closed
-    //! in order, all at the same moment.
-    boost::asio::awaitable<bool> findWhetherEnded(SendResult &result);
+    //! Sees to it that there is a connection that ends with the endpoint's process, where nobody can be asked whether an unframed stream is whole.
+    boost::asio::awaitable<void> watchEndpoint();
 
     //! Decides about a stream whose answer has ended in order.
     boost::asio::awaitable<void> endStream(const HttpResponse &answer, const EndpointSpec &endpoint, SendResult &result);
@@ -166,7 +166,9 @@
     std::optional<std::int64_t> answerWeights; //!< Version of the weights that the head of the answer names, or the latest event that states one.
     EndpointId endpointId; //!< Where the request is sent.
     std::string endpointAddress;
-    bool hasWitnessConnection = false; //!< A connection was opened that ends with the endpoint's process.
+    bool isDirect = true; //!< The request's connection leads straight to the endpoint.
+    std::unique_ptr<WitnessConnection> witness;
+    int witnessesOpened = 0;
     bool isUnnamed = false; //!< The answer names no request, and its connection had carried others.
     bool hasHead = false; //!< The head of an answer to this request arrived.
     bool isFramed = false; //!< Its head states a length or chunks.
--- a/src/runtime/connectionpool.h
+++ b/src/runtime/connectionpool.h
@@ -52,7 +52,7 @@
     }
 
     //! Drops the connections for which \p isUnusable returns true.
-    void dropIf(const std::function<bool(const std::string &address, Connection &connection)> &isUnusable)
+    void dropIf(const std::function<bool(const std::string &address, const Connection &connection)> &isUnusable)
     {
         std::vector<Pointer> dropped; // Destroyed without the lock.
         const std::lock_guard lock(this->mutex);
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -86,14 +86,12 @@
     //! Returns false when the peer has closed the connection or sent unrequested bytes.
     bool isReusable()
     {
-        return this->peek() == asio::error::would_block;
-    }
-
-    //! Returns whether the peer has closed the connection, with no bytes in front of its end.
-    bool isClosed()
-    {
-        const beast::error_code error = this->peek();
-        return error && error != asio::error::would_block;
+        char probe = 0;
+        beast::error_code error;
+        tcp::socket &socket = this->stream().tcp().socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
+        return error == asio::error::would_block;
     }
 
     //! Remembers what \p response says. Returns false if an earlier response on this connection said the same.
@@ -119,17 +117,6 @@
         }
     }
 
-    //! Returns how reading from the idle connection would end; without an error where bytes have arrived.
-    beast::error_code peek()
-    {
-        char probe = 0;
-        beast::error_code error;
-        tcp::socket &socket = this->stream().tcp().socket();
-        socket.non_blocking(true, error);
-        socket.receive(asio::buffer(&probe, 1), asio::socket_base::message_peek, error);
-        return error;
-    }
-
     //! Ends all operations. To be called on the strand.
     void close()
     {
@@ -667,21 +654,6 @@
     co_return co_await asio::co_spawn(connection->executor, probeConnection(shared, connection, std::move(call), settleTime), asio::use_awaitable);
 }
 
-IdleConnections HttpClient::dropClosedIdle(const std::string &address)
-{
-    IdleConnections idle;
-    this->core->idleConnections.dropIf([&address, &idle](const std::string &connected, Connection &connection) {
-        if (connected != address) {
-            return false;
-        }
-        const bool isClosed = connection.isClosed();
-        idle.open += isClosed ? 0 : 1;
-        idle.closed += isClosed ? 1 : 0;
-        return isClosed;
-    });
-    return idle;
-}
-
 void HttpClient::dropLostIdle(Time now)
 {
     this->core->idleConnections.dropIf([this, now](const std::string &address, const Connection &connection) {
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -73,13 +73,6 @@
 
 using HttpOutcome = boost::outcome_v2::checked<HttpResponse, HttpFailure>;
 
-//! Idle connections to an address.
-struct IdleConnections
-{
-    std::size_t open = 0;
-    std::size_t closed = 0; //!< By their peer since they were looked at last.
-};
-
 //! HTTP/1.1 client with persistent connections, which reads over interim responses. Thread-safe.
 class HttpClient
 {
@@ -110,9 +103,6 @@
     //! with HttpFailure::connectionLost. Returns the addresses of direct connections with calls that have received nothing for so long.
     std::vector<std::string> giveUpLostCalls(Duration silence, Time now);
 
-    //! Looks at the idle connections to \p address, and drops those that their peer has closed.
-    IdleConnections dropClosedIdle(const std::string &address);
-
     //! Closes idle connections that the dialer would not reuse.
     void dropLostIdle(Time now);
 
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <thread>
 
@@ -306,21 +307,30 @@
     constexpr int eventGapMs = 150;
     constexpr std::chrono::milliseconds untilReplaced(400);
     StreamCluster cluster(1);
-    std::string answer;
-    std::thread caller([&cluster, &answer]() {
-        answer = cluster.sendRaw(0,
-                                 "POST /single/1?work_ms=10&gap_ms=" + std::to_string(eventGapMs)
-                                     + "&fault=" + std::to_string(static_cast<int>(Behaviour::Unframed))
-                                     + " HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: replaced\r\nOleandergate-Token-Counts: 100,100\r\n"
-                                       "Oleandergate-Prompt-Prefix: a1:100\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
-    });
+    // Each stream needs evidence of its own.
+    std::array<std::string, 2> answers;
+    std::vector<std::thread> callers;
+    for (std::size_t number = 0; number < answers.size(); ++number) {
+        callers.emplace_back([&cluster, &answers, number]() {
+            answers[number] = cluster.sendRaw(0,
+                                              "POST /single/1?work_ms=10&gap_ms=" + std::to_string(eventGapMs)
+                                                  + "&fault=" + std::to_string(static_cast<int>(Behaviour::Unframed))
+                                                  + " HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: replaced-" + std::to_string(number)
+                                                  + "\r\nOleandergate-Token-Counts: 100,100\r\nOleandergate-Prompt-Prefix: a1:100\r\nContent-Length: 4\r\n"
+                                                    "Connection: close\r\n\r\nbody");
+        });
+    }
     std::this_thread::sleep_for(untilReplaced);
     const std::string address = cluster.endpoints[0]->address();
     cluster.endpoints[0]->end();
     const StandinEndpoint successor("i-successor", address);
-    caller.join();
-    CAPTURE(answer);
-    CHECK(countOf(answer, "data: ") > 0);
-    CHECK(countOf(answer, "data: ") < StandinEndpoint::eventCount);
-    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const std::string &answer : answers) {
+        CAPTURE(answer);
+        CHECK(countOf(answer, "data: ") > 0);
+        CHECK(countOf(answer, "data: ") < StandinEndpoint::eventCount);
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    }
 }
