Records of streams get a longer lease as soon as streams may last longer

What callers would see: `TimeoutMs` grows, streams that begin off their bucket's version are recorded under a lease for the former timeout, and are taken up at the bucket's version once it has lapsed.

Cause: a lease that was granted for three lifetimes of a stream stayed in use for one, whatever the lifetime had become; the time of a mark was trusted likewise.

Change: a longer lifetime asks for another lease, and has marks written again.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -412,14 +412,14 @@
 asio::awaitable<std::uint64_t> StreamVersions::leaseForRecords()
 {
     const Time now = currentTime();
-    if (now < this->leaseRenewAt) {
-        co_return this->lease;
-    }
     Duration lifetime{};
     {
         const std::lock_guard lock(this->mutex);
         lifetime = this->retention;
     }
+    if (now < this->leaseRenewAt && lifetime <= this->leasedLifetime) {
+        co_return this->lease;
+    }
     // What is written until the next lease is granted lasts long enough, too. Streams begin for another lifetime after a mark, and then last up to one.
     const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(3 * lifetime);
     if (!granted) {
@@ -428,6 +428,7 @@
     }
     this->lease = granted.value();
     this->leaseRenewAt = now + lifetime;
+    this->leasedLifetime = lifetime;
     co_return this->lease;
 }
 
@@ -824,7 +825,11 @@
         {
             const std::lock_guard lock(this->mutex);
             this->streamTime.update(longestTimeout + changeDelay, now);
-            this->retention = std::max(minRetention, this->streamTime.current());
+            const Duration before = std::exchange(this->retention, std::max(minRetention, this->streamTime.current()));
+            if (this->retention > before) {
+                // Their leases are too short for the streams that begin from now on.
+                this->markedAt.clear();
+            }
             ready = this->loaded;
         }
         for (const std::string &service : services) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -218,6 +218,7 @@
     std::map<std::string, Time> dueSince; //!< By service: since when a change of its assignment is due.
     std::uint64_t lease = 0;
     Time leaseRenewAt{};
+    Duration leasedLifetime{}; //!< Of streams, for which \ref lease is long enough.
     Time proposeAgainAt{};
     std::atomic<Time> tickedAt{Time{}}; //!< When the proposing coroutine last ran, which it does many times a second unless the process stands still.
     std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
