An instance may have missed a record for as long as streams of a longer timeout may be taken up

What callers would see: a route moves and moves back while one instance sees neither, its timeout becomes shorter, and a stream from the move is taken up there at the other service if the watch of the records alone is silent.

Cause: how long a record may have been missed followed from the timeouts of the active configuration. Change: the longest one of the record of targets counts, too.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -309,7 +309,9 @@
     const VersionedTargets &targets = context.active->targets;
     const Time receivedAt = context.active->configuration.receivedAt;
     // Versions between that of the record and the active one may have had other targets, of which this instance may have missed the record.
-    const bool mayHaveMissedRecord = currentTime() - receivedAt <= longestTimeout(targets.routes) + targetChangeDelay;
+    const Time now = currentTime();
+    const Duration longest = std::max(longestTimeout(targets.routes), this->parts.targets.longestResumableTimeout(now));
+    const bool mayHaveMissedRecord = now - receivedAt <= longest + targetChangeDelay;
     if (!this->parts.targets.isRead() || !mayHaveMissedRecord || this->parts.targets.isAsNewAs(targets)) {
         co_return this->parts.targets.isRead();
     }
