The record of targets holds each former target of a route once

A route that is added takes over the former targets of its streams, its own included, so a route that came and went doubled them with each pair of changes: some 32,000 after 14 pairs (worked out), in a record that the store may refuse, and each take-up reads them all.

Change: equal targets are one entry, which counts for the longest timeout. Measured: unit test with 12 pairs, two entries at most.

--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -9,8 +9,9 @@
 void append(FormerTargets &all, const FormerTargets &added)
 {
     for (const auto &[key, routes] : added) {
-        std::vector<RouteTargets> &known = all[key];
-        known.insert(known.end(), routes.begin(), routes.end());
+        for (const RouteTargets &route : routes) {
+            addTargets(all[key], route);
+        }
     }
 }
 
--- a/src/decision/routetargets.cpp
+++ b/src/decision/routetargets.cpp
@@ -42,6 +42,18 @@
     });
 }
 
+void addTargets(std::vector<RouteTargets> &routes, const RouteTargets &route)
+{
+    const auto known = std::ranges::find_if(routes, [&route](const RouteTargets &entry) {
+        return isEqual(entry, route);
+    });
+    if (known == routes.end()) {
+        routes.push_back(route);
+    } else {
+        known->timeout = std::max(known->timeout, route.timeout);
+    }
+}
+
 FormerTargets replacedTargets(const RouteTargetMap &before, const RouteTargetMap &after, const FormerTargets &earlier)
 {
     FormerTargets replaced;
@@ -49,7 +61,7 @@
         const auto found = after.find(key);
         // Streams that may last longer than those that begin from now on are to be known for longer.
         if (found == after.end() || !isEqual(route, found->second) || route.timeout > found->second.timeout) {
-            replaced[key].push_back(route);
+            addTargets(replaced[key], route);
         }
     }
     for (const auto &[key, route] : after) {
@@ -58,11 +70,13 @@
         }
         const RouteTargets *covering = findTargets(before, key.first, key.second);
         if (covering != nullptr) {
-            replaced[key].push_back(*covering);
+            addTargets(replaced[key], *covering);
         }
         for (const auto &[formerKey, former] : earlier) {
             if (formerKey.first == key.first && key.second.starts_with(formerKey.second)) {
-                replaced[key].insert(replaced[key].end(), former.begin(), former.end());
+                for (const RouteTargets &entry : former) {
+                    addTargets(replaced[key], entry);
+                }
             }
         }
     }
--- a/src/decision/routetargets.h
+++ b/src/decision/routetargets.h
@@ -48,6 +48,9 @@
 //! Returns whether the streams of all routes go to the same services by both, in the same shares, and may be resumed by both or by none.
 bool hasSameTargets(const RouteTargetMap &left, const RouteTargetMap &right);
 
+//! Adds \p route to \p routes, or has streams of the same targets among them last as long.
+void addTargets(std::vector<RouteTargets> &routes, const RouteTargets &route);
+
 //! Returns the targets that streams had by \p before and do not have by \p after, also those that may be resumed by one of the two only or might last
 //! longer before. A route that was added
 //! takes over streams of the route with the longest prefix of its own, and those that had other targets by \p earlier, the former targets of the routes in \p
--- a/tests/unit/routetargetledgertests.cpp
+++ b/tests/unit/routetargetledgertests.cpp
@@ -284,3 +284,24 @@
     reader.addFormer("former", later->former, later->retention, start);
     CHECK(mayBeUnresumable(reader, routeTo("/a/", "one")));
 }
+
+// Guards against a record that doubles with each change of a route that comes and goes.
+TEST_CASE("Target record: each former target of a route is held once in a record")
+{
+    RouteTargetLedger ledger = ledgerWith(version(1, {routeTo("/a/", "one")}));
+    std::uint64_t number = 1;
+    std::size_t largest = 0;
+    for (int pair = 0; pair < 12; ++pair) {
+        for (const std::vector<Route> &routes : {std::vector<Route>(), std::vector<Route>{routeTo("/a/", pair % 2 == 0 ? "two" : "one")}}) {
+            number += 1;
+            const std::optional<RouteTargetLedger::Change> change = ledger.changeTo(version(number, routes), {});
+            REQUIRE(change);
+            ledger.setPresent(change->present, number);
+            ledger.addFormer("former-" + std::to_string(number), change->former, change->retention, start);
+            for (const auto &[key, former] : change->former) {
+                largest = std::max(largest, former.size());
+            }
+        }
+    }
+    CHECK(largest == 2);
+}
