A record of an earlier build does not hide that a route could not be resumed before

Found by the reviewer, by reading: an instance of records a configuration in which `Resumable` has come on; its record leaves the other routes out, so nothing told a gateway that started behind it that streams may have begun without the flag. Change: a ledger keeps the last record that left nothing out, and completes the next one by it.

Measured: unit test "... that an earlier build records as resumable ...".

--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -29,6 +29,9 @@
 {
     if (newRevision > this->revision) {
         this->revision = newRevision;
+        if (targets.hasUnresumable) {
+            this->lastComplete = targets.routes;
+        }
         this->present = std::move(targets);
     }
 }
@@ -124,7 +127,9 @@
 void RouteTargetLedger::addLeftOut(const Change &change, FormerTargets &former) const
 {
     for (const auto &[key, route] : change.present.routes) {
-        if (route.isResumable && !this->present.routes.contains(key)) {
+        const auto before = this->lastComplete.find(key);
+        const bool wasUnresumable = before != this->lastComplete.end() && !before->second.isResumable;
+        if (route.isResumable && (wasUnresumable || !this->present.routes.contains(key))) {
             RouteTargets leftOut = route;
             leftOut.isResumable = false;
             former[key].push_back(std::move(leftOut));
--- a/src/decision/routetargetledger.h
+++ b/src/decision/routetargetledger.h
@@ -76,6 +76,7 @@
     bool loaded = false;
     std::uint64_t revision = 0;
     VersionedTargets present;
+    RouteTargetMap lastComplete; //!< Of the last record that left no routes out.
     std::map<std::string, Former> formers; //!< By the key of the record.
     std::map<std::string, Time> lapses; //!< The same, also of records that a reading no longer had.
 };
--- a/tests/unit/routetargetledgertests.cpp
+++ b/tests/unit/routetargetledgertests.cpp
@@ -285,6 +285,21 @@
     CHECK(mayBeUnresumable(reader, routeTo("/a/", "one")));
 }
 
+// Guards against a stream that is joined behind a change which an instance of an earlier build recorded.
+TEST_CASE("Target record: a route that an earlier build records as resumable may not have been resumed before")
+{
+    RouteTargetLedger ledger = ledgerWith(version(5, {unresumable(routeTo("/a/", "one"))}));
+    VersionedTargets partial = version(6, {routeTo("/a/", "one")});
+    partial.hasUnresumable = false;
+    ledger.reset();
+    ledger.setPresent(partial, 2);
+    const std::optional<RouteTargetLedger::Change> change = ledger.changeTo(version(6, {routeTo("/a/", "one")}), {});
+    REQUIRE(change);
+    RouteTargetLedger reader = ledgerWith(change->present);
+    reader.addFormer("former", change->former, change->retention, start);
+    CHECK(mayBeUnresumable(reader, routeTo("/a/", "one")));
+}
+
 // Guards against a record that doubles with each change of a route that comes and goes.
 TEST_CASE("Target record: each former target of a route is held once in a record")
 {
