More events than hold all tokens of a stream prove nothing, and only runs that confirm an end count as proofs of it

Found by the reviewer, by reading. A stream with more events than `TokensPerEvent` allows shows that the size is not what it was taken for, yet it counted as complete whatever its end looked like; and streams that ended by their number of events made a single confirming run enough for others.

--- a/src/decision/streamcontinuity.cpp
+++ b/src/decision/streamcontinuity.cpp
@@ -160,7 +160,8 @@
     if (!isWholeTail || (!end.tail.empty() && !end.framed)) {
         return Evidence::Disproved;
     }
-    const bool isExhausted = this->maxEvents > 0 && this->total >= this->maxEvents;
+    // With more events the tokens of each are not known after all.
+    const bool isExhausted = this->maxEvents > 0 && this->total == this->maxEvents;
     // Events without numbers at the end may be what was seen of the further event.
     if (this->hasFurtherEvent && end.tail.empty() && !isExhausted) {
         return Evidence::Disproved;
--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -59,7 +59,7 @@
     if (run.tail) {
         habit.tails[run.endpoint] = Tail{*run.tail, now};
     }
-    if (run.proved && !run.framed) {
+    if (run.proved && !run.framed && run.events == 0) {
         habit.provedEnds += 1;
     }
     if (!run.provedEndAt.empty()) {
--- a/tests/unit/streamcontinuitytests.cpp
+++ b/tests/unit/streamcontinuitytests.cpp
@@ -381,3 +381,17 @@
     addAll(stream, {6, 7});
     CHECK(stream.endRun(framedEnd) == Evidence::Proved);
 }
+
+// Guards against a cut stream that counts as complete because it has more events than should hold all its tokens.
+TEST_CASE("A stream with more events than hold all its tokens is not proved complete by their number")
+{
+    StreamContinuity stream(std::nullopt, 2);
+    stream.beginRun();
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        REQUIRE(stream.add(number) == EventPosition::Next);
+    }
+    StreamEnd end;
+    end.betweenEvents = true;
+    end.endpointEnded = true;
+    CHECK(stream.endRun(end) == Evidence::Disproved);
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -48,6 +48,7 @@
     StreamHabits habits;
     CHECK(habits.confirmationsNeeded(group, start) == 2);
     RunObservation proved = endedRunAt("a", false);
+    proved.events = 0;
     proved.proved = true;
     for (int end = 0; end < provedEnds; ++end) {
         CHECK(habits.confirmationsNeeded(group, start) == 2);
