--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -207,7 +207,7 @@
                               relayError(ErrorCode::NotResumable,
                                          Step::Admit,
                                          Executed::No,
-                                         "streams of the route " + context.route->name + " may not be resumed; the request may be sent again from its start"));
+                                         "the route " + context.route->name + " does not allow a request that goes on behind an event"));
         co_return;
     }
     const std::string &service = targetFor(*context.route, routingKeyOf(context.call, context.identity, *context.route)).service;
