--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -25,6 +25,15 @@
     {"Name":"reads","Host":"h.example","PathPrefix":"/reads/","Kind":"safe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":2},
     {"Name":"orders","Host":"h.example","PathPrefix":"/orders/","Kind":"unsafe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":1})";
 
+std::function<void(const std::string &folder)> &folderHook()
+{
+    static std::function<void(const std::string &folder)> hook = [](const std::string &folder) {
+        std::error_code ignored;
+        std::filesystem::remove_all(folder, ignored);
+    };
+    return hook;
+}
+
 } // namespace
 
 GatewayCluster::GatewayCluster(std::size_t gatewayCount, std::size_t endpointCount, std::size_t linkedGateways, int gatewayMegabytes)
@@ -58,8 +67,12 @@
 GatewayCluster::~GatewayCluster()
 {
     this->gateways.clear();
-    std::error_code ignored;
-    std::filesystem::remove_all(this->root, ignored);
+    folderHook()(this->root);
+}
+
+void GatewayCluster::setFolderHook(std::function<void(const std::string &folder)> hook)
+{
+    folderHook() = std::move(hook);
 }
 
 std::string GatewayCluster::file(std::size_t gateway, const std::string &ending) const
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -8,6 +8,7 @@
 #include "support/testcluster.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -85,6 +86,9 @@
     //! Waits until the gateway's log has \p text. Returns false when that takes over \p limitMs.
     bool logHas(std::size_t gateway, const std::string &text, int limitMs = logTimeoutMs) const;
 
+    //! Sets what happens with the folder of a cluster that has ended, which holds its logs; it is removed unless stated.
+    static void setFolderHook(std::function<void(const std::string &folder)> hook);
+
     static constexpr int logTimeoutMs = 20000;
     static constexpr int memoryMegabytes = 110; //!< That each gateway's process may use, unless stated.
     static constexpr const char *defaultLimits = R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":15000})";
