--- a/tests/streamsoak/regressionseeds.h
+++ b/tests/streamsoak/regressionseeds.h
@@ -38,6 +38,14 @@
     RegressionSeed{Installation::TalleresBanderaDense,
                    6,
                    "two services, of different software versions, on 3f705a9: all gateways ended right after a move, beside releases"},
+    RegressionSeed{Installation::NakhlaFleetChanging, 2, "two services on fca43a4: a route that moved while it might not be resumed"},
+    RegressionSeed{
+        Installation::NakhlaFleetChanging, 4, "two software versions on fca43a4: streams began while their route could not be resumed, beside releases"},
+    RegressionSeed{
+        Installation::TalleresBanderaChanging,
+        104,
+        "two services on b201eb4: a configuration came into force without its record, as the store's answers were lost, and the gateway that began a stream "
+        "by it ended; open"},
 };
 
 } // namespace oleandergate::streamsoak
--- a/tests/streamsoak/streamjudge.h
+++ b/tests/streamsoak/streamjudge.h
@@ -39,6 +39,7 @@
     std::map<std::string, std::vector<SeenRun>> runs{}; //!< By attempt.
     std::vector<SeenTrouble> troubles{};
     std::vector<TimeSpan> unresumable{}; //!< When Route::Query might not be resumed.
+    std::vector<TimeSpan> plain{}; //!< When it was no route for streams: answers were passed on as their endpoint wrote them.
     std::vector<std::string> processFaults{};
 };
 
@@ -103,6 +104,9 @@
     void judgeEarlyEnd(const SeenStream &stream);
     void add(Breach breach, const SeenStream &stream);
 
+    //! Returns whether \p attempt may have had a plain answer. What its endpoint repeats or leaves out belongs to that.
+    bool isPlain(const SeenStream &stream, const Attempt &attempt) const;
+
     //! Returns whether the stream of \p attempt might not be resumed: nobody could be asked for the rest of it.
     bool isSingle(const SeenStream &stream, const Attempt &attempt) const;
     const std::vector<SeenRun> &runsOf(const Attempt &attempt) const;
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -505,9 +505,13 @@
 void StreamRun::changeKind(const PlannedTrouble &planned)
 {
     this->routes.isQueryStream = false;
+    this->seen.plain.push_back(TimeSpan{currentTime(), Time::max()});
     this->configureNext();
     this->later(planned.duration / restartDivisor, [this]() {
         this->routes.isQueryStream = true;
+        for (TimeSpan &span : this->seen.plain) {
+            span.to = std::min(span.to, currentTime() + activationTime);
+        }
         this->configureNext();
     });
 }
