No stream is taken up by a configuration that nobody could record yet

What callers saw: while answers of the store were lost, a version came into force without its record, a stream began by it, and its gateway was killed. The next process had a newer version, also without a record, and took the stream up at the other service: neither the record nor that version named the one in between.

Change: while the record is behind the active configuration, versions in between may have been in force elsewhere, so a take-up that the instance did not begin itself is refused as not run, with a reason of its own in the log. Where the store takes writes a configuration is recorded before it is active, so nothing is refused.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -294,6 +294,9 @@
     if (!isRecordCurrent) {
         co_return ServiceDoubt::RecordUnread;
     }
+    if (!this->parts.targets.holds(context.active->targets) && !this->parts.targets.isAsNewAs(context.active->targets)) {
+        co_return ServiceDoubt::RecordBehind;
+    }
     const std::string_view path = pathOf(context.call);
     const std::string key = routingKeyOf(context.call, context.identity, *context.route);
     StreamOrigins origins = this->parts.configurationHolder.originsOf(*context.route, path, key, currentTime());
--- a/tests/gateway/restarttests.cpp
+++ b/tests/gateway/restarttests.cpp
@@ -134,6 +134,22 @@
     cluster.takeUpAll(1);
 }
 
+// Guards against streams joined from two services: nobody could record the configuration by which they began, and an instance that started later never had it.
+TEST_CASE("Restarted: no stream is taken up by an instance whose configuration could not be recorded")
+{
+    RestartCluster cluster(movedRoute("engine"));
+    cluster.gateways[1].kill();
+    cluster.clearLog(1);
+    cluster.store.setRefusingWrites(true);
+    cluster.configure(2, movedRoute("other"));
+    cluster.awaitVersion(0, 2);
+    cluster.beginAll(0);
+    cluster.configure(3, movedRoute("engine") + movedRoute("/further/", R"("Service":"engine")"));
+    cluster.startGateway(1);
+    cluster.awaitVersion(1, 3);
+    cluster.takeUpAll(1);
+}
+
 // Guards against refusing streams that can go on: their route has not changed.
 TEST_CASE("Restarted: streams of a route that has not changed are taken up at an instance that has just started")
 {
