Tests of streams whose route changes its kind, prefix, host or attempts, or whose service its engine

Only `Resumable`, targets and time-outs changed under open streams in a test. Each further field changes now on two hosts at once: the route of one stays at its service, that of the other moves from a service of one software version to one of two in the same version, so that its version alone does not refuse what went wrong. One gateway ends behind each change, and all behind the last one. `GatewayCluster` can set `TokensPerEvent`, or leave the engine out.

--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -118,14 +118,20 @@
 
 void GatewayCluster::configure(int version, const std::string &routes, const std::string &limits)
 {
+    const std::string engine = this->tokensPerEvent ? ",\"Engine\":{\"TokensPerEvent\":" + std::to_string(*this->tokensPerEvent) + "}" : std::string();
     this->store.put("op/config",
                     "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + defaultRoutes + routes
-                        + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180,\"Engine\":{\"TokensPerEvent\":10}}" + this->otherServices
+                        + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180" + engine + "}" + this->otherServices
                         + "],"
                           "\"Limits\":"
                         + limits + "}");
 }
 
+void GatewayCluster::setTokensPerEvent(std::optional<int> tokens)
+{
+    this->tokensPerEvent = tokens;
+}
+
 void GatewayCluster::addService(const std::string &name, std::size_t endpointCount)
 {
     this->otherServices += ",{\"Name\":\"" + name + "\",\"MaxConns\":180,\"Engine\":{\"TokensPerEvent\":10}}";
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -47,6 +47,9 @@
     //! Stores a configuration with \p version; \p routes are added to the default ones.
     void configure(int version, const std::string &routes = "", const std::string &limits = defaultLimits);
 
+    //! Sets the tokens in an event of the service "engine" in the configurations that follow; without a number it is no engine.
+    void setTokensPerEvent(std::optional<int> tokens);
+
     //! Adds \p endpointCount endpoints of another service to the configurations that follow.
     void addService(const std::string &name, std::size_t endpointCount);
 
@@ -108,6 +111,7 @@
     std::string root;
     int gatewayMegabytes;
     std::string otherServices; //!< Their entries in configurations.
+    std::optional<int> tokensPerEvent = 10; //!< Of the service "engine".
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
     std::vector<int> graceSeconds; //!< By gateway.
--- a/tests/gateway/restartcluster.h
+++ b/tests/gateway/restartcluster.h
@@ -31,10 +31,10 @@
     }
 
     //! Sends an attempt of the stream \p number. It goes on behind its third event if \p resumes names its first attempt. Returns the bytes of the answer.
-    std::string send(std::size_t gateway, int number, const std::string &id, const std::string &resumes = {}) const
+    std::string send(std::size_t gateway, int number, const std::string &id, const std::string &resumes = {}, const std::string &host = "h.example") const
     {
         const std::string text = std::to_string(number);
-        std::string bytes = "POST /moved/" + text + "/turn HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nConnection: close\r\n"
+        std::string bytes = "POST /moved/" + text + "/turn HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 4\r\nConnection: close\r\n"
             + "Oleandergate-Token-Counts: 100,100\r\nOleandergate-Prompt-Prefix: a1:50,b" + text + ":50\r\nOleandergate-Request-Id: " + id
             + "\r\nOleandergate-Program-Id: p" + text + "\r\nOleandergate-Session-Id: p" + text + "-main\r\n";
         bytes += resumes.empty() ? std::string() : "Last-Event-Id: 3\r\nResumes: " + resumes + "\r\n";
--- a/tests/gateway/routefieldtests.cpp
+++ b/tests/gateway/routefieldtests.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr int streamCount = restartStreamCount;
+constexpr int hostStreamCount = 6; //!< On each of the two hosts.
+constexpr int keptStream = 3; //!< The only one that is on the narrowed prefix.
+constexpr const char *keptPrefix = "/moved/3/";
+constexpr const char *stayingHost = "h.stays.example"; //!< Its route leads to one service all the time.
+constexpr const char *movingHost = "h.moves.example"; //!< Its route leads to another service than at first.
 
 //! The route of the streams in a configuration.
 struct RouteFields
@@ -33,14 +38,40 @@
         + std::to_string(route.maxAttempts) + R"(,"Resumable":)" + (route.isResumable ? "true" : "false") + R"(,"GapAimMs":200})";
 }
 
+//! Returns \p route at both hosts, whose names start with \p hostStart. It stays at its service on one of them, on the other one it leads to the service at
+//! which streams begin, or has moved.
+std::string onBothHosts(RouteFields route, bool isMoved, const std::string &hostStart = "h")
+{
+    route.host = hostStart + std::string(stayingHost).substr(1);
+    route.service = "engine";
+    std::string text = textOf(route);
+    route.host = hostStart + std::string(movingHost).substr(1);
+    // A service of several software versions takes streams of the other one that are sent to it by mistake.
+    route.service = isMoved ? "engine" : "other";
+    return text + textOf(route);
+}
+
 //! Which gateways end, and start again, between a change and the take-ups behind it.
 enum class Restart : std::uint8_t { None, One, All };
 
+//! What may become of streams that are taken up.
+enum class TakeUp : std::uint8_t {
+    WhereBegun, //!< They go on where they began. Those of a route that moved may be refused instead.
+    WhereBegunOrRefused,
+    Refused,
+    NoRoute, //!< Their requests match no route.
+};
+
 //! Gateways before an endpoint of v1 and one of v2 of a service, and two endpoints of another one.
 struct RouteFieldCluster : RestartCluster
 {
     explicit RouteFieldCluster(const RouteFields &route)
-        : RestartCluster(textOf(route))
+        : RouteFieldCluster(textOf(route))
+    {
+    }
+
+    explicit RouteFieldCluster(const std::string &routes)
+        : RestartCluster(routes)
     {
         this->endpoints[1]->setVersion("v2");
         this->registerEndpoint(1);
@@ -52,7 +83,12 @@
     //! Has the configuration \p version with \p route in force at all gateways.
     void change(int version, const RouteFields &route)
     {
-        this->configure(version, textOf(route));
+        this->change(version, textOf(route));
+    }
+
+    void change(int version, const std::string &routes)
+    {
+        this->configure(version, routes);
         for (std::size_t gateway = 0; gateway < this->gateways.size(); ++gateway) {
             this->awaitVersion(gateway, version);
         }
@@ -70,6 +106,51 @@
         }
     }
 
+    //! Begins streams on routes of both hosts.
+    void beginOnBothHosts() const
+    {
+        for (const std::string host : {stayingHost, movingHost}) {
+            for (int number = 0; number < hostStreamCount; ++number) {
+                REQUIRE(this->send(0, number, begunOn(host, number), {}, host).starts_with("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    //! Takes the streams up at \p gateway as \p takeUp has it, those on the prefix of one stream only and the others.
+    void takeUpOnBothHosts(std::size_t gateway, TakeUp kept, TakeUp others)
+    {
+        for (const std::string host : {stayingHost, movingHost}) {
+            for (int number = 0; number < hostStreamCount; ++number) {
+                const TakeUp takeUp = number == keptStream ? kept : others;
+                const std::string begun = begunOn(host, number);
+                const std::string id = "taken-up-" + std::to_string(++this->takeUps);
+                const std::string answer = this->send(gateway, number, id, begun, host);
+                CAPTURE(answer);
+                if (answer.starts_with("HTTP/1.1 200")) {
+                    CHECK((takeUp == TakeUp::WhereBegun || takeUp == TakeUp::WhereBegunOrRefused));
+                    this->checkSameOrigin(begun, id);
+                } else {
+                    CHECK(answer.starts_with(takeUp == TakeUp::NoRoute ? "HTTP/1.1 404" : "HTTP/1.1 503"));
+                    CHECK(this->firstEndpointOf(id).empty());
+                    CHECK_FALSE((takeUp == TakeUp::WhereBegun && host == stayingHost));
+                }
+            }
+        }
+    }
+
+    void checkSameOrigin(const std::string &begun, const std::string &id) const
+    {
+        // The endpoints of the other service are of one version.
+        const std::string endpoint = this->firstEndpointOf(id);
+        const std::string first = this->firstEndpointOf(begun);
+        CHECK((endpoint == first || (endpoint.starts_with("other") && first.starts_with("other"))));
+    }
+
+    static std::string begunOn(const std::string &host, int number)
+    {
+        return "begun-" + host + "-" + std::to_string(number);
+    }
+
     //! Takes all streams up at \p gateway. Checks that each goes on where it began, or is refused and not received by any endpoint. Returns how many were
     //! served.
     int takeUpWhereBegun(std::size_t gateway)
@@ -82,10 +163,7 @@
             CAPTURE(answer);
             if (answer.starts_with("HTTP/1.1 200")) {
                 served += 1;
-                // The endpoints of the other service are of one version.
-                const std::string endpoint = this->firstEndpointOf(id);
-                const std::string first = this->firstEndpointOf(begun);
-                CHECK((endpoint == first || (endpoint.starts_with("other") && first.starts_with("other"))));
+                this->checkSameOrigin(begun, id);
             } else {
                 CHECK(answer.starts_with("HTTP/1.1 503"));
                 CHECK(this->firstEndpointOf(id).empty());
@@ -97,6 +175,50 @@
 
 constexpr std::array<Restart, 3> restarts{Restart::None, Restart::One, Restart::All};
 
+//! A change of the configuration, and what may become of the streams that are taken up behind it.
+struct Change
+{
+    std::string routes{};
+    TakeUp kept{}; //!< Of the stream that is on the narrowed prefix.
+    TakeUp others{};
+};
+
+//! Begins streams on \p routes, and has each of \p changes in force in turn. One gateway ends behind each of them, all gateways end behind the last one.
+void playChanges(const std::string &routes, const std::vector<Change> &changes)
+{
+    RouteFieldCluster cluster(routes);
+    cluster.beginOnBothHosts();
+    int version = 1;
+    for (const Change &change : changes) {
+        cluster.change(++version, change.routes);
+        CAPTURE(version);
+        cluster.takeUpOnBothHosts(1, change.kept, change.others);
+        cluster.takeUpOnBothHosts(2, change.kept, change.others);
+        cluster.restart(Restart::One, version);
+        cluster.takeUpOnBothHosts(1, change.kept, change.others);
+    }
+    cluster.restart(Restart::All, version);
+    cluster.takeUpOnBothHosts(1, changes.back().kept, changes.back().others);
+    cluster.takeUpOnBothHosts(2, changes.back().kept, changes.back().others);
+}
+
+//! Begins streams on a route of both hosts, and stores \p versions right behind each other.
+void playQuickChanges(const std::vector<std::string> &versions)
+{
+    RouteFieldCluster cluster(onBothHosts(RouteFields{}, false));
+    cluster.beginOnBothHosts();
+    int version = 1;
+    for (const std::string &routes : versions) {
+        cluster.configure(++version, routes);
+    }
+    for (std::size_t gateway = 0; gateway < cluster.gateways.size(); ++gateway) {
+        cluster.awaitVersion(gateway, version);
+        cluster.takeUpOnBothHosts(gateway, TakeUp::WhereBegunOrRefused, TakeUp::WhereBegunOrRefused);
+    }
+    cluster.restart(Restart::All, version);
+    cluster.takeUpOnBothHosts(1, TakeUp::WhereBegunOrRefused, TakeUp::WhereBegunOrRefused);
+}
+
 } // namespace
 
 // Guards against joined streams where a request that goes on behind an event is sent on a route that does not allow it, as if it were a first attempt.
@@ -228,3 +350,93 @@
     }
     CHECK(served > 0);
 }
+
+// Guards against joined streams where a route is not for streams for a while, and moves meanwhile.
+TEST_CASE("Route fields: streams are not taken up elsewhere while their route is not for streams, nor after it is again")
+{
+    playChanges(onBothHosts(RouteFields{}, false),
+                {Change{onBothHosts(RouteFields{.kind = "unsafe"}, true), TakeUp::Refused, TakeUp::Refused},
+                 Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun},
+                 Change{onBothHosts(RouteFields{.kind = "safe"}, true), TakeUp::Refused, TakeUp::Refused},
+                 Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
+// Guards against joined streams where a route becomes one for streams again before most processes have seen that it was not.
+TEST_CASE("Route fields: streams of a route that is for streams again after some milliseconds go on where they began")
+{
+    playQuickChanges({onBothHosts(RouteFields{.kind = "unsafe"}, true), onBothHosts(RouteFields{.kind = "safe"}, false), onBothHosts(RouteFields{}, true)});
+}
+
+// Guards against joined streams where a route is known by its prefix, and that becomes shorter in the version that moves it, and is as before later.
+TEST_CASE("Route fields: streams are not taken up elsewhere after the prefix of their route was widened in place, nor after it is as before")
+{
+    playChanges(onBothHosts(RouteFields{}, false),
+                {Change{onBothHosts(RouteFields{.prefix = "/"}, true), TakeUp::WhereBegun, TakeUp::WhereBegun},
+                 Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
+// Guards against joined streams where a route is known by its prefix, and that becomes longer in the version that moves it, and is as before later.
+TEST_CASE("Route fields: streams are not taken up elsewhere after the prefix of their route was narrowed in place, nor after it is as before")
+{
+    playChanges(onBothHosts(RouteFields{}, false),
+                {Change{onBothHosts(RouteFields{.prefix = keptPrefix}, true), TakeUp::WhereBegun, TakeUp::NoRoute},
+                 Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
+// Guards against joined streams where prefixes change and come back before most processes have seen it.
+TEST_CASE("Route fields: streams of a route whose prefix is as before after some milliseconds go on where they began")
+{
+    playQuickChanges({onBothHosts(RouteFields{.prefix = "/"}, true), onBothHosts(RouteFields{.prefix = keptPrefix}, false), onBothHosts(RouteFields{}, true)});
+}
+
+// Guards against joined streams where the route of a host goes, and comes back with other targets.
+TEST_CASE("Route fields: streams are not taken up elsewhere after their route was at another host for a while")
+{
+    playChanges(onBothHosts(RouteFields{}, false),
+                {Change{onBothHosts(RouteFields{}, true, "g"), TakeUp::NoRoute, TakeUp::NoRoute},
+                 Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
+// Guards against joined streams where a longer prefix takes over what began on a shorter one that may not be resumed from then on.
+TEST_CASE("Route fields: streams are not taken up elsewhere on a longer prefix that is added as the shorter one may no longer be resumed")
+{
+    const std::string shorter = onBothHosts(RouteFields{.prefix = "/", .isResumable = false}, false);
+    playChanges(onBothHosts(RouteFields{.prefix = "/"}, false), {Change{shorter + onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
+// The same where it could not be resumed when the streams began.
+TEST_CASE("Route fields: streams are not taken up elsewhere on a longer prefix that is added to one that may not be resumed")
+{
+    const std::string shorter = onBothHosts(RouteFields{.prefix = "/", .isResumable = false}, false);
+    playChanges(shorter, {Change{shorter + onBothHosts(RouteFields{}, true), TakeUp::WhereBegunOrRefused, TakeUp::WhereBegunOrRefused}});
+}
+
+// Guards against refusing, or sending elsewhere, what can go on: more or fewer attempts tell nothing of where a stream began.
+TEST_CASE("Route fields: streams go on where they began after the number of attempts has changed")
+{
+    RouteFieldCluster cluster(RouteFields{});
+    cluster.beginAll(0);
+    cluster.change(2, RouteFields{.maxAttempts = 3});
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+    cluster.restart(Restart::One, 2);
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+    cluster.change(3, RouteFields{});
+    cluster.restart(Restart::All, 3);
+    CHECK(cluster.takeUpWhereBegun(2) == streamCount);
+}
+
+// Guards against joined streams, or refused ones, where a service is an engine, or none, only from some version on.
+TEST_CASE("Route fields: streams go on where they began after their service has become an engine, or none")
+{
+    RouteFieldCluster cluster(RouteFields{});
+    cluster.beginAll(0);
+    cluster.setTokensPerEvent(std::nullopt);
+    cluster.change(2, RouteFields{});
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+    cluster.restart(Restart::One, 2);
+    CHECK(cluster.takeUpWhereBegun(1) == streamCount);
+    cluster.setTokensPerEvent(10);
+    cluster.change(3, RouteFields{});
+    cluster.restart(Restart::All, 3);
+    CHECK(cluster.takeUpWhereBegun(2) == streamCount);
+}
