--- a/src/decision/routetable.cpp
+++ b/src/decision/routetable.cpp
@@ -7,8 +7,6 @@
 
 namespace oleandergate {
 
-namespace {
-
 std::string hostName(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
@@ -18,8 +16,6 @@
     return name;
 }
 
-} // namespace
-
 RouteTable::RouteTable(const std::vector<Route> &routes)
 {
     for (const Route &route : routes) {
--- a/src/decision/routetable.h
+++ b/src/decision/routetable.h
@@ -3,11 +3,15 @@
 
 #include "decision/route.h"
 
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
 namespace oleandergate {
 
+//! Returns \p host in lower case and without a port. Hosts that differ in these only are the same one.
+std::string hostName(std::string_view host);
+
 //! Finds the route of a request: the route for its host with the longest matching path prefix.
 //!
 //! A lookup computes one hash for each slash in the path, whatever the number of routes.
--- a/tests/gateway/routefieldtests.cpp
+++ b/tests/gateway/routefieldtests.cpp
@@ -397,6 +397,12 @@
                  Change{onBothHosts(RouteFields{}, true), TakeUp::WhereBegun, TakeUp::WhereBegun}});
 }
 
+// Guards against joined streams where former targets are looked up by the host as it was written, while requests match it in any case and without a port.
+TEST_CASE("Route fields: streams are not taken up elsewhere after the host of their route was written in another way")
+{
+    playChanges(onBothHosts(RouteFields{}, false), {Change{onBothHosts(RouteFields{}, true, "H"), TakeUp::WhereBegun, TakeUp::WhereBegun}});
+}
+
 // Guards against joined streams where a longer prefix takes over what began on a shorter one that may not be resumed from then on.
 TEST_CASE("Route fields: streams are not taken up elsewhere on a longer prefix that is added as the shorter one may no longer be resumed")
 {
