Known red: a cut stream is complete where TokensPerEvent is said to be larger than what endpoints write

What callers would see: `TokensPerEvent` of a service grows from 10 to 30 while its endpoints still write events of 10 tokens. A stream of at most 60 tokens whose connection ends in order behind its second of six events, without framing, ends with the last chunk. A take-up behind event 3 ends so behind event 5, in one run of two events as well as in two runs of one: only the events of the take-up count.

Cause: `mostEvents()` takes the value of the configuration at the request's arrival, and `StreamContinuity::endRun` takes that many events as proof of an end, before it asks how the connection ended. Not mended here: where no endpoint frames its streams that proof spares a further run for each longest stream.

--- a/tests/gateway/routefieldtests.cpp
+++ b/tests/gateway/routefieldtests.cpp
@@ -219,6 +219,43 @@
     cluster.takeUpOnBothHosts(1, TakeUp::WhereBegunOrRefused, TakeUp::WhereBegunOrRefused);
 }
 
+//! An answer to a stream of at most 60 tokens.
+struct ShortStream
+{
+    std::string bytes{};
+
+    bool isComplete() const
+    {
+        return this->bytes.ends_with("0\r\n\r\n");
+    }
+
+    bool hasLastEvent() const
+    {
+        return this->bytes.find("id: " + std::to_string(StandinEndpoint::eventCount) + "\n") != std::string::npos;
+    }
+};
+
+//! Has each endpoint show \p behaviour once, and sends a stream. It goes on behind \p lastEvent unless that is 0.
+ShortStream receiveShort(RestartCluster &cluster, Behaviour behaviour, const std::string &id, int lastEvent = 0)
+{
+    for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+        endpoint->setNextBehaviours({behaviour});
+    }
+    const std::string resumes = lastEvent == 0 ? std::string() : "Last-Event-Id: " + std::to_string(lastEvent) + "\r\n";
+    return ShortStream{cluster.sendRaw(0,
+                                       "POST /moved/1/turn HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nConnection: close\r\n"
+                                       "Oleandergate-Token-Counts: 100,60\r\nOleandergate-Prompt-Prefix: a1:100\r\nOleandergate-Request-Id: "
+                                           + id + "\r\n" + resumes + "\r\nbody")};
+}
+
+//! Checks that a caller of a cut stream can tell that it is not whole.
+void checkNotCutShort(const ShortStream &stream)
+{
+    CAPTURE(stream.bytes);
+    CHECK(stream.bytes.starts_with("HTTP/1.1 200"));
+    CHECK((stream.hasLastEvent() || !stream.isComplete()));
+}
+
 } // namespace
 
 // Guards against joined streams where a request that goes on behind an event is sent on a route that does not allow it, as if it were a first attempt.
@@ -446,3 +483,28 @@
     cluster.restart(Restart::All, 3);
     CHECK(cluster.takeUpWhereBegun(2) == streamCount);
 }
+
+// Guards against a cut stream that is delivered as complete because it has as many events as the most tokens make by a value that its endpoint does not use.
+TEST_CASE("Route fields: a cut stream is not complete because events are said to have more tokens than before")
+{
+    RestartCluster cluster(textOf(RouteFields{.maxAttempts = 3}));
+    checkNotCutShort(receiveShort(cluster, Behaviour::EndBetweenEvents, "before"));
+    cluster.setTokensPerEvent(30);
+    cluster.configure(2, textOf(RouteFields{.maxAttempts = 3}));
+    cluster.awaitVersion(0, 2);
+    checkNotCutShort(receiveShort(cluster, Behaviour::EndBetweenEvents, "after"));
+}
+
+// The same for a stream that its caller takes up, of which only the events of the take-up count.
+TEST_CASE("Route fields: a cut take-up is not complete because events are said to have more tokens than before")
+{
+    constexpr int lastEvent = 3;
+    RestartCluster cluster(textOf(RouteFields{.maxAttempts = 3}));
+    checkNotCutShort(receiveShort(cluster, Behaviour::EndBetweenEvents, "before", lastEvent));
+    cluster.setTokensPerEvent(30);
+    cluster.configure(2, textOf(RouteFields{.maxAttempts = 3}));
+    cluster.awaitVersion(0, 2);
+    // One event of its own, behind three at its caller; then two.
+    checkNotCutShort(receiveShort(cluster, Behaviour::EndBehindHalf, "one", lastEvent));
+    checkNotCutShort(receiveShort(cluster, Behaviour::EndBetweenEvents, "two", lastEvent));
+}
