--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -93,11 +93,11 @@
                                    Trouble::AddressReuse,
                                    Trouble::GatewayCrawl};
 
-template <std::size_t Size>
-constexpr auto withDenseTroubles(const std::array<Trouble, Size> &troubles)
+template <std::size_t Size, std::size_t FurtherSize>
+constexpr auto joined(const std::array<Trouble, Size> &troubles, const std::array<Trouble, FurtherSize> &further)
 {
-    std::array<Trouble, Size + denseTroubles.size()> all{};
-    std::ranges::copy(denseTroubles, std::ranges::copy(troubles, all.begin()).out);
+    std::array<Trouble, Size + FurtherSize> all{};
+    std::ranges::copy(further, std::ranges::copy(troubles, all.begin()).out);
     return all;
 }
 
@@ -121,18 +121,10 @@
                                       Trouble::WatchSilence,
                                       Trouble::EndpointReturn};
 
-template <std::size_t Size>
-constexpr auto withChangingTroubles(const std::array<Trouble, Size> &troubles)
-{
-    std::array<Trouble, Size + changingTroubles.size()> all{};
-    std::ranges::copy(changingTroubles, std::ranges::copy(troubles, all.begin()).out);
-    return all;
-}
-
-constexpr auto denseFleetTroubles = withDenseTroubles(fleetTroubles);
-constexpr auto denseBanderaTroubles = withDenseTroubles(banderaTroubles);
-constexpr auto changingFleetTroubles = withChangingTroubles(denseFleetTroubles);
-constexpr auto changingBanderaTroubles = withChangingTroubles(denseBanderaTroubles);
+constexpr auto denseFleetTroubles = joined(fleetTroubles, denseTroubles);
+constexpr auto denseBanderaTroubles = joined(banderaTroubles, denseTroubles);
+constexpr auto changingFleetTroubles = joined(denseFleetTroubles, changingTroubles);
+constexpr auto changingBanderaTroubles = joined(denseBanderaTroubles, changingTroubles);
 
 // Three streams of Route::Query to one of Route::Plan, four to one; the others are played beside them.
 constexpr std::array fleetRoutes{Route::Query, Route::Query, Route::Query, Route::Plan, Route::Turns, Route::Spread, Route::Split, Route::Single};
