A former size of events is remembered only where it has changed

Each new configuration added the size of every service's events to what is remembered of former ones, also where it was the same. The smallest size is the same without those.

Measured: unit tests of event sizes, targets and streams 28 of 28; "Route fields" on cut streams, flags and limits, and "Configuration*", 6 of 6. Linter clean.

--- a/src/gateway/gatewayconfigurationholder.cpp
+++ b/src/gateway/gatewayconfigurationholder.cpp
@@ -25,7 +25,10 @@
         if (this->active) {
             const Duration retention = longestTimeout(this->active->targets.routes) + targetChangeDelay;
             for (const auto &[name, service] : this->active->services) {
-                this->eventSizes.addFormer(name, service.tokensPerEvent, retention, now);
+                const auto after = next->services.find(name);
+                if (after == next->services.end() || after->second.tokensPerEvent != service.tokensPerEvent) {
+                    this->eventSizes.addFormer(name, service.tokensPerEvent, retention, now);
+                }
             }
             this->formerTargets.onReplaced(this->active->configuration.routes, next->configuration.routes, now);
         }
