One way to add a former target, and one list of the gateways that a test restarts

addLeftOut added its targets past addTargets, which holds each of them once. The test cluster wrote its list of restarted gateways twice.

--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -132,7 +132,7 @@
         if (route.isResumable && (wasUnresumable || !this->present.routes.contains(key))) {
             RouteTargets leftOut = route;
             leftOut.isResumable = false;
-            former[key].push_back(std::move(leftOut));
+            addTargets(former[key], leftOut);
         }
     }
 }
--- a/tests/gateway/routefieldtests.cpp
+++ b/tests/gateway/routefieldtests.cpp
@@ -99,9 +99,10 @@
         if (restart == Restart::None) {
             return;
         }
-        this->RestartCluster::restart(restart == Restart::One ? std::vector<std::size_t>{1} : std::vector<std::size_t>{0, 1, 2});
+        const std::vector<std::size_t> restarted = restart == Restart::One ? std::vector<std::size_t>{1} : std::vector<std::size_t>{0, 1, 2};
+        this->RestartCluster::restart(restarted);
         REQUIRE(this->waitUntilReady());
-        for (const std::size_t gateway : restart == Restart::One ? std::vector<std::size_t>{1} : std::vector<std::size_t>{0, 1, 2}) {
+        for (const std::size_t gateway : restarted) {
             this->awaitVersion(gateway, version);
         }
     }
