--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -45,14 +45,16 @@
         this->endpoints.push_back(std::make_unique<StandinEndpoint>("i-" + std::to_string(index)));
     }
     for (std::size_t index = 0; index < gatewayCount; ++index) {
-        this->addresses.push_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress(), this->store.address()});
+        this->addresses.push_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress(), {}});
     }
     this->links.resize(linkedGateways);
-    for (std::size_t index = 0; index < linkedGateways; ++index) {
+    for (std::size_t index = 0; index < gatewayCount; ++index) {
         std::map<std::string, std::string> replaced;
-        for (const std::unique_ptr<StandinEndpoint> &endpoint : this->endpoints) {
-            this->links[index].push_back(std::make_unique<LoopbackProxy>(endpoint->address()));
-            replaced[endpoint->address()] = this->links[index].back()->address();
+        if (index < linkedGateways) {
+            for (const std::unique_ptr<StandinEndpoint> &endpoint : this->endpoints) {
+                this->links[index].push_back(std::make_unique<LoopbackProxy>(endpoint->address()));
+                replaced[endpoint->address()] = this->links[index].back()->address();
+            }
         }
         this->addresses[index].store = this->store.addView(replaced);
     }
@@ -210,6 +212,16 @@
     return answer;
 }
 
+void GatewayCluster::setStoreRefusing(std::size_t gateway, bool refusing)
+{
+    this->store.setRefusingAt(this->addresses[gateway].store, refusing);
+}
+
+void GatewayCluster::setWatchesSilent(std::size_t gateway, bool watchesSilent)
+{
+    this->store.setWatchesSilentAt(this->addresses[gateway].store, watchesSilent);
+}
+
 void GatewayCluster::setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount)
 {
     for (std::size_t index = 0; index < endpointCount.value_or(this->endpoints.size()); ++index) {
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -72,6 +72,12 @@
     //! Changes the links of \p gateway to all endpoints, or to the first \p endpointCount ones.
     void setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount = std::nullopt);
 
+    //! While it refuses a gateway, the store answers its calls with status 503, and its watches report nothing.
+    void setStoreRefusing(std::size_t gateway, bool refusing);
+
+    //! While the watches of a gateway are silent, the store reports no changes to it, and answers its other calls.
+    void setWatchesSilent(std::size_t gateway, bool watchesSilent);
+
     //! Changes how long the gateway's process may take to stop, and has it read its settings again.
     void setGrace(std::size_t gateway, int seconds);
 
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -37,6 +37,15 @@
     return json::object{{"Key", key}, {"Value", toBase64(value)}, {"Revision", revision}, {"CreateRevision", revision}, {"Lease", 0}};
 }
 
+void setMember(std::set<std::string> &members, const std::string &member, bool isMember)
+{
+    if (isMember) {
+        members.insert(member);
+    } else {
+        members.erase(member);
+    }
+}
+
 } // namespace
 
 StandinStore::StandinStore()
@@ -68,8 +77,8 @@
 
 std::string StandinStore::addView(const std::map<std::string, std::string> &replaced)
 {
-    ViewServer &added = this->views.emplace_back(ViewServer{View{replaced}, nullptr});
     std::string viewAddress = unusedAddress();
+    ViewServer &added = this->views.emplace_back(ViewServer{View{viewAddress, replaced}, nullptr});
     added.server = this->serve(viewAddress, added.view);
     return viewAddress;
 }
@@ -190,6 +199,23 @@
     this->refusingWrites = newRefusing;
 }
 
+void StandinStore::setRefusingAt(const std::string &servedAddress, bool newRefusing)
+{
+    const std::lock_guard lock(this->mutex);
+    setMember(this->refusingAddresses, servedAddress, newRefusing);
+}
+
+void StandinStore::setWatchesSilentAt(const std::string &servedAddress, bool newWatchesSilent)
+{
+    const std::lock_guard lock(this->mutex);
+    setMember(this->silentAddresses, servedAddress, newWatchesSilent);
+}
+
+bool StandinStore::refuses(const View &view) const
+{
+    return this->refusing || this->refusingAddresses.contains(view.address);
+}
+
 void StandinStore::setWatchesSilent(bool newWatchesSilent)
 {
     this->watchesSilent = newWatchesSilent;
@@ -256,7 +282,8 @@
         {
             const std::lock_guard lock(this->mutex);
             json::array events;
-            const bool isSilent = this->watchesSilent || (!this->silentPrefix.empty() && prefix.starts_with(this->silentPrefix));
+            const bool isSilent = this->watchesSilent || this->silentAddresses.contains(view.address) || this->refusingAddresses.contains(view.address)
+                || (!this->silentPrefix.empty() && prefix.starts_with(this->silentPrefix));
             for (const Change &change : this->changes) {
                 if (isSilent || change.revision <= after || !change.key.starts_with(prefix)) {
                     continue;
@@ -322,7 +349,12 @@
         co_return;
     }
     const bool isWrite = path == "/kv-txn" || path == "/kv-lease";
-    if (this->refusing || (this->refusingWrites && isWrite)) {
+    bool isRefused = false;
+    {
+        const std::lock_guard lock(this->mutex);
+        isRefused = this->refuses(view) || (this->refusingWrites && isWrite);
+    }
+    if (isRefused) {
         response = jsonResponse("{}", 503);
     } else if (path == "/kv-range") {
         response = this->range(request, view);
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -49,9 +50,15 @@
     //! While it refuses writes only, the store answers those with status 503.
     void setRefusingWrites(bool refusing);
 
+    //! The same for the callers of one address only. Their watches report nothing meanwhile.
+    void setRefusingAt(const std::string &servedAddress, bool refusing);
+
     //! While watches are silent, changes are stored but not reported to any watch.
     void setWatchesSilent(bool watchesSilent);
 
+    //! The same for the watches of one address only.
+    void setWatchesSilentAt(const std::string &servedAddress, bool watchesSilent);
+
     //! While a prefix is silent, changes of its keys are stored but not reported to any watch. None is when \p prefix is empty.
     void setSilentPrefix(const std::string &prefix);
 
@@ -90,6 +97,7 @@
     //! What callers of one address see.
     struct View
     {
+        std::string address{};
         std::map<std::string, std::string> replaced{}; //!< Texts in values, with what is shown in their place.
     };
 
@@ -104,6 +112,9 @@
     boost::asio::awaitable<void> handle(HttpRequest request, HttpExchange &exchange, const View &view);
     boost::asio::awaitable<HttpResponse> watch(const HttpRequest &request, const View &view);
 
+    //! Returns whether the store answers calls to \p view with status 503. The mutex is held.
+    bool refuses(const View &view) const;
+
     //! Writes the former answer to \p peer once more if there is one and the store is repeating. Returns whether it did.
     boost::asio::awaitable<bool> repeatFormer(const std::string &peer, HttpExchange &exchange);
     HttpResponse range(const HttpRequest &request, const View &view) const;
@@ -132,7 +143,9 @@
     std::atomic<bool> watchesSilent{false};
     std::atomic<bool> losingWriteAnswers{false};
     std::atomic<Duration> longestDelay{Duration::zero()};
-    std::string silentPrefix; //!< Guarded by the mutex.
+    std::string silentPrefix; //!< Guarded by the mutex, like the next two.
+    std::set<std::string> refusingAddresses;
+    std::set<std::string> silentAddresses;
     std::atomic<bool> repeating{false};
     std::atomic<bool> losing{false};
     std::map<std::string, HttpResponse> formerAnswers; //!< By the caller's address and port. Guarded by the mutex.
