Streams begin only by assignments of software versions that may be in force

Cause: an instance that the store refuses, or does not reach, went on beginning streams by the assignments that it had read before, for as long as that lasted. The others know a former assignment for the longest timeout and two seconds; a stream that began by it later was taken up at the assigned version elsewhere. needsRecord asked whether the assignments had ever been read, not when. Class: what was read once is taken for what is in force.

Ruled out: silent watches (a due change that is not seen has the assignments read again after 0.8 s; the case holds before) and take-ups at such an instance (confirmAssignments; holds before).

Change: instances state the revision of the latest change that they know. One that is behind asks a peer for the assignments; until it has them, and while it hears of no peer and has read nothing for two seconds, streams begin only behind a record of their own, or are refused as not run. One that hears of no peer reads the assignments every second.

--- a/src/decision/versiontable.cpp
+++ b/src/decision/versiontable.cpp
@@ -91,6 +91,15 @@
     return found == this->assignments.end() ? VersionBuckets() : found->second.buckets;
 }
 
+std::uint64_t VersionTable::latestRevision() const
+{
+    std::uint64_t latest = 0;
+    for (const auto &[service, assignment] : this->assignments) {
+        latest = std::max(latest, assignment.revision);
+    }
+    return latest;
+}
+
 std::uint64_t VersionTable::revisionOf(const std::string &service) const
 {
     const auto found = this->assignments.find(service);
--- a/src/decision/versiontable.h
+++ b/src/decision/versiontable.h
@@ -52,6 +52,9 @@
     VersionBuckets bucketsOf(const std::string &service) const;
     std::uint64_t revisionOf(const std::string &service) const;
 
+    //! Returns the highest revision of all assignments; 0 without any.
+    std::uint64_t latestRevision() const;
+
 private:
     struct Assignment
     {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "decision/hash.h"
+#include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
 #include "gateway/crashregistry.h"
 #include "gateway/directorysync.h"
@@ -143,6 +144,10 @@
                   [this]() {
                       this->gossip.sendNews();
                   })
+        , assignmentNews(self.id,
+                         [this]() {
+                             this->gossip.sendNews();
+                         })
         , leaving(pools,
                   metrics,
                   self.id,
@@ -170,7 +175,7 @@
                                    [this](std::uint64_t version) {
                                        this->configurationHolder.announce(version);
                                    },
-                                   {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel()},
+                                   {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel(), assignmentNews.channel()},
                                    [this](bool sameDomain, Duration age) {
                                        (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
                                    }})
@@ -191,7 +196,7 @@
               },
               &tunnels)
         , targets(RouteTargetRecords::Parts{control, *keyValue, gossip, metrics}, self.id)
-        , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, targets, metrics, peers}, self.id)
+        , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, targets, metrics, peers, assignmentNews}, self.id)
         , habits(metrics)
         , relay(Relay::Parts{
               configurationHolder, drain, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, targets, versions, habits, memory, metrics})
@@ -525,6 +530,7 @@
     PoolSet pools;
     CrashRegistry crashes;
     RateLimiter limiter;
+    AssignmentNews assignmentNews;
     LeavingEndpoints leaving;
     PeerGossip gossip;
     BudgetCoordinator budget;
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -1,6 +1,7 @@
 #include "gateway/streamversions.h"
 
 #include "decision/hash.h"
+#include "gateway/assignmentnews.h"
 #include "gateway/gatewayconfigurationholder.h"
 #include "gateway/milliseconds.h"
 #include "gateway/peergossip.h"
@@ -22,7 +23,7 @@
 namespace {
 
 //! Added to the longest timeout of a route: the time in which a change reaches all instances.
-constexpr Duration changeDelay = std::chrono::seconds(2);
+constexpr Duration changeDelay = assignmentLifetime;
 constexpr Duration minRetention = std::chrono::seconds(6);
 
 //! How long a request waits for the key-value service. A resumption has little time left.
@@ -65,8 +66,8 @@
 constexpr Duration fetchInterval = std::chrono::milliseconds(100);
 constexpr Duration refetchInterval = std::chrono::milliseconds(500);
 
-//! Assignments that a peer sent this long ago may have changed since. What a change replaced is recorded for so much longer than a stream lasts.
-constexpr Duration handedLifetime = changeDelay;
+//! How often an instance that hears nothing of its peers reads the assignments again.
+constexpr Duration outOfStepInterval = std::chrono::milliseconds(1000);
 
 constexpr const char *memorySource = "memory";
 constexpr const char *recordSource = "record";
@@ -140,6 +141,7 @@
         return false;
     }
     this->movedAt[record->service] = currentTime();
+    this->parts.news.onKnown(pair.revision);
     std::string shares;
     for (const auto &[version, count] : counts) {
         shares += (shares.empty() ? "" : ",") + version + ":" + std::to_string(count);
@@ -153,12 +155,16 @@
     this->parts.targets.load(range);
     {
         const std::lock_guard lock(this->mutex);
+        this->loaded = true;
+        if (this->handedRevision && range.revision < *this->handedRevision) {
+            // A peer has sent later ones while these were read.
+            return;
+        }
         const VersionTable before = std::exchange(this->table, VersionTable());
         this->records.clear();
         for (const KvPair &pair : range.pairs) {
             this->put(pair, before);
         }
-        this->loaded = true;
     }
     this->recordMoved();
 }
@@ -171,6 +177,9 @@
     }
     {
         const std::lock_guard lock(this->mutex);
+        if (this->handedRevision && event.pair.revision <= *this->handedRevision) {
+            return;
+        }
         if (event.deleted) {
             // Only records of earlier assignments and of diverted streams are ever deleted, when their lease ends.
             this->table.dropEarlier(event.pair.key);
@@ -191,6 +200,11 @@
     return this->loaded || this->handedRevision;
 }
 
+std::uint64_t StreamVersions::seenRevision() const
+{
+    return std::max(this->loaded ? this->follower.seenRevision() : 0, this->handedRevision.value_or(0));
+}
+
 std::optional<PeerMessage> StreamVersions::serve(const PeerMessage &message) const
 {
     if (!std::holds_alternative<VersionRecordsQuery>(message)) {
@@ -199,7 +213,7 @@
     VersionRecordsReply reply;
     const std::lock_guard lock(this->mutex);
     reply.isKnown = this->isKnown();
-    reply.revision = this->loaded ? this->follower.seenRevision() : this->handedRevision.value_or(0);
+    reply.revision = this->seenRevision();
     for (const auto &[key, record] : this->records) {
         reply.records.push_back(HandedVersionRecord{key, record.value, record.revision});
     }
@@ -210,10 +224,11 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        if (this->loaded || this->fetching || now < this->fetchAgainAt) {
+        const bool isBehind = this->parts.news.isBehind();
+        if ((this->loaded && !isBehind) || this->fetching || now < this->fetchAgainAt) {
             return;
         }
-        this->fetchAgainAt = now + (this->isKnown() ? refetchInterval : fetchInterval);
+        this->fetchAgainAt = now + (this->isKnown() && !isBehind ? refetchInterval : fetchInterval);
     }
     std::vector<std::string> addresses;
     this->parts.gossip.countReports([&addresses](const PeerReport &peer) {
@@ -248,11 +263,11 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        if (!reply.isKnown || this->loaded) {
+        if (!reply.isKnown || reply.revision < this->seenRevision()) {
             return;
         }
         this->handedAt = now;
-        if (this->handedRevision && reply.revision <= *this->handedRevision) {
+        if (this->isKnown() && reply.revision == this->seenRevision()) {
             return;
         }
         const VersionTable before = std::exchange(this->table, VersionTable());
@@ -279,8 +294,9 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        const bool isHandedOver = this->handedRevision && now - this->handedAt <= handedLifetime;
-        if (!this->loaded && !isHandedOver) {
+        const Time confirmedAt = std::max(this->follower.loadedAt(), this->handedAt);
+        const bool isInStep = this->loaded && !this->isOutOfStep(now);
+        if (!this->isKnown() || !this->parts.news.isCurrent(confirmedAt, isInStep, now)) {
             return true;
         }
         const std::optional<std::string> assigned = this->table.assigned(stream.service, stream.bucket);
@@ -599,7 +615,7 @@
     while (currentTime() < giveUpAt) {
         {
             const std::lock_guard lock(this->mutex);
-            if (this->isKnown()) {
+            if (this->isKnown() && !this->parts.news.isBehind()) {
                 co_return;
             }
         }
@@ -658,7 +674,7 @@
 bool StreamVersions::standsUnconfirmed(Time now) const
 {
     // In an outage for all instances assignments do not change. An instance that is alone with it may miss a change.
-    return !this->isOutOfStep(now) && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
+    return !this->isOutOfStep(now) && !this->parts.news.isBehind() && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
 }
 
 asio::awaitable<void> StreamVersions::catchUp(Time now)
@@ -672,6 +688,13 @@
     }
 }
 
+void StreamVersions::rereadOutOfStep(Time now)
+{
+    if (this->isOutOfStep(now) && now - this->follower.loadedAt() > outOfStepInterval && !this->reloading.exchange(true)) {
+        asio::co_spawn(this->parts.context, this->reload(), asio::detached);
+    }
+}
+
 Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source)
 {
     logRecord(LogLevel::Info,
@@ -695,7 +718,7 @@
     }
     co_await this->awaitAssignments();
     const Time now = currentTime();
-    const bool outOfStep = this->isOutOfStep(now);
+    const bool outOfStep = this->isOutOfStep(now) || this->parts.news.isBehind();
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
     bool diverted = false;
@@ -803,6 +826,7 @@
     while (true) {
         co_await sleepFor(proposeInterval);
         co_await this->catchUp(currentTime());
+        this->rereadOutOfStep(currentTime());
         this->askPeer(currentTime());
         const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
         if (!active) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -24,6 +24,7 @@
 
 namespace oleandergate {
 
+class AssignmentNews;
 class Counter;
 class GatewayConfigurationHolder;
 class Metrics;
@@ -48,7 +49,8 @@
 //! service, with a leased record of what each change replaced. Streams in buckets that were moved not long ago are recorded one by one.
 //!
 //! An instance that has not read the assignments asks its peers for theirs. Until it knows them, no stream begins here without a record of its own: that no
-//! assignment is known does not mean that there is none.
+//! assignment is known does not mean that there is none. The same holds for one that learns from its peers that it has missed a change, and for one that
+//! neither hears of them nor has read the assignments lately: the key-value service may fail for one instance alone.
 class StreamVersions
 {
 public:
@@ -62,6 +64,7 @@
         RouteTargetRecords &targets; //!< Its records are read together with the assignments.
         Metrics &metrics;
         PeerClient &peers;
+        AssignmentNews &news;
     };
 
     StreamVersions(const Parts &parts, InstanceId self);
@@ -72,7 +75,7 @@
     //! Answers a peer that asks for the assignments. Returns nothing for other messages.
     std::optional<PeerMessage> serve(const PeerMessage &message) const;
 
-    //! Waits a moment until the assignments are known.
+    //! Waits a moment until the assignments are known, as far as the peers know them.
     boost::asio::awaitable<void> awaitAssignments();
 
     //! Returns the version at which the stream should begin; nothing when the service has no assignment, or none is known.
@@ -177,7 +180,7 @@
     boost::asio::awaitable<Result<std::string>> findByRecords(StreamIdentity stream, RequestId request);
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
 
-    //! Asks a peer for the assignments if they could not be read so far.
+    //! Asks a peer for the assignments if they could not be read so far, or another one knows a later change.
     void askPeer(Time now);
     boost::asio::awaitable<void> fetchFrom(std::string peer);
     void take(const VersionRecordsReply &reply, const std::string &peer, Time now);
@@ -185,6 +188,12 @@
     //! Returns whether the assignments were read, or received from a peer. The mutex is held.
     bool isKnown() const;
 
+    //! Returns up to which revision changes are known, from the key-value service or a peer. The mutex is held.
+    std::uint64_t seenRevision() const;
+
+    //! Reads the assignments now and then while this instance hears nothing of its peers.
+    void rereadOutOfStep(Time now);
+
     //! Returns whether this instance may have missed a change: it stood still, or receives no reports of other instances any more.
     bool isOutOfStep(Time now) const;
 
@@ -229,7 +238,7 @@
     VersionTable table;
     std::map<std::string, KvPair> records; //!< What \ref table was made of, by key, for peers.
     bool loaded = false;
-    std::optional<std::uint64_t> handedRevision{}; //!< Revision of the assignments that a peer sent, until they are read.
+    std::optional<std::uint64_t> handedRevision{}; //!< Revision of the latest assignments that a peer sent.
     Time handedAt{}; //!< When a peer last sent some.
     StreamRetention streamTime;
     Duration retention; //!< Longer than any stream lasts over all attempts.
--- /dev/null
+++ b/src/wire/assignmentreport.h
@@ -0,0 +1,19 @@
+#ifndef OLEANDERGATE_WIRE_ASSIGNMENTREPORT_H
+#define OLEANDERGATE_WIRE_ASSIGNMENTREPORT_H
+
+#include "decision/ids.h"
+
+#include <cstdint>
+
+namespace oleandergate {
+
+//! The latest change of the assignments of software versions that an instance knows, reported between instances over UDP beside load reports.
+struct AssignmentReport
+{
+    InstanceId instance{};
+    std::uint64_t revision = 0; //!< Of the change in the key-value service.
+};
+
+} // namespace oleandergate
+
+#endif
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -463,6 +463,12 @@
     archive(value.instance, value.endpoints);
 }
 
+template <class Archive>
+void serialize(Archive &archive, AssignmentReport &value)
+{
+    archive(value.instance, value.revision);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
@@ -472,7 +478,8 @@
 constexpr char rateLimitReportMark = '\x7e';
 constexpr char reachReportMark = '\x7d';
 constexpr char leavingReportMark = '\x7c';
-constexpr char memberReportMark = '\x7b'; //!< The lowest one.
+constexpr char memberReportMark = '\x7b';
+constexpr char assignmentReportMark = '\x7a'; //!< The lowest one.
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -565,7 +572,7 @@
 
 bool hasReportMark(std::string_view bytes)
 {
-    return !bytes.empty() && bytes.front() >= memberReportMark;
+    return !bytes.empty() && bytes.front() >= assignmentReportMark;
 }
 
 std::string encodeLoadReport(const LoadReport &report)
@@ -630,6 +637,19 @@
     return decode<LeavingReport>(std::string_view(bytes).substr(1));
 }
 
+std::string encodeAssignmentReport(const AssignmentReport &report)
+{
+    return assignmentReportMark + encode(report);
+}
+
+Result<AssignmentReport> decodeAssignmentReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(assignmentReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of assignments"};
+    }
+    return decode<AssignmentReport>(std::string_view(bytes).substr(1));
+}
+
 std::string encodeMemberReport(const MemberReport &report)
 {
     return memberReportMark + encode(report);
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -4,6 +4,7 @@
 #include "decision/error.h"
 #include "decision/journalentry.h"
 #include "decision/programstate.h"
+#include "wire/assignmentreport.h"
 #include "wire/crashreport.h"
 #include "wire/leavingreport.h"
 #include "wire/loadreport.h"
@@ -54,6 +55,9 @@
 std::string encodeLeavingReport(const LeavingReport &report);
 Result<LeavingReport> decodeLeavingReport(const std::string &bytes);
 
+std::string encodeAssignmentReport(const AssignmentReport &report);
+Result<AssignmentReport> decodeAssignmentReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
--- a/tests/gateway/outofreachtests.cpp
+++ b/tests/gateway/outofreachtests.cpp
@@ -10,6 +10,9 @@
 //! Until the other instances have noticed what an instance in trouble does not see, and have let it know what they tell each other.
 constexpr std::chrono::milliseconds spreadTime(2500);
 
+//! Until an instance that hears nothing of its peers has noticed, and what it has read is too old.
+constexpr std::chrono::milliseconds silenceTime(3500);
+
 struct OutOfReachCluster : ReleaseCluster
 {
     //! Half of the buckets move while the store is in trouble for the first gateway only, which \p begin brings about. Streams from before the release are
@@ -75,3 +78,34 @@
     cluster.end(1);
     cluster.takeUpWhileFilling(0);
 }
+
+// Guards against the same at an instance that hears of no change at all, from the store or its peers: it cannot know for how long the others have not reckoned
+// with its assignments.
+TEST_CASE("Out of reach: an instance that hears neither of the store nor of its peers begins no stream that may be resumed")
+{
+    OutOfReachCluster cluster;
+    for (const std::size_t gateway : {1, 2}) {
+        cluster.gateways[gateway].signal(SIGSTOP);
+    }
+    SUBCASE("the store refuses it")
+    {
+        cluster.setStoreRefusing(0, true);
+        std::this_thread::sleep_for(silenceTime);
+        CHECK(cluster.beginAll(0) == 0);
+        CHECK(cluster.receivedCount() == 0);
+    }
+    SUBCASE("the store answers it")
+    {
+        std::this_thread::sleep_for(silenceTime);
+        CHECK(cluster.beginAll(0) == programCount);
+    }
+    for (const std::size_t gateway : {1, 2}) {
+        cluster.gateways[gateway].signal(SIGCONT);
+    }
+    cluster.setStoreRefusing(0, false);
+    CHECK(waitFor(
+        [&cluster]() {
+            return cluster.beginAll(0) == programCount;
+        },
+        GatewayCluster::logTimeoutMs));
+}
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -1,5 +1,6 @@
 //! When the unused tokens of a turn are back: before the end of its answer, or before the next turn is refused for want of them.
 
+#include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
 #include "gateway/peergossip.h"
 #include "gateway/relay.h"
@@ -331,9 +332,10 @@
     CrashRegistry crashes{metrics, 1, onNews};
     RateLimiter limiter{peers, metrics, self, onNews};
     LeavingEndpoints leaving{pools, metrics, self.id, onNews};
+    AssignmentNews assignmentNews{self.id, onNews};
     PeerGossip gossip{context, auth, self, {}, PeerGossip::Hooks{}};
     RouteTargetRecords targets{RouteTargetRecords::Parts{context, store, gossip, metrics}, self.id};
-    StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers}, self.id};
+    StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews}, self.id};
     StreamHabitRegistry habits{metrics};
     MemoryBudget memory{memoryBytes, metrics};
     Relay relay{Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, leaving, targets, versions, habits, memory, metrics}};
