Stream soak: runs that outlast former assignments, with troubles of one gateway's store

The soak's stores failed for all gateways at once, and its runs of 8 to 12 s ended before the record of a change lapsed (the longest timeout, 8 s and more, and two seconds), so nothing that goes wrong behind that could be seen.

Change: forms "-lasting" of both installations: 22 to 28 s, timeouts of 4 s, releases that stay halfway for a while, a store that refuses one gateway or reports nothing to it for up to 16 s, ends of gateways beside that. Other forms play what they played.

--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -3,6 +3,7 @@
 #include "runtime/address.h"
 #include "runtime/textfile.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio.hpp>
 
 #include <csignal>
@@ -134,14 +135,24 @@
 void GatewayCluster::configure(int version, const std::string &routes, const std::string &limits)
 {
     const std::string engine = this->tokensPerEvent ? ",\"Engine\":{\"TokensPerEvent\":" + std::to_string(*this->tokensPerEvent) + "}" : std::string();
+    const auto timeoutField = [](int timeoutMs) {
+        return "\"TimeoutMs\":" + std::to_string(timeoutMs) + ",";
+    };
+    const std::string allRoutes
+        = boost::algorithm::replace_all_copy(defaultRoutes + routes, timeoutField(defaultRouteTimeoutMs), timeoutField(this->routeTimeoutMs));
     this->store.put("op/config",
-                    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + defaultRoutes + routes
-                        + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180" + engine + "}" + this->otherServices
+                    "{\"Version\":" + std::to_string(version) + ",\"Routes\":[" + allRoutes + "],\"Services\":[{\"Name\":\"engine\",\"MaxConns\":180" + engine
+                        + "}" + this->otherServices
                         + "],"
                           "\"Limits\":"
                         + limits + "}");
 }
 
+void GatewayCluster::setRouteTimeout(int timeoutMs)
+{
+    this->routeTimeoutMs = timeoutMs;
+}
+
 void GatewayCluster::setTokensPerEvent(std::optional<int> tokens)
 {
     this->tokensPerEvent = tokens;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -48,6 +48,9 @@
     //! Stores a configuration with \p version; \p routes are added to the default ones.
     void configure(int version, const std::string &routes = "", const std::string &limits = defaultLimits);
 
+    //! Sets the timeout of the routes that all configurations have, and of streamRoutes, in the configurations that follow.
+    void setRouteTimeout(int timeoutMs);
+
     //! Sets the tokens in an event of the service "engine" in the configurations that follow; without a number it is no engine.
     void setTokensPerEvent(std::optional<int> tokens);
 
@@ -99,6 +102,7 @@
     static void setFolderHook(std::function<void(const std::string &folder)> hook);
 
     static constexpr int logTimeoutMs = 20000;
+    static constexpr int defaultRouteTimeoutMs = 8000;
     static constexpr int memoryMegabytes = 110; //!< That each gateway's process may use, unless stated.
     static constexpr const char *defaultLimits = R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":3000,"IdleMs":15000})";
 
@@ -122,6 +126,7 @@
     int gatewayMegabytes;
     std::string otherServices; //!< Their entries in configurations.
     std::optional<int> tokensPerEvent = 10; //!< Of the service "engine".
+    int routeTimeoutMs = defaultRouteTimeoutMs;
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
     std::vector<int> graceSeconds; //!< By gateway.
--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -121,6 +121,28 @@
                                       Trouble::WatchSilence,
                                       Trouble::EndpointReturn};
 
+// Gateways that lose touch alone, and ends of gateways that have their streams taken up elsewhere.
+constexpr std::array lastingTroubles{Trouble::OwnStoreRefusal,
+                                     Trouble::OwnStoreRefusal,
+                                     Trouble::OwnStoreRefusal,
+                                     Trouble::OwnStoreRefusal,
+                                     Trouble::OwnWatchSilence,
+                                     Trouble::OwnWatchSilence,
+                                     Trouble::Kill,
+                                     Trouble::Kill,
+                                     Trouble::Kill,
+                                     Trouble::Kill,
+                                     Trouble::KillAll,
+                                     Trouble::Freeze,
+                                     Trouble::Stop,
+                                     Trouble::RouteMove,
+                                     Trouble::RouteMove,
+                                     Trouble::RouteShares,
+                                     Trouble::RoutePrefix,
+                                     Trouble::StoreRefusal,
+                                     Trouble::EndpointAddition,
+                                     Trouble::EndpointCrash};
+
 constexpr auto denseFleetTroubles = joined(fleetTroubles, denseTroubles);
 constexpr auto denseBanderaTroubles = joined(banderaTroubles, denseTroubles);
 constexpr auto changingFleetTroubles = joined(denseFleetTroubles, changingTroubles);
@@ -198,6 +220,15 @@
     return settings;
 }
 
+InstallationSettings lasting(InstallationSettings settings)
+{
+    settings = dense(settings, lastingTroubles);
+    settings.isLasting = true;
+    settings.fewestTroubles = 16;
+    settings.mostTroubles = 40;
+    return settings;
+}
+
 } // namespace
 
 const InstallationSettings &settingsOf(Installation installation)
@@ -209,7 +240,9 @@
                                                                                      dense(nakhlaFleet(), denseFleetTroubles),
                                                                                      dense(talleresBandera(), denseBanderaTroubles),
                                                                                      changing(nakhlaFleet(), changingFleetTroubles),
-                                                                                     changing(talleresBandera(), changingBanderaTroubles)};
+                                                                                     changing(talleresBandera(), changingBanderaTroubles),
+                                                                                     lasting(nakhlaFleet()),
+                                                                                     lasting(talleresBandera())};
     return settings[static_cast<std::size_t>(installation)];
 }
 
--- a/tests/streamsoak/installation.h
+++ b/tests/streamsoak/installation.h
@@ -22,6 +22,8 @@
     TalleresBanderaDense,
     NakhlaFleetChanging, //!< The dense form with changes of other fields of the routes beside it, and further faults of store, endpoints and callers.
     TalleresBanderaChanging,
+    NakhlaFleetLasting, //!< Runs that last longer than former assignments and targets are known, with troubles of one gateway alone.
+    TalleresBanderaLasting,
 };
 
 inline constexpr std::array installationNames{
@@ -33,6 +35,8 @@
     NamedValue<Installation>{Installation::TalleresBanderaDense, "talleres-bandera-dense"},
     NamedValue<Installation>{Installation::NakhlaFleetChanging, "nakhla-fleet-changing"},
     NamedValue<Installation>{Installation::TalleresBanderaChanging, "talleres-bandera-changing"},
+    NamedValue<Installation>{Installation::NakhlaFleetLasting, "nakhla-fleet-lasting"},
+    NamedValue<Installation>{Installation::TalleresBanderaLasting, "talleres-bandera-lasting"},
 };
 
 enum class Route : std::uint8_t {
@@ -96,6 +100,8 @@
     StoreDelay, //!< Answers are late.
     WatchSilence, //!< Watches of one prefix report nothing.
     EndpointReturn, //!< It ends and starts at its address at once, under a new identifier.
+    OwnStoreRefusal, //!< The store refuses one gateway, and its watches report nothing.
+    OwnWatchSilence, //!< The store reports nothing to one gateway, and answers it.
 };
 
 inline constexpr std::array troubleNames{
@@ -141,6 +147,8 @@
     NamedValue<Trouble>{Trouble::StoreDelay, "store-delay"},
     NamedValue<Trouble>{Trouble::WatchSilence, "watch-silence"},
     NamedValue<Trouble>{Trouble::EndpointReturn, "endpoint-return"},
+    NamedValue<Trouble>{Trouble::OwnStoreRefusal, "own-store-refusal"},
+    NamedValue<Trouble>{Trouble::OwnWatchSilence, "own-watch-silence"},
 };
 
 //! Names of what endpoints do with streams, beside soak::faultNames.
@@ -178,6 +186,7 @@
     int queryObjectiveMs = 0; //!< Of these two.
     int hasty = 0; //!< Streams whose callers wait for a short time only.
     int large = 0; //!< Streams with large events.
+    bool isLasting = false; //!< Runs are long, timeouts short, and releases end halfway.
     bool isDense = false; //!< There is a gateway to add, paths of streams have a folder, and callers try longer.
 };
 
--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -27,7 +27,7 @@
 Options:
   --seeds=N            Number of seeds [default: 1].
   --first-seed=N       The first seed [default: 1].
-  --installation=NAME  nakhla-fleet or talleres-bandera, the same with -dense or -changing, or one of two mixes of callers, nakhla and talleres
+  --installation=NAME  nakhla-fleet or talleres-bandera, the same with -dense, -changing or -lasting, or one of two mixes of callers, nakhla and talleres
                        [default: nakhla].
   --regressions        Play all seeds that ever failed, each with its installation.
   --keep-logs=DIR      Keep the gateways' logs of seeds with breaches in this folder.
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -11,6 +11,7 @@
 constexpr int denseConnects = 120;
 constexpr Milliseconds hastyLimit{600};
 constexpr std::size_t largeEventBytes = 60000;
+constexpr int ownStoreFactor = 4; //!< Troubles of one gateway with the store last so much longer than others.
 constexpr std::size_t streamsPerCaller = 60; //!< More than a caller has time for.
 constexpr std::int64_t likelyStreams = 5; //!< That a caller has begun by the middle of a run.
 constexpr std::uint64_t installationSeed = 0x9e3779b97f4a7c15U;
@@ -88,6 +89,24 @@
     }
 }
 
+//! A half of the endpoints gives way to those of the next software version now and then; two versions serve in between.
+void addHalfReleases(soak::Dice &dice, StreamPlan &plan)
+{
+    std::size_t endpoint = 0;
+    Milliseconds at = dice.time(1000, 6000);
+    for (const char *version : {"v2", "v2", "v3", "v3"}) {
+        for (std::size_t replaced = 0; replaced < endpointCount / 2; ++replaced) {
+            plan.troubles.push_back(PlannedTrouble{Trouble::Replacement, at, dice.time(100, 900), endpoint, version});
+            endpoint = (endpoint + 1) % endpointCount;
+            at += dice.time(100, 700);
+        }
+        at += dice.time(1000, 9000);
+        if (at > plan.length) {
+            return;
+        }
+    }
+}
+
 void addTroubles(soak::Dice &dice, StreamPlan &plan)
 {
     const InstallationSettings &settings = settingsOf(plan.installation);
@@ -101,6 +120,9 @@
         const bool isOfLink = planned.trouble == Trouble::LinkSilence || planned.trouble == Trouble::LinkReset || planned.trouble == Trouble::LinkRefusal;
         const std::size_t chosen = static_cast<std::size_t>(dice.between(0, isOfEndpoint ? endpointCount - 1 : gatewayCount - 1));
         planned.target = isOfLink ? 0 : chosen;
+        if (planned.trouble == Trouble::OwnStoreRefusal || planned.trouble == Trouble::OwnWatchSilence) {
+            planned.duration *= ownStoreFactor;
+        }
         if (planned.trouble == Trouble::EndpointAddition) {
             planned.version = dice.oneOf({"", "v2"});
         }
@@ -159,9 +181,11 @@
     plan.hasLinks = dice.percent(35);
     plan.hasCutters = dice.percent(50);
     plan.faultPercent = dice.oneOf({0, 10, 30});
-    plan.length = dice.time(8000, 12000);
+    plan.length = settings.isLasting ? dice.time(22000, 28000) : dice.time(8000, 12000);
     addTroubles(dice, plan);
-    if (dice.percent(50)) {
+    if (settings.isLasting) {
+        addHalfReleases(dice, plan);
+    } else if (dice.percent(50)) {
         addReplacements(dice, plan);
     }
     std::ranges::stable_sort(plan.troubles, {}, &PlannedTrouble::at);
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -35,6 +35,7 @@
 constexpr std::array stormIdleMs{2000, 15000, 4000};
 
 constexpr std::array timeoutsMs{4000, 12000, 3000};
+constexpr int lastingTimeoutMs = 4000; //!< Former assignments are known for two seconds more.
 
 //! From the time of a configuration until all gateways have it.
 constexpr Milliseconds activationTime{1500};
@@ -75,7 +76,7 @@
 std::string routesOf(const StreamPlan &plan, const RouteState &state)
 {
     constexpr int all = 100;
-    constexpr int splitTimeoutMs = 8000;
+    constexpr int splitTimeoutMs = support::GatewayCluster::defaultRouteTimeoutMs;
     constexpr int splitObjectiveMs = 250;
     constexpr int ownTimeoutMs = 4000;
     const std::string split = R"("TrafficSplit":[{"Service":"engine","Weight":)" + std::to_string(all - state.otherShare) + R"(},{"Service":"other","Weight":)"
@@ -114,6 +115,9 @@
     , killAt(cluster.gateways.size())
     , earlierStarts(cluster.gateways.size(), 0)
 {
+    if (settingsOf(plan.installation).isLasting) {
+        this->cluster.setRouteTimeout(lastingTimeoutMs);
+    }
     for (std::size_t index = 0; index < this->cluster.gateways.size(); ++index) {
         this->states.emplace_back().address = this->cluster.callerAddress(index);
     }
@@ -169,6 +173,8 @@
         {Trouble::StoreDelay, &StreamRun::delayStore},
         {Trouble::WatchSilence, &StreamRun::silenceOnePrefix},
         {Trouble::EndpointReturn, &StreamRun::returnEndpoint},
+        {Trouble::OwnStoreRefusal, &StreamRun::refuseOneAtStore},
+        {Trouble::OwnWatchSilence, &StreamRun::silenceOneWatcher},
     };
     return plays.at(trouble);
 }
@@ -332,6 +338,22 @@
     });
 }
 
+void StreamRun::refuseOneAtStore(const PlannedTrouble &planned)
+{
+    this->cluster.setStoreRefusing(planned.target, true);
+    this->later(planned.duration, [this, gateway = planned.target]() {
+        this->cluster.setStoreRefusing(gateway, false);
+    });
+}
+
+void StreamRun::silenceOneWatcher(const PlannedTrouble &planned)
+{
+    this->cluster.setWatchesSilent(planned.target, true);
+    this->later(planned.duration, [this, gateway = planned.target]() {
+        this->cluster.setWatchesSilent(gateway, false);
+    });
+}
+
 void StreamRun::changeLinks(const PlannedTrouble &planned)
 {
     this->cluster.setLink(planned.target, linkIn(planned.trouble), endpointCount);
--- a/tests/streamsoak/streamrun.h
+++ b/tests/streamsoak/streamrun.h
@@ -45,6 +45,8 @@
     void freezeGateway(const PlannedTrouble &planned);
     void refuseAtStore(const PlannedTrouble &planned);
     void silenceStore(const PlannedTrouble &planned);
+    void refuseOneAtStore(const PlannedTrouble &planned);
+    void silenceOneWatcher(const PlannedTrouble &planned);
     void changeLinks(const PlannedTrouble &planned);
     void reload(const PlannedTrouble &planned);
     void changeConfiguration(const PlannedTrouble &planned);
