A stream waits for what changed while its instance stood still before it begins

Cause: requests that had waited for a process while it stood still were served at once, by the routes from before. Where a route had moved meanwhile, and the time for which the others reckon with its former target was over, their streams were taken up at the other service elsewhere. Take-ups waited in that case, streams that begin did not. Class: what was read once is taken for what is in force.

Change: a stream that may be resumed waits, for half a second at most, until the assignments have been read again, the configuration is as new as the peers' and the record of targets, and its route is looked up again. Beside that, an instance that is out of step asks peers for the assignments, and a peer that knows the same ones confirms them: had such an instance refuse all streams for the rest of an outage of the store.

Measured, gateway-tests "Out of reach:*": "...stood still while their route moved...": 12 of 12 streams at the other service on, none now; "...stood still in an outage...": 0 of 16 streams begun on, 16 on and now.

--- a/src/decision/routetargetledger.cpp
+++ b/src/decision/routetargetledger.cpp
@@ -72,7 +72,12 @@
 bool RouteTargetLedger::isAsNewAs(const VersionedTargets &targets) const
 {
     const bool isSameVersion = this->present.version == targets.version && this->present.hasUnresumable;
-    return this->isRead() && (isSameVersion || this->present.version > targets.version);
+    return this->isRead() && (isSameVersion || this->isNewerThan(targets));
+}
+
+bool RouteTargetLedger::isNewerThan(const VersionedTargets &targets) const
+{
+    return this->present.version > targets.version;
 }
 
 Duration RouteTargetLedger::longestResumableTimeout(Time now) const
--- a/src/decision/routetargetledger.h
+++ b/src/decision/routetargetledger.h
@@ -52,6 +52,9 @@
     //! Returns whether the record is of the version of \p targets, and names all that these do, or of a newer one.
     bool isAsNewAs(const VersionedTargets &targets) const;
 
+    //! Returns whether the record is of a later version than \p targets.
+    bool isNewerThan(const VersionedTargets &targets) const;
+
     //! Returns the longest time for which streams last that may be resumed and may have begun by the present targets or by former ones.
     Duration longestResumableTimeout(Time now) const;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -189,6 +189,23 @@
     }
 }
 
+asio::awaitable<void> Relay::awaitMissedChanges(RelayRequest &context)
+{
+    const bool begins = context.route != nullptr && isResumable(*context.route) && !context.call.resumeAfter;
+    if (!begins || !this->parts.versions.hasJustStoodStill(currentTime())) {
+        co_return;
+    }
+    const Time giveUpAt = currentTime() + std::min(context.call.timeLeft.value_or(announcedConfigurationTimeout), announcedConfigurationTimeout);
+    const auto mayHaveMissedChange = [this]() {
+        return !this->parts.versions.isSettled(currentTime()) || this->parts.configurationHolder.isOutdated()
+            || this->parts.targets.isNewerThan(this->parts.configurationHolder.current()->targets);
+    };
+    while (mayHaveMissedChange() && currentTime() < giveUpAt) {
+        co_await sleepFor(configurationPollInterval);
+    }
+    co_await this->findRoute(context);
+}
+
 asio::awaitable<void> Relay::serve(RelayRequest &context)
 {
     co_await this->awaitConfiguration(context);
@@ -197,6 +214,7 @@
         co_return;
     }
     co_await this->findRoute(context);
+    co_await this->awaitMissedChanges(context);
     if (context.route == nullptr || context.route->targets.empty()) {
         co_await this->refuse(context,
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -64,6 +64,9 @@
 
     //! Finds the route of a request; a request without one waits for a newer configuration if another instance has it already.
     boost::asio::awaitable<void> findRoute(RelayRequest &context);
+
+    //! Has a stream that begins wait for what changed while this process was paused, and find its route again.
+    boost::asio::awaitable<void> awaitMissedChanges(RelayRequest &context);
     boost::asio::awaitable<void> serveAdmitted(RelayRequest &context);
 
     //! Finds the software version of a stream that the caller takes up. Returns false when the request was refused because it cannot be told.
--- a/src/gateway/routetargetrecords.cpp
+++ b/src/gateway/routetargetrecords.cpp
@@ -235,6 +235,12 @@
     return this->ledger.isAsNewAs(targets);
 }
 
+bool RouteTargetRecords::isNewerThan(const VersionedTargets &targets) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->ledger.isNewerThan(targets);
+}
+
 bool RouteTargetRecords::isLoaded() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/routetargetrecords.h
+++ b/src/gateway/routetargetrecords.h
@@ -63,6 +63,7 @@
     //! As in RouteTargetLedger.
     bool holds(const VersionedTargets &targets) const;
     bool isAsNewAs(const VersionedTargets &targets) const;
+    bool isNewerThan(const VersionedTargets &targets) const;
     bool isLoaded() const;
     bool isRead() const;
     Duration longestResumableTimeout(Time now) const;
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -53,6 +53,9 @@
 //! A longer time between two steps of a coroutine that sleeps for proposeInterval means that the process stood still.
 constexpr Duration standstillThreshold = std::chrono::milliseconds(500);
 
+//! How long after that an instance may not have the configuration yet that is in force by then.
+constexpr Duration settlingTime = std::chrono::milliseconds(1000);
+
 //! Instances report to each other at least every 500 ms.
 constexpr Duration peerSilenceThreshold = std::chrono::milliseconds(1000);
 
@@ -79,6 +82,19 @@
     return boost::algorithm::join(versions, ",");
 }
 
+//! Returns the highest revision of the assignments among \p records, which also have former ones and marks.
+std::uint64_t latestAssignmentIn(const std::vector<HandedVersionRecord> &records)
+{
+    std::uint64_t latest = 0;
+    for (const HandedVersionRecord &record : records) {
+        const std::optional<VersionRecord> decoded = decodeVersionRecord(record.value);
+        if (decoded && !decoded->earlier && !decoded->diverted) {
+            latest = std::max(latest, record.revision);
+        }
+    }
+    return latest;
+}
+
 } // namespace
 
 StreamVersions::StreamVersions(const Parts &parts, InstanceId self)
@@ -200,6 +216,13 @@
     return this->loaded || this->handedRevision;
 }
 
+bool StreamVersions::isCurrent(Time now) const
+{
+    const Time confirmedAt = std::max(this->follower.loadedAt(), this->handedAt.load());
+    const bool isInStep = this->loaded && !this->isOutOfStep(now);
+    return this->isKnown() && this->parts.news.isCurrent(confirmedAt, isInStep, now);
+}
+
 std::uint64_t StreamVersions::seenRevision() const
 {
     return std::max(this->loaded ? this->follower.seenRevision() : 0, this->handedRevision.value_or(0));
@@ -212,7 +235,7 @@
     }
     VersionRecordsReply reply;
     const std::lock_guard lock(this->mutex);
-    reply.isKnown = this->isKnown();
+    reply.isKnown = this->isCurrent(currentTime());
     reply.revision = this->seenRevision();
     for (const auto &[key, record] : this->records) {
         reply.records.push_back(HandedVersionRecord{key, record.value, record.revision});
@@ -225,7 +248,8 @@
     {
         const std::lock_guard lock(this->mutex);
         const bool isBehind = this->parts.news.isBehind();
-        if ((this->loaded && !isBehind) || this->fetching || now < this->fetchAgainAt) {
+        const bool isFollowing = this->loaded && !isBehind && !this->isOutOfStep(now);
+        if (isFollowing || this->fetching || now < this->fetchAgainAt) {
             return;
         }
         this->fetchAgainAt = now + (this->isKnown() && !isBehind ? refetchInterval : fetchInterval);
@@ -263,11 +287,12 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        if (!reply.isKnown || reply.revision < this->seenRevision()) {
+        const bool isLater = !this->isKnown() || reply.revision > this->seenRevision();
+        if (!reply.isKnown || (!isLater && latestAssignmentIn(reply.records) < this->table.latestRevision())) {
             return;
         }
         this->handedAt = now;
-        if (this->isKnown() && reply.revision == this->seenRevision()) {
+        if (!isLater) {
             return;
         }
         const VersionTable before = std::exchange(this->table, VersionTable());
@@ -294,9 +319,7 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        const Time confirmedAt = std::max(this->follower.loadedAt(), this->handedAt);
-        const bool isInStep = this->loaded && !this->isOutOfStep(now);
-        if (!this->isKnown() || !this->parts.news.isCurrent(confirmedAt, isInStep, now)) {
+        if (!this->isCurrent(now)) {
             return true;
         }
         const std::optional<std::string> assigned = this->table.assigned(stream.service, stream.bucket);
@@ -629,6 +652,17 @@
     return this->stoodStill || (ticked != Time{} && now - ticked > standstillThreshold);
 }
 
+bool StreamVersions::hasJustStoodStill(Time now) const
+{
+    const Time ticked = this->tickedAt;
+    return (ticked != Time{} && now - ticked > standstillThreshold) || now - this->wokeAt.load() < settlingTime;
+}
+
+bool StreamVersions::isSettled(Time now) const
+{
+    return !this->hasStoodStill(now) || now - this->handedAt.load() <= assignmentLifetime;
+}
+
 bool StreamVersions::isOutOfStep(Time now) const
 {
     const Time heard = this->parts.gossip.lastReportAt();
@@ -682,6 +716,7 @@
     const Time before = this->tickedAt.exchange(now);
     if (before != Time{} && now - before > standstillThreshold) {
         this->stoodStill = true;
+        this->wokeAt = now;
     }
     if (this->stoodStill && !this->reloading.exchange(true)) {
         co_await this->reload();
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -105,6 +105,12 @@
     //! Returns whether the process was paused and has not read the assignments since.
     bool hasStoodStill(Time now) const;
 
+    //! Returns whether the process was paused until a moment ago. Requests that had waited for it come before the news of what has changed meanwhile.
+    bool hasJustStoodStill(Time now) const;
+
+    //! Returns whether the assignments have been read, or received from a peer, since the process was paused.
+    bool isSettled(Time now) const;
+
     //! Forgets streams that have ended.
     void expire(Time now);
 
@@ -180,7 +186,7 @@
     boost::asio::awaitable<Result<std::string>> findByRecords(StreamIdentity stream, RequestId request);
     std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
 
-    //! Asks a peer for the assignments if they could not be read so far, or another one knows a later change.
+    //! Asks a peer for the assignments if they could not be read so far, another one knows a later change, or this instance may have missed one.
     void askPeer(Time now);
     boost::asio::awaitable<void> fetchFrom(std::string peer);
     void take(const VersionRecordsReply &reply, const std::string &peer, Time now);
@@ -188,6 +194,9 @@
     //! Returns whether the assignments were read, or received from a peer. The mutex is held.
     bool isKnown() const;
 
+    //! Returns whether the assignments may still be in force; see AssignmentCurrency. The mutex is held.
+    bool isCurrent(Time now) const;
+
     //! Returns up to which revision changes are known, from the key-value service or a peer. The mutex is held.
     std::uint64_t seenRevision() const;
 
@@ -230,6 +239,7 @@
     Duration leasedLifetime{}; //!< Of streams, for which \ref lease is long enough.
     Time proposeAgainAt{};
     std::atomic<Time> tickedAt{Time{}}; //!< When the proposing coroutine last ran, which it does many times a second unless the process stands still.
+    std::atomic<Time> wokeAt{Time{}}; //!< When it was last found to have stood still.
     std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
     std::atomic<bool> reloading{false};
     bool fetching = false;
@@ -239,7 +249,7 @@
     std::map<std::string, KvPair> records; //!< What \ref table was made of, by key, for peers.
     bool loaded = false;
     std::optional<std::uint64_t> handedRevision{}; //!< Revision of the latest assignments that a peer sent.
-    Time handedAt{}; //!< When a peer last sent some.
+    std::atomic<Time> handedAt{Time{}}; //!< When a peer last sent some, or the same ones again.
     StreamRetention streamTime;
     Duration retention; //!< Longer than any stream lasts over all attempts.
     std::map<std::string, Time> movedAt; //!< By service: when the assignment was seen to change.
