The last log line of a gateway that was stopped is "stopped"

An operator who looks for the end of a process by its last line takes it for one that ended by itself.

Cause: "stopped" was logged while connections were still being closed and the gossip went on; a peer that ended at that moment was lost afterwards.

Change: the line with the connections that are left is "closing connections"; "stopped" is logged when both contexts have ended.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -467,7 +467,8 @@
         });
         asio::co_spawn(this->requests, this->refuseLoop(), asio::detached);
         co_await this->awaitClosed(std::max(began + drainLimit - exitMargin, currentTime() + minLastAnswersTime));
-        this->logShutdown("stopped", began + drainLimit - currentTime());
+        this->stopBy = began + drainLimit;
+        this->logShutdown("closing connections", this->stopBy - currentTime());
         // Requests use parts of this object, so they have to end before it does.
         this->callerServer.dropConnections();
         co_await this->awaitClosed(currentTime() + dropTime);
@@ -547,6 +548,7 @@
     asio::signal_set reloadSignals;
     std::atomic<bool> draining{false};
     std::atomic<bool> handingOver{false}; //!< Budgets are being handed over.
+    Time stopBy{}; //!< When a process that was told to stop has to have ended.
 };
 
 Gateway::Gateway(const GatewaySettings &settings, const HeaderCodec &headerCodec, const RecordFormat &format, const KeyValueFactory &keyValue)
@@ -569,6 +571,7 @@
     const auto work = asio::make_work_guard(this->core->requests);
     this->core->requests.run();
     controlThread.join();
+    this->core->logShutdown("stopped", this->core->stopBy - currentTime());
     return boost::outcome_v2::success();
 }
 
