--- a/tests/streamsoak/regressionseeds.h
+++ b/tests/streamsoak/regressionseeds.h
@@ -46,6 +46,13 @@
         104,
         "two services on b201eb4: a configuration came into force without its record, as the store's answers were lost, and the gateway that began a stream "
         "by it ended; open"},
+    RegressionSeed{Installation::NakhlaFleetLasting,
+                   1,
+                   "two software versions on 6b062d2: streams began at a gateway that the store refused for longer than a former assignment is known"},
+    RegressionSeed{Installation::NakhlaFleetLasting, 16, "two software versions on 6b062d2: the same, beside a release"},
+    RegressionSeed{Installation::NakhlaFleetLasting, 17, "two software versions on 6b062d2: the same, at two gateways"},
+    RegressionSeed{Installation::TalleresBanderaLasting, 1, "two software versions on 6b062d2: as nakhla-fleet-lasting"},
+    RegressionSeed{Installation::TalleresBanderaLasting, 16, "two software versions on 6b062d2: as nakhla-fleet-lasting"},
 };
 
 } // namespace oleandergate::streamsoak
