An endpoint that has cut a run confirms no end in the same request

Cause: an unframed end is disproved when a further run brings events, which was remembered for the endpoint, for a minute. A whole unframed stream of any other caller that was proved meanwhile at the same endpoint had it forgotten, so an endpoint that cuts some of its streams confirmed its own cut with two empty answers in a request in which it had just cut three runs.

Change: an endpoint whose end was disproved counts for the rest of the request like one that broke a run off.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -270,7 +270,8 @@
     EndpointId &openEndAt = this->parts.progress.openEndAt;
     if (!openEndAt.empty() && (this->streamRun.events > 0 || !this->keptEnd.empty())) {
         this->parts.habits.onCut(openEndAt, this->endpointId, this->call.requestId, now);
-        openEndAt.clear();
+        // What other streams show of it meanwhile does not make it a witness of this one.
+        this->parts.progress.brokenAt.insert(std::exchange(openEndAt, {}));
     }
 }
 
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -29,7 +29,7 @@
     bool callerDisconnected = false;
     StreamContinuity continuity{};
     std::optional<std::int64_t> weights{}; //!< Version of the weights that made the last event of the stream, where its endpoint named one.
-    std::set<EndpointId> brokenAt{}; //!< Endpoints that began an answer to this request and broke it off.
+    std::set<EndpointId> brokenAt{}; //!< Endpoints that began an answer to this request and broke it off, or ended it before its end.
     std::set<EndpointId> agreedAt{}; //!< Endpoints whose runs behind its last event ended unframed without another one.
     EndpointId openEndAt{}; //!< Endpoint whose run ended unframed behind the last event, which proves nothing; empty for none.
 };
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <thread>
 
@@ -16,6 +17,8 @@
 
 constexpr int framedStreams = 4; //!< Whole streams that come before a fault.
 constexpr std::size_t furtherRuns = 6; //!< More runs than a stream gets.
+constexpr std::size_t manyRuns = 1000; //!< More runs than a case has.
+constexpr int cutStreams = 12;
 
 //! Has the gateway see whole streams that end with their last chunk, from every endpoint.
 void receiveFramedStreams(StreamCluster &cluster)
@@ -334,3 +337,24 @@
         CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
     }
 }
+
+// Guards against half a stream that reaches its caller as complete: its endpoint cut run after run of it, and a whole stream of another caller had what was
+// known of these cuts forgotten.
+TEST_CASE("Stream ends: an endpoint that has cut a run confirms no end in the same request, whatever other streams it ends whole")
+{
+    StreamCluster cluster(1);
+    cluster.endpoints[0]->setNextBehaviours(std::vector<Behaviour>(manyRuns, Behaviour::EndBehindHalf));
+    std::atomic<bool> isOver = false;
+    std::thread other([&cluster, &isOver]() {
+        const std::string target = "/turns/other?fault=" + std::to_string(static_cast<int>(Behaviour::Unframed));
+        while (!isOver) {
+            cluster.call(0, "POST", target, {{"Oleandergate-Token-Counts", "100,100"}, {"Oleandergate-Prompt-Prefix", "b1:100"}});
+        }
+    });
+    for (int stream = 0; stream < cutStreams; ++stream) {
+        const ReceivedStream received = cluster.receive("/turns/1?gap_ms=40");
+        CHECK(received.isInOrder());
+    }
+    isOver = true;
+    other.join();
+}
