Three runs have to agree with an unframed end where the version frames some of its streams

Cause: where an endpoint leaves the framing out of a part of its answers and cuts a part of these, the run that is to confirm an end, and the next one, may be cut behind their heads, too, and two were enough. The next answer of such a version is likely to be framed, and a framed one tells.

Ruled out: believing no unframed empty answer there. An endpoint that ceases to frame its streams would have whole ones broken off ("whole streams without framing are served whatever came before them" demands all twelve).

Change: three agreeing runs while one of the version's latest eight streams was framed, as many as a request may have.

Unit test of the habit.

--- a/src/decision/streamhabits.cpp
+++ b/src/decision/streamhabits.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t minProvedEnds = 8;
 constexpr std::uint32_t cautiousConfirmations = 2;
 
+//! The same where a version frames some of its streams: the next answer is likely to be framed and to tell.
+constexpr std::uint32_t mixedConfirmations = 3;
+
 } // namespace
 
 StreamHabits::Habit &StreamHabits::habitOf(const ServiceVersion &group, Time now)
@@ -121,6 +124,9 @@
 std::uint32_t StreamHabits::confirmationsNeeded(const ServiceVersion &group, Time now) const
 {
     const Habit *habit = this->find(group, now);
+    if (habit != nullptr && habit->framed.hasAny()) {
+        return mixedConfirmations;
+    }
     return habit != nullptr && habit->provedEnds >= minProvedEnds ? 1 : cautiousConfirmations;
 }
 
--- a/tests/gateway/streamendtests.cpp
+++ b/tests/gateway/streamendtests.cpp
@@ -358,3 +358,15 @@
     isOver = true;
     other.join();
 }
+
+// Guards against the same at an endpoint that frames some of its answers and not others, and cuts the two runs that are to confirm its end behind their heads,
+// too.
+TEST_CASE("Stream ends: three cuts in a row do not prove an end where the version frames some of its answers")
+{
+    StreamCluster cluster(1);
+    receiveFramedStreams(cluster);
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::Unframed});
+    REQUIRE(cluster.receive().isWhole());
+    cluster.endpoints[0]->setNextBehaviours({Behaviour::EndBetweenEvents, Behaviour::EndBeforeFirstEvent, Behaviour::EndBeforeFirstEvent});
+    CHECK(cluster.receive().isWhole());
+}
--- a/tests/unit/streamhabitstests.cpp
+++ b/tests/unit/streamhabitstests.cpp
@@ -60,6 +60,21 @@
     CHECK(habits.confirmationsNeeded(group, start) == 2);
 }
 
+// Guards against the same where a framed answer, which proves an end, is likely to come next.
+TEST_CASE("Three runs have to agree with an unframed end where the version frames some of its streams")
+{
+    StreamHabits habits;
+    habits.add(group, endedRunAt("a", true), start);
+    CHECK(habits.confirmationsNeeded(group, start) == 3);
+    CHECK(habits.confirmationsNeeded(otherGroup, start) == 2);
+    // Until none of its latest streams was.
+    for (int stream = 0; stream < 8; ++stream) {
+        CHECK(habits.confirmationsNeeded(group, start) == 3);
+        habits.add(group, endedRunAt("a", false), start);
+    }
+    CHECK(habits.confirmationsNeeded(group, start) == 2);
+}
+
 // Guards against an endpoint that confirms its own cut, and against judging one version by another.
 TEST_CASE("An unframed end is unusual where streams of the same version were framed")
 {
