Test runs at the same time have ports of their own

Seen: a driver of stream-soak ended with "Address already in use" twice, and one of twenty runs of "Empty memory:*" beside eight soaks failed: by its kept logs the gateway that the case kills and starts again found its port taken.

Cause: processes of tests chose free ports from one common range, beginning at places by their identifiers; a port is free between the end of a process and its next start.

--- a/tests/support/testcluster.cpp
+++ b/tests/support/testcluster.cpp
@@ -3,19 +3,18 @@
 #include "config/configuration.h"
 #include "runtime/clock.h"
 #include "runtime/httpclient.h"
+#include "support/portblock.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <thread>
-#include <unistd.h>
 
 namespace oleandergate::support {
 
@@ -62,14 +61,10 @@
 
 std::string unusedAddress()
 {
-    // Below the ephemeral port range, so that no outgoing connection takes the port before it is used.
-    constexpr int firstPort = 20000;
-    constexpr int portCount = 12000;
-    constexpr int stride = 997; // Of processes with neighbouring identifiers, which may run at the same time.
-    static std::atomic<int> next{static_cast<int>(::getpid()) * stride};
+    static PortBlock ports;
     asio::io_context context;
     while (true) {
-        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        const auto port = static_cast<std::uint16_t>(ports.next());
         boost::system::error_code tcpError;
         boost::system::error_code udpError;
         const auto host = asio::ip::make_address("127.0.0.1");
