Sound streams: an endpoint notices a closed flood with its next write

The gateway closes the connection and has the stream from its next run; the stand-in endpoint learns that its flood was closed when its next write fails, on a thread of its own. The check did not wait for that.

A flood that nobody closes still fails it.

--- a/tests/gateway/soundstreamtests.cpp
+++ b/tests/gateway/soundstreamtests.cpp
@@ -50,7 +50,12 @@
     CHECK(cluster.receivedCount() == 3);
     cluster.endpoints[0]->setNextBehaviours({Behaviour::EndlessInterim});
     CHECK(cluster.receive("/turns/1").isWhole());
-    CHECK(cluster.endpoints[0]->closedFloodCount() == 1);
+    // The endpoint notices with its next write, and the stream may have come from its next run by then.
+    CHECK(waitFor(
+        [&cluster]() {
+            return cluster.endpoints[0]->closedFloodCount() == 1;
+        },
+        GatewayCluster::logTimeoutMs));
 }
 
 // Guards against a last event that never reaches its caller because it lacks its empty line.
