--- a/tests/gateway/outofreachtests.cpp
+++ b/tests/gateway/outofreachtests.cpp
@@ -35,6 +35,7 @@
     std::vector<std::jthread> beginTogether(std::size_t gateway)
     {
         std::vector<std::jthread> callers;
+        callers.reserve(programCount);
         for (int number = 0; number < programCount; ++number) {
             callers.emplace_back([this, gateway, program = "p" + std::to_string(number)]() {
                 const std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headersOf(program));
@@ -148,12 +149,11 @@
 TEST_CASE("Out of reach: streams that begin at an instance that stood still through a release go on at their versions or not at all")
 {
     OutOfReachCluster cluster;
-    std::vector<std::jthread> callers;
-    cluster.releaseBeside([&cluster, &callers]() {
+    cluster.releaseBeside([&cluster]() {
         cluster.setWatchesSilent(0, true);
         cluster.gateways[0].signal(SIGSTOP);
     });
-    callers = cluster.beginTogether(0);
+    std::vector<std::jthread> callers = cluster.beginTogether(0);
     std::this_thread::sleep_for(roundInterval);
     cluster.gateways[0].signal(SIGCONT);
     callers.clear();
@@ -177,6 +177,7 @@
     std::mutex mutex;
     std::vector<int> begun;
     std::vector<std::jthread> callers;
+    callers.reserve(restartStreamCount);
     for (int number = 0; number < restartStreamCount; ++number) {
         callers.emplace_back([&cluster, &mutex, &begun, number]() {
             const std::string answer = cluster.send(0, number, "begun-" + std::to_string(number));
