Organisations: keys, ranks and allowances over all instances

A request without the key of an organisation gets 401, behind the wait for a newer configuration that routes have; endpoints are told the organisation and never see a key. One instance issues an organisation's allowance, by rendezvous; the others take reserves from it, so that most calls need no message.

--- /dev/null
+++ b/src/decision/allowanceissuer.cpp
@@ -0,0 +1,224 @@
+#include "decision/allowanceissuer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandergate {
+
+namespace {
+
+//! Parts of the tolerance that a bucket adds to the burst. What is left covers the change from one issuer to another.
+constexpr double capacityPartOfShare = 0.5;
+constexpr double capacityPartOfCalls = 0.75;
+
+//! Parts of the tolerance that an issuer may grant at once where another one may have issued before.
+constexpr double takeoverPartOfShare = 0.1;
+constexpr double takeoverPartOfCalls = 0.25;
+
+//! A bucket that is filled to this part counts as ample, and reserves may hold this part of a bucket.
+constexpr double amplePart = 0.5;
+constexpr double reservedPart = 0.5;
+
+//! How long instances may use their reserves.
+constexpr Duration ampleLifetime = std::chrono::seconds(3);
+constexpr Duration scarceLifetime = std::chrono::milliseconds(250);
+
+//! Part of the calls expected in the lifetime of a reserve that it covers, so that most of it is used.
+constexpr double reserveCoverage = 0.5;
+
+//! An instance that has not asked for this long has no part in the demand.
+constexpr Duration demandMemory = std::chrono::seconds(1);
+
+//! Decay of the counts of calls and programs, of which the mean of calls in a program is taken.
+constexpr Duration programMemory = std::chrono::seconds(20);
+
+//! Programs that must have begun lately for their mean to count.
+constexpr double minPrograms = 3.0;
+
+//! A program that makes no call for this long has ended or comes back as a new one.
+constexpr Duration programIdleTime = std::chrono::seconds(30);
+
+//! State of organisations without a call is kept for this long.
+constexpr Duration ledgerIdleTime = std::chrono::seconds(60);
+
+//! Limits of the time after which a denied call is told to return.
+constexpr Duration minRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration maxRetryAfter = std::chrono::seconds(2);
+
+//! Lowest rate with which times are calculated, in calls a second.
+constexpr double minRate = 0.01;
+
+double decay(Duration elapsed, Duration memory)
+{
+    return std::exp(-toSeconds(elapsed) / toSeconds(memory));
+}
+
+Duration retryAfter(double calls, double callsPerSecond)
+{
+    return std::clamp<Duration>(fromSeconds(calls / std::max(callsPerSecond, minRate)), minRetryAfter, maxRetryAfter);
+}
+
+} // namespace
+
+AllowanceIssuer::AllowanceIssuer(const AllowanceTolerance &tolerance, Time startedAt)
+    : tolerance(tolerance)
+    , uncertainSince(startedAt)
+{
+}
+
+void AllowanceIssuer::onMembersChanged(Time now)
+{
+    this->uncertainSince = now;
+}
+
+void AllowanceIssuer::onPaused(Time now)
+{
+    this->uncertainSince = now;
+    for (auto &[organisation, ledger] : this->ledgers) {
+        ledger.level = std::min(ledger.level, this->takeoverLevel(ledger.allowance));
+        ledger.refilledAt = now;
+    }
+}
+
+double AllowanceIssuer::capacityOf(const Allowance &allowance) const
+{
+    const double inWindow = allowance.callsPerSecond * toSeconds(this->tolerance.window) + allowance.burst;
+    const double tolerated = capacityPartOfShare * this->tolerance.share * inWindow + capacityPartOfCalls * this->tolerance.calls;
+    return std::max(1.0, allowance.burst + tolerated);
+}
+
+double AllowanceIssuer::takeoverLevel(const Allowance &allowance) const
+{
+    const double inWindow = allowance.callsPerSecond * toSeconds(this->tolerance.window) + allowance.burst;
+    return takeoverPartOfShare * this->tolerance.share * inWindow + takeoverPartOfCalls * this->tolerance.calls;
+}
+
+double AllowanceIssuer::reservesOf(const Ledger &ledger, Time now)
+{
+    double reserved = 0.0;
+    for (const auto &[instance, holder] : ledger.holders) {
+        reserved += now < holder.reserveUntil ? holder.reserve : 0.0;
+    }
+    return reserved;
+}
+
+double AllowanceIssuer::callsPerProgram(const Ledger &ledger)
+{
+    return ledger.programs < minPrograms ? 1.0 : std::max(1.0, ledger.calls / ledger.programs);
+}
+
+void AllowanceIssuer::refill(Ledger &ledger, double share, Time now) const
+{
+    const Duration elapsed = std::max(Duration::zero(), now - ledger.refilledAt);
+    const double capacity = this->capacityOf(ledger.allowance) * share - reservesOf(ledger, now);
+    ledger.level = std::min(capacity, ledger.level + ledger.allowance.callsPerSecond * share * toSeconds(elapsed));
+    ledger.refilledAt = now;
+    ledger.calls *= decay(elapsed, programMemory);
+    ledger.programs *= decay(elapsed, programMemory);
+    ledger.callsOwed *= decay(elapsed, 2 * this->tolerance.window);
+    ledger.denied *= decay(elapsed, demandMemory);
+}
+
+AllowanceIssuer::Ledger &AllowanceIssuer::ledgerOf(const AllowanceRequest &request, double share, Time now)
+{
+    const auto [entry, isNew] = this->ledgers.try_emplace(request.call.organisation);
+    Ledger &ledger = entry->second;
+    if (isNew) {
+        const bool isTakeover = now - this->uncertainSince < this->tolerance.window;
+        const double capacity = this->capacityOf(request.call.allowance);
+        ledger.level = isTakeover ? std::min(capacity, this->takeoverLevel(request.call.allowance)) : capacity;
+        ledger.refilledAt = now;
+    }
+    if (isNew || request.call.configVersion > ledger.configVersion) {
+        ledger.allowance = request.call.allowance;
+        ledger.configVersion = request.call.configVersion;
+    }
+    this->refill(ledger, share, now);
+    return ledger;
+}
+
+AllowanceDecision AllowanceIssuer::decide(const AllowanceRequest &request, double share, Time now)
+{
+    Ledger &ledger = this->ledgerOf(request, share, now);
+    Holder &holder = ledger.holders[request.instance];
+    holder.reserve = std::min(holder.reserve, static_cast<double>(request.reserve));
+    holder.callsPerSecond = request.callsPerSecond;
+    holder.askedAt = now;
+    ledger.calls += request.used;
+    ledger.callsOwed = std::max(0.0, ledger.callsOwed - request.used);
+
+    const auto open = ledger.openPrograms.find(request.call.program);
+    const bool begins = request.call.program != 0 && open == ledger.openPrograms.end();
+    const double rate = ledger.allowance.callsPerSecond * share;
+    if (ledger.level < 1.0) {
+        ledger.denied += 1.0;
+        return AllowanceDecision{false, AllowanceBound::Rate, 0, {}, retryAfter(ledger.denied - ledger.level, rate)};
+    }
+    const double perProgram = callsPerProgram(ledger);
+    if (begins) {
+        const double covered = std::max(ledger.level, 0.0) + rate * toSeconds(this->tolerance.window);
+        const double missing = ledger.callsOwed + perProgram - std::max(perProgram, covered);
+        if (missing > 0.0) {
+            ledger.denied += 1.0;
+            return AllowanceDecision{false, AllowanceBound::OpenPrograms, 0, {}, retryAfter(missing + ledger.denied * perProgram, rate)};
+        }
+        ledger.programs += 1.0;
+        ledger.callsOwed += perProgram;
+    }
+    if (request.call.program != 0) {
+        ledger.openPrograms[request.call.program] = now;
+    }
+    ledger.level -= 1.0;
+    ledger.calls += 1.0;
+    ledger.callsOwed = std::max(0.0, ledger.callsOwed - 1.0);
+    AllowanceDecision decision;
+    decision.granted = true;
+    this->addReserve(ledger, holder, decision, now);
+    return decision;
+}
+
+void AllowanceIssuer::addReserve(Ledger &ledger, Holder &holder, AllowanceDecision &decision, Time now) const
+{
+    const double capacity = this->capacityOf(ledger.allowance);
+    const bool isAmple = ledger.level >= amplePart * capacity;
+    decision.lifetime = isAmple ? ampleLifetime : scarceLifetime;
+    double room = 0.0;
+    if (isAmple) {
+        room = std::min(reservedPart * capacity - reservesOf(ledger, now), ledger.level / 2.0);
+    } else {
+        double demand = 0.0;
+        for (const auto &[instance, other] : ledger.holders) {
+            demand += now - other.askedAt < demandMemory ? other.callsPerSecond : 0.0;
+        }
+        room = demand > 0.0 ? ledger.level * holder.callsPerSecond / demand : 0.0;
+    }
+    const double expected = holder.callsPerSecond * toSeconds(decision.lifetime) * reserveCoverage;
+    const double wanted = (isAmple ? std::ceil(expected) : std::floor(expected)) - holder.reserve;
+    const double added = std::floor(std::clamp(wanted, 0.0, std::max(0.0, room)));
+    ledger.level -= added;
+    holder.reserve += added;
+    holder.reserveUntil = now + decision.lifetime;
+    decision.reserve = static_cast<std::uint32_t>(added);
+}
+
+void AllowanceIssuer::expire(Time now)
+{
+    std::erase_if(this->ledgers, [now](const auto &entry) {
+        return now - entry.second.refilledAt > ledgerIdleTime;
+    });
+    for (auto &[organisation, ledger] : this->ledgers) {
+        std::erase_if(ledger.openPrograms, [now](const auto &entry) {
+            return now - entry.second > programIdleTime;
+        });
+        std::erase_if(ledger.holders, [now](const auto &entry) {
+            return now > entry.second.reserveUntil && now - entry.second.askedAt > demandMemory;
+        });
+    }
+}
+
+std::size_t AllowanceIssuer::organisationCount() const
+{
+    return this->ledgers.size();
+}
+
+} // namespace oleandergate
--- a/src/decision/errorcode.h
+++ b/src/decision/errorcode.h
@@ -39,6 +39,7 @@
     Internal,
     VersionUnknown,
     NotResumable,
+    AllowanceExhausted,
     Count
 };
 
@@ -74,6 +75,7 @@
     {ErrorCode::Internal, "internal"},
     {ErrorCode::VersionUnknown, "version_unknown"},
     {ErrorCode::NotResumable, "not_resumable"},
+    {ErrorCode::AllowanceExhausted, "allowance_exhausted"},
 }};
 
 //! Returns the name of \p code.
--- a/src/decision/route.h
+++ b/src/decision/route.h
@@ -41,6 +41,7 @@
     Duration objective{}; //!< Target latency of the answer, for streams of the first event.
     Duration maxEventGap{}; //!< Streams: target for the longest gap between two events.
     int rank = 0; //!< Urgency; 0 is the most urgent.
+    bool isOpen = false; //!< Takes requests without a key, where the configuration has organisations.
     std::uint32_t maxAttempts = 1; //!< Number of endpoints at which one request may run.
     std::vector<RouteTarget> targets{};
 };
--- a/src/gateway/activegatewayconfiguration.h
+++ b/src/gateway/activegatewayconfiguration.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_ACTIVEGATEWAYCONFIGURATION_H
 #define OLEANDERGATE_GATEWAY_ACTIVEGATEWAYCONFIGURATION_H
 
+#include "decision/organisationtable.h"
 #include "decision/routetable.h"
 #include "decision/routetargetledger.h"
 #include "gateway/gatewayconfiguration.h"
@@ -15,6 +16,7 @@
     explicit ActiveGatewayConfiguration(GatewayConfiguration given)
         : configuration(std::move(given))
         , routes(configuration.routes)
+        , organisations(configuration.organisations)
         , targets{configuration.version, streamTargets(configuration.routes)}
     {
         for (const GatewayService &service : this->configuration.services) {
@@ -24,6 +26,7 @@
 
     GatewayConfiguration configuration;
     RouteTable routes;
+    OrganisationTable organisations;
     VersionedTargets targets;
     std::map<std::string, GatewayService> services{};
 };
--- a/src/gateway/configurationchange.cpp
+++ b/src/gateway/configurationchange.cpp
@@ -24,6 +24,11 @@
     return before.*Member != after.*Member;
 }
 
+bool differInKeys(const Organisation &before, const Organisation &after)
+{
+    return before.keyHashes != after.keyHashes;
+}
+
 bool differInTargets(const Route &before, const Route &after)
 {
     return !std::ranges::equal(before.targets, after.targets, [](const RouteTarget &left, const RouteTarget &right) {
@@ -31,7 +36,7 @@
     });
 }
 
-constexpr std::array<ComparedField<Route>, 9> routeFields{{
+constexpr std::array<ComparedField<Route>, 10> routeFields{{
     {"name", differIn<&Route::name, Route>},
     {"kind", differIn<&Route::kind, Route>},
     {"resumable", differIn<&Route::resumable, Route>},
@@ -39,10 +44,17 @@
     {"objective", differIn<&Route::objective, Route>},
     {"event_gap", differIn<&Route::maxEventGap, Route>},
     {"rank", differIn<&Route::rank, Route>},
+    {"open", differIn<&Route::isOpen, Route>},
     {"attempts", differIn<&Route::maxAttempts, Route>},
     {"targets", differInTargets},
 }};
 
+constexpr std::array<ComparedField<Organisation>, 3> organisationFields{{
+    {"keys", differInKeys},
+    {"organisation_rank", differIn<&Organisation::rank, Organisation>},
+    {"allowance", differIn<&Organisation::allowance, Organisation>},
+}};
+
 constexpr std::array<ComparedField<GatewayService>, 3> serviceFields{{
     {"connections", differIn<&GatewayService::maxConnections, GatewayService>},
     {"engine", differIn<&GatewayService::isEngine, GatewayService>},
@@ -101,13 +113,14 @@
     return routes;
 }
 
-std::map<std::string, GatewayService> servicesOf(const GatewayConfiguration &configuration)
+template <typename Subject>
+std::map<std::string, Subject> byName(const std::vector<Subject> &list)
 {
-    std::map<std::string, GatewayService> services;
-    for (const GatewayService &service : configuration.services) {
-        services[service.name] = service;
+    std::map<std::string, Subject> found;
+    for (const Subject &entry : list) {
+        found[entry.name] = entry;
     }
-    return services;
+    return found;
 }
 
 } // namespace
@@ -116,7 +129,8 @@
 {
     Counts counts;
     countEntries(routeFields, "routes", routesOf(before), routesOf(after), counts);
-    countEntries(serviceFields, "services", servicesOf(before), servicesOf(after), counts);
+    countEntries(serviceFields, "services", byName(before.services), byName(after.services), counts);
+    countEntries(organisationFields, "organisations", byName(before.organisations), byName(after.organisations), counts);
     countFields(boundFields, before.bounds, after.bounds, counts);
     std::string text;
     for (const auto &[name, count] : counts) {
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -140,10 +140,10 @@
         logError("configuration", "cannot use the stored configuration", read.error());
         return;
     }
-    read.value().source = pair.value;
     if (read.value().version <= this->newestVersion()) {
         return;
     }
+    read.value().source = this->parts.format.withoutKeys(pair.value);
     const Time now = currentTime();
     read.value().receivedAt = now;
     PendingConfiguration taken;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "decision/hash.h"
+#include "gateway/allowances.h"
 #include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
 #include "gateway/crashregistry.h"
@@ -144,6 +145,7 @@
                   [this]() {
                       this->gossip.sendNews();
                   })
+        , allowances(peers, metrics, configurationHolder, self, settings.allowanceTolerance)
         , assignmentNews(self.id,
                          [this]() {
                              this->gossip.sendNews();
@@ -170,6 +172,7 @@
                                    [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
                                        this->budget.onMembers(live, budgetSlotOwners, now);
                                        this->limiter.onMembers(live, now);
+                                       this->allowances.onMembers(live, now);
                                        this->paths.onMembers(live);
                                    },
                                    [this](std::uint64_t version) {
@@ -198,8 +201,21 @@
         , targets(RouteTargetRecords::Parts{control, *keyValue, gossip, metrics}, self.id)
         , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, targets, metrics, peers, assignmentNews}, self.id)
         , habits(metrics)
-        , relay(Relay::Parts{
-              configurationHolder, drain, pools, endpointClient, headerCodec, budget, crashes, limiter, leaving, targets, versions, habits, memory, metrics})
+        , relay(Relay::Parts{configurationHolder,
+                             drain,
+                             pools,
+                             endpointClient,
+                             headerCodec,
+                             budget,
+                             crashes,
+                             limiter,
+                             allowances,
+                             leaving,
+                             targets,
+                             versions,
+                             habits,
+                             memory,
+                             metrics})
         , callerServer(
               requests,
               limitsOf(CallerBounds()),
@@ -241,6 +257,9 @@
         if (!reply) {
             reply = this->limiter.serve(command, currentTime());
         }
+        if (!reply) {
+            reply = this->allowances.serve(command, currentTime());
+        }
         if (!reply) {
             reply = co_await this->budget.serve(command);
         }
@@ -303,6 +322,14 @@
         }
     }
 
+    void logBusiest()
+    {
+        const std::string busiest = this->allowances.takeBusiest();
+        if (!busiest.empty()) {
+            logRecord(LogLevel::Info, "allowances", "organisations with most calls", {{"calls_and_denied", busiest}});
+        }
+    }
+
     asio::awaitable<void> housekeepingLoop()
     {
         Time lastSummaryAt = currentTime();
@@ -311,6 +338,7 @@
             const Time now = currentTime();
             this->crashes.expire(now);
             this->limiter.expire(now);
+            this->allowances.expire(now);
             this->versions.expire(now);
             this->paths.expire(now);
             this->pools.expire(now, now - this->settings.programRetention);
@@ -319,6 +347,7 @@
                 lastSummaryAt = now;
                 logRecord(
                     LogLevel::Info, "instance", "summary", {{"peers", std::to_string(this->gossip.liveCount())}, {"metrics", this->metrics.renderBrief()}});
+                this->logBusiest();
             }
         }
     }
@@ -531,6 +560,7 @@
     PoolSet pools;
     CrashRegistry crashes;
     RateLimiter limiter;
+    Allowances allowances;
     AssignmentNews assignmentNews;
     LeavingEndpoints leaving;
     PeerGossip gossip;
--- a/src/gateway/gatewayconfiguration.h
+++ b/src/gateway/gatewayconfiguration.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_GATEWAY_GATEWAYCONFIGURATION_H
 
 #include "decision/ids.h"
+#include "decision/organisation.h"
 #include "decision/route.h"
 
 #include <cstddef>
@@ -34,9 +35,11 @@
     std::uint64_t version = 0;
     std::vector<Route> routes{};
     std::vector<GatewayService> services{};
+    bool identifiesCallers = false; //!< It has a list of organisations: requests need the key of one, except on open routes.
+    std::vector<Organisation> organisations{};
     CallerBounds bounds{};
     Time receivedAt{}; //!< By this instance, some time before it became active.
-    std::string source{}; //!< The document it was parsed from, for peers that cannot read the key-value service.
+    std::string source{}; //!< The document it was parsed from, without keys, for peers that cannot read the key-value service.
 };
 
 } // namespace oleandergate
--- a/src/gateway/interfaces/headercodec.h
+++ b/src/gateway/interfaces/headercodec.h
@@ -28,6 +28,9 @@
     //! Returns the version of the weights that \p event, the text of an event of a stream, states to begin with it; nothing if it states none.
     virtual std::optional<std::int64_t> readEventWeights(std::string_view event) const = 0;
 
+    //! Returns the header field that tells a caller how to present a key.
+    virtual HttpHeader challenge() const = 0;
+
     //! Returns the header field that tells a caller to retry after \p wait.
     virtual HttpHeader retryAfter(Duration wait) const = 0;
 };
--- a/src/gateway/interfaces/recordformat.h
+++ b/src/gateway/interfaces/recordformat.h
@@ -16,6 +16,9 @@
     //! Returns the key of the configuration record. It also serves as the prefix that is read and watched.
     virtual std::string configurationKey() const = 0;
 
+    //! Returns the configuration \p text, which can be parsed, with hashes in place of the organisations' keys.
+    virtual std::string withoutKeys(const std::string &text) const = 0;
+
     //! Returns the prefix of the keys under which endpoints register.
     virtual std::string endpointPrefix() const = 0;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -1,6 +1,8 @@
 #include "gateway/relay.h"
 
 #include "decision/hash.h"
+#include "gateway/allowances.h"
+#include "gateway/calleridentity.h"
 #include "gateway/endtoend.h"
 #include "gateway/milliseconds.h"
 #include "gateway/relayerror.h"
@@ -107,6 +109,7 @@
 Relay::Relay(const Parts &parts)
     : parts(parts)
     , steps(SendSteps::Parts{parts.drain, parts.pools, parts.crashes, parts.limiter, parts.versions})
+    , identityCounters(parts.metrics.counters("oleandergate_callers_total", "identity", callerIdentityNames))
     , requestSeconds(parts.metrics.histogram("oleandergate_request_seconds"))
 {
     std::vector<std::string> outcomes{streamedOutcome, answeredOutcome, brokenOffOutcome, callerLeftOutcome};
@@ -181,7 +184,8 @@
         const bool outdated = this->parts.configurationHolder.isOutdated();
         context.active = this->parts.configurationHolder.current();
         context.route = context.active->routes.find(context.call.host, path);
-        const bool found = context.route != nullptr && !context.route->targets.empty();
+        identifyCaller(context);
+        const bool found = context.route != nullptr && !context.route->targets.empty() && !lacksKey(context);
         if (found || !outdated || currentTime() >= giveUpAt) {
             co_return;
         }
@@ -220,6 +224,15 @@
                               relayError(ErrorCode::NotFound, Step::Parse, Executed::No, "no route matches " + context.call.host + context.call.target));
         co_return;
     }
+    this->identityCounters.at(static_cast<std::size_t>(identityOfCaller(context)))->add();
+    if (lacksKey(context)) {
+        co_await this->refuse(context,
+                              relayError(ErrorCode::Unauthorised,
+                                         Step::Authenticate,
+                                         Executed::No,
+                                         context.call.keyHash.empty() ? "the request presents no key" : "the key belongs to no organisation"));
+        co_return;
+    }
     if (context.call.resumeAfter && !isResumable(*context.route)) {
         co_await this->refuse(context,
                               relayError(ErrorCode::NotResumable,
@@ -241,6 +254,19 @@
         co_await this->refuse(context, shutdownError());
         co_return;
     }
+    const Result<void> allowed = co_await this->parts.allowances.admit(context);
+    if (!allowed) {
+        co_await this->refuse(context, allowed.error());
+        co_return;
+    }
+    co_await this->serveAllowed(context);
+    if (context.usesAllowance && context.sends == 0) {
+        this->parts.allowances.giveBack(context, currentTime());
+    }
+}
+
+asio::awaitable<void> Relay::serveAllowed(RelayRequest &context)
+{
     const Tokens perEvent = this->parts.configurationHolder.smallestEvent(*context.service, currentTime());
     context.progress.continuity = StreamContinuity(context.call.resumeAfter, mostEvents(context.call, perEvent));
     context.retries.emplace(context.route->kind, context.route->resumable, context.route->maxAttempts);
@@ -452,7 +478,7 @@
                       context.route->kind,
                       context.retries->repeatable(),
                       context.cancellation);
-    const int endpointPriority = std::min(lowestPriority, context.route->rank);
+    const int endpointPriority = std::clamp(context.rank, 0, lowestPriority);
     context.atEndpoint = true;
     SendResult result = co_await send.run(endpoint, endpointPriority, this->parts.drain.limit(context.deadline), currentTime());
     context.atEndpoint = false;
@@ -636,6 +662,16 @@
                {"permit_ms", milliseconds(context.permitWait)},
                {"took_ms", milliseconds(now - context.arrived)},
                {"detail", failed && context.lastError ? context.lastError->detail : std::string()}});
+    if (context.call.isIdentified) {
+        logRecord(LogLevel::Info,
+                  "relay",
+                  "caller of the request",
+                  {{"request", context.call.requestId},
+                   {"organisation", context.call.organisation},
+                   {"rank", std::to_string(context.rank)},
+                   {"allowance_ms", milliseconds(context.allowanceWait)},
+                   {"outcome", context.outcome}});
+    }
 }
 
 } // namespace oleandergate
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_RELAY_H
 #define OLEANDERGATE_GATEWAY_RELAY_H
 
+#include "gateway/calleridentity.h"
 #include "gateway/crashregistry.h"
 #include "gateway/endpointsend.h"
 #include "gateway/gatewayconfigurationholder.h"
@@ -23,6 +24,7 @@
 
 namespace oleandergate {
 
+class Allowances;
 class MemoryBudget;
 
 class Counter;
@@ -43,6 +45,7 @@
         TokenBudgetService &budget;
         CrashRegistry &crashes;
         RateLimiter &limiter;
+        Allowances &allowances;
         LeavingEndpoints &leaving;
         const RouteTargetRecords &targets;
         StreamVersions &versions;
@@ -67,6 +70,8 @@
 
     //! Has a stream that begins wait for what changed while this process was paused, and find its route again.
     boost::asio::awaitable<void> awaitMissedChanges(RelayRequest &context);
+    //! Serves a request whose organisation's allowance covers it.
+    boost::asio::awaitable<void> serveAllowed(RelayRequest &context);
     boost::asio::awaitable<void> serveAdmitted(RelayRequest &context);
 
     //! Finds the software version of a stream that the caller takes up. Returns false when the request was refused because it cannot be told.
@@ -101,6 +106,7 @@
     Parts parts;
     SendSteps steps;
     std::map<std::string, Counter *> requestCounters; //!< Ended requests by outcome.
+    std::array<Counter *, callerIdentityNames.size()> identityCounters;
     LatencyHistogram &requestSeconds;
 };
 
--- a/src/gateway/relaycall.h
+++ b/src/gateway/relaycall.h
@@ -29,6 +29,9 @@
     std::string host{};
     std::string target{}; //!< Path and query.
     std::vector<HttpHeader> headers{}; //!< Those that are forwarded to the endpoint.
+    std::string keyHash{}; //!< SHA-256 of the organisation's key that the caller presented; empty unless it presented exactly one.
+    bool isIdentified = false; //!< The gateway tells callers' organisations apart: endpoints see no key, and only the organisation named here.
+    OrganisationId organisation{}; //!< Empty for callers that need no key and have none.
     std::string body{};
     std::optional<Duration> timeLeft{}; //!< How long the caller waits.
     std::optional<std::uint64_t> resumeAfter{}; //!< Number of the last event that the caller received of an interrupted stream.
--- a/src/gateway/relayerror.cpp
+++ b/src/gateway/relayerror.cpp
@@ -17,7 +17,7 @@
 Error relayError(ErrorCode code, Step step, Executed executed, std::string detail)
 {
     Error out{code, step, {}, executed, std::nullopt, std::move(detail)};
-    if (executed == Executed::No && code != ErrorCode::NotFound && code != ErrorCode::BadRequest) {
+    if (executed == Executed::No && code != ErrorCode::NotFound && code != ErrorCode::BadRequest && code != ErrorCode::Unauthorised) {
         out.retryAfter = defaultRetryAfter;
     }
     return out;
@@ -46,6 +46,9 @@
     if (error.executed == Executed::No && error.retryAfter) {
         response.headers.push_back(headerCodec.retryAfter(*error.retryAfter));
     }
+    if (error.code == ErrorCode::Unauthorised) {
+        response.headers.push_back(headerCodec.challenge());
+    }
     return response;
 }
 
--- a/src/gateway/relayrequest.h
+++ b/src/gateway/relayrequest.h
@@ -35,6 +35,8 @@
     RequestIdentity identity{};
     std::shared_ptr<const ActiveGatewayConfiguration> active{};
     const Route *route = nullptr;
+    const Organisation *organisation = nullptr; //!< Of the caller; nullptr if it is not known or the configuration has none.
+    int rank = 0; //!< Urgency; 0 is the most urgent.
     const GatewayService *service = nullptr;
     std::shared_ptr<ServicePool> pool{};
     std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
@@ -56,6 +58,8 @@
     bool atEndpoint = false; //!< A send is under way.
     std::uint32_t sends = 0;
     std::uint32_t declined = 0; //!< Placements that the rate limit of their endpoint left no room for.
+    bool usesAllowance = false; //!< It was taken from the allowance of its organisation.
+    Duration allowanceWait{}; //!< Spent until the allowance covered it.
     Duration permitWait{}; //!< Spent on requests for permits.
     Duration waited{};
     int status = 0;
--- a/src/gateway/sendsteps.cpp
+++ b/src/gateway/sendsteps.cpp
@@ -168,7 +168,7 @@
         queued.call = this->nextCallId++;
         queued.program = request.call.program ? request.call.program->program : request.call.requestId;
         queued.branch = request.call.program ? request.call.program->branch : std::string();
-        queued.priority = -request.route->rank; // Rank 0 is the most urgent, whereas larger priorities are dispatched first.
+        queued.priority = -request.rank; // Rank 0 is the most urgent, whereas larger priorities are dispatched first.
         queued.promptParts = request.call.promptParts;
         queued.promptTokens = request.call.promptTokens;
         queued.maxTokens = request.call.maxTokens;
--- a/src/runtime/programdocument.cpp
+++ b/src/runtime/programdocument.cpp
@@ -23,14 +23,14 @@
 };
 
 constexpr std::array<CodeStatus, static_cast<std::size_t>(ErrorCode::Count)> codeStatuses{{
-    {ErrorCode::BadRequest, 400},         {ErrorCode::Unauthorised, 401},         {ErrorCode::NotFound, 404},         {ErrorCode::TooLarge, 413},
-    {ErrorCode::NotOwner, 503},           {ErrorCode::SlotMoving, 503},           {ErrorCode::ProgramEnded, 409},     {ErrorCode::ProgramExpired, 409},
-    {ErrorCode::KeyReused, 422},          {ErrorCode::SequenceUsed, 409},         {ErrorCode::SequenceGap, 409},      {ErrorCode::TurnLimit, 429},
-    {ErrorCode::BudgetExhausted, 402},    {ErrorCode::DeadlineExceeded, 504},     {ErrorCode::Overloaded, 429},       {ErrorCode::PeakReached, 429},
-    {ErrorCode::ServiceUnavailable, 503}, {ErrorCode::NoEndpoint, 503},           {ErrorCode::CrashesEndpoints, 503}, {ErrorCode::VersionUnknown, 503},
-    {ErrorCode::EndpointFailed, 502},     {ErrorCode::EndpointGarbled, 502},      {ErrorCode::OutcomeUnknown, 502},   {ErrorCode::Cancelled, 409},
-    {ErrorCode::Conflict, 409},           {ErrorCode::InvalidConfiguration, 400}, {ErrorCode::PeerFailed, 503},       {ErrorCode::Timeout, 504},
-    {ErrorCode::Internal, 500},           {ErrorCode::NotResumable, 503},
+    {ErrorCode::BadRequest, 400},         {ErrorCode::Unauthorised, 401},         {ErrorCode::NotFound, 404},           {ErrorCode::TooLarge, 413},
+    {ErrorCode::NotOwner, 503},           {ErrorCode::SlotMoving, 503},           {ErrorCode::ProgramEnded, 409},       {ErrorCode::ProgramExpired, 409},
+    {ErrorCode::KeyReused, 422},          {ErrorCode::SequenceUsed, 409},         {ErrorCode::SequenceGap, 409},        {ErrorCode::TurnLimit, 429},
+    {ErrorCode::BudgetExhausted, 402},    {ErrorCode::DeadlineExceeded, 504},     {ErrorCode::Overloaded, 429},         {ErrorCode::PeakReached, 429},
+    {ErrorCode::ServiceUnavailable, 503}, {ErrorCode::NoEndpoint, 503},           {ErrorCode::CrashesEndpoints, 503},   {ErrorCode::VersionUnknown, 503},
+    {ErrorCode::EndpointFailed, 502},     {ErrorCode::EndpointGarbled, 502},      {ErrorCode::OutcomeUnknown, 502},     {ErrorCode::Cancelled, 409},
+    {ErrorCode::Conflict, 409},           {ErrorCode::InvalidConfiguration, 400}, {ErrorCode::PeerFailed, 503},         {ErrorCode::Timeout, 504},
+    {ErrorCode::Internal, 500},           {ErrorCode::NotResumable, 503},         {ErrorCode::AllowanceExhausted, 429},
 }};
 
 json::object describe(const TurnRecord &turn)
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -372,6 +372,22 @@
     archive(value.granted, value.retryAfter);
 }
 
+template <class Archive>
+void serialize(Archive &archive, AllowanceQuery &value)
+{
+    AllowanceRequest &request = value.request;
+    AllowanceCall &call = request.call;
+    archive(call.organisation, call.allowance.callsPerSecond, call.allowance.burst, call.configVersion, call.program);
+    archive(request.instance, request.used, request.reserve, request.callsPerSecond);
+}
+
+template <class Archive>
+void serialize(Archive &archive, AllowanceReply &value)
+{
+    AllowanceDecision &decision = value.decision;
+    archive(decision.granted, decision.bound, decision.reserve, decision.lifetime, decision.retryAfter);
+}
+
 template <class Archive>
 void serialize(Archive &archive, ReportedRateLimit &value)
 {
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -7,6 +7,7 @@
 #include "decision/error.h"
 #include "decision/programphase.h"
 #include "decision/programspec.h"
+#include "wire/allowancemessages.h"
 #include "wire/budgetmessages.h"
 #include "wire/permitmessages.h"
 #include "wire/tunnelmessages.h"
@@ -130,7 +131,9 @@
                                  TunnelRequest,
                                  TunnelReply,
                                  VersionRecordsQuery,
-                                 VersionRecordsReply>;
+                                 VersionRecordsReply,
+                                 AllowanceQuery,
+                                 AllowanceReply>;
 
 //! State that entry instances report to each other over UDP, a few times a second.
 struct Heartbeat
