--- a/src/decision/allowanceissuer.cpp
+++ b/src/decision/allowanceissuer.cpp
@@ -32,8 +32,24 @@
 //! Decay of the counts of calls and programs, of which the mean of calls in a program is taken.
 constexpr Duration programMemory = std::chrono::seconds(20);
 
-//! Programs that must have begun lately for their mean to count.
-constexpr double minPrograms = 3.0;
+//! Mean number of calls of a program that is assumed at first, and how many programs have to begin to outweigh it.
+constexpr double assumedCallsPerProgram = 10.0;
+constexpr double assumedPrograms = 2.0;
+
+//! Part of a bucket that programs which begin at once may need; the rest is for those under way. Two programs may begin at once in any case.
+constexpr double programPart = 0.5;
+constexpr double minProgramsAtOnce = 2.0;
+
+//! While calls of programs under way are denied, the mean calls of a program count as more: this much for each, up to a bound, for some seconds.
+constexpr double correctionStep = 0.02;
+constexpr double maxCorrection = 3.0;
+constexpr Duration correctionMemory = std::chrono::seconds(5);
+
+//! No program begins while more calls of programs under way than this were denied in the last second or so.
+constexpr double maxDenied = 3.0;
+
+//! The mean calls of a program are not learnt while more calls than this were denied in the last second or so.
+constexpr double minDenied = 0.5;
 
 //! A program that makes no call for this long has ended or comes back as a new one.
 constexpr Duration programIdleTime = std::chrono::seconds(30);
@@ -104,7 +120,12 @@
 
 double AllowanceIssuer::callsPerProgram(const Ledger &ledger)
 {
-    return ledger.programs < minPrograms ? 1.0 : std::max(1.0, ledger.calls / ledger.programs);
+    return ledger.correction * std::max(1.0, (ledger.calls + assumedCallsPerProgram * assumedPrograms) / (ledger.programs + assumedPrograms));
+}
+
+double AllowanceIssuer::programCapacityOf(const Ledger &ledger) const
+{
+    return std::max(programPart * this->capacityOf(ledger.allowance), minProgramsAtOnce * callsPerProgram(ledger));
 }
 
 void AllowanceIssuer::refill(Ledger &ledger, double share, Time now) const
@@ -113,10 +134,15 @@
     const double capacity = this->capacityOf(ledger.allowance) * share - reservesOf(ledger, now);
     ledger.level = std::min(capacity, ledger.level + ledger.allowance.callsPerSecond * share * toSeconds(elapsed));
     ledger.refilledAt = now;
-    ledger.calls *= decay(elapsed, programMemory);
-    ledger.programs *= decay(elapsed, programMemory);
-    ledger.callsOwed *= decay(elapsed, 2 * this->tolerance.window);
+    const double programCapacity = this->programCapacityOf(ledger) * share;
+    ledger.programLevel = std::min(programCapacity, ledger.programLevel + ledger.allowance.callsPerSecond * share * toSeconds(elapsed));
     ledger.denied *= decay(elapsed, demandMemory);
+    ledger.deniedPrograms *= decay(elapsed, demandMemory);
+    ledger.correction = 1.0 + (ledger.correction - 1.0) * decay(elapsed, correctionMemory);
+    if (ledger.denied < minDenied) {
+        ledger.calls *= decay(elapsed, programMemory);
+        ledger.programs *= decay(elapsed, programMemory);
+    }
 }
 
 AllowanceIssuer::Ledger &AllowanceIssuer::ledgerOf(const AllowanceRequest &request, double share, Time now)
@@ -129,6 +155,10 @@
         ledger.level = isTakeover ? std::min(capacity, this->takeoverLevel(request.call.allowance)) : capacity;
         ledger.refilledAt = now;
     }
+    if (isNew) {
+        ledger.allowance = request.call.allowance;
+        ledger.programLevel = this->programCapacityOf(ledger);
+    }
     if (isNew || request.call.configVersion > ledger.configVersion) {
         ledger.allowance = request.call.allowance;
         ledger.configVersion = request.call.configVersion;
@@ -144,39 +174,43 @@
     holder.reserve = std::min(holder.reserve, static_cast<double>(request.reserve));
     holder.callsPerSecond = request.callsPerSecond;
     holder.askedAt = now;
-    ledger.calls += request.used;
-    ledger.callsOwed = std::max(0.0, ledger.callsOwed - request.used);
-
     const auto open = ledger.openPrograms.find(request.call.program);
     const bool begins = request.call.program != 0 && open == ledger.openPrograms.end();
-    const double rate = ledger.allowance.callsPerSecond * share;
-    if (ledger.level < 1.0) {
-        ledger.denied += 1.0;
-        return AllowanceDecision{false, AllowanceBound::Rate, 0, {}, retryAfter(ledger.denied - ledger.level, rate)};
-    }
-    const double perProgram = callsPerProgram(ledger);
-    if (begins) {
-        const double covered = std::max(ledger.level, 0.0) + rate * toSeconds(this->tolerance.window);
-        const double missing = ledger.callsOwed + perProgram - std::max(perProgram, covered);
-        if (missing > 0.0) {
-            ledger.denied += 1.0;
-            return AllowanceDecision{false, AllowanceBound::OpenPrograms, 0, {}, retryAfter(missing + ledger.denied * perProgram, rate)};
-        }
-        ledger.programs += 1.0;
-        ledger.callsOwed += perProgram;
+    const std::optional<AllowanceDecision> denial = denialOf(ledger, begins, ledger.allowance.callsPerSecond * share);
+    if (denial) {
+        return *denial;
     }
     if (request.call.program != 0) {
         ledger.openPrograms[request.call.program] = now;
     }
     ledger.level -= 1.0;
-    ledger.calls += 1.0;
-    ledger.callsOwed = std::max(0.0, ledger.callsOwed - 1.0);
+    ledger.programLevel -= begins ? callsPerProgram(ledger) : 0.0;
+    if (ledger.denied < minDenied) {
+        // Programs that are ended for lack of allowance do not show how many calls they would have made.
+        ledger.calls += 1.0 + request.used;
+        ledger.programs += begins ? 1.0 : 0.0;
+    }
     AllowanceDecision decision;
     decision.granted = true;
     this->addReserve(ledger, holder, decision, now);
     return decision;
 }
 
+std::optional<AllowanceDecision> AllowanceIssuer::denialOf(Ledger &ledger, bool begins, double callsPerSecond)
+{
+    if (begins && (ledger.denied >= maxDenied || ledger.programLevel < callsPerProgram(ledger))) {
+        ledger.deniedPrograms += 1.0;
+        const double missing = callsPerProgram(ledger) * ledger.deniedPrograms - ledger.programLevel;
+        return AllowanceDecision{false, AllowanceBound::OpenPrograms, 0, {}, retryAfter(missing, callsPerSecond)};
+    }
+    if (ledger.level >= 1.0) {
+        return std::nullopt;
+    }
+    (begins ? ledger.deniedPrograms : ledger.denied) += 1.0;
+    ledger.correction = std::min(maxCorrection, ledger.correction + (begins ? 0.0 : correctionStep));
+    return AllowanceDecision{false, AllowanceBound::Rate, 0, {}, retryAfter(ledger.denied - ledger.level, callsPerSecond)};
+}
+
 void AllowanceIssuer::addReserve(Ledger &ledger, Holder &holder, AllowanceDecision &decision, Time now) const
 {
     const double capacity = this->capacityOf(ledger.allowance);
--- a/src/decision/allowanceissuer.h
+++ b/src/decision/allowanceissuer.h
@@ -4,6 +4,7 @@
 #include "decision/allowancedecision.h"
 #include "decision/allowancerequest.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace oleandergate {
@@ -15,8 +16,8 @@
 //! tolerance permit at once, less the reserves that instances hold; so no window can have more calls than the allowance permits, whoever uses a reserve and
 //! when.
 //!
-//! Programs under way go before new ones. A call that begins a program is granted only if the allowance also covers what the organisation's open programs
-//! still need, by the mean number of calls of its latest programs.
+//! Programs under way go before new ones, which are begun at the rate at which the allowance covers all their calls, by the mean number of calls of the
+//! organisation's programs, and not while calls of programs under way are denied.
 //!
 //! Not thread-safe.
 class AllowanceIssuer
@@ -56,10 +57,12 @@
         std::uint64_t configVersion = 0;
         double level = 0.0; //!< Calls that may be granted at once.
         Time refilledAt{};
-        double calls = 0.0; //!< Granted lately, with exponential decay.
-        double programs = 0.0; //!< Begun lately, with the same decay.
-        double callsOwed = 0.0; //!< That open programs are expected to make yet.
-        double denied = 0.0; //!< Calls denied in the last second or so.
+        double programLevel = 0.0; //!< Calls of programs that may begin at once.
+        double calls = 0.0; //!< Granted lately while none was denied, with exponential decay.
+        double programs = 0.0; //!< Begun meanwhile, with the same decay.
+        double correction = 1.0; //!< Of the mean calls of a program, while that lets too many begin.
+        double denied = 0.0; //!< Calls of programs under way denied in the last second or so.
+        double deniedPrograms = 0.0; //!< Programs that were not begun in the same time.
         std::unordered_map<std::uint32_t, Holder> holders{}; //!< By the hash of the instance.
         std::unordered_map<std::uint64_t, Time> openPrograms{}; //!< When they last asked, by their hash.
     };
@@ -73,11 +76,17 @@
     //! Returns the calls that an issuer may grant at once where another one may have issued before.
     double takeoverLevel(const Allowance &allowance) const;
 
+    //! Returns how many calls the programs that begin at once may have together.
+    double programCapacityOf(const Ledger &ledger) const;
+
     static double reservesOf(const Ledger &ledger, Time now);
 
     //! Returns the mean number of calls of a program.
     static double callsPerProgram(const Ledger &ledger);
 
+    //! Returns the denial of a call; nothing if it may be granted.
+    static std::optional<AllowanceDecision> denialOf(Ledger &ledger, bool begins, double callsPerSecond);
+
     //! Hands out a reserve with a granted call.
     void addReserve(Ledger &ledger, Holder &holder, AllowanceDecision &decision, Time now) const;
 
--- a/tests/gateway/configurationchangetests.cpp
+++ b/tests/gateway/configurationchangetests.cpp
@@ -47,4 +47,10 @@
     service.services.front().tokensPerEvent = 4;
     service.bounds.idleTime = std::chrono::seconds(9);
     CHECK(describeChange(before, service) == "idle_time=1 tokens_per_event=1");
+    GatewayConfiguration organised = before;
+    organised.organisations = {Organisation{"o1", {"a"}, std::nullopt, Allowance{1.0, 1.0}}};
+    CHECK(describeChange(before, organised) == "organisations_added=1");
+    GatewayConfiguration lowered = organised;
+    lowered.organisations.front() = Organisation{"o1", {"b"}, 1, Allowance{0.5, 1.0}};
+    CHECK(describeChange(organised, lowered) == "allowance=1 keys=1 organisation_rank=1");
 }
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -89,8 +89,8 @@
     std::ofstream out(this->file(index, ".toml"));
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
-        << "[Bounds]\nGraceS = " << this->graceSeconds[index] << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n[Platform]\nAddress = \""
-        << own.store << "\"\n";
+        << "[Bounds]\nQuotaWindowS = 5\nQuotaOver = 0.1\nQuotaSlack = 20\nGraceS = " << this->graceSeconds[index]
+        << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n[Platform]\nAddress = \"" << own.store << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
@@ -145,7 +145,7 @@
                         + "}" + this->otherServices
                         + "],"
                           "\"Limits\":"
-                        + limits + "}");
+                        + limits + (this->organisations.empty() ? std::string() : ",\"Tenants\":" + this->organisations) + "}");
 }
 
 void GatewayCluster::setRouteTimeout(int timeoutMs)
@@ -158,6 +158,11 @@
     this->tokensPerEvent = tokens;
 }
 
+void GatewayCluster::setOrganisations(const std::string &newOrganisations)
+{
+    this->organisations = newOrganisations;
+}
+
 void GatewayCluster::addService(const std::string &name, std::size_t endpointCount)
 {
     this->otherServices += ",{\"Name\":\"" + name + "\",\"MaxConns\":180,\"Engine\":{\"TokensPerEvent\":10}}";
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -54,6 +54,9 @@
     //! Sets the tokens in an event of the service "engine" in the configurations that follow; without a number it is no engine.
     void setTokensPerEvent(std::optional<int> tokens);
 
+    //! Sets the organisations, a JSON array, of the configurations that follow; none when empty.
+    void setOrganisations(const std::string &organisations);
+
     //! Adds \p endpointCount endpoints of another service to the configurations that follow.
     void addService(const std::string &name, std::size_t endpointCount);
 
@@ -124,6 +127,7 @@
 
     std::string root;
     int gatewayMegabytes;
+    std::string organisations; //!< A JSON array.
     std::string otherServices; //!< Their entries in configurations.
     std::optional<int> tokensPerEvent = 10; //!< Of the service "engine".
     int routeTimeoutMs = defaultRouteTimeoutMs;
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -1,5 +1,7 @@
 //! Parsing of the platform's formats, with valid and malformed input.
 
+#include "config/configuration.h"
+#include "decision/organisationtable.h"
 #include "platform/platformheadercodec.h"
 #include "platform/platformrecordformat.h"
 #include "platform/platformsettings.h"
@@ -159,6 +161,111 @@
     CHECK(read.error().detail.find("r2") != std::string::npos);
 }
 
+// Guards against keys in memory and in what peers are sent.
+TEST_CASE("Organisations: a configuration is parsed with their hashed keys, also where a peer has replaced the keys by hashes")
+{
+    const std::string text = std::string(R"({"Version":8,"Tenants":[{"Name":"o1","ApiKeys":["k1","k2"],"Priority":2,"RatePerS":8.5,"Burst":3},{"Name":"o2"}],)")
+        + std::string(configuration).substr(std::string_view(R"({"Version":7,)").size());
+    const PlatformRecordFormat records;
+    const std::string shared = records.withoutKeys(text);
+    CHECK(shared.find("k1") == std::string::npos);
+    CHECK(records.withoutKeys(shared) == shared);
+    for (const std::string &document : {text, shared}) {
+        const Result<GatewayConfiguration> read = records.readConfiguration(document);
+        REQUIRE(read);
+        CHECK(read.value().identifiesCallers);
+        REQUIRE(read.value().organisations.size() == 2);
+        const Organisation &first = read.value().organisations[0];
+        CHECK(first.name == "o1");
+        CHECK(first.keyHashes == std::vector<std::string>{sha256Hex("k1"), sha256Hex("k2")});
+        CHECK(first.rank == 2);
+        CHECK(first.allowance == Allowance{8.5, 3.0});
+        CHECK(read.value().organisations[1].keyHashes.empty());
+        CHECK_FALSE(read.value().organisations[1].rank);
+        CHECK(read.value().routes.size() == 2);
+        CHECK(read.value().bounds.bodyBytes == 1000);
+    }
+    CHECK(records.withoutKeys(configuration) == configuration);
+    CHECK_FALSE(records.readConfiguration(configuration).value().identifiesCallers);
+    CHECK(records.readConfiguration(R"({"Version":9,"Tenants":[]})").value().identifiesCallers);
+}
+
+TEST_CASE("Organisations: a configuration that leaves their rights open is refused, and the error does not name a key")
+{
+    for (const char *organisations : {R"([{"Name":"","ApiKeys":["secret"]}])",
+                                      R"([{"ApiKeys":["secret"]}])",
+                                      R"([{"Name":"o\r\nX: y","ApiKeys":["secret"]}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret"]},{"Name":"o2","ApiKeys":["k2","secret"]}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret"]},{"Name":"o1","ApiKeys":["k2"]}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret"],"RatePerS":-1}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret"],"RatePerS":"8"}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret"],"Burst":-0.5}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret",""]}])",
+                                      R"([{"Name":"o1","ApiKeys":["secret",7]}])",
+                                      R"([{"Name":"o1","ApiKeys":"secret"}])"}) {
+        CAPTURE(organisations);
+        const Result<GatewayConfiguration> read = PlatformRecordFormat().readConfiguration(R"({"Version":8,"Tenants":)" + std::string(organisations) + "}");
+        REQUIRE_FALSE(read);
+        CHECK(read.error().code == ErrorCode::InvalidConfiguration);
+        CHECK(read.error().detail.find("secret") == std::string::npos);
+    }
+    // A key that is listed twice and a burst without a rate leave nothing open.
+    CHECK(PlatformRecordFormat().readConfiguration(R"({"Version":8,"Tenants":[{"Name":"o1","ApiKeys":["k","k"],"Burst":4}]})"));
+}
+
+TEST_CASE("Organisations: ten thousand of them with two keys each are read")
+{
+    std::string text = R"({"Version":8,"Tenants":[)";
+    for (int index = 0; index < 10'000; ++index) {
+        const std::string number = std::to_string(index);
+        text += (index == 0 ? "" : ",") + std::string(R"({"Name":"o)") + number + R"(","ApiKeys":["first-key-of-)" + number + R"(","second-key-of-)" + number
+            + R"("],"RatePerS":8,"Burst":8})";
+    }
+    const Result<GatewayConfiguration> read = PlatformRecordFormat().readConfiguration(text + "]}");
+    REQUIRE(read);
+    CHECK(read.value().organisations.size() == 10'000);
+    CHECK(OrganisationTable(read.value().organisations).findByKeyHash(sha256Hex("second-key-of-9999"))->name == "o9999");
+}
+
+TEST_CASE("Organisations: exactly one key with the right scheme is read from a request")
+{
+    const auto keyHashOf = [](const std::vector<std::string> &credentials) {
+        HttpRequest request = turnRequest();
+        for (const std::string &value : credentials) {
+            request.headers.push_back(HttpHeader{"authorization", value});
+        }
+        return PlatformHeaderCodec().decode(std::move(request)).value().keyHash;
+    };
+    CHECK(keyHashOf({"Token k1"}) == sha256Hex("k1"));
+    CHECK(keyHashOf({"token  k1 "}) == sha256Hex("k1"));
+    CHECK(keyHashOf({"Token " + std::string(15'000, 'k')}) == sha256Hex(std::string(15'000, 'k')));
+    for (const char *other : {"", "k1", "Token", "Token ", "Bearer k1", "Tokenk1"}) {
+        CHECK(keyHashOf({other}).empty());
+    }
+    CHECK(keyHashOf({"Token k1", "Token k1"}).empty());
+    CHECK(keyHashOf({"Token k1", "Token k2"}).empty());
+    CHECK(keyHashOf({}).empty());
+}
+
+TEST_CASE("Organisations: an endpoint sees the organisation that the gateway found, and no key; without organisations it sees what the caller sent")
+{
+    HttpRequest request = turnRequest();
+    request.headers.push_back(HttpHeader{"Authorization", "Token k1"});
+    request.headers.push_back(HttpHeader{"oleandergate-tenant", "forged"});
+    RelayCall call = PlatformHeaderCodec().decode(std::move(request)).value();
+    CHECK(has(PlatformHeaderCodec().encode(call, ForwardingOptions()), "Authorization", "Token k1"));
+    call.isIdentified = true;
+    for (const char *organisation : {"o1", ""}) {
+        call.organisation = organisation;
+        const std::vector<HttpHeader> headers = PlatformHeaderCodec().encode(call, ForwardingOptions());
+        CHECK(has(headers, "Oleandergate-Tenant", "o1") == !call.organisation.empty());
+        for (const HttpHeader &header : headers) {
+            CHECK(header.value != "forged");
+            CHECK(header.value.find("k1") == std::string::npos);
+        }
+    }
+}
+
 TEST_CASE("A registration yields an endpoint only if every field is valid")
 {
     const PlatformRecordFormat records;
@@ -206,6 +313,15 @@
     CHECK(settings->gateway.drainLimit == std::chrono::milliseconds(8500));
     CHECK(settings->gateway.callerAddress == "10.1.0.38:8149");
     CHECK(settings->storeAddress == "10.200.1.7:8142");
+    CHECK(settings->gateway.allowanceTolerance.calls == 0.0);
+    ConfigIssues none;
+    std::string tolerant = good;
+    tolerant.replace(tolerant.find("GraceS"), 0, "QuotaWindowS = 5\nQuotaOver = 0.1\nQuotaSlack = 20\n");
+    const std::optional<PlatformSettings> withTolerance = readPlatformSettings(tolerant, "boot.toml", none);
+    REQUIRE(withTolerance);
+    CHECK(withTolerance->gateway.allowanceTolerance.window == std::chrono::seconds(5));
+    CHECK(withTolerance->gateway.allowanceTolerance.share == 0.1);
+    CHECK(withTolerance->gateway.allowanceTolerance.calls == 20.0);
     ConfigIssues faults;
     CHECK_FALSE(readPlatformSettings("NodeName = 3\n", "boot.toml", faults));
     CHECK_FALSE(faults.empty());
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -1,5 +1,6 @@
 //! When the unused tokens of a turn are back: before the end of its answer, or before the next turn is refused for want of them.
 
+#include "gateway/allowances.h"
 #include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
 #include "gateway/peergossip.h"
@@ -286,6 +287,11 @@
         return std::nullopt;
     }
 
+    HttpHeader challenge() const override
+    {
+        return HttpHeader{"WWW-Authenticate", "Token"};
+    }
+
     HttpHeader retryAfter(Duration /*wait*/) const override
     {
         return HttpHeader{"Retry-After", "1"};
@@ -331,6 +337,7 @@
     RecordingBudget recordingBudget{steps};
     CrashRegistry crashes{metrics, 1, onNews};
     RateLimiter limiter{peers, metrics, self, onNews};
+    Allowances allowances{peers, metrics, holder, self, AllowanceTolerance()};
     LeavingEndpoints leaving{pools, metrics, self.id, onNews};
     AssignmentNews assignmentNews{self.id, onNews};
     PeerGossip gossip{context, auth, self, {}, PeerGossip::Hooks{}};
@@ -338,7 +345,8 @@
     StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews}, self.id};
     StreamHabitRegistry habits{metrics};
     MemoryBudget memory{memoryBytes, metrics};
-    Relay relay{Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, leaving, targets, versions, habits, memory, metrics}};
+    Relay relay{
+        Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, allowances, leaving, targets, versions, habits, memory, metrics}};
 };
 
 } // namespace
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -281,6 +281,33 @@
     CHECK(std::get<PermitReply>(reply.value()).retryAfter == 90);
 }
 
+TEST_CASE("Requests for allowances keep their content between instances")
+{
+    AllowanceQuery query;
+    query.request = AllowanceRequest{AllowanceCall{7, Allowance{8.5, 3.0}, 12, 99}, 5, 4, 3, 2.5};
+    const Result<PeerMessage> request = decodePeerMessage(encodePeerMessage(query));
+    REQUIRE(request);
+    REQUIRE(std::holds_alternative<AllowanceQuery>(request.value()));
+    const AllowanceRequest &read = std::get<AllowanceQuery>(request.value()).request;
+    CHECK(read.call.organisation == 7);
+    CHECK(read.call.allowance == Allowance{8.5, 3.0});
+    CHECK(read.call.configVersion == 12);
+    CHECK(read.call.program == 99);
+    CHECK(read.instance == 5);
+    CHECK(read.used == 4);
+    CHECK(read.reserve == 3);
+    CHECK(read.callsPerSecond == 2.5);
+    const AllowanceDecision decision{true, AllowanceBound::OpenPrograms, 6, std::chrono::seconds(3), std::chrono::milliseconds(40)};
+    const Result<PeerMessage> reply = decodePeerMessage(encodePeerMessage(AllowanceReply{decision}));
+    REQUIRE(reply);
+    REQUIRE(std::holds_alternative<AllowanceReply>(reply.value()));
+    CHECK(std::get<AllowanceReply>(reply.value()).decision.granted);
+    CHECK(std::get<AllowanceReply>(reply.value()).decision.bound == AllowanceBound::OpenPrograms);
+    CHECK(std::get<AllowanceReply>(reply.value()).decision.reserve == 6);
+    CHECK(std::get<AllowanceReply>(reply.value()).decision.lifetime == std::chrono::seconds(3));
+    CHECK(std::get<AllowanceReply>(reply.value()).decision.retryAfter == std::chrono::milliseconds(40));
+}
+
 TEST_CASE("Reports of reached endpoints keep their content, and no other report is taken for one")
 {
     const ReachReport report{"front-1~5", true, {7, 9}, 12};
