Allowances: calls under way wait longer, small organisations have no reserves

Change: such a call waits up to half of its time and 1.5 s; reserves only of what a bucket has beyond 30 calls; 0.7 of the tolerated share is used.

--- a/src/decision/allowanceissuer.cpp
+++ b/src/decision/allowanceissuer.cpp
@@ -8,16 +8,19 @@
 namespace {
 
 //! Parts of the tolerance that a bucket adds to the burst. What is left covers the change from one issuer to another.
-constexpr double capacityPartOfShare = 0.5;
+constexpr double capacityPartOfShare = 0.7;
 constexpr double capacityPartOfCalls = 0.75;
 
 //! Parts of the tolerance that an issuer may grant at once where another one may have issued before.
-constexpr double takeoverPartOfShare = 0.1;
+constexpr double takeoverPartOfShare = 0.15;
 constexpr double takeoverPartOfCalls = 0.25;
 
-//! A bucket that is filled to this part counts as ample, and reserves may hold this part of a bucket.
+//! A bucket that is filled to this part counts as ample.
 constexpr double amplePart = 0.5;
+
+//! Reserves may hold this part of what a bucket has beyond the calls that one program may make in parallel: what idle instances hold is missing elsewhere.
 constexpr double reservedPart = 0.5;
+constexpr double parallelCalls = 30.0;
 
 //! How long instances may use their reserves.
 constexpr Duration ampleLifetime = std::chrono::seconds(3);
@@ -45,6 +48,9 @@
 constexpr double maxCorrection = 3.0;
 constexpr Duration correctionMemory = std::chrono::seconds(5);
 
+//! A program begins in any case while a bucket is filled to this part and no call of a program under way was denied lately.
+constexpr double idlePart = 0.75;
+
 //! No program begins while more calls of programs under way than this were denied in the last second or so.
 constexpr double maxDenied = 3.0;
 
@@ -196,9 +202,11 @@
     return decision;
 }
 
-std::optional<AllowanceDecision> AllowanceIssuer::denialOf(Ledger &ledger, bool begins, double callsPerSecond)
+std::optional<AllowanceDecision> AllowanceIssuer::denialOf(Ledger &ledger, bool begins, double callsPerSecond) const
 {
-    if (begins && (ledger.denied >= maxDenied || ledger.programLevel < callsPerProgram(ledger))) {
+    const bool isIdle = ledger.denied < minDenied && ledger.level >= idlePart * this->capacityOf(ledger.allowance);
+    const bool isFull = ledger.denied >= maxDenied || ledger.programLevel < callsPerProgram(ledger);
+    if (begins && isFull && !isIdle) {
         ledger.deniedPrograms += 1.0;
         const double missing = callsPerProgram(ledger) * ledger.deniedPrograms - ledger.programLevel;
         return AllowanceDecision{false, AllowanceBound::OpenPrograms, 0, {}, retryAfter(missing, callsPerSecond)};
@@ -218,7 +226,7 @@
     decision.lifetime = isAmple ? ampleLifetime : scarceLifetime;
     double room = 0.0;
     if (isAmple) {
-        room = std::min(reservedPart * capacity - reservesOf(ledger, now), ledger.level / 2.0);
+        room = std::min(reservedPart * std::max(0.0, capacity - parallelCalls) - reservesOf(ledger, now), ledger.level / 2.0);
     } else {
         double demand = 0.0;
         for (const auto &[instance, other] : ledger.holders) {
--- a/src/decision/allowanceissuer.h
+++ b/src/decision/allowanceissuer.h
@@ -85,7 +85,7 @@
     static double callsPerProgram(const Ledger &ledger);
 
     //! Returns the denial of a call; nothing if it may be granted.
-    static std::optional<AllowanceDecision> denialOf(Ledger &ledger, bool begins, double callsPerSecond);
+    std::optional<AllowanceDecision> denialOf(Ledger &ledger, bool begins, double callsPerSecond) const;
 
     //! Hands out a reserve with a granted call.
     void addReserve(Ledger &ledger, Holder &holder, AllowanceDecision &decision, Time now) const;
--- a/src/gateway/allowances.cpp
+++ b/src/gateway/allowances.cpp
@@ -32,8 +32,8 @@
 
 //! Longest time that a call of a program under way waits for its allowance, as a part of the time that it may take, and in all. Ending the program would
 //! waste what its calls so far have used.
-constexpr double waitPart = 0.25;
-constexpr Duration maxWait = std::chrono::milliseconds(500);
+constexpr double waitPart = 0.5;
+constexpr Duration maxWait = std::chrono::milliseconds(1500);
 
 //! Part of an allowance that instances use together while its issuer does not answer them.
 constexpr double lonePart = 0.5;
