--- a/src/decision/allowanceissuer.cpp
+++ b/src/decision/allowanceissuer.cpp
@@ -44,12 +44,12 @@
 constexpr double minProgramsAtOnce = 2.0;
 
 //! While calls of programs under way are denied, the mean calls of a program count as more: this much for each, up to a bound, for some seconds.
-constexpr double correctionStep = 0.02;
-constexpr double maxCorrection = 3.0;
-constexpr Duration correctionMemory = std::chrono::seconds(5);
+constexpr double correctionStep = 0.01;
+constexpr double maxCorrection = 1.5;
+constexpr Duration correctionMemory = std::chrono::seconds(3);
 
 //! A program begins in any case while a bucket is filled to this part and no call of a program under way was denied lately.
-constexpr double idlePart = 0.75;
+constexpr double idlePart = 0.6;
 
 //! No program begins while more calls of programs under way than this were denied in the last second or so.
 constexpr double maxDenied = 3.0;
