A status that is none reaches callers: failing tests

HTTP/2.0 in the status line, a control byte in the reason, two lengths that differ and a length beside chunks are errors already; the test keeps that.

--- a/tests/gateway/httpclienttests.cpp
+++ b/tests/gateway/httpclienttests.cpp
@@ -133,6 +133,40 @@
     CHECK_FALSE(answered.get());
 }
 
+// Guards against an answer whose status is none that is read as one of the store.
+TEST_CASE("A status outside 200 to 599 is an error for every client, and so are two lengths or a length beside chunks")
+{
+    for (const char *head : {"HTTP/1.1 000 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 001 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 099 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 101 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 600 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 999 OK\r\nContent-Length: 12",
+                             "HTTP/2.0 200 OK\r\nContent-Length: 12",
+                             "HTTP/1.1 200 O\x01K\r\nContent-Length: 12",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nContent-Length: 13",
+                             "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked"}) {
+        CAPTURE(head);
+        SingleResponseServer server(head + std::string("\r\n\r\n{\"items\":[]}"));
+        asio::io_context context;
+        HttpClient client(context);
+        HttpCall call;
+        call.address = server.address();
+        call.target = "/";
+        call.deadline = currentTime() + std::chrono::seconds(10);
+        call.idleTimeout = std::chrono::seconds(10);
+        std::optional<HttpOutcome> outcome;
+        asio::co_spawn(context, keepAnswer(client.send(std::move(call), Step::Send), outcome), asio::detached);
+        context.run();
+        REQUIRE(outcome);
+        const bool answered = outcome->has_value();
+        CHECK_FALSE(answered);
+        if (!answered) {
+            CHECK_FALSE(outcome->error().provablyNotSent);
+        }
+    }
+}
+
 // Guards against a write taken for done because the store wrote the answer of an earlier one once more: a budget spent twice.
 TEST_CASE("A copy of an earlier write's answer doesn't prove a write of the store")
 {
--- a/tests/gateway/relaytests.cpp
+++ b/tests/gateway/relaytests.cpp
@@ -128,6 +128,40 @@
     }
 }
 
+// Guards against a caller that gets the answer of an endpoint in trouble whose status is none.
+TEST_CASE("A status outside 200 to 599 is no answer, on routes of any kind")
+{
+    for (const Behaviour behaviour : {Behaviour::ZeroStatus, Behaviour::LowStatus, Behaviour::SwitchStatus, Behaviour::HighStatus, Behaviour::HighestStatus}) {
+        CAPTURE(static_cast<int>(behaviour));
+        ServingCluster cluster(2);
+        const auto answerWith = [&cluster](const std::vector<Behaviour> &behaviours) {
+            for (const std::unique_ptr<StandinEndpoint> &endpoint : cluster.endpoints) {
+                endpoint->setNextBehaviours(behaviours);
+            }
+        };
+        answerWith({behaviour});
+        const std::optional<HttpResponse> order = cluster.call(0, "POST", "/orders/1");
+        REQUIRE(order);
+        CHECK(order->status == 502);
+        CHECK(order->header("Oleandergate-Server-Stamp").empty());
+        CHECK(cluster.receivedCount() == 1);
+        answerWith({});
+        cluster.endpoints[0]->setNextBehaviours({behaviour});
+        for (int call = 0; call < 4; ++call) {
+            const std::optional<HttpResponse> read = cluster.call(0, "GET", "/reads/1");
+            REQUIRE(read);
+            CHECK(read->status == 200);
+            CHECK(read->body == "right");
+        }
+        answerWith({behaviour});
+        const std::optional<HttpResponse> turn = cluster.turn(0, "p" + std::to_string(static_cast<int>(behaviour)), 1000);
+        REQUIRE(turn);
+        // Sent again, as the stream may be resumed, until its attempts are used up.
+        CHECK((turn->status == 200 || turn->status == 502));
+        CHECK(cluster.logHas(0, "is none of HTTP"));
+    }
+}
+
 TEST_CASE("A stream that breaks inside an event is resumed after the last whole event")
 {
     ServingCluster cluster(1);
--- a/tests/gateway/standinendpoint.cpp
+++ b/tests/gateway/standinendpoint.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 namespace oleandergate::support {
 
@@ -592,6 +593,17 @@
         return send(socket, this->refusal(request));
     case Behaviour::Failure:
         return send(socket, this->head(request, "Content-Type: text/plain\r\nContent-Length: 12", 500) + "failure text");
+    case Behaviour::ZeroStatus:
+    case Behaviour::LowStatus:
+    case Behaviour::SwitchStatus:
+    case Behaviour::HighStatus:
+    case Behaviour::HighestStatus: {
+        constexpr std::array<const char *, 5> statuses{"000", "099", "101", "600", "999"};
+        std::string answer = this->head(request, "Content-Length: 5");
+        answer.replace(
+            std::string_view("HTTP/1.1 ").size(), 3, statuses.at(static_cast<std::size_t>(behaviour) - static_cast<std::size_t>(Behaviour::ZeroStatus)));
+        return send(socket, answer + "right");
+    }
     case Behaviour::EndMidHead:
         send(socket, "HTTP/1.1 200 OK\r\nOleandergate-Request-Id: " + request.header("Oleandergate-Request-Id") + "\r\nContent-Len");
         return false;
--- a/tests/gateway/standinendpoint.h
+++ b/tests/gateway/standinendpoint.h
@@ -89,6 +89,11 @@
     VeryLateShortLength, //!< The same as LateShortLength, with a pause of 30 ms.
     BreakMidNextEvent, //!< Ends a stream inside the first event that it would send.
     EndMidNextEvent, //!< The same in an answer with neither length nor chunks, whose connection ends in order.
+    ZeroStatus, //!< A whole answer whose status is 000.
+    LowStatus, //!< The same with 099.
+    SwitchStatus, //!< The same with 101, which nobody asked for.
+    HighStatus, //!< The same with 600.
+    HighestStatus, //!< The same with 999.
 };
 
 //! A request that an endpoint received.
