A status that is none is no answer of an endpoint, an engine, a tool or the store

Cause: the client took any three digits of a status line, and the relay passed on what its endpoint had signed. Ruled out: a check in the relay alone, as the entry instance's engines and tools and the store's client read the same. Change: the HTTP client ends an exchange whose status is outside 100 to 599, or 101, as garbled: the request may have run, its connection is closed, the endpoint is judged and the log line names the status.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -54,6 +54,7 @@
 
 constexpr int firstInterimStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
 constexpr int statusSwitchingProtocols = 101;
 
 //! A connection with its own strand, on which all its operations run.
@@ -242,6 +243,12 @@
     return status >= firstInterimStatus && status < firstFinalStatus && status != statusSwitchingProtocols;
 }
 
+//! Returns whether \p status is one that HTTP has for a response.
+bool isStatus(int status)
+{
+    return isInterim(status) || (status >= firstFinalStatus && status <= lastStatus);
+}
+
 HttpResponse toResponse(const http::response<http::string_body> &message)
 {
     HttpResponse response;
@@ -396,6 +403,10 @@
             headReceived = true;
             head = toResponse(parser.get());
             head.body.clear();
+            if (!isStatus(head.status)) {
+                // What follows on the connection is not known either.
+                co_return failure(ErrorCode::EndpointGarbled, step, call, false, "the status " + std::to_string(head.status) + " is none of HTTP");
+            }
             accepted = !isInterim(head.status) && (!call.accepts || call.accepts(head));
             if (head.endsWithConnection && !call.mayEndWithConnection) {
                 HttpFailure unframed = failure(ErrorCode::EndpointGarbled, step, call, false, "the response has neither a length nor chunks");
