--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -61,6 +61,7 @@
     }
     this->gateways.resize(gatewayCount);
     this->graceSeconds.assign(gatewayCount, defaultGraceSeconds);
+    this->maxDescriptors.assign(gatewayCount, 0);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
         this->writeSettings(index);
         this->startGateway(index);
@@ -90,7 +91,9 @@
     out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
         << "[Bounds]\nQuotaWindowS = 5\nQuotaOver = 0.1\nQuotaSlack = 20\nGraceS = " << this->graceSeconds[index]
-        << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n[Platform]\nAddress = \"" << own.store << "\"\n";
+        << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n"
+        << (this->maxDescriptors[index] > 0 ? "MaxFds = " + std::to_string(this->maxDescriptors[index]) + "\n" : std::string()) << "[Platform]\nAddress = \""
+        << own.store << "\"\n";
 }
 
 void GatewayCluster::startGateway(std::size_t index)
@@ -258,6 +261,14 @@
         timeoutMs);
 }
 
+void GatewayCluster::setMaxDescriptors(std::size_t gateway, int descriptors)
+{
+    this->maxDescriptors[gateway] = descriptors;
+    this->writeSettings(gateway);
+    this->gateways[gateway] = ChildProcess();
+    this->startGateway(gateway);
+}
+
 std::size_t GatewayCluster::receivedCount() const
 {
     std::size_t count = 0;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -87,6 +87,9 @@
     //! Changes how long the gateway's process may take to stop, and has it read its settings again.
     void setGrace(std::size_t gateway, int seconds);
 
+    //! Starts the gateway anew, with at most \p descriptors open at a time by its settings.
+    void setMaxDescriptors(std::size_t gateway, int descriptors);
+
     //! Returns the number of requests that all endpoints received together.
     std::size_t receivedCount() const;
 
@@ -134,6 +137,7 @@
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
     std::vector<int> graceSeconds; //!< By gateway.
+    std::vector<int> maxDescriptors; //!< By gateway; 0 where the settings name none.
     std::atomic<int> requestCount{0};
 };
 
