Uncontrolled clients: room for a body is asked for before it is read, refused bodies are freed, descriptors bound callers' connections

Cause: a connection read up to 80 KB, and let a chunked body grow to twice its size, before it asked for room, so that 200 connections at once went beyond what is granted by several times; the size of a body was counted, not its capacity; what a refused client had sent was held until its connection was gone; and MaxFds was read by nobody. Ruled out: a smaller part of the memory for what is held, as the overshoot grows with the connections. Change: bodies are read in steps of 16 KB, each granted before; chunked bodies grow by a quarter and count with their capacity; a refusal frees what came before it is sent; callers' connections take at most half of the descriptors that the settings name (4,100: 2,050), beyond which they are refused or closed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,6 +77,9 @@
 //! How often the metrics are logged, for operators without access to the metrics address.
 constexpr Duration summaryInterval = std::chrono::seconds(10);
 
+//! Callers' connections may take this part of the descriptors; connections to endpoints, peers and the store need the rest.
+constexpr std::size_t callerDescriptorDivisor = 2;
+
 constexpr int serviceUnavailable = 503;
 
 InstanceRecord makeSelfRecord(const GatewaySettings &settings)
@@ -96,6 +99,16 @@
     return limits;
 }
 
+//! Returns the limits of callers' connections in a process that may have \p maxDescriptors open; 0 if that is not known.
+HttpLimits callerLimitsOf(const CallerBounds &bounds, std::size_t maxDescriptors)
+{
+    HttpLimits limits = limitsOf(bounds);
+    if (maxDescriptors > 0) {
+        limits.maxConnections = std::clamp<std::size_t>(maxDescriptors / callerDescriptorDivisor, 1, limits.maxConnections);
+    }
+    return limits;
+}
+
 } // namespace
 
 //! Requests and control work run on separate contexts with one thread each: a burst of requests does not delay configuration
@@ -218,7 +231,7 @@
                              metrics})
         , callerServer(
               requests,
-              limitsOf(CallerBounds()),
+              callerLimitsOf(CallerBounds(), settings.maxDescriptors),
               [this](HttpRequest request, HttpExchange &exchange) {
                   return this->relay.handle(std::move(request), exchange);
               },
@@ -268,7 +281,7 @@
 
     void applyConfiguration(const std::shared_ptr<const ActiveGatewayConfiguration> &active)
     {
-        this->callerServer.setLimits(limitsOf(active->configuration.bounds));
+        this->callerServer.setLimits(callerLimitsOf(active->configuration.bounds, this->settings.maxDescriptors));
         this->pools.configure(*active, currentTime());
     }
 
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -25,6 +25,7 @@
     Duration balancerLag = std::chrono::seconds(3); //!< How long the load balancer still opens connections after a shutdown begins.
     Duration reregistrationTimeout = std::chrono::milliseconds(2500); //!< Longest time that live endpoints need to register again after an outage.
     std::size_t memoryBytes = 256UL * 1024 * 1024; //!< That the process may use.
+    std::size_t maxDescriptors = 0; //!< That the process may have open; 0 if not known.
     AllowanceTolerance allowanceTolerance{}; //!< By how much the calls of an organisation may exceed its allowance.
     Duration programRetention = std::chrono::seconds(60); //!< How long a program may be idle before it is forgotten.
 };
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -27,6 +27,13 @@
 
 constexpr std::size_t minReadBytes = 512;
 
+//! Bytes of a body that are read at a time. Room for them is asked for before: each of many connections would otherwise hold a large step beyond what is
+//! granted.
+constexpr std::size_t bodyReadBytes = 16UL * 1024;
+
+//! A body of unknown length grows by at least this part of its size, so that it is not copied with each step.
+constexpr std::size_t bodyGrowthDivisor = 4;
+
 constexpr int serviceUnavailable = 503;
 constexpr const char *memoryDetail = "the instance holds too much for other requests";
 constexpr const char *shutdownDetail = "the instance shuts down before the request has arrived";
@@ -230,12 +237,35 @@
     if (parser.is_header_done()) {
         held.describe(HeldFor::Arriving, !parser.chunked());
     }
-    const bool granted = co_await held.hold(this->buffer.capacity() + parser.get().body().size(), giveUpAt);
+    // The memory of a body whose length is stated is reserved at once, and used as the body arrives.
+    const std::string &body = parser.get().body();
+    co_await this->holdBytes(held, this->buffer.capacity() + (parser.chunked() ? body.capacity() : body.size()), giveUpAt);
+}
+
+asio::awaitable<void> HttpConnection::holdBytes(HeldMemory &held, std::size_t bytes, Time giveUpAt)
+{
+    const bool granted = co_await held.hold(bytes, giveUpAt);
     if (!granted && !this->refusal) {
         this->refusal = this->core->formatError(serviceUnavailable, memoryDetail);
     }
 }
 
+asio::awaitable<void> HttpConnection::makeRoomForBody(Parser &parser, HeldMemory &held, Time giveUpAt)
+{
+    std::string &body = parser.get().body();
+    const std::size_t needed = body.size() + bodyReadBytes;
+    if (!parser.chunked() || body.capacity() >= needed) {
+        co_await this->holdBytes(held, this->buffer.capacity() + body.size() + 2 * bodyReadBytes, giveUpAt);
+        co_return;
+    }
+    // While the body is copied, both blocks exist.
+    const std::size_t grown = needed + body.size() / bodyGrowthDivisor;
+    co_await this->holdBytes(held, this->buffer.capacity() + body.capacity() + grown + bodyReadBytes, giveUpAt);
+    if (!this->refusal) {
+        body.reserve(grown);
+    }
+}
+
 void HttpConnection::endForMemory()
 {
     asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
@@ -282,11 +312,21 @@
     const Time giveUpAt = currentTime() + timeout;
     this->stream.expires_after(timeout);
     while (!parser.is_done() && !this->refusal) {
-        const auto [error, size] = co_await http::async_read_some(this->stream, this->buffer, parser, useResult);
-        if (error) {
+        co_await this->makeRoomForBody(parser, held, giveUpAt);
+        if (this->refusal) {
+            break;
+        }
+        const std::size_t room = std::min(bodyReadBytes, this->buffer.max_size() - this->buffer.size());
+        const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
+        this->buffer.commit(size);
+        if (readError) {
+            co_return readError == asio::error::eof ? http::error::partial_message : readError;
+        }
+        beast::error_code error;
+        this->buffer.consume(parser.put(this->buffer.data(), error));
+        if (error && error != http::error::need_more) {
             co_return error;
         }
-        co_await this->holdRequest(parser, held, giveUpAt);
     }
     co_return beast::error_code();
 }
@@ -331,12 +371,13 @@
         if (parser.is_done() || (error && error != http::error::need_more)) {
             co_return parser.is_done() ? beast::error_code() : error;
         }
-        co_await this->holdRequest(parser, held, giveUpAt);
+        co_await this->makeRoomForBody(parser, held, giveUpAt);
         if (this->refusal) {
             co_return beast::error_code();
         }
         beast::error_code ignored;
-        const std::size_t arrived = std::min(this->stream.socket().available(ignored), this->buffer.max_size() - this->buffer.size());
+        const std::size_t room = std::min(bodyReadBytes, this->buffer.max_size() - this->buffer.size());
+        const std::size_t arrived = std::min(this->stream.socket().available(ignored), room);
         if (arrived == 0) {
             co_return beast::error_code();
         }
@@ -364,6 +405,9 @@
     const bool isRefused = this->refusal && !parser.is_done() && (!error || error == asio::error::operation_aborted);
     if (error || isRefused) {
         const int status = isRefused ? 0 : statusOfReadError(error);
+        // What has arrived is of no use, and its caller may take long to receive the refusal.
+        parser.get().body() = std::string();
+        this->dropInput();
         if (isRefused || status != 0) {
             HttpResponse response = isRefused ? std::move(*this->refusal) : this->core->formatError(status, error.message());
             co_await this->sendLast(std::move(response));
@@ -430,9 +474,16 @@
     this->responseSent = exchange.hasSentResponse();
 }
 
+void HttpConnection::dropInput()
+{
+    this->buffer.consume(this->buffer.size());
+    this->buffer.shrink_to_fit();
+}
+
 asio::awaitable<void> HttpConnection::close()
 {
     this->enter(ConnectionPhase::Closing);
+    this->dropInput();
     if (this->mustReset) {
         this->stream.close();
         co_return;
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -99,6 +99,15 @@
     //! Counts what the request holds, and refuses it when there is no room for it until \p giveUpAt.
     boost::asio::awaitable<void> holdRequest(const Parser &parser, HeldMemory &held, Time giveUpAt);
 
+    //! Counts \p bytes for the request, and refuses it when there is no room for them until \p giveUpAt.
+    boost::asio::awaitable<void> holdBytes(HeldMemory &held, std::size_t bytes, Time giveUpAt);
+
+    //! Sees to it that the next part of the body has room, or refuses the request.
+    boost::asio::awaitable<void> makeRoomForBody(Parser &parser, HeldMemory &held, Time giveUpAt);
+
+    //! Gives back the memory of what has arrived and was not parsed.
+    void dropInput();
+
     //! Refuses the request that is arriving, whatever else of it arrives.
     void endForMemory();
     boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
