--- a/src/gateway/allowances.cpp
+++ b/src/gateway/allowances.cpp
@@ -172,7 +172,9 @@
         if (isAlone && now - this->startedAt < discoveryTime) {
             co_return AllowanceDecision{false, AllowanceBound::NoIssuer, 0, {}, discoveryPollInterval};
         }
-        co_return this->issue(request, now);
+        const AllowanceDecision decision = this->issue(request, now);
+        this->count(decision);
+        co_return decision;
     }
     if (isSilent) {
         co_return this->decideAlone(request, now);
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -661,17 +661,10 @@
                {"rate_declined", std::to_string(context.declined)},
                {"permit_ms", milliseconds(context.permitWait)},
                {"took_ms", milliseconds(now - context.arrived)},
+               {"organisation", context.call.organisation},
+               {"rank", std::to_string(context.rank)},
+               {"allowance_ms", milliseconds(context.allowanceWait)},
                {"detail", failed && context.lastError ? context.lastError->detail : std::string()}});
-    if (context.call.isIdentified) {
-        logRecord(LogLevel::Info,
-                  "relay",
-                  "caller of the request",
-                  {{"request", context.call.requestId},
-                   {"organisation", context.call.organisation},
-                   {"rank", std::to_string(context.rank)},
-                   {"allowance_ms", milliseconds(context.allowanceWait)},
-                   {"outcome", context.outcome}});
-    }
 }
 
 } // namespace oleandergate
