Hedged sends: a read whose endpoint is slow is answered by a second one, within a share that operators set

Cause: one endpoint in a slow moment holds a request that others would answer at once; nothing but a broken connection sends it elsewhere. Change: HedgePlan decides by the service's latest answers, the pool's taken slots and the operator's share; the relay runs both sends and cancels the loser. Left out: streams, and giving the first send up. Not yet measured on an installation.

--- a/src/decision/allowancereserves.cpp
+++ b/src/decision/allowancereserves.cpp
@@ -90,6 +90,17 @@
     }
 }
 
+bool AllowanceReserves::takeSpare(std::uint64_t organisation, Time now)
+{
+    const auto found = this->states.find(organisation);
+    if (found == this->states.end() || found->second.reserve < 2 || now >= found->second.reserveUntil) {
+        return false;
+    }
+    found->second.reserve -= 1;
+    found->second.used += 1;
+    return true;
+}
+
 void AllowanceReserves::giveBack(std::uint64_t organisation, Time now)
 {
     State &state = this->states[organisation];
--- a/src/decision/allowancereserves.h
+++ b/src/decision/allowancereserves.h
@@ -40,6 +40,9 @@
     //! Processes the decision on \p call, of its issuer or of this instance alone.
     void onDecision(const AllowanceCall &call, const AllowanceDecision &decision, Time now);
 
+    //! Takes a call from a reserve that has more than one. Returns false if there is none.
+    bool takeSpare(std::uint64_t organisation, Time now);
+
     //! Gives back a call that was let through and not sent.
     void giveBack(std::uint64_t organisation, Time now);
 
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -824,6 +824,11 @@
     return fromSeconds(this->meanCallSeconds);
 }
 
+double Dispatcher::occupancy() const
+{
+    return this->endpoints.occupancy();
+}
+
 std::size_t Dispatcher::waitingCount() const
 {
     return this->waiting.size();
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -111,6 +111,9 @@
     //! Returns the running mean of the service time of a call.
     Duration meanServiceTime() const;
 
+    //! Returns the calls at the pool's endpoints, of all instances as far as known, per slot.
+    double occupancy() const;
+
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
     std::size_t endpointCount() const;
--- a/src/decision/endpointtable.cpp
+++ b/src/decision/endpointtable.cpp
@@ -256,6 +256,15 @@
     return rate;
 }
 
+double EndpointTable::occupancy() const
+{
+    double calls = 0.0;
+    for (std::size_t index = 0; index < this->states.size(); ++index) {
+        calls += this->isUsable(index) ? this->states[index].inFlight + this->states[index].peerCalls : 0U;
+    }
+    return calls / static_cast<double>(std::max(1U, this->totalSlots));
+}
+
 void EndpointTable::clearAvoidance(std::size_t index)
 {
     this->states[index].avoidances = 0;
--- a/src/decision/endpointtable.h
+++ b/src/decision/endpointtable.h
@@ -88,6 +88,9 @@
     //! and \p instances instances share the rate limits equally.
     double callRate(double callSeconds, std::size_t instances) const;
 
+    //! Returns the calls at the endpoints that take new ones, per slot.
+    double occupancy() const;
+
     //! Resets the backoff of an endpoint. A running avoidance stays.
     void clearAvoidance(std::size_t index);
 
--- a/src/decision/retryplan.cpp
+++ b/src/decision/retryplan.cpp
@@ -27,6 +27,12 @@
     return this->kind == RouteKind::Idempotent || (this->kind == RouteKind::Stream && this->resumable);
 }
 
+void RetryPlan::onFurtherSend(const EndpointId &endpoint)
+{
+    this->possiblyExecuted = true;
+    this->possiblyExecutedAt.insert(endpoint);
+}
+
 bool RetryPlan::mayHaveRun() const
 {
     return this->possiblyExecuted;
--- a/src/decision/retryplan.h
+++ b/src/decision/retryplan.h
@@ -78,6 +78,9 @@
     //! Returns the next step after a send.
     NextStep after(const SendReport &report);
 
+    //! Notes that the request is sent to a second endpoint while the first send is under way.
+    void onFurtherSend(const EndpointId &endpoint);
+
     //! Returns true when the request may have run at some endpoint.
     bool mayHaveRun() const;
 
--- a/src/gateway/allowances.cpp
+++ b/src/gateway/allowances.cpp
@@ -149,6 +149,15 @@
     co_return denialOf(request, decision);
 }
 
+bool Allowances::takeSpare(const RelayRequest &request, Time now)
+{
+    if (!request.usesAllowance) {
+        return true;
+    }
+    const std::lock_guard lock(this->mutex);
+    return this->reserves.takeSpare(organisationHash(request.organisation->name), now);
+}
+
 void Allowances::giveBack(const RelayRequest &request, Time now)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/allowances.h
+++ b/src/gateway/allowances.h
@@ -40,6 +40,9 @@
     //! once. Fails with AllowanceExhausted.
     boost::asio::awaitable<Result<void>> admit(RelayRequest &request);
 
+    //! Takes a further call for a request that was admitted, if the allowance is far from used up.
+    bool takeSpare(const RelayRequest &request, Time now);
+
     //! Gives back what was taken for a request that was not sent to an endpoint.
     void giveBack(const RelayRequest &request, Time now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/directorysync.h"
 #include "gateway/endpointpaths.h"
 #include "gateway/gatewayconfigurationholder.h"
+#include "gateway/hedging.h"
 #include "gateway/leavingendpoints.h"
 #include "gateway/meteredkeyvalue.h"
 #include "gateway/milliseconds.h"
@@ -159,6 +160,7 @@
                       this->gossip.sendNews();
                   })
         , allowances(peers, metrics, configurationHolder, self, settings.allowanceTolerance)
+        , hedging(settings.hedgeShare, metrics)
         , assignmentNews(self.id,
                          [this]() {
                              this->gossip.sendNews();
@@ -223,6 +225,7 @@
                              crashes,
                              limiter,
                              allowances,
+                             hedging,
                              leaving,
                              targets,
                              versions,
@@ -574,6 +577,7 @@
     CrashRegistry crashes;
     RateLimiter limiter;
     Allowances allowances;
+    Hedging hedging;
     AssignmentNews assignmentNews;
     LeavingEndpoints leaving;
     PeerGossip gossip;
--- a/src/gateway/interfaces/sendstep.h
+++ b/src/gateway/interfaces/sendstep.h
@@ -21,6 +21,8 @@
 {
     CallId call = 0;
     EndpointId requiredEndpoint{}; //!< The only endpoint that may serve the send; empty for any.
+    EndpointId otherEndpoint{}; //!< Where another send of the request is under way; empty for none.
+    std::optional<Time> placeBefore{}; //!< The send is given up if it has no endpoint by then; the request's deadline if not set.
     RunAdmission admission{};
     EndpointSpec endpoint{}; //!< Chosen by the placement.
     Time startedAt{};
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -4,6 +4,7 @@
 #include "gateway/allowances.h"
 #include "gateway/calleridentity.h"
 #include "gateway/endtoend.h"
+#include "gateway/hedging.h"
 #include "gateway/milliseconds.h"
 #include "gateway/relayerror.h"
 #include "runtime/asyncsignal.h"
@@ -34,6 +35,10 @@
 //! Longest time that a request waits to learn whether the endpoint that broke its connection still listens.
 constexpr Duration probeTimeout = std::chrono::milliseconds(100);
 
+//! Longest time that a second send waits for an endpoint, and how often a request with two runs looks whether they have ended, beside being told.
+constexpr Duration maxHedgeWait = std::chrono::milliseconds(20);
+constexpr Duration hedgeCheckInterval = std::chrono::seconds(1);
+
 //! Outcomes of requests that ended without an error code.
 constexpr const char *streamedOutcome = "streamed";
 constexpr const char *answeredOutcome = "answered";
@@ -439,11 +444,15 @@
         co_return NextStep::Stop;
     }
     context.sends += 1;
-    const SendResult result = co_await this->run(context, attempt);
+    if (this->mayHedge(context)) {
+        co_return co_await this->sendWithHedge(context, std::move(attempt));
+    }
+    RunState state{context.cancellation, context.held, context.progress, context.path};
+    const SendResult result = co_await this->run(context, attempt, std::move(state));
     co_return this->judge(context, attempt, result);
 }
 
-asio::awaitable<SendResult> Relay::run(RelayRequest &context, const SendAttempt &attempt)
+asio::awaitable<SendResult> Relay::run(RelayRequest &context, const SendAttempt &attempt, RunState state)
 {
     const EndpointSpec endpoint = attempt.endpoint;
     const CallId id = attempt.call;
@@ -454,22 +463,23 @@
         this->parts.limiter.onAnswer(endpoint, metadata, currentTime());
         this->parts.leaving.onAnswer(endpoint, metadata, currentTime());
     };
-    const auto onConnection = [&context](const ConnectionPath &path) {
-        context.path = path;
+    const auto onConnection = [&state](const ConnectionPath &path) {
+        state.path = path;
     };
     // Much may have changed since the endpoint was chosen: the wait for a permit, a record or a connection takes its time.
-    const auto maySend = [this, &context, &endpoint]() {
-        return context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime()) && beginRun(context);
+    const auto maySend = [this, &context, &state, &endpoint]() {
+        return !state.cancellation->isCancelled() && context.pool->takesCalls(endpoint.id) && this->parts.drain.admits(context, currentTime())
+            && beginRun(context);
     };
     EndpointSend send(EndpointSend::Parts{this->parts.client,
                                           this->parts.headerCodec,
                                           context.exchange,
-                                          context.progress,
+                                          state.progress,
                                           this->parts.habits,
                                           context.service->name,
                                           !context.pool->hasOther(endpoint.version, endpoint.id),
                                           context.unnamedAnswersAt.contains(endpoint.id),
-                                          context.held,
+                                          state.held,
                                           onAnswerHead,
                                           onEvents,
                                           onConnection,
@@ -477,7 +487,7 @@
                       context.call,
                       context.route->kind,
                       context.retries->repeatable(),
-                      context.cancellation);
+                      state.cancellation);
     const int endpointPriority = std::clamp(context.rank, 0, lowestPriority);
     context.atEndpoint = true;
     SendResult result = co_await send.run(endpoint, endpointPriority, this->parts.drain.limit(context.deadline), currentTime());
@@ -494,10 +504,131 @@
         result.report.endpointGone = result.listening == Listening::No;
     }
     result.report.broughtEvents = result.run.events > 0;
-    result.report.canContinue = context.progress.continuity.canContinue();
+    result.report.canContinue = state.progress.continuity.canContinue();
     co_return result;
 }
 
+struct Relay::HedgedRun
+{
+    explicit HedgedRun(MemoryBudget &memory)
+        : held(&memory, HeldFor::Answer)
+    {
+    }
+
+    //! Returns whether the run has brought an answer that is no failure of its endpoint.
+    bool isGood() const
+    {
+        return this->result && this->result->report.outcome == SendOutcome::Answered && !this->result->report.endpointFailed;
+    }
+
+    SendAttempt attempt{};
+    std::optional<Placement> placement{};
+    std::shared_ptr<Cancellation> cancellation = std::make_shared<Cancellation>();
+    HeldMemory held;
+    StreamProgress progress{};
+    ConnectionPath path{};
+    std::optional<SendResult> result{};
+};
+
+bool Relay::mayHedge(const RelayRequest &context) const
+{
+    return this->parts.hedging.isEnabled() && context.route->kind == RouteKind::Idempotent && context.route->maxAttempts >= 2 && context.sends == 1;
+}
+
+asio::awaitable<void> Relay::runHedged(RelayRequest &context, HedgedRun &run, AsyncSignal &ended)
+{
+    RunState state{run.cancellation, run.held, run.progress, run.path};
+    run.result = co_await this->run(context, run.attempt, std::move(state));
+    ended.notify();
+}
+
+asio::awaitable<bool> Relay::prepareHedge(RelayRequest &context, EndpointId firstEndpoint, SendAttempt &attempt)
+{
+    const Time now = currentTime();
+    if (context.pool->waitingCount() > 0 || !this->parts.allowances.takeSpare(context, now)
+        || !this->parts.hedging.take(context.service->name, context.pool->occupancy(), now)) {
+        co_return false;
+    }
+    attempt.otherEndpoint = std::move(firstEndpoint);
+    attempt.placeBefore = now + maxHedgeWait;
+    const SendDecision decision = co_await this->steps.prepare(context, attempt);
+    co_return decision == SendDecision::Proceed;
+}
+
+asio::awaitable<NextStep> Relay::sendWithHedge(RelayRequest &context, SendAttempt attempt)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    const std::string service = context.service->name;
+    this->parts.hedging.onSent(service, currentTime());
+    AsyncSignal ended;
+    HedgedRun first(this->parts.memory);
+    HedgedRun second(this->parts.memory);
+    first.attempt = std::move(attempt);
+    first.placement = context.placement;
+    context.cancellation->setHook([&context, firstRun = first.cancellation, secondRun = second.cancellation]() {
+        const CancelReason reason = context.cancellation->reason().value_or(CancelReason::CallerLeft);
+        firstRun->cancel(reason);
+        secondRun->cancel(reason);
+    });
+    asio::co_spawn(executor, this->runHedged(context, first, ended), asio::detached);
+    const std::optional<Duration> delay = this->parts.hedging.delay(service);
+    co_await ended.wait(delay.value_or(hedgeCheckInterval));
+    bool isHedged = false;
+    if (delay && !first.result && !context.cancellation->isCancelled()) {
+        isHedged = co_await this->prepareHedge(context, first.attempt.endpoint.id, second.attempt);
+    }
+    if (isHedged && first.result) {
+        // The answer came while the second send was prepared.
+        this->parts.crashes.endWithoutAnswer(context.identity, second.attempt.endpoint.id);
+        context.pool->finish(second.attempt.call, true, currentTime());
+        isHedged = false;
+    }
+    if (isHedged) {
+        second.placement = context.placement;
+        context.sends += 1;
+        context.retries->onFurtherSend(first.attempt.endpoint.id);
+        context.retries->onFurtherSend(second.attempt.endpoint.id);
+        asio::co_spawn(executor, this->runHedged(context, second, ended), asio::detached);
+    }
+    while (!first.isGood() && !second.isGood() && (!first.result || (isHedged && !second.result))) {
+        co_await ended.wait(hedgeCheckInterval);
+    }
+    for (HedgedRun *run : {&first, &second}) {
+        if (!run->result) {
+            run->cancellation->cancel(CancelReason::CallerLeft);
+        }
+    }
+    while (!first.result || (isHedged && !second.result)) {
+        co_await ended.wait(hedgeCheckInterval);
+    }
+    context.cancellation->setHook({});
+    context.atEndpoint = false;
+    co_return co_await this->judgeHedged(context, first, isHedged ? &second : nullptr);
+}
+
+asio::awaitable<NextStep> Relay::judgeHedged(RelayRequest &context, HedgedRun &first, HedgedRun *second)
+{
+    HedgedRun &better = second != nullptr && !first.isGood() ? *second : first;
+    if (second != nullptr) {
+        HedgedRun &other = &better == second ? first : *second;
+        this->parts.hedging.count(&better == second);
+        other.held.release();
+        if (better.isGood() && other.result->report.outcome == SendOutcome::CallerLeft) {
+            other.result->detail = "another endpoint answered before";
+        }
+        context.path = other.path;
+        this->judge(context, other.attempt, std::move(*other.result));
+    }
+    context.placement = better.placement;
+    context.path = better.path;
+    better.held.release();
+    if (better.result->answer) {
+        context.held.describe(HeldFor::Answer, true);
+        co_await context.held.hold(better.result->answer->body.capacity(), currentTime());
+    }
+    co_return this->judge(context, better.attempt, std::move(*better.result));
+}
+
 NextStep Relay::judge(RelayRequest &context, const SendAttempt &attempt, SendResult result)
 {
     const EndpointSpec &endpoint = attempt.endpoint;
@@ -512,6 +643,9 @@
         context.unnamedAnswersAt.insert(endpoint.id);
     }
     const SendOutcome outcome = result.report.outcome;
+    if (outcome == SendOutcome::Answered && context.route->kind == RouteKind::Idempotent && this->parts.hedging.isEnabled()) {
+        this->parts.hedging.onAnswered(context.service->name, currentTime() - attempt.startedAt);
+    }
     const NextStep next = context.retries->after(result.report);
     // An end that is not believed is a broken stream like others: the next ones go elsewhere for a while, which also shows how other endpoints end theirs.
     const bool isBelieved = outcome == SendOutcome::Unconfirmed && next != NextStep::FailUnknown;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -25,6 +25,8 @@
 namespace oleandergate {
 
 class Allowances;
+class AsyncSignal;
+class Hedging;
 class MemoryBudget;
 
 class Counter;
@@ -46,6 +48,7 @@
         CrashRegistry &crashes;
         RateLimiter &limiter;
         Allowances &allowances;
+        Hedging &hedging;
         LeavingEndpoints &leaving;
         const RouteTargetRecords &targets;
         StreamVersions &versions;
@@ -91,8 +94,33 @@
     void recordRunEnd(const RelayRequest &context, const SendResult &result, Time startedAt, Time now);
     boost::asio::awaitable<NextStep> sendOnce(RelayRequest &context, EndpointId requiredEndpoint);
 
+    //! What one run of a request has for itself.
+    struct RunState
+    {
+        std::shared_ptr<Cancellation> cancellation{};
+        HeldMemory &held;
+        StreamProgress &progress;
+        ConnectionPath &path;
+    };
+
     //! Sends the request as prepared.
-    boost::asio::awaitable<SendResult> run(RelayRequest &context, const SendAttempt &attempt);
+    boost::asio::awaitable<SendResult> run(RelayRequest &context, const SendAttempt &attempt, RunState state);
+
+    //! One of two runs of a request that may be under way at the same time.
+    struct HedgedRun;
+
+    //! Returns whether a request that is sent for the first time may be sent a second time before that has ended.
+    bool mayHedge(const RelayRequest &context) const;
+
+    //! Sends the request as prepared, and to a second endpoint if the answer takes long. The first good answer counts, and the other run is cancelled.
+    boost::asio::awaitable<NextStep> sendWithHedge(RelayRequest &context, SendAttempt attempt);
+    boost::asio::awaitable<void> runHedged(RelayRequest &context, HedgedRun &run, AsyncSignal &ended);
+
+    //! Prepares the second send. Returns false if there is to be none.
+    boost::asio::awaitable<bool> prepareHedge(RelayRequest &context, EndpointId firstEndpoint, SendAttempt &attempt);
+
+    //! Takes the results of both runs, the better one last.
+    boost::asio::awaitable<NextStep> judgeHedged(RelayRequest &context, HedgedRun &first, HedgedRun *second);
 
     //! Records the result of a send and decides what follows.
     NextStep judge(RelayRequest &context, const SendAttempt &attempt, SendResult result);
--- a/src/gateway/sendsteps.cpp
+++ b/src/gateway/sendsteps.cpp
@@ -172,12 +172,15 @@
         queued.promptParts = request.call.promptParts;
         queued.promptTokens = request.call.promptTokens;
         queued.maxTokens = request.call.maxTokens;
-        queued.deadline = request.deadline;
+        queued.deadline = attempt.placeBefore.value_or(request.deadline);
         queued.programDeadline
             = request.arrived + (request.call.program ? request.call.program->timeToFinish : std::nullopt).value_or(request.route->objective);
         queued.requiredEndpoint = attempt.requiredEndpoint;
         queued.isolated = attempt.admission.verdict == RunVerdict::AllowedIsolated;
         queued.avoid = request.retries->avoided();
+        if (!attempt.otherEndpoint.empty()) {
+            queued.avoid.insert(attempt.otherEndpoint);
+        }
         if (this->crashes.hasIsolatedRuns(now)) {
             const std::set<EndpointId> isolated = this->crashes.isolatedAmong(this->pools.endpointIds(), now);
             // In a small pool the other requests need these endpoints.
--- a/src/gateway/servicepool.cpp
+++ b/src/gateway/servicepool.cpp
@@ -204,6 +204,12 @@
     return std::max(minExpectedMaxCallTime, maxCallTimeFactor * this->dispatcher.meanServiceTime());
 }
 
+double ServicePool::occupancy() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->dispatcher.occupancy();
+}
+
 std::size_t ServicePool::waitingCount() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/servicepool.h
+++ b/src/gateway/servicepool.h
@@ -53,6 +53,9 @@
     //! Returns the time within which nearly every call ends.
     Duration expectedMaxCallTime() const;
 
+    //! As in Dispatcher.
+    double occupancy() const;
+
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
     std::size_t endpointCount() const;
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -62,6 +62,7 @@
     this->gateways.resize(gatewayCount);
     this->graceSeconds.assign(gatewayCount, defaultGraceSeconds);
     this->maxDescriptors.assign(gatewayCount, 0);
+    this->hedgeShares.assign(gatewayCount, 0.0);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
         this->writeSettings(index);
         this->startGateway(index);
@@ -100,7 +101,8 @@
 {
     const char *bin = std::getenv("OLEANDER_BIN");
     const std::string program = (bin == nullptr ? std::string("build/release/bin") : std::string(bin)) + "/oleander-front";
-    this->gateways[index] = ChildProcess({program, "--settings=" + this->file(index, ".toml")}, this->file(index, ".log"));
+    this->gateways[index] = ChildProcess({program, "--settings=" + this->file(index, ".toml"), "--hedge-share=" + std::to_string(this->hedgeShares[index])},
+                                         this->file(index, ".log"));
 }
 
 bool GatewayCluster::isReady(std::size_t index) const
@@ -269,6 +271,13 @@
     this->startGateway(gateway);
 }
 
+void GatewayCluster::setHedgeShare(std::size_t gateway, double share)
+{
+    this->hedgeShares[gateway] = share;
+    this->gateways[gateway] = ChildProcess();
+    this->startGateway(gateway);
+}
+
 std::size_t GatewayCluster::receivedCount() const
 {
     std::size_t count = 0;
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -90,6 +90,9 @@
     //! Starts the gateway anew, with at most \p descriptors open at a time by its settings.
     void setMaxDescriptors(std::size_t gateway, int descriptors);
 
+    //! Starts the gateway anew, with \p share as the largest share of requests that are sent a second time while the first send is under way.
+    void setHedgeShare(std::size_t gateway, double share);
+
     //! Returns the number of requests that all endpoints received together.
     std::size_t receivedCount() const;
 
@@ -137,6 +140,7 @@
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
     std::vector<int> graceSeconds; //!< By gateway.
+    std::vector<double> hedgeShares; //!< By gateway.
     std::vector<int> maxDescriptors; //!< By gateway; 0 where the settings name none.
     std::atomic<int> requestCount{0};
 };
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -3,6 +3,7 @@
 #include "gateway/allowances.h"
 #include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
+#include "gateway/hedging.h"
 #include "gateway/peergossip.h"
 #include "gateway/relay.h"
 #include "gateway/routetargetrecords.h"
@@ -338,6 +339,7 @@
     CrashRegistry crashes{metrics, 1, onNews};
     RateLimiter limiter{peers, metrics, self, onNews};
     Allowances allowances{peers, metrics, holder, self, AllowanceTolerance()};
+    Hedging hedging{0.0, metrics};
     LeavingEndpoints leaving{pools, metrics, self.id, onNews};
     AssignmentNews assignmentNews{self.id, onNews};
     PeerGossip gossip{context, auth, self, {}, PeerGossip::Hooks{}};
@@ -345,8 +347,8 @@
     StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews}, self.id};
     StreamHabitRegistry habits{metrics};
     MemoryBudget memory{memoryBytes, metrics};
-    Relay relay{
-        Relay::Parts{holder, drain, pools, client, codec, recordingBudget, crashes, limiter, allowances, leaving, targets, versions, habits, memory, metrics}};
+    Relay relay{Relay::Parts{
+        holder, drain, pools, client, codec, recordingBudget, crashes, limiter, allowances, hedging, leaving, targets, versions, habits, memory, metrics}};
 };
 
 } // namespace
