--- a/tests/gateway/organisationtests.cpp
+++ b/tests/gateway/organisationtests.cpp
@@ -79,6 +79,7 @@
     constexpr int threadCount = 8;
     std::vector<Tally> tallies(threadCount);
     std::vector<std::thread> threads;
+    threads.reserve(threadCount);
     for (int index = 0; index < threadCount; ++index) {
         threads.emplace_back([&cluster, &key, &tally = tallies[static_cast<std::size_t>(index)], perSecond, seconds]() {
             const auto pause = std::chrono::microseconds(1'000'000 * threadCount / perSecond);
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -218,8 +218,14 @@
     std::string text = R"({"Version":8,"Tenants":[)";
     for (int index = 0; index < 10'000; ++index) {
         const std::string number = std::to_string(index);
-        text += (index == 0 ? "" : ",") + std::string(R"({"Name":"o)") + number + R"(","ApiKeys":["first-key-of-)" + number + R"(","second-key-of-)" + number
-            + R"("],"RatePerS":8,"Burst":8})";
+        text += index == 0 ? "" : ",";
+        text += R"({"Name":"o)";
+        text += number;
+        text += R"(","ApiKeys":["first-key-of-)";
+        text += number;
+        text += R"(","second-key-of-)";
+        text += number;
+        text += R"("],"RatePerS":8,"Burst":8})";
     }
     const Result<GatewayConfiguration> read = PlatformRecordFormat().readConfiguration(text + "]}");
     REQUIRE(read);
