--- a/src/runtime/memorybudget.cpp
+++ b/src/runtime/memorybudget.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t minCountedBytes = 4096;
 
 //! Blocks of this size go back to the system when they are freed. The allocator would raise the bound with the sizes that it sees, and keep them.
-constexpr int mappedBlockBytes = 256 * 1024;
+constexpr int mappedBlockBytes = 64 * 1024;
 
 //! How often a holder that waits for room asks again.
 constexpr Duration askInterval = std::chrono::milliseconds(50);
