--- a/src/decision/allowanceissuer.cpp
+++ b/src/decision/allowanceissuer.cpp
@@ -155,20 +155,17 @@
 {
     const auto [entry, isNew] = this->ledgers.try_emplace(request.call.organisation);
     Ledger &ledger = entry->second;
-    if (isNew) {
-        const bool isTakeover = now - this->uncertainSince < this->tolerance.window;
-        const double capacity = this->capacityOf(request.call.allowance);
-        ledger.level = isTakeover ? std::min(capacity, this->takeoverLevel(request.call.allowance)) : capacity;
-        ledger.refilledAt = now;
-    }
-    if (isNew) {
-        ledger.allowance = request.call.allowance;
-        ledger.programLevel = this->programCapacityOf(ledger);
-    }
     if (isNew || request.call.configVersion > ledger.configVersion) {
         ledger.allowance = request.call.allowance;
         ledger.configVersion = request.call.configVersion;
     }
+    if (isNew) {
+        const bool isTakeover = now - this->uncertainSince < this->tolerance.window;
+        const double capacity = this->capacityOf(ledger.allowance);
+        ledger.level = isTakeover ? std::min(capacity, this->takeoverLevel(ledger.allowance)) : capacity;
+        ledger.programLevel = this->programCapacityOf(ledger);
+        ledger.refilledAt = now;
+    }
     this->refill(ledger, share, now);
     return ledger;
 }
@@ -258,9 +255,4 @@
     }
 }
 
-std::size_t AllowanceIssuer::organisationCount() const
-{
-    return this->ledgers.size();
-}
-
 } // namespace oleandergate
--- a/src/decision/allowanceissuer.h
+++ b/src/decision/allowanceissuer.h
@@ -38,8 +38,6 @@
     //! Drops the state of organisations and programs that were idle for a minute.
     void expire(Time now);
 
-    std::size_t organisationCount() const;
-
 private:
     //! What an instance holds, and how much it lately asked for.
     struct Holder
--- a/tests/gateway/memorytests.cpp
+++ b/tests/gateway/memorytests.cpp
@@ -1,9 +1,9 @@
 //! What a gateway holds for others, when many of them send without end at once.
 
 #include "gatewaycluster.h"
+#include "support/processmemory.h"
 
 #include "runtime/address.h"
-#include "runtime/textfile.h"
 
 #include <boost/asio.hpp>
 #include <doctest/doctest.h>
@@ -20,15 +20,6 @@
 namespace {
 
 constexpr const char *largeBodies = R"({"HeaderBytes":16384,"BodyBytes":4194304,"HeaderMs":4000,"IdleMs":15000})";
-constexpr std::size_t bytesPerKilobyte = 1024;
-
-//! Returns the most memory that the process \p process has had, in bytes.
-std::size_t peakMemoryOf(pid_t process)
-{
-    const std::string status = readTextFile("/proc/" + std::to_string(process) + "/status").value_or("");
-    const std::size_t at = status.find("VmHWM:");
-    return at == std::string::npos ? 0 : std::stoul(status.substr(at + 6)) * bytesPerKilobyte;
-}
 
 struct BoundedCluster : GatewayCluster
 {
--- a/tests/gateway/uncontrolledclientstests.cpp
+++ b/tests/gateway/uncontrolledclientstests.cpp
@@ -3,8 +3,7 @@
 
 #include "gatewaycluster.h"
 #include "support/callerconnection.h"
-
-#include "runtime/textfile.h"
+#include "support/processmemory.h"
 
 #include <doctest/doctest.h>
 
@@ -16,20 +15,12 @@
 
 namespace {
 
-constexpr std::size_t bytesPerKilobyte = 1024;
 constexpr int processMegabytes = 24;
 constexpr int maxDescriptors = 256;
 constexpr std::size_t bodyLimit = 512 * bytesPerKilobyte;
 constexpr const char *limits = R"({"HeaderBytes":16384,"BodyBytes":524288,"HeaderMs":8000,"IdleMs":15000})";
 constexpr std::size_t pieceBytes = 16 * bytesPerKilobyte;
 
-std::size_t peakMemoryOf(pid_t process)
-{
-    const std::string status = readTextFile("/proc/" + std::to_string(process) + "/status").value_or("");
-    const std::size_t at = status.find("VmHWM:");
-    return at == std::string::npos ? 0 : std::stoul(status.substr(at + 6)) * bytesPerKilobyte;
-}
-
 std::size_t descriptorsOf(pid_t process)
 {
     const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(process) + "/fd");
