--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -26,6 +26,17 @@
     {"Name":"reads","Host":"h.example","PathPrefix":"/reads/","Kind":"safe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":2},
     {"Name":"orders","Host":"h.example","PathPrefix":"/orders/","Kind":"unsafe","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":1,"Service":"engine","MaxAttempts":1})";
 
+//! Port of the metrics on the users' platform.
+constexpr const char *metricsPort = "9464";
+
+//! Returns a loopback address that stands for \p port.
+std::string hostOfPort(const std::string &port)
+{
+    constexpr int valuesPerByte = 256;
+    const int number = std::stoi(port);
+    return "127.1." + std::to_string(number / valuesPerByte) + "." + std::to_string(number % valuesPerByte);
+}
+
 std::function<void(const std::string &folder)> &folderHook()
 {
     static std::function<void(const std::string &folder)> hook = [](const std::string &folder) {
@@ -46,7 +57,9 @@
         this->endpoints.push_back(std::make_unique<StandinEndpoint>("i-" + std::to_string(index)));
     }
     for (std::size_t index = 0; index < gatewayCount; ++index) {
-        this->addresses.push_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress(), {}});
+        Addresses &own = this->addresses.emplace_back(Addresses{unusedAddress(), unusedAddress(), unusedAddress(), {}, {}, {}});
+        own.metricsHost = hostOfPort(own.caller.substr(portPosition));
+        own.metrics = own.metricsHost + ":" + metricsPort;
     }
     this->links.resize(linkedGateways);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
@@ -89,7 +102,7 @@
 {
     const Addresses &own = this->addresses[index];
     std::ofstream out(this->file(index, ".toml"));
-    out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
+    out << "NodeName = \"front-" << index << "\"\nZone = \"a\"\nIp = \"" << own.metricsHost << "\"\nSeeds = [\"" << this->addresses.front().peer << "\"]\n"
         << "[Listen]\nFront = \"" << own.caller << "\"\nReady = \"" << own.ready << "\"\nControl = \"" << own.peer << "\"\n"
         << "[Bounds]\nQuotaWindowS = 5\nQuotaOver = 0.1\nQuotaSlack = 20\nGraceS = " << this->graceSeconds[index]
         << "\n[Limits]\nMemoryMb = " << this->gatewayMegabytes << "\n"
@@ -292,6 +305,21 @@
     return this->addresses[gateway].caller;
 }
 
+const std::string &GatewayCluster::readyAddress(std::size_t gateway) const
+{
+    return this->addresses[gateway].ready;
+}
+
+const std::string &GatewayCluster::peerAddress(std::size_t gateway) const
+{
+    return this->addresses[gateway].peer;
+}
+
+const std::string &GatewayCluster::metricsAddress(std::size_t gateway) const
+{
+    return this->addresses[gateway].metrics;
+}
+
 std::string GatewayCluster::log(std::size_t gateway) const
 {
     return readTextFile(this->file(gateway, ".log")).value_or("");
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -97,6 +97,9 @@
     std::size_t receivedCount() const;
 
     const std::string &callerAddress(std::size_t gateway) const;
+    const std::string &readyAddress(std::size_t gateway) const;
+    const std::string &peerAddress(std::size_t gateway) const;
+    const std::string &metricsAddress(std::size_t gateway) const;
 
     //! Returns the gateway's log.
     std::string log(std::size_t gateway) const;
@@ -125,6 +128,8 @@
         std::string caller{};
         std::string ready{};
         std::string peer{};
+        std::string metricsHost{}; //!< An IP address that no other gateway of this machine's test runs has: the port is the same for all.
+        std::string metrics{};
         std::string store{};
     };
 
