Places for callers: a newcomer goes before the connection that has rested for longest

What callers saw: beside 150 or 400 clients that stood inside their first line, or kept connections without a request, an ordinary request to a gateway with 256 descriptors was answered 503 each time, for as long as those stayed.

Cause: places were given in order of arrival and kept for HeaderMs or IdleMs. Beyond the limit the newcomer was refused, whatever the others did.

Change: ProcessLimits derives what a process may hold and how many connections of each kind it may have from its memory and its descriptors, in one place. ConnectionLedger decides on connections (order only, no I/O), ConnectionBudget is its thread-safe form, and an HttpConnection has a place in it. A connection that waits, or whose request makes no progress, is ended for a newcomer, the longest silent one first; one whose request is being served never. A request that has begun to arrive gets its 503 as not run. A connection on which bytes have arrived meanwhile goes on, so a request that crosses the end is served.

Ruled out: a least age before an end. With it, clients that come back at once take each place that gets free, and ordinary callers find one in twenty.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "decision/hash.h"
+#include "decision/processlimits.h"
 #include "gateway/allowances.h"
 #include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
@@ -22,6 +23,8 @@
 #include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
+#include "runtime/connectionbudget.h"
+#include "runtime/descriptorlimit.h"
 #include "runtime/errorresponse.h"
 #include "runtime/httpclient.h"
 #include "runtime/httpserver.h"
@@ -78,9 +81,6 @@
 //! How often the metrics are logged, for operators without access to the metrics address.
 constexpr Duration summaryInterval = std::chrono::seconds(10);
 
-//! Callers' connections may take this part of the descriptors; connections to endpoints, peers and the store need the rest.
-constexpr std::size_t callerDescriptorDivisor = 2;
-
 constexpr int serviceUnavailable = 503;
 
 InstanceRecord makeSelfRecord(const GatewaySettings &settings)
@@ -89,7 +89,6 @@
     return InstanceRecord{settings.instanceName + "~" + std::to_string(currentTime().time_since_epoch().count()), settings.peerAddress, settings.domain, false};
 }
 
-//! Returns the number of calls by endpoint, given \p loads by the hash of the endpoint's identifier.
 HttpLimits limitsOf(const CallerBounds &bounds)
 {
     HttpLimits limits;
@@ -100,16 +99,6 @@
     return limits;
 }
 
-//! Returns the limits of callers' connections in a process that may have \p maxDescriptors open; 0 if that is not known.
-HttpLimits callerLimitsOf(const CallerBounds &bounds, std::size_t maxDescriptors)
-{
-    HttpLimits limits = limitsOf(bounds);
-    if (maxDescriptors > 0) {
-        limits.maxConnections = std::clamp<std::size_t>(maxDescriptors / callerDescriptorDivisor, 1, limits.maxConnections);
-    }
-    return limits;
-}
-
 } // namespace
 
 //! Requests and control work run on separate contexts with one thread each: a burst of requests does not delay configuration
@@ -118,9 +107,11 @@
 {
     Core(const GatewaySettings &given, const HeaderCodec &headerCodec, const RecordFormat &givenFormat, const KeyValueFactory &makeKeyValue)
         : settings(given)
+        , limits(processLimitsFor(settings.memoryBytes, descriptorLimit(settings.maxDescriptors)))
+        , memory(limits.heldBytes, metrics)
+        , connections(limits.connections, metrics)
         , self(makeSelfRecord(settings))
         , auth(settings.peerKey)
-        , memory(settings.memoryBytes, metrics)
         , paths(auth,
                 metrics,
                 self,
@@ -234,7 +225,7 @@
                              metrics})
         , callerServer(
               requests,
-              callerLimitsOf(CallerBounds(), settings.maxDescriptors),
+              limitsOf(CallerBounds()),
               [this](HttpRequest request, HttpExchange &exchange) {
                   return this->relay.handle(std::move(request), exchange);
               },
@@ -250,7 +241,7 @@
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
     {
-        this->callerServer.boundMemory(this->memory);
+        this->callerServer.shareLimits(this->memory, this->connections, ConnectionKind::Caller);
     }
 
     PeerGossip::OwnState ownState() const
@@ -284,7 +275,7 @@
 
     void applyConfiguration(const std::shared_ptr<const ActiveGatewayConfiguration> &active)
     {
-        this->callerServer.setLimits(callerLimitsOf(active->configuration.bounds, this->settings.maxDescriptors));
+        this->callerServer.setLimits(limitsOf(active->configuration.bounds));
         this->pools.configure(*active, currentTime());
     }
 
@@ -315,6 +306,7 @@
             this->metrics.setGauge("oleandergate_connections_opened_total", static_cast<double>(this->endpointClient.openedCount()));
             this->metrics.setGauge("oleandergate_log_records_dropped_total", static_cast<double>(droppedLogRecords()));
             this->memory.exportGauges();
+            this->connections.exportGauges();
             HttpResponse response = makeResponse(200, "text/plain", this->metrics.render());
             co_await exchange.respond(std::move(response));
             co_return;
@@ -556,16 +548,19 @@
     }
 
     GatewaySettings settings;
-    RequestDrain drain{}; //!< Before the contexts, as a request that a context still holds when it is destroyed deregisters itself.
+    //! The next ones stand before the contexts, as a request that a context still holds when it is destroyed deregisters itself and gives back what it holds.
+    RequestDrain drain{};
+    Metrics metrics{};
+    ProcessLimits limits;
+    MemoryBudget memory;
+    ConnectionBudget connections;
     asio::io_context control{1};
     asio::io_context requests{1};
-    Metrics metrics{};
     //! Age that a peer's report reached before the next one arrived: the load counts in use are up to this old.
     LatencyHistogram &ownDomainReportAge = metrics.histogram("oleandergate_own_domain_report_age_seconds");
     LatencyHistogram &otherDomainReportAge = metrics.histogram("oleandergate_other_domain_report_age_seconds");
     InstanceRecord self;
     MessageAuth auth;
-    MemoryBudget memory;
     EndpointPaths paths;
     TunnelServer tunnels;
     HttpClient controlClient;
--- /dev/null
+++ b/src/runtime/connectionbudget.cpp
@@ -0,0 +1,91 @@
+#include "runtime/connectionbudget.h"
+
+namespace oleandergate {
+
+ConnectionBudget::ConnectionBudget(const ConnectionLimits &limits, Metrics &givenMetrics)
+    : ledger(limits)
+    , metrics(givenMetrics)
+    , endedCounters(metrics.counters("oleandergate_connections_ended_for_others_total", "kind", connectionKindNames))
+    , refusedCounters(metrics.counters("oleandergate_connections_refused_total", "kind", connectionKindNames))
+{
+}
+
+std::unique_ptr<ConnectionPlace> ConnectionBudget::open(ConnectionKind kind)
+{
+    ConnectionLedger::Decision decision;
+    std::function<void()> endOther;
+    {
+        const std::lock_guard lock(this->mutex);
+        decision = this->ledger.open(kind);
+        const auto ending = decision.ended ? this->endings.find(*decision.ended) : this->endings.end();
+        if (ending != this->endings.end()) {
+            endOther = ending->second;
+        }
+    }
+    if (endOther) {
+        this->endedCounters.at(static_cast<std::size_t>(kind))->add();
+        endOther();
+    }
+    if (decision.admission != Admission::Admitted) {
+        this->refusedCounters.at(static_cast<std::size_t>(kind))->add();
+    }
+    if (decision.admission == Admission::Dropped) {
+        return nullptr;
+    }
+    return std::make_unique<ConnectionPlace>(*this, decision.connection, decision.admission == Admission::TurnedAway);
+}
+
+std::unique_ptr<ConnectionPlace> ConnectionBudget::openAdmitted(ConnectionKind kind)
+{
+    std::unique_ptr<ConnectionPlace> place = this->open(kind);
+    return place && place->isTurnedAway() ? nullptr : std::move(place);
+}
+
+void ConnectionBudget::exportGauges()
+{
+    const std::lock_guard lock(this->mutex);
+    for (const NamedValue<ConnectionKind> &kind : connectionKindNames) {
+        const std::string label = "kind=\"" + std::string(kind.name) + "\"";
+        this->metrics.setGauge("oleandergate_connections", static_cast<double>(this->ledger.openCount(kind.value)), label);
+        this->metrics.setGauge("oleandergate_connections_limit", static_cast<double>(this->ledger.limit(kind.value)), label);
+    }
+}
+
+ConnectionPlace::ConnectionPlace(ConnectionBudget &budget, ConnectionId id, bool isTurnedAway)
+    : budget(budget)
+    , id(id)
+    , turnedAway(isTurnedAway)
+{
+}
+
+ConnectionPlace::~ConnectionPlace()
+{
+    const std::lock_guard lock(this->budget.mutex);
+    this->budget.ledger.close(this->id);
+    this->budget.endings.erase(this->id);
+}
+
+bool ConnectionPlace::isTurnedAway() const
+{
+    return this->turnedAway;
+}
+
+void ConnectionPlace::setEnding(std::function<void()> onEnded)
+{
+    const std::lock_guard lock(this->budget.mutex);
+    this->budget.endings[this->id] = std::move(onEnded);
+}
+
+void ConnectionPlace::rest()
+{
+    const std::lock_guard lock(this->budget.mutex);
+    this->budget.ledger.rest(this->id);
+}
+
+void ConnectionPlace::occupy()
+{
+    const std::lock_guard lock(this->budget.mutex);
+    this->budget.ledger.occupy(this->id);
+}
+
+} // namespace oleandergate
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/beastexchange.h"
 #include "runtime/clock.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/memorybudget.h"
 #include "runtime/unparsedbytes.h"
 
@@ -36,6 +37,7 @@
 
 constexpr int serviceUnavailable = 503;
 constexpr const char *memoryDetail = "the instance holds too much for other requests";
+constexpr const char *placeDetail = "the connection is needed for another caller";
 constexpr const char *shutdownDetail = "the instance shuts down before the request has arrived";
 
 HttpRequest toRequestHead(const http::request<http::string_body> &message, const std::string &peer)
@@ -122,10 +124,11 @@
     }
 }
 
-HttpConnection::HttpConnection(std::shared_ptr<HttpServer::Core> givenCore, tcp::socket socket)
+HttpConnection::HttpConnection(std::shared_ptr<HttpServer::Core> givenCore, tcp::socket socket, std::unique_ptr<ConnectionPlace> givenPlace)
     : core(std::move(givenCore))
     , stream(std::move(socket))
     , watcher(std::make_shared<DisconnectWatcher>(stream))
+    , place(std::move(givenPlace))
 {
     this->core->openConnections += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) += 1;
@@ -144,6 +147,41 @@
     this->core->phaseCounts.at(static_cast<std::size_t>(next)) += 1;
     this->core->phaseCounts.at(static_cast<std::size_t>(this->phase)) -= 1;
     this->phase = next;
+    if (this->place && next == ConnectionPhase::Handling) {
+        this->place->occupy();
+    } else {
+        this->noteProgress();
+    }
+}
+
+void HttpConnection::noteProgress()
+{
+    if (this->place && !this->givesWay) {
+        this->place->rest();
+    }
+}
+
+void HttpConnection::giveWay()
+{
+    asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
+        beast::error_code ignored;
+        const bool hasArrived = self->stream.socket().available(ignored) > 0;
+        if (self->phase == ConnectionPhase::Idle && !self->hasInput()) {
+            self->givesWay = true;
+            self->stream.socket().cancel(ignored);
+        } else if (self->phase == ConnectionPhase::Receiving && (self->isWaitingForRoom || !hasArrived)) {
+            self->givesWay = true;
+            if (!self->refusal) {
+                self->refusal = self->core->formatError(serviceUnavailable, placeDetail);
+            }
+            self->stream.cancel();
+        } else if (self->phase == ConnectionPhase::Closing) {
+            self->givesWay = true;
+            self->stream.close();
+        } else if (self->phase != ConnectionPhase::Handling) {
+            self->noteProgress();
+        }
+    });
 }
 
 bool HttpConnection::hasInput()
@@ -201,6 +239,13 @@
         const std::lock_guard lock(this->core->mutex);
         this->core->connections.emplace(this, this->weak_from_this());
     }
+    if (this->place) {
+        this->place->setEnding([connection = this->weak_from_this()]() {
+            if (const std::shared_ptr<HttpConnection> self = connection.lock()) {
+                self->giveWay();
+            }
+        });
+    }
     bool open = true;
     while (open) {
         const HttpLimits limits = this->core->currentLimits();
@@ -208,6 +253,7 @@
         if (!this->hasInput() && (this->core->stopping || !co_await this->waitForRequest(limits.idleTimeout))) {
             break;
         }
+        this->givesWay = false;
         this->enter(ConnectionPhase::Receiving);
         open = co_await this->serveRequest(limits);
     }
@@ -244,7 +290,9 @@
 
 asio::awaitable<void> HttpConnection::holdBytes(HeldMemory &held, std::size_t bytes, Time giveUpAt)
 {
+    this->isWaitingForRoom = true;
     const bool granted = co_await held.hold(bytes, giveUpAt);
+    this->isWaitingForRoom = false;
     if (!granted && !this->refusal) {
         this->refusal = this->core->formatError(serviceUnavailable, memoryDetail);
     }
@@ -298,6 +346,7 @@
         const std::size_t room = std::min(wanted, this->buffer.max_size() - this->buffer.size());
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
         this->buffer.commit(size);
+        this->noteProgress();
         if (readError == asio::error::eof) {
             co_return parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
         }
@@ -319,6 +368,7 @@
         const std::size_t room = std::min(bodyReadBytes, this->buffer.max_size() - this->buffer.size());
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
         this->buffer.commit(size);
+        this->noteProgress();
         if (readError) {
             co_return readError == asio::error::eof ? http::error::partial_message : readError;
         }
@@ -383,6 +433,7 @@
         }
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(arrived), useResult);
         this->buffer.commit(size);
+        this->noteProgress();
         if (readError) {
             co_return readError;
         }
@@ -415,6 +466,7 @@
         co_return false;
     }
     this->refusal.reset();
+    this->givesWay = false;
     held.describe(HeldFor::Request, true);
     if (hasAmbiguousFraming(parser.get())) {
         HttpResponse response
@@ -492,7 +544,7 @@
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     const Time until = currentTime() + lingerLimit;
     std::array<char, 4096> scratch{};
-    while (this->responseSent && currentTime() < until) {
+    while (this->responseSent && !this->givesWay && currentTime() < until) {
         this->stream.expires_after(lingerSilence);
         const auto [error, size] = co_await this->stream.async_read_some(asio::buffer(scratch), useResult);
         this->responseSent = !error;
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -19,6 +19,8 @@
 namespace oleandergate {
 
 class BeastExchange;
+class ConnectionBudget;
+class ConnectionPlace;
 class DisconnectWatcher;
 class HeldMemory;
 class HttpConnection;
@@ -33,6 +35,8 @@
     HttpErrorFormatter formatError;
     HttpAdmission admission;
     MemoryBudget *memory = nullptr;
+    ConnectionBudget *connectionBudget = nullptr;
+    ConnectionKind kind = ConnectionKind::Caller;
     std::mutex mutex{};
     std::optional<boost::asio::ip::tcp::acceptor> acceptor{};
     std::atomic<bool> accepting{false}; //!< New connections are taken, or those that wait to be accepted are not all taken yet.
@@ -55,7 +59,8 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-    HttpConnection(std::shared_ptr<HttpServer::Core> core, boost::asio::ip::tcp::socket socket);
+    //! \p place is that of the connection among those of the process; nullptr where these are not bounded.
+    HttpConnection(std::shared_ptr<HttpServer::Core> core, boost::asio::ip::tcp::socket socket, std::unique_ptr<ConnectionPlace> place);
     ~HttpConnection();
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
@@ -80,6 +85,12 @@
 
     void enter(ConnectionPhase next);
 
+    //! Notes that something has happened on the connection, so that others are ended before it.
+    void noteProgress();
+
+    //! Ends the connection because its place is needed for another one, unless something has happened on it meanwhile. Thread-safe.
+    void giveWay();
+
     //! Returns whether bytes of a next request have arrived.
     bool hasInput();
     bool mayKeepAlive();
@@ -123,8 +134,11 @@
     std::shared_ptr<DisconnectWatcher> watcher;
     boost::beast::flat_buffer buffer{};
     std::string peer;
+    std::unique_ptr<ConnectionPlace> place;
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
+    bool isWaitingForRoom = false; //!< Does not read, as what it would hold has no room.
+    bool givesWay = false; //!< Ends for another connection.
     bool mustReset = false; //!< An end in order would be taken for the end of a response that has not ended.
     bool responseSent = false; //!< The caller may still have to receive the end of a response.
 };
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/httpconnection.h"
 
 #include <boost/asio.hpp>
@@ -33,11 +34,21 @@
 void startConnection(const std::shared_ptr<HttpServer::Core> &core, tcp::socket socket)
 {
     const auto executor = socket.get_executor();
-    const bool hasRoom = core->openConnections - core->rejectedConnections < core->currentLimits().maxConnections;
-    if (!hasRoom && core->rejectedConnections >= maxRejectedConnections) {
-        return;
+    std::unique_ptr<ConnectionPlace> place;
+    bool hasRoom = false;
+    if (core->connectionBudget == nullptr) {
+        hasRoom = core->openConnections - core->rejectedConnections < core->currentLimits().maxConnections;
+        if (!hasRoom && core->rejectedConnections >= maxRejectedConnections) {
+            return;
+        }
+    } else {
+        place = core->connectionBudget->open(core->kind);
+        if (!place) {
+            return;
+        }
+        hasRoom = !place->isTurnedAway();
     }
-    auto connection = std::make_shared<HttpConnection>(core, std::move(socket));
+    auto connection = std::make_shared<HttpConnection>(core, std::move(socket), std::move(place));
     if (hasRoom) {
         asio::co_spawn(executor, serveConnection(std::move(connection)), asio::detached);
     } else {
@@ -89,9 +100,11 @@
     this->stop();
 }
 
-void HttpServer::boundMemory(MemoryBudget &memory)
+void HttpServer::shareLimits(MemoryBudget &memory, ConnectionBudget &connections, ConnectionKind kind)
 {
     this->core->memory = &memory;
+    this->core->connectionBudget = &connections;
+    this->core->kind = kind;
 }
 
 Result<void> HttpServer::start(const std::string &address)
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_RUNTIME_HTTPSERVER_H
 #define OLEANDERGATE_RUNTIME_HTTPSERVER_H
 
+#include "decision/connectionkind.h"
 #include "decision/error.h"
 #include "decision/time.h"
 #include "runtime/connectionphase.h"
@@ -16,6 +17,7 @@
 
 namespace oleandergate {
 
+class ConnectionBudget;
 class MemoryBudget;
 
 //! Limits on requests and connections.
@@ -25,7 +27,7 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     Duration receiveTimeout = std::chrono::seconds(10); //!< Longest time to receive a request's header; the body has the same limit of its own.
     Duration idleTimeout = std::chrono::seconds(60); //!< Longest time between two requests of a connection.
-    std::size_t maxConnections = 4096;
+    std::size_t maxConnections = 4096; //!< Of a server without a ConnectionBudget.
 };
 
 //! Handles one request. If it throws, the caller gets a response with status 500.
@@ -56,8 +58,9 @@
     //! Continues to accept requests, but closes each connection after its next response, unless another request has arrived behind that one.
     void disableKeepAlive();
 
-    //! Counts what requests hold in \p memory, which has to outlive this object. To be called before start().
-    void boundMemory(MemoryBudget &memory);
+    //! Shares the limits of the process: counts what requests hold in \p memory, and the connections in \p connections as those of \p kind. Both have to
+    //! outlive this object. To be called before start().
+    void shareLimits(MemoryBudget &memory, ConnectionBudget &connections, ConnectionKind kind);
 
     //! Binds \p address, an IP address and a port, and starts accepting connections.
     Result<void> start(const std::string &address);
--- a/src/runtime/memorybudget.cpp
+++ b/src/runtime/memorybudget.cpp
@@ -13,11 +13,7 @@
 
 namespace {
 
-//! The part of a process's memory that may be held for others. Buffers grow by doubling and are copied while they do, and connections, code and the process's
-//! own tables need the rest.
-constexpr std::size_t heldShare = 4;
-
-//! Smaller holders are not counted: connections are limited, and most requests and answers are smaller.
+//! Smaller holders are not counted: the memory of a connection includes them.
 constexpr std::size_t minCountedBytes = 4096;
 
 //! Blocks of this size go back to the system when they are freed. The allocator would raise the bound with the sizes that it sees, and keep them.
@@ -28,8 +24,8 @@
 
 } // namespace
 
-MemoryBudget::MemoryBudget(std::size_t processBytes, Metrics &metrics)
-    : ledger(processBytes / heldShare)
+MemoryBudget::MemoryBudget(std::size_t heldBytes, Metrics &metrics)
+    : ledger(heldBytes)
     , metrics(metrics)
     , endedCounters(metrics.counters("oleandergate_ended_for_memory_total", "held_for", heldForNames))
 {
--- a/src/runtime/memorybudget.h
+++ b/src/runtime/memorybudget.h
@@ -19,8 +19,8 @@
 class MemoryBudget
 {
 public:
-    //! \p processBytes is the memory that the process may use; a part of it is for what is held for others.
-    MemoryBudget(std::size_t processBytes, Metrics &metrics);
+    //! \p heldBytes is the limit of what is held, in bytes; ProcessLimits has that of a process.
+    MemoryBudget(std::size_t heldBytes, Metrics &metrics);
 
     //! Exports what is held, by kind, and the most that ever was.
     void exportGauges();
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -1,5 +1,6 @@
 //! When the unused tokens of a turn are back: before the end of its answer, or before the next turn is refused for want of them.
 
+#include "decision/processlimits.h"
 #include "gateway/allowances.h"
 #include "gateway/assignmentnews.h"
 #include "gateway/budgetcoordinator.h"
@@ -346,7 +347,7 @@
     RouteTargetRecords targets{RouteTargetRecords::Parts{context, store, gossip, metrics}, self.id};
     StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews}, self.id};
     StreamHabitRegistry habits{metrics};
-    MemoryBudget memory{memoryBytes, metrics};
+    MemoryBudget memory{processLimitsFor(memoryBytes, 0).heldBytes, metrics};
     Relay relay{Relay::Parts{
         holder, drain, pools, client, codec, recordingBudget, crashes, limiter, allowances, hedging, leaving, targets, versions, habits, memory, metrics}};
 };
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -29,7 +29,7 @@
     //! Connects, sends and receives until no byte and no connection has moved for a while.
     void runUntilStill();
 
-    //! Returns the number of clients whose connection the server has not ended.
+    //! Returns the number of clients whose connection is not known to have ended. Those that do not receive learn only of one that was reset.
     std::size_t openCount() const;
 
 private:
