Readiness and metrics ports share the limits of the process, and keep no bodies

What callers saw: 120 legal bodies short of a byte at the readiness port, or at the metrics port, took a gateway of 32 MB to 75 MB; 400 clients inside their first line took 420 descriptors of 256. A process that is ended for it ends the requests of all its callers.

Cause: of five servers one, that of callers, had a bound. The others took bodies up to BodyBytes and 4,096 connections each.

Bodies that no answer of theirs looks at are read and dropped, so a single request of the largest size is still answered.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -99,6 +99,14 @@
     return limits;
 }
 
+//! Returns the limits of a server whose answers do not depend on bodies.
+HttpLimits bodilessLimits()
+{
+    HttpLimits limits = limitsOf(CallerBounds());
+    limits.keepsBodies = false;
+    return limits;
+}
+
 } // namespace
 
 //! Requests and control work run on separate contexts with one thread each: a burst of requests does not delay configuration
@@ -235,13 +243,15 @@
               [this](HttpRequest head, Time now) {
                   return this->relay.refuseUnread(std::move(head), now);
               })
-        , readyServer(control, limitsOf(CallerBounds()), this->operatorHandler(), unreadableRequestResponse)
-        , metricsServer(control, limitsOf(CallerBounds()), this->operatorHandler(), unreadableRequestResponse)
+        , readyServer(control, bodilessLimits(), this->operatorHandler(), unreadableRequestResponse)
+        , metricsServer(control, bodilessLimits(), this->operatorHandler(), unreadableRequestResponse)
         , directory(control, DirectorySync::Parts{*keyValue, givenFormat, configurationHolder, pools, gossip, peers, targets}, self.id)
         , signals(control, SIGTERM, SIGINT)
         , reloadSignals(control, SIGHUP)
     {
         this->callerServer.shareLimits(this->memory, this->connections, ConnectionKind::Caller);
+        this->readyServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
+        this->metricsServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
     }
 
     PeerGossip::OwnState ownState() const
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -326,6 +326,13 @@
     });
 }
 
+void HttpConnection::dropUnkept(Parser &parser) const
+{
+    if (!this->keepsBody) {
+        parser.get().body().clear();
+    }
+}
+
 asio::awaitable<beast::error_code> HttpConnection::readHead(Parser &parser, HeldMemory &held, Duration timeout)
 {
     const Time giveUpAt = currentTime() + timeout;
@@ -374,6 +381,7 @@
         }
         beast::error_code error;
         this->buffer.consume(parser.put(this->buffer.data(), error));
+        this->dropUnkept(parser);
         if (error && error != http::error::need_more) {
             co_return error;
         }
@@ -418,6 +426,7 @@
     while (true) {
         beast::error_code error;
         this->buffer.consume(parser.put(this->buffer.data(), error));
+        this->dropUnkept(parser);
         if (parser.is_done() || (error && error != http::error::need_more)) {
             co_return parser.is_done() ? beast::error_code() : error;
         }
@@ -443,6 +452,7 @@
 asio::awaitable<bool> HttpConnection::serveRequest(HttpLimits limits)
 {
     this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
+    this->keepsBody = limits.keepsBodies;
     Parser parser;
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -107,6 +107,9 @@
     boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser, HeldMemory &held, Time giveUpAt);
     boost::asio::awaitable<boost::beast::error_code> readBody(Parser &parser, HeldMemory &held, Duration timeout);
 
+    //! Drops what has arrived of a body that the handler does not look at.
+    void dropUnkept(Parser &parser) const;
+
     //! Counts what the request holds, and refuses it when there is no room for it until \p giveUpAt.
     boost::asio::awaitable<void> holdRequest(const Parser &parser, HeldMemory &held, Time giveUpAt);
 
@@ -137,6 +140,7 @@
     std::unique_ptr<ConnectionPlace> place;
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
+    bool keepsBody = true;
     bool isWaitingForRoom = false; //!< Does not read, as what it would hold has no room.
     bool givesWay = false; //!< Ends for another connection.
     bool mustReset = false; //!< An end in order would be taken for the end of a response that has not ended.
