Peers' port: connections have a share of the process's limit

What callers saw: 400 clients at the peers' port that send some bytes and stop took 420 descriptors of 256 until the handshake's two seconds were over; a process without descriptors opens no connection to an endpoint.

Cause: the peers' server accepted without a bound.

Change: each connection has a place of the kind "peer". In a handshake and between commands it may be ended for a new one, the longest silent first; while it executes a command or carries a tunnel it is not. An instance whose idle connection was ended opens another one, as it does when a peer restarts.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -252,6 +252,7 @@
         this->callerServer.shareLimits(this->memory, this->connections, ConnectionKind::Caller);
         this->readyServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
         this->metricsServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
+        this->peerServer.shareLimits(this->connections);
     }
 
     PeerGossip::OwnState ownState() const
--- a/src/runtime/peerserver.cpp
+++ b/src/runtime/peerserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/answerchannel.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/log.h"
 #include "runtime/peerframing.h"
 #include "runtime/tunnelserver.h"
@@ -37,6 +38,7 @@
     std::optional<tcp::acceptor> acceptor{};
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> activeCommands{0};
+    ConnectionBudget *connectionBudget = nullptr;
 };
 
 namespace {
@@ -87,15 +89,48 @@
     co_return healthy;
 }
 
-asio::awaitable<void> serveConnection(std::shared_ptr<PeerServer::Core> core, tcp::socket socket)
+//! A connection that a peer has opened.
+struct AcceptedPeer
 {
+    AcceptedPeer(tcp::socket socket, std::unique_ptr<ConnectionPlace> givenPlace)
+        : stream(std::move(socket))
+        , place(std::move(givenPlace))
+    {
+    }
+
+    void setServing(bool isServing)
+    {
+        this->serving = isServing;
+        if (this->place) {
+            isServing ? this->place->occupy() : this->place->rest();
+        }
+    }
+
+    boost::beast::tcp_stream stream;
+    std::unique_ptr<ConnectionPlace> place; //!< Among the connections of the process; nullptr where these are not bounded.
+    bool serving = false; //!< A command is being executed, or a connection carried.
+};
+
+//! Closes the connection, whose place is needed for another one, unless it has become busy.
+void giveWay(const std::shared_ptr<AcceptedPeer> &peer)
+{
+    asio::post(peer->stream.get_executor(), [peer]() {
+        if (!peer->serving) {
+            peer->stream.close();
+        }
+    });
+}
+
+asio::awaitable<void> serveConnection(std::shared_ptr<PeerServer::Core> core, std::shared_ptr<AcceptedPeer> peer)
+{
+    boost::beast::tcp_stream &stream = peer->stream;
     boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    boost::beast::tcp_stream stream(std::move(socket));
+    stream.socket().set_option(tcp::no_delay(true), ignored);
     PeerFraming framing(stream, core->auth, true);
     const Result<void> opened = co_await framing.handshake(handshakeTimeout);
     bool healthy = opened.has_value();
     while (healthy) {
+        peer->setServing(false);
         Result<PeerMessage> command = co_await framing.read(idleTimeout);
         if (!command) {
             if (command.error().detail.find("authentication") != std::string::npos) {
@@ -103,6 +138,7 @@
             }
             co_return;
         }
+        peer->setServing(true);
         const auto *tunnel = std::get_if<TunnelRequest>(&command.value());
         if (tunnel != nullptr && core->tunnels != nullptr) {
             healthy = co_await core->tunnels->serve(*tunnel, framing, stream);
@@ -121,7 +157,19 @@
             co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        asio::co_spawn(strand, serveConnection(core, std::move(socket)), asio::detached);
+        std::unique_ptr<ConnectionPlace> place = core->connectionBudget == nullptr ? nullptr : core->connectionBudget->openAdmitted(ConnectionKind::Peer);
+        if (core->connectionBudget != nullptr && !place) {
+            continue;
+        }
+        const auto peer = std::make_shared<AcceptedPeer>(std::move(socket), std::move(place));
+        if (peer->place) {
+            peer->place->setEnding([ended = std::weak_ptr<AcceptedPeer>(peer)]() {
+                if (const std::shared_ptr<AcceptedPeer> open = ended.lock()) {
+                    giveWay(open);
+                }
+            });
+        }
+        asio::co_spawn(strand, serveConnection(core, peer), asio::detached);
     }
 }
 
@@ -137,6 +185,11 @@
     this->stop();
 }
 
+void PeerServer::shareLimits(ConnectionBudget &budget)
+{
+    this->core->connectionBudget = &budget;
+}
+
 Result<void> PeerServer::start(const std::string &address)
 {
     const auto endpoint = parseTcpAddress(address);
--- a/src/runtime/peerserver.h
+++ b/src/runtime/peerserver.h
@@ -17,6 +17,7 @@
 namespace oleandergate {
 
 class AnswerChannel;
+class ConnectionBudget;
 class TunnelServer;
 
 //! Executes one command. Text pushed to \p chunks is sent to the peer immediately; the returned message is the final reply.
@@ -32,6 +33,9 @@
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
 
+    //! Counts the connections that peers open in \p budget, which has to outlive this object. To be called before start().
+    void shareLimits(ConnectionBudget &budget);
+
     //! Binds \p address, an IP address and a port, and starts accepting connections.
     Result<void> start(const std::string &address);
 
