Connections to endpoints, peers and the store have shares of the process's limit, too

What callers saw: 120 callers with requests under way took a gateway 276 descriptors of 256: each request takes a connection to an endpoint beside that of its caller. Where the kernel holds the process to its number, requests fail as their connections cannot be opened, and so do the calls to the store.

Cause: callers were held to half of the descriptors, and nobody held the rest to the other half.

Change: HttpClient, PeerClient and TunnelServer open connections in the same budget: those to endpoints in one kind, those to other instances and the store in another, so that a crowd of requests takes no connection from the store. A pooled idle connection is closed for a new one, the longest idle first; one in use never. Where none is left, the call fails as not sent, as it does at the limit of one endpoint. Tunnels are bounded by half of each of the kinds that they use.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -66,9 +66,12 @@
 //! Connections to one endpoint that an instance may open in a cluster of any size.
 constexpr std::size_t minConnections = 4;
 
-//! Connections to endpoints that this instance carries for others at a time. Each takes two descriptors and some 40 KB.
+//! Connections to endpoints that this instance carries for others at a time, in a process that may have many. Each takes two descriptors and some 40 KB.
 constexpr std::size_t maxTunnels = 256;
 
+//! The part of its connections to endpoints, and of those from peers, that an instance may carry for others.
+constexpr std::size_t tunnelDivisor = 2;
+
 constexpr Duration pathCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration idleCheckInterval = std::chrono::milliseconds(500);
 
@@ -107,6 +110,11 @@
     return limits;
 }
 
+std::size_t tunnelLimit(const ConnectionLimits &limits)
+{
+    return std::min({maxTunnels, limits.of(ConnectionKind::Endpoint) / tunnelDivisor, limits.of(ConnectionKind::Peer) / tunnelDivisor});
+}
+
 } // namespace
 
 //! Requests and control work run on separate contexts with one thread each: a burst of requests does not delay configuration
@@ -141,7 +149,7 @@
                                       [this](std::string address, ReachOutcome outcome) {
                                           return this->paths.onCarriedDial(std::move(address), outcome);
                                       }},
-                  maxTunnels)
+                  tunnelLimit(limits.connections))
         , controlClient(control)
         , endpointClient(requests, paths)
         , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient), metrics))
@@ -253,6 +261,10 @@
         this->readyServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
         this->metricsServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
         this->peerServer.shareLimits(this->connections);
+        this->tunnels.shareLimits(this->connections);
+        this->endpointClient.shareLimits(this->connections, ConnectionKind::Endpoint);
+        this->controlClient.shareLimits(this->connections, ConnectionKind::Control);
+        this->peers.shareLimits(this->connections);
     }
 
     PeerGossip::OwnState ownState() const
--- a/src/runtime/connectionpool.h
+++ b/src/runtime/connectionpool.h
@@ -1,6 +1,8 @@
 #ifndef OLEANDERGATE_RUNTIME_CONNECTIONPOOL_H
 #define OLEANDERGATE_RUNTIME_CONNECTIONPOOL_H
 
+#include "runtime/connectionbudget.h"
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -51,6 +53,18 @@
         }
     }
 
+    //! Removes \p connection to \p address. Returns false when the pool does not hold it.
+    bool remove(const std::string &address, const Pointer &connection)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->connections.find(address);
+        const bool isHeld = found != this->connections.end() && std::erase(found->second, connection) > 0;
+        if (isHeld && found->second.empty()) {
+            this->connections.erase(found);
+        }
+        return isHeld;
+    }
+
     //! Drops the connections for which \p isUnusable returns true.
     void dropIf(const std::function<bool(const std::string &address, const Connection &connection)> &isUnusable)
     {
@@ -79,6 +93,25 @@
     std::map<std::string, std::vector<Pointer>> connections;
 };
 
+//! Gives \p connection, which is in use, its place among those of the process. While the pool of \p owner holds the connection, it is closed when another one
+//! needs the place. A pool's owner calls rest() and occupy() of the place as it returns and takes the connection.
+template <typename Owner, typename Connection>
+void takePlace(const std::shared_ptr<Owner> &owner,
+               const std::string &address,
+               const std::shared_ptr<Connection> &connection,
+               std::unique_ptr<ConnectionPlace> place)
+{
+    place->occupy();
+    place->setEnding([weakOwner = std::weak_ptr<Owner>(owner), address, weakConnection = std::weak_ptr<Connection>(connection)]() {
+        const std::shared_ptr<Owner> lockedOwner = weakOwner.lock();
+        const std::shared_ptr<Connection> ended = weakConnection.lock();
+        if (lockedOwner && ended && !lockedOwner->idleConnections.remove(address, ended)) {
+            ended->place->occupy();
+        }
+    });
+    connection->place = std::move(place);
+}
+
 } // namespace oleandergate
 
 #endif
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -4,6 +4,7 @@
 #include "runtime/asyncsignal.h"
 #include "runtime/cancellation.h"
 #include "runtime/clock.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/connectionpool.h"
 #include "runtime/directdialer.h"
 #include "runtime/log.h"
@@ -134,6 +135,7 @@
     std::vector<std::uint64_t> responses{}; //!< Hashes of the responses that name no request.
     std::function<void(const std::string &bytes)> onLateBytes{}; //!< Of the call that used the connection last.
     std::shared_ptr<std::atomic<std::size_t>> openCount{}; //!< Number of open connections to the same address.
+    std::unique_ptr<ConnectionPlace> place{}; //!< Among the connections of the process; nullptr where these are not bounded.
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -150,7 +152,7 @@
 
 } // namespace
 
-struct HttpClient::Core
+struct HttpClient::Core : std::enable_shared_from_this<HttpClient::Core>
 {
     Core(asio::io_context &context, Dialer *givenDialer)
         : context(context)
@@ -164,6 +166,8 @@
     ConnectionPool<Connection> idleConnections{maxIdlePerAddress};
     std::atomic<std::size_t> maxOpenPerAddress{std::numeric_limits<std::size_t>::max()};
     std::atomic<std::uint64_t> openedConnections{0};
+    std::atomic<ConnectionBudget *> connectionBudget{nullptr};
+    std::atomic<ConnectionKind> kind{ConnectionKind::Endpoint};
     std::mutex mutex{};
     std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> openCounts{}; //!< Guarded by the mutex.
     std::list<CallUnderWay> callsUnderWay{}; //!< Guarded by the mutex.
@@ -181,6 +185,9 @@
             const bool isWayKept = this->dialer.mayReuse(call.address, connection->dialed.path, now);
             const bool isQuiet = connection->isReusable();
             if (isFresh && isWayKept && isQuiet) {
+                if (connection->place) {
+                    connection->place->occupy();
+                }
                 return connection;
             }
             if (!isQuiet) {
@@ -196,9 +203,12 @@
         connection->stream().tcp().expires_never();
         connection->idleSince = now;
         this->idleConnections.release(address, connection);
+        if (connection->place) {
+            connection->place->rest();
+        }
     }
 
-    //! Returns a new connection; nullptr when too many connections to \p address are open.
+    //! Returns a new connection; nullptr when too many connections are open, to \p address or of the process.
     ConnectionPointer create(const std::string &address)
     {
         const std::lock_guard lock(this->mutex);
@@ -215,9 +225,17 @@
         if (*openCount >= this->maxOpenPerAddress) {
             return nullptr;
         }
+        ConnectionBudget *budget = this->connectionBudget;
+        std::unique_ptr<ConnectionPlace> place = budget == nullptr ? nullptr : budget->openAdmitted(this->kind);
+        if (budget != nullptr && !place) {
+            return nullptr;
+        }
         auto connection = std::make_shared<Connection>(this->context);
         *openCount += 1;
         connection->openCount = openCount;
+        if (place) {
+            takePlace(this->shared_from_this(), address, connection, std::move(place));
+        }
         return connection;
     }
 };
@@ -619,6 +637,12 @@
     this->core->maxOpenPerAddress = maxPerAddress;
 }
 
+void HttpClient::shareLimits(ConnectionBudget &budget, ConnectionKind kind)
+{
+    this->core->kind = kind;
+    this->core->connectionBudget = &budget;
+}
+
 std::uint64_t HttpClient::openedCount() const
 {
     return this->core->openedConnections;
@@ -629,7 +653,7 @@
     const std::shared_ptr<Core> shared = this->core;
     ConnectionPointer connection = shared->acquire(call);
     if (!connection) {
-        co_return failure(ErrorCode::Overloaded, step, call, true, "too many open connections to the address");
+        co_return failure(ErrorCode::Overloaded, step, call, true, "too many open connections");
     }
     const bool reused = connection->isEstablished();
     std::optional<HttpOutcome> first = co_await asio::co_spawn(connection->executor, exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_RUNTIME_HTTPCLIENT_H
 #define OLEANDERGATE_RUNTIME_HTTPCLIENT_H
 
+#include "decision/connectionkind.h"
 #include "decision/error.h"
 #include "runtime/httpmessage.h"
 #include "runtime/interfaces/dialer.h"
@@ -20,6 +21,7 @@
 namespace oleandergate {
 
 class Cancellation;
+class ConnectionBudget;
 
 //! A request to send, with its timeouts and callbacks.
 struct HttpCall
@@ -89,6 +91,10 @@
     //! Limits the open connections to each address from now on. Calls beyond the limit fail with ErrorCode::Overloaded.
     void limitConnections(std::size_t maxPerAddress);
 
+    //! Counts the open connections in \p budget as those of \p kind from now on. Calls beyond its limit fail with ErrorCode::Overloaded. The budget has to
+    //! outlive this object and its calls.
+    void shareLimits(ConnectionBudget &budget, ConnectionKind kind);
+
     //! Returns how many connections have been opened so far.
     std::uint64_t openedCount() const;
 
--- a/src/runtime/peerclient.cpp
+++ b/src/runtime/peerclient.cpp
@@ -3,6 +3,7 @@
 #include "runtime/address.h"
 #include "runtime/answerchannel.h"
 #include "runtime/clock.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/connectionpool.h"
 #include "runtime/peerframing.h"
 
@@ -37,6 +38,7 @@
     boost::beast::tcp_stream stream;
     PeerFraming framing;
     bool established = false;
+    std::unique_ptr<ConnectionPlace> place{}; //!< Among the connections of the process; nullptr where these are not bounded.
 };
 
 using ConnectionPointer = std::shared_ptr<PeerConnection>;
@@ -48,16 +50,37 @@
     asio::io_context &context;
     const MessageAuth &auth;
     ConnectionPool<PeerConnection> idleConnections{maxIdlePerPeer};
-
-    ConnectionPointer acquire(const std::string &address, bool forceNew)
-    {
-        ConnectionPointer connection = forceNew ? nullptr : this->idleConnections.acquire(address);
-        return connection ? connection : std::make_shared<PeerConnection>(this->context, this->auth);
-    }
+    ConnectionBudget *connectionBudget = nullptr;
 };
 
 namespace {
 
+//! Returns an idle connection or a new one; nullptr when the process has too many.
+ConnectionPointer acquire(const std::shared_ptr<PeerClient::Core> &core, const std::string &address, bool forceNew)
+{
+    ConnectionPointer idle = forceNew ? nullptr : core->idleConnections.acquire(address);
+    if (idle) {
+        if (idle->place) {
+            idle->place->occupy();
+        }
+        return idle;
+    }
+    std::unique_ptr<ConnectionPlace> place = core->connectionBudget == nullptr ? nullptr : core->connectionBudget->openAdmitted(ConnectionKind::Control);
+    if (core->connectionBudget != nullptr && !place) {
+        return nullptr;
+    }
+    const auto opened = std::make_shared<PeerConnection>(core->context, core->auth);
+    if (place) {
+        takePlace(core, address, opened, std::move(place));
+    }
+    return opened;
+}
+
+Error tooManyConnections(const std::string &address)
+{
+    return Error{ErrorCode::PeerFailed, Step::Forward, address, Executed::No, std::nullopt, "too many open connections"};
+}
+
 using Reply = std::optional<Result<PeerMessage>>;
 
 //! Returns \p limit, or what is left until \p giveUpAt if that is less.
@@ -109,6 +132,9 @@
             connection->stream.expires_never();
             connection->established = true;
             core->idleConnections.release(address, connection);
+            if (connection->place) {
+                connection->place->rest();
+            }
             co_return message;
         }
         if (!chunk->text.empty() && chunks) {
@@ -129,6 +155,11 @@
     this->core->idleConnections.clear();
 }
 
+void PeerClient::shareLimits(ConnectionBudget &budget)
+{
+    this->core->connectionBudget = &budget;
+}
+
 asio::awaitable<Result<PeerMessage>> PeerClient::send(std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks)
 {
     return this->sendBefore(Time::max(), std::move(address), std::move(command), std::move(chunks));
@@ -142,7 +173,10 @@
 asio::awaitable<Result<PeerMessage>> PeerClient::sendBefore(Time giveUpAt, std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks)
 {
     const std::shared_ptr<Core> shared = this->core;
-    ConnectionPointer connection = shared->acquire(address, false);
+    ConnectionPointer connection = acquire(shared, address, false);
+    if (!connection) {
+        co_return tooManyConnections(address);
+    }
     const bool reused = connection->established;
     bool replyStarted = false;
     Reply reply = co_await asio::co_spawn(
@@ -151,7 +185,10 @@
         co_return std::move(*reply);
     }
     // The peer may have closed the idle connection. Commands are idempotent at their owner, so sending one again is safe.
-    connection = shared->acquire(address, true);
+    connection = acquire(shared, address, true);
+    if (!connection) {
+        co_return std::move(*reply);
+    }
     Reply second = co_await asio::co_spawn(
         connection->stream.get_executor(), exchange(shared, connection, address, command, chunks, giveUpAt, replyStarted), asio::use_awaitable);
     co_return std::move(*second);
--- a/src/runtime/peerclient.h
+++ b/src/runtime/peerclient.h
@@ -16,6 +16,7 @@
 namespace oleandergate {
 
 class AnswerChannel;
+class ConnectionBudget;
 
 //! Sends commands to other instances over pooled TCP connections. Thread-safe.
 class PeerClient
@@ -26,6 +27,10 @@
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
+    //! Counts the open connections in \p budget, which has to outlive this object and its commands. Commands beyond its limit fail. To be called before the
+    //! first command.
+    void shareLimits(ConnectionBudget &budget);
+
     //! Sends \p command to \p address and returns its final reply. Chunks of a streamed answer are pushed to \p chunks.
     //! After ErrorCode::PeerFailed it is unknown whether the command was executed.
     boost::asio::awaitable<Result<PeerMessage>> send(std::string address, PeerMessage command, std::shared_ptr<AnswerChannel> chunks = nullptr);
--- a/src/runtime/tunnelserver.cpp
+++ b/src/runtime/tunnelserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/log.h"
 
 #include <boost/asio.hpp>
@@ -60,6 +61,7 @@
 {
     beast::tcp_stream &requester;
     std::unique_ptr<EndpointStream> endpoint;
+    std::unique_ptr<ConnectionPlace> place; //!< Of the connection to the endpoint; nullptr where connections are not bounded.
     AsyncSignal ended{};
     bool hasEnded = false;
 };
@@ -113,12 +115,24 @@
 {
 }
 
-asio::awaitable<TunnelOutcome> TunnelServer::connect(TunnelRequest request, DialedConnection &dialed)
+void TunnelServer::shareLimits(ConnectionBudget &budget)
+{
+    this->connectionBudget = &budget;
+}
+
+asio::awaitable<TunnelOutcome> TunnelServer::connect(TunnelRequest request, DialedConnection &dialed, std::unique_ptr<ConnectionPlace> &place)
 {
     const std::string address = this->stopping || this->active > this->maxTunnels ? std::string() : this->hooks.addressFor(request, currentTime());
     if (address.empty()) {
         co_return TunnelOutcome::Declined;
     }
+    if (this->connectionBudget != nullptr) {
+        place = this->connectionBudget->openAdmitted(ConnectionKind::Endpoint);
+        if (!place) {
+            co_return TunnelOutcome::Declined;
+        }
+        place->occupy();
+    }
     const Duration timeout = std::min<Duration>(maxConnectTimeout, std::chrono::milliseconds(request.timeout));
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     DialOutcome outcome = co_await this->dialer.dial(executor, address, currentTime() + timeout);
@@ -137,8 +151,9 @@
 {
     this->active += 1;
     DialedConnection dialed;
+    std::unique_ptr<ConnectionPlace> place;
     TunnelReply reply;
-    reply.outcome = co_await this->connect(request, dialed);
+    reply.outcome = co_await this->connect(request, dialed, place);
     logRecord(LogLevel::Info,
               "tunnels",
               "asked to reach an endpoint for a peer",
@@ -154,7 +169,7 @@
         co_return written.has_value();
     }
     this->served += 1;
-    const std::shared_ptr<Upstream> upstream(new Upstream{stream, std::move(dialed.stream)});
+    const std::shared_ptr<Upstream> upstream(new Upstream{stream, std::move(dialed.stream), std::move(place)});
     asio::co_spawn(co_await asio::this_coro::executor, sendUpstream(upstream), asio::detached);
     const bool inOrder = co_await sendDownstream(upstream);
     if (inOrder) {
--- a/src/runtime/tunnelserver.h
+++ b/src/runtime/tunnelserver.h
@@ -14,6 +14,9 @@
 
 namespace oleandergate {
 
+class ConnectionBudget;
+class ConnectionPlace;
+
 //! Carries connections to endpoints for instances that do not reach them directly. It passes bytes on and does not read them: what a request
 //! may do is decided by the instance that took it from its caller.
 class TunnelServer
@@ -30,6 +33,9 @@
     //! \p maxTunnels limits the connections that are carried at a time.
     TunnelServer(Hooks hooks, std::size_t maxTunnels);
 
+    //! Counts the connections to endpoints in \p budget, which has to outlive the tunnels. To be called before the first request.
+    void shareLimits(ConnectionBudget &budget);
+
     //! Serves a request on the connection on which it arrived, until the tunnel ends. Returns true when the connection can carry further messages,
     //! because there was no tunnel.
     boost::asio::awaitable<bool> serve(TunnelRequest request, PeerFraming &framing, boost::beast::tcp_stream &stream);
@@ -42,11 +48,12 @@
     void stop();
 
 private:
-    boost::asio::awaitable<TunnelOutcome> connect(TunnelRequest request, DialedConnection &dialed);
+    boost::asio::awaitable<TunnelOutcome> connect(TunnelRequest request, DialedConnection &dialed, std::unique_ptr<ConnectionPlace> &place);
 
     Hooks hooks;
     std::size_t maxTunnels;
     DirectDialer dialer{};
+    ConnectionBudget *connectionBudget = nullptr;
     std::atomic<std::size_t> active{0};
     std::atomic<std::uint64_t> served{0};
     std::atomic<bool> stopping{false};
