Bytes that wait unread: a bounded window for connections of callers, peers and endpoints

What callers saw: 400 clients with large bodies at the callers' port made a gateway of 32 MB count 44 to 64 MB, of it 29 to 44 MB in the kernel; 600 clients that pipeline 34 MB, 200 clients that read no answers 34 MB. The machine counts these bytes toward the process's memory and ends it.

Cause: what is not granted is not read, so it waits in the kernel: a window of 128 KB and more a connection, times all connections.

Change: the receive buffer of accepted connections, and of those to endpoints, is 16 KB (the kernel keeps up to 32). It is set before a connection is opened, as its window is settled then. The number of callers' connections already follows from the memory with this window in it. Connections to the store keep the system's window: they are few, and their answers are long.

Ruled out: a window that grows with the granted bytes. It cannot shrink again, and its scale is settled at the opening.

--- a/src/gateway/endpointpaths.h
+++ b/src/gateway/endpointpaths.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_ENDPOINTPATHS_H
 #define OLEANDERGATE_GATEWAY_ENDPOINTPATHS_H
 
+#include "decision/processlimits.h"
 #include "decision/reachabilitytable.h"
 #include "decision/tunnelpeers.h"
 #include "gateway/newschannel.h"
@@ -89,7 +90,7 @@
 
     InstanceRecord self;
     Hooks hooks;
-    DirectDialer direct{};
+    DirectDialer direct{receiveBufferBytes};
     TunnelClient client;
     Counter &opened;
     Counter &refusedTunnels;
--- a/src/runtime/directdialer.cpp
+++ b/src/runtime/directdialer.cpp
@@ -37,6 +37,20 @@
 
 } // namespace
 
+DirectDialer::DirectDialer(std::size_t receiveBufferBytes)
+    : receiveBufferBytes(receiveBufferBytes)
+{
+}
+
+void openWithReceiveBuffer(tcp::socket &socket, const tcp::endpoint &endpoint, std::size_t bytes)
+{
+    if (bytes > 0) {
+        beast::error_code ignored;
+        socket.open(endpoint.protocol(), ignored);
+        socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+    }
+}
+
 void setConnectionOptions(tcp::socket &socket)
 {
     beast::error_code ignored;
@@ -67,6 +81,7 @@
         co_return failureOf(ErrorCode::Timeout, false, "the deadline passed before connecting");
     }
     auto stream = std::make_unique<beast::tcp_stream>(executor);
+    openWithReceiveBuffer(stream->socket(), *endpoint, this->receiveBufferBytes);
     stream->expires_after(left);
     const auto [error] = co_await stream->async_connect(*endpoint, useResult);
     if (error) {
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -121,6 +121,11 @@
     acceptor.open(endpoint->protocol(), error);
     acceptor.set_option(asio::socket_base::reuse_address(true), error);
     acceptor.bind(*endpoint, error);
+    if (!error && this->core->connectionBudget != nullptr) {
+        // Connections inherit it, and it cannot be changed for one that is open.
+        boost::system::error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    }
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
--- a/src/runtime/peerserver.cpp
+++ b/src/runtime/peerserver.cpp
@@ -200,6 +200,11 @@
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
         acceptor.bind(*endpoint, error);
     }
+    if (!error && this->core->connectionBudget != nullptr) {
+        // Connections inherit it, and it cannot be changed for one that is open.
+        boost::system::error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    }
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
--- a/src/runtime/tunnelclient.cpp
+++ b/src/runtime/tunnelclient.cpp
@@ -1,5 +1,6 @@
 #include "runtime/tunnelclient.h"
 
+#include "decision/processlimits.h"
 #include "runtime/address.h"
 #include "runtime/clock.h"
 #include "runtime/directdialer.h"
@@ -45,6 +46,7 @@
         co_return unanswered("the address of the peer is not an IP address and a port");
     }
     auto stream = std::make_unique<beast::tcp_stream>(executor);
+    openWithReceiveBuffer(stream->socket(), *endpoint, receiveBufferBytes);
     stream->expires_after(timeLeft(giveUpAt));
     const auto [error] = co_await stream->async_connect(*endpoint, useResult);
     if (error) {
--- a/src/runtime/tunnelserver.h
+++ b/src/runtime/tunnelserver.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_RUNTIME_TUNNELSERVER_H
 
 #include "decision/pathplan.h"
+#include "decision/processlimits.h"
 #include "runtime/directdialer.h"
 #include "runtime/peerframing.h"
 
@@ -52,7 +53,7 @@
 
     Hooks hooks;
     std::size_t maxTunnels;
-    DirectDialer dialer{};
+    DirectDialer dialer{receiveBufferBytes};
     ConnectionBudget *connectionBudget = nullptr;
     std::atomic<std::size_t> active{0};
     std::atomic<std::uint64_t> served{0};
