A connection that waits for a request gives up the buffer of the last one

What callers saw: 600 clients that send a head of 16 KB and a body of 20 KB, read their answer and keep the connection made a gateway of 32 MB count 39 MB.

Cause: the buffer of a connection lives as long as it does and grows with its largest request. Its bytes are counted while a request arrives or is served; between two requests nobody counted them.

Change: behind each request the buffer shrinks to what has arrived of the next one, unless it is small.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -28,6 +28,9 @@
 
 constexpr std::size_t minReadBytes = 512;
 
+//! A connection that waits for a request keeps a buffer of this size at most.
+constexpr std::size_t maxIdleBufferBytes = 2048;
+
 //! Bytes of a body that are read at a time. Room for them is asked for before: each of many connections would otherwise hold a large step beyond what is
 //! granted.
 constexpr std::size_t bodyReadBytes = 16UL * 1024;
@@ -250,6 +253,7 @@
     while (open) {
         const HttpLimits limits = this->core->currentLimits();
         this->enter(ConnectionPhase::Idle);
+        this->shrinkBuffer();
         if (!this->hasInput() && (this->core->stopping || !co_await this->waitForRequest(limits.idleTimeout))) {
             break;
         }
@@ -536,6 +540,13 @@
     this->responseSent = exchange.hasSentResponse();
 }
 
+void HttpConnection::shrinkBuffer()
+{
+    if (this->buffer.capacity() > std::max(maxIdleBufferBytes, 2 * this->buffer.size())) {
+        this->buffer.shrink_to_fit();
+    }
+}
+
 void HttpConnection::dropInput()
 {
     this->buffer.consume(this->buffer.size());
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -91,6 +91,9 @@
     //! Ends the connection because its place is needed for another one, unless something has happened on it meanwhile. Thread-safe.
     void giveWay();
 
+    //! Gives up the memory that the last request needed, before the next one is waited for.
+    void shrinkBuffer();
+
     //! Returns whether bytes of a next request have arrived.
     bool hasInput();
     bool mayKeepAlive();
