Entry instance: settings of its memory and its descriptors, and the bounds that follow from them

What callers saw: 300 legal bodies short of a byte at an entry instance's port for callers, or for operators, took 169 MB where 64 were meant; 400 clients inside their first line took 418 descriptors at each of its three ports.

Cause: the entry instance knew neither how much memory nor how many descriptors it may use, so no server of it had a bound but 4,096 connections each.

Change: [limits] memory_mb (default 1,024) and descriptors (default 0: as many as the system allows). Its servers and clients share one budget of memory and one of connections, as a gateway's do. Its client of endpoints and that of the key-value service and the instance list are two, so that the first takes no connection from the second. Settings whose memory is under ten times a body are refused. The tests' settings name 64 MB and 256 descriptors now; crowds and bounds are unchanged.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -8,6 +8,10 @@
 
 constexpr std::size_t minPeerKeyLength = 32;
 constexpr std::int64_t bytesPerKilobyte = 1024;
+constexpr std::int64_t kilobytesPerMegabyte = 1024;
+
+//! A body of unknown length is copied while it grows, and may take a quarter of the memory with its copy.
+constexpr std::int64_t memoryPerBody = 10;
 
 std::string readAddress(CheckedTable &table, const std::string &key)
 {
@@ -70,6 +74,14 @@
     settings.maxBodyBytes = static_cast<std::size_t>(limits.number("body_kb", 1, 65536, 4096) * bytesPerKilobyte);
     settings.maxHeaderBytes = static_cast<std::size_t>(limits.number("header_kb", 1, 256, 16) * bytesPerKilobyte);
     settings.receiveTimeout = std::chrono::milliseconds(limits.number("caller_timeout_ms", 100, 600000, 10000));
+    const std::int64_t memoryMegabytes = limits.number("memory_mb", 32, 1048576, 1024);
+    settings.memoryBytes = static_cast<std::size_t>(memoryMegabytes * kilobytesPerMegabyte * bytesPerKilobyte);
+    settings.maxDescriptors = static_cast<std::size_t>(limits.number("descriptors", 0, 100000000, 0));
+    if (settings.memoryBytes / memoryPerBody < settings.maxBodyBytes) {
+        limits.addIssue("memory_mb",
+                        std::to_string(memoryMegabytes) + " for bodies of " + std::to_string(settings.maxBodyBytes / bytesPerKilobyte) + " KB",
+                        "at least " + std::to_string(memoryPerBody) + " times as much as body_kb");
+    }
     limits.reportUnknownKeys();
     root->reportUnknownKeys();
     return issues.empty() ? std::optional(std::move(settings)) : std::nullopt;
@@ -110,6 +122,8 @@
     text += "\n[limits]\nbody_kb = " + std::to_string(settings.maxBodyBytes / bytesPerKilobyte);
     text += "\nheader_kb = " + std::to_string(settings.maxHeaderBytes / bytesPerKilobyte);
     text += "\ncaller_timeout_ms = " + millis(settings.receiveTimeout);
+    text += "memory_mb = " + std::to_string(settings.memoryBytes / kilobytesPerMegabyte / bytesPerKilobyte);
+    text += "\ndescriptors = " + std::to_string(settings.maxDescriptors) + "\n";
     return text;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -36,6 +36,8 @@
     std::size_t maxBodyBytes = 0; //!< Of a caller's request.
     std::size_t maxHeaderBytes = 0; //!< Of a caller's request.
     Duration receiveTimeout{}; //!< Longest time that a caller may take to send a request.
+    std::size_t memoryBytes = 0; //!< That the process may use.
+    std::size_t maxDescriptors = 0; //!< That the process may have open; 0 for as many as the system allows.
     Duration drainLimit{}; //!< Longest duration of a graceful shutdown.
 };
 
--- a/src/runtime/adminapi.cpp
+++ b/src/runtime/adminapi.cpp
@@ -2,8 +2,10 @@
 
 #include "runtime/clock.h"
 #include "runtime/clusterview.h"
+#include "runtime/connectionbudget.h"
 #include "runtime/dispatchservice.h"
 #include "runtime/errorresponse.h"
+#include "runtime/memorybudget.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/programdocument.h"
@@ -93,6 +95,8 @@
     if (path == "/metrics") {
         this->dependencies.metrics.setGauge("oleandergate_live_calls", static_cast<double>(this->dependencies.programs.liveCallCount()));
         this->dependencies.metrics.setGauge("oleandergate_owned_slots", static_cast<double>(this->dependencies.programs.ownedSlots().size()));
+        this->dependencies.memory.exportGauges();
+        this->dependencies.connections.exportGauges();
         co_await exchange.respond(makeResponse(200, "text/plain; version=0.0.4", this->dependencies.metrics.render()));
         co_return;
     }
--- a/src/runtime/adminapi.h
+++ b/src/runtime/adminapi.h
@@ -11,7 +11,9 @@
 
 namespace oleandergate {
 
+class ConnectionBudget;
 class DispatchService;
+class MemoryBudget;
 
 //! HTTP API for operators: configuration, status, programs and draining. Operators' keys are separate from callers' keys.
 class AdminApi
@@ -26,6 +28,8 @@
         ProgramService &programs;
         PeerClient &peers;
         Metrics &metrics;
+        MemoryBudget &memory;
+        ConnectionBudget &connections;
     };
 
     //! \p bootstrapKeyHash is the SHA-256, in hexadecimal digits, of the only key that is accepted while no configuration is active.
--- a/src/runtime/entryinstance.cpp
+++ b/src/runtime/entryinstance.cpp
@@ -8,6 +8,8 @@
 #include "runtime/callerapi.h"
 #include "runtime/clock.h"
 #include "runtime/clusterservice.h"
+#include "runtime/connectionbudget.h"
+#include "runtime/descriptorlimit.h"
 #include "runtime/dispatchservice.h"
 #include "runtime/errorresponse.h"
 #include "runtime/eventlog.h"
@@ -15,6 +17,7 @@
 #include "runtime/httpclient.h"
 #include "runtime/httpserver.h"
 #include "runtime/log.h"
+#include "runtime/memorybudget.h"
 #include "runtime/metrics.h"
 #include "runtime/peerclient.h"
 #include "runtime/peerserver.h"
@@ -68,12 +71,16 @@
     explicit Core(const Settings &newSettings)
         : settings(newSettings)
         , self{uniqueInstanceId(settings.instanceName), settings.peerAddress, settings.domain, false}
+        , limits(processLimitsFor(settings.memoryBytes, descriptorLimit(settings.maxDescriptors)))
+        , memory(limits.heldBytes, metrics)
+        , connections(limits.connections, metrics)
         , context(static_cast<int>(settings.threads))
         , events(settings.eventFile, settings.instanceName)
         , auth(settings.peerKey)
-        , client(context)
-        , keyValue(client, settings.keyValueAddress, backingServiceTimeout)
-        , list(client, settings.instanceListAddress, backingServiceTimeout)
+        , controlClient(context)
+        , client(context, receiveBufferBytes)
+        , keyValue(controlClient, settings.keyValueAddress, backingServiceTimeout)
+        , list(controlClient, settings.instanceListAddress, backingServiceTimeout)
         , view(self.id, settings.slotCount, settings.leaseDuration)
         , config(keyValue, settings.dataFolder, events)
         , store(keyValue)
@@ -98,7 +105,7 @@
         , router(CallRouter::Dependencies{view, programs, peers, config, events, metrics}, settings.ownerWait)
         , callerApi(router, config, events, metrics)
         , adminApi(
-              AdminApi::Dependencies{router, config, view, dispatch, programs, peers, metrics},
+              AdminApi::Dependencies{router, config, view, dispatch, programs, peers, metrics, memory, connections},
               sha256Hex(settings.peerKey),
               [this]() {
                   this->beginDrain();
@@ -138,6 +145,12 @@
                      })
         , signals(context, SIGTERM, SIGINT)
     {
+        this->callerServer.shareLimits(this->memory, this->connections, ConnectionKind::Caller);
+        this->adminServer.shareLimits(this->memory, this->connections, ConnectionKind::Operator);
+        this->peerServer.shareLimits(this->connections);
+        this->client.shareLimits(this->connections, ConnectionKind::Endpoint);
+        this->controlClient.shareLimits(this->connections, ConnectionKind::Control);
+        this->peers.shareLimits(this->connections);
     }
 
     std::uint64_t configVersion() const
@@ -255,11 +268,16 @@
 
     Settings settings;
     InstanceRecord self;
+    //! The next ones stand before the context, as what it still holds when it is destroyed gives back what it has of them.
+    Metrics metrics{};
+    ProcessLimits limits;
+    MemoryBudget memory;
+    ConnectionBudget connections;
     asio::io_context context;
     EventLog events;
-    Metrics metrics{};
     MessageAuth auth;
-    HttpClient client;
+    HttpClient controlClient; //!< Of the key-value service and of the instance list.
+    HttpClient client; //!< Of endpoints.
     EtcdKeyValue keyValue;
     ConsulInstanceList list;
     ClusterView view;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -154,14 +154,15 @@
 
 struct HttpClient::Core : std::enable_shared_from_this<HttpClient::Core>
 {
-    Core(asio::io_context &context, Dialer *givenDialer)
+    Core(asio::io_context &context, Dialer *givenDialer, std::size_t receiveBufferBytes)
         : context(context)
+        , directDialer(receiveBufferBytes)
         , dialer(givenDialer == nullptr ? this->directDialer : *givenDialer)
     {
     }
 
     asio::io_context &context;
-    DirectDialer directDialer{};
+    DirectDialer directDialer;
     Dialer &dialer;
     ConnectionPool<Connection> idleConnections{maxIdlePerAddress};
     std::atomic<std::size_t> maxOpenPerAddress{std::numeric_limits<std::size_t>::max()};
@@ -617,13 +618,13 @@
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &context)
-    : core(std::make_shared<Core>(context, nullptr))
+HttpClient::HttpClient(asio::io_context &context, std::size_t receiveBufferBytes)
+    : core(std::make_shared<Core>(context, nullptr, receiveBufferBytes))
 {
 }
 
 HttpClient::HttpClient(asio::io_context &context, Dialer &dialer)
-    : core(std::make_shared<Core>(context, &dialer))
+    : core(std::make_shared<Core>(context, &dialer, 0))
 {
 }
 
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -79,8 +79,8 @@
 class HttpClient
 {
 public:
-    //! Connects straight to each address.
-    explicit HttpClient(boost::asio::io_context &context);
+    //! Connects straight to each address. \p receiveBufferBytes bounds what arrives on a connection before it is read, in bytes; 0 for what the system allows.
+    explicit HttpClient(boost::asio::io_context &context, std::size_t receiveBufferBytes = 0);
 
     //! Connects by \p dialer, which has to outlive this object.
     HttpClient(boost::asio::io_context &context, Dialer &dialer);
--- a/tests/integration/crowdtests.cpp
+++ b/tests/integration/crowdtests.cpp
@@ -22,7 +22,7 @@
 {
     ClusterOptions options;
     options.instances = 1;
-    options.extraSettings = "[limits]\nbody_kb = 512\ncaller_timeout_ms = 8000\n";
+    options.extraSettings = "[limits]\nbody_kb = 512\ncaller_timeout_ms = 8000\nmemory_mb = 64\ndescriptors = 256\n";
     return options;
 }
 
