Holders that wait for room are woken when there is some, and the oldest alone asks again

Cause: each byte given back woke all holders that waited, and each of them asked again every 50 ms, with a search for the next one to end.

Change: behind a release all are woken where there is room, else the oldest, which has the next holder ended. It alone asks again every 50 ms; a holder that is ended, or whose connection gives way or is refused at a stop, is woken by that. The places that set a refusal and break off a read share two functions.

--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -172,12 +172,10 @@
         if (self->phase == ConnectionPhase::Idle && !self->hasInput()) {
             self->givesWay = true;
             self->stream.socket().cancel(ignored);
-        } else if (self->phase == ConnectionPhase::Receiving && (self->isWaitingForRoom || !hasArrived)) {
+        } else if (self->phase == ConnectionPhase::Receiving && (self->waitingForRoom != nullptr || !hasArrived)) {
             self->givesWay = true;
-            if (!self->refusal) {
-                self->refusal = self->core->formatError(serviceUnavailable, placeDetail);
-            }
-            self->stream.cancel();
+            self->refuse(placeDetail);
+            self->stopReading();
         } else if (self->phase == ConnectionPhase::Closing) {
             self->givesWay = true;
             self->stream.close();
@@ -209,17 +207,30 @@
     });
 }
 
+void HttpConnection::refuse(const char *detail)
+{
+    if (!this->refusal) {
+        this->refusal = this->core->formatError(serviceUnavailable, detail);
+    }
+}
+
+void HttpConnection::stopReading()
+{
+    this->stream.cancel();
+    if (this->waitingForRoom != nullptr) {
+        this->waitingForRoom->stopWaiting();
+    }
+}
+
 void HttpConnection::refuseIfReceiving()
 {
     asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
         if (self->phase == ConnectionPhase::Receiving) {
-            if (!self->refusal) {
-                self->refusal = self->core->formatError(serviceUnavailable, shutdownDetail);
-            }
+            self->refuse(shutdownDetail);
             beast::error_code ignored;
             // The rest of the request may have arrived, and others behind it.
-            if (self->stream.socket().available(ignored) == 0) {
-                self->stream.cancel();
+            if (self->waitingForRoom != nullptr || self->stream.socket().available(ignored) == 0) {
+                self->stopReading();
             }
         }
     });
@@ -294,11 +305,11 @@
 
 asio::awaitable<void> HttpConnection::holdBytes(HeldMemory &held, std::size_t bytes, Time giveUpAt)
 {
-    this->isWaitingForRoom = true;
+    this->waitingForRoom = &held;
     const bool granted = co_await held.hold(bytes, giveUpAt);
-    this->isWaitingForRoom = false;
-    if (!granted && !this->refusal) {
-        this->refusal = this->core->formatError(serviceUnavailable, memoryDetail);
+    this->waitingForRoom = nullptr;
+    if (!granted) {
+        this->refuse(memoryDetail);
     }
 }
 
@@ -322,10 +333,8 @@
 {
     asio::post(this->stream.get_executor(), [self = this->shared_from_this()]() {
         if (self->phase == ConnectionPhase::Receiving) {
-            if (!self->refusal) {
-                self->refusal = self->core->formatError(serviceUnavailable, memoryDetail);
-            }
-            self->stream.cancel();
+            self->refuse(memoryDetail);
+            self->stopReading();
         }
     });
 }
@@ -407,7 +416,7 @@
         co_return bodyError;
     }
     if (this->core->refusing) {
-        this->refusal = this->core->formatError(serviceUnavailable, shutdownDetail);
+        this->refuse(shutdownDetail);
     } else if (this->core->admission) {
         this->refusal = this->core->admission(toRequestHead(parser.get(), this->peer), currentTime());
     }
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -127,6 +127,12 @@
 
     //! Refuses the request that is arriving, whatever else of it arrives.
     void endForMemory();
+
+    //! Sets the refusal of the request that is arriving, as not run, unless it has one.
+    void refuse(const char *detail);
+
+    //! Ends a read, or a wait for room, that is under way.
+    void stopReading();
     boost::asio::awaitable<void> handle(BeastExchange &exchange, HttpRequest request);
 
     //! Sends \p response, after which the connection closes.
@@ -144,7 +150,7 @@
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
     bool keepsBody = true;
-    bool isWaitingForRoom = false; //!< Does not read, as what it would hold has no room.
+    HeldMemory *waitingForRoom = nullptr; //!< Set while it does not read, as what it would hold has no room.
     bool givesWay = false; //!< Ends for another connection.
     bool mustReset = false; //!< An end in order would be taken for the end of a response that has not ended.
     bool responseSent = false; //!< The caller may still have to receive the end of a response.
--- a/src/runtime/memorybudget.cpp
+++ b/src/runtime/memorybudget.cpp
@@ -19,7 +19,7 @@
 //! Blocks of this size go back to the system when they are freed. The allocator would raise the bound with the sizes that it sees, and keep them.
 constexpr int mappedBlockBytes = 64 * 1024;
 
-//! How often a holder that waits for room asks again.
+//! How often the oldest of those who wait for room asks again, as a holder that was to end may take its time. The others are woken.
 constexpr Duration askInterval = std::chrono::milliseconds(50);
 
 } // namespace
@@ -42,6 +42,17 @@
     this->metrics.setGauge("oleandergate_held_bytes_limit", static_cast<double>(this->ledger.limit()));
 }
 
+void MemoryBudget::wakeAfterRelease()
+{
+    const bool hasRoom = this->ledger.total() <= this->ledger.limit();
+    for (auto waiter = this->waiting.begin(); waiter != this->waiting.end(); ++waiter) {
+        waiter->second->notify();
+        if (!hasRoom) {
+            return;
+        }
+    }
+}
+
 HeldMemory::HeldMemory(MemoryBudget *budget, HeldFor kind)
     : budget(budget)
     , kind(kind)
@@ -81,10 +92,48 @@
     {
         const std::lock_guard lock(this->budget->mutex);
         this->budget->ledger.close(*this->id);
+        this->budget->waiting.erase(*this->id);
         this->budget->endings.erase(*this->id);
+        this->budget->wakeAfterRelease();
     }
     this->id.reset();
-    this->budget->roomFreed.notify();
+}
+
+void HeldMemory::stopWaiting()
+{
+    if (this->woken) {
+        this->stopsWaiting = true;
+        this->woken->notify();
+    }
+}
+
+asio::awaitable<void> HeldMemory::waitForRoom(Time giveUpAt, Time now)
+{
+    bool isOldest = false;
+    {
+        const std::lock_guard lock(this->budget->mutex);
+        if (!this->woken) {
+            this->woken = std::make_shared<AsyncSignal>();
+            this->budget->waiting.emplace(*this->id, this->woken);
+        }
+        isOldest = this->budget->waiting.begin()->first == *this->id;
+    }
+    const Duration left = giveUpAt - now;
+    co_await this->woken->wait(isOldest ? std::min(askInterval, left) : left);
+}
+
+void HeldMemory::leaveWaiting()
+{
+    if (this->woken) {
+        const std::lock_guard lock(this->budget->mutex);
+        this->budget->waiting.erase(*this->id);
+        if (!this->budget->waiting.empty()) {
+            // There is an oldest one to ask again.
+            this->budget->waiting.begin()->second->notify();
+        }
+        this->woken.reset();
+    }
+    this->stopsWaiting = false;
 }
 
 bool HeldMemory::wasEnded() const
@@ -113,6 +162,10 @@
             endOther = this->budget->endings[*decision.ended];
             endedKind = ledger.kindOf(*decision.ended);
             endedBytes = ledger.bytesOf(*decision.ended);
+            const auto waiter = this->budget->waiting.find(*decision.ended);
+            if (waiter != this->budget->waiting.end()) {
+                waiter->second->notify();
+            }
         }
     }
     const bool isNewlyEnded = decision.verdict == MemoryVerdict::End && !this->ended;
@@ -141,13 +194,15 @@
         const Time now = currentTime();
         const MemoryVerdict verdict = this->resize(bytes, now);
         if (verdict == MemoryVerdict::Granted) {
+            this->leaveWaiting();
             co_return true;
         }
-        if (verdict == MemoryVerdict::End || now >= giveUpAt) {
+        if (verdict == MemoryVerdict::End || now >= giveUpAt || this->stopsWaiting) {
+            this->leaveWaiting();
             this->ended = true;
             co_return false;
         }
-        co_await this->budget->roomFreed.wait(std::min(askInterval, giveUpAt - now));
+        co_await this->waitForRoom(giveUpAt, now);
     }
 }
 
--- a/src/runtime/memorybudget.h
+++ b/src/runtime/memorybudget.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 
 namespace oleandergate {
@@ -28,10 +29,14 @@
 private:
     friend class HeldMemory;
 
+    //! Wakes those who have to ask again after bytes were given back: all where there is room, else the oldest one, which has another holder ended. The mutex
+    //! has to be held.
+    void wakeAfterRelease();
+
     std::mutex mutex;
     MemoryLedger ledger; //!< Guarded by the mutex.
     std::map<HolderId, std::function<void()>> endings; //!< Guarded by the mutex.
-    AsyncSignal roomFreed;
+    std::map<HolderId, std::shared_ptr<AsyncSignal>> waiting; //!< Holders that wait for room, the oldest first. Guarded by the mutex.
     Metrics &metrics;
     std::array<Counter *, heldForNames.size()> endedCounters;
 };
@@ -55,6 +60,9 @@
     //! Notes that \p bytes are held now, and waits while there is no room for more. Returns false when they are to be given up, or at \p giveUpAt.
     boost::asio::awaitable<bool> hold(std::size_t bytes, Time giveUpAt);
 
+    //! Makes hold() return false if it waits. To be called on the strand of the one who waits.
+    void stopWaiting();
+
     //! Notes that no bytes are held any more.
     void release();
 
@@ -64,12 +72,18 @@
 private:
     MemoryVerdict resize(std::size_t bytes, Time now);
 
+    //! Waits until there may be room, at most until \p giveUpAt.
+    boost::asio::awaitable<void> waitForRoom(Time giveUpAt, Time now);
+    void leaveWaiting();
+
     MemoryBudget *budget;
     HeldFor kind;
     bool isBounded = false;
     std::function<void()> onEnded;
     std::optional<HolderId> id; //!< Set once the bytes are worth counting.
     bool ended = false;
+    bool stopsWaiting = false;
+    std::shared_ptr<AsyncSignal> woken{}; //!< Set while it waits for room.
 };
 
 } // namespace oleandergate
