A call waits for a connection while the process has none left

What callers saw: beside 120 clients that ask for large answers and do not read them, all requests at a gateway with 256 descriptors waited until their deadline, though its endpoints were idle: 62 waited, none ran, 35 connections to endpoints lay idle.

Cause: since connections to endpoints have a share of the process's limit, a call beyond it failed as not sent. That counts against the endpoint, which is avoided for a time that doubles; the burst of one moment had all endpoints avoided.

Change: while the process has no connection left, a call waits for one, 20 ms at a time and at most for its time to connect. At the limit of one endpoint it fails at once as before, as another endpoint may have room.

Ruled out: lost wake-ups of holders that wait for room (nothing was held), slow windows (400 KB through one of 16 KB take 1 ms on loopback).

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -41,6 +41,9 @@
 //! Idle connections kept per address.
 constexpr std::size_t maxIdlePerAddress = 32;
 
+//! How often a call asks again for a connection while the process has none left.
+constexpr Duration placeInterval = std::chrono::milliseconds(20);
+
 //! Bytes behind a complete response that are read at most.
 constexpr std::size_t maxBytesBehind = 4096;
 
@@ -209,6 +212,27 @@
         }
     }
 
+    //! Returns an idle connection or a new one. Waits for one while the process has too many. Returns nullptr when too many connections to the address are
+    //! open, or when there is none before the call's time to connect is over.
+    asio::awaitable<ConnectionPointer> acquireInTime(const HttpCall &call)
+    {
+        const Time giveUpAt = std::min(call.deadline.value_or(Time::max()), currentTime() + call.connectTimeout);
+        ConnectionPointer connection = this->acquire(call);
+        while (!connection && !this->isAtLimit(call.address) && currentTime() < giveUpAt && !(call.cancellation && call.cancellation->isCancelled())) {
+            co_await sleepFor(placeInterval);
+            connection = this->acquire(call);
+        }
+        co_return connection;
+    }
+
+    //! Returns whether no further connection to \p address may be opened.
+    bool isAtLimit(const std::string &address)
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->openCounts.find(address);
+        return found != this->openCounts.end() && *found->second >= this->maxOpenPerAddress;
+    }
+
     //! Returns a new connection; nullptr when too many connections are open, to \p address or of the process.
     ConnectionPointer create(const std::string &address)
     {
@@ -652,7 +676,7 @@
 asio::awaitable<HttpOutcome> HttpClient::send(HttpCall call, Step step)
 {
     const std::shared_ptr<Core> shared = this->core;
-    ConnectionPointer connection = shared->acquire(call);
+    ConnectionPointer connection = co_await shared->acquireInTime(call);
     if (!connection) {
         co_return failure(ErrorCode::Overloaded, step, call, true, "too many open connections");
     }
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -91,8 +91,8 @@
     //! Limits the open connections to each address from now on. Calls beyond the limit fail with ErrorCode::Overloaded.
     void limitConnections(std::size_t maxPerAddress);
 
-    //! Counts the open connections in \p budget as those of \p kind from now on. Calls beyond its limit fail with ErrorCode::Overloaded. The budget has to
-    //! outlive this object and its calls.
+    //! Counts the open connections in \p budget as those of \p kind from now on. Calls beyond its limit wait for a connection, at most for their time to
+    //! connect, and then fail with ErrorCode::Overloaded. The budget has to outlive this object and its calls.
     void shareLimits(ConnectionBudget &budget, ConnectionKind kind);
 
     //! Returns how many connections have been opened so far.
--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -281,6 +281,23 @@
     }
 }
 
+TEST_CASE("Crowds: places behind unread answers: an ordinary request is answered while others do not read their large answers")
+{
+    LimitedCluster cluster(fewDescriptors, 16);
+    const auto requests = [](std::size_t client) {
+        const std::string order
+            = "POST /orders/1?work_ms=1&bytes=100000 HTTP/1.1\r\nHost: h.example\r\nOleandergate-Request-Id: crowd" + std::to_string(client);
+        return repeated(order + "\r\nContent-Length: 4\r\n\r\nbody", 60);
+    };
+    checkSurvives(cluster, {{cluster.callerAddress(0), {120, requests}}}, [&cluster]() {
+        CHECK(waitFor(
+            [&cluster]() {
+                return cluster.isServed();
+            },
+            GatewayCluster::logTimeoutMs));
+    });
+}
+
 TEST_CASE("Crowds: calm: a single request of the largest legal size is served at each port")
 {
     LimitedCluster cluster(fewDescriptors);
