--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <thread>
 
 using namespace oleandergate;
@@ -298,6 +299,88 @@
     });
 }
 
+TEST_CASE("Crowds: malformed requests: lines, sizes and fields without end")
+{
+    const std::size_t clients = 200;
+    const std::string start = "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\n";
+    const std::vector<std::pair<const char *, CrowdPlan>> plans{
+        {"a chunk size of 17 digits", {clients, heads(chunked), "fffffffffffffffff\r\n" + std::string(bodyLimit, 'x')}},
+        {"a chunk size line without end", {clients, heads(chunked), "1;" + std::string(bodyLimit, 'x')}},
+        {"many small fields", {clients, {}, start + repeated("a:\r\n", 10000)}},
+        {"fields without end", {40, {}, start + repeated("a:\r\n", 250000)}},
+        {"whole heads of many small fields", {clients, {}, start + "Content-Length: 2\r\n" + repeated("a:\r\n", 3900) + "\r\nx"}},
+        {"a trailer without end", {clients, heads(chunked), "0\r\n" + repeated("a: b\r\n", 100000)}},
+        {"a first line without end", {clients, {}, "POST /" + std::string(bodyLimit, 'x')}},
+    };
+    for (const auto &[name, plan] : plans) {
+        CAPTURE(std::string(name));
+        MESSAGE(std::string(name));
+        LimitedCluster cluster(manyDescriptors);
+        checkSurvives(cluster, {{cluster.callerAddress(0), plan}, {cluster.readyAddress(0), plan}});
+    }
+}
+
+TEST_CASE("Crowds: configuration: a crowd is there before the first one, and beside one that lowers the limit of bodies")
+{
+    GatewayCluster cluster(1, 1, 0, processMegabytes);
+    cluster.setMaxDescriptors(0, manyDescriptors);
+    const pid_t process = cluster.gateways[0].id();
+    const UsageWatch watch(process);
+    REQUIRE(waitFor(
+        [&cluster]() {
+            return cluster.call(0, "GET", "/reads/1").has_value();
+        },
+        GatewayCluster::logTimeoutMs));
+    Crowd early(cluster.callerAddress(0), chunkedBodiesWithoutEnd(200));
+    early.runUntilStill();
+    cluster.configure(1, "", limits);
+    cluster.registerEndpoint(0);
+    REQUIRE(cluster.waitUntilReady());
+    Crowd late(cluster.callerAddress(0), bodiesShortOfAByte(200));
+    late.runUntilStill();
+    cluster.configure(2, "", R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":8000,"IdleMs":15000})");
+    REQUIRE(cluster.logHas(0, "\"version\":\"2\""));
+    late.runUntilStill();
+    CHECK(waitFor(
+        [&cluster]() {
+            const std::optional<HttpResponse> answer = cluster.call(0, "POST", "/orders/2");
+            return answer && answer->status == 200;
+        },
+        GatewayCluster::logTimeoutMs));
+    CHECK(watch.highestCountedBytes() <= allowedBytes);
+    CHECK(watch.mostDescriptors() <= static_cast<std::size_t>(manyDescriptors));
+    CHECK(peakMemoryOf(process) > 0);
+}
+
+TEST_CASE("Crowds: a planned stop: one of four gateways with a crowd each ends in order, and the others serve")
+{
+    constexpr std::size_t gatewayCount = 4;
+    GatewayCluster cluster(gatewayCount, 2, 0, processMegabytes);
+    for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
+        cluster.setMaxDescriptors(gateway, manyDescriptors);
+    }
+    REQUIRE(cluster.startServing());
+    cluster.configure(2, "", limits);
+    std::vector<std::unique_ptr<Crowd>> crowds;
+    for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
+        REQUIRE(cluster.logHas(gateway, "\"version\":\"2\""));
+        crowds.push_back(std::make_unique<Crowd>(cluster.callerAddress(gateway), bodiesShortOfAByte(150)));
+        crowds.back()->runUntilStill();
+    }
+    cluster.gateways[0].signal(SIGTERM);
+    for (std::size_t gateway = 1; gateway < gatewayCount; ++gateway) {
+        CHECK(waitFor(
+            [&cluster, gateway]() {
+                const std::optional<HttpResponse> answer = cluster.call(gateway, "POST", "/orders/2");
+                return answer && answer->status == 200;
+            },
+            GatewayCluster::logTimeoutMs));
+        CHECK(peakMemoryOf(cluster.gateways[gateway].id()) <= allowedBytes);
+    }
+    CHECK(cluster.gateways[0].wait() == 0);
+    CHECK(cluster.logHas(0, "\"message\":\"stopped\""));
+}
+
 TEST_CASE("Crowds: calm: a single request of the largest legal size is served at each port")
 {
     LimitedCluster cluster(fewDescriptors);
