The limit of a request's head holds for all of it, and its fields are counted

What callers saw: 40 clients that send header fields without end took a gateway of 32 MB to 306 MB, 237 on, and were not refused. 200 clients with 10,000 fields of four bytes: 88 MB; 200 whole heads of 3,900 such fields, within HeaderBytes: 43 MB. A single client that goes on sending is enough to end a process.

Cause: the parser's limit holds for the bytes that it is given at a time, and it takes fields as they arrive, so a head that comes in pieces had no limit until HeaderMs. A field of four bytes takes 80 in the parser and more in what is made of it, and nobody counted that; nor the fields of a trailer, which are parsed at once.

Change: the bytes of a head are summed up; beyond HeaderBytes it is refused with 431. Heads and chunked bodies are parsed in steps of 1 KB; what fields take is asked for behind each step, for a trailer before it is parsed, and again before the request is handled: with too many at a time one is refused as not run. A chunk line or a trailer that fills the buffer ends as malformed instead of being read on in empty steps. The heads of endpoints' responses have the same fault and a limit of 64 KB now; their fields are not counted.

Ruled out: a limit of the number of fields.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -430,6 +430,7 @@
 {
     parser.body_limit(call.maxBodyBytes);
     std::size_t deliveredBytes = 0;
+    std::size_t headBytes = 0;
     HttpResponse head;
     bool headReceived = false;
     while (!parser.is_done()) {
@@ -442,6 +443,11 @@
         if (size > 0) {
             underWay.onReceived(currentTime());
         }
+        headBytes += parser.is_header_done() ? 0 : size;
+        if (headBytes > maxUnparsedBytes) {
+            // The parser's own limit holds for what is put in at a time.
+            co_return failure(ErrorCode::EndpointGarbled, step, call, false, "the head of the response is too long");
+        }
         if (parser.is_header_done() && !headReceived) {
             headReceived = true;
             head = toResponse(parser.get());
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -38,11 +38,25 @@
 //! A body of unknown length grows by at least this part of its size, so that it is not copied with each step.
 constexpr std::size_t bodyGrowthDivisor = 4;
 
+//! Memory of a header field beside its text, in the request and in what is made of it.
+constexpr std::size_t headerFieldBytes = 256;
+
+//! Shortest header field, with its line end.
+constexpr std::size_t minFieldLength = 4;
+
+//! Bytes with header fields that are parsed at a time. Fields take many times as much memory as their bytes, which is asked for behind each step.
+constexpr std::size_t fieldStepBytes = 1024;
+
 constexpr int serviceUnavailable = 503;
 constexpr const char *memoryDetail = "the instance holds too much for other requests";
 constexpr const char *placeDetail = "the connection is needed for another caller";
 constexpr const char *shutdownDetail = "the instance shuts down before the request has arrived";
 
+std::size_t headMemory(const http::request<http::string_body> &message)
+{
+    return static_cast<std::size_t>(std::distance(message.begin(), message.end())) * headerFieldBytes;
+}
+
 HttpRequest toRequestHead(const http::request<http::string_body> &message, const std::string &peer)
 {
     HttpRequest request;
@@ -300,7 +314,8 @@
     }
     // The memory of a body whose length is stated is reserved at once, and used as the body arrives.
     const std::string &body = parser.get().body();
-    co_await this->holdBytes(held, this->buffer.capacity() + (parser.chunked() ? body.capacity() : body.size()), giveUpAt);
+    const std::size_t bodyMemory = parser.chunked() ? body.capacity() : body.size();
+    co_await this->holdBytes(held, headMemory(parser.get()) + this->buffer.capacity() + bodyMemory, giveUpAt);
 }
 
 asio::awaitable<void> HttpConnection::holdBytes(HeldMemory &held, std::size_t bytes, Time giveUpAt)
@@ -316,14 +331,15 @@
 asio::awaitable<void> HttpConnection::makeRoomForBody(Parser &parser, HeldMemory &held, Time giveUpAt)
 {
     std::string &body = parser.get().body();
+    const std::size_t headBytes = headMemory(parser.get()) + this->trailerMemory() + this->buffer.capacity();
     const std::size_t needed = body.size() + bodyReadBytes;
     if (!parser.chunked() || body.capacity() >= needed) {
-        co_await this->holdBytes(held, this->buffer.capacity() + body.size() + 2 * bodyReadBytes, giveUpAt);
+        co_await this->holdBytes(held, headBytes + body.size() + 2 * bodyReadBytes, giveUpAt);
         co_return;
     }
     // While the body is copied, both blocks exist.
     const std::size_t grown = needed + body.size() / bodyGrowthDivisor;
-    co_await this->holdBytes(held, this->buffer.capacity() + body.capacity() + grown + bodyReadBytes, giveUpAt);
+    co_await this->holdBytes(held, headBytes + body.capacity() + grown + bodyReadBytes, giveUpAt);
     if (!this->refusal) {
         body.reserve(grown);
     }
@@ -339,21 +355,32 @@
     });
 }
 
-void HttpConnection::dropUnkept(Parser &parser) const
+bool HttpConnection::parseSome(Parser &parser, std::size_t &parsedBytes, beast::error_code &error)
 {
-    if (!this->keepsBody) {
+    const std::size_t available = this->buffer.size();
+    const bool mayHaveFields = !parser.is_header_done() || parser.chunked();
+    const std::size_t offered = mayHaveFields ? std::min(available, this->parseStep) : available;
+    const std::size_t parsed = parser.put(asio::buffer(this->buffer.data().data(), offered), error);
+    this->buffer.consume(parsed);
+    parsedBytes += parsed;
+    if (parser.is_header_done() && !this->keepsBody) {
         parser.get().body().clear();
     }
+    this->parseStep = parsed > 0 ? fieldStepBytes : std::max(this->parseStep, offered + fieldStepBytes);
+    return parsed > 0 ? this->buffer.size() == 0 : offered == available;
 }
 
 asio::awaitable<beast::error_code> HttpConnection::readHead(Parser &parser, HeldMemory &held, Duration timeout)
 {
     const Time giveUpAt = currentTime() + timeout;
+    std::size_t headBytes = 0;
     while (true) {
         beast::error_code error;
-        this->buffer.consume(parser.put(this->buffer.data(), error));
-        if (parser.is_header_done()) {
-            co_return beast::error_code();
+        const bool isExhausted = this->parseSome(parser, headBytes, error);
+        // The parser's own limit holds for what is put in at a time, and it takes fields as they arrive.
+        const bool isTooLong = headBytes > this->maxHeaderBytes;
+        if (parser.is_header_done() || isTooLong) {
+            co_return isTooLong ? http::error::header_limit : beast::error_code();
         }
         if (error && error != http::error::need_more) {
             co_return error;
@@ -362,6 +389,9 @@
         if (this->refusal) {
             co_return beast::error_code();
         }
+        if (!isExhausted) {
+            continue;
+        }
         const std::size_t wanted = std::max(minReadBytes, this->buffer.capacity() - this->buffer.size());
         const std::size_t room = std::min(wanted, this->buffer.max_size() - this->buffer.size());
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
@@ -386,15 +416,36 @@
             break;
         }
         const std::size_t room = std::min(bodyReadBytes, this->buffer.max_size() - this->buffer.size());
+        if (room == 0) {
+            co_return http::error::buffer_overflow;
+        }
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(room), useResult);
         this->buffer.commit(size);
         this->noteProgress();
         if (readError) {
             co_return readError == asio::error::eof ? http::error::partial_message : readError;
         }
+        const beast::error_code error = co_await this->parseBody(parser, held, giveUpAt);
+        if (error) {
+            co_return error;
+        }
+    }
+    co_return beast::error_code();
+}
+
+asio::awaitable<beast::error_code> HttpConnection::parseBody(Parser &parser, HeldMemory &held, Time giveUpAt)
+{
+    bool isExhausted = false;
+    while (!isExhausted && !parser.is_done()) {
+        if (this->trailerMemory() > 0) {
+            co_await this->makeRoomForBody(parser, held, giveUpAt);
+            if (this->refusal) {
+                break;
+            }
+        }
         beast::error_code error;
-        this->buffer.consume(parser.put(this->buffer.data(), error));
-        this->dropUnkept(parser);
+        std::size_t parsedBytes = 0;
+        isExhausted = this->parseSome(parser, parsedBytes, error);
         if (error && error != http::error::need_more) {
             co_return error;
         }
@@ -402,6 +453,11 @@
     co_return beast::error_code();
 }
 
+std::size_t HttpConnection::trailerMemory() const
+{
+    return this->parseStep > 2 * fieldStepBytes ? this->parseStep / minFieldLength * headerFieldBytes : 0;
+}
+
 asio::awaitable<beast::error_code> HttpConnection::readRequest(Parser &parser, HeldMemory &held, Duration timeout)
 {
     this->stream.expires_after(timeout);
@@ -437,11 +493,9 @@
 {
     parser.eager(true);
     while (true) {
-        beast::error_code error;
-        this->buffer.consume(parser.put(this->buffer.data(), error));
-        this->dropUnkept(parser);
-        if (parser.is_done() || (error && error != http::error::need_more)) {
-            co_return parser.is_done() ? beast::error_code() : error;
+        const beast::error_code error = co_await this->parseBody(parser, held, giveUpAt);
+        if (error || parser.is_done() || this->refusal) {
+            co_return error;
         }
         co_await this->makeRoomForBody(parser, held, giveUpAt);
         if (this->refusal) {
@@ -451,7 +505,7 @@
         const std::size_t room = std::min(bodyReadBytes, this->buffer.max_size() - this->buffer.size());
         const std::size_t arrived = std::min(this->stream.socket().available(ignored), room);
         if (arrived == 0) {
-            co_return beast::error_code();
+            co_return room == 0 ? http::error::buffer_overflow : beast::error_code();
         }
         const auto [readError, size] = co_await this->stream.async_read_some(this->buffer.prepare(arrived), useResult);
         this->buffer.commit(size);
@@ -465,6 +519,8 @@
 asio::awaitable<bool> HttpConnection::serveRequest(HttpLimits limits)
 {
     this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
+    this->maxHeaderBytes = limits.maxHeaderBytes;
+    this->parseStep = fieldStepBytes;
     this->keepsBody = limits.keepsBodies;
     Parser parser;
     parser.body_limit(limits.maxBodyBytes);
@@ -491,6 +547,12 @@
     this->refusal.reset();
     this->givesWay = false;
     held.describe(HeldFor::Request, true);
+    co_await this->holdBytes(held, headMemory(parser.get()) + this->buffer.capacity() + parser.get().body().capacity(), currentTime() + limits.receiveTimeout);
+    if (this->refusal) {
+        HttpResponse response = std::move(*this->refusal);
+        co_await this->sendLast(std::move(response));
+        co_return false;
+    }
     if (hasAmbiguousFraming(parser.get())) {
         HttpResponse response
             = this->core->formatError(400, "ambiguous request framing: repeated or contradictory Host, Content-Length or Transfer-Encoding header fields");
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -110,8 +110,15 @@
     boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser, HeldMemory &held, Time giveUpAt);
     boost::asio::awaitable<boost::beast::error_code> readBody(Parser &parser, HeldMemory &held, Duration timeout);
 
-    //! Drops what has arrived of a body that the handler does not look at.
-    void dropUnkept(Parser &parser) const;
+    //! Parses a part of what has arrived, and adds its bytes to \p parsedBytes. Drops what it brings of a body that the handler does not look at. Returns
+    //! whether more has to arrive before more can be parsed.
+    bool parseSome(Parser &parser, std::size_t &parsedBytes, boost::beast::error_code &error);
+
+    //! Parses what has arrived of the body.
+    boost::asio::awaitable<boost::beast::error_code> parseBody(Parser &parser, HeldMemory &held, Time giveUpAt);
+
+    //! Returns the memory that trailer fields may take, all of which are parsed at once, where what waits to be parsed may be such fields.
+    std::size_t trailerMemory() const;
 
     //! Counts what the request holds, and refuses it when there is no room for it until \p giveUpAt.
     boost::asio::awaitable<void> holdRequest(const Parser &parser, HeldMemory &held, Time giveUpAt);
@@ -149,6 +156,8 @@
     std::unique_ptr<ConnectionPlace> place;
     ConnectionPhase phase = ConnectionPhase::Idle;
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
+    std::size_t maxHeaderBytes = 0;
+    std::size_t parseStep = 0; //!< Bytes that are offered to the parser where these may be header fields.
     bool keepsBody = true;
     HeldMemory *waitingForRoom = nullptr; //!< Set while it does not read, as what it would hold has no room.
     bool givesWay = false; //!< Ends for another connection.
