Tests of crowds wait until their configuration is active

Traced: the test waited for a log line with version 2, and "recorded the targets of routes" has it, up to 20 ms before "activated"; until then the limit of bodies is that of version 1, 4 KB. The cases wait for "activated" now, those of uncontrolledclientstests.cpp too, which had the same wait; crowds and bounds are unchanged.

--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -39,7 +39,7 @@
         this->setMaxDescriptors(0, descriptors);
         REQUIRE(this->startServing());
         this->configure(2, "", limits);
-        REQUIRE(this->logHas(0, "\"version\":\"2\""));
+        REQUIRE(this->logHas(0, "\"message\":\"activated\",\"version\":\"2\""));
     }
 
     bool isServed()
@@ -339,7 +339,7 @@
     Crowd late(cluster.callerAddress(0), bodiesShortOfAByte(200));
     late.runUntilStill();
     cluster.configure(2, "", R"({"HeaderBytes":16384,"BodyBytes":4096,"HeaderMs":8000,"IdleMs":15000})");
-    REQUIRE(cluster.logHas(0, "\"version\":\"2\""));
+    REQUIRE(cluster.logHas(0, "\"message\":\"activated\",\"version\":\"2\""));
     late.runUntilStill();
     CHECK(waitFor(
         [&cluster]() {
@@ -363,7 +363,7 @@
     cluster.configure(2, "", limits);
     std::vector<std::unique_ptr<Crowd>> crowds;
     for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
-        REQUIRE(cluster.logHas(gateway, "\"version\":\"2\""));
+        REQUIRE(cluster.logHas(gateway, "\"message\":\"activated\",\"version\":\"2\""));
         crowds.push_back(std::make_unique<Crowd>(cluster.callerAddress(gateway), bodiesShortOfAByte(150)));
         crowds.back()->runUntilStill();
     }
--- a/tests/gateway/uncontrolledclientstests.cpp
+++ b/tests/gateway/uncontrolledclientstests.cpp
@@ -122,7 +122,7 @@
         cluster.setMaxDescriptors(0, maxDescriptors);
         REQUIRE(cluster.startServing());
         cluster.configure(2, "", limits);
-        REQUIRE(cluster.logHas(0, "\"version\":\"2\""));
+        REQUIRE(cluster.logHas(0, "\"message\":\"activated\",\"version\":\"2\""));
         std::vector<std::unique_ptr<CallerConnection>> clients;
         for (std::size_t number = 0; number < crowd.clients; ++number) {
             clients.push_back(std::make_unique<CallerConnection>(cluster.callerAddress(0)));
@@ -161,7 +161,7 @@
     cluster.setMaxDescriptors(0, maxDescriptors);
     REQUIRE(cluster.startServing());
     cluster.configure(2, "", limits);
-    REQUIRE(cluster.logHas(0, "\"version\":\"2\""));
+    REQUIRE(cluster.logHas(0, "\"message\":\"activated\",\"version\":\"2\""));
     CallerConnection client(cluster.callerAddress(0));
     client.send(headOf(1, "Content-Length: " + std::to_string(bodyLimit)) + std::string(bodyLimit, 'x'));
     client.receive(1, GatewayCluster::logTimeoutMs);
