--- a/src/runtime/peerclient.cpp
+++ b/src/runtime/peerclient.cpp
@@ -69,7 +69,7 @@
     if (core->connectionBudget != nullptr && !place) {
         return nullptr;
     }
-    const auto opened = std::make_shared<PeerConnection>(core->context, core->auth);
+    auto opened = std::make_shared<PeerConnection>(core->context, core->auth);
     if (place) {
         takePlace(core, address, opened, std::move(place));
     }
--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -175,9 +175,11 @@
         {"chunked, in chunks of one byte", {400, heads(chunked), std::move(tinyChunks)}},
         {"behind a question whether to continue", {400, heads(largestLength + "\r\nExpect: 100-continue"), std::string(bodyLimit - 1, 'x')}},
     };
-    for (const auto &[name, plan] : plans) {
-        CAPTURE(std::string(name));
-        MESSAGE(std::string(name));
+    for (const std::pair<const char *, CrowdPlan> &form : plans) {
+        const std::string name = form.first;
+        const CrowdPlan &plan = form.second;
+        CAPTURE(name);
+        MESSAGE(name);
         LimitedCluster cluster(manyDescriptors);
         checkSurvives(cluster, {{cluster.callerAddress(0), plan}});
     }
@@ -312,9 +314,11 @@
         {"a trailer without end", {clients, heads(chunked), "0\r\n" + repeated("a: b\r\n", 100000)}},
         {"a first line without end", {clients, {}, "POST /" + std::string(bodyLimit, 'x')}},
     };
-    for (const auto &[name, plan] : plans) {
-        CAPTURE(std::string(name));
-        MESSAGE(std::string(name));
+    for (const std::pair<const char *, CrowdPlan> &form : plans) {
+        const std::string name = form.first;
+        const CrowdPlan &plan = form.second;
+        CAPTURE(name);
+        MESSAGE(name);
         LimitedCluster cluster(manyDescriptors);
         checkSurvives(cluster, {{cluster.callerAddress(0), plan}, {cluster.readyAddress(0), plan}});
     }
