--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -98,10 +98,12 @@
     {
         const UsageWatch watch(process);
         std::vector<std::unique_ptr<Crowd>> crowds;
+        crowds.reserve(plans.size());
         for (const auto &[address, plan] : plans) {
             crowds.push_back(std::make_unique<Crowd>(address, plan));
         }
         std::vector<std::thread> threads;
+        threads.reserve(crowds.size());
         for (const std::unique_ptr<Crowd> &crowd : crowds) {
             threads.emplace_back([&crowd]() {
                 crowd->runUntilStill();
