Readiness and metrics ports answer behind the head, and newcomers wait while others are being ended

What callers saw: right behind a crowd of 300 legal bodies of 4 MB at the readiness port (110 MB, 4,100 descriptors), 27 of 48 readiness questions, asked within some 20 ms of its close, found their connection closed. While such a crowd sends, the balancer would take the machine out after two such questions, and its callers with it.

Cause: a connection on which bytes arrive does not give way, and all places of the port were taken by bodies that were read to be dropped. Beside that, a newcomer that came while as many connections were being ended as may be at a time was closed at once.

Change: where no answer looks at a body, the request is answered behind its head and a connection with a body ends, so that it can give way. A newcomer that finds others being ended is asked for again, each ms for at most 100; the next ones wait in the queue of the listening socket. One whose place is taken by requests under way is told so at once, as before.

What the ports do with a question without a body is unchanged.

--- a/src/decision/connectionledger.cpp
+++ b/src/decision/connectionledger.cpp
@@ -41,7 +41,9 @@
     if (own.open >= own.limit) {
         decision.admission = Admission::Dropped;
     } else if (staying >= own.limit - leaving) {
-        if (!own.resting.empty() && own.ending < leaving / 2) {
+        if (own.ending >= leaving / 2) {
+            decision.admission = Admission::Wait;
+        } else if (!own.resting.empty()) {
             decision.ended = own.resting.front();
             this->change(*decision.ended, Standing::Ending);
         } else {
@@ -49,7 +51,7 @@
             decision.admission = own.turnedAway < leaving / 2 ? Admission::TurnedAway : Admission::Dropped;
         }
     }
-    if (decision.admission == Admission::Dropped) {
+    if (decision.admission == Admission::Dropped || decision.admission == Admission::Wait) {
         return decision;
     }
     decision.connection = this->nextConnection++;
--- a/src/decision/connectionledger.h
+++ b/src/decision/connectionledger.h
@@ -15,6 +15,7 @@
     Admitted,
     TurnedAway, //!< It may be told so, and is then to be closed.
     Dropped, //!< It is to be closed at once.
+    Wait, //!< Others are being ended. To be asked again.
 };
 
 using ConnectionId = std::uint64_t;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -106,7 +106,7 @@
 HttpLimits bodilessLimits()
 {
     HttpLimits limits = limitsOf(CallerBounds());
-    limits.keepsBodies = false;
+    limits.readsBodies = false;
     return limits;
 }
 
--- a/src/runtime/connectionbudget.cpp
+++ b/src/runtime/connectionbudget.cpp
@@ -1,7 +1,19 @@
 #include "runtime/connectionbudget.h"
 
+#include "runtime/asyncsignal.h"
+
 namespace oleandergate {
 
+namespace asio = boost::asio;
+
+namespace {
+
+//! How often, and how many times, a place is asked for while other connections are being ended.
+constexpr Duration askInterval = std::chrono::milliseconds(1);
+constexpr int maxAsks = 100;
+
+} // namespace
+
 ConnectionBudget::ConnectionBudget(const ConnectionLimits &limits, Metrics &givenMetrics)
     : ledger(limits)
     , metrics(givenMetrics)
@@ -11,6 +23,23 @@
 }
 
 std::unique_ptr<ConnectionPlace> ConnectionBudget::open(ConnectionKind kind)
+{
+    Admission admission = Admission::Admitted;
+    return this->open(kind, admission);
+}
+
+asio::awaitable<std::unique_ptr<ConnectionPlace>> ConnectionBudget::openInTime(ConnectionKind kind)
+{
+    Admission admission = Admission::Admitted;
+    std::unique_ptr<ConnectionPlace> place = this->open(kind, admission);
+    for (int asks = 1; admission == Admission::Wait && asks < maxAsks; ++asks) {
+        co_await sleepFor(askInterval);
+        place = this->open(kind, admission);
+    }
+    co_return place;
+}
+
+std::unique_ptr<ConnectionPlace> ConnectionBudget::open(ConnectionKind kind, Admission &admission)
 {
     ConnectionLedger::Decision decision;
     std::function<void()> endOther;
@@ -26,13 +55,17 @@
         this->endedCounters.at(static_cast<std::size_t>(kind))->add();
         endOther();
     }
-    if (decision.admission != Admission::Admitted) {
+    admission = decision.admission;
+    if (admission == Admission::Wait) {
+        return nullptr;
+    }
+    if (admission != Admission::Admitted) {
         this->refusedCounters.at(static_cast<std::size_t>(kind))->add();
     }
-    if (decision.admission == Admission::Dropped) {
+    if (admission == Admission::Dropped) {
         return nullptr;
     }
-    return std::make_unique<ConnectionPlace>(*this, decision.connection, decision.admission == Admission::TurnedAway);
+    return std::make_unique<ConnectionPlace>(*this, decision.connection, admission == Admission::TurnedAway);
 }
 
 std::unique_ptr<ConnectionPlace> ConnectionBudget::openAdmitted(ConnectionKind kind)
--- a/src/runtime/connectionbudget.h
+++ b/src/runtime/connectionbudget.h
@@ -4,6 +4,8 @@
 #include "decision/connectionledger.h"
 #include "runtime/metrics.h"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -22,6 +24,9 @@
     //! Returns the place of a new connection; nullptr when there is none. Another connection may be ended for it.
     std::unique_ptr<ConnectionPlace> open(ConnectionKind kind);
 
+    //! The same. Waits a little while others are being ended.
+    boost::asio::awaitable<std::unique_ptr<ConnectionPlace>> openInTime(ConnectionKind kind);
+
     //! The same, where nobody is told that there is no place.
     std::unique_ptr<ConnectionPlace> openAdmitted(ConnectionKind kind);
 
@@ -31,6 +36,9 @@
 private:
     friend class ConnectionPlace;
 
+    //! \p admission is what was decided on the new connection.
+    std::unique_ptr<ConnectionPlace> open(ConnectionKind kind, Admission &admission);
+
     std::mutex mutex;
     ConnectionLedger ledger; //!< Guarded by the mutex.
     std::unordered_map<ConnectionId, std::function<void()>> endings; //!< Guarded by the mutex.
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -363,9 +363,6 @@
     const std::size_t parsed = parser.put(asio::buffer(this->buffer.data().data(), offered), error);
     this->buffer.consume(parsed);
     parsedBytes += parsed;
-    if (parser.is_header_done() && !this->keepsBody) {
-        parser.get().body().clear();
-    }
     this->parseStep = parsed > 0 ? fieldStepBytes : std::max(this->parseStep, offered + fieldStepBytes);
     return parsed > 0 ? this->buffer.size() == 0 : offered == available;
 }
@@ -462,7 +459,7 @@
 {
     this->stream.expires_after(timeout);
     const beast::error_code headError = co_await this->readHead(parser, held, timeout);
-    if (headError || parser.is_done() || this->refusal) {
+    if (headError || parser.is_done() || this->refusal || !this->readsBody) {
         co_return headError;
     }
     // A request of which all has arrived is refused later, when it is to be handled: refusing it here would end the connection under requests that lie behind
@@ -521,7 +518,7 @@
     this->buffer.max_size(limits.maxHeaderBytes + maxUnparsedBytes);
     this->maxHeaderBytes = limits.maxHeaderBytes;
     this->parseStep = fieldStepBytes;
-    this->keepsBody = limits.keepsBodies;
+    this->readsBody = limits.readsBodies;
     Parser parser;
     parser.body_limit(limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -561,7 +558,7 @@
     }
     this->enter(ConnectionPhase::Handling);
     this->stream.expires_never();
-    const bool callerKeepsAlive = parser.get().keep_alive();
+    const bool callerKeepsAlive = parser.get().keep_alive() && parser.is_done();
     const bool callerReadsChunks = parser.get().version() >= 11;
     BeastExchange exchange(
         this->stream,
@@ -574,7 +571,7 @@
         HttpResponse response = this->core->formatError(serviceUnavailable, shutdownDetail);
         co_await exchange.respond(std::move(response));
     } else {
-        HttpRequest request = toRequest(parser.release(), this->peer);
+        HttpRequest request = toRequest(std::move(parser.get()), this->peer);
         co_await this->handle(exchange, std::move(request));
     }
     this->responseSent = exchange.hasSentResponse();
--- a/src/runtime/httpconnection.h
+++ b/src/runtime/httpconnection.h
@@ -110,8 +110,7 @@
     boost::asio::awaitable<boost::beast::error_code> readArrived(Parser &parser, HeldMemory &held, Time giveUpAt);
     boost::asio::awaitable<boost::beast::error_code> readBody(Parser &parser, HeldMemory &held, Duration timeout);
 
-    //! Parses a part of what has arrived, and adds its bytes to \p parsedBytes. Drops what it brings of a body that the handler does not look at. Returns
-    //! whether more has to arrive before more can be parsed.
+    //! Parses a part of what has arrived, and adds its bytes to \p parsedBytes. Returns whether more has to arrive before more can be parsed.
     bool parseSome(Parser &parser, std::size_t &parsedBytes, boost::beast::error_code &error);
 
     //! Parses what has arrived of the body.
@@ -158,7 +157,7 @@
     std::optional<HttpResponse> refusal{}; //!< Response to the request that is arriving, which is not read on.
     std::size_t maxHeaderBytes = 0;
     std::size_t parseStep = 0; //!< Bytes that are offered to the parser where these may be header fields.
-    bool keepsBody = true;
+    bool readsBody = true;
     HeldMemory *waitingForRoom = nullptr; //!< Set while it does not read, as what it would hold has no room.
     bool givesWay = false; //!< Ends for another connection.
     bool mustReset = false; //!< An end in order would be taken for the end of a response that has not ended.
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -31,21 +31,19 @@
     core->rejectedConnections -= 1;
 }
 
-void startConnection(const std::shared_ptr<HttpServer::Core> &core, tcp::socket socket)
+//! \p place is that of the connection; nullptr if there is none, or if the connections of the process are not bounded.
+void startConnection(const std::shared_ptr<HttpServer::Core> &core, tcp::socket socket, std::unique_ptr<ConnectionPlace> place)
 {
     const auto executor = socket.get_executor();
-    std::unique_ptr<ConnectionPlace> place;
     bool hasRoom = false;
     if (core->connectionBudget == nullptr) {
         hasRoom = core->openConnections - core->rejectedConnections < core->currentLimits().maxConnections;
         if (!hasRoom && core->rejectedConnections >= maxRejectedConnections) {
             return;
         }
+    } else if (!place) {
+        return;
     } else {
-        place = core->connectionBudget->open(core->kind);
-        if (!place) {
-            return;
-        }
         hasRoom = !place->isTurnedAway();
     }
     auto connection = std::make_shared<HttpConnection>(core, std::move(socket), std::move(place));
@@ -66,7 +64,7 @@
         tcp::socket socket(asio::make_strand(core->context));
         core->acceptor->accept(socket, error);
         if (!error) {
-            startConnection(core, std::move(socket));
+            startConnection(core, std::move(socket), core->connectionBudget == nullptr ? nullptr : core->connectionBudget->open(core->kind));
         }
     }
 }
@@ -76,11 +74,17 @@
     while (!core->stopping) {
         const auto strand = asio::make_strand(core->context);
         auto [error, socket] = co_await core->acceptor->async_accept(strand, useResult);
-        if (!error) {
-            startConnection(core, std::move(socket));
-        } else if (!core->stopping) {
-            co_await sleepFor(acceptRetryDelay);
+        if (error) {
+            if (!core->stopping) {
+                co_await sleepFor(acceptRetryDelay);
+            }
+            continue;
+        }
+        std::unique_ptr<ConnectionPlace> place;
+        if (core->connectionBudget != nullptr) {
+            place = co_await core->connectionBudget->openInTime(core->kind);
         }
+        startConnection(core, std::move(socket), std::move(place));
     }
     acceptOpened(core);
     boost::system::error_code ignored;
--- a/src/runtime/httpserver.h
+++ b/src/runtime/httpserver.h
@@ -28,7 +28,7 @@
     Duration receiveTimeout = std::chrono::seconds(10); //!< Longest time to receive a request's header; the body has the same limit of its own.
     Duration idleTimeout = std::chrono::seconds(60); //!< Longest time between two requests of a connection.
     std::size_t maxConnections = 4096; //!< Of a server without a ConnectionBudget.
-    bool keepsBodies = true; //!< Off where the handler looks at no body: bodies are read and dropped.
+    bool readsBodies = true; //!< Off where the handler looks at no body: a request is answered behind its head, and one with a body ends its connection.
 };
 
 //! Handles one request. If it throws, the caller gets a response with status 500.
--- a/src/runtime/peerserver.cpp
+++ b/src/runtime/peerserver.cpp
@@ -157,9 +157,12 @@
             co_await sleepFor(acceptRetryDelay);
             continue;
         }
-        std::unique_ptr<ConnectionPlace> place = core->connectionBudget == nullptr ? nullptr : core->connectionBudget->openAdmitted(ConnectionKind::Peer);
-        if (core->connectionBudget != nullptr && !place) {
-            continue;
+        std::unique_ptr<ConnectionPlace> place;
+        if (core->connectionBudget != nullptr) {
+            place = co_await core->connectionBudget->openInTime(ConnectionKind::Peer);
+            if (!place || place->isTurnedAway()) {
+                continue;
+            }
         }
         const auto peer = std::make_shared<AcceptedPeer>(std::move(socket), std::move(place));
         if (peer->place) {
