Crowds by form share one loop in their tests; a comment that knew two outcomes of four

Two cases repeated the same lines over their forms. ConnectionLedger::Decision has a connection only where one is opened, which its comment says now.

--- a/src/decision/connectionledger.h
+++ b/src/decision/connectionledger.h
@@ -30,7 +30,7 @@
     struct Decision
     {
         Admission admission = Admission::Admitted;
-        ConnectionId connection = 0; //!< Of the new connection, unless it is dropped.
+        ConnectionId connection = 0; //!< Of the new connection, if it is opened.
         std::optional<ConnectionId> ended{}; //!< Another connection that has to end now.
     };
 
--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -140,7 +140,27 @@
     }
 }
 
-void checkBodiesAt(const std::string &(GatewayCluster::*address)(std::size_t) const)
+using AddressMember = const std::string &(GatewayCluster::*)(std::size_t) const;
+using CrowdForm = std::pair<const char *, CrowdPlan>;
+
+//! Runs each form of a crowd at a gateway of its own, at all \p addresses at once.
+void checkEachForm(const std::vector<CrowdForm> &forms, const std::vector<AddressMember> &addresses)
+{
+    for (const CrowdForm &form : forms) {
+        const std::string name = form.first;
+        CAPTURE(name);
+        MESSAGE(name);
+        LimitedCluster cluster(manyDescriptors);
+        std::vector<std::pair<std::string, CrowdPlan>> plans;
+        plans.reserve(addresses.size());
+        for (const AddressMember address : addresses) {
+            plans.emplace_back((cluster.*address)(0), form.second);
+        }
+        checkSurvives(cluster, plans);
+    }
+}
+
+void checkBodiesAt(AddressMember address)
 {
     for (const auto &plan : {&bodiesShortOfAByte, &chunkedBodiesWithoutEnd}) {
         LimitedCluster cluster(fewDescriptors);
@@ -148,7 +168,7 @@
     }
 }
 
-void checkUnfinishedFirstLinesAt(const std::string &(GatewayCluster::*address)(std::size_t) const)
+void checkUnfinishedFirstLinesAt(AddressMember address)
 {
     LimitedCluster cluster(fewDescriptors);
     checkSurvives(cluster, {{(cluster.*address)(0), unfinishedFirstLines(400)}});
@@ -169,7 +189,7 @@
 TEST_CASE("Crowds: unread bytes at the callers' port: what is not read counts, too")
 {
     std::string tinyChunks = repeated(bodyChunk("x"), 40000);
-    const std::vector<std::pair<const char *, CrowdPlan>> plans{
+    const std::vector<CrowdForm> plans{
         {"announced far over the limit", {400, heads("Content-Length: 1073741824"), std::string(bodyLimit, 'x')}},
         {"sent over the limit", {400, heads(chunked), repeated(bodyChunk(std::string(16 * bytesPerKilobyte, 'x')), 48)}},
         {"whole but for a byte", bodiesShortOfAByte(400)},
@@ -177,14 +197,7 @@
         {"chunked, in chunks of one byte", {400, heads(chunked), std::move(tinyChunks)}},
         {"behind a question whether to continue", {400, heads(largestLength + "\r\nExpect: 100-continue"), std::string(bodyLimit - 1, 'x')}},
     };
-    for (const std::pair<const char *, CrowdPlan> &form : plans) {
-        const std::string name = form.first;
-        const CrowdPlan &plan = form.second;
-        CAPTURE(name);
-        MESSAGE(name);
-        LimitedCluster cluster(manyDescriptors);
-        checkSurvives(cluster, {{cluster.callerAddress(0), plan}});
-    }
+    checkEachForm(plans, {&GatewayCluster::callerAddress});
 }
 
 TEST_CASE("Crowds: kept connections: large heads and bodies are answered, and the connections stay")
@@ -307,7 +320,7 @@
 {
     const std::size_t clients = 200;
     const std::string start = "POST /orders/1 HTTP/1.1\r\nHost: h.example\r\n";
-    const std::vector<std::pair<const char *, CrowdPlan>> plans{
+    const std::vector<CrowdForm> plans{
         {"a chunk size of 17 digits", {clients, heads(chunked), "fffffffffffffffff\r\n" + std::string(bodyLimit, 'x')}},
         {"a chunk size line without end", {clients, heads(chunked), "1;" + std::string(bodyLimit, 'x')}},
         {"many small fields", {clients, {}, start + repeated("a:\r\n", 10000)}},
@@ -316,14 +329,7 @@
         {"a trailer without end", {clients, heads(chunked), "0\r\n" + repeated("a: b\r\n", 100000)}},
         {"a first line without end", {clients, {}, "POST /" + std::string(bodyLimit, 'x')}},
     };
-    for (const std::pair<const char *, CrowdPlan> &form : plans) {
-        const std::string name = form.first;
-        const CrowdPlan &plan = form.second;
-        CAPTURE(name);
-        MESSAGE(name);
-        LimitedCluster cluster(manyDescriptors);
-        checkSurvives(cluster, {{cluster.callerAddress(0), plan}, {cluster.readyAddress(0), plan}});
-    }
+    checkEachForm(plans, {&GatewayCluster::callerAddress, &GatewayCluster::readyAddress});
 }
 
 TEST_CASE("Crowds: configuration: a crowd is there before the first one, and beside one that lowers the limit of bodies")
