Crashes of a request: a crash that a peer reports back is no later crash

The log of the first instance counts "crashes":"1" for the first endpoint and "1" again for the second, 3 ms later.

Cause: a report states how old a crash is when it is sent, so a crash appears later at the peer by the time the report travelled. The peer reports it back, and the instance that had seen the crash took the later of both times. A run that had begun right behind the crash then seemed to have begun before it, as a copy that ran at the same time does, and its own crash was not counted: a request that ends endpoints got one endpoint more. Each further exchange moved the time again, and with it the end of the refusal.

A reported crash counts as the known one unless the peer knows of more crashes, or it appears more than a second later.

Evidence: the new unit test has the sequence without a network; before the change it had 1 for 2 and 1 for 3 crashes, as the log.

--- a/src/decision/crashhistory.cpp
+++ b/src/decision/crashhistory.cpp
@@ -34,6 +34,10 @@
 //! A changed record is part of so many reports before it waits for its turn: reports may be lost, and each goes to some of the peers only.
 constexpr std::uint32_t reportsOfNews = 4;
 
+//! A report makes a crash appear later by the time it travels, also one that comes back to the instance that saw the crash. A crash that appears
+//! later by no more than this is the known one.
+constexpr Duration maxTravelTime = std::chrono::seconds(1);
+
 //! Records without news in one report, for instances that started later. Suspects with one crash are left out: each ordinary crash makes some.
 constexpr std::size_t recordsInRotation = 4;
 
@@ -181,8 +185,11 @@
     const CrashRecord before = entry.record;
     CrashRecord &merged = entry.record;
     merged.lastCompletion = std::max(this->latestCompletion(record.request), record.lastCompletion);
-    merged.crashes = std::max(crashesAfter(before, merged.lastCompletion), crashesAfter(record, merged.lastCompletion));
-    merged.lastCrash = std::max(before.lastCrash, record.lastCrash);
+    const std::uint32_t crashesBefore = crashesAfter(before, merged.lastCompletion);
+    const std::uint32_t reportedCrashes = crashesAfter(record, merged.lastCompletion);
+    merged.crashes = std::max(crashesBefore, reportedCrashes);
+    const bool isLater = reportedCrashes > crashesBefore || record.lastCrash > before.lastCrash + maxTravelTime;
+    merged.lastCrash = isLater ? std::max(before.lastCrash, record.lastCrash) : before.lastCrash;
     // The peer learns in turn what it does not know yet.
     if (merged.crashes != before.crashes || merged.crashes != record.crashes) {
         entry.newsLeft = reportsOfNews;
--- a/tests/unit/crashhistorytests.cpp
+++ b/tests/unit/crashhistorytests.cpp
@@ -291,6 +291,40 @@
     CHECK(history.admit(deadly, now).retryAfter > Duration::zero());
 }
 
+// Guards against a crash that is not counted: the instance that saw the one before got it back from a peer, with the time that reports take, and
+// took it for a later one than the start of the next run.
+TEST_CASE("A crash that a peer reports back is not taken for a later one")
+{
+    constexpr Duration travelTime = std::chrono::milliseconds(2);
+    CrashHistory history(1);
+    CrashHistory peer(2);
+    Time now = start;
+    // The age of a crash is stated when a report is sent, so each report makes it appear later by the time it travels.
+    const auto report = [&](CrashHistory &sender, CrashHistory &receiver) {
+        for (CrashRecord record : sender.nextReport(recordsPerReport)) {
+            record.lastCrash += travelTime;
+            receiver.merge(record, now);
+        }
+    };
+    for (std::uint32_t crash = 1; crash <= 3; ++crash) {
+        const Time startedAt = now;
+        history.onStarted(deadly, crash);
+        now += 2 * travelTime;
+        report(peer, history);
+        now += travelTime;
+        CHECK(history.onCrashed(deadly, crash, startedAt, now) == crash);
+        report(history, peer);
+    }
+    CHECK(history.admit(deadly, now).verdict == RunVerdict::Refused);
+    CHECK(peer.admit(deadly, now + travelTime).verdict == RunVerdict::Refused);
+    const Duration refusedFor = history.admit(deadly, now).retryAfter;
+    for (int exchange = 0; exchange < 20; ++exchange) {
+        report(history, peer);
+        report(peer, history);
+    }
+    CHECK(history.admit(deadly, now).retryAfter == refusedFor);
+}
+
 // Guards against copies that wait at all instances and begin at the same moment: five of them ended three endpoints at once.
 TEST_CASE("Copies of a suspect that wait at several instances do not begin together")
 {
