--- a/tests/gateway/crowdtests.cpp
+++ b/tests/gateway/crowdtests.cpp
@@ -316,6 +316,23 @@
     });
 }
 
+TEST_CASE("Crowds: connections to endpoints: an ordinary request is answered while others take all of them")
+{
+    LimitedCluster cluster(fewDescriptors, 16);
+    const auto requests = [](std::size_t client) {
+        return repeated(headOf(client, "Content-Length: 4", "/orders/1?work_ms=1500") + "body", 60);
+    };
+    checkSurvives(cluster, {{cluster.callerAddress(0), {120, requests}}}, [&cluster]() {
+        // Long enough for several rounds of requests that find no connection to an endpoint in time.
+        std::this_thread::sleep_for(std::chrono::seconds(10));
+        CHECK(waitFor(
+            [&cluster]() {
+                return cluster.isServed();
+            },
+            GatewayCluster::logTimeoutMs));
+    });
+}
+
 TEST_CASE("Crowds: malformed requests: lines, sizes and fields without end")
 {
     const std::size_t clients = 200;
