Endpoints are not avoided because the instance has no connection left

What callers saw, beside callers that take all connections of a gateway to endpoints: 429 and 504 for all requests, ordinary ones too, though the endpoints answered in time; in the log nothing was sent for 4 s, then for 8 s.

Cause: a call that finds no connection in the process within its time to connect fails as not sent.

A failure for lack of a connection says now that it is the instance's own and does not count against the endpoint. The limit of one endpoint's connections counts as before.

--- a/src/gateway/endpointsend.cpp
+++ b/src/gateway/endpointsend.cpp
@@ -448,6 +448,7 @@
     SendResult result;
     result.report.endpoint = endpoint.id;
     result.report.endpointGone = failure.connectionRefused;
+    result.noConnectionLeft = failure.noConnectionLeft;
     result.connectionLost = failure.connectionLost;
     result.detail = this->rejection.empty() ? failure.error.detail : this->rejection;
     const std::optional<CancelReason> cancelled = this->cancellation->reason();
--- a/src/gateway/endpointsend.h
+++ b/src/gateway/endpointsend.h
@@ -56,6 +56,7 @@
     StreamRun run{};
     bool refusedAsMisdirected = false; //!< Another endpoint has the address, or this one other weights than the request expects.
     bool endedForMemory = false; //!< An answer of a stated length found no room in this instance; says nothing about the endpoint.
+    bool noConnectionLeft = false; //!< This instance had no connection left for the send; says nothing about the endpoint.
     bool connectionLost = false; //!< The way to the endpoint was cut off; says nothing about the endpoint.
     std::string detail{};
     Listening listening = Listening::Unknown; //!< Whether the endpoint still accepts connections after a send that broke or may have.
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -650,7 +650,7 @@
     // An end that is not believed is a broken stream like others: the next ones go elsewhere for a while, which also shows how other endpoints end theirs.
     const bool isBelieved = outcome == SendOutcome::Unconfirmed && next != NextStep::FailUnknown;
     const bool healthy = outcome == SendOutcome::Answered || isBelieved || outcome == SendOutcome::Refused || outcome == SendOutcome::CallerLeft
-        || outcome == SendOutcome::CutOff || result.connectionLost || result.endedForMemory;
+        || outcome == SendOutcome::CutOff || result.noConnectionLeft || result.connectionLost || result.endedForMemory;
     context.pool->finish(attempt.call, healthy, currentTime());
     if (result.report.outcome != SendOutcome::Answered) {
         this->parts.metrics.count("oleandergate_sends_failed_total", "end=\"" + std::string(nameIn(sendOutcomeNames, result.report.outcome)) + "\"");
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -684,7 +684,9 @@
     const std::shared_ptr<Core> shared = this->core;
     ConnectionPointer connection = co_await shared->acquireInTime(call);
     if (!connection) {
-        co_return failure(ErrorCode::Overloaded, step, call, true, "too many open connections");
+        HttpFailure none = failure(ErrorCode::Overloaded, step, call, true, "too many open connections");
+        none.noConnectionLeft = !shared->isAtLimit(call.address);
+        co_return none;
     }
     const bool reused = connection->isEstablished();
     std::optional<HttpOutcome> first = co_await asio::co_spawn(connection->executor, exchangeCancellable(shared, connection, call, step), asio::use_awaitable);
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -69,6 +69,7 @@
     bool provablyNotSent = false; //!< No byte of the request was written to a socket.
     bool responseStarted = false; //!< The head of the response has arrived.
     bool connectionRefused = false; //!< No process listens at the address.
+    bool noConnectionLeft = false; //!< The process had no connection left for the call in time.
     bool connectionLost = false; //!< The connection was given up because its way to the address is taken to be cut off.
     HttpResponse partial{}; //!< The part of the response that has arrived.
 };
