Calls that wait for a connection have it in order of arrival

What callers saw, beside the same crowd: an ordinary request got 503 "too many open connections" each time, 10 times in 20 s.

Cause: calls asked for a connection every 20 ms, each for itself. A connection that became free went to the next call that happened to ask, mostly the next request of the caller whose answer had just come, so that those who waited longest had none.

Calls that wait stand in order; only the first one asks, and the next one is woken when it has a connection or gives up. A call that comes while others wait goes behind them. Without calls that wait nothing changes.

--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -175,6 +175,42 @@
     std::mutex mutex{};
     std::map<std::string, std::shared_ptr<std::atomic<std::size_t>>> openCounts{}; //!< Guarded by the mutex.
     std::list<CallUnderWay> callsUnderWay{}; //!< Guarded by the mutex.
+    std::list<std::shared_ptr<AsyncSignal>> waitingCalls{}; //!< For a connection, the oldest first. Guarded by the mutex.
+
+    //! The turn of a call that waits for a connection. The next one has it when this one ends.
+    class WaitingCall
+    {
+    public:
+        explicit WaitingCall(Core &core)
+            : woken(std::make_shared<AsyncSignal>())
+            , core(core)
+        {
+            const std::lock_guard lock(this->core.mutex);
+            this->position = this->core.waitingCalls.insert(this->core.waitingCalls.end(), this->woken);
+        }
+        ~WaitingCall()
+        {
+            const std::lock_guard lock(this->core.mutex);
+            this->core.waitingCalls.erase(this->position);
+            if (!this->core.waitingCalls.empty()) {
+                this->core.waitingCalls.front()->notify();
+            }
+        }
+        WaitingCall(const WaitingCall &) = delete;
+        WaitingCall &operator=(const WaitingCall &) = delete;
+
+        bool isFirst() const
+        {
+            const std::lock_guard lock(this->core.mutex);
+            return this->core.waitingCalls.front() == this->woken;
+        }
+
+        const std::shared_ptr<AsyncSignal> woken;
+
+    private:
+        Core &core;
+        std::list<std::shared_ptr<AsyncSignal>>::iterator position{};
+    };
 
     //! Returns an idle connection or a new one; nullptr when too many connections to the address are open.
     ConnectionPointer acquire(const HttpCall &call)
@@ -212,19 +248,29 @@
         }
     }
 
-    //! Returns an idle connection or a new one. Waits for one while the process has too many. Returns nullptr when too many connections to the address are
-    //! open, or when there is none before the call's time to connect is over.
+    //! Returns an idle connection or a new one. Waits for one, behind the calls that wait already, while the process has too many. Returns nullptr when too
+    //! many connections to the address are open, or when there is none before the call's time to connect is over.
     asio::awaitable<ConnectionPointer> acquireInTime(const HttpCall &call)
     {
         const Time giveUpAt = std::min(call.deadline.value_or(Time::max()), currentTime() + call.connectTimeout);
-        ConnectionPointer connection = this->acquire(call);
+        ConnectionPointer connection = this->hasWaitingCalls() ? nullptr : this->acquire(call);
+        if (connection || this->isAtLimit(call.address)) {
+            co_return connection;
+        }
+        const WaitingCall waiting(*this);
         while (!connection && !this->isAtLimit(call.address) && currentTime() < giveUpAt && !(call.cancellation && call.cancellation->isCancelled())) {
-            co_await sleepFor(placeInterval);
-            connection = this->acquire(call);
+            co_await waiting.woken->wait(placeInterval);
+            connection = waiting.isFirst() ? this->acquire(call) : nullptr;
         }
         co_return connection;
     }
 
+    bool hasWaitingCalls()
+    {
+        const std::lock_guard lock(this->mutex);
+        return !this->waitingCalls.empty();
+    }
+
     //! Returns whether no further connection to \p address may be opened.
     bool isAtLimit(const std::string &address)
     {
