A connection with further requests gives way behind its present one

What callers saw, beside the same crowd: 503 "too many open connections" from the callers' port for 20 s, some 960 tries in a row.

Cause: a connection gives its place to a new one only while it rests between requests. One on which the next request has always arrived never rests, so 62 clients with many requests each kept all places until they were through.

For each new connection that finds no place one of those that would go on to a request that has already arrived ends behind its present answer, which says `Connection: close`; the place is free when the new one comes again. Connections without a further request are not concerned, as they rest.

The new case of the ledger cannot be built before.

--- a/src/decision/connectionledger.cpp
+++ b/src/decision/connectionledger.cpp
@@ -51,6 +51,9 @@
             decision.admission = own.turnedAway < leaving / 2 ? Admission::TurnedAway : Admission::Dropped;
         }
     }
+    if (decision.admission == Admission::Dropped || decision.admission == Admission::TurnedAway) {
+        own.missed = std::min(own.missed + 1, leaving);
+    }
     if (decision.admission == Admission::Dropped || decision.admission == Admission::Wait) {
         return decision;
     }
@@ -78,6 +81,16 @@
     this->change(connection, Standing::Occupied);
 }
 
+bool ConnectionLedger::yieldsAfterRequest(ConnectionId connection)
+{
+    Kind &kind = this->kindOf(this->connections.at(connection));
+    if (kind.missed == 0) {
+        return false;
+    }
+    kind.missed -= 1;
+    return true;
+}
+
 void ConnectionLedger::change(ConnectionId id, Standing standing)
 {
     Connection &changed = this->connections.at(id);
--- a/src/decision/connectionledger.h
+++ b/src/decision/connectionledger.h
@@ -46,6 +46,10 @@
     //! Notes that \p connection must not be ended. One that was to end goes on.
     void occupy(ConnectionId connection);
 
+    //! Returns whether \p connection has to end behind the request that is being served on it although the next one has arrived. For each new connection
+    //! that found no place one other does, so that there is a place when it comes again.
+    bool yieldsAfterRequest(ConnectionId connection);
+
     //! Returns the number of open connections, those included that are turned away or have to end.
     std::size_t openCount(ConnectionKind kind) const;
     std::size_t limit(ConnectionKind kind) const;
@@ -71,6 +75,7 @@
         std::size_t open = 0;
         std::size_t turnedAway = 0;
         std::size_t ending = 0;
+        std::size_t missed = 0; //!< New connections without a place, for which no other connection has yielded.
         std::list<ConnectionId> resting{}; //!< The longest resting one is first.
     };
 
--- a/src/runtime/connectionbudget.cpp
+++ b/src/runtime/connectionbudget.cpp
@@ -121,4 +121,10 @@
     this->budget.ledger.occupy(this->id);
 }
 
+bool ConnectionPlace::yieldsAfterRequest()
+{
+    const std::lock_guard lock(this->budget.mutex);
+    return this->budget.ledger.yieldsAfterRequest(this->id);
+}
+
 } // namespace oleandergate
--- a/src/runtime/connectionbudget.h
+++ b/src/runtime/connectionbudget.h
@@ -69,6 +69,9 @@
     //! Notes that the connection must not be ended, as a request is being served on it.
     void occupy();
 
+    //! Returns whether the connection has to end behind the request that is being served on it, for one that found no place.
+    bool yieldsAfterRequest();
+
 private:
     ConnectionBudget &budget;
     ConnectionId id;
--- a/src/runtime/httpconnection.cpp
+++ b/src/runtime/httpconnection.cpp
@@ -207,8 +207,11 @@
 
 bool HttpConnection::mayKeepAlive()
 {
-    // A request that has already arrived behind this one is answered too.
-    return (!this->core->keepAliveDisabled && !this->core->stopping && !this->core->refusing) || this->hasInput();
+    if (!this->hasInput()) {
+        return !this->core->keepAliveDisabled && !this->core->stopping && !this->core->refusing;
+    }
+    // A request that has already arrived behind this one is answered too, unless it would keep the place from others.
+    return !this->place || !this->place->yieldsAfterRequest();
 }
 
 void HttpConnection::closeIfIdle()
--- a/tests/unit/connectionledgertests.cpp
+++ b/tests/unit/connectionledgertests.cpp
@@ -112,6 +112,25 @@
     CHECK(full.ledger.openCount(ConnectionKind::Caller) == places);
 }
 
+// Load: callers that send many requests at once, and whose connections never rest.
+TEST_CASE("Connections: for each new one without a place one yields behind its request")
+{
+    FullLedger full;
+    for (const ConnectionId connection : full.connections) {
+        full.ledger.occupy(connection);
+    }
+    CHECK_FALSE(full.ledger.yieldsAfterRequest(full.connections[0]));
+    const ConnectionId turnedAway = full.ledger.open(ConnectionKind::Caller).connection;
+    CHECK(full.ledger.yieldsAfterRequest(full.connections[0]));
+    CHECK_FALSE(full.ledger.yieldsAfterRequest(full.connections[1]));
+    full.ledger.close(turnedAway);
+    full.ledger.close(full.connections[0]);
+    const ConnectionLedger::Decision again = full.ledger.open(ConnectionKind::Caller);
+    CHECK(again.admission == Admission::Admitted);
+    CHECK_FALSE(again.ended);
+    CHECK_FALSE(full.ledger.yieldsAfterRequest(full.connections[1]));
+}
+
 // Load: any order of openings, requests and closes, with connections that end late or go on.
 TEST_CASE("Connections: no kind exceeds its limit, and no connection with a request is ended")
 {
