Small machines carry as many connections of their peers to endpoints as before

Cause: since a process divides its memory among its connections, one of 88 MB had 384 places for connections from peers, and half of them, 192, for tunnels to endpoints; it had 256 before.

Connections from peers have 6 parts of the memory and 5 of the descriptors now, 4 before of each; callers have 17 parts of the memory for 18 (581 at 110 MB for 615). The sum is the whole of both.

The new unit test had 384 for 512 before.

--- a/src/decision/processlimits.cpp
+++ b/src/decision/processlimits.cpp
@@ -45,9 +45,9 @@
 
 //! A caller's connection stands for that to an endpoint, too, which is open while the caller's request is under way.
 constexpr std::array<ConnectionShare, connectionKindNames.size()> shares{{
-    {ConnectionKind::Caller, 14, 18, 2 * (connectionBytes + unreadBytes)},
+    {ConnectionKind::Caller, 14, 17, 2 * (connectionBytes + unreadBytes)},
     {ConnectionKind::Operator, 1, 1, connectionBytes + unreadBytes},
-    {ConnectionKind::Peer, 4, 4, 2 * connectionBytes},
+    {ConnectionKind::Peer, 5, 6, 2 * connectionBytes},
     {ConnectionKind::Endpoint, 8, 0, 0},
     {ConnectionKind::Control, 4, 0, 0},
 }};
--- a/tests/unit/processlimitstests.cpp
+++ b/tests/unit/processlimitstests.cpp
@@ -41,6 +41,16 @@
     }
 }
 
+// Load: nine in ten instances are cut off from all endpoints and reach them through the few others, which have small machines as well.
+TEST_CASE("Limits of a process: a small machine carries connections of 256 requests of its peers to endpoints")
+{
+    constexpr std::size_t tunnels = 256;
+    const ProcessLimits small = processLimitsFor(88 * megabyte, 4100);
+    // Others than tunnels need connections from peers, too.
+    CHECK(small.connections.of(ConnectionKind::Peer) >= 2 * tunnels);
+    CHECK(small.connections.of(ConnectionKind::Endpoint) >= 2 * tunnels);
+}
+
 TEST_CASE("Limits of a process: fewer connections for less memory, none of the kinds without any")
 {
     const ProcessLimits large = processLimitsFor(110 * megabyte, 4100);
