A kind that is full of resting connections lets a new one in

Cause: a connection that was to end for a new one goes on if bytes have arrived on it meanwhile, and the new one is there all the same. When clients connect faster than their first bytes are read, that repeats until all places are taken, also those for connections on their way out. A new one was then dropped before anyone looked whether a connection rests, and nothing ended any more.

A full kind ends the connection that has rested for longest, too; the new one waits for that as others do (Admission::Wait), and is dropped only where none rests or ends.

--- a/src/decision/connectionledger.cpp
+++ b/src/decision/connectionledger.cpp
@@ -38,17 +38,19 @@
     const std::size_t leaving = leavingLimit(own.limit);
     const std::size_t staying = own.open - own.turnedAway - own.ending;
     Decision decision;
-    if (own.open >= own.limit) {
-        decision.admission = Admission::Dropped;
-    } else if (staying >= own.limit - leaving) {
+    const bool isFull = own.open >= own.limit;
+    if (staying >= own.limit - leaving) {
         if (own.ending >= leaving / 2) {
             decision.admission = Admission::Wait;
         } else if (!own.resting.empty()) {
             decision.ended = own.resting.front();
             this->change(*decision.ended, Standing::Ending);
+            decision.admission = isFull ? Admission::Wait : Admission::Admitted;
+        } else if (isFull || own.turnedAway >= leaving / 2) {
+            decision.admission = Admission::Dropped;
         } else {
             opened.standing = Standing::TurnedAway;
-            decision.admission = own.turnedAway < leaving / 2 ? Admission::TurnedAway : Admission::Dropped;
+            decision.admission = Admission::TurnedAway;
         }
     }
     if (decision.admission == Admission::Dropped || decision.admission == Admission::TurnedAway) {
--- a/tests/unit/connectionledgertests.cpp
+++ b/tests/unit/connectionledgertests.cpp
@@ -77,6 +77,23 @@
     CHECK(full.ledger.open(ConnectionKind::Caller).ended == full.connections[1]);
 }
 
+// Load: a crowd that opens connections faster than what it sends on them is read, so that those which were to end go on.
+TEST_CASE("Connections: a kind that is full of resting ones lets a new one in when one of them has ended")
+{
+    FullLedger full;
+    for (std::size_t number = places; number < limit; ++number) {
+        const ConnectionLedger::Decision decision = full.ledger.open(ConnectionKind::Caller);
+        REQUIRE(decision.admission == Admission::Admitted);
+        full.ledger.rest(decision.ended.value());
+    }
+    REQUIRE(full.ledger.openCount(ConnectionKind::Caller) == limit);
+    const ConnectionLedger::Decision decision = full.ledger.open(ConnectionKind::Caller);
+    CHECK(decision.admission == Admission::Wait);
+    REQUIRE(decision.ended);
+    full.ledger.close(*decision.ended);
+    CHECK(full.ledger.open(ConnectionKind::Caller).admission == Admission::Admitted);
+}
+
 TEST_CASE("Connections: few are ended for others at a time")
 {
     FullLedger full;
