Log and count what told the version of a stream that goes on, and how old it was

Change: both ages and whether the instance counted itself out of step are logged with each stream that goes on; oleandergate_found_versions_total counts them by source. The sources are an enumeration with a table of names. No change of what is decided.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -72,11 +72,6 @@
 //! How often an instance that hears nothing of its peers reads the assignments again.
 constexpr Duration outOfStepInterval = std::chrono::milliseconds(1000);
 
-constexpr const char *memorySource = "memory";
-constexpr const char *recordSource = "record";
-constexpr const char *requestRecordSource = "record-of-request";
-constexpr const char *assignmentSource = "assignment";
-
 std::string joined(const std::set<std::string> &versions)
 {
     return boost::algorithm::join(versions, ",");
@@ -112,6 +107,7 @@
     , recordsStored(parts.metrics.counter("oleandergate_stream_records_total", "result=\"stored\""))
     , recordsFailed(parts.metrics.counter("oleandergate_stream_records_total", "result=\"failed\""))
     , unknownVersions(parts.metrics.counter("oleandergate_unknown_versions_total"))
+    , foundVersions(parts.metrics.counters("oleandergate_found_versions_total", "source", versionSourceNames))
     , random(hashOf(this->self))
     , retention(minRetention)
 {
@@ -730,8 +726,10 @@
     }
 }
 
-Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source)
+Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source)
 {
+    const Time now = currentTime();
+    this->foundVersions.at(static_cast<std::size_t>(source))->add();
     logRecord(LogLevel::Info,
               "versions",
               "a stream goes on at its software version",
@@ -741,7 +739,10 @@
                {"service", stream.service},
                {"bucket", std::to_string(stream.bucket)},
                {"version", version},
-               {"source", source}});
+               {"source", std::string(nameIn(versionSourceNames, source))},
+               {"assignments_age_ms", milliseconds(now - this->follower.loadedAt())},
+               {"peers_age_ms", milliseconds(now - this->parts.gossip.lastReportAt())},
+               {"out_of_step", this->isOutOfStep(now) ? "true" : "false"}});
     return version;
 }
 
@@ -749,7 +750,7 @@
 {
     const std::optional<std::string> known = this->knownVersion(stream);
     if (known) {
-        co_return this->onFound(stream, request, *known, memorySource);
+        co_return this->onFound(stream, request, *known, VersionSource::Memory);
     }
     co_await this->awaitAssignments();
     const Time now = currentTime();
@@ -774,7 +775,7 @@
             co_return this->refuse(stream, request, "the assignment in force could not be read");
         }
     } else {
-        co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), assignmentSource);
+        co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), VersionSource::Assignment);
     }
     co_return co_await this->findByRecords(std::move(stream), std::move(request));
 }
@@ -798,7 +799,7 @@
     // The attempt that the caller names may not be the one that began the stream. That matters only where the streams of its bucket differ.
     const bool isByAttempt = stream.isAttemptKnown && !(recorded.state == RecordState::Absent && candidates == 1 && mayBeDiverted);
     if (isByAttempt && version) {
-        co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? recordSource : assignmentSource);
+        co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? VersionSource::Record : VersionSource::Assignment);
     }
     if (isByAttempt) {
         const bool isUnknown = recorded.state == RecordState::Unknown;
@@ -811,7 +812,7 @@
                             : this->table.resolve(stream.service, stream.bucket, StreamRecord{});
     }
     if (version) {
-        co_return this->onFound(stream, request, *version, ofRequest && !ofRequest->empty() ? requestRecordSource : assignmentSource);
+        co_return this->onFound(stream, request, *version, ofRequest && !ofRequest->empty() ? VersionSource::RequestRecord : VersionSource::Assignment);
     }
     co_return this->refuse(stream, request, ofRequest ? "several versions may have begun the stream" : "the records of the request could not be read");
 }
@@ -839,6 +840,7 @@
                {"diverted", diverted ? "true" : "false"},
                {"listed", joined(listed)},
                {"assignments_age_ms", milliseconds(currentTime() - this->follower.loadedAt())},
+               {"peers_age_ms", milliseconds(currentTime() - this->parts.gossip.lastReportAt())},
                {"out_of_step", this->isOutOfStep(currentTime()) ? "true" : "false"},
                {"reason", reason}});
     return Error{ErrorCode::VersionUnknown,
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -4,6 +4,7 @@
 #include "decision/ids.h"
 #include "decision/streamrecord.h"
 #include "decision/streamretention.h"
+#include "decision/versionsource.h"
 #include "decision/versiontable.h"
 #include "gateway/prefixfollower.h"
 #include "gateway/versionrecords.h"
@@ -216,7 +217,7 @@
 
     //! Logs that the version of a stream cannot be told, and returns the error for its caller.
     Error refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason);
-    Result<std::string> onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, const char *source);
+    Result<std::string> onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source);
 
     boost::asio::awaitable<void> proposeLoop();
     boost::asio::awaitable<void> proposeFor(std::string service, Time now);
@@ -231,6 +232,7 @@
     Counter &recordsStored;
     Counter &recordsFailed;
     Counter &unknownVersions;
+    std::array<Counter *, versionSourceNames.size()> foundVersions;
     std::mt19937_64 random;
     // Used on the context's thread only, up to the mutex.
     std::map<std::string, Time> dueSince; //!< By service: since when a change of its assignment is due.
