--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -77,6 +77,7 @@
     this->maxDescriptors.assign(gatewayCount, 0);
     this->hedgeShares.assign(gatewayCount, 0.0);
     for (std::size_t index = 0; index < gatewayCount; ++index) {
+        this->peerLinks.emplace_back(this->file(index, ".links"));
         this->writeSettings(index);
         this->startGateway(index);
     }
@@ -115,7 +116,8 @@
     const char *bin = std::getenv("OLEANDER_BIN");
     const std::string program = (bin == nullptr ? std::string("build/release/bin") : std::string(bin)) + "/oleander-front";
     this->gateways[index] = ChildProcess({program, "--settings=" + this->file(index, ".toml"), "--hedge-share=" + std::to_string(this->hedgeShares[index])},
-                                         this->file(index, ".log"));
+                                         this->file(index, ".log"),
+                                         this->peerLinks[index].environment());
 }
 
 bool GatewayCluster::isReady(std::size_t index) const
@@ -256,6 +258,21 @@
     this->store.setWatchesSilentAt(this->addresses[gateway].store, watchesSilent);
 }
 
+void GatewayCluster::cutPeers(const std::set<std::size_t> &cutGateways, PeerCut cut)
+{
+    for (std::size_t from = 0; from < this->peerLinks.size(); ++from) {
+        const bool isCutOne = cutGateways.contains(from);
+        const bool loses = cut == PeerCut::Both || (cut == PeerCut::Outgoing && isCutOne) || (cut == PeerCut::Incoming && !isCutOne);
+        std::set<std::string> unreached;
+        for (std::size_t to = 0; to < this->addresses.size(); ++to) {
+            if (loses && cutGateways.contains(to) != isCutOne) {
+                unreached.insert(this->addresses[to].peer);
+            }
+        }
+        this->peerLinks[from].cut(unreached);
+    }
+}
+
 void GatewayCluster::setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount)
 {
     for (std::size_t index = 0; index < endpointCount.value_or(this->endpoints.size()); ++index) {
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -5,12 +5,14 @@
 #include "standinstore.h"
 #include "support/childprocess.h"
 #include "support/loopbackproxy.h"
+#include "support/peerlinks.h"
 #include "support/testcluster.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,14 @@
     {"Name":"single","Host":"h.example","PathPrefix":"/single/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"Service":"engine","MaxAttempts":3,"Resumable":false,"GapAimMs":200},
     {"Name":"spread","Host":"h.example","PathPrefix":"/spread/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"Service":"engine","MaxAttempts":3,"Resumable":true,"GapAimMs":200})";
 
+//! In which directions the links between some gateways and the others are cut.
+enum class PeerCut : std::uint8_t {
+    None,
+    Both,
+    Incoming, //!< Nothing of the others arrives at them.
+    Outgoing, //!< Nothing of them arrives at the others.
+};
+
 //! Gateway processes with a stand-in store and stand-in endpoints.
 class GatewayCluster
 {
@@ -84,6 +94,9 @@
     //! While the watches of a gateway are silent, the store reports no changes to it, and answers its other calls.
     void setWatchesSilent(std::size_t gateway, bool watchesSilent);
 
+    //! Cuts the links between \p gateways and all others in the directions of \p cut, and opens those among each other and among the others.
+    void cutPeers(const std::set<std::size_t> &gateways, PeerCut cut);
+
     //! Changes how long the gateway's process may take to stop, and has it read its settings again.
     void setGrace(std::size_t gateway, int seconds);
 
@@ -144,6 +157,7 @@
     int routeTimeoutMs = defaultRouteTimeoutMs;
     std::vector<Addresses> addresses;
     std::vector<std::vector<std::unique_ptr<LoopbackProxy>>> links; //!< By gateway and endpoint.
+    std::vector<PeerLinks> peerLinks; //!< By gateway.
     std::vector<int> graceSeconds; //!< By gateway.
     std::vector<double> hedgeShares; //!< By gateway.
     std::vector<int> maxDescriptors; //!< By gateway; 0 where the settings name none.
--- a/tests/gateway/outofreachtests.cpp
+++ b/tests/gateway/outofreachtests.cpp
@@ -31,23 +31,6 @@
 
 struct OutOfReachCluster : ReleaseCluster
 {
-    //! Sends a first attempt of the stream of each program to \p gateway, all at once. They wait in its backlog if it stands still.
-    std::vector<std::jthread> beginTogether(std::size_t gateway)
-    {
-        std::vector<std::jthread> callers;
-        callers.reserve(programCount);
-        for (int number = 0; number < programCount; ++number) {
-            callers.emplace_back([this, gateway, program = "p" + std::to_string(number)]() {
-                const std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headersOf(program));
-                const std::lock_guard lock(this->mutex);
-                if (answer && answer->status == 200) {
-                    this->begun[program] = answer->header("Oleandergate-Request-Id");
-                }
-            });
-        }
-        return callers;
-    }
-
     //! Half of the buckets move while the store is in trouble for the first gateway only, which \p begin brings about. Streams from before the release are
     //! over.
     template <typename Begin>
@@ -62,8 +45,6 @@
         this->store.endLeases("/before/");
         std::this_thread::sleep_for(roundInterval);
     }
-
-    std::mutex mutex{};
 };
 
 } // namespace
--- a/tests/gateway/releasecluster.h
+++ b/tests/gateway/releasecluster.h
@@ -8,8 +8,12 @@
 #include <chrono>
 #include <csignal>
 #include <map>
+#include <mutex>
+#include <optional>
 #include <set>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace oleandergate::support {
 
@@ -71,6 +75,23 @@
         return this->begun.size();
     }
 
+    //! Sends a first attempt of the stream of each program to \p gateway, all at once. They wait in its backlog if it stands still.
+    std::vector<std::jthread> beginTogether(std::size_t gateway)
+    {
+        std::vector<std::jthread> callers;
+        callers.reserve(programCount);
+        for (int number = 0; number < programCount; ++number) {
+            callers.emplace_back([this, gateway, program = "p" + std::to_string(number)]() {
+                const std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headersOf(program));
+                const std::lock_guard lock(this->mutex);
+                if (answer && answer->status == 200) {
+                    this->begun[program] = answer->header("Oleandergate-Request-Id");
+                }
+            });
+        }
+        return callers;
+    }
+
     //! Takes the streams, or the first \p count ones, up at \p gateway. Checks that each goes on at the version that began it or is refused as not run. Returns
     //! how many were served.
     std::size_t takeUpAll(std::size_t gateway, bool isAttemptNamed = true, std::size_t count = programCount)
@@ -102,6 +123,40 @@
         return served;
     }
 
+    //! Takes all streams up at \p gateway, all at once. Checks as takeUpAll() does. Returns how many were served.
+    std::size_t takeUpTogether(std::size_t gateway, bool isAttemptNamed)
+    {
+        std::map<std::string, std::optional<HttpResponse>> answers;
+        std::vector<std::jthread> callers;
+        for (const auto &[program, attempt] : this->begun) {
+            callers.emplace_back([this, gateway, &answers, program = program, resumes = isAttemptNamed ? attempt : std::string()]() {
+                std::vector<HttpHeader> headers = headersOf(program);
+                headers.push_back(HttpHeader{"Last-Event-Id", "2"});
+                if (!resumes.empty()) {
+                    headers.push_back(HttpHeader{"Resumes", resumes});
+                }
+                std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headers);
+                const std::lock_guard lock(this->mutex);
+                answers[program] = std::move(answer);
+            });
+        }
+        callers.clear();
+        std::size_t served = 0;
+        for (const auto &[program, answer] : answers) {
+            REQUIRE(answer);
+            CAPTURE(program);
+            CAPTURE(answer->body);
+            served += answer->status == 200 ? 1 : 0;
+            if (answer->status == 200) {
+                CHECK(this->servedBy(answer->header("Oleandergate-Request-Id")) == this->servedBy(this->begun.at(program)));
+            } else {
+                CHECK(answer->status == 503);
+                CHECK(this->servedBy(answer->header("Oleandergate-Request-Id")).empty());
+            }
+        }
+        return served;
+    }
+
     //! Takes all streams up again and again while the memory of \p gateway fills, by turns with and without the name of the attempt that began them.
     void takeUpWhileFilling(std::size_t gateway)
     {
@@ -162,6 +217,7 @@
         REQUIRE(this->logHas(gateway, R"("message":"activated","version":"1")"));
     }
 
+    std::mutex mutex{}; //!< Guards \ref begun while callers run.
     std::map<std::string, std::string> begun{}; //!< Attempts that began the streams, by program.
     std::set<std::size_t> ended{}; //!< Gateways whose processes have ended.
 };
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -1,6 +1,7 @@
 #include "support/childprocess.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <limits>
 #include <stdexcept>
@@ -27,7 +28,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile)
+ChildProcess::ChildProcess(const std::vector<std::string> &command, const std::string &logFile, const std::vector<std::string> &environment)
 {
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
@@ -42,6 +43,9 @@
         redirectOutput(logFile.c_str());
         // A copy of a listening socket in the child would keep its port open after the test has closed it.
         ::close_range(STDERR_FILENO + 1, std::numeric_limits<unsigned>::max(), 0);
+        for (const std::string &variable : environment) {
+            ::putenv(const_cast<char *>(variable.c_str()));
+        }
         ::execv(arguments.front(), arguments.data());
         ::_exit(exitNotStarted);
     }
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -14,8 +14,8 @@
     ChildProcess() = default;
 
     //! Starts \p command, a program and its arguments. Output is appended to \p logFile, or goes to this program's output if
-    //! that is empty. Throws std::runtime_error when no process can be created.
-    ChildProcess(const std::vector<std::string> &command, const std::string &logFile);
+    //! that is empty. \p environment has additions to this program's environment, as NAME=VALUE. Throws std::runtime_error when no process can be created.
+    ChildProcess(const std::vector<std::string> &command, const std::string &logFile, const std::vector<std::string> &environment = {});
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess &operator=(ChildProcess &&other) noexcept;
