Streams are taken up by where they began, not by what was last read

Cause: a take-up that the instance did not know itself went by the assignment in memory while one version was listed and assigned and the instance counted as in step. That is a permission: it holds for as long as nobody acts on its successor, and nobody waited for those who had not heard of it. Detectors of silence and pauses found out up to a second later, and never where two were cut off together, as each heard the other.

Ruled out: shorter thresholds, which leave a shorter window; a lease with a wait behind each change, which delays each move of buckets and still refuses what a peer could tell.

Change: a take-up goes by what cannot change any more. In this order: the memory of the instance; what the instance that sent the stream has told, once events of it were forwarded (StreamNews, beside the load reports); the assignments and records of the store, read at the arrival of the take-up or later; where the store does not answer, what other instances remember or were told. Else it is refused as not run. The rule for an outage of the store for all, by what peers had last said, is gone from take-ups.

Why it works: the version of a stream is settled with its first event. Each source states it as a fact, or was read behind the arrival of the take-up, and so behind the beginning of the stream: no pause, cut or late word in between makes it wrong. What is read of the routes' targets is behind the arrival, too.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 #include "gateway/relayerror.h"
 #include "gateway/requestdrain.h"
 #include "gateway/routetargetrecords.h"
+#include "gateway/streamnews.h"
 #include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
@@ -168,6 +169,7 @@
                   })
         , allowances(peers, metrics, configurationHolder, self, settings.allowanceTolerance)
         , hedging(settings.hedgeShare, metrics)
+        , streamNews(self.id)
         , assignmentNews(self.id,
                          [this]() {
                              this->gossip.sendNews();
@@ -182,28 +184,29 @@
                  auth,
                  self,
                  settings.seeds,
-                 PeerGossip::Hooks{[this]() {
-                                       return this->ownState();
-                                   },
-                                   [this](const std::map<std::uint32_t, std::uint32_t> &loads, Time now) {
-                                       this->pools.setPeerCalls(loads, now);
-                                       const bool isLimited = this->limiter.limitedCount() > 0;
-                                       const std::vector<EndpointId> endpoints = isLimited ? this->pools.endpointIds() : std::vector<EndpointId>();
-                                       this->pools.setRateLimits(this->limiter.limitsOf(endpoints), this->limiter.sharerCount(now), now);
-                                   },
-                                   [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
-                                       this->budget.onMembers(live, budgetSlotOwners, now);
-                                       this->limiter.onMembers(live, now);
-                                       this->allowances.onMembers(live, now);
-                                       this->paths.onMembers(live);
-                                   },
-                                   [this](std::uint64_t version) {
-                                       this->configurationHolder.announce(version);
-                                   },
-                                   {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel(), assignmentNews.channel()},
-                                   [this](bool sameDomain, Duration age) {
-                                       (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
-                                   }})
+                 PeerGossip::Hooks{
+                     [this]() {
+                         return this->ownState();
+                     },
+                     [this](const std::map<std::uint32_t, std::uint32_t> &loads, Time now) {
+                         this->pools.setPeerCalls(loads, now);
+                         const bool isLimited = this->limiter.limitedCount() > 0;
+                         const std::vector<EndpointId> endpoints = isLimited ? this->pools.endpointIds() : std::vector<EndpointId>();
+                         this->pools.setRateLimits(this->limiter.limitsOf(endpoints), this->limiter.sharerCount(now), now);
+                     },
+                     [this](const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &budgetSlotOwners, Time now) {
+                         this->budget.onMembers(live, budgetSlotOwners, now);
+                         this->limiter.onMembers(live, now);
+                         this->allowances.onMembers(live, now);
+                         this->paths.onMembers(live);
+                     },
+                     [this](std::uint64_t version) {
+                         this->configurationHolder.announce(version);
+                     },
+                     {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel(), assignmentNews.channel(), streamNews.channel()},
+                     [this](bool sameDomain, Duration age) {
+                         (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
+                     }})
         , budget(BudgetCoordinator::Parts{control,
                                           *keyValue,
                                           peers,
@@ -221,7 +224,7 @@
               },
               &tunnels)
         , targets(RouteTargetRecords::Parts{control, *keyValue, gossip, metrics}, self.id)
-        , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, targets, metrics, peers, assignmentNews}, self.id)
+        , versions(StreamVersions::Parts{control, *keyValue, pools, configurationHolder, gossip, targets, metrics, peers, assignmentNews, streamNews}, self.id)
         , habits(metrics)
         , relay(Relay::Parts{configurationHolder,
                              drain,
@@ -596,6 +599,7 @@
     RateLimiter limiter;
     Allowances allowances;
     Hedging hedging;
+    StreamNews streamNews;
     AssignmentNews assignmentNews;
     LeavingEndpoints leaving;
     PeerGossip gossip;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -305,12 +305,30 @@
         co_await this->parts.versions.awaitAssignments();
         co_return true;
     }
-    const ServiceDoubt doubt = co_await this->findServiceDoubt(context);
+    std::optional<StreamOrigin> origin = this->parts.versions.knownOrigin(*context.stream, call.requestId);
+    if (!origin && !co_await this->parts.versions.confirmRecords(context.arrived)) {
+        const Result<StreamOrigin> answered = co_await this->parts.versions.askPeersFor(*context.stream, call.requestId);
+        if (!answered) {
+            co_await this->refuse(context, answered.error());
+            co_return false;
+        }
+        origin = answered.value();
+    }
+    ServiceDoubt doubt = ServiceDoubt::None;
+    if (!origin) {
+        doubt = co_await this->findServiceDoubt(context);
+    } else if (origin->service != context.service->name) {
+        doubt = ServiceDoubt::OtherService;
+    }
     if (doubt != ServiceDoubt::None) {
         co_await this->refuseForDoubt(context, doubt);
         co_return false;
     }
-    const Result<std::string> version = co_await this->parts.versions.find(*context.stream, call.requestId);
+    if (origin) {
+        context.streamVersion = origin->version;
+        co_return true;
+    }
+    const Result<std::string> version = co_await this->parts.versions.findByRecords(*context.stream, call.requestId);
     if (!version) {
         co_await this->refuse(context, version.error());
         co_return false;
@@ -321,10 +339,6 @@
 
 asio::awaitable<ServiceDoubt> Relay::findServiceDoubt(RelayRequest &context)
 {
-    const std::optional<std::string> known = this->parts.versions.knownService(*context.stream);
-    if (known) {
-        co_return *known == context.service->name ? ServiceDoubt::None : ServiceDoubt::OtherService;
-    }
     const Time giveUpAt = std::min(context.deadline, currentTime() + announcedConfigurationTimeout);
     const Time recordGiveUpAt = std::min(context.deadline, currentTime() + targetRecordTimeout);
     const auto mayHaveMissedChange = [this]() {
@@ -456,7 +470,10 @@
 {
     const EndpointSpec endpoint = attempt.endpoint;
     const CallId id = attempt.call;
-    const auto onEvents = [&context, id](std::uint64_t events) {
+    const auto onEvents = [this, &context, &endpoint, id](std::uint64_t events) {
+        if (context.stream && events > 0) {
+            this->parts.versions.onEvents(*context.stream, endpoint.version);
+        }
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
     };
     const auto onAnswerHead = [this, &endpoint](const AnswerMetadata &metadata) {
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -7,6 +7,7 @@
 #include "gateway/peergossip.h"
 #include "gateway/poolset.h"
 #include "gateway/routetargetrecords.h"
+#include "gateway/streamnews.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -47,9 +48,6 @@
 //! Entries of a transaction that the key-value service accepts.
 constexpr std::size_t maxBatch = 32;
 
-//! Assignments that were read from the key-value service this long ago are current: a change is not in use by others any sooner.
-constexpr Duration confirmationTime = std::chrono::milliseconds(200);
-
 //! A longer time between two steps of a coroutine that sleeps for proposeInterval means that the process stood still.
 constexpr Duration standstillThreshold = std::chrono::milliseconds(500);
 
@@ -59,12 +57,13 @@
 //! Instances report to each other at least every 500 ms.
 constexpr Duration peerSilenceThreshold = std::chrono::milliseconds(1000);
 
-//! An instance that reached the key-value service within this time shows that it is not down for all.
-constexpr Duration serviceContactThreshold = std::chrono::milliseconds(1500);
-
 //! A peer answers within a few milliseconds; another one is asked after a slower one.
 constexpr Duration fetchTimeout = std::chrono::milliseconds(300);
 
+//! How long the other instances are asked where a stream began, and how many of them at the most.
+constexpr Duration originTimeout = std::chrono::milliseconds(250);
+constexpr std::size_t maxPeersAsked = 64;
+
 //! How often an instance that cannot read the assignments asks a peer: while it knows none, and to keep up with those that it received.
 constexpr Duration fetchInterval = std::chrono::milliseconds(100);
 constexpr Duration refetchInterval = std::chrono::milliseconds(500);
@@ -226,6 +225,10 @@
 
 std::optional<PeerMessage> StreamVersions::serve(const PeerMessage &message) const
 {
+    if (const auto *query = std::get_if<StreamOriginQuery>(&message)) {
+        const std::optional<StreamOrigin> origin = this->originFor(*query);
+        return origin ? StreamOriginReply{true, origin->service, origin->version} : StreamOriginReply();
+    }
     if (!std::holds_alternative<VersionRecordsQuery>(message)) {
         return std::nullopt;
     }
@@ -239,6 +242,16 @@
     return reply;
 }
 
+std::vector<std::string> StreamVersions::peerAddresses() const
+{
+    std::vector<std::string> addresses;
+    this->parts.gossip.countReports([&addresses](const PeerReport &peer) {
+        addresses.push_back(peer.instance.peerAddress);
+        return true;
+    });
+    return addresses;
+}
+
 void StreamVersions::askPeer(Time now)
 {
     {
@@ -250,11 +263,7 @@
         }
         this->fetchAgainAt = now + (this->isKnown() && !isBehind ? refetchInterval : fetchInterval);
     }
-    std::vector<std::string> addresses;
-    this->parts.gossip.countReports([&addresses](const PeerReport &peer) {
-        addresses.push_back(peer.instance.peerAddress);
-        return true;
-    });
+    const std::vector<std::string> addresses = this->peerAddresses();
     if (addresses.empty()) {
         return;
     }
@@ -341,6 +350,7 @@
 {
     KnownStream &known = this->streams[keyOf(stream)];
     known.recordedVersion = known.recordedVersion && known.version == version;
+    known.isTold = known.isTold && known.version == version;
     known.identity = stream;
     known.version = version;
     known.endedAt = std::nullopt;
@@ -354,6 +364,19 @@
     this->recordIfOpen(this->remember(stream, version));
 }
 
+void StreamVersions::onEvents(const StreamIdentity &stream, const std::string &version)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->streams.find(keyOf(stream));
+    if (found == this->streams.end() || std::exchange(found->second.isTold, true)) {
+        return;
+    }
+    // Take-ups that do not name the attempt find it by the request alone.
+    for (const RequestId &attempt : {stream.attempt, RequestId()}) {
+        this->parts.streamNews.tell(toldStreamKey(attempt, stream.request), StreamOrigin{stream.service, version});
+    }
+}
+
 void StreamVersions::recordIfOpen(KnownStream &stream)
 {
     const std::set<std::string> candidates = this->table.candidates(stream.identity.service, stream.identity.bucket);
@@ -374,13 +397,6 @@
     }
 }
 
-std::optional<std::string> StreamVersions::knownService(const StreamIdentity &stream) const
-{
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->streams.find(keyOf(stream));
-    return found == this->streams.end() ? std::nullopt : std::optional(found->second.identity.service);
-}
-
 StreamVersions::StreamKey StreamVersions::keyOf(const StreamIdentity &stream)
 {
     return {stream.attempt, stream.request};
@@ -393,6 +409,7 @@
     std::erase_if(this->markedAt, [this, now](const auto &entry) {
         return now - entry.second > this->retention;
     });
+    this->parts.streamNews.expire(now - this->retention);
     std::erase_if(this->streams, [this, now](const auto &entry) {
         return entry.second.endedAt && now - *entry.second.endedAt > this->retention;
     });
@@ -572,11 +589,119 @@
     co_return boost::outcome_v2::success();
 }
 
-std::optional<std::string> StreamVersions::knownVersion(const StreamIdentity &stream) const
+std::optional<StreamOrigin> StreamVersions::knownOrigin(const StreamIdentity &stream, const RequestId &request)
 {
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->streams.find(keyOf(stream));
-    return found == this->streams.end() ? std::nullopt : std::optional(found->second.version);
+    // The identifier of a take-up that names no attempt is its own.
+    if (!stream.isAttemptKnown) {
+        return std::nullopt;
+    }
+    std::optional<StreamOrigin> origin;
+    {
+        const std::lock_guard lock(this->mutex);
+        const auto found = this->streams.find(keyOf(stream));
+        if (found != this->streams.end()) {
+            origin = StreamOrigin{found->second.identity.service, found->second.version};
+        }
+    }
+    const VersionSource source = origin ? VersionSource::Memory : VersionSource::Told;
+    if (!origin) {
+        origin = this->parts.streamNews.find(toldStreamKey(stream.attempt, stream.request));
+    }
+    if (origin) {
+        this->onFound(stream, request, origin->version, source);
+    }
+    return origin;
+}
+
+std::optional<StreamOrigin> StreamVersions::originFor(const StreamOriginQuery &query) const
+{
+    std::set<std::pair<std::string, std::string>> origins;
+    {
+        const std::lock_guard lock(this->mutex);
+        for (const auto &[key, stream] : this->streams) {
+            if (key.second == query.request && (query.attempt.empty() || key.first == query.attempt)) {
+                origins.emplace(stream.identity.service, stream.version);
+            }
+        }
+    }
+    const std::optional<StreamOrigin> told = this->parts.streamNews.find(toldStreamKey(query.attempt, query.request));
+    if (told) {
+        origins.emplace(told->service, told->version);
+    }
+    return origins.size() == 1 ? std::optional(StreamOrigin{origins.begin()->first, origins.begin()->second}) : std::nullopt;
+}
+
+struct StreamVersions::PeerAnswers
+{
+    //! Returns whether nothing more has to be waited for. One answer is enough if it can be of one stream only.
+    bool isSettled(bool isAttemptKnown) const
+    {
+        return this->answered == this->asked || (isAttemptKnown && !this->origins.empty());
+    }
+
+    std::mutex mutex{};
+    std::size_t asked = 0;
+    std::size_t answered = 0;
+    std::vector<StreamOrigin> origins{}; //!< The different ones.
+    AsyncSignal progress{};
+};
+
+asio::awaitable<void> StreamVersions::askPeerFor(std::shared_ptr<PeerAnswers> answers, std::string peer, StreamOriginQuery query)
+{
+    PeerMessage message = std::move(query);
+    const Result<PeerMessage> reply = co_await this->parts.peers.sendWithin(originTimeout, std::move(peer), std::move(message));
+    const auto *found = reply ? std::get_if<StreamOriginReply>(&reply.value()) : nullptr;
+    {
+        const std::lock_guard lock(answers->mutex);
+        answers->answered += 1;
+        if (found != nullptr && found->isKnown) {
+            StreamOrigin origin{found->service, found->version};
+            if (std::find(answers->origins.begin(), answers->origins.end(), origin) == answers->origins.end()) {
+                answers->origins.push_back(std::move(origin));
+            }
+        }
+    }
+    answers->progress.notify();
+}
+
+asio::awaitable<Result<StreamOrigin>> StreamVersions::askPeersFor(StreamIdentity stream, RequestId request)
+{
+    const StreamOriginQuery query{stream.isAttemptKnown ? stream.attempt : RequestId(), stream.request, stream.service, stream.bucket};
+    const auto answers = std::make_shared<PeerAnswers>();
+    const std::optional<StreamOrigin> own = this->originFor(query);
+    if (own) {
+        answers->origins.push_back(*own);
+    }
+    std::vector<std::string> addresses = this->peerAddresses();
+    addresses.resize(std::min(addresses.size(), maxPeersAsked));
+    answers->asked = addresses.size();
+    for (std::string &address : addresses) {
+        asio::co_spawn(this->parts.context, this->askPeerFor(answers, std::move(address), query), asio::detached);
+    }
+    const Time giveUpAt = currentTime() + originTimeout;
+    while (true) {
+        const Time now = currentTime();
+        {
+            const std::lock_guard lock(answers->mutex);
+            if (answers->isSettled(stream.isAttemptKnown) || now >= giveUpAt) {
+                break;
+            }
+        }
+        co_await answers->progress.wait(giveUpAt - now);
+    }
+    std::vector<StreamOrigin> origins;
+    {
+        const std::lock_guard lock(answers->mutex);
+        origins = answers->origins;
+    }
+    if (origins.size() != 1) {
+        co_return this->refuse(stream,
+                               request,
+                               origins.empty() ? "the key-value service did not answer, and no other instance knows the stream"
+                                               : "the key-value service did not answer, and other instances disagree");
+    }
+    this->onFound(stream, request, origins.front().version, VersionSource::Peer);
+    co_return origins.front();
 }
 
 asio::awaitable<std::optional<KvRange>> StreamVersions::readRange(std::string prefix)
@@ -669,42 +794,33 @@
 {
     const Time startedAt = currentTime();
     const bool loaded = co_await this->follower.load();
+    if (!loaded) {
+        this->failedAt = startedAt;
+    }
     this->reloading = false;
     if (loaded && startedAt - this->tickedAt.load() <= standstillThreshold) {
         this->stoodStill = false;
     }
-}
-
-asio::awaitable<bool> StreamVersions::confirmAssignments(Time now)
-{
-    const auto isConfirmed = [this, now]() {
-        return this->follower.loadedAt() >= now - confirmationTime;
-    };
-    if (!isConfirmed() && !this->reloading.exchange(true)) {
-        asio::post(this->parts.context, [this]() {
-            asio::co_spawn(this->parts.context, this->reload(), asio::detached);
-        });
-    }
-    const Time giveUpAt = now + serviceTimeout;
-    while (!isConfirmed() && currentTime() < giveUpAt) {
-        co_await sleepFor(pollInterval);
-    }
-    co_return isConfirmed();
+    this->readingEnded.notify();
 }
 
 asio::awaitable<bool> StreamVersions::confirmRecords(Time time)
 {
-    if (this->follower.loadedAt() >= time) {
-        co_return true;
+    const Time giveUpAt = currentTime() + serviceTimeout;
+    while (this->follower.loadedAt() < time) {
+        const Time now = currentTime();
+        if (this->failedAt.load() >= time || now >= giveUpAt) {
+            co_return false;
+        }
+        // A reading that is under way was sent before, and may miss what has changed since.
+        if (!this->reloading.exchange(true)) {
+            asio::post(this->parts.context, [this]() {
+                asio::co_spawn(this->parts.context, this->reload(), asio::detached);
+            });
+        }
+        co_await this->readingEnded.wait(std::min<Duration>(pollInterval, giveUpAt - now));
     }
-    const bool confirmed = co_await this->confirmAssignments(currentTime());
-    co_return confirmed || this->standsUnconfirmed(currentTime());
-}
-
-bool StreamVersions::standsUnconfirmed(Time now) const
-{
-    // In an outage for all instances assignments do not change. An instance that is alone with it may miss a change.
-    return !this->isOutOfStep(now) && !this->parts.news.isBehind() && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
+    co_return true;
 }
 
 asio::awaitable<void> StreamVersions::catchUp(Time now)
@@ -726,7 +842,7 @@
     }
 }
 
-Result<std::string> StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source)
+std::string StreamVersions::onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source)
 {
     const Time now = currentTime();
     this->foundVersions.at(static_cast<std::size_t>(source))->add();
@@ -746,42 +862,22 @@
     return version;
 }
 
-asio::awaitable<Result<std::string>> StreamVersions::find(StreamIdentity stream, RequestId request)
+asio::awaitable<Result<std::string>> StreamVersions::findByRecords(StreamIdentity stream, RequestId request)
 {
-    const std::optional<std::string> known = this->knownVersion(stream);
-    if (known) {
-        co_return this->onFound(stream, request, *known, VersionSource::Memory);
-    }
-    co_await this->awaitAssignments();
-    const Time now = currentTime();
-    const bool outOfStep = this->isOutOfStep(now) || this->parts.news.isBehind();
     const std::set<std::string> listed = this->listedVersions(stream.service);
-    std::set<std::string> candidates;
-    bool diverted = false;
-    bool isRead = false;
+    std::optional<std::string> single;
     {
         const std::lock_guard lock(this->mutex);
-        isRead = this->loaded;
-        candidates = this->table.candidates(stream.service, stream.bucket);
-        diverted = this->table.mayBeDiverted(stream.service, stream.bucket);
-    }
-    const bool unversioned = candidates.empty() && listed == std::set<std::string>{std::string()};
-    // The version of diverted streams may have left the list.
-    const bool isSingle = unversioned || (isRead && candidates.size() == 1 && listed == candidates && !diverted);
-    // With several versions in use, or if this instance may have missed that, an assignment that is out of date would join two versions.
-    if (outOfStep || !isSingle) {
-        const bool confirmed = co_await this->confirmAssignments(now);
-        if (!confirmed && !this->standsUnconfirmed(currentTime())) {
-            co_return this->refuse(stream, request, "the assignment in force could not be read");
+        const std::set<std::string> possible = this->table.candidates(stream.service, stream.bucket);
+        if (possible.empty() && listed == std::set<std::string>{std::string()}) {
+            single = std::string();
+        } else if (possible.size() == 1 && !this->table.mayBeDiverted(stream.service, stream.bucket)) {
+            single = *possible.begin();
         }
-    } else {
-        co_return this->onFound(stream, request, unversioned ? std::string() : *candidates.begin(), VersionSource::Assignment);
     }
-    co_return co_await this->findByRecords(std::move(stream), std::move(request));
-}
-
-asio::awaitable<Result<std::string>> StreamVersions::findByRecords(StreamIdentity stream, RequestId request)
-{
+    if (single) {
+        co_return this->onFound(stream, request, *single, VersionSource::Assignment);
+    }
     StreamRecord recorded;
     recorded.state = RecordState::Absent;
     if (stream.isAttemptKnown) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -4,10 +4,12 @@
 #include "decision/ids.h"
 #include "decision/streamrecord.h"
 #include "decision/streamretention.h"
+#include "decision/toldstreams.h"
 #include "decision/versionsource.h"
 #include "decision/versiontable.h"
 #include "gateway/prefixfollower.h"
 #include "gateway/versionrecords.h"
+#include "runtime/asyncsignal.h"
 #include "runtime/pendingresult.h"
 #include "wire/peermessage.h"
 
@@ -33,6 +35,7 @@
 class PeerGossip;
 class PoolSet;
 class RouteTargetRecords;
+class StreamNews;
 
 //! A stream, as far as its software version depends on it.
 struct StreamIdentity
@@ -49,6 +52,9 @@
 //! New streams of resumable routes start at the version to which their bucket is assigned (see VersionBuckets). The assignment is in the key-value
 //! service, with a leased record of what each change replaced. Streams in buckets that were moved not long ago are recorded one by one.
 //!
+//! A stream is taken up by what cannot change any more: where it began, as this instance, or another one that sent it, remembers, or what the key-value service
+//! holds after the take-up arrived. What was read before may have been replaced by a change that only others know.
+//!
 //! An instance that has not read the assignments asks its peers for theirs. Until it knows them, no stream begins here without a record of its own: that no
 //! assignment is known does not mean that there is none. The same holds for one that learns from its peers that it has missed a change, and for one that
 //! neither hears of them nor has read the assignments lately: the key-value service may fail for one instance alone.
@@ -66,6 +72,7 @@
         Metrics &metrics;
         PeerClient &peers;
         AssignmentNews &news;
+        StreamNews &streamNews;
     };
 
     StreamVersions(const Parts &parts, InstanceId self);
@@ -91,18 +98,24 @@
     //! Records that a stream is sent to an endpoint of \p version, to begin or to go on there.
     void onSend(const StreamIdentity &stream, const std::string &version);
 
+    //! Records that events of the stream were forwarded from an endpoint of \p version: from now on it can go on at this version only.
+    void onEvents(const StreamIdentity &stream, const std::string &version);
+
     //! Records the end of the answer to \p stream. With \p isBroken the caller has a part of it and may take it up.
     void onEnded(const StreamIdentity &stream, bool isBroken, Time now);
 
-    //! Returns the service at which this instance sent the stream; nothing when it did not.
-    std::optional<std::string> knownService(const StreamIdentity &stream) const;
-
-    //! Returns the version that began a stream. Fails with VersionUnknown when that cannot be told. \p request is for the log.
-    boost::asio::awaitable<Result<std::string>> find(StreamIdentity stream, RequestId request);
+    //! Returns where the stream began, if this instance sent it or was told by the one that did. \p request is for the log.
+    std::optional<StreamOrigin> knownOrigin(const StreamIdentity &stream, const RequestId &request);
 
-    //! Returns whether the records in the key-value service were read after \p time, or cannot have changed since; reads them if necessary.
+    //! Returns whether the records in the key-value service were read at \p time or later; reads them if necessary.
     boost::asio::awaitable<bool> confirmRecords(Time time);
 
+    //! Asks the other instances where the stream began, when the key-value service does not tell. Fails with VersionUnknown if none knows, or they disagree.
+    boost::asio::awaitable<Result<StreamOrigin>> askPeersFor(StreamIdentity stream, RequestId request);
+
+    //! Returns the version that began a stream, by records that confirmRecords() has just confirmed. Fails with VersionUnknown when they do not tell.
+    boost::asio::awaitable<Result<std::string>> findByRecords(StreamIdentity stream, RequestId request);
+
     //! Returns whether the process was paused and has not read the assignments since.
     bool hasStoodStill(Time now) const;
 
@@ -127,8 +140,12 @@
         bool recordedVersion = false; //!< A record of \ref version is stored or queued.
         std::optional<Time> endedAt{};
         bool isBroken = false; //!< It ended, and its caller may take it up.
+        bool isTold = false; //!< Other instances were told where it began.
     };
 
+    //! What the other instances answer, as far as they have.
+    struct PeerAnswers;
+
     struct QueuedRecord
     {
         StreamKey stream{};
@@ -183,9 +200,10 @@
     //! Reads which versions the records of all attempts of a request name. Returns nothing when the key-value service does not answer in time.
     boost::asio::awaitable<std::optional<std::set<std::string>>> readRequestRecords(RequestFingerprint request);
 
-    //! Finds the version of a stream by what is recorded. The assignments are current.
-    boost::asio::awaitable<Result<std::string>> findByRecords(StreamIdentity stream, RequestId request);
-    std::optional<std::string> knownVersion(const StreamIdentity &stream) const;
+    //! Returns where the stream that the query names began, by the memory of this instance and what it was told.
+    std::optional<StreamOrigin> originFor(const StreamOriginQuery &query) const;
+    boost::asio::awaitable<void> askPeerFor(std::shared_ptr<PeerAnswers> answers, std::string peer, StreamOriginQuery query);
+    std::vector<std::string> peerAddresses() const;
 
     //! Asks a peer for the assignments if they could not be read so far, another one knows a later change, or this instance may have missed one.
     void askPeer(Time now);
@@ -207,17 +225,12 @@
     //! Returns whether this instance may have missed a change: it stood still, or receives no reports of other instances any more.
     bool isOutOfStep(Time now) const;
 
-    //! Makes sure that the assignments are those of the key-value service at \p now or later. Returns false when that cannot be told in time.
-    boost::asio::awaitable<bool> confirmAssignments(Time now);
-
-    //! Returns whether the assignments may be used although the key-value service did not confirm them.
-    bool standsUnconfirmed(Time now) const;
     boost::asio::awaitable<void> reload();
     boost::asio::awaitable<void> catchUp(Time now);
 
     //! Logs that the version of a stream cannot be told, and returns the error for its caller.
     Error refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason);
-    Result<std::string> onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source);
+    std::string onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source);
 
     boost::asio::awaitable<void> proposeLoop();
     boost::asio::awaitable<void> proposeFor(std::string service, Time now);
@@ -244,6 +257,8 @@
     std::atomic<Time> wokeAt{Time{}}; //!< When it was last found to have stood still.
     std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
     std::atomic<bool> reloading{false};
+    std::atomic<Time> failedAt{Time{}}; //!< When the latest reading began that failed.
+    AsyncSignal readingEnded;
     bool fetching = false;
     Time fetchAgainAt{};
     mutable std::mutex mutex; //!< Guards the members below.
--- a/src/wire/assignmentreport.h
+++ b/src/wire/assignmentreport.h
@@ -4,6 +4,7 @@
 #include "decision/ids.h"
 
 #include <cstdint>
+#include <limits>
 
 namespace oleandergate {
 
@@ -12,6 +13,8 @@
 {
     InstanceId instance{};
     std::uint64_t revision = 0; //!< Of the change in the key-value service.
+    std::uint64_t confirmedAge = std::numeric_limits<std::uint64_t>::max(); //!< Microseconds since the key-value service was asked and had no later one.
+                                                                            //!< Instances of an earlier build do not state it.
 };
 
 } // namespace oleandergate
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -329,6 +329,18 @@
     archive(value.isKnown, value.revision, value.records);
 }
 
+template <class Archive>
+void serialize(Archive &archive, StreamOriginQuery &value)
+{
+    archive(value.attempt, value.request, value.service, value.bucket);
+}
+
+template <class Archive>
+void serialize(Archive &archive, StreamOriginReply &value)
+{
+    archive(value.isKnown, value.service, value.version);
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointLoad &value)
 {
@@ -481,10 +493,42 @@
 
 template <class Archive>
 void serialize(Archive &archive, AssignmentReport &value)
+{
+    // Earlier builds ignore what follows the revision.
+    archive(value.instance, value.revision, value.confirmedAge);
+}
+
+//! As earlier builds send it.
+struct FormerAssignmentReport
+{
+    InstanceId instance{};
+    std::uint64_t revision = 0;
+};
+
+template <class Archive>
+void serialize(Archive &archive, FormerAssignmentReport &value)
 {
     archive(value.instance, value.revision);
 }
 
+template <class Archive>
+void serialize(Archive &archive, StreamOrigin &value)
+{
+    archive(value.service, value.version);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ToldStreams::Group &value)
+{
+    archive(value.origin, value.streams);
+}
+
+template <class Archive>
+void serialize(Archive &archive, StreamReport &value)
+{
+    archive(value.instance, value.groups);
+}
+
 namespace {
 
 constexpr int compressionLevel = 3;
@@ -495,7 +539,8 @@
 constexpr char reachReportMark = '\x7d';
 constexpr char leavingReportMark = '\x7c';
 constexpr char memberReportMark = '\x7b';
-constexpr char assignmentReportMark = '\x7a'; //!< The lowest one.
+constexpr char assignmentReportMark = '\x7a';
+constexpr char streamReportMark = '\x79'; //!< The lowest one.
 
 //! Longest record that is decompressed, in bytes; protects against a corrupted size field.
 constexpr unsigned long long maxRecordBytes = 256ULL * 1024 * 1024;
@@ -588,7 +633,7 @@
 
 bool hasReportMark(std::string_view bytes)
 {
-    return !bytes.empty() && bytes.front() >= assignmentReportMark;
+    return !bytes.empty() && bytes.front() >= streamReportMark;
 }
 
 std::string encodeLoadReport(const LoadReport &report)
@@ -663,7 +708,25 @@
     if (!bytes.starts_with(assignmentReportMark)) {
         return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of assignments"};
     }
-    return decode<AssignmentReport>(std::string_view(bytes).substr(1));
+    const std::string_view content = std::string_view(bytes).substr(1);
+    const Result<FormerAssignmentReport> former = decode<FormerAssignmentReport>(content);
+    if (former && encode(former.value()).size() == content.size()) {
+        return AssignmentReport{former.value().instance, former.value().revision};
+    }
+    return decode<AssignmentReport>(content);
+}
+
+std::string encodeStreamReport(const StreamReport &report)
+{
+    return streamReportMark + encode(report);
+}
+
+Result<StreamReport> decodeStreamReport(const std::string &bytes)
+{
+    if (!bytes.starts_with(streamReportMark)) {
+        return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of streams"};
+    }
+    return decode<StreamReport>(std::string_view(bytes).substr(1));
 }
 
 std::string encodeMemberReport(const MemberReport &report)
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -12,6 +12,7 @@
 #include "wire/peermessage.h"
 #include "wire/ratelimitreport.h"
 #include "wire/reachreport.h"
+#include "wire/streamreport.h"
 
 #include <string>
 #include <string_view>
@@ -58,6 +59,9 @@
 std::string encodeAssignmentReport(const AssignmentReport &report);
 Result<AssignmentReport> decodeAssignmentReport(const std::string &bytes);
 
+std::string encodeStreamReport(const StreamReport &report);
+Result<StreamReport> decodeStreamReport(const std::string &bytes);
+
 std::string encodeLogRecord(const LogRecord &record);
 Result<LogRecord> decodeLogRecord(const std::string &bytes);
 
--- a/src/wire/peermessage.h
+++ b/src/wire/peermessage.h
@@ -133,7 +133,9 @@
                                  VersionRecordsQuery,
                                  VersionRecordsReply,
                                  AllowanceQuery,
-                                 AllowanceReply>;
+                                 AllowanceReply,
+                                 StreamOriginQuery,
+                                 StreamOriginReply>;
 
 //! State that entry instances report to each other over UDP, a few times a second.
 struct Heartbeat
--- a/src/wire/versionmessages.h
+++ b/src/wire/versionmessages.h
@@ -1,6 +1,8 @@
 #ifndef OLEANDERGATE_WIRE_VERSIONMESSAGES_H
 #define OLEANDERGATE_WIRE_VERSIONMESSAGES_H
 
+#include "decision/ids.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,6 +29,22 @@
     std::vector<HandedVersionRecord> records{};
 };
 
+//! Queries where a stream began, of an instance that may have begun it or may reach the key-value service. Answered by one StreamOriginReply.
+struct StreamOriginQuery
+{
+    RequestId attempt{}; //!< That brought its first event; empty if it is not known.
+    RequestFingerprint request = 0;
+    std::string service{}; //!< Of the take-up.
+    std::uint64_t bucket = 0;
+};
+
+struct StreamOriginReply
+{
+    bool isKnown = false;
+    std::string service{};
+    std::string version{};
+};
+
 } // namespace oleandergate
 
 #endif
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -7,6 +7,7 @@
 #include "gateway/hedging.h"
 #include "gateway/peergossip.h"
 #include "gateway/relay.h"
+#include "gateway/streamnews.h"
 #include "gateway/routetargetrecords.h"
 #include "runtime/asyncsignal.h"
 #include "runtime/clock.h"
@@ -343,9 +344,10 @@
     Hedging hedging{0.0, metrics};
     LeavingEndpoints leaving{pools, metrics, self.id, onNews};
     AssignmentNews assignmentNews{self.id, onNews};
+    StreamNews streamNews{self.id};
     PeerGossip gossip{context, auth, self, {}, PeerGossip::Hooks{}};
     RouteTargetRecords targets{RouteTargetRecords::Parts{context, store, gossip, metrics}, self.id};
-    StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews}, self.id};
+    StreamVersions versions{StreamVersions::Parts{context, store, pools, holder, gossip, targets, metrics, peers, assignmentNews, streamNews}, self.id};
     StreamHabitRegistry habits{metrics};
     MemoryBudget memory{processLimitsFor(memoryBytes, 0).heldBytes, metrics};
     Relay relay{Relay::Parts{
