Streams begin by assignments that the store has confirmed, by whomever

Cause: an instance that heard any peer counted as in step, so that two which were cut off together kept each other trusting for as long as the cut lasted (LIMITATIONS.md listed it), and one that had never heard a peer always did.

Change: each instance states, with the change that it knows, how long ago the store was asked and had no later one, by itself or by whoever told it. Streams begin by assignments that were confirmed two seconds ago at most: for so much longer than a stream lasts a former assignment is known to the others, which is the writers' side. The age is that of the question and is passed on as it is, so that telling each other makes nothing younger; reports that may have waited for a paused process do not count. The instance whose confirmation grows old first asks the store, and its answer serves all: about one call a second for an installation. In an outage for all streams begin as before, by an instance that hears most of the others; buckets are not moved by one that hears less than half.

Why it works: a reader stops by its own clock two seconds behind the question that confirmed it; a change is written behind that question, with a record of what it replaced that outlasts all streams which began by it.

--- a/src/decision/assignmentcurrency.h
+++ b/src/decision/assignmentcurrency.h
@@ -8,10 +8,12 @@
 
 namespace oleandergate {
 
-//! Tells whether the assignments of software versions that an instance knows may still be in force, from their age and from what its peers state of theirs.
+//! Tells whether the assignments of software versions that an instance knows may still be in force, from when the key-value service last had no later ones.
 //!
 //! A watch that reports nothing is no sign that nothing has changed: the key-value service may fail for one instance alone. What a change replaced is known to
-//! the others as a former assignment for \ref assignmentLifetime longer than a stream lasts, so streams may begin by assignments of that age at most.
+//! the others as a former assignment for \ref assignmentLifetime longer than a stream lasts, so streams may begin by assignments that were confirmed so long
+//! ago at most. That peers are heard proves nothing, as they may know no more. So each states when its assignments were confirmed, by itself or by one that
+//! told it, and the one whose confirmation grows old first asks the key-value service: one call serves all.
 class AssignmentCurrency
 {
 public:
@@ -21,12 +23,20 @@
     //! Records that a peer knows the change with \p revision.
     void onStated(std::uint64_t revision);
 
+    //! Records that the change with \p revision was the latest one when the key-value service was asked at \p askedAt, by whomever.
+    void onConfirmed(std::uint64_t revision, Time askedAt);
+
+    //! Returns when the latest known change was last confirmed; the epoch for never.
+    Time confirmedAt() const;
+
+    //! Returns whether this instance should ask the key-value service. Instances take turns by \p rank, the number of those that come before it.
+    bool isConfirmationDue(std::size_t rank, Time now) const;
+
     //! Returns whether a peer knows a later change.
     bool isBehind() const;
 
-    //! Returns whether streams may begin by the assignments. They were last read, or received from a peer, at \p confirmedAt. With \p isInStep this instance
-    //! has heard of its peers all the time, and knows the changes that they know.
-    bool isCurrent(Time confirmedAt, bool isInStep, Time now) const;
+    //! Returns whether streams may begin by the assignments. With \p isOutageForAll nobody reaches the key-value service, so that nobody changes them.
+    bool isCurrent(bool isOutageForAll, Time now) const;
 
     std::uint64_t knownRevision() const;
 
@@ -42,6 +52,7 @@
     std::uint64_t stated = 0; //!< By the peers, the latest one.
     std::size_t statementsLeft = 0;
     bool isUrgent = false;
+    Time confirmed{}; //!< See confirmedAt().
     Time statedAt{}; //!< When this instance last stated what it knows.
 };
 
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -474,9 +474,16 @@
         }
     }
     for (const InstanceId &id : gone) {
-        this->expired[id] = this->peers.at(id).heardAt;
+        const Peer &peer = this->peers.at(id);
+        this->expired[id] = peer.heardAt;
+        if (!peer.report.instance.leaving) {
+            this->lost[peer.report.instance.peerAddress] = now;
+        }
         this->remove(id);
     }
+    std::erase_if(this->lost, [now](const auto &entry) {
+        return now - entry.second > expiredRetention;
+    });
     std::erase_if(this->expired, [now](const auto &entry) {
         return now - entry.second > expiredRetention;
     });
@@ -560,6 +567,13 @@
     return records;
 }
 
+std::size_t PeerTable::lostCount() const
+{
+    return static_cast<std::size_t>(std::count_if(this->lost.begin(), this->lost.end(), [this](const auto &entry) {
+        return !this->byAddress.contains(entry.first);
+    }));
+}
+
 std::size_t PeerTable::liveCount() const
 {
     return this->peers.size();
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -99,6 +99,9 @@
     std::vector<InstanceRecord> liveInstances() const;
     std::size_t liveCount() const;
 
+    //! Returns the number of addresses whose instance was lost in the last minute, without having stated that it leaves, and that no other one has taken.
+    std::size_t lostCount() const;
+
     //! Returns the number of live peers with a report for which \p matches returns true.
     std::size_t countReports(const std::function<bool(const PeerReport &report)> &matches) const;
 
@@ -194,6 +197,7 @@
     std::unordered_map<std::string, InstanceId> byAddress; //!< Their identifiers by peer address.
     std::size_t changedCount = 0; //!< Peers whose entries are still told as changes.
     std::map<InstanceId, Time> expired; //!< Latest signs of life of peers that were removed: others may still tell of them.
+    std::map<std::string, Time> lost; //!< By the address of each lost instance that did not state that it leaves: when it was lost.
     Time expiryCheckedAt{};
     Time countedFrom{}; //!< Silence before this time does not count.
     std::size_t nextEntry = 0; //!< Position of the rotation over the entries.
--- a/src/gateway/assignmentnews.h
+++ b/src/gateway/assignmentnews.h
@@ -10,6 +10,9 @@
 
 namespace oleandergate {
 
+//! A report may have waited for its receiver for so long without that being noticed.
+inline constexpr Duration longestUnnoticedPause = std::chrono::milliseconds(250);
+
 //! Exchanges with the other instances which changes of the assignments of software versions each knows. Thread-safe.
 class AssignmentNews
 {
@@ -19,18 +22,33 @@
 
     //! As in AssignmentCurrency.
     void onKnown(std::uint64_t revision);
+    void onConfirmed(std::uint64_t revision, Time askedAt);
+    Time confirmedAt() const;
+    bool isConfirmationDue(std::size_t rank, Time now) const;
     bool isBehind() const;
-    bool isCurrent(Time confirmedAt, bool isInStep, Time now) const;
+    bool isCurrent(bool isOutageForAll, Time now) const;
+
+    //! Returns the latest change that this instance knows.
+    std::uint64_t knownRevision() const;
+
+    //! Sets how to tell whether this process was paused until a moment ago: reports that had waited for it are older than they say.
+    void setPauseCheck(std::function<bool(Time now)> newCheck);
 
     //! The channel refers to this object.
     NewsChannel channel();
 
 private:
     std::string nextReport(Time now);
-    bool onPayload(const std::string &payload);
+    bool onPayload(const std::string &payload, Time now);
+
+    //! Tells the other instances at once if there is something to tell.
+    void passOn();
 
     InstanceId self;
     std::function<void()> onNews;
+    std::function<bool(Time now)> hasJustPaused = [](Time /*now*/) {
+        return false;
+    };
     mutable std::mutex mutex;
     AssignmentCurrency currency;
 };
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -190,6 +190,12 @@
     return this->core->table.liveCount();
 }
 
+std::size_t PeerGossip::lostCount() const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.lostCount();
+}
+
 std::size_t PeerGossip::countReports(const std::function<bool(const PeerReport &report)> &matches) const
 {
     const std::lock_guard lock(this->core->mutex);
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -54,8 +54,11 @@
 //! How long after that an instance may not have the configuration yet that is in force by then.
 constexpr Duration settlingTime = std::chrono::milliseconds(1000);
 
-//! Instances report to each other at least every 500 ms.
-constexpr Duration peerSilenceThreshold = std::chrono::milliseconds(1000);
+//! Reports that waited for a delayed process have been received after this time.
+constexpr Duration drainTime = std::chrono::milliseconds(200);
+
+//! An instance that reached the key-value service within this time shows that it is not down for all.
+constexpr Duration serviceContactThreshold = std::chrono::milliseconds(1500);
 
 //! A peer answers within a few milliseconds; another one is asked after a slower one.
 constexpr Duration fetchTimeout = std::chrono::milliseconds(300);
@@ -68,8 +71,8 @@
 constexpr Duration fetchInterval = std::chrono::milliseconds(100);
 constexpr Duration refetchInterval = std::chrono::milliseconds(500);
 
-//! How often an instance that hears nothing of its peers reads the assignments again.
-constexpr Duration outOfStepInterval = std::chrono::milliseconds(1000);
+//! How often an instance whose key-value service fails asks it to confirm the assignments.
+constexpr Duration confirmationRetryDelay = std::chrono::milliseconds(1000);
 
 std::string joined(const std::set<std::string> &versions)
 {
@@ -117,6 +120,10 @@
     this->parts.targets.setReread([this]() -> asio::awaitable<void> {
         co_await this->follower.load();
     });
+    this->parts.news.setPauseCheck([this](Time now) {
+        const Time ticked = this->tickedAt;
+        return now - ticked > longestUnnoticedPause || now - this->delayedAt.load() < drainTime;
+    });
     asio::co_spawn(this->parts.context, this->follower.run(), asio::detached);
     asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
 }
@@ -213,9 +220,7 @@
 
 bool StreamVersions::isCurrent(Time now) const
 {
-    const Time confirmedAt = std::max(this->follower.loadedAt(), this->handedAt.load());
-    const bool isInStep = this->loaded && !this->isOutOfStep(now);
-    return this->isKnown() && this->parts.news.isCurrent(confirmedAt, isInStep, now);
+    return this->isKnown() && this->parts.news.isCurrent(this->isOutageForAll(now), now);
 }
 
 std::uint64_t StreamVersions::seenRevision() const
@@ -236,6 +241,7 @@
     const std::lock_guard lock(this->mutex);
     reply.isKnown = this->isCurrent(currentTime());
     reply.revision = this->seenRevision();
+    reply.confirmedAge = static_cast<std::uint64_t>((currentTime() - this->parts.news.confirmedAt()).count());
     for (const auto &[key, record] : this->records) {
         reply.records.push_back(HandedVersionRecord{key, record.value, record.revision});
     }
@@ -274,12 +280,13 @@
 
 asio::awaitable<void> StreamVersions::fetchFrom(std::string peer)
 {
+    const Time askedAt = currentTime();
     PeerMessage query = VersionRecordsQuery();
     const Result<PeerMessage> reply = co_await this->parts.peers.sendWithin(fetchTimeout, peer, std::move(query));
     this->fetching = false;
     const auto *found = reply ? std::get_if<VersionRecordsReply>(&reply.value()) : nullptr;
     if (found != nullptr) {
-        this->take(*found, peer, currentTime());
+        this->take(*found, peer, askedAt);
         co_return;
     }
     logRecord(LogLevel::Info,
@@ -288,16 +295,21 @@
               {{"peer", peer}, {"detail", reply ? "the reply is of another kind" : reply.error().detail}});
 }
 
-void StreamVersions::take(const VersionRecordsReply &reply, const std::string &peer, Time now)
+void StreamVersions::take(const VersionRecordsReply &reply, const std::string &peer, Time askedAt)
 {
+    const std::uint64_t latest = latestAssignmentIn(reply.records);
+    const bool isConfirmed = reply.confirmedAge <= static_cast<std::uint64_t>(Duration(assignmentLifetime).count());
     {
         const std::lock_guard lock(this->mutex);
         const bool isLater = !this->isKnown() || reply.revision > this->seenRevision();
-        if (!reply.isKnown || (!isLater && latestAssignmentIn(reply.records) < this->table.latestRevision())) {
+        if (!reply.isKnown || (!isLater && latest < this->table.latestRevision())) {
             return;
         }
-        this->handedAt = now;
+        this->handedAt = askedAt;
         if (!isLater) {
+            if (isConfirmed) {
+                this->parts.news.onConfirmed(latest, askedAt - Duration(static_cast<Duration::rep>(reply.confirmedAge)));
+            }
             return;
         }
         const VersionTable before = std::exchange(this->table, VersionTable());
@@ -306,6 +318,9 @@
             this->put(KvPair{record.key, record.value, record.revision}, before);
         }
         this->handedRevision = reply.revision;
+        if (isConfirmed) {
+            this->parts.news.onConfirmed(latest, askedAt - Duration(static_cast<Duration::rep>(reply.confirmedAge)));
+        }
     }
     logRecord(LogLevel::Info,
               "versions",
@@ -786,15 +801,24 @@
 
 bool StreamVersions::isOutOfStep(Time now) const
 {
-    const Time heard = this->parts.gossip.lastReportAt();
-    return this->hasStoodStill(now) || (heard != Time{} && now - heard > peerSilenceThreshold);
+    return this->hasStoodStill(now) || now - this->parts.news.confirmedAt() > assignmentLifetime;
+}
+
+bool StreamVersions::isOutageForAll(Time now) const
+{
+    // What an instance heard before it was paused, or cut off from most of the others, does not tell.
+    const bool isSettledSincePause = !this->hasStoodStill(now) || this->handedAt.load() > this->wokeAt.load();
+    const bool hearsMost = this->parts.gossip.liveCount() + 1 > this->parts.gossip.lostCount();
+    return isSettledSincePause && hearsMost && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
 }
 
 asio::awaitable<void> StreamVersions::reload()
 {
     const Time startedAt = currentTime();
     const bool loaded = co_await this->follower.load();
-    if (!loaded) {
+    if (loaded) {
+        this->parts.news.onConfirmed(this->parts.news.knownRevision(), this->follower.loadedAt());
+    } else {
         this->failedAt = startedAt;
     }
     this->reloading = false;
@@ -826,6 +850,9 @@
 asio::awaitable<void> StreamVersions::catchUp(Time now)
 {
     const Time before = this->tickedAt.exchange(now);
+    if (before != Time{} && now - before > longestUnnoticedPause) {
+        this->delayedAt = now;
+    }
     if (before != Time{} && now - before > standstillThreshold) {
         this->stoodStill = true;
         this->wokeAt = now;
@@ -835,9 +862,11 @@
     }
 }
 
-void StreamVersions::rereadOutOfStep(Time now)
+void StreamVersions::confirmWhenDue(Time now)
 {
-    if (this->isOutOfStep(now) && now - this->follower.loadedAt() > outOfStepInterval && !this->reloading.exchange(true)) {
+    this->parts.news.onConfirmed(this->parts.news.knownRevision(), this->follower.loadedAt());
+    const bool isRetry = now - this->failedAt.load() < confirmationRetryDelay;
+    if (!isRetry && this->parts.news.isConfirmationDue(this->proposerRank(), now) && !this->reloading.exchange(true)) {
         asio::co_spawn(this->parts.context, this->reload(), asio::detached);
     }
 }
@@ -959,7 +988,7 @@
     while (true) {
         co_await sleepFor(proposeInterval);
         co_await this->catchUp(currentTime());
-        this->rereadOutOfStep(currentTime());
+        this->confirmWhenDue(currentTime());
         this->askPeer(currentTime());
         const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
         if (!active) {
@@ -1014,6 +1043,10 @@
         this->dueSince.erase(service);
         co_return;
     }
+    if (this->parts.gossip.liveCount() + 1 < this->parts.gossip.lostCount()) {
+        // Most of the others may be without the key-value service, and take what they know for what is in force.
+        co_return;
+    }
     const Duration due = now - this->dueSince.emplace(service, now).first->second;
     const std::size_t rank = this->proposerRank();
     if (rank < proposerCount && due >= proposerDelay * static_cast<Duration::rep>(rank) && now >= this->proposeAgainAt) {
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -208,7 +208,7 @@
     //! Asks a peer for the assignments if they could not be read so far, another one knows a later change, or this instance may have missed one.
     void askPeer(Time now);
     boost::asio::awaitable<void> fetchFrom(std::string peer);
-    void take(const VersionRecordsReply &reply, const std::string &peer, Time now);
+    void take(const VersionRecordsReply &reply, const std::string &peer, Time askedAt);
 
     //! Returns whether the assignments were read, or received from a peer. The mutex is held.
     bool isKnown() const;
@@ -219,12 +219,15 @@
     //! Returns up to which revision changes are known, from the key-value service or a peer. The mutex is held.
     std::uint64_t seenRevision() const;
 
-    //! Reads the assignments now and then while this instance hears nothing of its peers.
-    void rereadOutOfStep(Time now);
+    //! Has the assignments confirmed by the key-value service when that is due.
+    void confirmWhenDue(Time now);
 
-    //! Returns whether this instance may have missed a change: it stood still, or receives no reports of other instances any more.
+    //! Returns whether this instance may have missed a change: it stood still, or nobody has confirmed its assignments for a while.
     bool isOutOfStep(Time now) const;
 
+    //! Returns whether nobody seems to reach the key-value service, as far as most of the instances tell.
+    bool isOutageForAll(Time now) const;
+
     boost::asio::awaitable<void> reload();
     boost::asio::awaitable<void> catchUp(Time now);
 
@@ -254,6 +257,7 @@
     Duration leasedLifetime{}; //!< Of streams, for which \ref lease is long enough.
     Time proposeAgainAt{};
     std::atomic<Time> tickedAt{Time{}}; //!< When the proposing coroutine last ran, which it does many times a second unless the process stands still.
+    std::atomic<Time> delayedAt{Time{}}; //!< When it was last found to be late, so that reports may have waited for it.
     std::atomic<Time> wokeAt{Time{}}; //!< When it was last found to have stood still.
     std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
     std::atomic<bool> reloading{false};
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -298,6 +298,19 @@
     return true;
 }
 
+//! Reads the age at the end of a message; the highest one when the message ends before it.
+template <class Archive>
+std::uint64_t readAge(Archive &archive)
+{
+    std::uint64_t age = std::numeric_limits<std::uint64_t>::max();
+    try {
+        archive(age);
+    } catch (const cereal::Exception &) {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
+    return age;
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointsReply &value)
 {
@@ -327,6 +340,12 @@
 void serialize(Archive &archive, VersionRecordsReply &value)
 {
     archive(value.isKnown, value.revision, value.records);
+    // Earlier builds ignore it, and do not send it.
+    if constexpr (Archive::is_saving::value) {
+        archive(value.confirmedAge);
+    } else {
+        value.confirmedAge = readAge(archive);
+    }
 }
 
 template <class Archive>
--- a/src/wire/versionmessages.h
+++ b/src/wire/versionmessages.h
@@ -4,6 +4,7 @@
 #include "decision/ids.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     bool isKnown = false; //!< No for an instance that has neither read the records nor received them.
     std::uint64_t revision = 0; //!< Revision of the key-value service that the records reflect.
     std::vector<HandedVersionRecord> records{};
+    std::uint64_t confirmedAge = std::numeric_limits<std::uint64_t>::max(); //!< As in AssignmentReport.
 };
 
 //! Queries where a stream began, of an instance that may have begun it or may reach the key-value service. Answered by one StreamOriginReply.
