Stream soak: gateways that are cut off or stand still while a version joins

Change: the forms -cut have five gateways, one version at a time, and releases beside which one gateway or two are cut off in both directions or one, the store refuses them, reports nothing or answers, or one stands still, for 0.05 to 5 s. Callers' connections to the others break behind the change, and the streams are taken up at the odd gateway, beside kills, stops and moves.

--- a/tests/streamsoak/installation.cpp
+++ b/tests/streamsoak/installation.cpp
@@ -143,6 +143,31 @@
                                      Trouble::EndpointAddition,
                                      Trouble::EndpointCrash};
 
+// What is in force changes beside each of these.
+constexpr std::array cutReleases{Trouble::PeerCut,
+                                 Trouble::PeerCut,
+                                 Trouble::PeerCut,
+                                 Trouble::PeerCutSilent,
+                                 Trouble::PeerCutSilent,
+                                 Trouble::PeerCutIncoming,
+                                 Trouble::PeerCutOutgoing,
+                                 Trouble::PeerCutOnly,
+                                 Trouble::PairCut,
+                                 Trouble::PairCut,
+                                 Trouble::PairCutSilent,
+                                 Trouble::ReleasePause,
+                                 Trouble::ReleasePause};
+
+constexpr std::array cutTroubles{Trouble::Kill,
+                                 Trouble::Kill,
+                                 Trouble::Stop,
+                                 Trouble::Freeze,
+                                 Trouble::OwnStoreRefusal,
+                                 Trouble::OwnWatchSilence,
+                                 Trouble::StoreRefusal,
+                                 Trouble::RouteMove,
+                                 Trouble::EndpointCrash};
+
 constexpr auto denseFleetTroubles = joined(fleetTroubles, denseTroubles);
 constexpr auto denseBanderaTroubles = joined(banderaTroubles, denseTroubles);
 constexpr auto changingFleetTroubles = joined(denseFleetTroubles, changingTroubles);
@@ -229,6 +254,17 @@
     return settings;
 }
 
+InstallationSettings cut(InstallationSettings settings)
+{
+    settings = dense(settings, cutTroubles);
+    settings.isLasting = true;
+    settings.gateways = 5;
+    settings.releases = cutReleases;
+    settings.fewestTroubles = 0;
+    settings.mostTroubles = 6;
+    return settings;
+}
+
 } // namespace
 
 const InstallationSettings &settingsOf(Installation installation)
@@ -242,7 +278,9 @@
                                                                                      changing(nakhlaFleet(), changingFleetTroubles),
                                                                                      changing(talleresBandera(), changingBanderaTroubles),
                                                                                      lasting(nakhlaFleet()),
-                                                                                     lasting(talleresBandera())};
+                                                                                     lasting(talleresBandera()),
+                                                                                     cut(nakhlaFleet()),
+                                                                                     cut(talleresBandera())};
     return settings[static_cast<std::size_t>(installation)];
 }
 
--- a/tests/streamsoak/installation.h
+++ b/tests/streamsoak/installation.h
@@ -24,6 +24,9 @@
     TalleresBanderaChanging,
     NakhlaFleetLasting, //!< Runs that last longer than former assignments and targets are known, with troubles of one gateway alone.
     TalleresBanderaLasting,
+    NakhlaFleetCut, //!< Gateways that are cut off from the others, or stand still, while a new software version joins; streams of the others break and come
+                    //!< there.
+    TalleresBanderaCut,
 };
 
 inline constexpr std::array installationNames{
@@ -37,6 +40,8 @@
     NamedValue<Installation>{Installation::TalleresBanderaChanging, "talleres-bandera-changing"},
     NamedValue<Installation>{Installation::NakhlaFleetLasting, "nakhla-fleet-lasting"},
     NamedValue<Installation>{Installation::TalleresBanderaLasting, "talleres-bandera-lasting"},
+    NamedValue<Installation>{Installation::NakhlaFleetCut, "nakhla-fleet-cut"},
+    NamedValue<Installation>{Installation::TalleresBanderaCut, "talleres-bandera-cut"},
 };
 
 enum class Route : std::uint8_t {
@@ -102,6 +107,14 @@
     EndpointReturn, //!< It ends and starts at its address at once, under a new identifier.
     OwnStoreRefusal, //!< The store refuses one gateway, and its watches report nothing.
     OwnWatchSilence, //!< The store reports nothing to one gateway, and answers it.
+    PeerCut, //!< A gateway is cut off from the others, and the store refuses it. Half of the endpoints change version meanwhile, like below.
+    PeerCutSilent, //!< The same, and the store reports nothing to it.
+    PeerCutIncoming, //!< It hears nothing of the others, and the store refuses it.
+    PeerCutOutgoing, //!< The others hear nothing of it, and the store refuses it.
+    PeerCutOnly, //!< It reaches the store.
+    PairCut, //!< Two gateways are cut off together, and the store refuses both.
+    PairCutSilent, //!< The same, and the store reports nothing to them.
+    ReleasePause, //!< A gateway stands still.
 };
 
 inline constexpr std::array troubleNames{
@@ -149,6 +162,14 @@
     NamedValue<Trouble>{Trouble::EndpointReturn, "endpoint-return"},
     NamedValue<Trouble>{Trouble::OwnStoreRefusal, "own-store-refusal"},
     NamedValue<Trouble>{Trouble::OwnWatchSilence, "own-watch-silence"},
+    NamedValue<Trouble>{Trouble::PeerCut, "peer-cut"},
+    NamedValue<Trouble>{Trouble::PeerCutSilent, "peer-cut-silent"},
+    NamedValue<Trouble>{Trouble::PeerCutIncoming, "peer-cut-incoming"},
+    NamedValue<Trouble>{Trouble::PeerCutOutgoing, "peer-cut-outgoing"},
+    NamedValue<Trouble>{Trouble::PeerCutOnly, "peer-cut-only"},
+    NamedValue<Trouble>{Trouble::PairCut, "pair-cut"},
+    NamedValue<Trouble>{Trouble::PairCutSilent, "pair-cut-silent"},
+    NamedValue<Trouble>{Trouble::ReleasePause, "release-pause"},
 };
 
 //! Names of what endpoints do with streams, beside soak::faultNames.
@@ -170,6 +191,7 @@
 //! Settings, callers and troubles of an installation. Shares are in percent.
 struct InstallationSettings
 {
+    std::size_t gateways = 3; //!< That run from the start.
     int memoryMegabytes = 0; //!< Of each gateway.
     double streamsPerSecond = 0.0; //!< Of all callers; with zero each begins its next stream when the last one is over.
     std::size_t callers = 0;
@@ -186,6 +208,8 @@
     int queryObjectiveMs = 0; //!< Of these two.
     int hasty = 0; //!< Streams whose callers wait for a short time only.
     int large = 0; //!< Streams with large events.
+    std::span<const Trouble>
+        releases{}; //!< Troubles beside which half of the endpoints change version, one after the other; each is followed by the other half.
     bool isLasting = false; //!< Runs are long, timeouts short, and releases end halfway.
     bool isDense = false; //!< There is a gateway to add, paths of streams have a folder, and callers try longer.
 };
--- a/tests/streamsoak/main.cpp
+++ b/tests/streamsoak/main.cpp
@@ -129,7 +129,7 @@
         printCase(each, *seen, run, printed++ < maxDetailedCases);
     }
     if (judge.hasFailed() && !logFolder.empty()) {
-        soak::keepLogs(logFolder, plan.seed, gatewayCount + (plan.hasSpare ? 1 : 0), [&run](std::size_t gateway) {
+        soak::keepLogs(logFolder, plan.seed, gatewaysOf(plan), [&run](std::size_t gateway) {
             return run.log(gateway);
         });
     }
--- a/tests/streamsoak/streamcaller.cpp
+++ b/tests/streamsoak/streamcaller.cpp
@@ -96,7 +96,8 @@
         if (made->left || (made->complete && made->status == 200) || (!isRefused && !mayGoOn)) {
             return;
         }
-        gateway = (made->gateway + 1) % this->gateways.size();
+        const int takenUpAt = this->gateways[made->gateway].takenUpAt;
+        gateway = takenUpAt < 0 ? (made->gateway + 1) % this->gateways.size() : static_cast<std::size_t>(takenUpAt);
         if (isRefused) {
             std::this_thread::sleep_for(refusedPause);
         }
@@ -118,9 +119,11 @@
         return std::nullopt;
     }
     next.beganAt = currentTime();
+    const std::atomic<std::uint32_t> &breaks = this->gateways[next.gateway].breaks;
+    const std::uint32_t breaksBefore = breaks;
     connection->send(planned.bytes(next.id, next.lastEvent, next.resumes));
     Time heardAt = next.beganAt;
-    while (connection->end() == support::ConnectionEnd::Open && currentTime() < heardAt + patience && !next.left) {
+    while (connection->end() == support::ConnectionEnd::Open && currentTime() < heardAt + patience && !next.left && breaks == breaksBefore) {
         if (connection->receiveSome(static_cast<int>(pollInterval.count()))) {
             heardAt = currentTime();
             std::this_thread::sleep_for(planned.readPause);
--- a/tests/streamsoak/streamcaller.h
+++ b/tests/streamsoak/streamcaller.h
@@ -40,6 +40,8 @@
 {
     std::string address{};
     std::atomic<bool> avoided{false}; //!< The balancer sends no further requests.
+    std::atomic<std::uint32_t> breaks{0}; //!< How often all connections of callers broke.
+    std::atomic<int> takenUpAt{-1}; //!< Where callers go whose connections break; the next gateway if negative.
 };
 
 //! Sends the streams of one caller, and takes each up elsewhere that breaks off.
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -12,6 +12,7 @@
 constexpr Milliseconds hastyLimit{600};
 constexpr std::size_t largeEventBytes = 60000;
 constexpr int ownStoreFactor = 4; //!< Troubles of one gateway with the store last so much longer than others.
+constexpr Milliseconds releaseInterval{8500};
 constexpr std::size_t streamsPerCaller = 60; //!< More than a caller has time for.
 constexpr std::int64_t likelyStreams = 5; //!< That a caller has begun by the middle of a run.
 constexpr std::uint64_t installationSeed = 0x9e3779b97f4a7c15U;
@@ -70,7 +71,7 @@
     stream.readPause = dice.percent(settings.slowReaders) ? dice.time(50, 400) : Milliseconds(0);
     stream.leaveAfter = dice.percent(settings.leave) ? dice.time(50, 800) : Milliseconds(0);
     stream.pauseBefore = dice.time(0, 150);
-    stream.gateway = static_cast<std::size_t>(dice.between(0, gatewayCount - 1));
+    stream.gateway = static_cast<std::size_t>(dice.between(0, static_cast<std::int64_t>(settings.gateways) - 1));
     return stream;
 }
 
@@ -107,6 +108,20 @@
     }
 }
 
+//! Half of the endpoints change version beside a trouble of one gateway or two, again and again. In between one version serves for longer than former
+//! assignments are known.
+void addReleases(soak::Dice &dice, StreamPlan &plan)
+{
+    const InstallationSettings &settings = settingsOf(plan.installation);
+    int version = 2;
+    for (Milliseconds at = dice.time(500, 1500); at + releaseInterval < plan.length + streamLimit; at += releaseInterval) {
+        PlannedTrouble planned{dice.oneOf(settings.releases), at, dice.percent(60) ? dice.time(50, 1200) : dice.time(1200, 5000)};
+        planned.target = static_cast<std::size_t>(dice.between(0, static_cast<std::int64_t>(settings.gateways) - 1));
+        planned.version = "v" + std::to_string(version++);
+        plan.troubles.push_back(planned);
+    }
+}
+
 void addTroubles(soak::Dice &dice, StreamPlan &plan)
 {
     const InstallationSettings &settings = settingsOf(plan.installation);
@@ -118,7 +133,7 @@
         planned.duration = dice.time(300, 4000);
         const bool isOfEndpoint = std::ranges::find(endpointTroubles, planned.trouble) != endpointTroubles.end();
         const bool isOfLink = planned.trouble == Trouble::LinkSilence || planned.trouble == Trouble::LinkReset || planned.trouble == Trouble::LinkRefusal;
-        const std::size_t chosen = static_cast<std::size_t>(dice.between(0, isOfEndpoint ? endpointCount - 1 : gatewayCount - 1));
+        const std::size_t chosen = static_cast<std::size_t>(dice.between(0, isOfEndpoint ? endpointCount - 1 : settings.gateways - 1));
         planned.target = isOfLink ? 0 : chosen;
         if (planned.trouble == Trouble::OwnStoreRefusal || planned.trouble == Trouble::OwnWatchSilence) {
             planned.duration *= ownStoreFactor;
@@ -169,6 +184,11 @@
     return text + "\r\nbody";
 }
 
+std::size_t gatewaysOf(const StreamPlan &plan)
+{
+    return settingsOf(plan.installation).gateways + (plan.hasSpare ? 1 : 0);
+}
+
 StreamPlan makeStreamPlan(std::uint64_t seed, Installation installation)
 {
     const InstallationSettings &settings = settingsOf(installation);
@@ -183,7 +203,9 @@
     plan.faultPercent = dice.oneOf({0, 10, 30});
     plan.length = settings.isLasting ? dice.time(22000, 28000) : dice.time(8000, 12000);
     addTroubles(dice, plan);
-    if (settings.isLasting) {
+    if (!settings.releases.empty()) {
+        addReleases(dice, plan);
+    } else if (settings.isLasting) {
         addHalfReleases(dice, plan);
     } else if (dice.percent(50)) {
         addReplacements(dice, plan);
--- a/tests/streamsoak/streamplan.h
+++ b/tests/streamsoak/streamplan.h
@@ -85,7 +85,9 @@
 
 StreamPlan makeStreamPlan(std::uint64_t seed, Installation installation);
 
-inline constexpr std::size_t gatewayCount = 3;
+//! Returns the number of gateways of a plan, with the one that does not run at first.
+std::size_t gatewaysOf(const StreamPlan &plan);
+
 inline constexpr std::size_t endpointCount = 6; //!< Of the service "engine".
 inline constexpr std::size_t otherEndpointCount = 2;
 inline constexpr std::size_t cutterCount = 2;
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -43,6 +43,11 @@
 constexpr Milliseconds secondKillDelay{700};
 constexpr Milliseconds longestStoreDelay{900};
 constexpr Milliseconds registrationLag{400};
+constexpr Milliseconds replacementTime{600};
+
+//! When callers' connections break behind the begin of a release: buckets move within some 100 ms.
+constexpr std::array breakDelays{
+    Milliseconds(150), Milliseconds(250), Milliseconds(350), Milliseconds(500), Milliseconds(700), Milliseconds(950), Milliseconds(1300)};
 constexpr std::array watchedPrefixes{"op/", "oleandergate/versions/", "servers/"};
 
 constexpr std::array limits{support::GatewayCluster::defaultLimits, R"({"HeaderBytes":8192,"BodyBytes":2048,"HeaderMs":2500,"IdleMs":9000})"};
@@ -102,6 +107,32 @@
     return routes;
 }
 
+//! What befalls some gateways while endpoints change version.
+struct ReleaseTrouble
+{
+    support::PeerCut cut = support::PeerCut::None;
+    bool isPair = false; //!< Two gateways that reach each other.
+    bool isRefused = false; //!< By the store.
+    bool isSilent = false; //!< The store reports nothing.
+    bool isPaused = false;
+};
+
+ReleaseTrouble releaseTroubleOf(Trouble trouble)
+{
+    using support::PeerCut;
+    static const std::map<Trouble, ReleaseTrouble> troubles{
+        {Trouble::PeerCut, {PeerCut::Both, false, true, false, false}},
+        {Trouble::PeerCutSilent, {PeerCut::Both, false, false, true, false}},
+        {Trouble::PeerCutIncoming, {PeerCut::Incoming, false, true, false, false}},
+        {Trouble::PeerCutOutgoing, {PeerCut::Outgoing, false, true, false, false}},
+        {Trouble::PeerCutOnly, {PeerCut::Both, false, false, false, false}},
+        {Trouble::PairCut, {PeerCut::Both, true, true, false, false}},
+        {Trouble::PairCutSilent, {PeerCut::Both, true, false, true, false}},
+        {Trouble::ReleasePause, {PeerCut::None, false, false, false, true}},
+    };
+    return troubles.at(trouble);
+}
+
 support::Link linkIn(Trouble trouble)
 {
     return trouble == Trouble::LinkSilence ? support::Link::Silent : trouble == Trouble::LinkReset ? support::Link::Reset : support::Link::NoNew;
@@ -111,7 +142,7 @@
 
 StreamRun::StreamRun(const StreamPlan &plan)
     : plan(plan)
-    , cluster(gatewayCount + (plan.hasSpare ? 1 : 0), endpointCount, plan.hasLinks ? 1 : 0, settingsOf(plan.installation).memoryMegabytes)
+    , cluster(gatewaysOf(plan), endpointCount, plan.hasLinks ? 1 : 0, settingsOf(plan.installation).memoryMegabytes)
     , killAt(cluster.gateways.size())
     , earlierStarts(cluster.gateways.size(), 0)
 {
@@ -175,6 +206,14 @@
         {Trouble::EndpointReturn, &StreamRun::returnEndpoint},
         {Trouble::OwnStoreRefusal, &StreamRun::refuseOneAtStore},
         {Trouble::OwnWatchSilence, &StreamRun::silenceOneWatcher},
+        {Trouble::PeerCut, &StreamRun::releaseBeside},
+        {Trouble::PeerCutSilent, &StreamRun::releaseBeside},
+        {Trouble::PeerCutIncoming, &StreamRun::releaseBeside},
+        {Trouble::PeerCutOutgoing, &StreamRun::releaseBeside},
+        {Trouble::PeerCutOnly, &StreamRun::releaseBeside},
+        {Trouble::PairCut, &StreamRun::releaseBeside},
+        {Trouble::PairCutSilent, &StreamRun::releaseBeside},
+        {Trouble::ReleasePause, &StreamRun::releaseBeside},
     };
     return plays.at(trouble);
 }
@@ -186,7 +225,7 @@
     }
     this->cluster.addService(otherService, otherEndpointCount);
     this->cluster.configure(this->configurationVersion, routesOf(this->plan, this->routes));
-    for (std::size_t index = 0; index < gatewayCount; ++index) {
+    for (std::size_t index = 0; index < settingsOf(this->plan.installation).gateways; ++index) {
         this->cluster.logHas(index, R"("version":"2")", configurationLogMs);
     }
     for (std::size_t slot = 0; slot < endpointCount; ++slot) {
@@ -354,6 +393,65 @@
     });
 }
 
+void StreamRun::replaceHalf(std::size_t first, const std::string &version)
+{
+    for (std::size_t slot = first; slot < first + endpointCount / 2; ++slot) {
+        PlannedTrouble replacement{Trouble::Replacement, {}, replacementTime};
+        replacement.target = slot;
+        replacement.version = version;
+        this->replaceEndpoint(replacement);
+    }
+}
+
+void StreamRun::breakConnections(const std::set<std::size_t> &odd)
+{
+    for (std::size_t gateway = 0; gateway < this->states.size(); ++gateway) {
+        if (!odd.contains(gateway)) {
+            this->states[gateway].takenUpAt = static_cast<int>(*odd.begin());
+            this->states[gateway].breaks += 1;
+        }
+    }
+}
+
+void StreamRun::releaseBeside(const PlannedTrouble &planned)
+{
+    const ReleaseTrouble trouble = releaseTroubleOf(planned.trouble);
+    std::set<std::size_t> odd{planned.target};
+    if (trouble.isPair) {
+        odd.insert((planned.target + 1) % settingsOf(this->plan.installation).gateways);
+    }
+    this->cluster.cutPeers(odd, trouble.cut);
+    for (const std::size_t gateway : odd) {
+        this->cluster.setStoreRefusing(gateway, trouble.isRefused);
+        this->cluster.setWatchesSilent(gateway, trouble.isSilent);
+        if (trouble.isPaused && this->cluster.gateways[gateway].isRunning()) {
+            this->cluster.gateways[gateway].signal(SIGSTOP);
+        }
+    }
+    this->replaceHalf(0, planned.version);
+    for (const Milliseconds delay : breakDelays) {
+        this->later(delay, [this, odd]() {
+            this->breakConnections(odd);
+        });
+    }
+    this->later(planned.duration, [this, odd, trouble]() {
+        this->cluster.cutPeers(odd, support::PeerCut::None);
+        for (const std::size_t gateway : odd) {
+            this->cluster.setStoreRefusing(gateway, false);
+            this->cluster.setWatchesSilent(gateway, false);
+            if (trouble.isPaused && this->cluster.gateways[gateway].isRunning()) {
+                this->cluster.gateways[gateway].signal(SIGCONT);
+            }
+        }
+    });
+    this->later(std::max(planned.duration, breakDelays.back()) + soak::Milliseconds(1), [this, version = planned.version]() {
+        for (GatewayState &state : this->states) {
+            state.takenUpAt = -1;
+        }
+        this->replaceHalf(endpointCount / 2, version);
+    });
+}
+
 void StreamRun::changeLinks(const PlannedTrouble &planned)
 {
     this->cluster.setLink(planned.target, linkIn(planned.trouble), endpointCount);
@@ -413,7 +511,7 @@
 
 void StreamRun::roll(const PlannedTrouble &planned)
 {
-    for (std::size_t index = 0; index < gatewayCount; ++index) {
+    for (std::size_t index = 0; index < settingsOf(this->plan.installation).gateways; ++index) {
         PlannedTrouble stop = planned;
         stop.target = index;
         this->later(static_cast<int>(index) * rollInterval, [this, stop]() {
--- a/tests/streamsoak/streamrun.h
+++ b/tests/streamsoak/streamrun.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 
 namespace oleandergate::streamsoak {
 
@@ -80,6 +81,13 @@
     void delayStore(const PlannedTrouble &planned);
     void silenceOnePrefix(const PlannedTrouble &planned);
     void returnEndpoint(const PlannedTrouble &planned);
+    void releaseBeside(const PlannedTrouble &planned);
+
+    //! Replaces the endpoints from \p first on, half of all, by some of \p version.
+    void replaceHalf(std::size_t first, const std::string &version);
+
+    //! Breaks the callers' connections to all gateways but \p odd; their streams are taken up at the first of these.
+    void breakConnections(const std::set<std::size_t> &odd);
 
     //! Sets whether Route::Query may be resumed, from the next configuration on.
     void setQueryResumable(bool isResumable);
