The present time counts while a machine is suspended

Cause: the present time came from the steady clock, which stands still while the machine is suspended, so that no comparison of ages and no gap between two steps could show the pause.

Change: it comes from the clock that counts suspensions.

--- a/src/runtime/clock.cpp
+++ b/src/runtime/clock.cpp
@@ -5,15 +5,27 @@
 
 namespace oleandergate {
 
+namespace {
+
+//! The steady clock of the standard library stands still while the machine is suspended.
+Duration sinceBoot()
+{
+    std::timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace
+
 Time currentTime()
 {
     struct Origin
     {
         Time wall = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
-        std::chrono::steady_clock::time_point steady = std::chrono::steady_clock::now();
+        Duration boot = sinceBoot();
     };
     static const Origin origin;
-    return origin.wall + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - origin.steady);
+    return origin.wall + (sinceBoot() - origin.boot);
 }
 
 std::string formatTime(Time time)
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -8,7 +8,7 @@
 namespace oleandergate {
 
 //! Returns the current time. It is monotonic within a process: the system time of the first call plus the time that has
-//! passed on the steady clock since.
+//! passed since, also while the machine was suspended: what was learnt before is so old, and what was promised has run out.
 Time currentTime();
 
 //! Formats \p time as ISO 8601 in UTC, with microseconds.
