--- a/tests/gateway/releasecluster.h
+++ b/tests/gateway/releasecluster.h
@@ -142,7 +142,9 @@
         }
         callers.clear();
         std::size_t served = 0;
-        for (const auto &[program, answer] : answers) {
+        for (const auto &each : answers) {
+            const std::string &program = each.first;
+            const std::optional<HttpResponse> &answer = each.second;
             REQUIRE(answer);
             CAPTURE(program);
             CAPTURE(answer->body);
--- a/tests/streamsoak/streamplan.cpp
+++ b/tests/streamsoak/streamplan.cpp
@@ -133,7 +133,8 @@
         planned.duration = dice.time(300, 4000);
         const bool isOfEndpoint = std::ranges::find(endpointTroubles, planned.trouble) != endpointTroubles.end();
         const bool isOfLink = planned.trouble == Trouble::LinkSilence || planned.trouble == Trouble::LinkReset || planned.trouble == Trouble::LinkRefusal;
-        const std::size_t chosen = static_cast<std::size_t>(dice.between(0, isOfEndpoint ? endpointCount - 1 : settings.gateways - 1));
+        const std::size_t choices = isOfEndpoint ? endpointCount : settings.gateways;
+        const auto chosen = static_cast<std::size_t>(dice.between(0, static_cast<std::int64_t>(choices) - 1));
         planned.target = isOfLink ? 0 : chosen;
         if (planned.trouble == Trouble::OwnStoreRefusal || planned.trouble == Trouble::OwnWatchSilence) {
             planned.duration *= ownStoreFactor;
