An instance that has heard nobody, or less than most, tells no outage for all

Cause: one that had never heard a peer was never out of step.

Change: PeerTable tells whether most of the others, or half of all, are heard. An instance whose settings name others, and that hears nobody, does not hear most.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -114,6 +114,7 @@
     this->nextAge = this->random();
     for (const std::string &seed : seeds) {
         this->candidates[seed] = Time{};
+        this->hasOtherSeeds = this->hasOtherSeeds || seed != this->ownAddress;
     }
 }
 
@@ -574,6 +575,16 @@
     }));
 }
 
+bool PeerTable::hearsMost() const
+{
+    return this->peers.size() + 1 > this->lostCount() && (!this->peers.empty() || !this->hasOtherSeeds);
+}
+
+bool PeerTable::hearsHalf() const
+{
+    return this->peers.size() + 1 >= this->lostCount();
+}
+
 std::size_t PeerTable::liveCount() const
 {
     return this->peers.size();
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -99,8 +99,10 @@
     std::vector<InstanceRecord> liveInstances() const;
     std::size_t liveCount() const;
 
-    //! Returns the number of addresses whose instance was lost in the last minute, without having stated that it leaves, and that no other one has taken.
-    std::size_t lostCount() const;
+    //! Returns whether this instance hears most of the others, or at least half of all. Others are those that are live, and those that were lost in the last
+    //! minute without having stated that they leave and whose addresses nobody has taken. One that knows addresses of others, and hears nobody, does not.
+    bool hearsMost() const;
+    bool hearsHalf() const;
 
     //! Returns the number of live peers with a report for which \p matches returns true.
     std::size_t countReports(const std::function<bool(const PeerReport &report)> &matches) const;
@@ -135,6 +137,9 @@
         std::optional<std::list<Peer *>::iterator> counted{}; //!< Position in countedPeers; nothing while its calls are not in the totals.
     };
 
+    //! Returns the number of addresses whose instances were lost in the last minute; see hearsMost().
+    std::size_t lostCount() const;
+
     //! Replaces the calls \p before by \p after in the totals.
     void updateTotals(const std::map<std::uint32_t, std::uint32_t> &before, const std::map<std::uint32_t, std::uint32_t> &after);
 
@@ -188,6 +193,7 @@
 
     std::string ownAddress;
     std::string ownDomain;
+    bool hasOtherSeeds = false; //!< There are other instances, as far as the settings tell.
     std::map<InstanceId, Peer> peers;
     Newest newest; //!< What the live peers have at most: mostly nobody has news, and then their reports need not be searched.
     std::uint64_t revision = 0; //!< See membersRevision().
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -190,10 +190,16 @@
     return this->core->table.liveCount();
 }
 
-std::size_t PeerGossip::lostCount() const
+bool PeerGossip::hearsMost() const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.lostCount();
+    return this->core->table.hearsMost();
+}
+
+bool PeerGossip::hearsHalf() const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.hearsHalf();
 }
 
 std::size_t PeerGossip::countReports(const std::function<bool(const PeerReport &report)> &matches) const
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -71,7 +71,8 @@
 
     //! As in PeerTable. \p matches must not call this object. Thread-safe.
     std::size_t liveCount() const;
-    std::size_t lostCount() const;
+    bool hearsMost() const;
+    bool hearsHalf() const;
     std::size_t countReports(const std::function<bool(const PeerReport &report)> &matches) const;
 
     //! Sends the reports of the channels soon, without waiting for the next load report. Thread-safe.
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -808,8 +808,7 @@
 {
     // What an instance heard before it was paused, or cut off from most of the others, does not tell.
     const bool isSettledSincePause = !this->hasStoodStill(now) || this->handedAt.load() > this->wokeAt.load();
-    const bool hearsMost = this->parts.gossip.liveCount() + 1 > this->parts.gossip.lostCount();
-    return isSettledSincePause && hearsMost && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
+    return isSettledSincePause && this->parts.gossip.hearsMost() && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
 }
 
 asio::awaitable<void> StreamVersions::reload()
@@ -1043,7 +1042,7 @@
         this->dueSince.erase(service);
         co_return;
     }
-    if (this->parts.gossip.liveCount() + 1 < this->parts.gossip.lostCount()) {
+    if (!this->parts.gossip.hearsHalf()) {
         // Most of the others may be without the key-value service, and take what they know for what is in force.
         co_return;
     }
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -306,3 +306,44 @@
     }
     CHECK(sentPairs.size() == static_cast<std::size_t>(peers) * peers);
 }
+
+// Guards against instances that are cut off together and take what they know for what all know.
+TEST_CASE("An instance knows whether it hears most of the others")
+{
+    PeerTable table("10.0.0.9:90", "a", {"10.0.0.1:90"});
+    CHECK_FALSE(table.hearsMost());
+    CHECK(table.hearsHalf());
+    for (const std::string id : {"1", "2", "3", "4", "5"}) {
+        table.onReport(makeReport(id), start);
+    }
+    CHECK(table.hearsMost());
+    Time now = start + std::chrono::milliseconds(1000);
+    table.onReport(makeReport("1", 2), now);
+    now += std::chrono::milliseconds(1000);
+    REQUIRE(table.expire(now).size() == 4);
+    CHECK_FALSE(table.hearsMost());
+    CHECK_FALSE(table.hearsHalf());
+    // Another process at the address of one that was lost takes its place.
+    table.onReport(makeReport("2", 2), now);
+    CHECK_FALSE(table.hearsMost());
+    CHECK(table.hearsHalf());
+    PeerReport successor = makeReport("3~1", 3);
+    successor.instance.peerAddress = "10.0.0.3:90";
+    table.onReport(successor, now);
+    CHECK(table.hearsMost());
+}
+
+TEST_CASE("Instances that stated that they leave, or were lost long ago, are not missed")
+{
+    PeerTable table("10.0.0.9:90", "a", {});
+    CHECK(table.hearsMost());
+    PeerReport leaving = makeReport("1");
+    leaving.instance.leaving = true;
+    table.onReport(leaving, start);
+    table.onReport(makeReport("2"), start);
+    REQUIRE(table.expire(start + std::chrono::seconds(3)).size() == 2);
+    CHECK_FALSE(table.hearsMost());
+    CHECK(table.hearsHalf());
+    table.expire(start + std::chrono::seconds(70));
+    CHECK(table.hearsMost());
+}
