A take-up always reads the record of its stream, and the latest record counts

Cause: a bucket with a single version was taken for a proof without the stream's record. An instance that began a stream before the first assignment, or learned of a change late, records what it began at another version, and that record was never read. And where a stream was sent again at another version before its first event, the record of the first send could be the only one that was stored; the tenth record sorted before the ninth.

Change: the record is read wherever no instance knows the stream, and a take-up is refused when it cannot be. A send at another version than a recorded one waits for its record. Numbers in keys have three digits.

Why it works: all that may have begun the stream is read behind the arrival of its take-up, and no event is forwarded before the record of its version counts.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -339,7 +339,9 @@
 {
     {
         const std::lock_guard lock(this->mutex);
-        if (!this->isCurrent(now)) {
+        const auto known = this->streams.find(keyOf(stream));
+        const bool isRecordedOtherwise = known != this->streams.end() && known->second.records > 0 && known->second.version != version;
+        if (isRecordedOtherwise || !this->isCurrent(now)) {
             return true;
         }
         const std::optional<std::string> assigned = this->table.assigned(stream.service, stream.bucket);
@@ -893,18 +895,13 @@
 asio::awaitable<Result<std::string>> StreamVersions::findByRecords(StreamIdentity stream, RequestId request)
 {
     const std::set<std::string> listed = this->listedVersions(stream.service);
-    std::optional<std::string> single;
+    bool hasNoVersions = false;
     {
         const std::lock_guard lock(this->mutex);
-        const std::set<std::string> possible = this->table.candidates(stream.service, stream.bucket);
-        if (possible.empty() && listed == std::set<std::string>{std::string()}) {
-            single = std::string();
-        } else if (possible.size() == 1 && !this->table.mayBeDiverted(stream.service, stream.bucket)) {
-            single = *possible.begin();
-        }
+        hasNoVersions = this->table.candidates(stream.service, stream.bucket).empty() && listed == std::set<std::string>{std::string()};
     }
-    if (single) {
-        co_return this->onFound(stream, request, *single, VersionSource::Assignment);
+    if (hasNoVersions) {
+        co_return this->onFound(stream, request, std::string(), VersionSource::Assignment);
     }
     StreamRecord recorded;
     recorded.state = RecordState::Absent;
@@ -926,19 +923,21 @@
         co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? VersionSource::Record : VersionSource::Assignment);
     }
     if (isByAttempt) {
-        const bool isUnknown = recorded.state == RecordState::Unknown;
-        co_return this->refuse(stream, request, isUnknown ? "the record of the stream could not be read" : "the stream has no record");
+        co_return this->refuse(stream, request, "the stream has no record");
     }
     const std::optional<std::set<std::string>> ofRequest = co_await this->readRequestRecords(stream.request);
+    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
     {
         const std::lock_guard lock(this->mutex);
-        version = ofRequest ? this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest)
-                            : this->table.resolve(stream.service, stream.bucket, StreamRecord{});
+        version = this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest);
+        if (recorded.state == RecordState::Unknown) {
+            co_return this->refuse(stream, request, "the record of the stream could not be read");
+        }
     }
     if (version) {
-        co_return this->onFound(stream, request, *version, ofRequest && !ofRequest->empty() ? VersionSource::RequestRecord : VersionSource::Assignment);
+        co_return this->onFound(stream, request, *version, ofRequest->empty() ? VersionSource::Assignment : VersionSource::RequestRecord);
     }
-    co_return this->refuse(stream, request, ofRequest ? "several versions may have begun the stream" : "the records of the request could not be read");
+    co_return this->refuse(stream, request, "several versions may have begun the stream");
 }
 
 Error StreamVersions::refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason)
@@ -954,6 +953,9 @@
     this->unknownVersions.add();
     logRecord(LogLevel::Info,
               "versions",
+    if (!ofRequest) {
+        co_return this->refuse(stream, request, "the records of the request could not be read");
+    }
               "the software version of a stream is not known",
               {{"request", request},
                {"resumes", stream.isAttemptKnown ? stream.attempt : std::string()},
--- a/src/gateway/versionrecords.cpp
+++ b/src/gateway/versionrecords.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char *streamRecordsPrefix = "oleandergate/streams/";
+constexpr std::size_t recordDigits = 3; //!< Of the number in the key of a record of a stream.
 constexpr const char *requestRecordsPrefix = "oleandergate/requests/";
 
 //! Keys have a limited length, and names may hold any character.
@@ -44,7 +45,10 @@
 
 std::string streamRecordKey(const std::string &stream, std::uint32_t number, RequestFingerprint request)
 {
-    return streamRecordPrefix(stream) + std::to_string(number) + "-" + hashText(request);
+    // The latest one is the last in the order of keys.
+    std::string digits = std::to_string(number);
+    digits.insert(0, digits.size() < recordDigits ? recordDigits - digits.size() : 0, '0');
+    return streamRecordPrefix(stream) + digits + "-" + hashText(request);
 }
 
 bool isRecordOf(const std::string &key, RequestFingerprint request)
