A former assignment outlasts the streams that began by it, also if it was written late

A pause between grant and write, or a report of a confirmation that is older than it says, left the last moments uncovered.

Change: the lease is a second longer, and a change whose lease took over half of that is given up. The record of what a change replaces is put in front of the assignment, as events are applied one by one.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -34,6 +34,10 @@
 //! Delay before records that could not be stored are written again.
 constexpr Duration recordRetryDelay = std::chrono::milliseconds(500);
 
+//! Added to the lease of a former assignment: the time in which a change is written once the lease is granted, and by which reports of confirmations may be
+//! older than they say.
+constexpr Duration leaseMargin = std::chrono::milliseconds(1000);
+
 constexpr Duration proposeInterval = std::chrono::milliseconds(100);
 constexpr Duration proposeRetryDelay = std::chrono::milliseconds(500);
 
@@ -923,16 +927,16 @@
         co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? VersionSource::Record : VersionSource::Assignment);
     }
     if (isByAttempt) {
+    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
         co_return this->refuse(stream, request, "the stream has no record");
     }
     const std::optional<std::set<std::string>> ofRequest = co_await this->readRequestRecords(stream.request);
-    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
-    {
-        const std::lock_guard lock(this->mutex);
-        version = this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest);
         if (recorded.state == RecordState::Unknown) {
             co_return this->refuse(stream, request, "the record of the stream could not be read");
         }
+    {
+        const std::lock_guard lock(this->mutex);
+        version = this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest);
     }
     if (version) {
         co_return this->onFound(stream, request, *version, ofRequest->empty() ? VersionSource::Assignment : VersionSource::RequestRecord);
@@ -949,13 +953,13 @@
         const std::lock_guard lock(this->mutex);
         candidates = this->table.candidates(stream.service, stream.bucket);
         diverted = this->table.mayBeDiverted(stream.service, stream.bucket);
+    if (!ofRequest) {
+        co_return this->refuse(stream, request, "the records of the request could not be read");
+    }
     }
     this->unknownVersions.add();
     logRecord(LogLevel::Info,
               "versions",
-    if (!ofRequest) {
-        co_return this->refuse(stream, request, "the records of the request could not be read");
-    }
               "the software version of a stream is not known",
               {{"request", request},
                {"resumes", stream.isAttemptKnown ? stream.attempt : std::string()},
@@ -1083,11 +1087,14 @@
     }
     KvTransaction write;
     write.compares.push_back(KvCompare{versionRecordKey(service), revision});
-    write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
     if (!earlier.versions.empty()) {
-        const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(lifetime);
-        if (!granted) {
-            logError("versions", "no lease for a change of the assignment of " + service, granted.error());
+        const Time askedAt = currentTime();
+        const Result<std::uint64_t> granted = co_await this->parts.service.grantLease(lifetime + leaseMargin);
+        if (!granted || currentTime() - askedAt > leaseMargin / 2) {
+            logRecord(LogLevel::Warning,
+                      "versions",
+                      "no lease for a change of the assignment",
+                      {{"service", service}, {"detail", granted ? "it was granted too late" : granted.error().detail}});
             this->proposeAgainAt = currentTime() + proposeRetryDelay;
             co_return;
         }
@@ -1107,3 +1114,5 @@
 }
 
 } // namespace oleandergate
+        // In front of the assignment: events are applied one by one.
+    write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
