An outage for all is told by signs of life of most instances, whoever was lost and whenever

Cause: lost instances were forgotten after a minute, within a longer cut, and by a process that started within one; peers counted as heard until they were given up, 1.8 s to many seconds behind the cut. A pair that was cut off together then took what it knew for what all know.

Change: what counts are signs of life of the last 1.8 s of most of all instances that are live, lost, or named by the settings. They are forgotten a minute behind the loss, and only while the store's confirmations arrive, which they do not at an instance that is cut off. One that started in an outage relies on those that had read the assignments before. Pauses are noticed by a coroutine that waits for nothing else, so that a call to the store that hangs is not taken for a pause.

Why it works: behind a cut a permission that rests on hearing most ends after 1.8 s, before the former assignment lapses.

--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -114,7 +114,9 @@
     this->nextAge = this->random();
     for (const std::string &seed : seeds) {
         this->candidates[seed] = Time{};
-        this->hasOtherSeeds = this->hasOtherSeeds || seed != this->ownAddress;
+        if (seed != this->ownAddress) {
+            this->lost[seed] = Time{};
+        }
     }
 }
 
@@ -482,9 +484,6 @@
         }
         this->remove(id);
     }
-    std::erase_if(this->lost, [now](const auto &entry) {
-        return now - entry.second > expiredRetention;
-    });
     std::erase_if(this->expired, [now](const auto &entry) {
         return now - entry.second > expiredRetention;
     });
@@ -568,21 +567,43 @@
     return records;
 }
 
-std::size_t PeerTable::lostCount() const
+std::size_t PeerTable::otherCount() const
 {
-    return static_cast<std::size_t>(std::count_if(this->lost.begin(), this->lost.end(), [this](const auto &entry) {
-        return !this->byAddress.contains(entry.first);
+    return this->peers.size() + static_cast<std::size_t>(std::count_if(this->lost.begin(), this->lost.end(), [this](const auto &entry) {
+               return !this->byAddress.contains(entry.first);
+           }));
+}
+
+std::size_t PeerTable::heardCount(Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->peers.begin(), this->peers.end(), [now](const auto &entry) {
+        return now - entry.second.heardAt <= minPeerTimeout;
     }));
 }
 
-bool PeerTable::hearsMost() const
+bool PeerTable::hearsMost(Time now) const
 {
-    return this->peers.size() + 1 > this->lostCount() && (!this->peers.empty() || !this->hasOtherSeeds);
+    return 2 * (this->heardCount(now) + 1) > this->otherCount() + 1;
 }
 
-bool PeerTable::hearsHalf() const
+bool PeerTable::hearsHalf(Time now) const
 {
-    return this->peers.size() + 1 >= this->lostCount();
+    return 2 * (this->heardCount(now) + 1) >= this->otherCount() + 1;
+}
+
+bool PeerTable::missesAny(Time now) const
+{
+    return this->heardCount(now) < this->otherCount();
+}
+
+void PeerTable::forgetLost(Time now)
+{
+    for (auto &[address, lostAt] : this->lost) {
+        lostAt = lostAt == Time{} ? now : lostAt;
+    }
+    std::erase_if(this->lost, [now](const auto &entry) {
+        return now - entry.second > expiredRetention;
+    });
 }
 
 std::size_t PeerTable::liveCount() const
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -99,10 +99,17 @@
     std::vector<InstanceRecord> liveInstances() const;
     std::size_t liveCount() const;
 
-    //! Returns whether this instance hears most of the others, or at least half of all. Others are those that are live, and those that were lost in the last
-    //! minute without having stated that they leave and whose addresses nobody has taken. One that knows addresses of others, and hears nobody, does not.
-    bool hearsMost() const;
-    bool hearsHalf() const;
+    //! Returns whether there were signs of life just now of most of the instances, or of half of them, this one included. Instances are those that are live,
+    //! and those that were lost, or named by the settings and never heard, until forgetLost(): not those that stated that they leave, or whose address another
+    //! one has taken.
+    bool hearsMost(Time now) const;
+    bool hearsHalf(Time now) const;
+
+    //! Returns whether an instance is lost, or has given no sign of life just now.
+    bool missesAny(Time now) const;
+
+    //! Forgets the instances that were lost a minute ago or longer. Not to be called while this instance may be the one that is cut off.
+    void forgetLost(Time now);
 
     //! Returns the number of live peers with a report for which \p matches returns true.
     std::size_t countReports(const std::function<bool(const PeerReport &report)> &matches) const;
@@ -137,8 +144,9 @@
         std::optional<std::list<Peer *>::iterator> counted{}; //!< Position in countedPeers; nothing while its calls are not in the totals.
     };
 
-    //! Returns the number of addresses whose instances were lost in the last minute; see hearsMost().
-    std::size_t lostCount() const;
+    //! Returns the number of the other instances, live or lost, and of those with a sign of life just now; see hearsMost().
+    std::size_t otherCount() const;
+    std::size_t heardCount(Time now) const;
 
     //! Replaces the calls \p before by \p after in the totals.
     void updateTotals(const std::map<std::uint32_t, std::uint32_t> &before, const std::map<std::uint32_t, std::uint32_t> &after);
@@ -193,7 +201,6 @@
 
     std::string ownAddress;
     std::string ownDomain;
-    bool hasOtherSeeds = false; //!< There are other instances, as far as the settings tell.
     std::map<InstanceId, Peer> peers;
     Newest newest; //!< What the live peers have at most: mostly nobody has news, and then their reports need not be searched.
     std::uint64_t revision = 0; //!< See membersRevision().
@@ -203,7 +210,7 @@
     std::unordered_map<std::string, InstanceId> byAddress; //!< Their identifiers by peer address.
     std::size_t changedCount = 0; //!< Peers whose entries are still told as changes.
     std::map<InstanceId, Time> expired; //!< Latest signs of life of peers that were removed: others may still tell of them.
-    std::map<std::string, Time> lost; //!< By the address of each lost instance that did not state that it leaves: when it was lost.
+    std::map<std::string, Time> lost; //!< By the address of each lost instance that did not state that it leaves: when it was lost; the epoch for a seed.
     Time expiryCheckedAt{};
     Time countedFrom{}; //!< Silence before this time does not count.
     std::size_t nextEntry = 0; //!< Position of the rotation over the entries.
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -190,16 +190,28 @@
     return this->core->table.liveCount();
 }
 
-bool PeerGossip::hearsMost() const
+bool PeerGossip::hearsMost(Time now) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.hearsMost();
+    return this->core->table.hearsMost(now);
 }
 
-bool PeerGossip::hearsHalf() const
+bool PeerGossip::hearsHalf(Time now) const
 {
     const std::lock_guard lock(this->core->mutex);
-    return this->core->table.hearsHalf();
+    return this->core->table.hearsHalf(now);
+}
+
+bool PeerGossip::missesAny(Time now) const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.missesAny(now);
+}
+
+void PeerGossip::forgetLost(Time now)
+{
+    const std::lock_guard lock(this->core->mutex);
+    this->core->table.forgetLost(now);
 }
 
 std::size_t PeerGossip::countReports(const std::function<bool(const PeerReport &report)> &matches) const
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -71,8 +71,10 @@
 
     //! As in PeerTable. \p matches must not call this object. Thread-safe.
     std::size_t liveCount() const;
-    bool hearsMost() const;
-    bool hearsHalf() const;
+    bool hearsMost(Time now) const;
+    bool hearsHalf(Time now) const;
+    bool missesAny(Time now) const;
+    void forgetLost(Time now);
     std::size_t countReports(const std::function<bool(const PeerReport &report)> &matches) const;
 
     //! Sends the reports of the channels soon, without waiting for the next load report. Thread-safe.
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -39,6 +39,7 @@
 constexpr Duration leaseMargin = std::chrono::milliseconds(1000);
 
 constexpr Duration proposeInterval = std::chrono::milliseconds(100);
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
 constexpr Duration proposeRetryDelay = std::chrono::milliseconds(500);
 
 //! Instances that propose changes take turns, as all would propose the same one.
@@ -129,6 +130,7 @@
         return now - ticked > longestUnnoticedPause || now - this->delayedAt.load() < drainTime;
     });
     asio::co_spawn(this->parts.context, this->follower.run(), asio::detached);
+    asio::co_spawn(this->parts.context, this->tickLoop(), asio::detached);
     asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
 }
 
@@ -243,7 +245,7 @@
     }
     VersionRecordsReply reply;
     const std::lock_guard lock(this->mutex);
-    reply.isKnown = this->isCurrent(currentTime());
+    reply.isKnown = this->loaded && this->isCurrent(currentTime());
     reply.revision = this->seenRevision();
     reply.confirmedAge = static_cast<std::uint64_t>((currentTime() - this->parts.news.confirmedAt()).count());
     for (const auto &[key, record] : this->records) {
@@ -814,7 +816,10 @@
 {
     // What an instance heard before it was paused, or cut off from most of the others, does not tell.
     const bool isSettledSincePause = !this->hasStoodStill(now) || this->handedAt.load() > this->wokeAt.load();
-    return isSettledSincePause && this->parts.gossip.hearsMost() && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
+    // One that started in the outage knows few of the others, and relies on those that have been there before.
+    const bool isVouchedFor = this->loaded || now - this->handedAt.load() <= assignmentLifetime;
+    return isSettledSincePause && isVouchedFor && this->parts.gossip.hearsMost(now)
+        && !this->parts.gossip.hasServiceContactAfter(now - serviceContactThreshold);
 }
 
 asio::awaitable<void> StreamVersions::reload()
@@ -852,7 +857,7 @@
     co_return true;
 }
 
-asio::awaitable<void> StreamVersions::catchUp(Time now)
+void StreamVersions::catchUp(Time now)
 {
     const Time before = this->tickedAt.exchange(now);
     if (before != Time{} && now - before > longestUnnoticedPause) {
@@ -863,7 +868,7 @@
         this->wokeAt = now;
     }
     if (this->stoodStill && !this->reloading.exchange(true)) {
-        co_await this->reload();
+        asio::co_spawn(this->parts.context, this->reload(), asio::detached);
     }
 }
 
@@ -922,18 +927,18 @@
         mayBeDiverted = this->table.mayBeDiverted(stream.service, stream.bucket);
     }
     // The attempt that the caller names may not be the one that began the stream. That matters only where the streams of its bucket differ.
+    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
     const bool isByAttempt = stream.isAttemptKnown && !(recorded.state == RecordState::Absent && candidates == 1 && mayBeDiverted);
     if (isByAttempt && version) {
         co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? VersionSource::Record : VersionSource::Assignment);
     }
+        if (recorded.state == RecordState::Unknown) {
+            co_return this->refuse(stream, request, "the record of the stream could not be read");
+        }
     if (isByAttempt) {
-    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
         co_return this->refuse(stream, request, "the stream has no record");
     }
     const std::optional<std::set<std::string>> ofRequest = co_await this->readRequestRecords(stream.request);
-        if (recorded.state == RecordState::Unknown) {
-            co_return this->refuse(stream, request, "the record of the stream could not be read");
-        }
     {
         const std::lock_guard lock(this->mutex);
         version = this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest);
@@ -948,14 +953,14 @@
 {
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
+    if (!ofRequest) {
+        co_return this->refuse(stream, request, "the records of the request could not be read");
+    }
     bool diverted = false;
     {
         const std::lock_guard lock(this->mutex);
         candidates = this->table.candidates(stream.service, stream.bucket);
         diverted = this->table.mayBeDiverted(stream.service, stream.bucket);
-    if (!ofRequest) {
-        co_return this->refuse(stream, request, "the records of the request could not be read");
-    }
     }
     this->unknownVersions.add();
     logRecord(LogLevel::Info,
@@ -992,9 +997,6 @@
 {
     while (true) {
         co_await sleepFor(proposeInterval);
-        co_await this->catchUp(currentTime());
-        this->confirmWhenDue(currentTime());
-        this->askPeer(currentTime());
         const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
         if (!active) {
             continue;
@@ -1003,6 +1005,20 @@
         Duration longestTimeout{};
         for (const Route &route : active->configuration.routes) {
             if (route.kind != RouteKind::Stream || !route.resumable) {
+asio::awaitable<void> StreamVersions::tickLoop()
+{
+    while (true) {
+        co_await sleepFor(tickInterval);
+        const Time now = currentTime();
+        this->catchUp(now);
+        this->confirmWhenDue(now);
+        this->askPeer(now);
+        if (this->parts.news.isCurrent(false, now)) {
+            this->parts.gossip.forgetLost(now);
+        }
+    }
+}
+
                 continue;
             }
             longestTimeout = std::max(longestTimeout, route.timeout);
@@ -1048,7 +1064,7 @@
         this->dueSince.erase(service);
         co_return;
     }
-    if (!this->parts.gossip.hearsHalf()) {
+    if (!this->parts.gossip.hearsHalf(now)) {
         // Most of the others may be without the key-value service, and take what they know for what is in force.
         co_return;
     }
@@ -1113,6 +1129,6 @@
     co_await this->follower.load();
 }
 
-} // namespace oleandergate
         // In front of the assignment: events are applied one by one.
+} // namespace oleandergate
     write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -67,7 +67,7 @@
         KeyValueService &service;
         PoolSet &pools;
         const GatewayConfigurationHolder &configurationHolder;
-        const PeerGossip &gossip;
+        PeerGossip &gossip;
         RouteTargetRecords &targets; //!< Its records are read together with the assignments.
         Metrics &metrics;
         PeerClient &peers;
@@ -229,12 +229,14 @@
     bool isOutageForAll(Time now) const;
 
     boost::asio::awaitable<void> reload();
-    boost::asio::awaitable<void> catchUp(Time now);
+    void catchUp(Time now);
 
     //! Logs that the version of a stream cannot be told, and returns the error for its caller.
     Error refuse(const StreamIdentity &stream, const RequestId &request, const std::string &reason);
     std::string onFound(const StreamIdentity &stream, const RequestId &request, const std::string &version, VersionSource source);
 
+    //! Notices pauses, and has the assignments confirmed. Waits for nothing else, so that a call that hangs is not taken for a pause.
+    boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> proposeLoop();
     boost::asio::awaitable<void> proposeFor(std::string service, Time now);
     boost::asio::awaitable<void> propose(std::string service, VersionBuckets current, VersionBuckets planned);
@@ -256,7 +258,7 @@
     Time leaseRenewAt{};
     Duration leasedLifetime{}; //!< Of streams, for which \ref lease is long enough.
     Time proposeAgainAt{};
-    std::atomic<Time> tickedAt{Time{}}; //!< When the proposing coroutine last ran, which it does many times a second unless the process stands still.
+    std::atomic<Time> tickedAt{Time{}}; //!< When tickLoop() last ran, which it does many times a second unless the process stands still.
     std::atomic<Time> delayedAt{Time{}}; //!< When it was last found to be late, so that reports may have waited for it.
     std::atomic<Time> wokeAt{Time{}}; //!< When it was last found to have stood still.
     std::atomic<bool> stoodStill{false}; //!< The process was paused, and the assignments have not been read since.
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -310,40 +310,58 @@
 // Guards against instances that are cut off together and take what they know for what all know.
 TEST_CASE("An instance knows whether it hears most of the others")
 {
-    PeerTable table("10.0.0.9:90", "a", {"10.0.0.1:90"});
-    CHECK_FALSE(table.hearsMost());
-    CHECK(table.hearsHalf());
+    PeerTable table("10.0.0.9:90", "a", {"10.0.0.1:90", "10.0.0.9:90"});
+    CHECK_FALSE(table.hearsMost(start));
+    CHECK(table.hearsHalf(start));
     for (const std::string id : {"1", "2", "3", "4", "5"}) {
         table.onReport(makeReport(id), start);
     }
-    CHECK(table.hearsMost());
+    CHECK(table.hearsMost(start));
+    CHECK_FALSE(table.missesAny(start));
     Time now = start + std::chrono::milliseconds(1000);
     table.onReport(makeReport("1", 2), now);
-    now += std::chrono::milliseconds(1000);
+    now += std::chrono::milliseconds(801);
+    // Before the others count as lost.
+    CHECK_FALSE(table.hearsMost(now));
+    CHECK_FALSE(table.hearsHalf(now));
+    CHECK(table.missesAny(now));
     REQUIRE(table.expire(now).size() == 4);
-    CHECK_FALSE(table.hearsMost());
-    CHECK_FALSE(table.hearsHalf());
+    CHECK_FALSE(table.hearsHalf(now));
     // Another process at the address of one that was lost takes its place.
     table.onReport(makeReport("2", 2), now);
-    CHECK_FALSE(table.hearsMost());
-    CHECK(table.hearsHalf());
+    CHECK_FALSE(table.hearsMost(now));
+    CHECK(table.hearsHalf(now));
     PeerReport successor = makeReport("3~1", 3);
     successor.instance.peerAddress = "10.0.0.3:90";
     table.onReport(successor, now);
-    CHECK(table.hearsMost());
+    CHECK(table.hearsMost(now));
 }
 
-TEST_CASE("Instances that stated that they leave, or were lost long ago, are not missed")
+TEST_CASE("Lost instances are missed until this one knows that it is not the one that is cut off")
 {
     PeerTable table("10.0.0.9:90", "a", {});
-    CHECK(table.hearsMost());
+    CHECK(table.hearsMost(start));
     PeerReport leaving = makeReport("1");
     leaving.instance.leaving = true;
     table.onReport(leaving, start);
     table.onReport(makeReport("2"), start);
-    REQUIRE(table.expire(start + std::chrono::seconds(3)).size() == 2);
-    CHECK_FALSE(table.hearsMost());
-    CHECK(table.hearsHalf());
-    table.expire(start + std::chrono::seconds(70));
-    CHECK(table.hearsMost());
+    const Time late = start + std::chrono::seconds(70);
+    REQUIRE(table.expire(late).size() == 2);
+    table.expire(late + std::chrono::seconds(70));
+    CHECK_FALSE(table.hearsMost(late + std::chrono::seconds(70)));
+    CHECK(table.hearsHalf(late + std::chrono::seconds(70)));
+    table.forgetLost(late + std::chrono::seconds(61));
+    CHECK(table.hearsMost(late + std::chrono::seconds(61)));
+}
+
+// Guards against a process that starts within a cut and knows of nobody that it could miss.
+TEST_CASE("An instance misses those that its settings name")
+{
+    PeerTable table("10.0.0.9:90", "a", {"10.0.0.1:90", "10.0.0.2:90", "10.0.0.3:90"});
+    CHECK_FALSE(table.hearsHalf(start));
+    table.forgetLost(start);
+    table.forgetLost(start + std::chrono::seconds(59));
+    CHECK_FALSE(table.hearsHalf(start));
+    table.forgetLost(start + std::chrono::seconds(61));
+    CHECK(table.hearsMost(start));
 }
