A take-up that names no attempt goes by its peers' words only if all of them answer

Cause: several attempts of one request may have begun at different versions. If the instance that began one of them did not answer, the word of the other one was left and taken for the stream's.

Change: such a take-up needs the answers of all instances, none of them lost or silent, and one version in all of them; else it is refused as not run.

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -641,9 +641,15 @@
     std::set<std::pair<std::string, std::string>> origins;
     {
         const std::lock_guard lock(this->mutex);
-        for (const auto &[key, stream] : this->streams) {
-            if (key.second == query.request && (query.attempt.empty() || key.first == query.attempt)) {
-                origins.emplace(stream.identity.service, stream.version);
+        const auto named = this->streams.find(StreamKey(query.attempt, query.request));
+        if (named != this->streams.end()) {
+            origins.emplace(named->second.identity.service, named->second.version);
+        }
+        if (query.attempt.empty()) {
+            for (const auto &[key, stream] : this->streams) {
+                if (key.second == query.request) {
+                    origins.emplace(stream.identity.service, stream.version);
+                }
             }
         }
     }
@@ -659,11 +665,12 @@
     //! Returns whether nothing more has to be waited for. One answer is enough if it can be of one stream only.
     bool isSettled(bool isAttemptKnown) const
     {
-        return this->answered == this->asked || (isAttemptKnown && !this->origins.empty());
+        return this->ended == this->asked || (isAttemptKnown && !this->origins.empty());
     }
 
     std::mutex mutex{};
     std::size_t asked = 0;
+    std::size_t ended = 0; //!< Queries.
     std::size_t answered = 0;
     std::vector<StreamOrigin> origins{}; //!< The different ones.
     AsyncSignal progress{};
@@ -676,7 +683,8 @@
     const auto *found = reply ? std::get_if<StreamOriginReply>(&reply.value()) : nullptr;
     {
         const std::lock_guard lock(answers->mutex);
-        answers->answered += 1;
+        answers->ended += 1;
+        answers->answered += found != nullptr ? 1 : 0;
         if (found != nullptr && found->isKnown) {
             StreamOrigin origin{found->service, found->version};
             if (std::find(answers->origins.begin(), answers->origins.end(), origin) == answers->origins.end()) {
@@ -696,6 +704,7 @@
         answers->origins.push_back(*own);
     }
     std::vector<std::string> addresses = this->peerAddresses();
+    const bool asksAll = addresses.size() <= maxPeersAsked && !this->parts.gossip.missesAny(currentTime());
     addresses.resize(std::min(addresses.size(), maxPeersAsked));
     answers->asked = addresses.size();
     for (std::string &address : addresses) {
@@ -713,9 +722,15 @@
         co_await answers->progress.wait(giveUpAt - now);
     }
     std::vector<StreamOrigin> origins;
+    bool allAnswered = false;
     {
         const std::lock_guard lock(answers->mutex);
         origins = answers->origins;
+        allAnswered = asksAll && answers->answered == answers->asked;
+    }
+    if (!stream.isAttemptKnown && !allAnswered) {
+        // Another attempt of the same request may have begun at another version, at an instance that did not answer.
+        co_return this->refuse(stream, request, "the key-value service did not answer, nor did all other instances, and the attempt is not named");
     }
     if (origins.size() != 1) {
         co_return this->refuse(stream,
@@ -912,10 +927,14 @@
     if (hasNoVersions) {
         co_return this->onFound(stream, request, std::string(), VersionSource::Assignment);
     }
+    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
     StreamRecord recorded;
     recorded.state = RecordState::Absent;
     if (stream.isAttemptKnown) {
         recorded = co_await this->readRecord(stream);
+        if (recorded.state == RecordState::Unknown) {
+            co_return this->refuse(stream, request, "the record of the stream could not be read");
+        }
     }
     std::optional<std::string> version;
     std::size_t candidates = 0;
@@ -927,18 +946,17 @@
         mayBeDiverted = this->table.mayBeDiverted(stream.service, stream.bucket);
     }
     // The attempt that the caller names may not be the one that began the stream. That matters only where the streams of its bucket differ.
-    // Also where the bucket has a single version: an instance that learned of it late records what it began at another one.
     const bool isByAttempt = stream.isAttemptKnown && !(recorded.state == RecordState::Absent && candidates == 1 && mayBeDiverted);
     if (isByAttempt && version) {
         co_return this->onFound(stream, request, *version, recorded.state == RecordState::Found ? VersionSource::Record : VersionSource::Assignment);
     }
-        if (recorded.state == RecordState::Unknown) {
-            co_return this->refuse(stream, request, "the record of the stream could not be read");
-        }
     if (isByAttempt) {
         co_return this->refuse(stream, request, "the stream has no record");
     }
     const std::optional<std::set<std::string>> ofRequest = co_await this->readRequestRecords(stream.request);
+    if (!ofRequest) {
+        co_return this->refuse(stream, request, "the records of the request could not be read");
+    }
     {
         const std::lock_guard lock(this->mutex);
         version = this->table.resolveUnnamed(stream.service, stream.bucket, *ofRequest);
@@ -953,9 +971,6 @@
 {
     const std::set<std::string> listed = this->listedVersions(stream.service);
     std::set<std::string> candidates;
-    if (!ofRequest) {
-        co_return this->refuse(stream, request, "the records of the request could not be read");
-    }
     bool diverted = false;
     {
         const std::lock_guard lock(this->mutex);
@@ -993,18 +1008,6 @@
     });
 }
 
-asio::awaitable<void> StreamVersions::proposeLoop()
-{
-    while (true) {
-        co_await sleepFor(proposeInterval);
-        const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
-        if (!active) {
-            continue;
-        }
-        std::set<std::string> services;
-        Duration longestTimeout{};
-        for (const Route &route : active->configuration.routes) {
-            if (route.kind != RouteKind::Stream || !route.resumable) {
 asio::awaitable<void> StreamVersions::tickLoop()
 {
     while (true) {
@@ -1019,6 +1022,18 @@
     }
 }
 
+asio::awaitable<void> StreamVersions::proposeLoop()
+{
+    while (true) {
+        co_await sleepFor(proposeInterval);
+        const std::shared_ptr<const ActiveGatewayConfiguration> active = this->parts.configurationHolder.current();
+        if (!active) {
+            continue;
+        }
+        std::set<std::string> services;
+        Duration longestTimeout{};
+        for (const Route &route : active->configuration.routes) {
+            if (route.kind != RouteKind::Stream || !route.resumable) {
                 continue;
             }
             longestTimeout = std::max(longestTimeout, route.timeout);
@@ -1114,8 +1129,10 @@
             this->proposeAgainAt = currentTime() + proposeRetryDelay;
             co_return;
         }
+        // In front of the assignment: events are applied one by one.
         write.puts.push_back(KvPut{earlierRecordKey(service, revision), encodeVersionRecord(earlier), granted.value()});
     }
+    write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
     const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
     if (!reply) {
         logError("versions", "could not change the assignment of " + service, reply.error());
@@ -1129,6 +1146,4 @@
     co_await this->follower.load();
 }
 
-        // In front of the assignment: events are applied one by one.
 } // namespace oleandergate
-    write.puts.push_back(KvPut{versionRecordKey(service), encodeVersionRecord(record), 0});
