--- a/src/decision/toldstreams.cpp
+++ b/src/decision/toldstreams.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-//! Bounds the memory: the oldest ones are not told while instances cannot send.
+//! Bounds of the memory: the oldest ones are not told while instances cannot send, and new ones are not kept while too many are.
 constexpr std::size_t maxQueued = 4096;
+constexpr std::size_t maxTold = 32768;
 
 } // namespace
 
@@ -51,6 +52,9 @@
 void ToldStreams::onTold(const Group &group, Time now)
 {
     for (const std::uint64_t stream : group.streams) {
+        if (this->streams.size() >= maxTold && !this->streams.contains(stream)) {
+            continue;
+        }
         const auto [entry, isNew] = this->streams.try_emplace(stream, Told{group.origin, now, false});
         entry->second.isContradicted = entry->second.isContradicted || entry->second.origin != group.origin;
         entry->second.at = now;
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -470,8 +470,8 @@
 {
     const EndpointSpec endpoint = attempt.endpoint;
     const CallId id = attempt.call;
-    const auto onEvents = [this, &context, &endpoint, id](std::uint64_t events) {
-        if (context.stream && events > 0) {
+    const auto onEvents = [this, &context, &endpoint, id, isTold = false](std::uint64_t events) mutable {
+        if (context.stream && events > 0 && !std::exchange(isTold, true)) {
             this->parts.versions.onEvents(*context.stream, endpoint.version);
         }
         context.pool->progress(id, static_cast<Tokens>(events) * context.service->tokensPerEvent, currentTime());
