An attempt that brought no event tells no version

Cause, traced: an attempt was sent at v3, recorded as its bucket was moving, and broke before its first event. The caller began anew at the gateway that was cut off, within the two seconds in which that may begin streams by the former assignment (v2), got five events and took the stream up elsewhere without naming an attempt. The record of the first attempt was the only one of the request, so the stream went on at v3.

Change: when an attempt ends without an event, a further record with an empty version withdraws what was recorded of it; of each attempt the latest record counts. Its instance does not answer for it either.

Ruled out, tried: recording a stream with its first event only; the case "Empty memory: ... while the store refused them" then failed once, as records were written too late for an instance that ended right behind them. Refusing each unnamed take-up while its bucket moves refuses all for six seconds.

Why it works: what a record names has an event. Of two attempts of one request that both brought events, one of them at an instance that is cut off, an unnamed take-up may still go by the other one's record (docs/LIMITATIONS.md).

--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -373,11 +373,12 @@
 {
     KnownStream &known = this->streams[keyOf(stream)];
     known.recordedVersion = known.recordedVersion && known.version == version;
-    known.isTold = known.isTold && known.version == version;
+    known.hasEvents = known.hasEvents && known.version == version;
     known.identity = stream;
     known.version = version;
     known.endedAt = std::nullopt;
     known.isBroken = false;
+    known.isWithdrawn = false;
     return known;
 }
 
@@ -391,7 +392,7 @@
 {
     const std::lock_guard lock(this->mutex);
     const auto found = this->streams.find(keyOf(stream));
-    if (found == this->streams.end() || std::exchange(found->second.isTold, true)) {
+    if (found == this->streams.end() || std::exchange(found->second.hasEvents, true)) {
         return;
     }
     // Take-ups that do not name the attempt find it by the request alone.
@@ -417,6 +418,12 @@
     if (found != this->streams.end()) {
         found->second.endedAt = now;
         found->second.isBroken = isBroken;
+        if (!found->second.hasEvents && found->second.records > 0) {
+            // Else it would tell the version of another attempt of the same request.
+            found->second.isWithdrawn = true;
+            found->second.version.clear();
+            this->enqueueRecord(found->second, std::nullopt, nullptr);
+        }
     }
 }
 
@@ -622,7 +629,7 @@
     {
         const std::lock_guard lock(this->mutex);
         const auto found = this->streams.find(keyOf(stream));
-        if (found != this->streams.end()) {
+        if (found != this->streams.end() && !found->second.isWithdrawn) {
             origin = StreamOrigin{found->second.identity.service, found->second.version};
         }
     }
@@ -642,12 +649,12 @@
     {
         const std::lock_guard lock(this->mutex);
         const auto named = this->streams.find(StreamKey(query.attempt, query.request));
-        if (named != this->streams.end()) {
+        if (named != this->streams.end() && !named->second.isWithdrawn) {
             origins.emplace(named->second.identity.service, named->second.version);
         }
         if (query.attempt.empty()) {
             for (const auto &[key, stream] : this->streams) {
-                if (key.second == query.request) {
+                if (key.second == query.request && !stream.isWithdrawn) {
                     origins.emplace(stream.identity.service, stream.version);
                 }
             }
@@ -771,7 +778,8 @@
     for (const KvPair &pair : range->pairs) {
         // A caller may name an attempt of another stream.
         if (isRecordOf(pair.key, stream.request)) {
-            record.state = RecordState::Found;
+            // An empty one withdraws those of an attempt that brought no event.
+            record.state = pair.value.empty() ? RecordState::Absent : RecordState::Found;
             record.version = pair.value;
         }
     }
@@ -783,10 +791,7 @@
     const std::optional<KvRange> range = co_await this->readRange(requestRecordPrefix(request));
     std::optional<std::set<std::string>> versions;
     if (range) {
-        versions.emplace();
-        for (const KvPair &pair : range->pairs) {
-            versions->insert(pair.value);
-        }
+        versions = versionsOfRequest(*range);
     }
     co_return versions;
 }
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -140,7 +140,8 @@
         bool recordedVersion = false; //!< A record of \ref version is stored or queued.
         std::optional<Time> endedAt{};
         bool isBroken = false; //!< It ended, and its caller may take it up.
-        bool isTold = false; //!< Other instances were told where it began.
+        bool isWithdrawn = false; //!< It ended without any event, and its records were withdrawn.
+        bool hasEvents = false; //!< Events of it were forwarded from \ref version. An attempt without any is no stream that could be taken up.
     };
 
     //! What the other instances answer, as far as they have.
--- a/src/gateway/versionrecords.cpp
+++ b/src/gateway/versionrecords.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json.hpp>
 
+#include <cstdlib>
+
 namespace oleandergate {
 
 namespace json = boost::json;
@@ -12,6 +14,7 @@
 namespace {
 
 constexpr const char *streamRecordsPrefix = "oleandergate/streams/";
+constexpr int decimal = 10;
 constexpr std::size_t recordDigits = 3; //!< Of the number in the key of a record of a stream.
 constexpr const char *requestRecordsPrefix = "oleandergate/requests/";
 
@@ -67,6 +70,26 @@
     return requestRecordPrefix(request) + keyText(stream) + "-" + std::to_string(number);
 }
 
+std::set<std::string> versionsOfRequest(const KvRange &records)
+{
+    std::map<std::string, std::pair<unsigned long, std::string>> latest;
+    for (const KvPair &pair : records.pairs) {
+        const std::size_t dash = pair.key.rfind('-');
+        const unsigned long number = dash == std::string::npos ? 0 : std::strtoul(pair.key.c_str() + dash + 1, nullptr, decimal);
+        std::pair<unsigned long, std::string> &known = latest[pair.key.substr(0, dash)];
+        if (number >= known.first) {
+            known = {number, pair.value};
+        }
+    }
+    std::set<std::string> versions;
+    for (const auto &[attempt, record] : latest) {
+        if (!record.second.empty()) {
+            versions.insert(record.second);
+        }
+    }
+    return versions;
+}
+
 std::string encodeVersionRecord(const VersionRecord &record)
 {
     std::map<std::string, json::array> bucketsByVersion;
--- a/src/gateway/versionrecords.h
+++ b/src/gateway/versionrecords.h
@@ -46,6 +46,9 @@
 std::string requestRecordPrefix(RequestFingerprint request);
 std::string requestRecordKey(RequestFingerprint request, const std::string &stream, std::uint32_t number);
 
+//! Returns which versions the records of a request name, the latest one of each attempt. An empty one withdraws those of an attempt that brought no event.
+std::set<std::string> versionsOfRequest(const KvRange &records);
+
 //! Texts are JSON documents. Decoding returns nothing when a field is missing or invalid.
 std::string encodeVersionRecord(const VersionRecord &record);
 std::optional<VersionRecord> decodeVersionRecord(const std::string &text);
