--- a/tests/gateway/restartcluster.h
+++ b/tests/gateway/restartcluster.h
@@ -17,8 +17,8 @@
 //! Gateways before two endpoints of each of two services.
 struct RestartCluster : GatewayCluster
 {
-    explicit RestartCluster(const std::string &routes)
-        : GatewayCluster(3, 2)
+    explicit RestartCluster(const std::string &routes, std::size_t gatewayCount = 3)
+        : GatewayCluster(gatewayCount, 2)
     {
         this->addService("other", 2);
         this->configure(1, routes);
