--- a/tests/support/peerlinks.cpp
+++ b/tests/support/peerlinks.cpp
@@ -16,7 +16,11 @@
 //! The library lies beside the test's own program, whichever build the gateways are of.
 std::string libraryFile()
 {
-    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "liblinkcut.so").string();
+    const std::filesystem::path file = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "liblinkcut.so";
+    if (!std::filesystem::exists(file)) {
+        throw std::runtime_error("there is no " + file.string() + ": links between gateways could not be cut");
+    }
+    return file.string();
 }
 
 //! AddressSanitizer refuses libraries that are loaded before its own, unless told otherwise.
