Where a stream began is told with the next report, not with the next change of load

Callers saw, in a test beside a moved route: take-ups that name their attempt refused at an instance that is not cut off, in 2 subcases of 5 all of them.

Cause: what is told went with the load reports, which a calm instance sends twice a second.

Change: that something is to be told counts as news, so that the next report goes out within 50 ms.

--- a/src/gateway/streamnews.cpp
+++ b/src/gateway/streamnews.cpp
@@ -39,8 +39,9 @@
     return NewsChannel{[this](Time /*now*/) {
                            return this->nextReport();
                        },
-                       []() {
-                           return false;
+                       [this]() {
+                           const std::lock_guard lock(this->mutex);
+                           return this->told.hasQueued();
                        },
                        [this](const std::string &payload, Time now) {
                            return this->onPayload(payload, now);
--- a/src/gateway/streamnews.h
+++ b/src/gateway/streamnews.h
@@ -10,8 +10,8 @@
 
 //! Exchanges with the other instances where streams began. Thread-safe.
 //!
-//! What is told costs no datagram of its own where load reports are sent anyway, and nothing waits for it: a stream that nobody was told of is looked up in
-//! the key-value service.
+//! It is told with the next load report, 50 ms later at the most, and nothing waits for it: a stream that nobody was told of is looked up in the key-value
+//! service.
 class StreamNews
 {
 public:
