Cut from peers: tests wait for what they presuppose

Neither is what the cases are about: they wait for the endpoint, and for the time of a round. All checks stay.

--- a/tests/gateway/cutfrompeersclasstests.cpp
+++ b/tests/gateway/cutfrompeersclasstests.cpp
@@ -196,8 +196,9 @@
                 CAPTURE(gateway);
                 served += this->takeUp(gateway, begun);
             }
-            servedBeside += this->takeUp(2, begun);
+            // Until the instance that began them has told the others.
             std::this_thread::sleep_for(roundInterval);
+            servedBeside += this->takeUp(2, begun);
         }
         MESSAGE("begun at the new service: ", begunAtOther, ", taken up and served: ", served, ", at an instance that is not cut off: ", servedBeside);
         CHECK(begunAtOther > 0);
--- a/tests/gateway/cutfrompeerstests.cpp
+++ b/tests/gateway/cutfrompeerstests.cpp
@@ -38,6 +38,17 @@
         this->setWatchesSilent(gateway, contact == StoreContact::Silent);
     }
 
+    //! Waits until \p gateway knows the endpoint of v2, from the store or a peer: before, it can place no stream of that version.
+    void awaitEndpoint(std::size_t gateway) const
+    {
+        REQUIRE(waitFor(
+            [this, gateway]() {
+                const std::string log = this->log(gateway);
+                return log.find(R"("count":"2")") != std::string::npos || log.find(R"("message":"announced","endpoint":"i-1")") != std::string::npos;
+            },
+            logTimeoutMs));
+    }
+
     //! Half of the buckets move to the endpoint of v2 while the links of \p odd to the others are cut, and streams begin at another gateway.
     void releaseBeside(const std::set<std::size_t> &odd, PeerCut cut, StoreContact contact)
     {
@@ -108,6 +119,7 @@
     {
         cluster.releaseBeside({0}, PeerCut::None, StoreContact::Refused);
     }
+    cluster.awaitEndpoint(0);
     CHECK(cluster.takeUpAll(0, true) == programCount);
     CHECK(cluster.takeUpAll(0, false) == programCount);
 }
