--- a/tests/gateway/organisationtests.cpp
+++ b/tests/gateway/organisationtests.cpp
@@ -229,7 +229,8 @@
     CHECK(pressing.other == 0);
     CHECK(quiet.denied == 0);
     CHECK(quiet.other == 0);
-    MESSAGE("sent " << pressing.sent << ", served " << pressing.served << ", denied " << pressing.denied << ", most in a window " << mostInWindow(cluster, "first"));
+    MESSAGE("sent " << pressing.sent << ", served " << pressing.served << ", denied " << pressing.denied << ", most in a window "
+                    << mostInWindow(cluster, "first"));
     CHECK(pressing.served >= 0.85 * (20 * 10 + 20));
 }
 
@@ -257,8 +258,8 @@
     });
     const Tally pressing = sendSteadily(cluster, "key-1", 100, 12);
     trouble.join();
-    MESSAGE("sent " << pressing.sent << ", served " << pressing.served << ", denied " << pressing.denied << ", other " << pressing.other << ", most in a window "
-                      << mostInWindow(cluster, "first"));
+    MESSAGE("sent " << pressing.sent << ", served " << pressing.served << ", denied " << pressing.denied << ", other " << pressing.other
+                    << ", most in a window " << mostInWindow(cluster, "first"));
     CHECK(mostInWindow(cluster, "first") <= 152);
     CHECK(pressing.served > 0);
     CHECK(statusOf(cluster, 1, "/reads/1", {keyHeader("key-9")}) == 401);
