--- a/tests/gateway/cutfrompeerstests.cpp
+++ b/tests/gateway/cutfrompeerstests.cpp
@@ -2,7 +2,10 @@
 
 #include "releasecluster.h"
 
+#include <map>
 #include <set>
+#include <string>
+#include <utility>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -123,3 +126,24 @@
     CHECK(cluster.takeUpAll(0, true) == programCount);
     CHECK(cluster.takeUpAll(0, false) == programCount);
 }
+
+// Guards against streams joined from two versions: an instance that had begun attempts of a request at both answered as one that knows none, and the word of
+// another, which knew the first of them, was taken.
+TEST_CASE("Cut from peers: a stream whose caller does not name its attempt is refused when a peer began attempts of it at two versions")
+{
+    PeerCutCluster cluster;
+    cluster.beginAll(2);
+    cluster.beginAll(1);
+    cluster.release();
+    const std::map<std::string, std::string> beforeRelease = std::exchange(cluster.begun, {});
+    cluster.beginAll(1);
+    cluster.setStoreRefusing(0, true);
+    std::size_t moved = 0;
+    for (const auto &each : cluster.begun) {
+        moved += cluster.servedBy(each.second) != cluster.servedBy(beforeRelease.at(each.first)) ? 1 : 0;
+    }
+    REQUIRE(moved > 0);
+    REQUIRE(moved < programCount);
+    CHECK(cluster.takeUpAll(0, false) == programCount - moved);
+    CHECK(cluster.takeUpAll(0, true) == programCount);
+}
