Take-ups without their attempt: an instance tells all versions that it knows of a request

Callers saw: a stream begun at v1 and once more at v2, with the store refusing one instance and the attempt not named, went on at v1, for 8 of 16 streams of the test. Cause: the answer to 'where did this stream begin' held one origin or none, and an instance that knew two answered none. The asker then took the word of another instance, which knew the first attempt only, as that of all. What instances told each other differently was lost in the same way. Change: the answer lists the different origins, from memory and from what was told; the asker joins the lists, so that a disagreement within one instance counts like one between two. Service and bucket of the query were not used and are out.

--- a/src/decision/toldstreams.cpp
+++ b/src/decision/toldstreams.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t maxQueued = 4096;
 constexpr std::size_t maxTold = 32768;
 
+//! Different origins of a stream that are kept.
+constexpr std::size_t maxOrigins = 4;
+
 } // namespace
 
 std::uint64_t toldStreamKey(const RequestId &attempt, RequestFingerprint request)
@@ -55,16 +58,24 @@
         if (this->streams.size() >= maxTold && !this->streams.contains(stream)) {
             continue;
         }
-        const auto [entry, isNew] = this->streams.try_emplace(stream, Told{group.origin, now, false});
-        entry->second.isContradicted = entry->second.isContradicted || entry->second.origin != group.origin;
-        entry->second.at = now;
+        Told &told = this->streams[stream];
+        if (told.origins.size() < maxOrigins && std::find(told.origins.begin(), told.origins.end(), group.origin) == told.origins.end()) {
+            told.origins.push_back(group.origin);
+        }
+        told.at = now;
     }
 }
 
 std::optional<StreamOrigin> ToldStreams::find(std::uint64_t stream) const
 {
     const auto found = this->streams.find(stream);
-    return found == this->streams.end() || found->second.isContradicted ? std::nullopt : std::optional(found->second.origin);
+    return found == this->streams.end() || found->second.origins.size() != 1 ? std::nullopt : std::optional(found->second.origins.front());
+}
+
+std::vector<StreamOrigin> ToldStreams::findAll(std::uint64_t stream) const
+{
+    const auto found = this->streams.find(stream);
+    return found == this->streams.end() ? std::vector<StreamOrigin>() : found->second.origins;
 }
 
 void ToldStreams::expire(Time before)
--- a/src/decision/toldstreams.h
+++ b/src/decision/toldstreams.h
@@ -48,9 +48,12 @@
     //! Records what another instance told.
     void onTold(const Group &group, Time now);
 
-    //! Returns the origin that another instance told; nothing if none did. Instances that tell different ones are not trusted.
+    //! Returns the origin that other instances told; nothing if none did, or if they told different ones.
     std::optional<StreamOrigin> find(std::uint64_t stream) const;
 
+    //! Returns the different origins that other instances told.
+    std::vector<StreamOrigin> findAll(std::uint64_t stream) const;
+
     //! Forgets what was told before \p before.
     void expire(Time before);
 
@@ -59,9 +62,8 @@
 private:
     struct Told
     {
-        StreamOrigin origin{};
+        std::vector<StreamOrigin> origins{}; //!< The different ones.
         Time at{};
-        bool isContradicted = false;
     };
 
     std::deque<std::pair<std::uint64_t, StreamOrigin>> queue;
--- a/src/gateway/streamnews.cpp
+++ b/src/gateway/streamnews.cpp
@@ -28,6 +28,12 @@
     return this->told.find(stream);
 }
 
+std::vector<StreamOrigin> StreamNews::findAll(std::uint64_t stream) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->told.findAll(stream);
+}
+
 void StreamNews::expire(Time before)
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/streamnews.h
+++ b/src/gateway/streamnews.h
@@ -20,6 +20,7 @@
     //! As in ToldStreams.
     void tell(std::uint64_t stream, StreamOrigin origin);
     std::optional<StreamOrigin> find(std::uint64_t stream) const;
+    std::vector<StreamOrigin> findAll(std::uint64_t stream) const;
     void expire(Time before);
 
     //! The channel refers to this object.
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -233,8 +233,7 @@
 std::optional<PeerMessage> StreamVersions::serve(const PeerMessage &message) const
 {
     if (const auto *query = std::get_if<StreamOriginQuery>(&message)) {
-        const std::optional<StreamOrigin> origin = this->originFor(*query);
-        return origin ? StreamOriginReply{true, origin->service, origin->version} : StreamOriginReply();
+        return StreamOriginReply{this->originsFor(*query)};
     }
     if (!std::holds_alternative<VersionRecordsQuery>(message)) {
         return std::nullopt;
--- a/src/gateway/streamversions.h
+++ b/src/gateway/streamversions.h
@@ -202,7 +202,7 @@
     boost::asio::awaitable<std::optional<std::set<std::string>>> readRequestRecords(RequestFingerprint request);
 
     //! Returns where the stream that the query names began, by the memory of this instance and what it was told.
-    std::optional<StreamOrigin> originFor(const StreamOriginQuery &query) const;
+    std::vector<StreamOrigin> originsFor(const StreamOriginQuery &query) const;
     boost::asio::awaitable<void> askPeerFor(std::shared_ptr<PeerAnswers> answers, std::string peer, StreamOriginQuery query);
     std::vector<std::string> peerAddresses() const;
 
--- a/src/gateway/streamversionsorigins.cpp
+++ b/src/gateway/streamversionsorigins.cpp
@@ -20,6 +20,13 @@
 constexpr Duration originTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t maxPeersAsked = 64;
 
+void addDifferent(std::vector<StreamOrigin> &origins, StreamOrigin origin)
+{
+    if (std::find(origins.begin(), origins.end(), origin) == origins.end()) {
+        origins.push_back(std::move(origin));
+    }
+}
+
 } // namespace
 
 std::optional<StreamOrigin> StreamVersions::knownOrigin(const StreamIdentity &stream, const RequestId &request)
@@ -46,28 +53,27 @@
     return origin;
 }
 
-std::optional<StreamOrigin> StreamVersions::originFor(const StreamOriginQuery &query) const
+std::vector<StreamOrigin> StreamVersions::originsFor(const StreamOriginQuery &query) const
 {
-    std::set<std::pair<std::string, std::string>> origins;
+    std::vector<StreamOrigin> origins;
     {
         const std::lock_guard lock(this->mutex);
         const auto named = this->streams.find(StreamKey(query.attempt, query.request));
         if (named != this->streams.end() && !named->second.isWithdrawn) {
-            origins.emplace(named->second.identity.service, named->second.version);
+            addDifferent(origins, StreamOrigin{named->second.identity.service, named->second.version});
         }
         if (query.attempt.empty()) {
             for (const auto &[key, stream] : this->streams) {
                 if (key.second == query.request && !stream.isWithdrawn) {
-                    origins.emplace(stream.identity.service, stream.version);
+                    addDifferent(origins, StreamOrigin{stream.identity.service, stream.version});
                 }
             }
         }
     }
-    const std::optional<StreamOrigin> told = this->parts.streamNews.find(toldStreamKey(query.attempt, query.request));
-    if (told) {
-        origins.emplace(told->service, told->version);
+    for (const StreamOrigin &told : this->parts.streamNews.findAll(toldStreamKey(query.attempt, query.request))) {
+        addDifferent(origins, told);
     }
-    return origins.size() == 1 ? std::optional(StreamOrigin{origins.begin()->first, origins.begin()->second}) : std::nullopt;
+    return origins;
 }
 
 struct StreamVersions::PeerAnswers
@@ -95,10 +101,9 @@
         const std::lock_guard lock(answers->mutex);
         answers->ended += 1;
         answers->answered += found != nullptr ? 1 : 0;
-        if (found != nullptr && found->isKnown) {
-            StreamOrigin origin{found->service, found->version};
-            if (std::find(answers->origins.begin(), answers->origins.end(), origin) == answers->origins.end()) {
-                answers->origins.push_back(std::move(origin));
+        if (found != nullptr) {
+            for (const StreamOrigin &origin : found->origins) {
+                addDifferent(answers->origins, origin);
             }
         }
     }
@@ -107,12 +112,9 @@
 
 asio::awaitable<Result<StreamOrigin>> StreamVersions::askPeersFor(StreamIdentity stream, RequestId request)
 {
-    const StreamOriginQuery query{stream.isAttemptKnown ? stream.attempt : RequestId(), stream.request, stream.service, stream.bucket};
+    const StreamOriginQuery query{stream.isAttemptKnown ? stream.attempt : RequestId(), stream.request};
     const auto answers = std::make_shared<PeerAnswers>();
-    const std::optional<StreamOrigin> own = this->originFor(query);
-    if (own) {
-        answers->origins.push_back(*own);
-    }
+    answers->origins = this->originsFor(query);
     std::vector<std::string> addresses = this->peerAddresses();
     const bool asksAll = addresses.size() <= maxPeersAsked && !this->parts.gossip.missesAny(currentTime());
     addresses.resize(std::min(addresses.size(), maxPeersAsked));
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -351,13 +351,13 @@
 template <class Archive>
 void serialize(Archive &archive, StreamOriginQuery &value)
 {
-    archive(value.attempt, value.request, value.service, value.bucket);
+    archive(value.attempt, value.request);
 }
 
 template <class Archive>
 void serialize(Archive &archive, StreamOriginReply &value)
 {
-    archive(value.isKnown, value.service, value.version);
+    archive(value.origins);
 }
 
 template <class Archive>
--- a/src/wire/versionmessages.h
+++ b/src/wire/versionmessages.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_WIRE_VERSIONMESSAGES_H
 
 #include "decision/ids.h"
+#include "decision/toldstreams.h"
 
 #include <cstdint>
 #include <limits>
@@ -36,15 +37,11 @@
 {
     RequestId attempt{}; //!< That brought its first event; empty if it is not known.
     RequestFingerprint request = 0;
-    std::string service{}; //!< Of the take-up.
-    std::uint64_t bucket = 0;
 };
 
 struct StreamOriginReply
 {
-    bool isKnown = false;
-    std::string service{};
-    std::string version{};
+    std::vector<StreamOrigin> origins{}; //!< The different ones that the instance knows: several if attempts of the request began at several.
 };
 
 } // namespace oleandergate
--- a/tests/unit/toldstreamstests.cpp
+++ b/tests/unit/toldstreamstests.cpp
@@ -47,8 +47,10 @@
 {
     ToldStreams streams;
     streams.onTold(ToldStreams::Group{first, {1}}, start);
+    CHECK(streams.findAll(1) == std::vector<StreamOrigin>{first});
     streams.onTold(ToldStreams::Group{second, {1}}, start);
     CHECK_FALSE(streams.find(1));
+    CHECK(streams.findAll(1) == std::vector<StreamOrigin>{first, second});
     streams.onTold(ToldStreams::Group{second, {1}}, start);
     CHECK_FALSE(streams.find(1));
 }
@@ -77,15 +79,15 @@
     for (std::size_t size = 0; size < bytes.size(); ++size) {
         CHECK_FALSE(decodeStreamReport(bytes.substr(0, size)));
     }
-    const Result<PeerMessage> query = decodePeerMessage(encodePeerMessage(StreamOriginQuery{"r1", 7, "engine", 5}));
+    const Result<PeerMessage> query = decodePeerMessage(encodePeerMessage(StreamOriginQuery{"r1", 7}));
     REQUIRE(query);
     REQUIRE(std::holds_alternative<StreamOriginQuery>(query.value()));
     CHECK(std::get<StreamOriginQuery>(query.value()).attempt == "r1");
     CHECK(std::get<StreamOriginQuery>(query.value()).request == 7);
-    const Result<PeerMessage> reply = decodePeerMessage(encodePeerMessage(StreamOriginReply{true, "engine", "v2"}));
+    const Result<PeerMessage> reply = decodePeerMessage(encodePeerMessage(StreamOriginReply{{first, second}}));
     REQUIRE(reply);
     REQUIRE(std::holds_alternative<StreamOriginReply>(reply.value()));
-    CHECK(std::get<StreamOriginReply>(reply.value()).version == "v2");
+    CHECK(std::get<StreamOriginReply>(reply.value()).origins == std::vector<StreamOrigin>{first, second});
 }
 
 // A report has to fit into a datagram of 1,400 bytes with its authentication code.
