Confirmations: how long a report waited is measured by the clocks of sender and receiver

Callers could see (a model): streams begun by an assignment that was replaced over 2 s ago, whose former record lapses before they are over. Cause: the age of a confirmation counts up to the making of a report; a process that stood still before sending it, or a report that was under way for long, was covered by a fixed 250 ms only. Change: a report states when it was made by its sender's clock. TransitTable keeps, for each sender, the least difference between the clocks, measured with each load report, whose number is the time of its making; what exceeds it, the drift of 1% since it was measured, and 50 ms for the way are added to the age. A sender that was heard less than four times confirms nothing. The simulation uses the same class; its former rows with a fixed allowance stay for comparison.

--- a/bench/versions/confirmations.cpp
+++ b/bench/versions/confirmations.cpp
@@ -2,6 +2,7 @@
 //! ever begin by an assignment that was replaced too long ago. Arguments: seeds a row, and optionally the number of instances and a row's name.
 
 #include "decision/assignmentcurrency.h"
+#include "decision/transittable.h"
 
 #include <algorithm>
 #include <array>
@@ -48,9 +49,8 @@
     bool hasTroubles = false;
     bool hasOutages = false; //!< The key-value service is away for all now and then.
     bool pausesWhileSending = false; //!< Pauses fall between making a report and sending it.
-    Duration allowance = unnoticedPause; //!< Subtracted from the age that a report states.
+    Duration allowance{}; //!< Added to the age that a report states instead of what is measured; zero for that.
     double lateAskers = 0.0; //!< How many instances ask in each tick after the first turns, on average; zero for all.
-    bool measuresTransit = false; //!< Reports state when they were made; how much longer than usual one took replaces the allowance.
     bool tellsConfirmationsAtOnce = true; //!< No: only changes are urgent.
     Duration statementInterval = 400 * ms; //!< Counts when only changes are urgent.
     bool askerTellsAll = false; //!< Who asked the key-value service tells all peers itself.
@@ -108,6 +108,7 @@
 struct Instance
 {
     AssignmentCurrency currency{};
+    TransitTable transits{};
     double rate = 1.0;
     Duration offset{};
     Duration pausedUntil{};
@@ -130,13 +131,6 @@
     Origin origin{};
 };
 
-//! Usual difference between the clocks of sender and receiver, with the way.
-struct Transit
-{
-    std::optional<Duration> usual{};
-    Time measuredAt{};
-};
-
 enum class Direction : std::uint8_t { Both, Out, In };
 
 struct Trouble
@@ -175,7 +169,6 @@
         , instances(count)
         , callsIn(static_cast<std::size_t>(runTime / std::chrono::seconds(1)) + 2)
     {
-        this->transits.resize(rules.measuresTransit ? count * count : 0);
         for (std::size_t i = 0; i < count; ++i) {
             Instance &instance = this->instances[i];
             instance.rate = 1.0 + clockError * (this->share() - 0.5);
@@ -355,58 +348,41 @@
         }
     }
 
-    Transit &transitOf(std::size_t sender, std::size_t receiver)
-    {
-        return this->transits[receiver * this->instances.size() + sender];
-    }
-
-    //! The usual way, less what the clocks may have drifted apart since it was measured.
-    static Duration leastTransit(const Transit &transit, Time time)
-    {
-        return *transit.usual - fromSeconds(clockError * toSeconds(time - transit.measuredAt));
-    }
-
-    void measure(Transit &transit, Duration measured, Time time)
-    {
-        if (!transit.usual || measured <= *transit.usual + fromSeconds(clockError * toSeconds(time - transit.measuredAt))) {
-            transit = Transit{measured, time};
-        }
-    }
-
     //! Load reports state when they were made, and come with each step.
-    void measureByLoadReports(std::size_t sender, const std::vector<std::size_t> &targets)
+    void sendLoadReports(std::size_t sender, const std::vector<std::size_t> &targets)
     {
         for (const std::size_t target : targets) {
-            const Instance &receiver = this->instances[target];
+            Instance &receiver = this->instances[target];
             if (this->now >= receiver.pausedUntil && this->reaches(sender, target) && this->share() >= lostShare) {
-                const Time time = this->localTime(receiver) + this->between(1 * ms, 5 * ms);
-                this->measure(this->transitOf(sender, target), time - this->localTime(this->instances[sender]), time);
+                const Time arrival = this->localTime(receiver) + this->between(1 * ms, 5 * ms);
+                receiver.transits.onReport(nameOf(sender), this->localTime(this->instances[sender]), arrival);
             }
         }
     }
 
-    //! Returns how long a report may have waited; nothing if that is not known.
+    static InstanceId nameOf(std::size_t instance)
+    {
+        return "front-" + std::to_string(instance);
+    }
+
+    //! Returns for how long a report may have waited; nothing if that is not known.
     std::optional<Duration> waitOf(const Event &report)
     {
-        if (!this->rules.measuresTransit) {
+        if (this->rules.allowance > Duration::zero()) {
             return this->rules.allowance;
         }
         const Time time = this->localTime(this->instances[report.instance]);
-        const Duration measured = time - report.askedAt;
-        Transit &transit = this->transitOf(report.from, report.instance);
-        std::optional<Duration> wait;
-        if (transit.usual) {
-            wait = std::max(Duration::zero(), measured - leastTransit(transit, time)) + 5 * ms;
-        }
-        this->measure(transit, measured, time);
+        TransitTable &transits = this->instances[report.instance].transits;
+        const std::optional<Duration> wait = transits.waitOf(nameOf(report.from), report.askedAt, time);
+        transits.onReport(nameOf(report.from), report.askedAt, time);
         return wait;
     }
 
     void stateIfDue(std::size_t sender)
     {
         const std::vector<std::size_t> targets = this->targetsOf(sender);
-        if (this->rules.measuresTransit) {
-            this->measureByLoadReports(sender, targets);
+        if (this->rules.allowance == Duration::zero()) {
+            this->sendLoadReports(sender, targets);
         }
         if (this->isStatementDue(this->instances[sender])) {
             this->state(sender, targets);
@@ -777,7 +753,6 @@
     std::priority_queue<Event, std::vector<Event>, Later> events{};
     std::uint64_t nextNumber = 0;
     Duration now{};
-    std::vector<Transit> transits{}; //!< By receiver and sender.
     Trouble trouble{};
     Figures *figures = nullptr;
 };
@@ -805,10 +780,10 @@
     Rules rarerOutages = rarer;
     rarerOutages.name = "asker, 1 s, outages";
     rarerOutages.hasOutages = true;
-    const Rules measured{.name = "measured transit", .measuresTransit = true};
-    Rules measuredSending = sending;
-    measuredSending.name = "measured, paused sending";
-    measuredSending.measuresTransit = true;
+    const Rules fixed{.name = "allowance of 250 ms", .allowance = unnoticedPause};
+    Rules fixedSending = sending;
+    fixedSending.name = "250 ms, paused sending";
+    fixedSending.allowance = unnoticedPause;
     const Rules spreadMore{.name = "one late asker a tick", .lateAskers = 1.0};
     const Rules spread{.name = "four late askers a tick", .lateAskers = 4.0};
     Rules spreadOutages = spread;
@@ -816,7 +791,6 @@
     spreadOutages.hasOutages = true;
     Rules all = rarer;
     all.name = "all";
-    all.measuresTransit = true;
     all.lateAskers = 4.0;
     Rules frequent = all;
     frequent.name = "all, statements of 400 ms";
@@ -830,8 +804,8 @@
     Rules allSending = allTroubles;
     allSending.name = "all, paused sending";
     allSending.pausesWhileSending = true;
-    return {calm,         troubles, outages,         sending,    regular, turns,         shorter, shortest, direct,      rarer,      rarest,    rarerTroubles,
-            rarerOutages, measured, measuredSending, spreadMore, spread,  spreadOutages, all,     frequent, allTroubles, allOutages, allSending};
+    return {calm,         troubles, outages,      sending,    regular, turns,         shorter, shortest, direct,      rarer,      rarest,    rarerTroubles,
+            rarerOutages, fixed,    fixedSending, spreadMore, spread,  spreadOutages, all,     frequent, allTroubles, allOutages, allSending};
 }
 
 } // namespace
--- a/src/gateway/assignmentnews.cpp
+++ b/src/gateway/assignmentnews.cpp
@@ -10,14 +10,9 @@
 
 namespace {
 
-//! How long a report may have waited for this process without a pause being noticed.
-constexpr Duration unnoticedDelay = longestUnnoticedPause;
-
-//! Returns when the key-value service was asked, at the latest, by what a report that arrives at \p now states; nothing if it states nothing of use.
-std::optional<Time> confirmationOf(std::uint64_t ageUs, Time now)
+Time timeOf(std::uint64_t madeAt)
 {
-    constexpr auto longest = static_cast<std::uint64_t>(Duration(assignmentLifetime).count());
-    return ageUs > longest ? std::nullopt : std::optional(now - unnoticedDelay - Duration(static_cast<Duration::rep>(ageUs)));
+    return Time(Duration(static_cast<Duration::rep>(madeAt)));
 }
 
 } // namespace
@@ -104,6 +99,9 @@
                        },
                        [this](const std::string &payload, Time now) {
                            return this->onPayload(payload, now);
+                       },
+                       [this](const InstanceId &peer, Time madeAt, Time now) {
+                           this->onLoadReport(peer, madeAt, now);
                        }};
 }
 
@@ -115,28 +113,47 @@
     }
     this->currency.onStatementSent(now);
     AssignmentReport report{this->self, this->currency.knownRevision()};
+    report.madeAt = static_cast<std::uint64_t>(now.time_since_epoch().count());
     if (this->currency.confirmedAt() != Time{}) {
         report.confirmedAge = static_cast<std::uint64_t>(std::max(Duration::zero(), now - this->currency.confirmedAt()).count());
     }
     return encodeAssignmentReport(report);
 }
 
+void AssignmentNews::onLoadReport(const InstanceId &peer, Time madeAt, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->transits.onReport(peer, madeAt, now);
+}
+
+std::optional<Time> AssignmentNews::confirmationOf(const AssignmentReport &report, Time now) const
+{
+    constexpr auto longest = static_cast<std::uint64_t>(Duration(assignmentLifetime).count());
+    const std::optional<Duration> wait = this->transits.waitOf(report.instance, timeOf(report.madeAt), now);
+    if (report.confirmedAge > longest || !wait) {
+        return std::nullopt;
+    }
+    return now - *wait - Duration(static_cast<Duration::rep>(report.confirmedAge));
+}
+
 bool AssignmentNews::onPayload(const std::string &payload, Time now)
 {
     const Result<AssignmentReport> report = decodeAssignmentReport(payload);
     if (!report) {
         return false;
     }
-    const std::optional<Time> confirmedAt = this->hasJustPaused(now) ? std::nullopt : confirmationOf(report.value().confirmedAge, now);
+    const bool hasPaused = this->hasJustPaused(now);
     bool falls = false;
     std::uint64_t known = 0;
     {
         const std::lock_guard lock(this->mutex);
         const bool wasBehind = this->currency.isBehind();
         this->currency.onStated(report.value().revision);
-        if (confirmedAt) {
+        const std::optional<Time> confirmedAt = this->confirmationOf(report.value(), now);
+        if (confirmedAt && !hasPaused) {
             this->currency.onConfirmed(report.value().revision, *confirmedAt);
         }
+        this->transits.onReport(report.value().instance, timeOf(report.value().madeAt), now);
         falls = !wasBehind && this->currency.isBehind();
         known = this->currency.knownRevision();
     }
--- a/src/gateway/assignmentnews.h
+++ b/src/gateway/assignmentnews.h
@@ -3,14 +3,17 @@
 
 #include "decision/assignmentcurrency.h"
 #include "decision/ids.h"
+#include "decision/transittable.h"
 #include "gateway/newschannel.h"
+#include "wire/assignmentreport.h"
 
 #include <functional>
 #include <mutex>
+#include <optional>
 
 namespace oleandergate {
 
-//! A report may have waited for its receiver for so long without that being noticed.
+//! This process may stand still for so long without that being noticed.
 inline constexpr Duration longestUnnoticedPause = std::chrono::milliseconds(250);
 
 //! Exchanges with the other instances which changes of the assignments of software versions each knows. Thread-safe.
@@ -40,6 +43,10 @@
 private:
     std::string nextReport(Time now);
     bool onPayload(const std::string &payload, Time now);
+    void onLoadReport(const InstanceId &peer, Time madeAt, Time now);
+
+    //! Returns when the key-value service was asked, at the latest, by what a report that arrives at \p now states; nothing if it states nothing of use.
+    std::optional<Time> confirmationOf(const AssignmentReport &report, Time now) const;
 
     //! Tells the other instances at once if there is something to tell.
     void passOn();
@@ -51,6 +58,7 @@
     };
     mutable std::mutex mutex;
     AssignmentCurrency currency;
+    TransitTable transits;
 };
 
 } // namespace oleandergate
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -406,6 +406,11 @@
     if (!report) {
         return;
     }
+    for (const NewsChannel &channel : this->core->hooks.channels) {
+        if (channel.onLoadReport) {
+            channel.onLoadReport(report.value().instance, Time(Duration(static_cast<Duration::rep>(report.value().number))), now);
+        }
+    }
     PeerReport peerReport;
     peerReport.instance = InstanceRecord{report.value().instance, report.value().address, report.value().domain, report.value().leaving};
     peerReport.number = report.value().number;
--- a/src/wire/assignmentreport.h
+++ b/src/wire/assignmentreport.h
@@ -15,6 +15,7 @@
     std::uint64_t revision = 0; //!< Of the change in the key-value service.
     std::uint64_t confirmedAge = std::numeric_limits<std::uint64_t>::max(); //!< Microseconds since the key-value service was asked and had no later one.
                                                                             //!< Instances of an earlier build do not state it.
+    std::uint64_t madeAt = 0; //!< Time at which the report was made by the clock of its sender, in microseconds, as LoadReport::number.
 };
 
 } // namespace oleandergate
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -514,7 +514,7 @@
 void serialize(Archive &archive, AssignmentReport &value)
 {
     // Earlier builds ignore what follows the revision.
-    archive(value.instance, value.revision, value.confirmedAge);
+    archive(value.instance, value.revision, value.confirmedAge, value.madeAt);
 }
 
 //! As earlier builds send it.
--- a/src/wire/loadreport.h
+++ b/src/wire/loadreport.h
@@ -21,7 +21,7 @@
     InstanceId instance{};
     std::string address{}; //!< Peer address.
     std::string domain{}; //!< Failure domain.
-    std::uint64_t number = 0; //!< Sequence number; increases with each report of an instance.
+    std::uint64_t number = 0; //!< Time of sending by the instance's clock, in microseconds; increases with each report of an instance.
     std::uint64_t configVersion = 0;
     std::uint64_t serviceContactAge = 0; //!< Microseconds since the instance last read configuration and endpoints from the key-value service.
     std::uint64_t endpointDigest = 0; //!< Hash over the endpoints that the instance knows.
