Budgets: an owner that hears few of the others begins no programs by old records

Cause: an owner of slots ceases to grant the share that needs no record when its records are older than 20 s and a live peer reached the store since; without live peers none did, so it never ceased, and the next owner grants the same share 80 s behind its claim. The class of the incident: a permission that outlives its proof. Change: it ceases too while it hears no more than half of the instances, as streams begin in outages by the same count (PeerTable::mayHaveServiceContactAfter).

--- a/src/decision/budgetslots.cpp
+++ b/src/decision/budgetslots.cpp
@@ -163,14 +163,14 @@
     return found == this->owned.end() ? Time::max() : found->second;
 }
 
-bool BudgetSlots::mayGrantUnrecordedShare(SlotId slot, bool peerReachedLater, Time now) const
+bool BudgetSlots::mayGrantUnrecordedShare(SlotId slot, bool mayPeersReachLater, Time now) const
 {
-    return this->sharesAreDue(slot, peerReachedLater, now) && !this->table.recordOf(slot).unused;
+    return this->sharesAreDue(slot, mayPeersReachLater, now) && !this->table.recordOf(slot).unused;
 }
 
-bool BudgetSlots::mustMarkUsed(SlotId slot, bool peerReachedLater, Time now) const
+bool BudgetSlots::mustMarkUsed(SlotId slot, bool mayPeersReachLater, Time now) const
 {
-    return this->sharesAreDue(slot, peerReachedLater, now) && this->table.recordOf(slot).unused;
+    return this->sharesAreDue(slot, mayPeersReachLater, now) && this->table.recordOf(slot).unused;
 }
 
 std::map<SlotId, SlotRecord> BudgetSlots::unusedSlots() const
@@ -185,9 +185,9 @@
     return found;
 }
 
-bool BudgetSlots::sharesAreDue(SlotId slot, bool peerReachedLater, Time now) const
+bool BudgetSlots::sharesAreDue(SlotId slot, bool mayPeersReachLater, Time now) const
 {
-    const bool recordsOutdated = now - this->lastRecordsRead > this->limits.recordReadTimeout && peerReachedLater;
+    const bool recordsOutdated = now - this->lastRecordsRead > this->limits.recordReadTimeout && mayPeersReachLater;
     return !recordsOutdated && this->unrecordedShareFrom(slot) <= now;
 }
 
--- a/src/decision/budgetslots.h
+++ b/src/decision/budgetslots.h
@@ -25,7 +25,7 @@
     struct Limits
     {
         SlotId slotCount = 64;
-        Duration recordReadTimeout{}; //!< Unrecorded shares are not granted when the last read is older and other instances reach the service.
+        Duration recordReadTimeout{}; //!< Unrecorded shares are not granted when the last read is older and other instances may reach the service.
         Duration programRetention{}; //!< How long an idle program may pause between two turns.
         Duration isolationDelay{}; //!< Wait before slots are claimed without live peers, or from an owner unknown to this process.
         Duration membershipSettleTime{}; //!< How long the members must be unchanged before slots without a record are claimed.
@@ -68,14 +68,14 @@
     Time unrecordedShareFrom(SlotId slot) const;
 
     //! Returns true when this instance may grant unrecorded shares in \p slot as soon as the slot's record says that it is used.
-    bool mustMarkUsed(SlotId slot, bool peerReachedLater, Time now) const;
+    bool mustMarkUsed(SlotId slot, bool mayPeersReachLater, Time now) const;
 
     //! Returns the records of the owned slots that are unused.
     std::map<SlotId, SlotRecord> unusedSlots() const;
 
-    //! Returns true when this instance may grant unrecorded shares in \p slot at \p now. \p peerReachedLater tells whether
-    //! another instance reached the key-value service after recordsReadAt().
-    bool mayGrantUnrecordedShare(SlotId slot, bool peerReachedLater, Time now) const;
+    //! Returns true when this instance may grant unrecorded shares in \p slot at \p now. \p mayPeersReachLater tells whether
+    //! another instance may have reached the key-value service after recordsReadAt(), and have taken the slot.
+    bool mayGrantUnrecordedShare(SlotId slot, bool mayPeersReachLater, Time now) const;
 
     //! Returns when all slot records were last read.
     Time recordsReadAt() const;
@@ -83,7 +83,7 @@
     std::set<SlotId> ownedSlots() const;
 
 private:
-    bool sharesAreDue(SlotId slot, bool peerReachedLater, Time now) const;
+    bool sharesAreDue(SlotId slot, bool mayPeersReachLater, Time now) const;
     bool mayClaim(const SlotMove &move, Time now) const;
 
     InstanceId self;
--- a/src/decision/peertable.cpp
+++ b/src/decision/peertable.cpp
@@ -623,6 +623,11 @@
     return !this->peers.empty() && this->newest.serviceContact > time;
 }
 
+bool PeerTable::mayHaveServiceContactAfter(Time time, Time now) const
+{
+    return this->hasServiceContactAfter(time) || !this->hearsMost(now);
+}
+
 std::map<SlotId, std::string> PeerTable::budgetSlotOwners() const
 {
     std::map<SlotId, std::string> addresses;
--- a/src/decision/peertable.h
+++ b/src/decision/peertable.h
@@ -117,6 +117,9 @@
     //! Returns true when a live peer read from the key-value service after \p time.
     bool hasServiceContactAfter(Time time) const;
 
+    //! Returns whether other instances may have reached it after \p time: a live one did, or too few are heard to tell.
+    bool mayHaveServiceContactAfter(Time time, Time now) const;
+
     //! Returns the peer address of the owner of each budget slot, for slots that live peers own.
     std::map<SlotId, std::string> budgetSlotOwners() const;
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -218,7 +218,8 @@
         return LedgerAnswer::Granted;
     }
     const SlotId slot = this->slots.slotOf(ask.request.program);
-    const bool mayGrantUnrecordedShare = this->slots.mayGrantUnrecordedShare(slot, this->parts.hasPeerServiceContactAfter(this->slots.recordsReadAt()), now);
+    const bool mayGrantUnrecordedShare
+        = this->slots.mayGrantUnrecordedShare(slot, this->parts.mayPeersReachServiceAfter(this->slots.recordsReadAt(), now), now);
     const bool startsWithoutShare = !mayGrantUnrecordedShare && !this->ledger.entryOf(ask.request.program);
     const LedgerAnswer answer = this->ledger.reserve(ask.request, mayGrantUnrecordedShare, now);
     if (startsWithoutShare) {
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -36,7 +36,8 @@
         KeyValueService &service;
         PeerClient &peers;
         Metrics &metrics;
-        std::function<bool(Time)> hasPeerServiceContactAfter{}; //!< Returns true when a live peer reached the key-value service after that time.
+        std::function<bool(Time, Time)> mayPeersReachServiceAfter{}; //!< Returns whether other instances may have reached the key-value service after the
+                                                                     //!< first time, by what is known at the second one.
     };
 
     BudgetCoordinator(const Parts &parts, const InstanceRecord &self, Duration retention);
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -198,7 +198,7 @@
 {
     const SlotId slot = this->slots.slotOf(ask.request.program);
     return !this->ledger.entryOf(ask.request.program)
-        && this->slots.mustMarkUsed(slot, this->parts.hasPeerServiceContactAfter(this->slots.recordsReadAt()), now);
+        && this->slots.mustMarkUsed(slot, this->parts.mayPeersReachServiceAfter(this->slots.recordsReadAt(), now), now);
 }
 
 asio::awaitable<bool> BudgetCoordinator::markSlotsUsed(SlotId first)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -211,8 +211,8 @@
                                           *keyValue,
                                           peers,
                                           metrics,
-                                          [this](Time time) {
-                                              return this->gossip.hasServiceContactAfter(time);
+                                          [this](Time time, Time now) {
+                                              return this->gossip.mayHaveServiceContactAfter(time, now);
                                           }},
                  self,
                  settings.programRetention)
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -155,6 +155,12 @@
     return this->core->table.hasServiceContactAfter(time);
 }
 
+bool PeerGossip::mayHaveServiceContactAfter(Time time, Time now) const
+{
+    const std::lock_guard lock(this->core->mutex);
+    return this->core->table.mayHaveServiceContactAfter(time, now);
+}
+
 Time PeerGossip::lastReportAt() const
 {
     return this->core->lastReceivedAt;
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -58,6 +58,9 @@
     //! Returns true when a live peer reached the key-value service after \p time. Thread-safe.
     bool hasServiceContactAfter(Time time) const;
 
+    //! Returns whether other instances may have reached it after \p time, by what is known at \p now. Thread-safe.
+    bool mayHaveServiceContactAfter(Time time, Time now) const;
+
     //! Returns when a report of another instance last arrived; the epoch for never. Thread-safe.
     Time lastReportAt() const;
 
--- a/tests/gateway/cutfrompeersclasstests.cpp
+++ b/tests/gateway/cutfrompeersclasstests.cpp
@@ -323,8 +323,7 @@
         }
     }
 
-    //! New programs begin on both sides of a cut when the slots of \p odd have had other owners for long.
-    void playLongCut(const std::set<std::size_t> &odd, bool isStoreRefusing)
+    void beginLongCut(const std::set<std::size_t> &odd, bool isStoreRefusing)
     {
         for (int number = 0; number < longCutProgramCount; ++number) {
             const std::optional<HttpResponse> answer = this->turn(0, "before-" + std::to_string(number), budget);
@@ -337,7 +336,11 @@
             this->setStoreRefusing(gateway, isStoreRefusing);
             this->setWatchesSilent(gateway, !isStoreRefusing);
         }
-        std::this_thread::sleep_for(longCutTime);
+    }
+
+    //! New programs begin on both sides of the cut, when the slots of the instances that are cut off have had other owners for long.
+    void spendBehindLongCut()
+    {
         this->spend({0});
         int servedBehindCut = 0;
         for (const auto &[program, spent] : this->tokens) {
@@ -515,17 +518,15 @@
 // grants it too as soon as it takes the programs of the former owner for ended.
 TEST_CASE("Long cut from peers: programs that begin long behind a cut get no more than their budget and one turn on both sides of it")
 {
-    BudgetCutCluster cluster;
-    SUBCASE("the store refuses one instance")
-    {
-        cluster.playLongCut({0}, true);
-    }
-    SUBCASE("the watches of one instance are silent")
-    {
-        cluster.playLongCut({0}, false);
-    }
-    SUBCASE("the store refuses two instances")
-    {
-        cluster.playLongCut({0, 3}, true);
-    }
+    // All at once, as the time behind the cut is the most of it.
+    BudgetCutCluster refused;
+    BudgetCutCluster silent;
+    BudgetCutCluster refusedTogether;
+    refused.beginLongCut({0}, true);
+    silent.beginLongCut({0}, false);
+    refusedTogether.beginLongCut({0, 3}, true);
+    std::this_thread::sleep_for(longCutTime);
+    refused.spendBehindLongCut();
+    silent.spendBehindLongCut();
+    refusedTogether.spendBehindLongCut();
 }
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -82,7 +82,7 @@
                                                store,
                                                peers,
                                                metrics,
-                                               [](Time /*time*/) {
+                                               [](Time /*time*/, Time /*now*/) {
                                                    return true;
                                                }},
                       self,
--- a/tests/unit/peertabletests.cpp
+++ b/tests/unit/peertabletests.cpp
@@ -337,6 +337,28 @@
     CHECK(table.hearsMost(now));
 }
 
+// Guards against budgets that are spent twice: an instance that hears nobody took that for nobody reaching the key-value service.
+TEST_CASE("An instance that hears few of the others can't tell whether they reach the key-value service")
+{
+    const Time earlier = start - std::chrono::seconds(30);
+    PeerTable alone("10.0.0.9:90", "a", {});
+    CHECK_FALSE(alone.mayHaveServiceContactAfter(earlier, start));
+
+    PeerTable table("10.0.0.9:90", "a", {});
+    for (const std::string id : {"1", "2", "3"}) {
+        PeerReport report = makeReport(id);
+        report.lastServiceContact = earlier;
+        table.onReport(report, start);
+    }
+    CHECK_FALSE(table.mayHaveServiceContactAfter(earlier, start));
+    CHECK(table.mayHaveServiceContactAfter(earlier - Duration(1), start));
+    const Time silent = start + std::chrono::seconds(2);
+    CHECK(table.mayHaveServiceContactAfter(earlier, silent));
+    REQUIRE(table.expire(silent).size() == 3);
+    CHECK_FALSE(table.hasServiceContactAfter(earlier));
+    CHECK(table.mayHaveServiceContactAfter(earlier, silent));
+}
+
 TEST_CASE("Lost instances are missed until this one knows that it is not the one that is cut off")
 {
     PeerTable table("10.0.0.9:90", "a", {});
