--- a/tests/gateway/organisationtests.cpp
+++ b/tests/gateway/organisationtests.cpp
@@ -90,7 +90,7 @@
             const auto firstDue = beginsAt + std::chrono::microseconds(index * 1'000'000 / perSecond);
             for (auto due = firstDue; due < endsAt; due = std::max(due + pause, std::chrono::steady_clock::now())) {
                 std::this_thread::sleep_until(due);
-                const std::size_t number = static_cast<std::size_t>(index + tally.sent);
+                const std::size_t number = static_cast<std::size_t>(index) + static_cast<std::size_t>(tally.sent);
                 tally.sent += 1;
                 const std::size_t gateway = number % 2 == 0 ? 0 : number / 2 % cluster.gateways.size();
                 const int status = statusOf(cluster, gateway, "/reads/1", {keyHeader(key)});
