--- a/tests/unit/assignmentcurrencytests.cpp
+++ b/tests/unit/assignmentcurrencytests.cpp
@@ -103,21 +103,23 @@
 
 TEST_CASE("Assignments: reports keep their content and are told from others")
 {
-    const std::string bytes = encodeAssignmentReport(AssignmentReport{"front-1", 42, 7000});
+    const std::string bytes = encodeAssignmentReport(AssignmentReport{"front-1", 42, 7000, 9000});
     CHECK(hasReportMark(bytes));
     const Result<AssignmentReport> decoded = decodeAssignmentReport(bytes);
     REQUIRE(decoded);
     CHECK(decoded.value().instance == "front-1");
     CHECK(decoded.value().revision == 42);
     CHECK(decoded.value().confirmedAge == 7000);
+    CHECK(decoded.value().madeAt == 9000);
     CHECK_FALSE(decodeLeavingReport(bytes));
     CHECK_FALSE(decodeMemberReport(bytes));
     // Builds that do not know it try this.
     CHECK_FALSE(decodeLoadReport(bytes));
     CHECK_FALSE(decodeAssignmentReport(encodeLoadReport(LoadReport())));
     CHECK_FALSE(decodeAssignmentReport(bytes.substr(0, bytes.size() - 1)));
-    // As earlier builds send it: without the age.
-    const Result<AssignmentReport> former = decodeAssignmentReport(bytes.substr(0, bytes.size() - sizeof(std::uint64_t)));
+    CHECK_FALSE(decodeAssignmentReport(bytes.substr(0, bytes.size() - sizeof(std::uint64_t))));
+    // As earlier builds send it: without the age and the time of its making.
+    const Result<AssignmentReport> former = decodeAssignmentReport(bytes.substr(0, bytes.size() - 2 * sizeof(std::uint64_t)));
     REQUIRE(former);
     CHECK(former.value().revision == 42);
     CHECK(former.value().confirmedAge == AssignmentReport().confirmedAge);
