--- a/src/decision/time.h
+++ b/src/decision/time.h
@@ -2,6 +2,7 @@
 #define OLEANDERGATE_DECISION_TIME_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace oleandergate {
 
@@ -26,6 +27,12 @@
     return Time(std::chrono::minutes(minute));
 }
 
+//! Returns the time \p microseconds behind the Unix epoch, as messages state it.
+constexpr Time timeOf(std::uint64_t microseconds)
+{
+    return Time(Duration(static_cast<Duration::rep>(microseconds)));
+}
+
 //! Returns \p duration in seconds.
 constexpr double toSeconds(Duration duration)
 {
--- a/src/decision/toldstreams.cpp
+++ b/src/decision/toldstreams.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+void addDifferent(std::vector<StreamOrigin> &origins, const StreamOrigin &origin)
+{
+    if (std::find(origins.begin(), origins.end(), origin) == origins.end()) {
+        origins.push_back(origin);
+    }
+}
+
 std::uint64_t toldStreamKey(const RequestId &attempt, RequestFingerprint request)
 {
     return hashOf(attempt, request);
@@ -59,8 +66,8 @@
             continue;
         }
         Told &told = this->streams[stream];
-        if (told.origins.size() < maxOrigins && std::find(told.origins.begin(), told.origins.end(), group.origin) == told.origins.end()) {
-            told.origins.push_back(group.origin);
+        if (told.origins.size() < maxOrigins) {
+            addDifferent(told.origins, group.origin);
         }
         told.at = now;
     }
--- a/src/decision/toldstreams.h
+++ b/src/decision/toldstreams.h
@@ -24,6 +24,9 @@
     bool operator==(const StreamOrigin &) const = default;
 };
 
+//! Adds \p origin unless \p origins has it.
+void addDifferent(std::vector<StreamOrigin> &origins, const StreamOrigin &origin);
+
 //! Identifies a stream by the attempt that brought its first event and the fingerprint that all its attempts share.
 std::uint64_t toldStreamKey(const RequestId &attempt, RequestFingerprint request);
 
--- a/src/gateway/assignmentnews.cpp
+++ b/src/gateway/assignmentnews.cpp
@@ -8,15 +8,6 @@
 
 namespace oleandergate {
 
-namespace {
-
-Time timeOf(std::uint64_t madeAt)
-{
-    return Time(Duration(static_cast<Duration::rep>(madeAt)));
-}
-
-} // namespace
-
 AssignmentNews::AssignmentNews(InstanceId self, std::function<void()> onNews)
     : self(std::move(self))
     , onNews(std::move(onNews))
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -414,7 +414,7 @@
     }
     for (const NewsChannel &channel : this->core->hooks.channels) {
         if (channel.onLoadReport) {
-            channel.onLoadReport(report.value().instance, Time(Duration(static_cast<Duration::rep>(report.value().number))), now);
+            channel.onLoadReport(report.value().instance, timeOf(report.value().number), now);
         }
     }
     PeerReport peerReport;
--- a/src/gateway/streamversionsorigins.cpp
+++ b/src/gateway/streamversionsorigins.cpp
@@ -20,13 +20,6 @@
 constexpr Duration originTimeout = std::chrono::milliseconds(250);
 constexpr std::size_t maxPeersAsked = 64;
 
-void addDifferent(std::vector<StreamOrigin> &origins, StreamOrigin origin)
-{
-    if (std::find(origins.begin(), origins.end(), origin) == origins.end()) {
-        origins.push_back(std::move(origin));
-    }
-}
-
 } // namespace
 
 std::optional<StreamOrigin> StreamVersions::knownOrigin(const StreamIdentity &stream, const RequestId &request)
--- a/src/runtime/heartbeatservice.cpp
+++ b/src/runtime/heartbeatservice.cpp
@@ -91,7 +91,7 @@
     }
     latestNumber = heartbeat.value().number;
     const Time now = currentTime();
-    const Time sentAt{Duration(static_cast<std::int64_t>(heartbeat.value().number))};
+    const Time sentAt = timeOf(heartbeat.value().number);
     const Duration serviceContactAge(static_cast<std::int64_t>(heartbeat.value().serviceContactAge));
     this->core->view.recordHeartbeat(heartbeat.value().instance, sentAt, serviceContactAge, now);
     if (heartbeat.value().configVersion <= this->core->version()) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -728,11 +728,15 @@
         return Error{ErrorCode::Internal, Step::Parse, {}, Executed::Unknown, std::nullopt, "not a report of assignments"};
     }
     const std::string_view content = std::string_view(bytes).substr(1);
+    Result<AssignmentReport> report = decode<AssignmentReport>(content);
+    if (report) {
+        return report;
+    }
     const Result<FormerAssignmentReport> former = decode<FormerAssignmentReport>(content);
     if (former && encode(former.value()).size() == content.size()) {
         return AssignmentReport{former.value().instance, former.value().revision};
     }
-    return decode<AssignmentReport>(content);
+    return report;
 }
 
 std::string encodeStreamReport(const StreamReport &report)
