Tests: one way to cut gateways off, one cluster that owns all budget slots

Cutting gateways off from their peers and the store stood in five places, with two types for the contact with the store; the constants of budgets and the wait for owned slots in two files; the headers of a take-up in two functions. GatewayCluster::cutOff, BudgetCluster and ReleaseCluster::takeUpHeadersOf serve all of them. Checks, bounds and cases are as they were.

--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -1,6 +1,6 @@
 //! Token budgets across gateway processes, measured by the tokens that callers receive.
 
-#include "gatewaycluster.h"
+#include "budgetcluster.h"
 
 #include <doctest/doctest.h>
 
@@ -12,12 +12,7 @@
 
 namespace {
 
-constexpr int budget = 1000;
-constexpr int maxTokensPerTurn = 100;
-constexpr int tokensPerTurn = 10 * StandinEndpoint::eventCount;
 constexpr int timeoutMs = 20000;
-constexpr int slotCount = 128;
-constexpr int statusBudgetExhausted = 402;
 
 //! Sends turns through all gateways until the program's budget is exhausted. Returns the tokens that were delivered.
 int runTurnsUntilExhausted(GatewayCluster &cluster, const std::string &program)
@@ -34,28 +29,12 @@
     return tokens;
 }
 
-bool allSlotsOwned(const GatewayCluster &cluster)
-{
-    for (int slot = 0; slot < slotCount; ++slot) {
-        if (cluster.store.value("oleandergate/budget/slots/" + std::to_string(slot)).empty()) {
-            return false;
-        }
-    }
-    return true;
-}
-
-//! Two ready gateways with one endpoint, which together own all budget slots.
-struct ClusterWithOwnedSlots : GatewayCluster
+//! Two gateways with one endpoint.
+struct ClusterWithOwnedSlots : BudgetCluster
 {
     ClusterWithOwnedSlots()
-        : GatewayCluster(2, 1)
+        : BudgetCluster(2, 1)
     {
-        REQUIRE(this->startServing());
-        REQUIRE(waitFor(
-            [this]() {
-                return allSlotsOwned(*this);
-            },
-            timeoutMs));
     }
 };
 
--- a/tests/gateway/cutfrompeersclasstests.cpp
+++ b/tests/gateway/cutfrompeersclasstests.cpp
@@ -1,6 +1,7 @@
 //! What else an instance goes on doing by what it read before, while it is cut off from the others and they act on the change: routes that moved, streams that
 //! may no longer be resumed, endpoints whose address another service uses, and budgets of programs.
 
+#include "budgetcluster.h"
 #include "restartcluster.h"
 
 #include <doctest/doctest.h>
@@ -22,13 +23,8 @@
 constexpr int roundCount = 12;
 constexpr std::chrono::milliseconds roundInterval(150);
 
-constexpr int budget = 1000;
-constexpr int maxTokensPerTurn = 100;
-constexpr int tokensPerTurn = 10 * StandinEndpoint::eventCount;
 constexpr int budgetProgramCount = 10;
-constexpr int slotCount = 128;
 constexpr int statusMisdirected = 421;
-constexpr int statusBudgetExhausted = 402;
 constexpr int longestBudgetRounds = 60;
 
 //! The longest timeout of the routes and five seconds: an instance whose configuration is older takes the targets of routes that it has read for complete.
@@ -42,12 +38,6 @@
 constexpr int longCutProgramCount = 30;
 constexpr std::chrono::seconds longCutTime(95);
 
-//! What instances that are cut off have of the store.
-enum class StoreContact : std::uint8_t {
-    Refused,
-    Silent, //!< They are answered, and no change is reported to them.
-};
-
 std::string routeTo(const std::string &service, bool isResumable = true)
 {
     return R"(,{"Name":"moved","Host":"h.example","PathPrefix":"/moved/","Kind":"streaming","TimeoutMs":8000,"TargetLatencyMs":250,"Priority":0,"Service":")"
@@ -70,15 +60,6 @@
         }
     }
 
-    void cutOff(const std::set<std::size_t> &odd, StoreContact contact)
-    {
-        this->cutPeers(odd, PeerCut::Both);
-        for (const std::size_t gateway : odd) {
-            this->setStoreRefusing(gateway, contact == StoreContact::Refused);
-            this->setWatchesSilent(gateway, contact == StoreContact::Silent);
-        }
-    }
-
     //! Has \p routes in force at the gateways that are not cut off.
     void changeBeside(const std::set<std::size_t> &odd, const std::string &routes)
     {
@@ -181,7 +162,7 @@
     //! The route moves while \p odd are cut off; streams begin through another gateway and are taken up at each of them, from right behind the change on.
     void moveBeside(const std::set<std::size_t> &odd, StoreContact contact)
     {
-        this->cutOff(odd, contact);
+        this->cutOff(odd, PeerCut::Both, contact);
         this->changeBeside(odd, routeTo("other"));
         int begunAtOther = 0;
         int served = 0;
@@ -214,7 +195,7 @@
     //! The second endpoint leaves while \p odd are cut off, and an endpoint of another service listens at its address.
     void reuseBeside(const std::set<std::size_t> &odd, StoreContact contact)
     {
-        this->cutOff(odd, contact);
+        this->cutOff(odd, PeerCut::Both, contact);
         const std::string address = this->endpoints[1]->address();
         this->registerEndpoint(1, "draining");
         this->endpoints[1]->end();
@@ -276,22 +257,11 @@
 };
 
 //! Programs whose turns go through instances on both sides of a cut.
-struct BudgetCutCluster : GatewayCluster
+struct BudgetCutCluster : BudgetCluster
 {
     BudgetCutCluster()
-        : GatewayCluster(gatewayCount, 2)
-    {
-        REQUIRE(this->startServing());
-        REQUIRE(waitFor(
-            [this]() {
-                for (int slot = 0; slot < slotCount; ++slot) {
-                    if (this->store.value("oleandergate/budget/slots/" + std::to_string(slot)).empty()) {
-                        return false;
-                    }
-                }
-                return true;
-            },
-            logTimeoutMs));
+        : BudgetCluster(gatewayCount, 2)
+    {
     }
 
     //! Sends a turn of each program to each of \p asked in turn, again and again, until no instance serves one.
@@ -323,7 +293,7 @@
         }
     }
 
-    void beginLongCut(const std::set<std::size_t> &odd, bool isStoreRefusing)
+    void beginLongCut(const std::set<std::size_t> &odd, StoreContact contact)
     {
         for (int number = 0; number < longCutProgramCount; ++number) {
             const std::optional<HttpResponse> answer = this->turn(0, "before-" + std::to_string(number), budget);
@@ -331,11 +301,7 @@
             REQUIRE(answer->status == 200);
             this->tokens["new-" + std::to_string(number)] = 0;
         }
-        this->cutPeers(odd, PeerCut::Both);
-        for (const std::size_t gateway : odd) {
-            this->setStoreRefusing(gateway, isStoreRefusing);
-            this->setWatchesSilent(gateway, !isStoreRefusing);
-        }
+        this->cutOff(odd, PeerCut::Both, contact);
     }
 
     //! New programs begin on both sides of the cut, when the slots of the instances that are cut off have had other owners for long.
@@ -355,7 +321,7 @@
         this->check();
     }
 
-    void playCut(const std::set<std::size_t> &odd, bool isStoreRefusing)
+    void playCut(const std::set<std::size_t> &odd, StoreContact contact)
     {
         for (int number = 0; number < budgetProgramCount; ++number) {
             const std::string program = "known-" + std::to_string(number);
@@ -367,21 +333,13 @@
                 this->tokens[program] += answer->status == 200 ? tokensPerTurn : 0;
             }
         }
-        this->cutPeers(odd, PeerCut::Both);
-        for (const std::size_t gateway : odd) {
-            this->setStoreRefusing(gateway, isStoreRefusing);
-            this->setWatchesSilent(gateway, !isStoreRefusing);
-        }
+        this->cutOff(odd, PeerCut::Both, contact);
         this->spend({0, 1, 2, 3});
         this->check();
         std::this_thread::sleep_for(takeoverTime);
         this->spend({1, 0, 2, 3});
         this->check();
-        this->cutPeers(odd, PeerCut::None);
-        for (const std::size_t gateway : odd) {
-            this->setStoreRefusing(gateway, false);
-            this->setWatchesSilent(gateway, false);
-        }
+        this->cutOff(odd, PeerCut::None, StoreContact::Whole);
         std::this_thread::sleep_for(takeoverTime);
         this->spend({2, 1, 0, 3});
         this->check();
@@ -454,7 +412,7 @@
         contact = StoreContact::Silent;
     }
     ClassCluster cluster(hasTwoVersions);
-    cluster.cutOff({0}, contact);
+    cluster.cutOff({0}, PeerCut::Both, contact);
     cluster.changeBeside({0}, routeTo("engine", false));
     int served = 0;
     int begunCount = 0;
@@ -502,15 +460,15 @@
     BudgetCutCluster cluster;
     SUBCASE("the store refuses one instance")
     {
-        cluster.playCut({0}, true);
+        cluster.playCut({0}, StoreContact::Refused);
     }
     SUBCASE("the watches of one instance are silent")
     {
-        cluster.playCut({0}, false);
+        cluster.playCut({0}, StoreContact::Silent);
     }
     SUBCASE("the store refuses two instances")
     {
-        cluster.playCut({0, 3}, true);
+        cluster.playCut({0, 3}, StoreContact::Refused);
     }
 }
 
@@ -522,9 +480,9 @@
     BudgetCutCluster refused;
     BudgetCutCluster silent;
     BudgetCutCluster refusedTogether;
-    refused.beginLongCut({0}, true);
-    silent.beginLongCut({0}, false);
-    refusedTogether.beginLongCut({0, 3}, true);
+    refused.beginLongCut({0}, StoreContact::Refused);
+    silent.beginLongCut({0}, StoreContact::Silent);
+    refusedTogether.beginLongCut({0, 3}, StoreContact::Refused);
     std::this_thread::sleep_for(longCutTime);
     refused.spendBehindLongCut();
     silent.spendBehindLongCut();
--- a/tests/gateway/cutfrompeerstests.cpp
+++ b/tests/gateway/cutfrompeerstests.cpp
@@ -20,13 +20,6 @@
 //! Buckets move again no sooner than a second behind their first assignment.
 constexpr std::chrono::milliseconds moveInterval(1200);
 
-//! What an instance that is cut off has of the store.
-enum class StoreContact : std::uint8_t {
-    Refused,
-    Silent, //!< It is answered, and no change is reported to it.
-    Whole,
-};
-
 struct PeerCutCluster : ReleaseCluster
 {
     PeerCutCluster()
@@ -35,12 +28,6 @@
         std::this_thread::sleep_for(moveInterval);
     }
 
-    void setStoreContact(std::size_t gateway, StoreContact contact)
-    {
-        this->setStoreRefusing(gateway, contact == StoreContact::Refused);
-        this->setWatchesSilent(gateway, contact == StoreContact::Silent);
-    }
-
     //! Waits until \p gateway knows the endpoint of v2, from the store or a peer: before, it can place no stream of that version.
     void awaitEndpoint(std::size_t gateway) const
     {
@@ -55,10 +42,7 @@
     //! Half of the buckets move to the endpoint of v2 while the links of \p odd to the others are cut, and streams begin at another gateway.
     void releaseBeside(const std::set<std::size_t> &odd, PeerCut cut, StoreContact contact)
     {
-        this->cutPeers(odd, cut);
-        for (const std::size_t gateway : odd) {
-            this->setStoreContact(gateway, contact);
-        }
+        this->cutOff(odd, cut, contact);
         this->registerEndpoint(1);
         REQUIRE(this->logHas(1, R"("buckets":"v1:64,v2:64")"));
         this->beginTogether(1).clear();
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -273,6 +273,15 @@
     }
 }
 
+void GatewayCluster::cutOff(const std::set<std::size_t> &cutGateways, PeerCut cut, StoreContact contact)
+{
+    this->cutPeers(cutGateways, cut);
+    for (const std::size_t gateway : cutGateways) {
+        this->setStoreRefusing(gateway, contact == StoreContact::Refused);
+        this->setWatchesSilent(gateway, contact == StoreContact::Silent);
+    }
+}
+
 void GatewayCluster::setLink(std::size_t gateway, Link link, std::optional<std::size_t> endpointCount)
 {
     for (std::size_t index = 0; index < endpointCount.value_or(this->endpoints.size()); ++index) {
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -31,6 +31,13 @@
     Outgoing, //!< Nothing of them arrives at the others.
 };
 
+//! What gateways have of the store.
+enum class StoreContact : std::uint8_t {
+    Whole,
+    Refused,
+    Silent, //!< They are answered, and no change is reported to them.
+};
+
 //! Gateway processes with a stand-in store and stand-in endpoints.
 class GatewayCluster
 {
@@ -97,6 +104,9 @@
     //! Cuts the links between \p gateways and all others in the directions of \p cut, and opens those among each other and among the others.
     void cutPeers(const std::set<std::size_t> &gateways, PeerCut cut);
 
+    //! Cuts the links of \p gateways as cutPeers() does, and leaves them \p contact with the store.
+    void cutOff(const std::set<std::size_t> &gateways, PeerCut cut, StoreContact contact);
+
     //! Changes how long the gateway's process may take to stop, and has it read its settings again.
     void setGrace(std::size_t gateway, int seconds);
 
--- a/tests/gateway/releasecluster.h
+++ b/tests/gateway/releasecluster.h
@@ -60,6 +60,17 @@
                 {"Oleandergate-Prompt-Prefix", "a1:50," + program + ":50"}};
     }
 
+    //! \p resumes is the attempt that began the stream; empty if the caller does not name it.
+    static std::vector<HttpHeader> takeUpHeadersOf(const std::string &program, const std::string &resumes)
+    {
+        std::vector<HttpHeader> headers = headersOf(program);
+        headers.push_back(HttpHeader{"Last-Event-Id", "2"});
+        if (!resumes.empty()) {
+            headers.push_back(HttpHeader{"Resumes", resumes});
+        }
+        return headers;
+    }
+
     //! Begins a stream of each program. Returns how many were served; the others were refused.
     std::size_t beginAll(std::size_t gateway)
     {
@@ -102,11 +113,7 @@
             if (++takenUp > count) {
                 break;
             }
-            std::vector<HttpHeader> headers = headersOf(each.first);
-            headers.push_back(HttpHeader{"Last-Event-Id", "2"});
-            if (isAttemptNamed) {
-                headers.push_back(HttpHeader{"Resumes", each.second});
-            }
+            const std::vector<HttpHeader> headers = takeUpHeadersOf(each.first, isAttemptNamed ? each.second : std::string());
             const std::size_t before = this->receivedCount();
             const std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headers);
             REQUIRE(answer);
@@ -130,12 +137,7 @@
         std::vector<std::jthread> callers;
         for (const auto &[program, attempt] : this->begun) {
             callers.emplace_back([this, gateway, &answers, program = program, resumes = isAttemptNamed ? attempt : std::string()]() {
-                std::vector<HttpHeader> headers = headersOf(program);
-                headers.push_back(HttpHeader{"Last-Event-Id", "2"});
-                if (!resumes.empty()) {
-                    headers.push_back(HttpHeader{"Resumes", resumes});
-                }
-                std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", headers);
+                std::optional<HttpResponse> answer = this->call(gateway, "POST", "/turns/1", takeUpHeadersOf(program, resumes));
                 const std::lock_guard lock(this->mutex);
                 answers[program] = std::move(answer);
             });
--- a/tests/streamsoak/streamrun.cpp
+++ b/tests/streamsoak/streamrun.cpp
@@ -112,23 +112,23 @@
 {
     support::PeerCut cut = support::PeerCut::None;
     bool isPair = false; //!< Two gateways that reach each other.
-    bool isRefused = false; //!< By the store.
-    bool isSilent = false; //!< The store reports nothing.
+    support::StoreContact contact = support::StoreContact::Whole;
     bool isPaused = false;
 };
 
 ReleaseTrouble releaseTroubleOf(Trouble trouble)
 {
     using support::PeerCut;
+    using support::StoreContact;
     static const std::map<Trouble, ReleaseTrouble> troubles{
-        {Trouble::PeerCut, {PeerCut::Both, false, true, false, false}},
-        {Trouble::PeerCutSilent, {PeerCut::Both, false, false, true, false}},
-        {Trouble::PeerCutIncoming, {PeerCut::Incoming, false, true, false, false}},
-        {Trouble::PeerCutOutgoing, {PeerCut::Outgoing, false, true, false, false}},
-        {Trouble::PeerCutOnly, {PeerCut::Both, false, false, false, false}},
-        {Trouble::PairCut, {PeerCut::Both, true, true, false, false}},
-        {Trouble::PairCutSilent, {PeerCut::Both, true, false, true, false}},
-        {Trouble::ReleasePause, {PeerCut::None, false, false, false, true}},
+        {Trouble::PeerCut, {PeerCut::Both, false, StoreContact::Refused, false}},
+        {Trouble::PeerCutSilent, {PeerCut::Both, false, StoreContact::Silent, false}},
+        {Trouble::PeerCutIncoming, {PeerCut::Incoming, false, StoreContact::Refused, false}},
+        {Trouble::PeerCutOutgoing, {PeerCut::Outgoing, false, StoreContact::Refused, false}},
+        {Trouble::PeerCutOnly, {PeerCut::Both, false, StoreContact::Whole, false}},
+        {Trouble::PairCut, {PeerCut::Both, true, StoreContact::Refused, false}},
+        {Trouble::PairCutSilent, {PeerCut::Both, true, StoreContact::Silent, false}},
+        {Trouble::ReleasePause, {PeerCut::None, false, StoreContact::Whole, true}},
     };
     return troubles.at(trouble);
 }
@@ -420,10 +420,8 @@
     if (trouble.isPair) {
         odd.insert((planned.target + 1) % settingsOf(this->plan.installation).gateways);
     }
-    this->cluster.cutPeers(odd, trouble.cut);
+    this->cluster.cutOff(odd, trouble.cut, trouble.contact);
     for (const std::size_t gateway : odd) {
-        this->cluster.setStoreRefusing(gateway, trouble.isRefused);
-        this->cluster.setWatchesSilent(gateway, trouble.isSilent);
         if (trouble.isPaused && this->cluster.gateways[gateway].isRunning()) {
             this->cluster.gateways[gateway].signal(SIGSTOP);
         }
@@ -435,10 +433,8 @@
         });
     }
     this->later(planned.duration, [this, odd, trouble]() {
-        this->cluster.cutPeers(odd, support::PeerCut::None);
+        this->cluster.cutOff(odd, support::PeerCut::None, support::StoreContact::Whole);
         for (const std::size_t gateway : odd) {
-            this->cluster.setStoreRefusing(gateway, false);
-            this->cluster.setWatchesSilent(gateway, false);
             if (trouble.isPaused && this->cluster.gateways[gateway].isRunning()) {
                 this->cluster.gateways[gateway].signal(SIGCONT);
             }
