--- a/bench/versions/confirmations.cpp
+++ b/bench/versions/confirmations.cpp
@@ -757,6 +757,14 @@
     Figures *figures = nullptr;
 };
 
+//! Returns \p rules with one more of the things that befall the instances.
+Rules having(Rules rules, const char *name, bool Rules::*trouble)
+{
+    rules.name = name;
+    rules.*trouble = true;
+    return rules;
+}
+
 std::vector<Rules> rows()
 {
     const Rules calm{.name = "calm"};
@@ -774,36 +782,24 @@
     Rules rarest = direct;
     rarest.name = "asker, statements of 2 s";
     rarest.statementInterval = 2000 * ms;
-    Rules rarerTroubles = rarer;
-    rarerTroubles.name = "asker, 1 s, troubles";
-    rarerTroubles.hasTroubles = true;
-    Rules rarerOutages = rarer;
-    rarerOutages.name = "asker, 1 s, outages";
-    rarerOutages.hasOutages = true;
+    const Rules rarerTroubles = having(rarer, "asker, 1 s, troubles", &Rules::hasTroubles);
+    const Rules rarerOutages = having(rarer, "asker, 1 s, outages", &Rules::hasOutages);
     const Rules fixed{.name = "allowance of 250 ms", .allowance = unnoticedPause};
     Rules fixedSending = sending;
     fixedSending.name = "250 ms, paused sending";
     fixedSending.allowance = unnoticedPause;
     const Rules spreadMore{.name = "one late asker a tick", .lateAskers = 1.0};
     const Rules spread{.name = "four late askers a tick", .lateAskers = 4.0};
-    Rules spreadOutages = spread;
-    spreadOutages.name = "four late, outages";
-    spreadOutages.hasOutages = true;
+    const Rules spreadOutages = having(spread, "four late, outages", &Rules::hasOutages);
     Rules all = rarer;
     all.name = "all";
     all.lateAskers = 4.0;
     Rules frequent = all;
     frequent.name = "all, statements of 400 ms";
     frequent.statementInterval = 400 * ms;
-    Rules allTroubles = all;
-    allTroubles.name = "all, troubles";
-    allTroubles.hasTroubles = true;
-    Rules allOutages = all;
-    allOutages.name = "all, outages";
-    allOutages.hasOutages = true;
-    Rules allSending = allTroubles;
-    allSending.name = "all, paused sending";
-    allSending.pausesWhileSending = true;
+    const Rules allTroubles = having(all, "all, troubles", &Rules::hasTroubles);
+    const Rules allOutages = having(all, "all, outages", &Rules::hasOutages);
+    const Rules allSending = having(allTroubles, "all, paused sending", &Rules::pausesWhileSending);
     return {calm,         troubles, outages,      sending,    regular, turns,         shorter, shortest, direct,      rarer,      rarest,    rarerTroubles,
             rarerOutages, fixed,    fixedSending, spreadMore, spread,  spreadOutages, all,     frequent, allTroubles, allOutages, allSending};
 }
