--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
@@ -499,4 +500,16 @@
     if not FRONT.exists():
         print(f"{FRONT.name} is not built", file=sys.stderr)
         sys.exit(2)
-    sys.exit(asyncio.run(main(os.environ.get("TROUBLE", "1") != "0")))
+
+    async def guarded():
+        # The processes that the case started are ended on SIGTERM, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        try:
+            return await main(os.environ.get("TROUBLE", "1") != "0")
+        except asyncio.CancelledError:
+            print("the case was ended", file=sys.stderr)
+        except Exception:  # An error of the case must not look like a broken rule.
+            traceback.print_exc()
+        return 2
+
+    sys.exit(asyncio.run(guarded()))
