--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,162 +1,112 @@
-"""A worker process is killed after half of an answer that its connection ends, while the other fronts have no traffic."""
+"""Programs spend their token budgets, the process that counts some of them is killed, and the programs return within RetentionS."""
 
 import asyncio
-import json
 import pathlib
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
-from deployment import Deployment, run_case  # noqa: E402
+from deployment import Deployment, Worker, run_case  # noqa: E402
 
-STANDIN = pathlib.Path(__file__).resolve().parents[1] / "standins-2" / "worker.py"
-WORKERS = 8
-CRASHES = 6
-WORK_MS = 250
-PAUSE_MS = 250
-BODY_BYTES = 800
-BYTES_BEFORE_PAUSE = 400
+RETENTION_S = 100.0
+PROGRAMS = 16
+TOKEN_BUDGET = 400
+TURN_TOKENS = 100
+TOKENS_PER_EVENT = 10
+RETURN_AFTER_S = 88.0
+MAX_TURNS = 12
 
 CONFIG = {
     "Version": 7,
     "Routes": [
         {
-            "Name": "reads",
+            "Name": "turns",
             "Host": "shop.example",
-            "PathPrefix": "/reads/",
-            "Kind": "safe",
-            "TimeoutMs": 3000,
-            "TargetLatencyMs": 1000,
-            "Priority": 2,
-            "Service": "app",
-            "MaxAttempts": 2,
-        },
-        {
-            "Name": "orders",
-            "Host": "shop.example",
-            "PathPrefix": "/orders/",
-            "Kind": "unsafe",
-            "TimeoutMs": 3000,
-            "TargetLatencyMs": 1000,
-            "Priority": 2,
-            "Service": "app",
+            "PathPrefix": "/turns/",
+            "Kind": "streaming",
+            "TimeoutMs": 4000,
+            "TargetLatencyMs": 250,
+            "Priority": 0,
+            "Service": "models",
             "MaxAttempts": 1,
-        },
+            "KeepsHistory": False,
+            "RetentionS": RETENTION_S,
+            "Sticky": True,
+            "Resumable": True,
+            "GapAimMs": 200,
+        }
+    ],
+    "Services": [
+        {"Name": "models", "HealthPath": "/health", "MaxConns": 180, "Protocol": "h1", "Tls": False, "Engine": {"Slots": 16, "TokensPerEvent": TOKENS_PER_EVENT}}
     ],
-    "Services": [{"Name": "app", "HealthPath": "/health", "MaxConns": 110, "Protocol": "h1", "Tls": False}],
     "Limits": {"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderMs": 3000, "IdleMs": 15000},
 }
 
 
-class WorkerProcess:
-    def __init__(self, deployment, name):
-        self.deployment = deployment
-        self.id = name
-        self.seq = 0
-        self.half = asyncio.Queue()
-
-    async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-B",
-            str(STANDIN),
-            self.id,
-            str(WORK_MS),
-            str(BODY_BYTES),
-            str(BYTES_BEFORE_PAUSE),
-            str(PAUSE_MS),
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self.port = int(await self.process.stdout.readline())
-        self.born = int(time.time() * 1000)
-        self.register()
-        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.follow())]
-
-    def register(self):
-        self.seq += 1
-        entry = {
-            "Service": "app",
-            "Address": f"127.0.0.1:{self.port}",
-            "Zone": "zone-a",
-            "Version": "v1",
-            "Slots": 6,
-            "State": "ready",
-            "ColdLeftMs": 0,
-            "Seq": self.seq,
-            "born": self.born,
-        }
-        self.deployment.store.put("servers/" + self.id, json.dumps(entry).encode())
-
-    async def beat(self):
-        while True:
-            await asyncio.sleep(1.2)
-            self.register()
-
-    async def follow(self):
-        while True:
-            line = (await self.process.stdout.readline()).decode().split()
-            if not line:
+class Program:
+    def __init__(self, number):
+        self.id = f"prog{number:02d}"
+        self.tokens = 0
+        self.turns = 0
+        self.last_turn_at = 0.0
+
+    async def run(self, deployment):
+        """Sends turns until the budget is spent."""
+        for _ in range(MAX_TURNS):
+            fields = [
+                ("Oleandergate-Program-Id", self.id),
+                ("Oleandergate-Session-Id", self.id + "-main"),
+                ("Oleandergate-Finish-Ms", "20000"),
+                ("Oleandergate-Token-Budget", str(TOKEN_BUDGET)),
+                ("Oleandergate-Token-Counts", f"50,{TURN_TOKENS}"),
+                ("Oleandergate-Model", "m"),
+                ("Oleandergate-Prompt-Prefix", f"5c1e07a2:30,{self.turns:08x}:20"),
+            ]
+            front = deployment.fronts[(int(self.id[4:]) + self.turns) % len(deployment.fronts)]
+            self.turns += 1
+            answer = await deployment.send(front, "POST", f"/turns/{self.id}", fields, b"prompt %d" % self.turns)
+            self.tokens += answer.body.count(b"data:") * TOKENS_PER_EVENT
+            self.last_turn_at = time.monotonic()
+            if answer.status == 402:
                 return
-            self.deployment.record.add(f"worker {self.id}: {' '.join(line)}")
-            if line[0] == "half":
-                self.half.put_nowait(line[1])
-
-    async def kill(self):
-        """The process crashes; its entry in the store ends after three heartbeat intervals."""
-        self.process.kill()
-        self.deployment.record.add(f"worker {self.id} is killed")
-        self.tasks[0].cancel()
-        await self.process.wait()
-        asyncio.get_running_loop().call_later(3.6, self.deployment.store.delete, "servers/" + self.id)
+            if answer.status != 200:
+                await asyncio.sleep(0.4)
 
 
 async def main(trouble):
     deployment = Deployment(pathlib.Path(__file__).with_name("record.txt"), 3)
-    workers = [WorkerProcess(deployment, f"i-{number:08x}") for number in range(1, WORKERS + 1)]
-    broken = 0
+    deployment.workers = [Worker(deployment, f"i-{number:08x}", "models", tokens_per_event=TOKENS_PER_EVENT) for number in range(1, 4)]
     try:
-        deployment.workers = workers
         if not await deployment.start(CONFIG):
             deployment.record.add("the fronts did not become ready")
             return 2
-        await asyncio.sleep(3)
-        front = deployment.fronts[0]
-
-        async def request(method, path, body):
-            nonlocal broken
-            sent = await deployment.send(front, method, path, [], body, limit_s=3.0)
-            if sent.whole and sent.status == 200:
-                is_whole = len(sent.body) == BODY_BYTES and sent.body.endswith(b"end\n")
-                broken += 0 if is_whole else 1
-                verdict = "the worker's whole body" if is_whole else "NOT the worker's whole body: MIXED broken"
-                deployment.record.add(f"client {sent.request} has a success with {len(sent.body)} of {BODY_BYTES} bytes, {verdict}")
-            return sent
-
-        for _ in range(3):
-            if (await request("GET", "/reads/a", b"")).status != 200:
-                return 2
-        for crash in range(CRASHES):
-            for worker in workers:
-                while not worker.half.empty():
-                    worker.half.get_nowait()
-            sent = asyncio.create_task(request(*[("POST", "/orders/b", b"an order"), ("GET", "/reads/b", b"")][crash % 2]))
-            if trouble:
-                waiting = {asyncio.create_task(worker.half.get()): worker for worker in workers if worker.process.returncode is None}
-                done, rest = await asyncio.wait(waiting, timeout=3, return_when=asyncio.FIRST_COMPLETED)
-                for task in rest:
-                    task.cancel()
-                if not done:
-                    return 2
-                await asyncio.sleep(0.02)
-                await waiting[done.pop()].kill()
-            await sent
+        await asyncio.sleep(4)
+        programs = [Program(number) for number in range(PROGRAMS)]
+        await asyncio.gather(*(program.run(deployment) for program in programs))
+        before = sum(program.tokens for program in programs)
+        if before < PROGRAMS * TOKEN_BUDGET * 3 // 4:
+            deployment.record.add(f"only {before} tokens were handed out")
+            return 2
+        stopped = time.monotonic()
+        if trouble:
             await asyncio.sleep(1)
-        return 1 if broken else 0
+            deployment.fronts[0].kill()
+            await asyncio.sleep(0.5)
+            deployment.fronts[0].start()
+            if not await deployment.fronts[0].ready():
+                return 2
+        await asyncio.sleep(max(0.0, stopped + RETURN_AFTER_S - time.monotonic()))
+        for program in programs:
+            idle = time.monotonic() - program.last_turn_at
+            deployment.record.add(f"program {program.id} got {program.tokens} tokens so far, and returns after {idle:.1f} s (RetentionS is {RETENTION_S:.0f})")
+        await asyncio.gather(*(program.run(deployment) for program in programs))
+        most = TOKEN_BUDGET + TURN_TOKENS
+        over = [program for program in programs if program.tokens > most]
+        for program in programs:
+            verdict = "BUDGET broken" if program in over else "held"
+            deployment.record.add(f"program {program.id}: budget {TOKEN_BUDGET}, most of one turn {TURN_TOKENS}, handed out {program.tokens}: {verdict}")
+        return 1 if over else 0
     finally:
-        for worker in workers:
-            if worker.process.returncode is None:
-                worker.process.kill()
-                await worker.process.wait()
         deployment.stop()
 
 
