--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -270,7 +270,7 @@
         if fields.get("oleandergate-expect-instance", self.id) != self.id:
             writer.write(answer(421, "Misdirected Request", b"", [("Oleandergate-Request-Id", request), ("Oleandergate-Instance-Id", self.id)]))
             return
-        self.runs.append(request)
+        self.runs.append((time.monotonic(), request))
         self.deployment.record.add(f"worker {self.id} runs {request}: {line}")
         own = [("Oleandergate-Request-Id", request), ("Oleandergate-Server-Stamp", f"stamp.{self.id}.{request}")]
         if "oleandergate-token-counts" not in fields:
@@ -357,7 +357,7 @@
 FinishS = 10
 SettleMs = 1000
 [Platform]
-Address = "{self.deployment.store.address}:{self.deployment.store.port}"
+Address = "{self.deployment.store_address}"
 form = "kv"
 WritesPerS = 400
 ReadsPerS = 2000
@@ -416,6 +416,7 @@
         self.folder = self.scratch.name
         self.first_port = 20000
         self.store = Store("127.0.0.1")
+        self.store_address = f"{self.store.address}:{self.store.port}"  # As the settings of the fronts name it.
         self.fronts = []
         self.workers = []
         for number in range(front_count):
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -1,6 +1,6 @@
 """A worker as a process of its own: answers without a length, which its connection ends. Its port is the first line that it prints.
 
-usage: worker.py ID WORK_MS [BYTES BYTES_BEFORE_PAUSE PAUSE_MS]
+usage: worker.py ID WORK_MS BYTES BYTES_BEFORE_PAUSE PAUSE_MS
 """
 
 import asyncio
