Decide in one place when removals are trusted, and log each such decision

Whether the key-value service was taken to have been away was decided in three callbacks and left no line in the log, so the hypotheses could not be told apart: (1) the first reading behind a cut comes late, (2) the end of one outage is declared more than once, (3) peers that read all the time are heard too late.

RemovalTrust and ReadingPlan have what PrefixFollower and DirectorySync decided, with the present time as an argument; nothing else changes. New lines: "registrations may have expired while the key-value service was unavailable" with what showed its return, and "in_use" with each removal.

--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -14,24 +14,22 @@
 
 #include <boost/asio.hpp>
 
-#include <random>
-
 namespace oleandergate {
 
 namespace asio = boost::asio;
 
 namespace {
 
-//! An instance rereads everything this long after the latest reading by any of them, so that a change that no watch reports
-//! is active everywhere within two seconds.
-constexpr Duration rereadInterval = std::chrono::milliseconds(400);
-constexpr Duration rereadJitter = std::chrono::milliseconds(200);
 constexpr Duration pollInterval = std::chrono::milliseconds(50);
 
 //! Reports of one change reach all instances within this time. An instance that reads the service waits that long before it
 //! rereads.
 constexpr Duration maxReportDelay = std::chrono::milliseconds(250);
 
+//! An instance rereads everything this long after the latest reading by any of them, so that a change that no watch reports
+//! is active everywhere within two seconds.
+constexpr ReadingPlan::Limits readingLimits{std::chrono::milliseconds(400), std::chrono::milliseconds(200), maxReportDelay, std::chrono::milliseconds(700)};
+
 //! How often this instance checks whether peers have newer state.
 constexpr Duration queryPollInterval = std::chrono::milliseconds(20);
 
@@ -61,9 +59,6 @@
 //! Number of instances that watch the endpoints. Three tolerate the loss of two at once.
 constexpr std::size_t watcherCount = 3;
 
-//! Shortest time between two readings that peers' reports trigger.
-constexpr Duration minRereadInterval = std::chrono::milliseconds(700);
-
 //! Sources of a configuration in the log, besides the addresses of peers.
 constexpr const char *watchSource = "watch";
 constexpr const char *readingSource = "reading";
@@ -86,20 +81,24 @@
                                                       if (!event.deleted) {
                                                           this->storeConfiguration(event.pair, watchSource);
                                                       }
-                                                  },
-                                                  []() {}})
+                                                  }})
     , endpointFollower(parts.service,
                        parts.format.endpointPrefix(),
                        PrefixFollower::Hooks{[this](const KvRange &range) {
                                                  this->loadEndpoints(range);
                                              },
                                              [this](const KvEvent &event) {
+                                                 this->holdRemovals(this->removalTrust.onEvent(currentTime()), "event");
                                                  this->applyEndpointEvent(event);
                                              },
                                              [this]() {
-                                                 this->parts.pools.onRegistryRecovered(this->availability.availableSince().value_or(currentTime()));
+                                                 this->removalTrust.onFailed();
+                                             },
+                                             [this]() {
+                                                 this->holdRemovals(this->removalTrust.onAnswered(currentTime()), "reading");
                                              }})
-    , availability(maxReadingGap)
+    , removalTrust(maxReadingGap)
+    , readings(readingLimits, hashOf(this->self))
     , configurationQueries(configurationQueryLimits)
     , endpointQueries(endpointQueryLimits)
 {
@@ -225,37 +224,23 @@
 
 asio::awaitable<void> DirectorySync::run()
 {
-    std::mt19937_64 random(hashOf(this->self));
-    std::uniform_int_distribution<Duration::rep> jitter(0, rereadJitter.count());
     Time lastAgreedAt = currentTime();
-    Time lastReading{};
-    Time rereadDue{};
-    Time lastReadAt{};
     while (true) {
         co_await sleepFor(pollInterval);
         const Time now = currentTime();
         const bool watches = this->updateWatching(now);
         const Time latestReading = std::max(this->readAt(), this->parts.gossip.latestServiceContact());
-        this->availability.onContact(latestReading, now);
-        if (latestReading - lastReading > maxReportDelay) {
-            lastReading = latestReading;
-            rereadDue = lastReading + rereadInterval + Duration(jitter(random));
-        }
+        this->removalTrust.onContact(latestReading, now);
         if (!watches || this->parts.gossip.offersOfEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision()).empty()) {
             lastAgreedAt = now;
         }
-        const bool peersDiffer = now - lastAgreedAt > maxReportDelay && now - lastReadAt > minRereadInterval;
-        if (!watches || (!peersDiffer && now < rereadDue)) {
-            this->rereading = this->rereading && watches;
-            continue;
-        }
-        lastReadAt = now;
-        this->rereading = true;
-        this->rereading = !co_await this->reread();
-        if (this->rereading) {
-            // The service does not answer this instance. The others reread on their own schedule.
-            rereadDue = currentTime() + rereadInterval + Duration(jitter(random));
+        const bool peersDiffer = now - lastAgreedAt > maxReportDelay;
+        if (watches && this->readings.shouldBegin(latestReading, peersDiffer, now)) {
+            this->rereading = true;
+            const bool answered = co_await this->reread();
+            this->readings.onEnded(answered, currentTime());
         }
+        this->rereading = watches && this->readings.isUnanswered();
     }
 }
 
@@ -408,6 +393,21 @@
     }
 }
 
+void DirectorySync::holdRemovals(std::optional<Time> recoveredAt, const char *shownBy)
+{
+    if (!recoveredAt) {
+        return;
+    }
+    const Time now = currentTime();
+    logRecord(LogLevel::Info,
+              "endpoints",
+              "registrations may have expired while the key-value service was unavailable",
+              {{"available_ms", milliseconds(now - *recoveredAt)},
+               {"shown_by", shownBy},
+               {"trusts_removals", this->parts.pools.trustsRemovals(now) ? "true" : "false"}});
+    this->parts.pools.onRegistryRecovered(*recoveredAt);
+}
+
 void DirectorySync::applyEndpointEvent(const KvEvent &event)
 {
     const Time now = currentTime();
@@ -425,6 +425,7 @@
                {"service", entry ? entry->service : std::string()},
                {"version", entry ? entry->spec.version : std::string()},
                {"leaving", entry && entry->spec.leaving ? "true" : "false"},
+               {"in_use", this->parts.pools.hasEndpoint(id) ? "true" : "false"},
                {"revision", std::to_string(event.pair.revision)}});
 }
 
--- a/src/gateway/directorysync.h
+++ b/src/gateway/directorysync.h
@@ -2,8 +2,9 @@
 #define OLEANDERGATE_GATEWAY_DIRECTORYSYNC_H
 
 #include "decision/peerqueryplan.h"
+#include "decision/readingplan.h"
+#include "decision/removaltrust.h"
 #include "decision/routetargetledger.h"
-#include "decision/serviceavailability.h"
 #include "decision/watcherselection.h"
 #include "gateway/interfaces/recordformat.h"
 #include "gateway/prefixfollower.h"
@@ -96,6 +97,9 @@
     //! Returns the version of the configuration that was taken last, or 0.
     std::uint64_t newestVersion() const;
     void loadEndpoints(const KvRange &range);
+
+    //! Has removals wait for endpoints to register again if the key-value service was unavailable until \p recoveredAt; nothing if it was not.
+    void holdRemovals(std::optional<Time> recoveredAt, const char *shownBy);
     void applyEndpointEvent(const KvEvent &event);
     std::optional<EndpointEntry> readEndpoint(const KvPair &pair);
 
@@ -105,12 +109,13 @@
     WatcherSelection watcherSelection;
     PrefixFollower configurationFollower;
     PrefixFollower endpointFollower;
-    ServiceAvailability availability;
+    RemovalTrust removalTrust;
+    ReadingPlan readings;
     PeerQueryPlan configurationQueries;
     PeerQueryPlan endpointQueries;
     std::optional<PendingConfiguration> pending; //!< Used on the context's thread only.
     bool watching = true; //!< Watches the endpoints, too.
-    bool rereading = false; //!< A reading is under way, or the latest one failed.
+    bool rereading = false; //!< A reading is under way, or the latest one failed, of an instance that watches the endpoints.
     bool readingConfiguration = false;
     bool endpointsLoaded = false;
     std::atomic<std::uint64_t> peerRevision{0}; //!< Up to which a peer knew the endpoints that were fetched from it.
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -206,6 +206,12 @@
     return this->catalog.size();
 }
 
+bool PoolSet::hasEndpoint(const EndpointId &id) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.find(id) != nullptr;
+}
+
 std::size_t PoolSet::waitingCount() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -59,6 +59,7 @@
     std::vector<EndpointEntry> endpointEntries() const;
     bool trustsRemovals(Time now) const;
     std::size_t endpointCount() const;
+    bool hasEndpoint(const EndpointId &id) const;
     std::size_t waitingCount() const;
     std::size_t runningCount() const;
 
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -45,13 +45,18 @@
             logError("store", "cannot read " + this->prefix, range.error());
         }
         this->serviceDown = true;
+        if (this->hooks.onFailed) {
+            this->hooks.onFailed();
+        }
         co_return false;
     }
     if (this->serviceDown) {
         logRecord(LogLevel::Info, "store", "reads " + this->prefix + " again", {{"revision", std::to_string(range.value().revision)}});
-        this->hooks.onServiceRecovered();
     }
     this->serviceDown = false;
+    if (this->hooks.onAnswered) {
+        this->hooks.onAnswered();
+    }
     this->retryDelay = initialRetryDelay;
     // A reading that is older than the latest event would undo it.
     if (range.value().revision >= this->knownRevision) {
@@ -93,10 +98,6 @@
         const bool loaded = co_await this->load();
         if (loaded && this->active) {
             const auto onEvent = [this](const KvEvent &event) {
-                if (this->serviceDown) {
-                    // The watch survived the outage, and may first report keys that expired during it.
-                    this->hooks.onServiceRecovered();
-                }
                 if (event.pair.revision > this->loadedRevision) {
                     this->knownRevision = std::max(this->knownRevision.load(), event.pair.revision);
                     this->hooks.onEvent(event);
@@ -111,7 +112,12 @@
             }
             logError("store", "the watch of " + this->prefix + " ended", ended);
             // A watch that ended because the service no longer has the history does not mean that the service is down.
-            this->serviceDown = this->serviceDown || ended.code == ErrorCode::ServiceUnavailable;
+            if (ended.code == ErrorCode::ServiceUnavailable) {
+                this->serviceDown = true;
+                if (this->hooks.onFailed) {
+                    this->hooks.onFailed();
+                }
+            }
         }
         co_await sleepFor(this->retryDelay + jitterOf(this->retryDelay));
         this->retryDelay = std::min(this->relaxed ? maxRelaxedRetryDelay : maxRetryDelay, this->retryDelay * 2);
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -17,7 +17,8 @@
     {
         std::function<void(const KvRange &range)> onLoad{}; //!< All keys were read.
         std::function<void(const KvEvent &event)> onEvent{};
-        std::function<void()> onServiceRecovered{}; //!< The service answers again after an outage; called before onLoad.
+        std::function<void()> onFailed{}; //!< The service did not answer a reading, or ended the watch. Optional, like the next one.
+        std::function<void()> onAnswered{}; //!< The service answered a reading; called before onLoad.
     };
 
     PrefixFollower(KeyValueService &service, std::string prefix, Hooks hooks);
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -84,8 +84,7 @@
                                      },
                                      [this](const KvEvent &event) {
                                          this->apply(event);
-                                     },
-                                     []() {}})
+                                     }})
     , recordsStored(parts.metrics.counter("oleandergate_stream_records_total", "result=\"stored\""))
     , recordsFailed(parts.metrics.counter("oleandergate_stream_records_total", "result=\"failed\""))
     , unknownVersions(parts.metrics.counter("oleandergate_unknown_versions_total"))
