Take an own cut from the key-value service for an outage no longer than it is one

Cause: registrations lapse in an outage of the service, and their endpoints stay in use for 2.5 s behind its end. Peers that had read all the time were heard, but said only when they had last read. The same cause on related paths: an entry that was missing since one outage was dropped in the next; an instance forgot all contact while a reading hung.

Change: RemovalTrust keeps one suspicion, raised by an own call that fails behind the latest contact, and ended once, by the first answer; calls from before that answer no longer count. ReadingPlan begins further readings beside one that is not answered (every 200 ms, rarer with many peers), so that the return of the service is known soon. Load reports carry since when instances have had contact without interruption, a proof of no outage (earlier builds ignore it). Missing registrations are read once more before their endpoints are dropped, and stay while the service is away. What a peer that trusts its removals knows is adopted as it is.

--- a/src/decision/endpointcatalog.cpp
+++ b/src/decision/endpointcatalog.cpp
@@ -26,7 +26,7 @@
 {
     Registration &known = this->registrations[entry.spec.id];
     this->combinedHash ^= known.hash;
-    known = Registration{entry, std::nullopt, entryHash(entry)};
+    known = Registration{entry, false, entryHash(entry)};
     this->combinedHash ^= known.hash;
 }
 
@@ -38,8 +38,9 @@
     }
     if (now >= this->trustRemovalsFrom) {
         this->drop(found);
-    } else if (!found->second.expiresAt) {
-        found->second.expiresAt = this->trustRemovalsFrom;
+    } else {
+        found->second.isMissing = true;
+        this->hasMissing = true;
     }
 }
 
@@ -61,21 +62,46 @@
     }
 }
 
+void EndpointCatalog::adopt(const std::vector<EndpointEntry> &entries)
+{
+    std::set<EndpointId> present;
+    for (const EndpointEntry &entry : entries) {
+        present.insert(entry.spec.id);
+        this->put(entry);
+    }
+    for (auto position = this->registrations.begin(); position != this->registrations.end();) {
+        position = present.contains(position->first) ? std::next(position) : this->drop(position);
+    }
+}
+
 void EndpointCatalog::onServiceRecovered(Time recoveredAt)
 {
     this->trustRemovalsFrom = recoveredAt + this->reregistrationTimeout;
 }
 
+void EndpointCatalog::onServiceUnavailable()
+{
+    this->trustRemovalsFrom = Time::max();
+}
+
 bool EndpointCatalog::expire(Time now)
 {
     for (const auto &[id, registration] : this->registrations) {
         this->leavingTable.onRegistered(id, registration.entry.startedAt, now);
     }
     this->leavingTable.expire(now);
+    return this->dropMissing(now);
+}
+
+bool EndpointCatalog::dropMissing(Time now)
+{
+    if (!this->hasMissing || !this->trustsRemovals(now)) {
+        return false;
+    }
+    this->hasMissing = false;
     const std::size_t before = this->registrations.size();
     for (auto position = this->registrations.begin(); position != this->registrations.end();) {
-        const bool isExpired = position->second.expiresAt && *position->second.expiresAt <= now;
-        position = isExpired ? this->drop(position) : std::next(position);
+        position = position->second.isMissing ? this->drop(position) : std::next(position);
     }
     return this->registrations.size() < before;
 }
@@ -153,7 +179,7 @@
 {
     std::vector<EndpointEntry> found;
     for (const auto &[id, registration] : this->registrations) {
-        if (!registration.expiresAt) {
+        if (!registration.isMissing) {
             found.push_back(registration.entry);
         }
     }
@@ -165,6 +191,11 @@
     return now >= this->trustRemovalsFrom;
 }
 
+std::optional<Time> EndpointCatalog::dropsMissingAt() const
+{
+    return this->hasMissing && this->trustRemovalsFrom != Time::max() ? std::optional(this->trustRemovalsFrom) : std::nullopt;
+}
+
 std::uint64_t EndpointCatalog::digest() const
 {
     return this->combinedHash;
--- a/src/decision/endpointcatalog.h
+++ b/src/decision/endpointcatalog.h
@@ -39,11 +39,18 @@
     //! Replaces all registrations by \p entries; those that are not among them are removed as by remove().
     void replace(const std::vector<EndpointEntry> &entries, Time now);
 
+    //! Replaces all registrations by \p entries and removes the others at once.
+    void adopt(const std::vector<EndpointEntry> &entries);
+
     //! Records that the key-value service has been available again since \p recoveredAt.
     void onServiceRecovered(Time recoveredAt);
 
+    //! Records that the key-value service may be unavailable, so that endpoints cannot register again until onServiceRecovered().
+    void onServiceUnavailable();
+
     //! Drops endpoints that did not register again in time. Returns true when any was dropped.
     bool expire(Time now);
+    bool dropMissing(Time now);
 
     //! Records that an endpoint stated in an answer that it is leaving, for its process that is registered now. Returns nothing when that is known, or
     //! the endpoint is not.
@@ -74,6 +81,9 @@
     //! Returns true when a missing registration means that the endpoint has left, not only that it has not registered again yet.
     bool trustsRemovals(Time now) const;
 
+    //! Returns when missing registrations will be dropped; nothing if there are none or that is not known yet.
+    std::optional<Time> dropsMissingAt() const;
+
     const EndpointEntry *find(const EndpointId &id) const;
 
     //! Returns the identifier of the endpoint at \p address; empty when there is none.
@@ -84,7 +94,7 @@
     struct Registration
     {
         EndpointEntry entry{};
-        std::optional<Time> expiresAt{}; //!< Set while the registration is missing: the entry is dropped at this time unless it is registered again.
+        bool isMissing = false; //!< Dropped once removals are trusted, unless it is registered again.
         std::uint64_t hash = 0; //!< Hash of the entry.
     };
 
@@ -96,6 +106,7 @@
 
     Duration reregistrationTimeout;
     Time trustRemovalsFrom{};
+    bool hasMissing = false; //!< Some registration may be missing.
     std::map<EndpointId, Registration> registrations;
     LeavingTable leavingTable;
     std::uint64_t combinedHash = 0; //!< XOR of all entry hashes, kept up to date because digest() is called many times a second.
--- a/src/decision/readingplan.cpp
+++ b/src/decision/readingplan.cpp
@@ -1,5 +1,7 @@
 #include "decision/readingplan.h"
 
+#include <algorithm>
+
 namespace oleandergate {
 
 ReadingPlan::ReadingPlan(const Limits &limits, std::uint64_t seed)
@@ -8,42 +10,45 @@
 {
 }
 
-Duration ReadingPlan::nextInterval()
+Duration ReadingPlan::attemptInterval(std::size_t peers) const
 {
-    std::uniform_int_distribution<Duration::rep> jitter(0, this->limits.jitter.count());
-    return this->limits.interval + Duration(jitter(this->random));
+    const std::size_t factor = std::max<std::size_t>(1, peers / std::max<std::size_t>(1, this->limits.attemptingPeers));
+    return std::min(this->limits.interval, this->limits.attemptInterval * static_cast<Duration::rep>(factor));
 }
 
-bool ReadingPlan::shouldBegin(Time latestReading, bool peersDiffer, Time now)
+bool ReadingPlan::shouldBegin(const Situation &situation, Time now)
 {
-    if (this->underWay) {
-        return false;
+    if (situation.latestReading - this->countedReading > this->limits.reportDelay) {
+        std::uniform_int_distribution<Duration::rep> jitter(0, this->limits.jitter.count());
+        this->countedReading = situation.latestReading;
+        this->dueAt = situation.latestReading + this->limits.interval + Duration(jitter(this->random));
     }
-    if (latestReading - this->countedReading > this->limits.reportDelay) {
-        this->countedReading = latestReading;
-        this->dueAt = latestReading + this->nextInterval();
+    bool isDue = now >= this->dueAt || (situation.peersDiffer && now - this->begunAt > this->limits.minInterval);
+    isDue = isDue || (situation.confirmAt && now >= *situation.confirmAt && this->begunAt < *situation.confirmAt);
+    if (this->isUnanswered()) {
+        isDue = this->underWay < this->limits.maxUnderWay && now - this->begunAt >= this->attemptInterval(situation.peers);
     }
-    const bool isDue = now >= this->dueAt || (peersDiffer && now - this->begunAt > this->limits.minInterval);
     if (isDue) {
         this->begunAt = now;
-        this->underWay = true;
+        this->underWay += 1;
     }
     return isDue;
 }
 
-void ReadingPlan::onEnded(bool answered, Time now)
+void ReadingPlan::onEnded(Time readingBegunAt, bool answered)
 {
-    this->underWay = false;
-    this->failed = !answered;
-    if (!answered) {
-        // The service does not answer this instance. The others read on their own schedule.
-        this->dueAt = now + this->nextInterval();
+    this->underWay -= 1;
+    if (answered) {
+        this->answeredAt = std::max(this->answeredAt, readingBegunAt);
+        this->failed = false;
+    } else {
+        this->failed = this->failed || readingBegunAt > this->answeredAt;
     }
 }
 
 bool ReadingPlan::isUnanswered() const
 {
-    return this->underWay || this->failed;
+    return this->underWay > 0 || this->failed;
 }
 
 } // namespace oleandergate
--- a/src/decision/serviceavailability.h
+++ b/src/decision/serviceavailability.h
@@ -20,6 +20,9 @@
     //! Records the time of the latest contact that any instance is known to have had with the service.
     void onContact(Time latestContact, Time now);
 
+    //! Records that another instance knows the service to have been available from \p since until \p until.
+    void onAvailable(Time since, Time until);
+
     //! Returns when the service first answered after it had been unavailable to all instances; nothing if it was unavailable at the
     //! last onContact().
     std::optional<Time> availableSince() const;
@@ -27,6 +30,7 @@
 private:
     Duration maxSilence;
     std::optional<Time> firstContact{};
+    Time latestContact{};
 };
 
 } // namespace oleandergate
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -28,7 +28,13 @@
 
 //! An instance rereads everything this long after the latest reading by any of them, so that a change that no watch reports
 //! is active everywhere within two seconds.
-constexpr ReadingPlan::Limits readingLimits{std::chrono::milliseconds(400), std::chrono::milliseconds(200), maxReportDelay, std::chrono::milliseconds(700)};
+constexpr ReadingPlan::Limits readingLimits{.interval = std::chrono::milliseconds(400),
+                                            .jitter = std::chrono::milliseconds(200),
+                                            .reportDelay = maxReportDelay,
+                                            .minInterval = std::chrono::milliseconds(700),
+                                            .attemptInterval = std::chrono::milliseconds(200),
+                                            .attemptingPeers = 8,
+                                            .maxUnderWay = 6};
 
 //! How often this instance checks whether peers have newer state.
 constexpr Duration queryPollInterval = std::chrono::milliseconds(20);
@@ -50,6 +56,9 @@
 //! time is still out of use within two seconds.
 constexpr Duration assumedServiceUptime = std::chrono::milliseconds(700);
 
+//! Before endpoints whose registrations are missing are dropped, the registrations are read once more. Longer than the poll interval and a reading.
+constexpr Duration confirmationLead = std::chrono::milliseconds(150);
+
 //! How long a configuration waits until the targets of its routes are recorded. Less than the time within which a change has to be in force.
 constexpr Duration targetRecordTimeout = std::chrono::milliseconds(700);
 
@@ -88,14 +97,15 @@
                                                  this->loadEndpoints(range);
                                              },
                                              [this](const KvEvent &event) {
-                                                 this->holdRemovals(this->removalTrust.onEvent(currentTime()), "event");
                                                  this->applyEndpointEvent(event);
                                              },
-                                             [this]() {
-                                                 this->removalTrust.onFailed();
+                                             [this](Time askedAt) {
+                                                 this->removalTrust.onFailed(askedAt);
+                                                 this->updateRemovals("failed reading");
                                              },
                                              [this]() {
-                                                 this->holdRemovals(this->removalTrust.onAnswered(currentTime()), "reading");
+                                                 this->removalTrust.onAnswered(currentTime());
+                                                 this->updateRemovals("reading");
                                              }})
     , removalTrust(maxReadingGap)
     , readings(readingLimits, hashOf(this->self))
@@ -229,26 +239,33 @@
         co_await sleepFor(pollInterval);
         const Time now = currentTime();
         const bool watches = this->updateWatching(now);
-        const Time latestReading = std::max(this->readAt(), this->parts.gossip.latestServiceContact());
-        this->removalTrust.onContact(latestReading, now);
+        ReadingPlan::Situation known;
+        known.latestReading = std::max(this->readAt(), this->parts.gossip.latestServiceContact());
+        known.peers = this->parts.gossip.liveCount();
+        this->removalTrust.onContact(known.latestReading, now);
+        this->updateRemovals("contact");
         if (!watches || this->parts.gossip.offersOfEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision()).empty()) {
             lastAgreedAt = now;
         }
-        const bool peersDiffer = now - lastAgreedAt > maxReportDelay;
-        if (watches && this->readings.shouldBegin(latestReading, peersDiffer, now)) {
-            this->rereading = true;
-            const bool answered = co_await this->reread();
-            this->readings.onEnded(answered, currentTime());
+        known.peersDiffer = now - lastAgreedAt > maxReportDelay;
+        if (const std::optional<Time> dropsAt = this->parts.pools.dropsMissingAt()) {
+            known.confirmAt = *dropsAt - confirmationLead;
+        }
+        if (watches && this->readings.shouldBegin(known, now)) {
+            asio::co_spawn(this->context, this->reread(now), asio::detached);
         }
         this->rereading = watches && this->readings.isUnanswered();
     }
 }
 
-asio::awaitable<bool> DirectorySync::reread()
+asio::awaitable<void> DirectorySync::reread(Time begunAt)
 {
-    const bool configurationRead = co_await this->configurationFollower.load();
-    const bool endpointsRead = co_await this->endpointFollower.load();
-    co_return configurationRead &&endpointsRead;
+    // The endpoints first: while the service does not answer, nothing else needs to be asked.
+    bool answered = co_await this->endpointFollower.load();
+    if (answered) {
+        answered = co_await this->configurationFollower.load();
+    }
+    this->readings.onEnded(begunAt, answered);
 }
 
 asio::awaitable<void> DirectorySync::queryLoop()
@@ -338,7 +355,7 @@
     const std::uint64_t before = this->parts.pools.endpointDigest();
     if (found->trustsRemovals) {
         this->peerRevision = found->revision;
-        this->parts.pools.replaceEndpoints(found->entries, now);
+        this->parts.pools.adoptEndpoints(found->entries, now);
     } else {
         // Endpoints that the peer lacks may still register again, so none is removed; a peer is queried again later.
         for (const EndpointEntry &entry : found->entries) {
@@ -377,7 +394,8 @@
     if (!this->endpointsLoaded) {
         // It is unknown whether the service was unavailable until now.
         this->endpointsLoaded = true;
-        this->parts.pools.onRegistryRecovered(currentTime() - assumedServiceUptime);
+        this->removalTrust.assumeAvailable(currentTime() - assumedServiceUptime);
+        this->updateRemovals("start");
     }
     std::vector<EndpointEntry> entries;
     for (const KvPair &pair : range.pairs) {
@@ -393,19 +411,36 @@
     }
 }
 
-void DirectorySync::holdRemovals(std::optional<Time> recoveredAt, const char *shownBy)
+void DirectorySync::updateRemovals(const char *cause)
 {
-    if (!recoveredAt) {
-        return;
-    }
     const Time now = currentTime();
-    logRecord(LogLevel::Info,
-              "endpoints",
-              "registrations may have expired while the key-value service was unavailable",
-              {{"available_ms", milliseconds(now - *recoveredAt)},
-               {"shown_by", shownBy},
-               {"trusts_removals", this->parts.pools.trustsRemovals(now) ? "true" : "false"}});
-    this->parts.pools.onRegistryRecovered(*recoveredAt);
+    const std::optional<Time> since = this->removalTrust.availableSince();
+    if (since != this->registryAvailableSince) {
+        const bool trustedBefore = this->parts.pools.trustsRemovals(now);
+        this->registryAvailableSince = since;
+        this->parts.pools.setRegistryAvailable(since, now);
+        const bool trusts = this->parts.pools.trustsRemovals(now);
+        if (trusts != trustedBefore) {
+            logRecord(LogLevel::Info,
+                      "endpoints",
+                      trusts ? "removals of registrations are trusted" : "registrations may have expired while the key-value service was unavailable",
+                      {{"cause", cause}, {"available_ms", since ? milliseconds(now - *since) : std::string()}});
+        }
+    }
+    if (this->parts.pools.dropMissing(now)) {
+        logRecord(LogLevel::Info, "endpoints", "dropped endpoints that did not register again", {{"count", std::to_string(this->parts.pools.endpointCount())}});
+    }
+}
+
+std::optional<Time> DirectorySync::serviceContactSince() const
+{
+    return this->removalTrust.contactSince();
+}
+
+void DirectorySync::onServiceAvailable(Time since, Time until)
+{
+    this->removalTrust.onAvailable(since, until);
+    this->updateRemovals("peer");
 }
 
 void DirectorySync::applyEndpointEvent(const KvEvent &event)
--- a/src/gateway/directorysync.h
+++ b/src/gateway/directorysync.h
@@ -57,6 +57,12 @@
     //! Returns when configuration and endpoints were last read, the earlier of the two times.
     Time readAt() const;
 
+    //! Returns since when, without interruption, any instance has had contact with the key-value service; nothing if there was none just now.
+    std::optional<Time> serviceContactSince() const;
+
+    //! Processes that a peer knows the key-value service to have been available from \p since until \p until.
+    void onServiceAvailable(Time since, Time until);
+
     //! Returns the revision of the key-value service up to which this instance knows the endpoints.
     std::uint64_t endpointRevision() const;
 
@@ -66,8 +72,8 @@
     //! Decides whether this instance watches the key-value service and sets its followers accordingly. Returns the decision.
     bool updateWatching(Time now);
 
-    //! Reads configuration and endpoints. Returns false when the key-value service does not answer.
-    boost::asio::awaitable<bool> reread();
+    //! Reads endpoints and configuration.
+    boost::asio::awaitable<void> reread(Time now);
 
     //! Queries peers for newer state as long as their reports say that there is any.
     boost::asio::awaitable<void> queryLoop();
@@ -98,8 +104,8 @@
     std::uint64_t newestVersion() const;
     void loadEndpoints(const KvRange &range);
 
-    //! Has removals wait for endpoints to register again if the key-value service was unavailable until \p recoveredAt; nothing if it was not.
-    void holdRemovals(std::optional<Time> recoveredAt, const char *shownBy);
+    //! Has removals of endpoints wait or not, as RemovalTrust says now. \p cause is for the log.
+    void updateRemovals(const char *cause);
     void applyEndpointEvent(const KvEvent &event);
     std::optional<EndpointEntry> readEndpoint(const KvPair &pair);
 
@@ -110,6 +116,7 @@
     PrefixFollower configurationFollower;
     PrefixFollower endpointFollower;
     RemovalTrust removalTrust;
+    std::optional<Time> registryAvailableSince{Time{}}; //!< As the pools know it.
     ReadingPlan readings;
     PeerQueryPlan configurationQueries;
     PeerQueryPlan endpointQueries;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,6 +206,9 @@
                      {crashes.channel(self.id), limiter.channel(), paths.channel(), leaving.channel(), assignmentNews.channel(), streamNews.channel()},
                      [this](bool sameDomain, Duration age) {
                          (sameDomain ? this->ownDomainReportAge : this->otherDomainReportAge).observe(age);
+                     },
+                     [this](Time since, Time until) {
+                         this->directory.onServiceAvailable(since, until);
                      }})
         , budget(BudgetCoordinator::Parts{control,
                                           *keyValue,
@@ -278,7 +281,8 @@
                                     this->directory.endpointRevision(),
                                     this->draining,
                                     this->budget.ownedSlots(),
-                                    this->pools.ownCalls()};
+                                    this->pools.ownCalls(),
+                                    this->directory.serviceContactSince()};
     }
 
     asio::awaitable<PeerMessage> servePeer(PeerMessage command)
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -235,6 +235,9 @@
     report.number = static_cast<std::uint64_t>(now.time_since_epoch().count());
     report.configVersion = state.configVersion;
     report.serviceContactAge = static_cast<std::uint64_t>((now - state.lastServiceContact).count());
+    if (state.serviceContactSince) {
+        report.serviceAvailableAge = static_cast<std::uint64_t>((now - *state.serviceContactSince).count());
+    }
     report.endpointDigest = state.endpointDigest;
     report.endpointRevision = state.endpointRevision;
     report.leaving = state.leaving;
@@ -439,6 +442,9 @@
             this->core->table.addCandidate(address, now);
         }
     }
+    if (report.value().serviceAvailableAge != std::numeric_limits<std::uint64_t>::max()) {
+        this->core->hooks.onServiceAvailable(now - Duration(static_cast<Duration::rep>(report.value().serviceAvailableAge)), peerReport.lastServiceContact);
+    }
     if (replacedAge) {
         this->core->hooks.onReportReplaced(peerReport.instance.domain == this->core->self.domain, *replacedAge);
     }
--- a/src/gateway/peergossip.h
+++ b/src/gateway/peergossip.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace boost::asio {
 class io_context;
@@ -34,6 +35,7 @@
         bool leaving = false;
         std::set<SlotId> ownedBudgetSlots{};
         std::map<EndpointId, std::uint32_t> loads{};
+        std::optional<Time> serviceContactSince{}; //!< Since when any instance has had contact with the key-value service without interruption.
     };
 
     struct Hooks
@@ -45,6 +47,7 @@
         std::function<void(std::uint64_t version)> onNewerConfiguration{}; //!< A peer has a newer configuration than this instance.
         std::vector<NewsChannel> channels{}; //!< What else is exchanged beside the reports.
         std::function<void(bool sameDomain, Duration age)> onReportReplaced{}; //!< Called with the age that a peer's previous report had reached.
+        std::function<void(Time since, Time until)> onServiceAvailable{}; //!< A peer knows the key-value service to have been available all that time.
     };
 
     PeerGossip(boost::asio::io_context &context, const MessageAuth &auth, const InstanceRecord &self, const std::vector<std::string> &seeds, Hooks hooks);
--- a/src/gateway/poolset.cpp
+++ b/src/gateway/poolset.cpp
@@ -71,10 +71,34 @@
     this->refreshAll(now);
 }
 
-void PoolSet::onRegistryRecovered(Time now)
+void PoolSet::adoptEndpoints(const std::vector<EndpointEntry> &entries, Time now)
 {
     const std::lock_guard lock(this->mutex);
-    this->catalog.onServiceRecovered(now);
+    this->catalog.adopt(entries);
+    this->refreshAll(now);
+}
+
+void PoolSet::setRegistryAvailable(std::optional<Time> since, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    if (!since) {
+        this->catalog.onServiceUnavailable();
+        return;
+    }
+    this->catalog.onServiceRecovered(*since);
+    if (this->catalog.dropMissing(now)) {
+        this->refreshAll(now);
+    }
+}
+
+bool PoolSet::dropMissing(Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    const bool dropped = this->catalog.dropMissing(now);
+    if (dropped) {
+        this->refreshAll(now);
+    }
+    return dropped;
 }
 
 std::optional<LeavingStatement> PoolSet::addLeaving(const EndpointId &id, Time now)
@@ -194,6 +218,12 @@
     return this->catalog.trustsRemovals(now);
 }
 
+std::optional<Time> PoolSet::dropsMissingAt() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->catalog.dropsMissingAt();
+}
+
 std::uint64_t PoolSet::endpointDigest() const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/gateway/poolset.h
+++ b/src/gateway/poolset.h
@@ -20,7 +20,15 @@
     void putEndpoint(const EndpointEntry &entry, Time now);
     void removeEndpoint(const EndpointId &id, Time now);
     void replaceEndpoints(const std::vector<EndpointEntry> &entries, Time now);
-    void onRegistryRecovered(Time now);
+
+    //! As in EndpointCatalog.
+    void adoptEndpoints(const std::vector<EndpointEntry> &entries, Time now);
+
+    //! Sets since when the registry of the endpoints has been available; nothing while it may be unavailable.
+    void setRegistryAvailable(std::optional<Time> since, Time now);
+
+    //! Drops endpoints that did not register again in time. Returns true when any was dropped.
+    bool dropMissing(Time now);
 
     //! As in EndpointCatalog; an endpoint that is leaving gets no new calls from the end of this function on.
     std::optional<LeavingStatement> addLeaving(const EndpointId &id, Time now);
@@ -58,6 +66,7 @@
     std::uint64_t endpointDigest() const;
     std::vector<EndpointEntry> endpointEntries() const;
     bool trustsRemovals(Time now) const;
+    std::optional<Time> dropsMissingAt() const;
     std::size_t endpointCount() const;
     bool hasEndpoint(const EndpointId &id) const;
     std::size_t waitingCount() const;
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -41,12 +41,13 @@
     const Time askedAt = currentTime();
     const Result<KvRange> range = co_await this->service.range(this->prefix);
     if (!range) {
-        if (!this->serviceDown) {
+        const bool isOutdated = askedAt <= this->readAt.load(); // A later reading was answered meanwhile.
+        if (!this->serviceDown && !isOutdated) {
             logError("store", "cannot read " + this->prefix, range.error());
         }
-        this->serviceDown = true;
+        this->serviceDown = this->serviceDown || !isOutdated;
         if (this->hooks.onFailed) {
-            this->hooks.onFailed();
+            this->hooks.onFailed(askedAt);
         }
         co_return false;
     }
@@ -64,7 +65,7 @@
         this->loadedRevision = range.value().revision;
         this->hooks.onLoad(range.value());
     }
-    this->readAt = askedAt;
+    this->readAt = std::max(this->readAt.load(), askedAt);
     co_return true;
 }
 
@@ -112,12 +113,7 @@
             }
             logError("store", "the watch of " + this->prefix + " ended", ended);
             // A watch that ended because the service no longer has the history does not mean that the service is down.
-            if (ended.code == ErrorCode::ServiceUnavailable) {
-                this->serviceDown = true;
-                if (this->hooks.onFailed) {
-                    this->hooks.onFailed();
-                }
-            }
+            this->serviceDown = this->serviceDown || ended.code == ErrorCode::ServiceUnavailable;
         }
         co_await sleepFor(this->retryDelay + jitterOf(this->retryDelay));
         this->retryDelay = std::min(this->relaxed ? maxRelaxedRetryDelay : maxRetryDelay, this->retryDelay * 2);
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -17,7 +17,7 @@
     {
         std::function<void(const KvRange &range)> onLoad{}; //!< All keys were read.
         std::function<void(const KvEvent &event)> onEvent{};
-        std::function<void()> onFailed{}; //!< The service did not answer a reading, or ended the watch. Optional, like the next one.
+        std::function<void(Time askedAt)> onFailed{}; //!< The service did not answer a reading. Optional, like the next one.
         std::function<void()> onAnswered{}; //!< The service answered a reading; called before onLoad.
     };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -371,6 +371,12 @@
 {
     archive(value.instance, value.address, value.domain, value.number, value.configVersion, value.serviceContactAge);
     archive(value.endpointDigest, value.endpointRevision, value.leaving, value.ownedBudgetSlots, value.loads, value.peers);
+    // Earlier builds ignore it, and do not send it.
+    if constexpr (Archive::is_saving::value) {
+        archive(value.serviceAvailableAge);
+    } else {
+        value.serviceAvailableAge = readAge(archive);
+    }
 }
 
 template <class Archive>
--- a/src/wire/loadreport.h
+++ b/src/wire/loadreport.h
@@ -3,6 +3,7 @@
 
 #include "decision/ids.h"
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
     std::vector<std::uint8_t> ownedBudgetSlots{}; //!< Bit set with one bit per budget slot; set if the instance owns the slot.
     std::vector<EndpointLoad> loads{};
     std::vector<std::string> peers{}; //!< Peer addresses of a few other instances.
+    std::uint64_t serviceAvailableAge
+        = std::numeric_limits<std::uint64_t>::max(); //!< Microseconds since when, without interruption, instances have had contact
+                                                     //!< with the key-value service; the highest value if that is not known.
 };
 
 } // namespace oleandergate
--- a/tests/unit/wiretests.cpp
+++ b/tests/unit/wiretests.cpp
@@ -6,6 +6,8 @@
 #include "wire/messageauth.h"
 
 #include <doctest/doctest.h>
+
+#include <limits>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
@@ -459,3 +461,22 @@
         }
     }
 }
+
+// Guards against reports between two builds that one of them cannot read.
+TEST_CASE("Load reports say for how long the service has been available, and those of earlier builds do not")
+{
+    LoadReport report{"front-1~5", "10.0.0.1:90", "a"};
+    report.peers = {"10.0.0.2:90"};
+    const std::string unknown = encodeLoadReport(report);
+    report.serviceAvailableAge = 2500000;
+    const std::string bytes = encodeLoadReport(report);
+    const Result<LoadReport> decoded = decodeLoadReport(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value().serviceAvailableAge == 2500000);
+    CHECK(decoded.value().peers == report.peers);
+    const Result<LoadReport> earlier = decodeLoadReport(bytes.substr(0, bytes.size() - sizeof(std::uint64_t)));
+    REQUIRE(earlier);
+    CHECK(earlier.value().serviceAvailableAge == std::numeric_limits<std::uint64_t>::max());
+    CHECK(earlier.value().peers == report.peers);
+    CHECK(decodeLoadReport(unknown).value().serviceAvailableAge == std::numeric_limits<std::uint64_t>::max());
+}
