Hold budgets for as long as the configuration lets programs return

Cause: RetentionS was read nowhere. GatewaySettings::programRetention, 60 s, stood for it in the two places that depend on it: how long a new owner waits before it takes a program without a ledger entry for a new one (20 s + 60 s), and how long an owner remembers an idle program (2 x 60 s, where no kill is needed).

Change: routes have a retention, and the longest one of all routes counts, as a program's turns may take several. ProgramRetention keeps the time of earlier versions for as long as programs may still return by it, and never goes below the setting. BudgetSlots remembers when an earlier owner ceased instead of when the wait ends, so that a change during the wait counts; a wait that is over stays over. Hand-overs carry what is left of it, as before.

--- a/src/decision/budgetslots.cpp
+++ b/src/decision/budgetslots.cpp
@@ -50,15 +50,33 @@
     }
     const auto handedOver = this->received.find(slot);
     if (record.epoch == 1 || record.unused) {
-        this->owned[slot] = now;
+        this->owned[slot] = std::nullopt;
     } else if (handedOver != this->received.end()) {
         this->owned[slot] = handedOver->second;
     } else {
-        this->owned[slot] = now + this->limits.recordReadTimeout + this->limits.programRetention;
+        this->owned[slot] = now;
     }
     this->received.erase(slot);
 }
 
+Duration BudgetSlots::formerOwnerTime() const
+{
+    return this->limits.recordReadTimeout + this->limits.programRetention;
+}
+
+void BudgetSlots::setProgramRetention(Duration retention, Time now)
+{
+    if (retention == this->limits.programRetention) {
+        return;
+    }
+    for (auto &[slot, formerUntil] : this->owned) {
+        if (this->unrecordedShareFrom(slot) <= now) {
+            formerUntil.reset();
+        }
+    }
+    this->limits.programRetention = retention;
+}
+
 void BudgetSlots::onRecordsRead(Time now)
 {
     this->lastRecordsRead = now;
@@ -138,7 +156,7 @@
 
 void BudgetSlots::onHandoverReceived(SlotId slot, Time unrecordedShareFrom)
 {
-    this->received[slot] = unrecordedShareFrom;
+    this->received[slot] = unrecordedShareFrom - this->formerOwnerTime();
 }
 
 void BudgetSlots::onReleased(SlotId slot)
@@ -160,7 +178,10 @@
 Time BudgetSlots::unrecordedShareFrom(SlotId slot) const
 {
     const auto found = this->owned.find(slot);
-    return found == this->owned.end() ? Time::max() : found->second;
+    if (found == this->owned.end()) {
+        return Time::max();
+    }
+    return found->second ? *found->second + this->formerOwnerTime() : Time{};
 }
 
 bool BudgetSlots::mayGrantUnrecordedShare(SlotId slot, bool mayPeersReachLater, Time now) const
@@ -176,7 +197,7 @@
 std::map<SlotId, SlotRecord> BudgetSlots::unusedSlots() const
 {
     std::map<SlotId, SlotRecord> found;
-    for (const auto &[slot, from] : this->owned) {
+    for (const auto &[slot, formerUntil] : this->owned) {
         const SlotRecord &record = this->table.recordOf(slot);
         if (record.unused) {
             found[slot] = record;
@@ -199,7 +220,7 @@
 std::set<SlotId> BudgetSlots::ownedSlots() const
 {
     std::set<SlotId> found;
-    for (const auto &[slot, from] : this->owned) {
+    for (const auto &[slot, formerUntil] : this->owned) {
         found.insert(slot);
     }
     return found;
--- a/src/decision/budgetslots.h
+++ b/src/decision/budgetslots.h
@@ -4,6 +4,7 @@
 #include "decision/slottable.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace oleandergate {
@@ -26,7 +27,7 @@
     {
         SlotId slotCount = 64;
         Duration recordReadTimeout{}; //!< Unrecorded shares are not granted when the last read is older and other instances may reach the service.
-        Duration programRetention{}; //!< How long an idle program may pause between two turns.
+        Duration programRetention{}; //!< How long an idle program may pause between two turns, until setProgramRetention() is called.
         Duration isolationDelay{}; //!< Wait before slots are claimed without live peers, or from an owner unknown to this process.
         Duration membershipSettleTime{}; //!< How long the members must be unchanged before slots without a record are claimed.
     };
@@ -39,6 +40,9 @@
     //! Applies the record of \p slot as read from the key-value service. A record older than the known one is ignored.
     void onRecord(SlotId slot, const SlotRecord &record, Time now);
 
+    //! Sets how long an idle program may pause between two turns. Slots in which unrecorded shares may be granted already stay so.
+    void setProgramRetention(Duration retention, Time now);
+
     //! Notes that all slot records were read at \p now.
     void onRecordsRead(Time now);
 
@@ -83,14 +87,17 @@
     std::set<SlotId> ownedSlots() const;
 
 private:
+    //! Returns how long an earlier owner and its programs may go on behind the end of its ownership.
+    Duration formerOwnerTime() const;
     bool sharesAreDue(SlotId slot, bool mayPeersReachLater, Time now) const;
     bool mayClaim(const SlotMove &move, Time now) const;
 
     InstanceId self;
     Limits limits;
     SlotTable table;
-    std::map<SlotId, Time> owned; //!< Time from which unrecorded shares may be granted, by owned slot.
-    std::map<SlotId, Time> received; //!< The same for slots that were handed over and whose new record was not read yet.
+    std::map<SlotId, std::optional<Time>> owned; //!< When an earlier owner that may have granted unrecorded shares ceased to own the slot, by owned slot;
+                                                 //!< nothing if there is none that counts.
+    std::map<SlotId, std::optional<Time>> received; //!< The same for slots that were handed over and whose new record was not read yet.
     std::set<SlotId> released; //!< Slots handed over whose record still names this instance.
     std::set<InstanceId> members;
     Time lastRecordsRead{};
--- a/src/decision/route.h
+++ b/src/decision/route.h
@@ -4,6 +4,7 @@
 #include "decision/nametable.h"
 #include "decision/time.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,7 @@
     int rank = 0; //!< Urgency; 0 is the most urgent.
     bool isOpen = false; //!< Takes requests without a key, where the configuration has organisations.
     std::uint32_t maxAttempts = 1; //!< Number of endpoints at which one request may run.
+    std::optional<Duration> retention{}; //!< How long a program may be idle behind a turn, and return; nothing where none is named.
     std::vector<RouteTarget> targets{};
 };
 
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -93,13 +93,13 @@
 
 } // namespace
 
-BudgetCoordinator::BudgetCoordinator(const Parts &parts, const InstanceRecord &self, Duration retention)
+BudgetCoordinator::BudgetCoordinator(const Parts &parts, const InstanceRecord &self, Duration minRetention)
     : parts(parts)
     , self(self)
-    , retention(retention)
     , verdictCounters(parts.metrics.counters("oleandergate_budget_asks_total", "verdict", budgetDecisionNames))
     , drawCounter(parts.metrics.counter("oleandergate_budget_draws_total"))
-    , slots(self.id, BudgetSlots::Limits{slotCount, recordReadTimeout, retention, isolationDelay, membershipSettleTime})
+    , slots(self.id, BudgetSlots::Limits{slotCount, recordReadTimeout, minRetention, isolationDelay, membershipSettleTime})
+    , retention(minRetention)
 {
 }
 
@@ -119,6 +119,13 @@
     this->slotOwners = newSlotOwners;
 }
 
+void BudgetCoordinator::onConfiguration(std::optional<Duration> programRetention, Time now)
+{
+    const std::lock_guard lock(this->mutex);
+    this->retention.onVersion(programRetention, now);
+    this->slots.setProgramRetention(this->retention.at(now), now);
+}
+
 void BudgetCoordinator::onServiceFailed(const Error &error)
 {
     logError("budget", "a call to the key-value service failed", error);
@@ -178,7 +185,10 @@
 
 void BudgetCoordinator::dropExpired(Time now)
 {
-    this->ledger.forgetIdle(now - 2 * this->retention);
+    const Duration idleTime = this->retention.at(now);
+    this->slots.setProgramRetention(idleTime, now);
+    // A turn may last for long behind its last use of the ledger.
+    this->ledger.forgetIdle(now - 2 * idleTime);
     std::erase_if(this->grants, [now](const auto &entry) {
         return now - entry.second.grantedAt > grantLifetime;
     });
@@ -209,6 +219,7 @@
                {"left", std::to_string(entry.left)},
                {"recorded", std::to_string(entry.recorded)},
                {"saw_all_turns", entry.sawAllTurns ? "true" : "false"},
+               {"retention_ms", std::to_string(this->retention.at(now).count() / microsecondsPerMillisecond)},
                {"records_read_ms_ago", std::to_string((now - this->slots.recordsReadAt()).count() / microsecondsPerMillisecond)}});
 }
 
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -3,6 +3,7 @@
 
 #include "backing/interfaces/keyvalueservice.h"
 #include "decision/budgetslots.h"
+#include "decision/programretention.h"
 #include "decision/tokenledger.h"
 #include "gateway/interfaces/tokenbudgetservice.h"
 #include "wire/peermessage.h"
@@ -40,7 +41,8 @@
                                                                      //!< first time, by what is known at the second one.
     };
 
-    BudgetCoordinator(const Parts &parts, const InstanceRecord &self, Duration retention);
+    //! \p minRetention as in ProgramRetention.
+    BudgetCoordinator(const Parts &parts, const InstanceRecord &self, Duration minRetention);
 
     //! Starts the loop that claims slots and rereads their records.
     void start();
@@ -54,6 +56,9 @@
     //! Sets the live instances and, among them, the peer addresses of the slots' owners.
     void onMembers(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &slotOwners, Time now);
 
+    //! Sets how long programs may be idle and return by the configuration that comes into force; nothing if it names no time.
+    void onConfiguration(std::optional<Duration> programRetention, Time now);
+
     //! Hands all slots over to other instances. Returns when that is done or \p limit has passed.
     boost::asio::awaitable<void> handOverAll(Time limit);
 
@@ -123,11 +128,11 @@
 
     Parts parts;
     InstanceRecord self;
-    Duration retention;
     std::array<Counter *, budgetDecisionNames.size()> verdictCounters; //!< Requested reservations by verdict.
     Counter &drawCounter;
     mutable std::mutex mutex;
     BudgetSlots slots; //!< Guarded by the mutex, like the following members except the lease and leaving.
+    ProgramRetention retention;
     TokenLedger ledger;
     std::map<std::string, UnsettledGrant> grants;
     std::vector<InstanceRecord> members;
--- a/src/gateway/configurationchange.cpp
+++ b/src/gateway/configurationchange.cpp
@@ -36,7 +36,7 @@
     });
 }
 
-constexpr std::array<ComparedField<Route>, 10> routeFields{{
+constexpr std::array<ComparedField<Route>, 11> routeFields{{
     {"name", differIn<&Route::name, Route>},
     {"kind", differIn<&Route::kind, Route>},
     {"resumable", differIn<&Route::resumable, Route>},
@@ -46,6 +46,7 @@
     {"rank", differIn<&Route::rank, Route>},
     {"open", differIn<&Route::isOpen, Route>},
     {"attempts", differIn<&Route::maxAttempts, Route>},
+    {"retention", differIn<&Route::retention, Route>},
     {"targets", differInTargets},
 }};
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -307,6 +307,7 @@
     {
         this->callerServer.setLimits(limitsOf(active->configuration.bounds));
         this->pools.configure(*active, currentTime());
+        this->budget.onConfiguration(longestRetention(active->configuration.routes), currentTime());
     }
 
     bool isReady() const
--- a/src/gateway/gatewayconfiguration.h
+++ b/src/gateway/gatewayconfiguration.h
@@ -42,6 +42,9 @@
     std::string source{}; //!< The document it was parsed from, without keys, for peers that cannot read the key-value service.
 };
 
+//! Returns how long a program may be idle and return, by the route that allows the longest time: its turns may take several. Nothing if no route names one.
+std::optional<Duration> longestRetention(const std::vector<Route> &routes);
+
 } // namespace oleandergate
 
 #endif
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -28,7 +28,8 @@
     std::size_t maxDescriptors = 0; //!< That the process may have open; 0 if not known.
     AllowanceTolerance allowanceTolerance{}; //!< By how much the calls of an organisation may exceed its allowance.
     double hedgeShare = 0.0; //!< Largest number of second sends for each request that may be repeated; 0 for none.
-    Duration programRetention = std::chrono::seconds(60); //!< How long a program may be idle before it is forgotten.
+    Duration programRetention = std::chrono::seconds(60); //!< How long a program may be idle and return, where the configuration says less or
+                                                          //!< nothing.
 };
 
 } // namespace oleandergate
--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -5,7 +5,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
@@ -116,3 +118,29 @@
     CHECK(tokens <= budget);
     CHECK(tokens > budget - maxTokensPerTurn - tokensPerTurn);
 }
+
+// Guards against budgets that are granted a second time: the killed owner had granted the half that has no record, and the next one took the program for a new
+// one as soon as the default retention was over.
+TEST_CASE("Returning programs: one that was stopped by its budget, and whose slot's owner was killed, stays stopped as long as its route says")
+{
+    constexpr int programCount = 12;
+    constexpr std::chrono::seconds idleTime(86); // Longer than an owner waits by default.
+    BudgetCluster cluster(3, 1);
+    cluster.configure(
+        2,
+        R"(,{"Name":"kept","Host":"h.example","PathPrefix":"/kept/","Kind":"streaming","TimeoutMs":8000,"Service":"engine","Resumable":true,"RetentionS":600})");
+    std::vector<int> tokens;
+    for (int program = 0; program < programCount; ++program) {
+        tokens.push_back(runTurnsUntilExhausted(cluster, "stopped-" + std::to_string(program)));
+    }
+    cluster.gateways[0].kill();
+    cluster.startGateway(0);
+    REQUIRE(cluster.waitUntilReady());
+    // One that begins meanwhile has the recorded half at once.
+    CHECK(runTurnsUntilExhausted(cluster, "begun-meanwhile") >= budget / 2 - maxTokensPerTurn);
+    std::this_thread::sleep_for(idleTime);
+    for (int program = 0; program < programCount; ++program) {
+        CAPTURE(program);
+        CHECK(tokens[static_cast<std::size_t>(program)] + runTurnsUntilExhausted(cluster, "stopped-" + std::to_string(program)) <= budget + maxTokensPerTurn);
+    }
+}
--- a/tests/gateway/platformtests.cpp
+++ b/tests/gateway/platformtests.cpp
@@ -66,6 +66,27 @@
     CHECK(call.value().promptParts[1].tokens == 410);
 }
 
+// Guards against budgets that are granted again, as the time within which programs return was not read.
+TEST_CASE("The time within which programs return is read from each route, and the longest one counts")
+{
+    const auto retentionOf = [](const std::string &first, const std::string &second) {
+        const auto route = [](const std::string &name, const std::string &field) {
+            return R"({"Name":")" + name + R"(","Host":"h.example","PathPrefix":"/)" + name + R"(/","Kind":"streaming","TimeoutMs":4000,"Service":"s")" + field
+                + "}";
+        };
+        const Result<GatewayConfiguration> read
+            = PlatformRecordFormat().readConfiguration(R"({"Version":7,"Routes":[)" + route("a", first) + "," + route("b", second) + R"(],"Services":[]})");
+        REQUIRE(read);
+        return longestRetention(read.value().routes);
+    };
+    CHECK(retentionOf("", "") == std::nullopt);
+    CHECK(retentionOf(R"(,"RetentionS":100)", "") == std::chrono::seconds(100));
+    CHECK(retentionOf(R"(,"RetentionS":100)", R"(,"RetentionS":3600)") == std::chrono::hours(1));
+    CHECK(retentionOf(R"(,"RetentionS":0)", R"(,"RetentionS":0.5)") == std::chrono::milliseconds(500));
+    CHECK(retentionOf(R"(,"RetentionS":"long")", R"(,"RetentionS":-3)") == Duration::zero());
+    CHECK(retentionOf(R"(,"RetentionS":1e300)", "") == std::chrono::hours(24));
+}
+
 TEST_CASE("An endpoint receives the remaining time, and no header that is reserved for the gateway")
 {
     HttpRequest request = turnRequest();
--- a/tests/unit/budgetslotstests.cpp
+++ b/tests/unit/budgetslotstests.cpp
@@ -94,6 +94,36 @@
     CHECK(slots.mayGrantUnrecordedShare(2, true, later));
 }
 
+// Guards against budgets that are granted a second time to programs which return within their route's retention.
+TEST_CASE("A later owner waits as long as programs may return by the configuration in force")
+{
+    BudgetSlots slots("a~1", limits);
+    slots.onRecord(1, SlotRecord{"a~1", 1, 5}, start);
+    slots.onRecord(2, SlotRecord{"a~1", 2, 6}, start);
+    const Duration longer = 2 * limits.programRetention;
+    const Time dueBefore = start + limits.recordReadTimeout + limits.programRetention;
+    SUBCASE("raised while it waits")
+    {
+        slots.setProgramRetention(longer, dueBefore - Duration(1));
+        CHECK(slots.unrecordedShareFrom(2) == start + limits.recordReadTimeout + longer);
+        slots.onHandoverReceived(3, start + limits.recordReadTimeout + longer);
+        slots.onRecord(3, SlotRecord{"a~1", 2, 7}, start);
+        CHECK(slots.unrecordedShareFrom(3) == slots.unrecordedShareFrom(2));
+    }
+    SUBCASE("raised once it has waited: programs of the earlier owner have ended")
+    {
+        slots.setProgramRetention(longer, dueBefore);
+        CHECK(slots.unrecordedShareFrom(2) <= dueBefore);
+    }
+    SUBCASE("lowered while it waits")
+    {
+        slots.setProgramRetention(limits.programRetention / 2, start + Duration(1));
+        CHECK(slots.unrecordedShareFrom(2) == start + limits.recordReadTimeout + limits.programRetention / 2);
+    }
+    // The first owner has no earlier one to wait for.
+    CHECK(slots.unrecordedShareFrom(1) <= start);
+}
+
 TEST_CASE("An owner that has not read the records for too long stops granting unrecorded shares while others reach the service")
 {
     BudgetSlots slots("a~1", limits);
