Begin loops again that an exception has left, and log it

What callers see: nothing at first. An exception that leaves a coroutine which nobody waits for ends it without a line in the log, and the process lives on without the loop; one that leaves another handler ends the process by SIGABRT.

Change: spawnLoop() logs the exception and begins the loop again, for all loops that are meant to last (followers, readings, queries, slots, reports, news, versions, housekeeping, paths, datagrams, listening sockets); runContext() does the same for handlers. A reading that throws counts as not answered. The number of a slot is parsed without exceptions.

--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/hash.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/clock.h"
 #include "runtime/jsonaccess.h"
 #include "runtime/log.h"
@@ -105,7 +106,9 @@
 
 void BudgetCoordinator::start()
 {
-    asio::co_spawn(this->parts.context, this->maintainSlots(), asio::detached);
+    spawnLoop(this->parts.context.get_executor(), "budget slots", [this]() {
+        return this->maintainSlots();
+    });
 }
 
 void BudgetCoordinator::onMembers(const std::vector<InstanceRecord> &live, const std::map<SlotId, std::string> &newSlotOwners, Time now)
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace oleandergate {
 
@@ -69,12 +70,14 @@
 void BudgetCoordinator::applySlotRecord(const KvPair &pair, Time now)
 {
     const std::string number = pair.key.substr(std::min(pair.key.size(), std::string_view(slotsPrefix).size()));
-    if (number.empty() || number.find_first_not_of("0123456789") != std::string::npos || pair.revision == 0) {
+    SlotId slot = 0;
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), slot);
+    if (error != std::errc() || end != number.data() + number.size() || pair.revision == 0) {
         return;
     }
     const json::object object = parseJsonObject(pair.value);
     const SlotRecord record{jsonText(object, "owner"), static_cast<std::uint64_t>(jsonNumber(object, "epoch")), pair.revision, jsonFlag(object, "unused")};
-    this->slots.onRecord(static_cast<SlotId>(std::stoul(number)), record, now);
+    this->slots.onRecord(slot, record, now);
 }
 
 void BudgetCoordinator::applySlotRecords(const std::vector<KvPair> &pairs, Time now)
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -8,6 +8,7 @@
 #include "gateway/poolset.h"
 #include "gateway/routetargetrecords.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "runtime/peerclient.h"
@@ -116,10 +117,18 @@
 
 void DirectorySync::start()
 {
-    asio::co_spawn(this->context, this->configurationFollower.run(), asio::detached);
-    asio::co_spawn(this->context, this->endpointFollower.run(), asio::detached);
-    asio::co_spawn(this->context, this->run(), asio::detached);
-    asio::co_spawn(this->context, this->queryLoop(), asio::detached);
+    spawnLoop(this->context.get_executor(), "configuration", [this]() {
+        return this->configurationFollower.run();
+    });
+    spawnLoop(this->context.get_executor(), "endpoints", [this]() {
+        return this->endpointFollower.run();
+    });
+    spawnLoop(this->context.get_executor(), "readings", [this]() {
+        return this->run();
+    });
+    spawnLoop(this->context.get_executor(), "queries", [this]() {
+        return this->queryLoop();
+    });
 }
 
 std::optional<PeerMessage> DirectorySync::serve(const PeerMessage &message, Time now) const
@@ -260,10 +269,15 @@
 
 asio::awaitable<void> DirectorySync::reread(Time begunAt)
 {
-    // The endpoints first: while the service does not answer, nothing else needs to be asked.
-    bool answered = co_await this->endpointFollower.load();
-    if (answered) {
-        answered = co_await this->configurationFollower.load();
+    bool answered = false;
+    try {
+        // The endpoints first: while the service does not answer, nothing else needs to be asked.
+        answered = co_await this->endpointFollower.load();
+        if (answered) {
+            answered = co_await this->configurationFollower.load();
+        }
+    } catch (const std::exception &exception) {
+        logRecord(LogLevel::Error, "store", "a reading failed", {{"detail", exception.what()}});
     }
     this->readings.onEnded(begunAt, answered);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,7 @@
 #include "gateway/streamnews.h"
 #include "gateway/streamversions.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/clock.h"
 #include "runtime/connectionbudget.h"
 #include "runtime/descriptorlimit.h"
@@ -550,8 +551,12 @@
         this->configurationHolder.setListener([this](const std::shared_ptr<const ActiveGatewayConfiguration> &active) {
             this->applyConfiguration(active);
         });
-        asio::co_spawn(this->control, this->housekeepingLoop(), asio::detached);
-        asio::co_spawn(this->requests, this->pathLoop(), asio::detached);
+        spawnLoop(this->control.get_executor(), "housekeeping", [this]() {
+            return this->housekeepingLoop();
+        });
+        spawnLoop(this->requests.get_executor(), "paths", [this]() {
+            return this->pathLoop();
+        });
         this->directory.start();
         this->versions.start();
         this->signals.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
@@ -640,10 +645,10 @@
         return started.error();
     }
     std::thread controlThread([this]() {
-        this->core->control.run();
+        runContext(this->core->control, "control");
     });
     const auto work = asio::make_work_guard(this->core->requests);
-    this->core->requests.run();
+    runContext(this->core->requests, "requests");
     controlThread.join();
     this->core->logShutdown("stopped", this->core->stopBy - currentTime());
     return boost::outcome_v2::success();
--- a/src/gateway/peergossip.cpp
+++ b/src/gateway/peergossip.cpp
@@ -2,6 +2,7 @@
 
 #include "decision/endpointhash.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "runtime/signeddatagrams.h"
@@ -144,8 +145,12 @@
     if (!bound) {
         return false;
     }
-    asio::co_spawn(this->core->context, this->sendLoop(), asio::detached);
-    asio::co_spawn(this->core->context, this->newsLoop(), asio::detached);
+    spawnLoop(this->core->context.get_executor(), "load reports", [this]() {
+        return this->sendLoop();
+    });
+    spawnLoop(this->core->context.get_executor(), "news", [this]() {
+        return this->newsLoop();
+    });
     return true;
 }
 
--- a/src/gateway/streamversions.cpp
+++ b/src/gateway/streamversions.cpp
@@ -9,6 +9,7 @@
 #include "gateway/routetargetrecords.h"
 #include "gateway/streamnews.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
@@ -103,9 +104,15 @@
         const Time ticked = this->tickedAt;
         return now - ticked > longestUnnoticedPause || now - this->delayedAt.load() < drainTime;
     });
-    asio::co_spawn(this->parts.context, this->follower.run(), asio::detached);
-    asio::co_spawn(this->parts.context, this->tickLoop(), asio::detached);
-    asio::co_spawn(this->parts.context, this->proposeLoop(), asio::detached);
+    spawnLoop(this->parts.context.get_executor(), "stream versions", [this]() {
+        return this->follower.run();
+    });
+    spawnLoop(this->parts.context.get_executor(), "stream version ticks", [this]() {
+        return this->tickLoop();
+    });
+    spawnLoop(this->parts.context.get_executor(), "stream version proposals", [this]() {
+        return this->proposeLoop();
+    });
 }
 
 bool StreamVersions::put(const KvPair &pair, const VersionTable &before)
--- a/src/runtime/httpserver.cpp
+++ b/src/runtime/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/asyncsignal.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/connectionbudget.h"
 #include "runtime/httpconnection.h"
 #include "runtime/listener.h"
@@ -128,7 +129,9 @@
     }
     this->core->acceptor.emplace(std::move(acceptor));
     this->core->accepting = true;
-    asio::co_spawn(this->core->acceptor->get_executor(), acceptConnections(this->core), asio::detached);
+    spawnLoop(this->core->acceptor->get_executor(), "callers", [core = this->core]() {
+        return acceptConnections(core);
+    });
     return boost::outcome_v2::success();
 }
 
--- a/src/runtime/peerserver.cpp
+++ b/src/runtime/peerserver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/address.h"
 #include "runtime/answerchannel.h"
+#include "runtime/backgroundtask.h"
 #include "runtime/connectionbudget.h"
 #include "runtime/listener.h"
 #include "runtime/log.h"
@@ -206,7 +207,9 @@
         return Error{ErrorCode::Internal, Step::InstanceStart, address, Executed::No, std::nullopt, error.message()};
     }
     this->core->acceptor.emplace(std::move(acceptor));
-    asio::co_spawn(this->core->acceptor->get_executor(), acceptPeers(this->core), asio::detached);
+    spawnLoop(this->core->acceptor->get_executor(), "peers", [core = this->core]() {
+        return acceptPeers(core);
+    });
     return boost::outcome_v2::success();
 }
 
--- a/src/runtime/signeddatagrams.cpp
+++ b/src/runtime/signeddatagrams.cpp
@@ -1,6 +1,7 @@
 #include "runtime/signeddatagrams.h"
 
 #include "runtime/address.h"
+#include "runtime/backgroundtask.h"
 
 #include <boost/asio.hpp>
 
@@ -38,7 +39,9 @@
     if (error) {
         return false;
     }
-    asio::co_spawn(this->socket.get_executor(), this->receive(std::move(handler)), asio::detached);
+    spawnLoop(this->socket.get_executor(), "datagrams", [this, handler = std::move(handler)]() {
+        return this->receive(handler);
+    });
     return true;
 }
 
--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -111,13 +111,27 @@
         << own.store << "\"\n";
 }
 
+std::string GatewayCluster::settingsFile(std::size_t gateway) const
+{
+    return this->file(gateway, ".toml");
+}
+
+std::string GatewayCluster::logFile(std::size_t gateway) const
+{
+    return this->file(gateway, ".log");
+}
+
 void GatewayCluster::startGateway(std::size_t index)
+{
+    this->startGateway(index, this->settingsFile(index), this->logFile(index));
+}
+
+void GatewayCluster::startGateway(std::size_t index, const std::string &settingsFile, const std::string &logFile)
 {
     const char *bin = std::getenv("OLEANDER_BIN");
     const std::string program = (bin == nullptr ? std::string("build/release/bin") : std::string(bin)) + "/oleander-front";
-    this->gateways[index] = ChildProcess({program, "--settings=" + this->file(index, ".toml"), "--hedge-share=" + std::to_string(this->hedgeShares[index])},
-                                         this->file(index, ".log"),
-                                         this->peerLinks[index].environment());
+    this->gateways[index] = ChildProcess(
+        {program, "--settings=" + settingsFile, "--hedge-share=" + std::to_string(this->hedgeShares[index])}, logFile, this->peerLinks[index].environment());
 }
 
 bool GatewayCluster::isReady(std::size_t index) const
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -52,6 +52,12 @@
     //! Starts the gateway's process, in place of an ended one.
     void startGateway(std::size_t index);
 
+    //! The same with another file for its settings or its log.
+    void startGateway(std::size_t index, const std::string &settingsFile, const std::string &logFile);
+
+    std::string settingsFile(std::size_t gateway) const;
+    std::string logFile(std::size_t gateway) const;
+
     //! Returns true when the gateway's readiness check succeeds.
     bool isReady(std::size_t index) const;
 
--- /dev/null
+++ b/tests/gateway/processendtests.cpp
@@ -0,0 +1,77 @@
+//! Processes that ended by themselves, or went on without a part of themselves.
+
+#include "budgetcluster.h"
+#include "runtime/address.h"
+#include "runtime/textfile.h"
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace oleandergate;
+using namespace oleandergate::support;
+
+namespace {
+
+constexpr int timeoutMs = 20000;
+
+//! A named pipe in the folder of a cluster.
+struct NamedPipe
+{
+    explicit NamedPipe(std::string path)
+        : path(std::move(path))
+    {
+        REQUIRE(::mkfifo(this->path.c_str(), S_IRUSR | S_IWUSR) == 0);
+    }
+
+    std::string path;
+};
+
+//! A gateway that has ended, to be started again.
+struct EndedGateway : GatewayCluster
+{
+    EndedGateway()
+        : GatewayCluster(1, 1)
+    {
+        REQUIRE(this->startServing());
+        this->gateways[0].kill();
+    }
+
+    bool isServing()
+    {
+        const std::optional<HttpResponse> answer = this->call(0, "GET", "/reads/1");
+        return answer && answer->status == 200;
+    }
+
+    //! Stops the gateway. Returns its exit status, or -1 if a signal ended it.
+    int stop()
+    {
+        this->gateways[0].signal(SIGTERM);
+        return this->gateways[0].wait();
+    }
+};
+
+} // namespace
+
+// Guards against a loop that an exception ends, silently: here the one that claims the slots of budgets.
+TEST_CASE("Process ends: a record whose key no instance writes stops no part of a process")
+{
+    GatewayCluster cluster(2, 1);
+    cluster.store.put("oleandergate/budget/slots/99999999999999999999999999", R"({"owner":"x","epoch":1})");
+    REQUIRE(cluster.startServing());
+    CHECK(waitFor(
+        [&cluster]() {
+            for (int slot = 0; slot < slotCount; ++slot) {
+                if (cluster.store.value("oleandergate/budget/slots/" + std::to_string(slot)).empty()) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        timeoutMs));
+}
