--- a/tests/gateway/processendtests.cpp
+++ b/tests/gateway/processendtests.cpp
@@ -58,6 +58,33 @@
 
 } // namespace
 
+// Guards against processes that SIGHUP ends while they read their settings, before anything handles it.
+TEST_CASE("Process ends: a signal that arrives before the settings are read ends no process, and is handled once they are")
+{
+    EndedGateway cluster;
+    const NamedPipe settings(cluster.settingsFile(0) + ".pipe");
+    const std::optional<std::string> text = readTextFile(cluster.settingsFile(0));
+    REQUIRE(text);
+    cluster.clearLog(0);
+    cluster.startGateway(0, settings.path, cluster.logFile(0));
+    {
+        // Opening it waits until the process reads.
+        std::ofstream writer(settings.path);
+        cluster.gateways[0].signal(SIGHUP);
+        writer << *text;
+    }
+    // Else the process reads both at once.
+    CHECK(cluster.logHas(0, R"("message":"starting")"));
+    {
+        std::ofstream writer(settings.path);
+        writer << *text;
+    }
+    CHECK(cluster.logHas(0, "reloaded settings"));
+    REQUIRE(cluster.waitUntilReady());
+    CHECK(cluster.isServing());
+    CHECK(cluster.stop() == 0);
+}
+
 // Guards against a loop that an exception ends, silently: here the one that claims the slots of budgets.
 TEST_CASE("Process ends: a record whose key no instance writes stops no part of a process")
 {
