Go on when nobody reads the log

Cause: sockets are written with MSG_NOSIGNAL, standard output is not.

Change: both signals are ignored from before the static objects exist. The stream then has an error, and further records are dropped.

SIGXFSZ has no test.

--- a/src/runtime/processsignals.cpp
+++ b/src/runtime/processsignals.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::array heldSignals{SIGTERM, SIGINT, SIGHUP};
+constexpr std::array ignoredSignals{SIGPIPE, SIGXFSZ};
 
 sigset_t heldSet()
 {
@@ -24,6 +25,9 @@
 {
     const sigset_t set = heldSet();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    for (const int signal : ignoredSignals) {
+        std::signal(signal, SIG_IGN);
+    }
 }
 
 } // namespace
--- a/tests/gateway/processendtests.cpp
+++ b/tests/gateway/processendtests.cpp
@@ -85,6 +85,32 @@
     CHECK(cluster.stop() == 0);
 }
 
+// Guards against processes that SIGPIPE ends with the next line of their log.
+TEST_CASE("Process ends: a process whose log nobody reads goes on")
+{
+    EndedGateway cluster;
+    const NamedPipe log(cluster.logFile(0) + ".pipe");
+    const int reader = ::open(log.path.c_str(), O_RDONLY | O_NONBLOCK);
+    REQUIRE(reader >= 0);
+    cluster.startGateway(0, cluster.settingsFile(0), log.path);
+    REQUIRE(cluster.waitUntilReady());
+    ::close(reader);
+    // Each is logged.
+    for (int version = 2; version < 5; ++version) {
+        const std::string path = "/added-" + std::to_string(version) + "/";
+        cluster.configure(version,
+                          R"(,{"Name":"added","Host":"h.example","PathPrefix":")" + path
+                              + R"(","Kind":"safe","TimeoutMs":8000,"Service":"engine","MaxAttempts":2})");
+        CHECK(waitFor(
+            [&cluster, &path]() {
+                const std::optional<HttpResponse> answer = cluster.call(0, "GET", path + "1");
+                return answer && answer->status == 200;
+            },
+            timeoutMs));
+    }
+    CHECK(cluster.stop() == 0);
+}
+
 // Guards against a loop that an exception ends, silently: here the one that claims the slots of budgets.
 TEST_CASE("Process ends: a record whose key no instance writes stops no part of a process")
 {
