Wait for an address that is still in use when starting

Cause: a start tried once to bind each address. A former process may be stopping for as long as its drain limit.

Change: a start tries again every 0.1 s for the drain limit and a second, logs that it does, and ends as before if it cannot. A UDP socket that could not be bound is closed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -86,6 +86,12 @@
 //! How often the metrics are logged, for operators without access to the metrics address.
 constexpr Duration summaryInterval = std::chrono::seconds(10);
 
+//! How often a start tries again to bind an address.
+constexpr Duration bindRetryInterval = std::chrono::milliseconds(100);
+
+//! A process that is told to stop has ended this long after its drain limit.
+constexpr Duration predecessorMargin = std::chrono::seconds(1);
+
 constexpr int serviceUnavailable = 503;
 
 InstanceRecord makeSelfRecord(const GatewaySettings &settings)
@@ -112,6 +118,20 @@
     return limits;
 }
 
+//! Calls \p bind until it succeeds or \p giveUpAt has passed: a former process at the address may still be stopping. Blocks.
+Result<void> bindUntil(Time giveUpAt, const std::function<Result<void>()> &bind)
+{
+    Result<void> bound = bind();
+    if (!bound) {
+        logError("instance", "cannot bind an address, trying again", bound.error());
+    }
+    while (!bound && currentTime() < giveUpAt) {
+        std::this_thread::sleep_for(bindRetryInterval);
+        bound = bind();
+    }
+    return bound;
+}
+
 std::size_t tunnelLimit(const ConnectionLimits &limits)
 {
     return std::min({maxTunnels, limits.of(ConnectionKind::Endpoint) / tunnelDivisor, limits.of(ConnectionKind::Peer) / tunnelDivisor});
@@ -564,15 +584,27 @@
                 asio::co_spawn(this->control, this->drainAndStop(), asio::detached);
             }
         });
-        const Result<void> peersBound = this->peerServer.start(this->settings.peerAddress);
+        const Time giveUpAt = currentTime() + this->settings.drainLimit + predecessorMargin;
+        const Result<void> peersBound = bindUntil(giveUpAt, [this]() {
+            return this->peerServer.start(this->settings.peerAddress);
+        });
         if (!peersBound) {
             return peersBound.error();
         }
-        if (!this->gossip.start()) {
-            return Error{ErrorCode::Internal, Step::InstanceStart, this->settings.peerAddress, Executed::No, std::nullopt, "the UDP address is already in use"};
+        const Result<void> gossipBound = bindUntil(giveUpAt, [this]() -> Result<void> {
+            if (!this->gossip.start()) {
+                return Error{
+                    ErrorCode::Internal, Step::InstanceStart, this->settings.peerAddress, Executed::No, std::nullopt, "the UDP address is already in use"};
+            }
+            return boost::outcome_v2::success();
+        });
+        if (!gossipBound) {
+            return gossipBound.error();
         }
         this->budget.start();
-        const Result<void> ready = this->readyServer.start(this->settings.readyAddress);
+        const Result<void> ready = bindUntil(giveUpAt, [this]() {
+            return this->readyServer.start(this->settings.readyAddress);
+        });
         if (!ready) {
             return ready.error();
         }
@@ -580,7 +612,9 @@
         if (!metricsBound) {
             logError("instance", "cannot serve metrics", metricsBound.error());
         }
-        return this->callerServer.start(this->settings.callerAddress);
+        return bindUntil(giveUpAt, [this]() {
+            return this->callerServer.start(this->settings.callerAddress);
+        });
     }
 
     GatewaySettings settings;
--- a/src/runtime/signeddatagrams.cpp
+++ b/src/runtime/signeddatagrams.cpp
@@ -37,6 +37,8 @@
         this->socket.bind(*endpoint, error);
     }
     if (error) {
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
         return false;
     }
     spawnLoop(this->socket.get_executor(), "datagrams", [this, handler = std::move(handler)]() {
--- a/tests/gateway/processendtests.cpp
+++ b/tests/gateway/processendtests.cpp
@@ -111,6 +111,34 @@
     CHECK(cluster.stop() == 0);
 }
 
+// Guards against processes that end because the one before them at their address has not ended yet.
+TEST_CASE("Process ends: a process whose address is still in use waits for it")
+{
+    EndedGateway cluster;
+    cluster.clearLog(0);
+    std::string held;
+    SUBCASE("callers")
+    {
+        held = cluster.callerAddress(0);
+    }
+    SUBCASE("readiness")
+    {
+        held = cluster.readyAddress(0);
+    }
+    SUBCASE("peers")
+    {
+        held = cluster.peerAddress(0);
+    }
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor former(context, *parseTcpAddress(held));
+    cluster.startGateway(0);
+    CHECK(cluster.logHas(0, "cannot bind an address"));
+    former.close();
+    REQUIRE(cluster.waitUntilReady());
+    CHECK(cluster.isServing());
+    CHECK(cluster.stop() == 0);
+}
+
 // Guards against a loop that an exception ends, silently: here the one that claims the slots of budgets.
 TEST_CASE("Process ends: a record whose key no instance writes stops no part of a process")
 {
