Replace a lease of programs' records that the key-value service no longer knows, and renew those in use

What callers saw: behind the end of a lease in the store, in an outage say, each turn that needed a recorded block of its budget was refused for up to four minutes: a program got 420 of its 1,000 tokens in the test.

Cause: BudgetCoordinator::leaseForRecords went on with its lease until the next one was due; the 404 of the write was taken for a service that does not answer. Besides, leases end ten minutes after they were granted and were never renewed, so the record of a program that lives longer is gone, and another owner could draw its blocks anew; and an owner whose record was gone expected its former revision for good.

Change: a write that finds the lease unknown is made once more under a new one. Leases are renewed every four minutes while the ledger has a program whose record was written under them. A record that is missing is written anew with all blocks that this owner knows of.

The renewal itself has no test: it takes minutes.

--- a/src/decision/tokenledger.cpp
+++ b/src/decision/tokenledger.cpp
@@ -59,12 +59,22 @@
     return BlockDraw{allowance.recorded + block, block, allowance.revision};
 }
 
-void TokenLedger::onRecorded(const TurnRequest &request, const BlockDraw &draw, std::uint64_t revision)
+void TokenLedger::onRecorded(const TurnRequest &request, const BlockDraw &draw, std::uint64_t revision, std::uint64_t lease)
 {
     Allowance &allowance = this->programs[request.program];
     allowance.left += draw.block;
     allowance.recorded = draw.recorded;
     allowance.revision = revision;
+    allowance.lease = lease;
+}
+
+void TokenLedger::onRecordMissing(const ProgramId &program)
+{
+    const auto found = this->programs.find(program);
+    if (found != this->programs.end()) {
+        found->second.revision = 0;
+        found->second.lease = 0;
+    }
 }
 
 void TokenLedger::onRecordRead(const ProgramId &program, Tokens recorded, std::uint64_t revision, Time now)
@@ -137,6 +147,17 @@
     });
 }
 
+std::set<std::uint64_t> TokenLedger::leases() const
+{
+    std::set<std::uint64_t> found;
+    for (const auto &[program, allowance] : this->programs) {
+        if (allowance.lease != 0) {
+            found.insert(allowance.lease);
+        }
+    }
+    return found;
+}
+
 std::size_t TokenLedger::size() const
 {
     return this->programs.size();
--- a/src/decision/tokenledger.h
+++ b/src/decision/tokenledger.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,8 +66,11 @@
     //! Returns the block to record for \p request; nothing when the recorded share does not cover it.
     std::optional<BlockDraw> planDraw(const TurnRequest &request) const;
 
-    //! Adds the block of \p draw, which was recorded at \p revision.
-    void onRecorded(const TurnRequest &request, const BlockDraw &draw, std::uint64_t revision);
+    //! Adds the block of \p draw, which was recorded at \p revision under \p lease; 0 for none.
+    void onRecorded(const TurnRequest &request, const BlockDraw &draw, std::uint64_t revision, std::uint64_t lease = 0);
+
+    //! Notes that the program's record no longer exists, as its lease has ended. The next draw writes it anew, with all blocks that are known.
+    void onRecordMissing(const ProgramId &program);
 
     //! Sets the total of all blocks to \p recorded, as read from the program's record at \p revision. An older reading is ignored.
     void onRecordRead(const ProgramId &program, Tokens recorded, std::uint64_t revision, Time now);
@@ -91,12 +95,16 @@
 
     std::size_t size() const;
 
+    //! Returns the leases of the records that this ledger wrote last for its programs.
+    std::set<std::uint64_t> leases() const;
+
 private:
     struct Allowance
     {
         Tokens left = 0; //!< May still be granted.
         Tokens recorded = 0; //!< Total of all blocks of the program.
         std::uint64_t revision = 0; //!< Of the program's record when it was last read or written.
+        std::uint64_t lease = 0; //!< Of the program's record, if this ledger wrote it; 0 for none.
         bool sawAllTurns = false; //!< This ledger and its predecessors counted all turns of the program.
         Time usedAt{};
     };
--- a/src/gateway/budgetcoordinator.cpp
+++ b/src/gateway/budgetcoordinator.cpp
@@ -264,18 +264,62 @@
         co_return 0;
     }
     this->lease = granted.value();
+    this->leaseRenewals[this->lease] = now + recordLeaseRenewalInterval;
     co_return this->lease;
 }
 
+asio::awaitable<void> BudgetCoordinator::renewLeases(Time now)
+{
+    std::set<std::uint64_t> used;
+    const bool isDue = std::any_of(this->leaseRenewals.begin(), this->leaseRenewals.end(), [now](const auto &entry) {
+        return now >= entry.second;
+    });
+    if (isDue) {
+        const std::lock_guard lock(this->mutex);
+        used = this->ledger.leases();
+    }
+    std::vector<std::uint64_t> due;
+    for (const auto &[known, renewAt] : this->leaseRenewals) {
+        if (now >= renewAt) {
+            due.push_back(known);
+        }
+    }
+    for (const std::uint64_t known : due) {
+        if (!used.contains(known)) {
+            this->leaseRenewals.erase(known);
+            continue;
+        }
+        const Result<void> renewed = co_await this->parts.service.renewLease(known);
+        if (!renewed && renewed.error().code == ErrorCode::NotFound) {
+            logError("budget", "a lease of programs' records has ended", renewed.error());
+            this->leaseRenewals.erase(known);
+            continue;
+        }
+        this->leaseRenewals[known] = renewed ? now + recordLeaseRenewalInterval : now + serviceRetryDelay;
+    }
+}
+
 asio::awaitable<bool> BudgetCoordinator::recordDraw(TurnRequest request, BlockDraw draw)
 {
     const std::string key = programKeyOf(request.program);
-    const std::uint64_t leaseId = co_await this->leaseForRecords();
+    std::uint64_t leaseId = co_await this->leaseForRecords();
     KvTransaction write;
     write.compares.push_back(KvCompare{key, draw.expectedRevision});
     write.puts.push_back(KvPut{key, json::serialize(json::object{{"recorded", draw.recorded}}), leaseId});
     write.elseKeys.push_back(key);
-    const Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(write));
+    KvTransaction attempt = write;
+    Result<KvTransactionReply> reply = co_await this->parts.service.transact(std::move(attempt));
+    if (!reply && reply.error().code == ErrorCode::NotFound && leaseId != 0) {
+        // The service no longer knows the lease, which may have ended in an outage. Another call may have replaced it meanwhile.
+        logError("budget", "the lease of programs' records has ended", reply.error());
+        if (leaseId == this->lease) {
+            this->lease = 0;
+            this->leaseRenewAt = Time{};
+        }
+        leaseId = co_await this->leaseForRecords();
+        write.puts.front().lease = leaseId;
+        reply = co_await this->parts.service.transact(std::move(write));
+    }
     if (!reply) {
         this->onServiceFailed(reply.error());
         co_return false;
@@ -283,10 +327,14 @@
     const Time now = currentTime();
     const std::lock_guard lock(this->mutex);
     if (reply.value().succeeded) {
-        this->ledger.onRecorded(request, draw, reply.value().revision);
+        this->ledger.onRecorded(request, draw, reply.value().revision, leaseId);
     } else if (!reply.value().found.empty()) {
         const KvPair &found = reply.value().found.front();
-        this->ledger.onRecordRead(request.program, jsonNumber(parseJsonObject(found.value), "recorded"), found.revision, now);
+        if (found.revision == 0) {
+            this->ledger.onRecordMissing(request.program);
+        } else {
+            this->ledger.onRecordRead(request.program, jsonNumber(parseJsonObject(found.value), "recorded"), found.revision, now);
+        }
     }
     co_return true;
 }
--- a/src/gateway/budgetcoordinator.h
+++ b/src/gateway/budgetcoordinator.h
@@ -126,6 +126,9 @@
     void applySlotRecords(const std::vector<KvPair> &pairs, Time now);
     boost::asio::awaitable<std::uint64_t> leaseForRecords();
 
+    //! Renews the leases of the records of programs that the ledger still has: such a program may live for longer than a lease.
+    boost::asio::awaitable<void> renewLeases(Time now);
+
     Parts parts;
     InstanceRecord self;
     std::array<Counter *, budgetDecisionNames.size()> verdictCounters; //!< Requested reservations by verdict.
@@ -143,6 +146,7 @@
     std::atomic<int> marksUnderWay{0}; //!< Calls of markSlotsUsed() that wait for the key-value service.
     std::uint64_t lease = 0; //!< Of the programs' records. Used only on the context's thread, as is leaseRenewAt.
     Time leaseRenewAt{};
+    std::map<std::uint64_t, Time> leaseRenewals; //!< Leases that records were written under, with the time to renew them. Used like the lease.
     Time serviceRetryAt{}; //!< Draws fail and slots are not maintained until then, so that nothing waits for a failing service.
     std::map<SlotId, std::string> slotOwners; //!< Peer addresses of the slots' owners.
     std::atomic<bool> leaving{false};
--- a/src/gateway/budgetcoordinatorslots.cpp
+++ b/src/gateway/budgetcoordinatorslots.cpp
@@ -109,6 +109,7 @@
             // while the service fails.
             co_await this->markSlotsUsed(0);
         }
+        co_await this->renewLeases(now);
         co_await this->claimDueSlots();
         co_await this->returnUnusedTokens();
     }
--- a/tests/gateway/budgettests.cpp
+++ b/tests/gateway/budgettests.cpp
@@ -130,6 +130,7 @@
         2,
         R"(,{"Name":"kept","Host":"h.example","PathPrefix":"/kept/","Kind":"streaming","TimeoutMs":8000,"Service":"engine","Resumable":true,"RetentionS":600})");
     std::vector<int> tokens;
+    tokens.reserve(programCount);
     for (int program = 0; program < programCount; ++program) {
         tokens.push_back(runTurnsUntilExhausted(cluster, "stopped-" + std::to_string(program)));
     }
@@ -144,3 +145,21 @@
         CHECK(tokens[static_cast<std::size_t>(program)] + runTurnsUntilExhausted(cluster, "stopped-" + std::to_string(program)) <= budget + maxTokensPerTurn);
     }
 }
+
+// Guards against a lease that ended in the store, in an outage say, and under which draws went on to be written, and refused, for minutes.
+TEST_CASE("Programs get their whole budgets when the leases of the records have ended")
+{
+    ClusterWithOwnedSlots cluster;
+    constexpr int programCount = 8;
+    for (int program = 0; program < programCount; ++program) {
+        // Each instance has recorded draws, and so has a lease.
+        runTurnsUntilExhausted(cluster, "before-" + std::to_string(program));
+    }
+    cluster.store.endAllLeases();
+    for (int program = 0; program < programCount; ++program) {
+        CAPTURE(program);
+        const int tokens = runTurnsUntilExhausted(cluster, "behind-" + std::to_string(program));
+        CHECK(tokens <= budget);
+        CHECK(tokens > budget - maxTokensPerTurn - tokensPerTurn);
+    }
+}
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -167,6 +167,17 @@
     this->write(key, {}, true);
 }
 
+void StandinStore::endAllLeases()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        for (auto &[id, lease] : this->leases) {
+            lease.endsAt = Time{};
+        }
+    }
+    this->expireLeases(currentTime());
+}
+
 void StandinStore::endLeases(const std::string &part)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -41,6 +41,9 @@
     //! Removes the keys that contain \p part, as the end of their leases does. Leases also end by themselves when their time is over.
     void endLeases(const std::string &part);
 
+    //! Ends all leases, and removes the keys under them.
+    void endAllLeases();
+
     //! Returns the value of \p key, or an empty text if there is none.
     std::string value(const std::string &key) const;
 
--- a/tests/unit/tokenledgertests.cpp
+++ b/tests/unit/tokenledgertests.cpp
@@ -142,3 +142,22 @@
     ledger.credit("p", turn.turnTokens - 1);
     CHECK_FALSE(ledger.waitsForSettlement(turn, turn.turnTokens));
 }
+
+// Guards against draws that are refused for good once a record's lease has ended.
+TEST_CASE("A program whose record no longer exists draws on, and its record is written anew with all of its blocks")
+{
+    TokenLedger ledger;
+    const TurnRequest request{"p", 1000, 100};
+    REQUIRE(ledger.reserve(request, false, Time{}) == LedgerAnswer::NeedsBlock);
+    const std::optional<BlockDraw> first = ledger.planDraw(request);
+    REQUIRE(first);
+    ledger.onRecorded(request, *first, 7, 42);
+    CHECK(ledger.leases() == std::set<std::uint64_t>{42});
+    while (ledger.reserve(request, false, Time{}) == LedgerAnswer::Granted) { }
+    ledger.onRecordMissing("p");
+    CHECK(ledger.leases().empty());
+    const std::optional<BlockDraw> second = ledger.planDraw(request);
+    REQUIRE(second);
+    CHECK(second->expectedRevision == 0);
+    CHECK(second->recorded == first->recorded + second->block);
+}
