End the suspicion of an outage when an instance ceases to read the store itself

Cause, found by reading the diff: an instance whose last own call had failed, and which then ceased to watch the store, as others had contact again first, kept the suspicion for good: only an own answer ended it. It would have handed no removal on, and in an installation of many instances those learn of removals from each other.

Change: RemovalTrust::onReliesOnPeers(); the service then counts as available since peers have had contact, or since now. The log field of dropped endpoints is named "left".

--- a/src/decision/removaltrust.cpp
+++ b/src/decision/removaltrust.cpp
@@ -43,6 +43,14 @@
     }
 }
 
+void RemovalTrust::onReliesOnPeers(Time now)
+{
+    if (this->suspected) {
+        this->suspected = false;
+        this->recoveredAt = this->availability.availableSince().value_or(now);
+    }
+}
+
 std::optional<Time> RemovalTrust::availableSince() const
 {
     return this->suspected ? this->availability.availableSince() : this->recoveredAt;
--- a/src/decision/removaltrust.h
+++ b/src/decision/removaltrust.h
@@ -31,6 +31,9 @@
     //! Records that the service answered a reading of this instance.
     void onAnswered(Time now);
 
+    //! Records that this instance no longer reads from the service itself. What its peers know is as good as what they vouch for.
+    void onReliesOnPeers(Time now);
+
     //! Returns since when the service has been available; nothing while it may be unavailable.
     std::optional<Time> availableSince() const;
 
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -252,6 +252,9 @@
         known.latestReading = std::max(this->readAt(), this->parts.gossip.latestServiceContact());
         known.peers = this->parts.gossip.liveCount();
         this->removalTrust.onContact(known.latestReading, now);
+        if (!watches) {
+            this->removalTrust.onReliesOnPeers(now);
+        }
         this->updateRemovals("contact");
         if (!watches || this->parts.gossip.offersOfEndpoints(this->parts.pools.endpointDigest(), this->endpointRevision()).empty()) {
             lastAgreedAt = now;
@@ -442,7 +445,7 @@
         }
     }
     if (this->parts.pools.dropMissing(now)) {
-        logRecord(LogLevel::Info, "endpoints", "dropped endpoints that did not register again", {{"count", std::to_string(this->parts.pools.endpointCount())}});
+        logRecord(LogLevel::Info, "endpoints", "dropped endpoints that did not register again", {{"left", std::to_string(this->parts.pools.endpointCount())}});
     }
 }
 
--- a/tests/unit/removaltrusttests.cpp
+++ b/tests/unit/removaltrusttests.cpp
@@ -345,3 +345,19 @@
         CHECK(timeWithout(instance, {Span{Time{}, at(3300)}, Span{at(endMs) + returnTime, Time::max()}}, at(14000)) == Duration::zero());
     }
 }
+
+// Guards against an instance that never trusts removals again, and so hands none on, because its last own call failed before it ceased to read.
+TEST_CASE("Removals: an instance that ceases to read the service while that is away trusts removals again")
+{
+    RemovalTrust trust(maxSilence);
+    trust.onAnswered(at(0));
+    trust.onFailed(at(1000));
+    trust.onContact(at(0), at(3000));
+    CHECK_FALSE(trust.availableSince());
+    trust.onReliesOnPeers(at(4000));
+    REQUIRE(trust.availableSince());
+    CHECK(*trust.availableSince() == at(4000));
+    // Without a suspicion it changes nothing.
+    trust.onReliesOnPeers(at(9000));
+    CHECK(*trust.availableSince() == at(4000));
+}
