--- a/src/gateway/meteredkeyvalue.cpp
+++ b/src/gateway/meteredkeyvalue.cpp
@@ -19,7 +19,8 @@
 }
 
 MeteredKeyValue::CallCounters::CallCounters(Metrics &metrics, const std::string &call)
-    : succeeded(metrics.counter("oleandergate_store_calls_total", "call=\"" + call + "\",ok=\"true\""))
+    : begun(metrics.counter("oleandergate_store_calls_begun_total", "call=\"" + call + "\""))
+    , succeeded(metrics.counter("oleandergate_store_calls_total", "call=\"" + call + "\",ok=\"true\""))
     , failed(metrics.counter("oleandergate_store_calls_total", "call=\"" + call + "\",ok=\"false\""))
 {
 }
@@ -33,6 +34,7 @@
 asio::awaitable<Result<KvTransactionReply>> MeteredKeyValue::transact(KvTransaction transaction)
 {
     const Time began = currentTime();
+    this->transactions.begun.add();
     Result<KvTransactionReply> reply = co_await this->service->transact(std::move(transaction));
     this->count(this->transactions, reply.has_value(), began, currentTime());
     co_return reply;
@@ -41,6 +43,7 @@
 asio::awaitable<Result<KvRange>> MeteredKeyValue::range(std::string prefix)
 {
     const Time began = currentTime();
+    this->ranges.begun.add();
     Result<KvRange> reply = co_await this->service->range(std::move(prefix));
     this->count(this->ranges, reply.has_value(), began, currentTime());
     co_return reply;
@@ -49,6 +52,7 @@
 asio::awaitable<Result<std::uint64_t>> MeteredKeyValue::grantLease(Duration length)
 {
     const Time began = currentTime();
+    this->leaseGrants.begun.add();
     Result<std::uint64_t> reply = co_await this->service->grantLease(length);
     this->count(this->leaseGrants, reply.has_value(), began, currentTime());
     co_return reply;
@@ -57,6 +61,7 @@
 asio::awaitable<Result<void>> MeteredKeyValue::renewLease(std::uint64_t lease)
 {
     const Time began = currentTime();
+    this->leaseRenewals.begun.add();
     Result<void> reply = co_await this->service->renewLease(lease);
     this->count(this->leaseRenewals, reply.has_value(), began, currentTime());
     co_return reply;
--- a/src/gateway/meteredkeyvalue.h
+++ b/src/gateway/meteredkeyvalue.h
@@ -28,6 +28,7 @@
     {
         CallCounters(Metrics &metrics, const std::string &call);
 
+        Counter &begun;
         Counter &succeeded;
         Counter &failed;
     };
