Tests: readings of the key-value service whose data another party writes

The stand-in store answered each reading with one page and took queries as they were, so no test ever read a second page. It has pages now (500 items or 1 MB), decodes queries by the usual rules, and can repeat pages, end watches at once and discard its history.

--- a/tests/gateway/gatewaycluster.cpp
+++ b/tests/gateway/gatewaycluster.cpp
@@ -267,6 +267,11 @@
     this->store.setRefusingAt(this->addresses[gateway].store, refusing);
 }
 
+void GatewayCluster::setStoreRepeatingPages(std::size_t gateway, bool repeatingPages)
+{
+    this->store.setRepeatingPagesAt(this->addresses[gateway].store, repeatingPages);
+}
+
 void GatewayCluster::setWatchesSilent(std::size_t gateway, bool watchesSilent)
 {
     this->store.setWatchesSilentAt(this->addresses[gateway].store, watchesSilent);
--- a/tests/gateway/gatewaycluster.h
+++ b/tests/gateway/gatewaycluster.h
@@ -104,6 +104,9 @@
     //! While it refuses a gateway, the store answers its calls with status 503, and its watches report nothing.
     void setStoreRefusing(std::size_t gateway, bool refusing);
 
+    //! While it repeats pages to a gateway, the store answers each of its readings with the first page.
+    void setStoreRepeatingPages(std::size_t gateway, bool repeatingPages);
+
     //! While the watches of a gateway are silent, the store reports no changes to it, and answers its other calls.
     void setWatchesSilent(std::size_t gateway, bool watchesSilent);
 
--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -5,6 +5,7 @@
 #include "runtime/clock.h"
 #include "runtime/errorresponse.h"
 #include "runtime/jsonaccess.h"
+#include "support/querytext.h"
 #include "support/testcluster.h"
 
 #include <boost/algorithm/string/replace.hpp>
@@ -271,25 +272,74 @@
     co_return false;
 }
 
-HttpResponse StandinStore::range(const HttpRequest &request, const View &view) const
+void StandinStore::setPageLimits(PageLimits limits)
 {
     const std::lock_guard lock(this->mutex);
-    const std::string prefix = request.query("PathPrefix");
+    this->pageLimits = limits;
+}
+
+void StandinStore::setRepeatingPagesAt(const std::string &servedAddress, bool newRepeatingPages)
+{
+    const std::lock_guard lock(this->mutex);
+    setMember(this->repeatingPagesAddresses, servedAddress, newRepeatingPages);
+}
+
+void StandinStore::setWatchesHasty(bool newWatchesHasty)
+{
+    this->watchesHasty = newWatchesHasty;
+}
+
+void StandinStore::discardHistory()
+{
+    ++this->historyDiscards;
+}
+
+std::size_t StandinStore::pagesRepeated() const
+{
+    return this->repeatedPages;
+}
+
+std::size_t StandinStore::watchesAsked() const
+{
+    return this->askedWatches;
+}
+
+HttpResponse StandinStore::range(const HttpRequest &request, const View &view)
+{
+    const std::lock_guard lock(this->mutex);
+    const std::string prefix = queryText(request.target, "PathPrefix");
+    std::string after = queryText(request.target, "after");
+    if (!after.empty() && this->repeatingPagesAddresses.contains(view.address)) {
+        after.clear();
+        ++this->repeatedPages;
+    }
     json::array found;
-    for (const auto &[key, item] : this->items) {
-        if (key.starts_with(prefix)) {
-            found.push_back(itemOf(key, item.value, item.revision, view.replaced));
+    std::size_t bytes = 0;
+    bool isTruncated = false;
+    for (auto item = after.empty() ? this->items.lower_bound(prefix) : this->items.upper_bound(after); item != this->items.end(); ++item) {
+        const auto &[key, stored] = *item;
+        if (!key.starts_with(prefix)) {
+            continue;
         }
+        bytes += key.size() + stored.value.size();
+        isTruncated = !found.empty() && (found.size() >= this->pageLimits.items || bytes > this->pageLimits.bytes);
+        if (isTruncated) {
+            break;
+        }
+        found.push_back(itemOf(key, stored.value, stored.revision, view.replaced));
     }
-    return jsonResponse(json::serialize(json::object{{"items", found}, {"Truncated", false}, {"CurrentRev", this->revision}}));
+    return jsonResponse(json::serialize(json::object{{"items", found}, {"Truncated", isTruncated}, {"CurrentRev", this->revision}}));
 }
 
 asio::awaitable<HttpResponse> StandinStore::watch(const HttpRequest &request, const View &view)
 {
-    const std::string prefix = request.query("PathPrefix");
-    const std::uint64_t after = std::stoull(request.query("after"));
-    const Time until = currentTime() + std::chrono::milliseconds(std::stoll(request.query("WaitMs")));
-    while (currentTime() < until) {
+    const std::string prefix = queryText(request.target, "PathPrefix");
+    const std::uint64_t after = std::stoull(queryText(request.target, "after"));
+    const Time until = currentTime() + std::chrono::milliseconds(std::stoll(queryText(request.target, "WaitMs")));
+    const std::size_t discardsBefore = this->historyDiscards;
+    ++this->askedWatches;
+    bool isEnded = false;
+    while (!isEnded) {
         {
             const std::lock_guard lock(this->mutex);
             json::array events;
@@ -310,7 +360,14 @@
                 co_return response;
             }
         }
-        co_await sleepFor(watchPollInterval);
+        if (this->historyDiscards != discardsBefore) {
+            HttpResponse response = jsonResponse("{}", 410);
+            co_return response;
+        }
+        isEnded = this->watchesHasty || currentTime() >= until;
+        if (!isEnded) {
+            co_await sleepFor(watchPollInterval);
+        }
     }
     HttpResponse response = jsonResponse(json::serialize(json::object{{"events", json::array()}, {"CurrentRev", after}}));
     co_return response;
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -20,10 +20,17 @@
 
 namespace oleandergate::support {
 
-//! The part of the platform's key-value store that the gateway uses, in this process.
+//! The part of the platform's key-value store that the gateway uses, in this process. It decodes queries as servers usually do.
 class StandinStore
 {
 public:
+    //! Bounds of one page of a reading. A page has one item at least.
+    struct PageLimits
+    {
+        std::size_t items = 500;
+        std::size_t bytes = 1'000'000; //!< Of keys and values.
+    };
+
     StandinStore();
     ~StandinStore();
     StandinStore(const StandinStore &) = delete;
@@ -65,6 +72,23 @@
     //! While a prefix is silent, changes of its keys are stored but not reported to any watch. None is when \p prefix is empty.
     void setSilentPrefix(const std::string &prefix);
 
+    void setPageLimits(PageLimits limits);
+
+    //! While it repeats pages, the store hands out the first page of a reading to the callers of one address, whatever page they ask for.
+    void setRepeatingPagesAt(const std::string &servedAddress, bool repeatingPages);
+
+    //! While watches are hasty, they are answered at once, without changes if there are none.
+    void setWatchesHasty(bool watchesHasty);
+
+    //! Answers each watch that is under way with status 410, as the store does when it discards its history.
+    void discardHistory();
+
+    //! Returns how many pages were handed out in place of the one that was asked for.
+    std::size_t pagesRepeated() const;
+
+    //! Returns how many watches were asked for.
+    std::size_t watchesAsked() const;
+
     //! While it loses the answers of writes, the store makes them and closes their connections without an answer.
     void setLosingWriteAnswers(bool losingWriteAnswers);
 
@@ -120,7 +144,7 @@
 
     //! Writes the former answer to \p peer once more if there is one and the store is repeating. Returns whether it did.
     boost::asio::awaitable<bool> repeatFormer(const std::string &peer, HttpExchange &exchange);
-    HttpResponse range(const HttpRequest &request, const View &view) const;
+    HttpResponse range(const HttpRequest &request, const View &view);
     HttpResponse transact(const boost::json::object &body, const View &view);
     HttpResponse grantLease(const boost::json::object &body, Time now);
     HttpResponse renewLease(const std::string &id, Time now);
@@ -144,9 +168,15 @@
     std::atomic<bool> refusing{false};
     std::atomic<bool> refusingWrites{false};
     std::atomic<bool> watchesSilent{false};
+    std::atomic<bool> watchesHasty{false};
+    std::atomic<std::size_t> repeatedPages{0};
+    std::atomic<std::size_t> askedWatches{0};
+    std::atomic<std::size_t> historyDiscards{0};
     std::atomic<bool> losingWriteAnswers{false};
     std::atomic<Duration> longestDelay{Duration::zero()};
-    std::string silentPrefix; //!< Guarded by the mutex, like the next two.
+    PageLimits pageLimits{}; //!< Guarded by the mutex, like the next four.
+    std::set<std::string> repeatingPagesAddresses;
+    std::string silentPrefix;
     std::set<std::string> refusingAddresses;
     std::set<std::string> silentAddresses;
     std::atomic<bool> repeating{false};
