Keep of a reading only what its reader uses, within bounds, and count it in the memory ledger

What callers saw: processes that the system ends for their memory, where another writer has left many large entries beside the registrations or the configuration; an instance that has lost its memory so starts again and reads the same. Cause: every value of every page was kept until the reading had ended, also those that no reader uses; nothing bounded the whole, and the ledger that ends callers for lack of memory knew nothing of it.

--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -251,7 +251,7 @@
     co_return reply;
 }
 
-asio::awaitable<Result<KvRange>> EtcdKeyValue::range(std::string prefix)
+asio::awaitable<Result<KvRange>> EtcdKeyValue::range(std::string prefix, KvFilter keeps)
 {
     KvRange range;
     std::string from = prefix;
@@ -269,12 +269,17 @@
         if (range.revision == 0) {
             range.revision = headerRevision(object);
         }
+        std::string last;
         for (const json::object &kv : jsonObjects(object, "kvs")) {
-            range.pairs.push_back(pairOf(kv));
+            KvPair pair = pairOf(kv);
+            last = pair.key;
+            if (!keeps || keeps(pair)) {
+                range.pairs.push_back(std::move(pair));
+            }
         }
-        more = jsonFlag(object, "more") && !range.pairs.empty();
+        more = jsonFlag(object, "more") && !last.empty();
         if (more) {
-            from = range.pairs.back().key + std::string(1, '\0');
+            from = last + std::string(1, '\0');
         }
     }
     co_return range;
--- a/src/backing/etcdkeyvalue.h
+++ b/src/backing/etcdkeyvalue.h
@@ -22,7 +22,7 @@
     EtcdKeyValue(HttpClient &client, std::string address, Duration timeout);
 
     boost::asio::awaitable<Result<KvTransactionReply>> transact(KvTransaction transaction) override;
-    boost::asio::awaitable<Result<KvRange>> range(std::string prefix) override;
+    boost::asio::awaitable<Result<KvRange>> range(std::string prefix, KvFilter keeps = nullptr) override;
     boost::asio::awaitable<Result<std::uint64_t>> grantLease(Duration length) override;
     boost::asio::awaitable<Result<void>> renewLease(std::uint64_t lease) override;
     boost::asio::awaitable<Error>
--- a/src/backing/interfaces/keyvalueservice.h
+++ b/src/backing/interfaces/keyvalueservice.h
@@ -60,6 +60,9 @@
     std::vector<KvPair> found{}; //!< One for each of KvTransaction::elseKeys, in their order, when a condition failed; otherwise empty.
 };
 
+//! Returns whether a reading keeps \p pair. What is not kept costs no memory behind its page.
+using KvFilter = std::function<bool(const KvPair &pair)>;
+
 //! Result of reading a range of keys.
 struct KvRange
 {
@@ -82,8 +85,9 @@
 
     virtual boost::asio::awaitable<Result<KvTransactionReply>> transact(KvTransaction transaction) = 0;
 
-    //! Reads all keys that start with \p prefix.
-    virtual boost::asio::awaitable<Result<KvRange>> range(std::string prefix) = 0;
+    //! Reads all keys that start with \p prefix, and returns those that \p keeps accepts; all without one. Fails with ServiceUnavailable where the service's
+    //! pages have no end, and where what is kept exceeds the bounds of a reading.
+    virtual boost::asio::awaitable<Result<KvRange>> range(std::string prefix, KvFilter keeps = nullptr) = 0;
 
     //! Returns the identifier of a new lease of at least \p length.
     virtual boost::asio::awaitable<Result<std::uint64_t>> grantLease(Duration length) = 0;
--- a/src/decision/memoryledger.cpp
+++ b/src/decision/memoryledger.cpp
@@ -55,9 +55,16 @@
         return {MemoryVerdict::Granted, std::nullopt};
     }
     if (this->isEnding(now)) {
-        return {MemoryVerdict::Wait, std::nullopt};
+        return {resized.kind == HeldFor::StoreAnswer ? MemoryVerdict::Granted : MemoryVerdict::Wait, std::nullopt};
     }
     const std::optional<HolderId> victim = this->findVictim();
+    if (resized.kind == HeldFor::StoreAnswer) {
+        if (victim) {
+            this->holders.at(*victim).endedAt = now;
+            this->lastEnded = *victim;
+        }
+        return {MemoryVerdict::Granted, victim};
+    }
     if (!victim || *victim == holder) {
         resized.endedAt = now;
         this->lastEnded = holder;
@@ -80,7 +87,7 @@
     std::tuple<bool, std::size_t> highestRank;
     for (const auto &[id, holder] : this->holders) {
         const std::tuple rank(!holder.isBounded, holder.bytes);
-        const bool mayEnd = holder.kind != HeldFor::Request && !holder.endedAt && holder.bytes > 0;
+        const bool mayEnd = holder.kind != HeldFor::Request && holder.kind != HeldFor::StoreAnswer && !holder.endedAt && holder.bytes > 0;
         if (mayEnd && (!found || rank > highestRank)) {
             found = id;
             highestRank = rank;
--- a/src/decision/memoryledger.h
+++ b/src/decision/memoryledger.h
@@ -17,13 +17,15 @@
     Request, //!< A request that is being served. It is never ended for lack of memory.
     Answer, //!< An answer of an endpoint, or an event of one.
     UnsentAnswer, //!< A whole answer that its caller has not received.
+    StoreAnswer, //!< What was read from the key-value service, within bounds of its own. Always granted, and never ended.
 };
 
-inline constexpr std::array<NamedValue<HeldFor>, 4> heldForNames{{
+inline constexpr std::array<NamedValue<HeldFor>, 5> heldForNames{{
     {HeldFor::Arriving, "arriving-request"},
     {HeldFor::Request, "request"},
     {HeldFor::Answer, "answer"},
     {HeldFor::UnsentAnswer, "unsent-answer"},
+    {HeldFor::StoreAnswer, "store-answer"},
 }};
 
 //! Whether a holder may hold what it asked for.
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -91,6 +91,11 @@
                                                       if (!event.deleted) {
                                                           this->storeConfiguration(event.pair, watchSource);
                                                       }
+                                                  },
+                                                  {},
+                                                  {},
+                                                  [this](const KvPair &pair) {
+                                                      return pair.key == this->parts.format.configurationKey();
                                                   }})
     , endpointFollower(parts.service,
                        parts.format.endpointPrefix(),
@@ -107,6 +112,9 @@
                                              [this]() {
                                                  this->removalTrust.onAnswered(currentTime());
                                                  this->updateRemovals("reading");
+                                             },
+                                             [this](const KvPair &pair) {
+                                                 return this->readEndpoint(pair).has_value();
                                              }})
     , removalTrust(maxReadingGap)
     , readings(readingLimits, hashOf(this->self))
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -174,7 +174,7 @@
                   tunnelLimit(limits.connections))
         , controlClient(control)
         , endpointClient(requests, paths)
-        , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient), metrics))
+        , keyValue(std::make_unique<MeteredKeyValue>(makeKeyValue(controlClient, memory), metrics))
         , peers(control, auth)
         , pools(settings.reregistrationTimeout, settings.domain, static_cast<std::uint64_t>(currentTime().time_since_epoch().count()))
         , crashes(metrics,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,9 +16,10 @@
 namespace oleandergate {
 
 class HttpClient;
+class MemoryBudget;
 
-//! Creates the client of the key-value service, which sends its requests through \p client.
-using KeyValueFactory = std::function<std::unique_ptr<KeyValueService>(HttpClient &client)>;
+//! Creates the client of the key-value service, which sends its requests through \p client and counts what it reads in \p memory.
+using KeyValueFactory = std::function<std::unique_ptr<KeyValueService>(HttpClient &client, MemoryBudget &memory)>;
 
 //! Reads the settings of the process again. Returns nothing when they are invalid.
 using SettingsReader = std::function<std::optional<GatewaySettings>()>;
--- a/src/gateway/meteredkeyvalue.cpp
+++ b/src/gateway/meteredkeyvalue.cpp
@@ -40,11 +40,11 @@
     co_return reply;
 }
 
-asio::awaitable<Result<KvRange>> MeteredKeyValue::range(std::string prefix)
+asio::awaitable<Result<KvRange>> MeteredKeyValue::range(std::string prefix, KvFilter keeps)
 {
     const Time began = currentTime();
     this->ranges.begun.add();
-    Result<KvRange> reply = co_await this->service->range(std::move(prefix));
+    Result<KvRange> reply = co_await this->service->range(std::move(prefix), std::move(keeps));
     this->count(this->ranges, reply.has_value(), began, currentTime());
     co_return reply;
 }
--- a/src/gateway/prefixfollower.cpp
+++ b/src/gateway/prefixfollower.cpp
@@ -39,7 +39,7 @@
 asio::awaitable<bool> PrefixFollower::load()
 {
     const Time askedAt = currentTime();
-    const Result<KvRange> range = co_await this->service.range(this->prefix);
+    const Result<KvRange> range = co_await this->service.range(this->prefix, this->hooks.keeps);
     if (!range) {
         const bool isOutdated = askedAt <= this->readAt.load(); // A later reading was answered meanwhile.
         if (!this->serviceDown && !isOutdated) {
--- a/src/gateway/prefixfollower.h
+++ b/src/gateway/prefixfollower.h
@@ -19,6 +19,7 @@
         std::function<void(const KvEvent &event)> onEvent{};
         std::function<void(Time askedAt)> onFailed{}; //!< The service did not answer a reading. Optional, like the next one.
         std::function<void()> onAnswered{}; //!< The service answered a reading; called before onLoad.
+        KvFilter keeps{}; //!< Which keys of a reading onLoad gets; all without one.
     };
 
     PrefixFollower(KeyValueService &service, std::string prefix, Hooks hooks);
--- a/src/runtime/memorybudget.cpp
+++ b/src/runtime/memorybudget.cpp
@@ -185,6 +185,13 @@
     return decision.verdict;
 }
 
+void HeldMemory::note(std::size_t bytes)
+{
+    if (this->budget != nullptr && (this->id || bytes >= minCountedBytes)) {
+        this->resize(bytes, currentTime());
+    }
+}
+
 asio::awaitable<bool> HeldMemory::hold(std::size_t bytes, Time giveUpAt)
 {
     if (this->budget == nullptr || (!this->id && bytes < minCountedBytes)) {
--- a/src/runtime/memorybudget.h
+++ b/src/runtime/memorybudget.h
@@ -60,6 +60,9 @@
     //! Notes that \p bytes are held now, and waits while there is no room for more. Returns false when they are to be given up, or at \p giveUpAt.
     boost::asio::awaitable<bool> hold(std::size_t bytes, Time giveUpAt);
 
+    //! Notes that \p bytes are held now, without waiting: for a holder that the ledger always grants.
+    void note(std::size_t bytes);
+
     //! Makes hold() return false if it waits. To be called on the strand of the one who waits.
     void stopWaiting();
 
--- a/tests/gateway/settlementtests.cpp
+++ b/tests/gateway/settlementtests.cpp
@@ -44,7 +44,7 @@
         co_return reply;
     }
 
-    asio::awaitable<Result<KvRange>> range(std::string /*prefix*/) override
+    asio::awaitable<Result<KvRange>> range(std::string /*prefix*/, KvFilter /*keeps*/) override
     {
         KvRange range;
         range.revision = this->revision;
--- a/tests/unit/memoryledgertests.cpp
+++ b/tests/unit/memoryledgertests.cpp
@@ -28,6 +28,25 @@
     CHECK(ledger.peak() == limit);
 }
 
+// Guards against readings of the key-value service that wait for callers to give memory back, or are ended for them.
+TEST_CASE("What is read from the key-value service is counted, always granted, and never ended")
+{
+    MemoryLedger ledger(limit);
+    const HolderId reading = ledger.open(HeldFor::StoreAnswer);
+    const HolderId answer = ledger.open(HeldFor::Answer);
+    ledger.resize(answer, 600, start);
+    const MemoryLedger::Decision decision = ledger.resize(reading, 700, start);
+    CHECK(decision.verdict == MemoryVerdict::Granted);
+    CHECK(decision.ended == answer);
+    CHECK(ledger.total(HeldFor::StoreAnswer) == 700);
+    CHECK(ledger.resize(reading, 800, start).verdict == MemoryVerdict::Granted);
+    CHECK(ledger.resize(answer, 600, start).verdict == MemoryVerdict::End);
+    ledger.close(answer);
+    CHECK(ledger.resize(reading, 1100, start).verdict == MemoryVerdict::Granted);
+    const HolderId later = ledger.open(HeldFor::Answer);
+    CHECK(ledger.resize(later, 100, start).verdict == MemoryVerdict::End);
+}
+
 // Guards against ending many sound ones for the sake of a few that grow without end.
 TEST_CASE("What grows without a stated length is ended first, the largest before others, one at a time")
 {
