End readings of the entry instance's key-value service whose pages do not go forward

Why it works: PagedReading decides here as for the users' platform. Its bounds are off: only instances write these keys, and journals are read whole.

--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -1,6 +1,7 @@
 #include "backing/etcdkeyvalue.h"
 
 #include "backing/base64.h"
+#include "decision/pagedreading.h"
 #include "runtime/cancellation.h"
 #include "runtime/httpclient.h"
 #include "runtime/jsonaccess.h"
@@ -9,6 +10,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace oleandergate {
 
@@ -23,6 +25,9 @@
 //! Most keys that one range request returns.
 constexpr std::int64_t keysPerPage = 500;
 
+//! Only instances write the keys that are read here, and their journals are read whole.
+constexpr PagedReading::Limits readingLimits{.items = std::numeric_limits<std::size_t>::max(), .keptBytes = std::numeric_limits<std::size_t>::max()};
+
 std::string endOfPrefix(std::string prefix)
 {
     while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xFFU) {
@@ -254,9 +259,11 @@
 asio::awaitable<Result<KvRange>> EtcdKeyValue::range(std::string prefix, KvFilter keeps)
 {
     KvRange range;
-    std::string from = prefix;
-    bool more = true;
-    while (more) {
+    PagedReading reading(readingLimits);
+    PageVerdict verdict = PageVerdict::Continue;
+    while (verdict == PageVerdict::Continue) {
+        const std::string from = reading.lastKey() ? *reading.lastKey() + std::string(1, '\0') : prefix;
+
         json::object body{{"key", toBase64(from)}, {"range_end", toBase64(endOfPrefix(prefix))}, {"limit", std::to_string(keysPerPage)}};
         if (range.revision != 0) {
             body["revision"] = std::to_string(range.revision);
@@ -269,18 +276,22 @@
         if (range.revision == 0) {
             range.revision = headerRevision(object);
         }
-        std::string last;
+        PagedReading::Page page;
+        page.isTruncated = jsonFlag(object, "more");
         for (const json::object &kv : jsonObjects(object, "kvs")) {
             KvPair pair = pairOf(kv);
-            last = pair.key;
+            page.items += 1;
+            page.lowestKey = std::min(page.lowestKey.value_or(pair.key), pair.key);
+            page.highestKey = std::max(page.highestKey.value_or(pair.key), pair.key);
             if (!keeps || keeps(pair)) {
+                page.keptBytes += pair.key.size() + pair.value.size();
                 range.pairs.push_back(std::move(pair));
             }
         }
-        more = jsonFlag(object, "more") && !last.empty();
-        if (more) {
-            from = last + std::string(1, '\0');
-        }
+        verdict = reading.onPage(page);
+    }
+    if (verdict != PageVerdict::Complete) {
+        co_return Error{ErrorCode::ServiceUnavailable, Step::Parse, this->address, Executed::No, std::nullopt, std::string(nameIn(pageVerdictNames, verdict))};
     }
     co_return range;
 }
--- a/tests/integration/keyvaluetests.cpp
+++ b/tests/integration/keyvaluetests.cpp
@@ -1,17 +1,24 @@
 #include "testprogram.h"
 
+#include "backing/base64.h"
 #include "backing/etcdkeyvalue.h"
+#include "runtime/errorresponse.h"
 #include "runtime/httpclient.h"
+#include "runtime/httpserver.h"
 
 #include <boost/asio.hpp>
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <optional>
+#include <thread>
 
 using namespace oleandergate;
 using namespace oleandergate::support;
 
 namespace asio = boost::asio;
+namespace json = boost::json;
 
 namespace {
 
@@ -56,8 +63,78 @@
     EtcdKeyValue keyValue;
 };
 
+//! A key-value service that answers each range with the same page and says that more follow, up to a number of times that no sound reading needs.
+class RepeatingService
+{
+public:
+    static constexpr int mostPages = 50;
+
+    //! \p key is that of the page's only pair; without it the page is empty.
+    explicit RepeatingService(const std::optional<std::string> &key)
+    {
+        if (key) {
+            this->pairs.push_back(json::object{{"key", toBase64(*key)}, {"value", ""}, {"mod_revision", "1"}});
+        }
+        REQUIRE(this->server.start(this->address).has_value());
+        this->thread = std::thread([this]() {
+            this->context.run();
+        });
+    }
+
+    ~RepeatingService()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    RepeatingService(const RepeatingService &) = delete;
+    RepeatingService &operator=(const RepeatingService &) = delete;
+
+    const std::string address = unusedAddress();
+    std::atomic<int> pagesAnswered{0};
+
+private:
+    asio::awaitable<void> handle(HttpRequest /*request*/, HttpExchange &exchange)
+    {
+        const bool hasMore = ++this->pagesAnswered < mostPages;
+        HttpResponse response
+            = jsonResponse(json::serialize(json::object{{"header", json::object{{"revision", "1"}}}, {"kvs", this->pairs}, {"more", hasMore}}));
+        co_await exchange.respond(std::move(response));
+    }
+
+    json::array pairs;
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
+    HttpServer server{context,
+                      HttpLimits(),
+                      [this](HttpRequest request, HttpExchange &exchange) {
+                          return this->handle(std::move(request), exchange);
+                      },
+                      unreadableRequestResponse};
+    std::thread thread;
+};
+
 } // namespace
 
+// Guards against readings that go on for ever, without a pause, where the service's pages do not go forward.
+TEST_CASE("A range of the key-value service whose pages have no end is a failure")
+{
+    std::optional<std::string> key;
+    SUBCASE("an empty page")
+    {
+    }
+    SUBCASE("a page that is repeated")
+    {
+        key = "test/a";
+    }
+    const RepeatingService service(key);
+    KeyValueClient caller(service.address);
+    const Result<KvRange> found = caller.run(caller.keyValue.range("test/"));
+    REQUIRE_FALSE(found.has_value());
+    CHECK(found.error().code == ErrorCode::ServiceUnavailable);
+    CHECK(service.pagesAnswered <= 2);
+}
+
 // Guards against a write of the journal that is told as done though it was refused, because the service wrote an earlier answer once more.
 TEST_CASE("A copy of an earlier answer of the key-value service doesn't prove a write")
 {
