Escape names that become segments of paths, and refuse those of dots alone

Text of callers, operators and configurations went into paths as it was: the id of a request (outcome of a service), of a program (oleanderctl), and the name of a service (instance list). Ids of requests hold letters, digits and -_.: only, so just "." and ".." could leave the path; those are refused now, as escaping does not change them.

--- a/src/backing/consulinstancelist.cpp
+++ b/src/backing/consulinstancelist.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/httpclient.h"
 #include "runtime/jsonaccess.h"
+#include "runtime/requesttarget.h"
 
 #include <boost/json.hpp>
 
@@ -49,7 +50,7 @@
 {
     HttpCall call;
     call.address = this->address;
-    call.target = "/v1/health/service/" + service + "?passing=true";
+    call.target = targetWithQuery("/v1/health/service/" + escapedSegment(service), {{"passing", "true"}});
     call.connectTimeout = this->timeout;
     call.idleTimeout = this->timeout;
     HttpOutcome outcome = co_await this->client.send(std::move(call), Step::Place);
--- a/src/programs/oleanderctl/main.cpp
+++ b/src/programs/oleanderctl/main.cpp
@@ -5,6 +5,7 @@
 #include "programs/oleanderctl/linediff.h"
 #include "runtime/commandline.h"
 #include "runtime/jsonaccess.h"
+#include "runtime/requesttarget.h"
 #include "runtime/textfile.h"
 
 #include <boost/json.hpp>
@@ -221,7 +222,7 @@
     const std::string id = session.options.at("ID") ? session.options.at("ID").asString() : "";
     const bool list = session.options.at("list").asBool();
     const bool cancel = session.options.at("cancel").asBool();
-    const std::string target = "/admin/programs" + (list ? "" : "/" + id + (cancel ? "/cancel" : "/history"));
+    const std::string target = "/admin/programs" + (list ? "" : "/" + escapedSegment(id) + (cancel ? "/cancel" : "/history"));
     const auto response = session.client.send(cancel ? "POST" : "GET", target);
     if (!response || response->status != statusOk) {
         return response ? reportResult(*response) : exitFailed;
--- a/src/runtime/callerapi.cpp
+++ b/src/runtime/callerapi.cpp
@@ -41,7 +41,9 @@
 bool isName(const std::string &text)
 {
     constexpr const char *allowedCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:";
-    return !text.empty() && text.size() <= maxNameLength && text.find_first_not_of(allowedCharacters) == std::string::npos;
+    // Names become segments of paths, where those of dots alone mean other ones.
+    const bool hasOnlyDots = text.find_first_not_of('.') == std::string::npos;
+    return !hasOnlyDots && text.size() <= maxNameLength && text.find_first_not_of(allowedCharacters) == std::string::npos;
 }
 
 std::optional<std::uint64_t> parseNumber(const std::string &text)
--- a/src/runtime/callsender.cpp
+++ b/src/runtime/callsender.cpp
@@ -10,6 +10,7 @@
 #include "runtime/eventlog.h"
 #include "runtime/metrics.h"
 #include "runtime/programservice.h"
+#include "runtime/requesttarget.h"
 
 #include <boost/asio.hpp>
 
@@ -240,7 +241,7 @@
         co_await sleepFor(outcomeQueryInterval);
         HttpCall call;
         call.address = placement.endpoint.address;
-        call.target = config.outcomePath + dispatched->request.requestId;
+        call.target = config.outcomePath + escapedSegment(dispatched->request.requestId);
         call.mayEndWithConnection = true;
         useOwnConnection(call);
         call.idleTimeout = config.timeout;
--- a/src/runtime/requesttarget.cpp
+++ b/src/runtime/requesttarget.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/url/encode.hpp>
 #include <boost/url/grammar/lut_chars.hpp>
+#include <boost/url/rfc/pchars.hpp>
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 namespace oleandergate {
@@ -16,7 +17,7 @@
 
 std::string escapedSegment(std::string_view text)
 {
-    return urls::encode(text, urls::unreserved_chars);
+    return urls::encode(text, urls::pchars);
 }
 
 std::string targetWithQuery(std::string_view path, std::initializer_list<QueryParameter> parameters)
--- a/src/runtime/requesttarget.h
+++ b/src/runtime/requesttarget.h
@@ -14,7 +14,8 @@
     std::string_view value{};
 };
 
-//! Returns \p text as one segment of a path, with all other characters than unreserved ones percent-encoded (RFC 3986).
+//! Returns \p text as one segment of a path, with the characters percent-encoded that no segment may have (RFC 3986). The segments "." and ".." stay as they
+//! are.
 std::string escapedSegment(std::string_view text);
 
 //! Returns \p path, which is taken as it is, with a query of \p parameters. Their values are percent-encoded but for unreserved characters and slashes.
