Bound the log lines of registrations that cannot be read

What callers would see: none by itself; an instance whose log and processor are filled by another writer. The memory and the number of lines in a minute (200) are bounded now, by a decision of its own (IgnoredEntries). The former code was not run with so many registrations.

--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -69,6 +69,9 @@
 //! Number of instances that watch the endpoints. Three tolerate the loss of two at once.
 constexpr std::size_t watcherCount = 3;
 
+//! Registrations are read several times a second, also those that do not change.
+constexpr IgnoredEntries::Limits ignoredEntryLimits{.keys = 1024, .lines = 200, .interval = std::chrono::minutes(1)};
+
 //! Sources of a configuration in the log, besides the addresses of peers.
 constexpr const char *watchSource = "watch";
 constexpr const char *readingSource = "reading";
@@ -117,6 +120,7 @@
                                                  return this->readEndpoint(pair).has_value();
                                              }})
     , removalTrust(maxReadingGap)
+    , ignoredEntries(ignoredEntryLimits)
     , readings(readingLimits, hashOf(this->self))
     , configurationQueries(configurationQueryLimits)
     , endpointQueries(endpointQueryLimits)
@@ -399,16 +403,9 @@
 {
     Result<EndpointEntry> entry = this->parts.format.readEndpoint(pair);
     if (!entry) {
-        // Registrations are read several times a second, also those that do not change.
-        constexpr std::size_t maxIgnoredKeys = 1024;
-        const auto [known, added] = this->ignoredRevisions.try_emplace(pair.key, 0);
-        if (known->second != pair.revision) {
-            known->second = pair.revision;
+        if (this->ignoredEntries.shouldLog(pair.key, pair.revision, currentTime())) {
             logError("endpoints", "ignored the registration " + pair.key, entry.error());
         }
-        if (added && this->ignoredRevisions.size() > maxIgnoredKeys) {
-            this->ignoredRevisions.clear();
-        }
         return std::nullopt;
     }
     return std::move(entry.value());
--- a/src/gateway/directorysync.h
+++ b/src/gateway/directorysync.h
@@ -1,6 +1,7 @@
 #ifndef OLEANDERGATE_GATEWAY_DIRECTORYSYNC_H
 #define OLEANDERGATE_GATEWAY_DIRECTORYSYNC_H
 
+#include "decision/ignoredentries.h"
 #include "decision/peerqueryplan.h"
 #include "decision/readingplan.h"
 #include "decision/removaltrust.h"
@@ -117,6 +118,7 @@
     PrefixFollower endpointFollower;
     RemovalTrust removalTrust;
     std::optional<Time> registryAvailableSince{Time{}}; //!< As the pools know it.
+    IgnoredEntries ignoredEntries; //!< Registrations that cannot be read.
     ReadingPlan readings;
     PeerQueryPlan configurationQueries;
     PeerQueryPlan endpointQueries;
@@ -126,7 +128,6 @@
     bool readingConfiguration = false;
     bool endpointsLoaded = false;
     std::atomic<std::uint64_t> peerRevision{0}; //!< Up to which a peer knew the endpoints that were fetched from it.
-    std::map<std::string, std::uint64_t> ignoredRevisions; //!< Revisions of registrations that were logged as ignored, by key.
 };
 
 } // namespace oleandergate
