--- a/tests/gateway/storereadingtests.cpp
+++ b/tests/gateway/storereadingtests.cpp
@@ -134,3 +134,40 @@
     CHECK(cluster.store.watchesAsked() - before <= seconds * watchesPerSecond);
     checkSound(cluster);
 }
+
+// Guards against what users reported: with pages of the published size, gateways that start beside a few large entries with such names are never ready.
+TEST_CASE("Store readings: gateways of which the service refuses some while they start are ready, and stay so, beside large entries with names to be escaped")
+{
+    constexpr std::size_t gatewayCount = 7;
+    constexpr std::size_t firstRefused = 4;
+    GatewayCluster cluster(gatewayCount, 2);
+    for (ChildProcess &gateway : cluster.gateways) {
+        gateway.kill();
+    }
+    for (const std::string &name : escapedNames) {
+        cluster.store.put("servers/" + name, std::string(megabyte, 'x'));
+    }
+    for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
+        cluster.setStoreRefusing(gateway, gateway >= firstRefused);
+        cluster.startGateway(gateway);
+    }
+    REQUIRE(cluster.startServing());
+    checkSound(cluster);
+    for (std::size_t gateway = firstRefused; gateway < gatewayCount; ++gateway) {
+        cluster.setStoreRefusing(gateway, false);
+    }
+    constexpr int rounds = 25;
+    constexpr int odd = 8;
+    constexpr int spentBudget = 20;
+    for (int round = 0; round < rounds; ++round) {
+        for (int index = 0; index < odd; ++index) {
+            cluster.store.put("servers/h" + std::to_string(index), R"({"round":)" + std::to_string(round) + "}");
+        }
+        cluster.turn(static_cast<std::size_t>(round) % gatewayCount, "spent", spentBudget);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    for (std::size_t gateway = 0; gateway < gatewayCount; ++gateway) {
+        CHECK(cluster.isReady(gateway));
+    }
+    checkSound(cluster);
+}
