--- a/src/runtime/callerapi.cpp
+++ b/src/runtime/callerapi.cpp
@@ -159,8 +159,8 @@
     }
     const std::string requestedId = text("id");
     if (!requestedId.empty() && !isName(requestedId)) {
-        co_await exchange.respond(
-            errorResponse(refusal(ErrorCode::BadRequest, Step::Parse, "'id' must have 1 to 200 characters, each a letter, a digit or one of -_.:")));
+        co_await exchange.respond(errorResponse(
+            refusal(ErrorCode::BadRequest, Step::Parse, "'id' must have 1 to 200 characters, each a letter, a digit or one of -_.:, and not dots alone")));
         co_return;
     }
     const Time now = currentTime();
@@ -217,11 +217,14 @@
     request.branch = http.header("Program-Branch");
     request.requestId = http.header("Idempotency-Key");
     if (!isName(request.program)) {
-        return refusal(
-            ErrorCode::BadRequest, Step::Parse, "the header Program-Id is required and must have 1 to 200 characters, each a letter, a digit or one of -_.:");
+        return refusal(ErrorCode::BadRequest,
+                       Step::Parse,
+                       "the header Program-Id is required and must have 1 to 200 characters, each a letter, a digit or one of -_.:, and not dots alone");
     }
     if (!request.branch.empty() && !isName(request.branch)) {
-        return refusal(ErrorCode::BadRequest, Step::Parse, "the header Program-Branch must have 1 to 200 characters, each a letter, a digit or one of -_.:");
+        return refusal(ErrorCode::BadRequest,
+                       Step::Parse,
+                       "the header Program-Branch must have 1 to 200 characters, each a letter, a digit or one of -_.:, and not dots alone");
     }
     if (request.requestId.empty() && !request.repeatable) {
         return refusal(ErrorCode::BadRequest, Step::Parse, "a call that is not idempotent needs the header Idempotency-Key");
@@ -230,7 +233,9 @@
         request.requestId = randomId("req-");
     }
     if (!isName(request.requestId)) {
-        return refusal(ErrorCode::BadRequest, Step::Parse, "the header Idempotency-Key must have 1 to 200 characters, each a letter, a digit or one of -_.:");
+        return refusal(ErrorCode::BadRequest,
+                       Step::Parse,
+                       "the header Idempotency-Key must have 1 to 200 characters, each a letter, a digit or one of -_.:, and not dots alone");
     }
     const std::string sequence = http.header("Program-Sequence");
     const std::optional<std::uint64_t> number = sequence.empty() ? std::optional<std::uint64_t>(0) : parseNumber(sequence);
