--- a/tests/gateway/oddentriestests.cpp
+++ b/tests/gateway/oddentriestests.cpp
@@ -73,6 +73,22 @@
     }
 }
 
+// Guards against header fields, or whole requests, that another writer puts into those that endpoints get: the identifier is sent to them.
+TEST_CASE("Odd entries: a registration under a key that is no identifier is rejected")
+{
+    for (const std::string key : {"servers/a\r\nInjected: 1", "servers/a\nb", "servers/\x7f", "servers/", "servers", "", "other/a"}) {
+        CAPTURE(key);
+        KvPair pair;
+        pair.key = key;
+        pair.value = registrationWith("", "");
+        CHECK_FALSE(PlatformRecordFormat().readEndpoint(pair));
+    }
+    KvPair pair;
+    pair.key = "servers/a00%#&b= +\xc3\xa9";
+    pair.value = registrationWith("", "");
+    CHECK(PlatformRecordFormat().readEndpoint(pair));
+}
+
 // Guards against gateways that end, stop following the registrations, or fill their logs because of one entry.
 TEST_CASE("Odd entries: gateways log each once, leave it out, and follow the others")
 {
