--- a/tests/gateway/standinstore.cpp
+++ b/tests/gateway/standinstore.cpp
@@ -334,7 +334,13 @@
 asio::awaitable<HttpResponse> StandinStore::watch(const HttpRequest &request, const View &view)
 {
     const std::string prefix = queryText(request.target, "PathPrefix");
-    const std::uint64_t after = std::stoull(queryText(request.target, "after"));
+    std::uint64_t after = std::stoull(queryText(request.target, "after"));
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->repeatingPagesAddresses.contains(view.address)) {
+            after = 0;
+        }
+    }
     const Time until = currentTime() + std::chrono::milliseconds(std::stoll(queryText(request.target, "WaitMs")));
     const std::size_t discardsBefore = this->historyDiscards;
     ++this->askedWatches;
--- a/tests/gateway/standinstore.h
+++ b/tests/gateway/standinstore.h
@@ -74,7 +74,8 @@
 
     void setPageLimits(PageLimits limits);
 
-    //! While it repeats pages, the store hands out the first page of a reading to the callers of one address, whatever page they ask for.
+    //! While it repeats pages, the store hands out the first page of a reading to the callers of one address, whatever page they ask for, and
+    //! all changes of a prefix to each of their watches.
     void setRepeatingPagesAt(const std::string &servedAddress, bool repeatingPages);
 
     //! While watches are hasty, they are answered at once, without changes if there are none.
--- a/tests/gateway/storereadingtests.cpp
+++ b/tests/gateway/storereadingtests.cpp
@@ -111,11 +111,15 @@
     CHECK(cluster.logHas(2, "page does not go forward"));
     checkSound(cluster);
     const std::size_t before = cluster.store.pagesRepeated();
+    const std::size_t watchesBefore = cluster.store.watchesAsked();
     constexpr int seconds = 3;
     std::this_thread::sleep_for(std::chrono::seconds(seconds));
     // An instance reads four prefixes, and waits 50 ms at least after a reading that failed.
     constexpr std::size_t readingsPerSecond = 4 * 20;
     CHECK(cluster.store.pagesRepeated() - before <= seconds * readingsPerSecond);
+    // An instance has three watches.
+    constexpr std::size_t watchesPerSecond = 3 * 3 * 4;
+    CHECK(cluster.store.watchesAsked() - watchesBefore <= seconds * watchesPerSecond);
 }
 
 // Guards against watches that are asked without a pause because each is answered at once.
