--- a/tests/gateway/storereadingtests.cpp
+++ b/tests/gateway/storereadingtests.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr int timeoutMs = 20000;
 constexpr std::size_t megabyte = 1024 * 1024;
 
 //! Names with characters that a query has to escape.
