--- a/src/decision/memoryledger.cpp
+++ b/src/decision/memoryledger.cpp
@@ -51,20 +51,13 @@
     if (resized.endedAt) {
         return {MemoryVerdict::End, std::nullopt};
     }
-    if (this->held <= this->maxBytes) {
+    if (this->held <= this->maxBytes || resized.kind == HeldFor::StoreAnswer) {
         return {MemoryVerdict::Granted, std::nullopt};
     }
     if (this->isEnding(now)) {
-        return {resized.kind == HeldFor::StoreAnswer ? MemoryVerdict::Granted : MemoryVerdict::Wait, std::nullopt};
+        return {MemoryVerdict::Wait, std::nullopt};
     }
     const std::optional<HolderId> victim = this->findVictim();
-    if (resized.kind == HeldFor::StoreAnswer) {
-        if (victim) {
-            this->holders.at(*victim).endedAt = now;
-            this->lastEnded = *victim;
-        }
-        return {MemoryVerdict::Granted, victim};
-    }
     if (!victim || *victim == holder) {
         resized.endedAt = now;
         this->lastEnded = holder;
--- a/src/decision/memoryledger.h
+++ b/src/decision/memoryledger.h
@@ -17,7 +17,7 @@
     Request, //!< A request that is being served. It is never ended for lack of memory.
     Answer, //!< An answer of an endpoint, or an event of one.
     UnsentAnswer, //!< A whole answer that its caller has not received.
-    StoreAnswer, //!< What was read from the key-value service, within bounds of its own. Always granted, and never ended.
+    StoreAnswer, //!< What was read from the key-value service, within bounds of its own. Always granted, and never ended; the others have the less room.
 };
 
 inline constexpr std::array<NamedValue<HeldFor>, 5> heldForNames{{
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -475,6 +475,9 @@
     } else {
         this->parts.pools.putEndpoint(*entry, now);
     }
+    if (!entry && !event.deleted) {
+        return; // Logged as ignored, within bounds.
+    }
     logRecord(LogLevel::Info,
               "endpoints",
               event.deleted ? "gone" : "announced",
