--- a/src/decision/ignoredentries.h
+++ b/src/decision/ignoredentries.h
@@ -10,7 +10,8 @@
 
 namespace oleandergate {
 
-//! Decides which of the entries that cannot be read are logged: each change of one once, and only so many lines in an interval.
+//! Decides which of the entries that cannot be read are logged: each change of one once while it is remembered, and only so many lines in an interval. When
+//! no more can be remembered, all are forgotten with the next interval.
 class IgnoredEntries
 {
 public:
--- a/src/gateway/directorysync.cpp
+++ b/src/gateway/directorysync.cpp
@@ -85,40 +85,46 @@
     , watcherSelection(this->self, watcherCount)
     , configurationFollower(parts.service,
                             parts.format.configurationKey(),
-                            PrefixFollower::Hooks{[this](const KvRange &range) {
-                                                      for (const KvPair &pair : range.pairs) {
-                                                          this->storeConfiguration(pair, readingSource);
-                                                      }
-                                                  },
-                                                  [this](const KvEvent &event) {
-                                                      if (!event.deleted) {
-                                                          this->storeConfiguration(event.pair, watchSource);
-                                                      }
-                                                  },
-                                                  {},
-                                                  {},
-                                                  [this](const KvPair &pair) {
-                                                      return pair.key == this->parts.format.configurationKey();
-                                                  }})
+                            PrefixFollower::Hooks{.onLoad =
+                                                      [this](const KvRange &range) {
+                                                          for (const KvPair &pair : range.pairs) {
+                                                              this->storeConfiguration(pair, readingSource);
+                                                          }
+                                                      },
+                                                  .onEvent =
+                                                      [this](const KvEvent &event) {
+                                                          if (!event.deleted) {
+                                                              this->storeConfiguration(event.pair, watchSource);
+                                                          }
+                                                      },
+                                                  .keeps =
+                                                      [this](const KvPair &pair) {
+                                                          return pair.key == this->parts.format.configurationKey();
+                                                      }})
     , endpointFollower(parts.service,
                        parts.format.endpointPrefix(),
-                       PrefixFollower::Hooks{[this](const KvRange &range) {
-                                                 this->loadEndpoints(range);
-                                             },
-                                             [this](const KvEvent &event) {
-                                                 this->applyEndpointEvent(event);
-                                             },
-                                             [this](Time askedAt) {
-                                                 this->removalTrust.onFailed(askedAt);
-                                                 this->updateRemovals("failed reading");
-                                             },
-                                             [this]() {
-                                                 this->removalTrust.onAnswered(currentTime());
-                                                 this->updateRemovals("reading");
-                                             },
-                                             [this](const KvPair &pair) {
-                                                 return this->readEndpoint(pair).has_value();
-                                             }})
+                       PrefixFollower::Hooks{.onLoad =
+                                                 [this](const KvRange &range) {
+                                                     this->loadEndpoints(range);
+                                                 },
+                                             .onEvent =
+                                                 [this](const KvEvent &event) {
+                                                     this->applyEndpointEvent(event);
+                                                 },
+                                             .onFailed =
+                                                 [this](Time askedAt) {
+                                                     this->removalTrust.onFailed(askedAt);
+                                                     this->updateRemovals("failed reading");
+                                                 },
+                                             .onAnswered =
+                                                 [this]() {
+                                                     this->removalTrust.onAnswered(currentTime());
+                                                     this->updateRemovals("reading");
+                                                 },
+                                             .keeps =
+                                                 [this](const KvPair &pair) {
+                                                     return this->readEndpoint(pair).has_value();
+                                                 }})
     , removalTrust(maxReadingGap)
     , ignoredEntries(ignoredEntryLimits)
     , readings(readingLimits, hashOf(this->self))
