--- a/src/backing/etcdkeyvalue.cpp
+++ b/src/backing/etcdkeyvalue.cpp
@@ -263,7 +263,6 @@
     PageVerdict verdict = PageVerdict::Continue;
     while (verdict == PageVerdict::Continue) {
         const std::string from = reading.lastKey() ? *reading.lastKey() + std::string(1, '\0') : prefix;
-
         json::object body{{"key", toBase64(from)}, {"range_end", toBase64(endOfPrefix(prefix))}, {"limit", std::to_string(keysPerPage)}};
         if (range.revision != 0) {
             body["revision"] = std::to_string(range.revision);
@@ -280,11 +279,9 @@
         page.isTruncated = jsonFlag(object, "more");
         for (const json::object &kv : jsonObjects(object, "kvs")) {
             KvPair pair = pairOf(kv);
-            page.items += 1;
-            page.lowestKey = std::min(page.lowestKey.value_or(pair.key), pair.key);
-            page.highestKey = std::max(page.highestKey.value_or(pair.key), pair.key);
-            if (!keeps || keeps(pair)) {
-                page.keptBytes += pair.key.size() + pair.value.size();
+            const bool isKept = !keeps || keeps(pair);
+            page.add(pair.key, isKept ? pair.key.size() + pair.value.size() : 0);
+            if (isKept) {
                 range.pairs.push_back(std::move(pair));
             }
         }
--- a/src/decision/pagedreading.cpp
+++ b/src/decision/pagedreading.cpp
@@ -2,6 +2,18 @@
 
 namespace oleandergate {
 
+void PagedReading::Page::add(const std::string &key, std::size_t kept)
+{
+    this->items += 1;
+    this->keptBytes += kept;
+    if (!this->lowestKey || key < *this->lowestKey) {
+        this->lowestKey = key;
+    }
+    if (!this->highestKey || key > *this->highestKey) {
+        this->highestKey = key;
+    }
+}
+
 PagedReading::PagedReading(Limits limits)
     : limits(limits)
 {
--- a/src/decision/pagedreading.h
+++ b/src/decision/pagedreading.h
@@ -45,6 +45,9 @@
         std::optional<std::string> lowestKey{}; //!< None of a page without items, like the next one.
         std::optional<std::string> highestKey{};
         bool isTruncated = false; //!< Further pages follow.
+
+        //! Adds an item with \p key, of which the reader keeps \p kept bytes.
+        void add(const std::string &key, std::size_t kept);
     };
 
     explicit PagedReading(Limits limits);
